--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.benchmarks;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.consensus;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/operator/src/main/java/org/nettlering/operator/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/nettlering/runtime/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.runtime;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/nettlering/standins/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.standins;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/org/nettlering/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.nettlering.wire;
+
+import org.jspecify.annotations.NullMarked;
