--- a/wire/src/main/java/org/nettlering/wire/proto/CommandProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/CommandProto.java
@@ -1143,6 +1143,1123 @@
 
   }
 
+  public interface SiteResultOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.SiteResult)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     * @return Whether the configuration field is set.
+     */
+    boolean hasConfiguration();
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     * @return The configuration.
+     */
+    org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult getConfiguration();
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     */
+    org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder getConfigurationOrBuilder();
+
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     * @return Whether the task field is set.
+     */
+    boolean hasTask();
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     * @return The task.
+     */
+    org.nettlering.wire.proto.TaskProto.TaskResult getTask();
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     */
+    org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder getTaskOrBuilder();
+
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     * @return Whether the ledger field is set.
+     */
+    boolean hasLedger();
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     * @return The ledger.
+     */
+    org.nettlering.wire.proto.RequestProto.LedgerResponse getLedger();
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder getLedgerOrBuilder();
+
+    org.nettlering.wire.proto.CommandProto.SiteResult.ResultCase getResultCase();
+  }
+  /**
+   * <pre>
+   * What the state machine answers to a command.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.SiteResult}
+   */
+  public static final class SiteResult extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.SiteResult)
+      SiteResultOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SiteResult");
+    }
+    // Use SiteResult.newBuilder() to construct.
+    private SiteResult(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SiteResult() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.CommandProto.SiteResult.class, org.nettlering.wire.proto.CommandProto.SiteResult.Builder.class);
+    }
+
+    private int resultCase_ = 0;
+    @SuppressWarnings("serial")
+    private java.lang.Object result_;
+    public enum ResultCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      CONFIGURATION(1),
+      TASK(2),
+      LEDGER(3),
+      RESULT_NOT_SET(0);
+      private final int value;
+      private ResultCase(int value) {
+        this.value = value;
+      }
+      /**
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static ResultCase valueOf(int value) {
+        return forNumber(value);
+      }
+
+      public static ResultCase forNumber(int value) {
+        switch (value) {
+          case 1: return CONFIGURATION;
+          case 2: return TASK;
+          case 3: return LEDGER;
+          case 0: return RESULT_NOT_SET;
+          default: return null;
+        }
+      }
+      public int getNumber() {
+        return this.value;
+      }
+    };
+
+    public ResultCase
+    getResultCase() {
+      return ResultCase.forNumber(
+          resultCase_);
+    }
+
+    public static final int CONFIGURATION_FIELD_NUMBER = 1;
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     * @return Whether the configuration field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfiguration() {
+      return resultCase_ == 1;
+    }
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     * @return The configuration.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult getConfiguration() {
+      if (resultCase_ == 1) {
+         return (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder getConfigurationOrBuilder() {
+      if (resultCase_ == 1) {
+         return (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+    }
+
+    public static final int TASK_FIELD_NUMBER = 2;
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     * @return Whether the task field is set.
+     */
+    @java.lang.Override
+    public boolean hasTask() {
+      return resultCase_ == 2;
+    }
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     * @return The task.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.TaskProto.TaskResult getTask() {
+      if (resultCase_ == 2) {
+         return (org.nettlering.wire.proto.TaskProto.TaskResult) result_;
+      }
+      return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.TaskResult task = 2;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder getTaskOrBuilder() {
+      if (resultCase_ == 2) {
+         return (org.nettlering.wire.proto.TaskProto.TaskResult) result_;
+      }
+      return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+    }
+
+    public static final int LEDGER_FIELD_NUMBER = 3;
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     * @return Whether the ledger field is set.
+     */
+    @java.lang.Override
+    public boolean hasLedger() {
+      return resultCase_ == 3;
+    }
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     * @return The ledger.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.LedgerResponse getLedger() {
+      if (resultCase_ == 3) {
+         return (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_;
+      }
+      return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.LedgerResponse ledger = 3;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder getLedgerOrBuilder() {
+      if (resultCase_ == 3) {
+         return (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_;
+      }
+      return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (resultCase_ == 1) {
+        output.writeMessage(1, (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_);
+      }
+      if (resultCase_ == 2) {
+        output.writeMessage(2, (org.nettlering.wire.proto.TaskProto.TaskResult) result_);
+      }
+      if (resultCase_ == 3) {
+        output.writeMessage(3, (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (resultCase_ == 1) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_);
+      }
+      if (resultCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (org.nettlering.wire.proto.TaskProto.TaskResult) result_);
+      }
+      if (resultCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.CommandProto.SiteResult)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.CommandProto.SiteResult other = (org.nettlering.wire.proto.CommandProto.SiteResult) obj;
+
+      if (!getResultCase().equals(other.getResultCase())) return false;
+      switch (resultCase_) {
+        case 1:
+          if (!getConfiguration()
+              .equals(other.getConfiguration())) return false;
+          break;
+        case 2:
+          if (!getTask()
+              .equals(other.getTask())) return false;
+          break;
+        case 3:
+          if (!getLedger()
+              .equals(other.getLedger())) return false;
+          break;
+        case 0:
+        default:
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      switch (resultCase_) {
+        case 1:
+          hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
+          hash = (53 * hash) + getConfiguration().hashCode();
+          break;
+        case 2:
+          hash = (37 * hash) + TASK_FIELD_NUMBER;
+          hash = (53 * hash) + getTask().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + LEDGER_FIELD_NUMBER;
+          hash = (53 * hash) + getLedger().hashCode();
+          break;
+        case 0:
+        default:
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.CommandProto.SiteResult parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.CommandProto.SiteResult prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the state machine answers to a command.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.SiteResult}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.SiteResult)
+        org.nettlering.wire.proto.CommandProto.SiteResultOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.CommandProto.SiteResult.class, org.nettlering.wire.proto.CommandProto.SiteResult.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.CommandProto.SiteResult.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (configurationBuilder_ != null) {
+          configurationBuilder_.clear();
+        }
+        if (taskBuilder_ != null) {
+          taskBuilder_.clear();
+        }
+        if (ledgerBuilder_ != null) {
+          ledgerBuilder_.clear();
+        }
+        resultCase_ = 0;
+        result_ = null;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.CommandProto.internal_static_nettlering_SiteResult_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.CommandProto.SiteResult getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.CommandProto.SiteResult.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.CommandProto.SiteResult build() {
+        org.nettlering.wire.proto.CommandProto.SiteResult result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.CommandProto.SiteResult buildPartial() {
+        org.nettlering.wire.proto.CommandProto.SiteResult result = new org.nettlering.wire.proto.CommandProto.SiteResult(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.CommandProto.SiteResult result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      private void buildPartialOneofs(org.nettlering.wire.proto.CommandProto.SiteResult result) {
+        result.resultCase_ = resultCase_;
+        result.result_ = this.result_;
+        if (resultCase_ == 1 &&
+            configurationBuilder_ != null) {
+          result.result_ = configurationBuilder_.build();
+        }
+        if (resultCase_ == 2 &&
+            taskBuilder_ != null) {
+          result.result_ = taskBuilder_.build();
+        }
+        if (resultCase_ == 3 &&
+            ledgerBuilder_ != null) {
+          result.result_ = ledgerBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.CommandProto.SiteResult) {
+          return mergeFrom((org.nettlering.wire.proto.CommandProto.SiteResult)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.CommandProto.SiteResult other) {
+        if (other == org.nettlering.wire.proto.CommandProto.SiteResult.getDefaultInstance()) return this;
+        switch (other.getResultCase()) {
+          case CONFIGURATION: {
+            mergeConfiguration(other.getConfiguration());
+            break;
+          }
+          case TASK: {
+            mergeTask(other.getTask());
+            break;
+          }
+          case LEDGER: {
+            mergeLedger(other.getLedger());
+            break;
+          }
+          case RESULT_NOT_SET: {
+            break;
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetConfigurationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                resultCase_ = 1;
+                break;
+              } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetTaskFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                resultCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetLedgerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                resultCase_ = 3;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int resultCase_ = 0;
+      private java.lang.Object result_;
+      public ResultCase
+          getResultCase() {
+        return ResultCase.forNumber(
+            resultCase_);
+      }
+
+      public Builder clearResult() {
+        resultCase_ = 0;
+        result_ = null;
+        onChanged();
+        return this;
+      }
+
+      private int bitField0_;
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.Builder, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder> configurationBuilder_;
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       * @return Whether the configuration field is set.
+       */
+      @java.lang.Override
+      public boolean hasConfiguration() {
+        return resultCase_ == 1;
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       * @return The configuration.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult getConfiguration() {
+        if (configurationBuilder_ == null) {
+          if (resultCase_ == 1) {
+            return (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+        } else {
+          if (resultCase_ == 1) {
+            return configurationBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      public Builder setConfiguration(org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult value) {
+        if (configurationBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          result_ = value;
+          onChanged();
+        } else {
+          configurationBuilder_.setMessage(value);
+        }
+        resultCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      public Builder setConfiguration(
+          org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.Builder builderForValue) {
+        if (configurationBuilder_ == null) {
+          result_ = builderForValue.build();
+          onChanged();
+        } else {
+          configurationBuilder_.setMessage(builderForValue.build());
+        }
+        resultCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      public Builder mergeConfiguration(org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult value) {
+        if (configurationBuilder_ == null) {
+          if (resultCase_ == 1 &&
+              result_ != org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance()) {
+            result_ = org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.newBuilder((org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            result_ = value;
+          }
+          onChanged();
+        } else {
+          if (resultCase_ == 1) {
+            configurationBuilder_.mergeFrom(value);
+          } else {
+            configurationBuilder_.setMessage(value);
+          }
+        }
+        resultCase_ = 1;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      public Builder clearConfiguration() {
+        if (configurationBuilder_ == null) {
+          if (resultCase_ == 1) {
+            resultCase_ = 0;
+            result_ = null;
+            onChanged();
+          }
+        } else {
+          if (resultCase_ == 1) {
+            resultCase_ = 0;
+            result_ = null;
+          }
+          configurationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.Builder getConfigurationBuilder() {
+        return internalGetConfigurationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder getConfigurationOrBuilder() {
+        if ((resultCase_ == 1) && (configurationBuilder_ != null)) {
+          return configurationBuilder_.getMessageOrBuilder();
+        } else {
+          if (resultCase_ == 1) {
+            return (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ConfigurationResult configuration = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.Builder, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder> 
+          internalGetConfigurationFieldBuilder() {
+        if (configurationBuilder_ == null) {
+          if (!(resultCase_ == 1)) {
+            result_ = org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.getDefaultInstance();
+          }
+          configurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult.Builder, org.nettlering.wire.proto.ConfigurationProto.ConfigurationResultOrBuilder>(
+                  (org.nettlering.wire.proto.ConfigurationProto.ConfigurationResult) result_,
+                  getParentForChildren(),
+                  isClean());
+          result_ = null;
+        }
+        resultCase_ = 1;
+        onChanged();
+        return configurationBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.TaskProto.TaskResult, org.nettlering.wire.proto.TaskProto.TaskResult.Builder, org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder> taskBuilder_;
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       * @return Whether the task field is set.
+       */
+      @java.lang.Override
+      public boolean hasTask() {
+        return resultCase_ == 2;
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       * @return The task.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.TaskProto.TaskResult getTask() {
+        if (taskBuilder_ == null) {
+          if (resultCase_ == 2) {
+            return (org.nettlering.wire.proto.TaskProto.TaskResult) result_;
+          }
+          return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+        } else {
+          if (resultCase_ == 2) {
+            return taskBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      public Builder setTask(org.nettlering.wire.proto.TaskProto.TaskResult value) {
+        if (taskBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          result_ = value;
+          onChanged();
+        } else {
+          taskBuilder_.setMessage(value);
+        }
+        resultCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      public Builder setTask(
+          org.nettlering.wire.proto.TaskProto.TaskResult.Builder builderForValue) {
+        if (taskBuilder_ == null) {
+          result_ = builderForValue.build();
+          onChanged();
+        } else {
+          taskBuilder_.setMessage(builderForValue.build());
+        }
+        resultCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      public Builder mergeTask(org.nettlering.wire.proto.TaskProto.TaskResult value) {
+        if (taskBuilder_ == null) {
+          if (resultCase_ == 2 &&
+              result_ != org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance()) {
+            result_ = org.nettlering.wire.proto.TaskProto.TaskResult.newBuilder((org.nettlering.wire.proto.TaskProto.TaskResult) result_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            result_ = value;
+          }
+          onChanged();
+        } else {
+          if (resultCase_ == 2) {
+            taskBuilder_.mergeFrom(value);
+          } else {
+            taskBuilder_.setMessage(value);
+          }
+        }
+        resultCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      public Builder clearTask() {
+        if (taskBuilder_ == null) {
+          if (resultCase_ == 2) {
+            resultCase_ = 0;
+            result_ = null;
+            onChanged();
+          }
+        } else {
+          if (resultCase_ == 2) {
+            resultCase_ = 0;
+            result_ = null;
+          }
+          taskBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      public org.nettlering.wire.proto.TaskProto.TaskResult.Builder getTaskBuilder() {
+        return internalGetTaskFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder getTaskOrBuilder() {
+        if ((resultCase_ == 2) && (taskBuilder_ != null)) {
+          return taskBuilder_.getMessageOrBuilder();
+        } else {
+          if (resultCase_ == 2) {
+            return (org.nettlering.wire.proto.TaskProto.TaskResult) result_;
+          }
+          return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.TaskResult task = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.TaskProto.TaskResult, org.nettlering.wire.proto.TaskProto.TaskResult.Builder, org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder> 
+          internalGetTaskFieldBuilder() {
+        if (taskBuilder_ == null) {
+          if (!(resultCase_ == 2)) {
+            result_ = org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+          }
+          taskBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.TaskProto.TaskResult, org.nettlering.wire.proto.TaskProto.TaskResult.Builder, org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder>(
+                  (org.nettlering.wire.proto.TaskProto.TaskResult) result_,
+                  getParentForChildren(),
+                  isClean());
+          result_ = null;
+        }
+        resultCase_ = 2;
+        onChanged();
+        return taskBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.LedgerResponse, org.nettlering.wire.proto.RequestProto.LedgerResponse.Builder, org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder> ledgerBuilder_;
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       * @return Whether the ledger field is set.
+       */
+      @java.lang.Override
+      public boolean hasLedger() {
+        return resultCase_ == 3;
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       * @return The ledger.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.LedgerResponse getLedger() {
+        if (ledgerBuilder_ == null) {
+          if (resultCase_ == 3) {
+            return (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_;
+          }
+          return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+        } else {
+          if (resultCase_ == 3) {
+            return ledgerBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      public Builder setLedger(org.nettlering.wire.proto.RequestProto.LedgerResponse value) {
+        if (ledgerBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          result_ = value;
+          onChanged();
+        } else {
+          ledgerBuilder_.setMessage(value);
+        }
+        resultCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      public Builder setLedger(
+          org.nettlering.wire.proto.RequestProto.LedgerResponse.Builder builderForValue) {
+        if (ledgerBuilder_ == null) {
+          result_ = builderForValue.build();
+          onChanged();
+        } else {
+          ledgerBuilder_.setMessage(builderForValue.build());
+        }
+        resultCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      public Builder mergeLedger(org.nettlering.wire.proto.RequestProto.LedgerResponse value) {
+        if (ledgerBuilder_ == null) {
+          if (resultCase_ == 3 &&
+              result_ != org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance()) {
+            result_ = org.nettlering.wire.proto.RequestProto.LedgerResponse.newBuilder((org.nettlering.wire.proto.RequestProto.LedgerResponse) result_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            result_ = value;
+          }
+          onChanged();
+        } else {
+          if (resultCase_ == 3) {
+            ledgerBuilder_.mergeFrom(value);
+          } else {
+            ledgerBuilder_.setMessage(value);
+          }
+        }
+        resultCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      public Builder clearLedger() {
+        if (ledgerBuilder_ == null) {
+          if (resultCase_ == 3) {
+            resultCase_ = 0;
+            result_ = null;
+            onChanged();
+          }
+        } else {
+          if (resultCase_ == 3) {
+            resultCase_ = 0;
+            result_ = null;
+          }
+          ledgerBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.LedgerResponse.Builder getLedgerBuilder() {
+        return internalGetLedgerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder getLedgerOrBuilder() {
+        if ((resultCase_ == 3) && (ledgerBuilder_ != null)) {
+          return ledgerBuilder_.getMessageOrBuilder();
+        } else {
+          if (resultCase_ == 3) {
+            return (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_;
+          }
+          return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.LedgerResponse ledger = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.LedgerResponse, org.nettlering.wire.proto.RequestProto.LedgerResponse.Builder, org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder> 
+          internalGetLedgerFieldBuilder() {
+        if (ledgerBuilder_ == null) {
+          if (!(resultCase_ == 3)) {
+            result_ = org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
+          }
+          ledgerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.LedgerResponse, org.nettlering.wire.proto.RequestProto.LedgerResponse.Builder, org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder>(
+                  (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_,
+                  getParentForChildren(),
+                  isClean());
+          result_ = null;
+        }
+        resultCase_ = 3;
+        onChanged();
+        return ledgerBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.SiteResult)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.SiteResult)
+    private static final org.nettlering.wire.proto.CommandProto.SiteResult DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.CommandProto.SiteResult();
+    }
+
+    public static org.nettlering.wire.proto.CommandProto.SiteResult getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SiteResult>
+        PARSER = new com.google.protobuf.AbstractParser<SiteResult>() {
+      @java.lang.Override
+      public SiteResult parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SiteResult> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SiteResult> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.CommandProto.SiteResult getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface SiteSnapshotOrBuilder extends
       // @@protoc_insertion_point(interface_extends:nettlering.SiteSnapshot)
       com.google.protobuf.MessageOrBuilder {
@@ -2199,6 +3316,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_SiteCommand_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_SiteResult_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_SiteResult_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_SiteSnapshot_descriptor;
   private static final 
@@ -2219,13 +3341,17 @@
       "tlering.ConfigurationCommandH\000\022\'\n\004task\030\002" +
       " \001(\0132\027.nettlering.TaskCommandH\000\022+\n\006ledge" +
       "r\030\003 \001(\0132\031.nettlering.LedgerCommandH\000B\t\n\007" +
-      "command\"\264\001\n\014SiteSnapshot\022\026\n\016format_versi" +
-      "on\030\001 \001(\r\0228\n\rconfiguration\030\002 \001(\0132!.nettle" +
-      "ring.ConfigurationSnapshot\022&\n\004task\030\003 \001(\013" +
-      "2\030.nettlering.TaskSnapshot\022*\n\006ledger\030\004 \001" +
-      "(\0132\032.nettlering.LedgerSnapshotB)\n\031org.ne" +
-      "ttlering.wire.protoB\014CommandProtob\006proto" +
-      "3"
+      "command\"\246\001\n\nSiteResult\0228\n\rconfiguration\030" +
+      "\001 \001(\0132\037.nettlering.ConfigurationResultH\000" +
+      "\022&\n\004task\030\002 \001(\0132\026.nettlering.TaskResultH\000" +
+      "\022,\n\006ledger\030\003 \001(\0132\032.nettlering.LedgerResp" +
+      "onseH\000B\010\n\006result\"\264\001\n\014SiteSnapshot\022\026\n\016for" +
+      "mat_version\030\001 \001(\r\0228\n\rconfiguration\030\002 \001(\013" +
+      "2!.nettlering.ConfigurationSnapshot\022&\n\004t" +
+      "ask\030\003 \001(\0132\030.nettlering.TaskSnapshot\022*\n\006l" +
+      "edger\030\004 \001(\0132\032.nettlering.LedgerSnapshotB" +
+      ")\n\031org.nettlering.wire.protoB\014CommandPro" +
+      "tob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -2240,8 +3366,14 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SiteCommand_descriptor,
         new java.lang.String[] { "Configuration", "Task", "Ledger", "Command", });
-    internal_static_nettlering_SiteSnapshot_descriptor =
+    internal_static_nettlering_SiteResult_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_nettlering_SiteResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_SiteResult_descriptor,
+        new java.lang.String[] { "Configuration", "Task", "Ledger", "Result", });
+    internal_static_nettlering_SiteSnapshot_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_nettlering_SiteSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SiteSnapshot_descriptor,
--- a/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
@@ -26772,6 +26772,715 @@
 
   }
 
+  public interface TaskResultOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.TaskResult)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * ErrorCode.text() of the refusal, empty when the command took effect.
+     * </pre>
+     *
+     * <code>string error_code = 1;</code>
+     * @return The errorCode.
+     */
+    java.lang.String getErrorCode();
+    /**
+     * <pre>
+     * ErrorCode.text() of the refusal, empty when the command took effect.
+     * </pre>
+     *
+     * <code>string error_code = 1;</code>
+     * @return The bytes for errorCode.
+     */
+    com.google.protobuf.ByteString
+        getErrorCodeBytes();
+
+    /**
+     * <code>string error_message = 2;</code>
+     * @return The errorMessage.
+     */
+    java.lang.String getErrorMessage();
+    /**
+     * <code>string error_message = 2;</code>
+     * @return The bytes for errorMessage.
+     */
+    com.google.protobuf.ByteString
+        getErrorMessageBytes();
+  }
+  /**
+   * <pre>
+   * What the state machine answers to a task command.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.TaskResult}
+   */
+  public static final class TaskResult extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.TaskResult)
+      TaskResultOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "TaskResult");
+    }
+    // Use TaskResult.newBuilder() to construct.
+    private TaskResult(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TaskResult() {
+      errorCode_ = "";
+      errorMessage_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.TaskProto.TaskResult.class, org.nettlering.wire.proto.TaskProto.TaskResult.Builder.class);
+    }
+
+    public static final int ERROR_CODE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object errorCode_ = "";
+    /**
+     * <pre>
+     * ErrorCode.text() of the refusal, empty when the command took effect.
+     * </pre>
+     *
+     * <code>string error_code = 1;</code>
+     * @return The errorCode.
+     */
+    @java.lang.Override
+    public java.lang.String getErrorCode() {
+      java.lang.Object ref = errorCode_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        errorCode_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * ErrorCode.text() of the refusal, empty when the command took effect.
+     * </pre>
+     *
+     * <code>string error_code = 1;</code>
+     * @return The bytes for errorCode.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getErrorCodeBytes() {
+      java.lang.Object ref = errorCode_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        errorCode_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ERROR_MESSAGE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object errorMessage_ = "";
+    /**
+     * <code>string error_message = 2;</code>
+     * @return The errorMessage.
+     */
+    @java.lang.Override
+    public java.lang.String getErrorMessage() {
+      java.lang.Object ref = errorMessage_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        errorMessage_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string error_message = 2;</code>
+     * @return The bytes for errorMessage.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getErrorMessageBytes() {
+      java.lang.Object ref = errorMessage_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        errorMessage_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(errorCode_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, errorCode_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(errorMessage_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, errorMessage_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(errorCode_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, errorCode_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(errorMessage_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, errorMessage_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.TaskProto.TaskResult)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.TaskProto.TaskResult other = (org.nettlering.wire.proto.TaskProto.TaskResult) obj;
+
+      if (!getErrorCode()
+          .equals(other.getErrorCode())) return false;
+      if (!getErrorMessage()
+          .equals(other.getErrorMessage())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ERROR_CODE_FIELD_NUMBER;
+      hash = (53 * hash) + getErrorCode().hashCode();
+      hash = (37 * hash) + ERROR_MESSAGE_FIELD_NUMBER;
+      hash = (53 * hash) + getErrorMessage().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.TaskProto.TaskResult parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.TaskProto.TaskResult prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the state machine answers to a task command.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.TaskResult}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.TaskResult)
+        org.nettlering.wire.proto.TaskProto.TaskResultOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.TaskProto.TaskResult.class, org.nettlering.wire.proto.TaskProto.TaskResult.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.TaskProto.TaskResult.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        errorCode_ = "";
+        errorMessage_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.TaskProto.internal_static_nettlering_TaskResult_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.TaskProto.TaskResult getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.TaskProto.TaskResult build() {
+        org.nettlering.wire.proto.TaskProto.TaskResult result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.TaskProto.TaskResult buildPartial() {
+        org.nettlering.wire.proto.TaskProto.TaskResult result = new org.nettlering.wire.proto.TaskProto.TaskResult(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.TaskProto.TaskResult result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.errorCode_ = errorCode_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.errorMessage_ = errorMessage_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.TaskProto.TaskResult) {
+          return mergeFrom((org.nettlering.wire.proto.TaskProto.TaskResult)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.TaskProto.TaskResult other) {
+        if (other == org.nettlering.wire.proto.TaskProto.TaskResult.getDefaultInstance()) return this;
+        if (!other.getErrorCode().isEmpty()) {
+          errorCode_ = other.errorCode_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getErrorMessage().isEmpty()) {
+          errorMessage_ = other.errorMessage_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                errorCode_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                errorMessage_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object errorCode_ = "";
+      /**
+       * <pre>
+       * ErrorCode.text() of the refusal, empty when the command took effect.
+       * </pre>
+       *
+       * <code>string error_code = 1;</code>
+       * @return The errorCode.
+       */
+      public java.lang.String getErrorCode() {
+        java.lang.Object ref = errorCode_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          errorCode_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * ErrorCode.text() of the refusal, empty when the command took effect.
+       * </pre>
+       *
+       * <code>string error_code = 1;</code>
+       * @return The bytes for errorCode.
+       */
+      public com.google.protobuf.ByteString
+          getErrorCodeBytes() {
+        java.lang.Object ref = errorCode_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          errorCode_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * ErrorCode.text() of the refusal, empty when the command took effect.
+       * </pre>
+       *
+       * <code>string error_code = 1;</code>
+       * @param value The errorCode to set.
+       * @return This builder for chaining.
+       */
+      public Builder setErrorCode(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        errorCode_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * ErrorCode.text() of the refusal, empty when the command took effect.
+       * </pre>
+       *
+       * <code>string error_code = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearErrorCode() {
+        errorCode_ = getDefaultInstance().getErrorCode();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * ErrorCode.text() of the refusal, empty when the command took effect.
+       * </pre>
+       *
+       * <code>string error_code = 1;</code>
+       * @param value The bytes for errorCode to set.
+       * @return This builder for chaining.
+       */
+      public Builder setErrorCodeBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        errorCode_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object errorMessage_ = "";
+      /**
+       * <code>string error_message = 2;</code>
+       * @return The errorMessage.
+       */
+      public java.lang.String getErrorMessage() {
+        java.lang.Object ref = errorMessage_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          errorMessage_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string error_message = 2;</code>
+       * @return The bytes for errorMessage.
+       */
+      public com.google.protobuf.ByteString
+          getErrorMessageBytes() {
+        java.lang.Object ref = errorMessage_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          errorMessage_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string error_message = 2;</code>
+       * @param value The errorMessage to set.
+       * @return This builder for chaining.
+       */
+      public Builder setErrorMessage(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        errorMessage_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string error_message = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearErrorMessage() {
+        errorMessage_ = getDefaultInstance().getErrorMessage();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string error_message = 2;</code>
+       * @param value The bytes for errorMessage to set.
+       * @return This builder for chaining.
+       */
+      public Builder setErrorMessageBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        errorMessage_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.TaskResult)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.TaskResult)
+    private static final org.nettlering.wire.proto.TaskProto.TaskResult DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.TaskProto.TaskResult();
+    }
+
+    public static org.nettlering.wire.proto.TaskProto.TaskResult getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TaskResult>
+        PARSER = new com.google.protobuf.AbstractParser<TaskResult>() {
+      @java.lang.Override
+      public TaskResult parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TaskResult> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TaskResult> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.TaskProto.TaskResult getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface TaskSnapshotOrBuilder extends
       // @@protoc_insertion_point(interface_extends:nettlering.TaskSnapshot)
       com.google.protobuf.MessageOrBuilder {
@@ -27269,6 +27978,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_SubmitJobCommand_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_TaskResult_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_TaskResult_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_TaskSnapshot_descriptor;
   private static final 
@@ -27366,11 +28080,13 @@
       "nettlering.SubmitJobCommandH\000B\t\n\007command" +
       "\"m\n\020SubmitJobCommand\022\024\n\014operation_id\030\001 \001" +
       "(\t\022)\n\003job\030\002 \001(\0132\034.nettlering.JobSpecific" +
-      "ation\022\030\n\020time_unix_millis\030\003 \001(\004\"\016\n\014TaskS" +
-      "napshot*b\n\tEndReason\022\032\n\026END_REASON_UNSPE" +
-      "CIFIED\020\000\022\r\n\tCOMPLETED\020\001\022\013\n\007STOPPED\020\002\022\n\n\006" +
-      "FAILED\020\003\022\021\n\rLEASE_EXPIRED\020\004B&\n\031org.nettl" +
-      "ering.wire.protoB\tTaskProtob\006proto3"
+      "ation\022\030\n\020time_unix_millis\030\003 \001(\004\"7\n\nTaskR" +
+      "esult\022\022\n\nerror_code\030\001 \001(\t\022\025\n\rerror_messa" +
+      "ge\030\002 \001(\t\"\016\n\014TaskSnapshot*b\n\tEndReason\022\032\n" +
+      "\026END_REASON_UNSPECIFIED\020\000\022\r\n\tCOMPLETED\020\001" +
+      "\022\013\n\007STOPPED\020\002\022\n\n\006FAILED\020\003\022\021\n\rLEASE_EXPIR" +
+      "ED\020\004B&\n\031org.nettlering.wire.protoB\tTaskP" +
+      "rotob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27544,8 +28260,14 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SubmitJobCommand_descriptor,
         new java.lang.String[] { "OperationId", "Job", "TimeUnixMillis", });
-    internal_static_nettlering_TaskSnapshot_descriptor =
+    internal_static_nettlering_TaskResult_descriptor =
       getDescriptor().getMessageType(28);
+    internal_static_nettlering_TaskResult_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_TaskResult_descriptor,
+        new java.lang.String[] { "ErrorCode", "ErrorMessage", });
+    internal_static_nettlering_TaskSnapshot_descriptor =
+      getDescriptor().getMessageType(29);
     internal_static_nettlering_TaskSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskSnapshot_descriptor,
