--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
@@ -0,0 +1,105 @@
+package org.nettlering.control.state;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import org.nettlering.consensus.ReplicatedStateMachine;
+import org.nettlering.control.log.StatePart;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.wire.proto.CommandProto.SiteCommand;
+import org.nettlering.wire.proto.CommandProto.SiteResult;
+import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
+
+/**
+ * The whole replicated state: configuration, tasks and the ledger of non-idempotent requests.
+ *
+ * <p>Passes each committed command to the part that it belongs to. The log calls it from one thread; the parts may be read
+ * from others.
+ */
+public final class SiteStateMachine implements ReplicatedStateMachine {
+    /** The format of the snapshots that this program writes, and the newest that it reads. */
+    public static final int FORMAT_VERSION = 1;
+
+    /** The configuration. */
+    private final StatePart configuration;
+
+    /** The tasks and workers. */
+    private final StatePart tasks;
+
+    /** The ledger of non-idempotent requests. */
+    private final StatePart ledger;
+
+    /**
+     * Creates the state machine.
+     *
+     * @param configuration the part for configuration commands, not null
+     * @param tasks the part for task commands, not null
+     * @param ledger the part for ledger commands, not null
+     * @return a new state machine, never null
+     */
+    public static SiteStateMachine of(StatePart configuration, StatePart tasks, StatePart ledger) {
+        return new SiteStateMachine(configuration, tasks, ledger);
+    }
+
+    private SiteStateMachine(StatePart configuration, StatePart tasks, StatePart ledger) {
+        this.configuration = configuration;
+        this.tasks = tasks;
+        this.ledger = ledger;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        SiteCommand decoded = decode(index, command);
+        SiteResult result = switch (decoded.getCommandCase()) {
+            case CONFIGURATION -> configuration.apply(decoded);
+            case TASK -> tasks.apply(decoded);
+            case LEDGER -> ledger.apply(decoded);
+            case COMMAND_NOT_SET ->
+                throw new NettleringException(
+                        ErrorCode.STORAGE_TOO_NEW,
+                        "log entry " + index + " holds a command that this program does not know");
+        };
+        return result.toByteArray();
+    }
+
+    @Override
+    public CapturedState capture() {
+        SiteSnapshot.Builder snapshot = SiteSnapshot.newBuilder().setFormatVersion(FORMAT_VERSION);
+        parts().forEach(part -> part.save(snapshot));
+        SiteSnapshot captured = snapshot.build();
+        return captured::toByteArray;
+    }
+
+    @Override
+    public void restore(byte[] encodedState) {
+        SiteSnapshot snapshot = decodeSnapshot(encodedState);
+        if (snapshot.getFormatVersion() > FORMAT_VERSION) {
+            throw new NettleringException(
+                    ErrorCode.STORAGE_TOO_NEW,
+                    "the snapshot has format " + snapshot.getFormatVersion() + ", but this program reads up to "
+                            + FORMAT_VERSION);
+        }
+        parts().forEach(part -> part.restore(snapshot));
+    }
+
+    private List<StatePart> parts() {
+        return List.of(configuration, tasks, ledger);
+    }
+
+    private static SiteCommand decode(long index, byte[] command) {
+        try {
+            return SiteCommand.parseFrom(command);
+        } catch (InvalidProtocolBufferException exception) {
+            throw new NettleringException(
+                    ErrorCode.STORAGE_CORRUPT, "log entry " + index + " is not a command", exception);
+        }
+    }
+
+    private static SiteSnapshot decodeSnapshot(byte[] encodedState) {
+        try {
+            return SiteSnapshot.parseFrom(encodedState);
+        } catch (InvalidProtocolBufferException exception) {
+            throw new NettleringException(ErrorCode.STORAGE_CORRUPT, "the snapshot cannot be read", exception);
+        }
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/configuration/Interruption.java
@@ -0,0 +1,11 @@
+package org.nettlering.domain.configuration;
+
+/** How far the work of a profile may be interrupted in favour of other work. Immutable and thread-safe. */
+public enum Interruption {
+    /** Neither throttled nor evicted. */
+    NEVER,
+    /** May be throttled, not evicted. */
+    THROTTLE,
+    /** May be throttled and evicted. */
+    EVICT
+}
--- a/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
+++ b/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
@@ -1,5 +1,7 @@
 package org.nettlering.domain.error;
 
+import java.util.Locale;
+
 /**
  * The stable code of an error, as it appears in logs, HTTP answers and on standard error.
  *
@@ -65,6 +67,21 @@
         this.httpStatus = httpStatus;
     }
 
+    /**
+     * Finds a code by its text.
+     *
+     * @param text such as {@code not-leader}, not null
+     * @return the code, or {@code INTERNAL} if a newer program sent one that is not known here, never null
+     */
+    public static ErrorCode parse(String text) {
+        for (ErrorCode code : values()) {
+            if (code.text().equals(text)) {
+                return code;
+            }
+        }
+        return INTERNAL;
+    }
+
     /**
      * Returns the HTTP status that goes with the code.
      *
@@ -80,6 +97,6 @@
      * @return the lower-case text, never null
      */
     public String text() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/proto/ConfigurationProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/ConfigurationProto.java
@@ -16923,10 +16923,16 @@
         getOperationIdBytes();
 
     /**
-     * <code>bytes content_digest = 2;</code>
+     * <code>string content_digest = 2;</code>
      * @return The contentDigest.
      */
-    com.google.protobuf.ByteString getContentDigest();
+    java.lang.String getContentDigest();
+    /**
+     * <code>string content_digest = 2;</code>
+     * @return The bytes for contentDigest.
+     */
+    com.google.protobuf.ByteString
+        getContentDigestBytes();
 
     /**
      * <code>.nettlering.ConfigurationResult result = 3;</code>
@@ -16966,7 +16972,7 @@
     }
     private RememberedOperation() {
       operationId_ = "";
-      contentDigest_ = com.google.protobuf.ByteString.EMPTY;
+      contentDigest_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -17028,14 +17034,42 @@
     }
 
     public static final int CONTENT_DIGEST_FIELD_NUMBER = 2;
-    private com.google.protobuf.ByteString contentDigest_ = com.google.protobuf.ByteString.EMPTY;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object contentDigest_ = "";
     /**
-     * <code>bytes content_digest = 2;</code>
+     * <code>string content_digest = 2;</code>
      * @return The contentDigest.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getContentDigest() {
-      return contentDigest_;
+    public java.lang.String getContentDigest() {
+      java.lang.Object ref = contentDigest_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        contentDigest_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string content_digest = 2;</code>
+     * @return The bytes for contentDigest.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getContentDigestBytes() {
+      java.lang.Object ref = contentDigest_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        contentDigest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
     public static final int RESULT_FIELD_NUMBER = 3;
@@ -17081,8 +17115,8 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operationId_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, operationId_);
       }
-      if (!contentDigest_.isEmpty()) {
-        output.writeBytes(2, contentDigest_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentDigest_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, contentDigest_);
       }
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeMessage(3, getResult());
@@ -17094,9 +17128,8 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operationId_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, operationId_);
       }
-      if (!contentDigest_.isEmpty()) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeBytesSize(2, contentDigest_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentDigest_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, contentDigest_);
       }
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
@@ -17292,7 +17325,7 @@
         super.clear();
         bitField0_ = 0;
         operationId_ = "";
-        contentDigest_ = com.google.protobuf.ByteString.EMPTY;
+        contentDigest_ = "";
         result_ = null;
         if (resultBuilder_ != null) {
           resultBuilder_.dispose();
@@ -17365,7 +17398,9 @@
           onChanged();
         }
         if (!other.getContentDigest().isEmpty()) {
-          setContentDigest(other.getContentDigest());
+          contentDigest_ = other.contentDigest_;
+          bitField0_ |= 0x00000002;
+          onChanged();
         }
         if (other.hasResult()) {
           mergeResult(other.getResult());
@@ -17400,7 +17435,7 @@
                 break;
               } // case 10
               case 18: {
-                contentDigest_ = input.readBytes();
+                contentDigest_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
@@ -17500,21 +17535,47 @@
         return this;
       }
 
-      private com.google.protobuf.ByteString contentDigest_ = com.google.protobuf.ByteString.EMPTY;
+      private java.lang.Object contentDigest_ = "";
       /**
-       * <code>bytes content_digest = 2;</code>
+       * <code>string content_digest = 2;</code>
        * @return The contentDigest.
        */
-      @java.lang.Override
-      public com.google.protobuf.ByteString getContentDigest() {
-        return contentDigest_;
+      public java.lang.String getContentDigest() {
+        java.lang.Object ref = contentDigest_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          contentDigest_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>bytes content_digest = 2;</code>
+       * <code>string content_digest = 2;</code>
+       * @return The bytes for contentDigest.
+       */
+      public com.google.protobuf.ByteString
+          getContentDigestBytes() {
+        java.lang.Object ref = contentDigest_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          contentDigest_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string content_digest = 2;</code>
        * @param value The contentDigest to set.
        * @return This builder for chaining.
        */
-      public Builder setContentDigest(com.google.protobuf.ByteString value) {
+      public Builder setContentDigest(
+          java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         contentDigest_ = value;
         bitField0_ |= 0x00000002;
@@ -17522,12 +17583,26 @@
         return this;
       }
       /**
-       * <code>bytes content_digest = 2;</code>
+       * <code>string content_digest = 2;</code>
        * @return This builder for chaining.
        */
       public Builder clearContentDigest() {
-        bitField0_ = (bitField0_ & ~0x00000002);
         contentDigest_ = getDefaultInstance().getContentDigest();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string content_digest = 2;</code>
+       * @param value The bytes for contentDigest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentDigestBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        contentDigest_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
@@ -17852,7 +17927,7 @@
       "ng.RevisionRecord\0223\n\noperations\030\003 \003(\0132\037." +
       "nettlering.RememberedOperation\"t\n\023Rememb" +
       "eredOperation\022\024\n\014operation_id\030\001 \001(\t\022\026\n\016c" +
-      "ontent_digest\030\002 \001(\014\022/\n\006result\030\003 \001(\0132\037.ne" +
+      "ontent_digest\030\002 \001(\t\022/\n\006result\030\003 \001(\0132\037.ne" +
       "ttlering.ConfigurationResult*P\n\014Interrup" +
       "tion\022\034\n\030INTERRUPTION_UNSPECIFIED\020\000\022\t\n\005NE" +
       "VER\020\001\022\014\n\010THROTTLE\020\002\022\t\n\005EVICT\020\003B/\n\031org.ne" +
