--- a/control/src/main/java/org/nettlering/control/configuration/ConfigurationService.java
+++ b/control/src/main/java/org/nettlering/control/configuration/ConfigurationService.java
@@ -15,7 +15,9 @@
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationResponse;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationUpdate;
 import org.nettlering.wire.proto.ConfigurationProto.ExplainRevision;
+import org.nettlering.wire.proto.ConfigurationProto.ExplainService;
 import org.nettlering.wire.proto.ConfigurationProto.FetchConfiguration;
+import org.nettlering.wire.proto.ConfigurationProto.RevisionRecords;
 import org.nettlering.wire.proto.FrameProto.Frame;
 
 /**
@@ -58,6 +60,7 @@
             case FETCH -> fetch(body.getFetch());
             case CHANGE -> change(body.getChange());
             case EXPLAIN -> explain(body.getExplain());
+            case EXPLAIN_SERVICE -> explainService(body.getExplainService());
             case REQUEST_NOT_SET ->
                 throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "the configuration request is empty");
         };
@@ -116,4 +119,13 @@
                                         + " is not among the kept ones; the current revision is "
                                         + state.current().revision())));
     }
+
+    private CompletionStage<ConfigurationResponse> explainService(ExplainService explain) {
+        return log.confirmLeadership().thenApply(ignored -> {
+            RevisionRecords.Builder records = RevisionRecords.newBuilder();
+            state.recordsAboutService(explain.getService())
+                    .forEach(record -> records.addRecords(ConfigurationCodec.toMessage(record)));
+            return ConfigurationResponse.newBuilder().setRecords(records).build();
+        });
+    }
 }
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
@@ -0,0 +1,83 @@
+package org.nettlering.control.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.junit.jupiter.api.Test;
+import org.nettlering.control.configuration.ConfigurationPart;
+import org.nettlering.control.log.StatePart;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.wire.proto.CommandProto.SiteCommand;
+import org.nettlering.wire.proto.CommandProto.SiteResult;
+import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
+import org.nettlering.wire.proto.ConfigurationProto.ConfigurationChange;
+import org.nettlering.wire.proto.ConfigurationProto.ConfigurationCommand;
+
+class SiteStateMachineTest {
+    private final ConfigurationPart configuration = ConfigurationPart.create();
+    private final SiteStateMachine machine = SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart());
+
+    @Test
+    void aCommandReachesThePartThatItBelongsTo() throws InvalidProtocolBufferException {
+        byte[] answer = machine.apply(1, powerCapCommand());
+
+        assertThat(SiteResult.parseFrom(answer).getConfiguration().getRevision())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void aCapturedStateDoesNotChangeWithLaterCommands() {
+        machine.apply(1, powerCapCommand());
+        var captured = machine.capture();
+        machine.restore(SiteSnapshot.newBuilder().setFormatVersion(1).build().toByteArray());
+        assertThat(configuration.state().current().revision()).isZero();
+
+        machine.restore(captured.encode());
+
+        assertThat(configuration.state().current().revision()).isEqualTo(1);
+    }
+
+    @Test
+    void aSnapshotOfANewerFormatIsRefused() {
+        byte[] newer = SiteSnapshot.newBuilder().setFormatVersion(2).build().toByteArray();
+
+        assertRefused(ErrorCode.STORAGE_TOO_NEW, () -> machine.restore(newer));
+    }
+
+    @Test
+    void anEntryThatIsNotACommandIsRefused() {
+        assertRefused(ErrorCode.STORAGE_CORRUPT, () -> machine.apply(1, new byte[] {-1, -1}));
+        assertRefused(ErrorCode.STORAGE_TOO_NEW, () -> machine.apply(1, new byte[0]));
+    }
+
+    private static void assertRefused(ErrorCode code, Runnable action) {
+        assertThatThrownBy(action::run)
+                .isInstanceOfSatisfying(
+                        NettleringException.class,
+                        exception -> assertThat(exception.code()).isEqualTo(code));
+    }
+
+    private static byte[] powerCapCommand() {
+        return SiteCommand.newBuilder()
+                .setConfiguration(ConfigurationCommand.newBuilder()
+                        .setOperationId("a")
+                        .addChanges(ConfigurationChange.newBuilder().setPowerCapMilliwatts(5)))
+                .build()
+                .toByteArray();
+    }
+
+    private static final class EmptyPart implements StatePart {
+        @Override
+        public SiteResult apply(SiteCommand command) {
+            return SiteResult.getDefaultInstance();
+        }
+
+        @Override
+        public void save(SiteSnapshot.Builder snapshot) {}
+
+        @Override
+        public void restore(SiteSnapshot snapshot) {}
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/configuration/ConfigurationChange.java
+++ b/domain/src/main/java/org/nettlering/domain/configuration/ConfigurationChange.java
@@ -6,6 +6,25 @@
  * <p>Puts replace the thing of the same name. Immutable and thread-safe.
  */
 public sealed interface ConfigurationChange {
+    /**
+     * Tells whether the change edits a service.
+     *
+     * @param service the name of the service, not null
+     * @return true if the change puts, moves or removes it
+     */
+    default boolean isAboutService(String service) {
+        return switch (this) {
+            case PutService(ServiceDefinition definition) -> definition.name().equals(service);
+            case RemoveService(String name) -> name.equals(service);
+            case MoveService(String name, String ignored) -> name.equals(service);
+            case PutProfile ignored -> false;
+            case RemoveProfile ignored -> false;
+            case PutTeam ignored -> false;
+            case RemoveTeam ignored -> false;
+            case SetPowerCap ignored -> false;
+        };
+    }
+
     /**
      * Adds or replaces a profile.
      *
--- a/domain/src/main/java/org/nettlering/domain/configuration/ConfigurationState.java
+++ b/domain/src/main/java/org/nettlering/domain/configuration/ConfigurationState.java
@@ -82,6 +82,23 @@
         }
     }
 
+    /**
+     * Returns the kept revisions that edited a service.
+     *
+     * @param service the name of the service, not null
+     * @return the records in order, the oldest first, never null
+     */
+    public List<RevisionRecord> recordsAboutService(String service) {
+        lock.lock();
+        try {
+            return history.stream()
+                    .filter(record -> record.changes().stream().anyMatch(change -> change.isAboutService(service)))
+                    .toList();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Returns what leads from an earlier revision to the current one.
      *
--- a/domain/src/test/java/org/nettlering/domain/configuration/ConfigurationStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/configuration/ConfigurationStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +10,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.nettlering.domain.configuration.ConfigurationChange.PutProfile;
+import org.nettlering.domain.configuration.ConfigurationChange.PutService;
 import org.nettlering.domain.configuration.ConfigurationChange.SetPowerCap;
 import org.nettlering.domain.configuration.ConfigurationOutcome.Accepted;
 import org.nettlering.domain.configuration.ConfigurationOutcome.Refused;
@@ -108,6 +111,17 @@
         assertThat(restored.record(1)).isPresent();
     }
 
+    @Test
+    void theRevisionsThatEditedAServiceAreFound() {
+        state.apply(operation("cap", 0, 7));
+        ServiceDefinition service = new ServiceDefinition("previews", "urgent", List.of(), Duration.ofSeconds(1), 1);
+        Profile profile = new Profile("urgent", 90, Interruption.NEVER, 10);
+        state.apply(new ConfigurationOperation(
+                "put", "operator", 1, List.of(new PutProfile(profile), new PutService(service)), Instant.EPOCH, "d"));
+
+        assertThat(state.recordsAboutService("previews")).extracting("revision").containsExactly(2L);
+    }
+
     @Test
     void seededOperationsGetTheAnswersOfANaiveModel() {
         for (long seed = 0; seed < 200; seed++) {
--- a/wire/src/main/java/org/nettlering/wire/proto/ConfigurationProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/ConfigurationProto.java
@@ -10019,6 +10019,21 @@
      */
     org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder getExplainOrBuilder();
 
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     * @return Whether the explainService field is set.
+     */
+    boolean hasExplainService();
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     * @return The explainService.
+     */
+    org.nettlering.wire.proto.ConfigurationProto.ExplainService getExplainService();
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     */
+    org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder getExplainServiceOrBuilder();
+
     org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest.RequestCase getRequestCase();
   }
   /**
@@ -10072,6 +10087,7 @@
       FETCH(1),
       CHANGE(2),
       EXPLAIN(3),
+      EXPLAIN_SERVICE(4),
       REQUEST_NOT_SET(0);
       private final int value;
       private RequestCase(int value) {
@@ -10092,6 +10108,7 @@
           case 1: return FETCH;
           case 2: return CHANGE;
           case 3: return EXPLAIN;
+          case 4: return EXPLAIN_SERVICE;
           case 0: return REQUEST_NOT_SET;
           default: return null;
         }
@@ -10200,6 +10217,37 @@
       return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
     }
 
+    public static final int EXPLAIN_SERVICE_FIELD_NUMBER = 4;
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     * @return Whether the explainService field is set.
+     */
+    @java.lang.Override
+    public boolean hasExplainService() {
+      return requestCase_ == 4;
+    }
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     * @return The explainService.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ExplainService getExplainService() {
+      if (requestCase_ == 4) {
+         return (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.ExplainService explain_service = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder getExplainServiceOrBuilder() {
+      if (requestCase_ == 4) {
+         return (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -10223,6 +10271,9 @@
       if (requestCase_ == 3) {
         output.writeMessage(3, (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_);
       }
+      if (requestCase_ == 4) {
+        output.writeMessage(4, (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -10239,6 +10290,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_);
       }
+      if (requestCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_);
+      }
       return size;
     }
     @java.lang.Override
@@ -10277,6 +10332,10 @@
           if (!getExplain()
               .equals(other.getExplain())) return false;
           break;
+        case 4:
+          if (!getExplainService()
+              .equals(other.getExplainService())) return false;
+          break;
         case 0:
         default:
       }
@@ -10304,6 +10363,10 @@
           hash = (37 * hash) + EXPLAIN_FIELD_NUMBER;
           hash = (53 * hash) + getExplain().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + EXPLAIN_SERVICE_FIELD_NUMBER;
+          hash = (53 * hash) + getExplainService().hashCode();
+          break;
         case 0:
         default:
       }
@@ -10447,6 +10510,9 @@
         if (explainBuilder_ != null) {
           explainBuilder_.clear();
         }
+        if (explainServiceBuilder_ != null) {
+          explainServiceBuilder_.clear();
+        }
         requestCase_ = 0;
         request_ = null;
         return this;
@@ -10500,6 +10566,10 @@
             explainBuilder_ != null) {
           result.request_ = explainBuilder_.build();
         }
+        if (requestCase_ == 4 &&
+            explainServiceBuilder_ != null) {
+          result.request_ = explainServiceBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -10527,6 +10597,10 @@
             mergeExplain(other.getExplain());
             break;
           }
+          case EXPLAIN_SERVICE: {
+            mergeExplainService(other.getExplainService());
+            break;
+          }
           case REQUEST_NOT_SET: {
             break;
           }
@@ -10576,6 +10650,13 @@
                 requestCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetExplainServiceFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                requestCase_ = 4;
+                break;
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -10910,141 +10991,1544 @@
           }
           return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
         } else {
-          if (requestCase_ == 3) {
-            return explainBuilder_.getMessage();
-          }
-          return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
+          if (requestCase_ == 3) {
+            return explainBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      public Builder setExplain(org.nettlering.wire.proto.ConfigurationProto.ExplainRevision value) {
+        if (explainBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          request_ = value;
+          onChanged();
+        } else {
+          explainBuilder_.setMessage(value);
+        }
+        requestCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      public Builder setExplain(
+          org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder builderForValue) {
+        if (explainBuilder_ == null) {
+          request_ = builderForValue.build();
+          onChanged();
+        } else {
+          explainBuilder_.setMessage(builderForValue.build());
+        }
+        requestCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      public Builder mergeExplain(org.nettlering.wire.proto.ConfigurationProto.ExplainRevision value) {
+        if (explainBuilder_ == null) {
+          if (requestCase_ == 3 &&
+              request_ != org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance()) {
+            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.newBuilder((org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            request_ = value;
+          }
+          onChanged();
+        } else {
+          if (requestCase_ == 3) {
+            explainBuilder_.mergeFrom(value);
+          } else {
+            explainBuilder_.setMessage(value);
+          }
+        }
+        requestCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      public Builder clearExplain() {
+        if (explainBuilder_ == null) {
+          if (requestCase_ == 3) {
+            requestCase_ = 0;
+            request_ = null;
+            onChanged();
+          }
+        } else {
+          if (requestCase_ == 3) {
+            requestCase_ = 0;
+            request_ = null;
+          }
+          explainBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder getExplainBuilder() {
+        return internalGetExplainFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder getExplainOrBuilder() {
+        if ((requestCase_ == 3) && (explainBuilder_ != null)) {
+          return explainBuilder_.getMessageOrBuilder();
+        } else {
+          if (requestCase_ == 3) {
+            return (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.ExplainRevision, org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder> 
+          internalGetExplainFieldBuilder() {
+        if (explainBuilder_ == null) {
+          if (!(requestCase_ == 3)) {
+            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
+          }
+          explainBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConfigurationProto.ExplainRevision, org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder>(
+                  (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_,
+                  getParentForChildren(),
+                  isClean());
+          request_ = null;
+        }
+        requestCase_ = 3;
+        onChanged();
+        return explainBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.ExplainService, org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder> explainServiceBuilder_;
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       * @return Whether the explainService field is set.
+       */
+      @java.lang.Override
+      public boolean hasExplainService() {
+        return requestCase_ == 4;
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       * @return The explainService.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainService getExplainService() {
+        if (explainServiceBuilder_ == null) {
+          if (requestCase_ == 4) {
+            return (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+        } else {
+          if (requestCase_ == 4) {
+            return explainServiceBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      public Builder setExplainService(org.nettlering.wire.proto.ConfigurationProto.ExplainService value) {
+        if (explainServiceBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          request_ = value;
+          onChanged();
+        } else {
+          explainServiceBuilder_.setMessage(value);
+        }
+        requestCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      public Builder setExplainService(
+          org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder builderForValue) {
+        if (explainServiceBuilder_ == null) {
+          request_ = builderForValue.build();
+          onChanged();
+        } else {
+          explainServiceBuilder_.setMessage(builderForValue.build());
+        }
+        requestCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      public Builder mergeExplainService(org.nettlering.wire.proto.ConfigurationProto.ExplainService value) {
+        if (explainServiceBuilder_ == null) {
+          if (requestCase_ == 4 &&
+              request_ != org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance()) {
+            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainService.newBuilder((org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            request_ = value;
+          }
+          onChanged();
+        } else {
+          if (requestCase_ == 4) {
+            explainServiceBuilder_.mergeFrom(value);
+          } else {
+            explainServiceBuilder_.setMessage(value);
+          }
+        }
+        requestCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      public Builder clearExplainService() {
+        if (explainServiceBuilder_ == null) {
+          if (requestCase_ == 4) {
+            requestCase_ = 0;
+            request_ = null;
+            onChanged();
+          }
+        } else {
+          if (requestCase_ == 4) {
+            requestCase_ = 0;
+            request_ = null;
+          }
+          explainServiceBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder getExplainServiceBuilder() {
+        return internalGetExplainServiceFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder getExplainServiceOrBuilder() {
+        if ((requestCase_ == 4) && (explainServiceBuilder_ != null)) {
+          return explainServiceBuilder_.getMessageOrBuilder();
+        } else {
+          if (requestCase_ == 4) {
+            return (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ExplainService explain_service = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.ExplainService, org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder> 
+          internalGetExplainServiceFieldBuilder() {
+        if (explainServiceBuilder_ == null) {
+          if (!(requestCase_ == 4)) {
+            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+          }
+          explainServiceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConfigurationProto.ExplainService, org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder>(
+                  (org.nettlering.wire.proto.ConfigurationProto.ExplainService) request_,
+                  getParentForChildren(),
+                  isClean());
+          request_ = null;
+        }
+        requestCase_ = 4;
+        onChanged();
+        return explainServiceBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.ConfigurationRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.ConfigurationRequest)
+    private static final org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest();
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ConfigurationRequest>
+        PARSER = new com.google.protobuf.AbstractParser<ConfigurationRequest>() {
+      @java.lang.Override
+      public ConfigurationRequest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ConfigurationRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ConfigurationRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ExplainServiceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.ExplainService)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+  }
+  /**
+   * Protobuf type {@code nettlering.ExplainService}
+   */
+  public static final class ExplainService extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.ExplainService)
+      ExplainServiceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ExplainService");
+    }
+    // Use ExplainService.newBuilder() to construct.
+    private ExplainService(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ExplainService() {
+      service_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConfigurationProto.ExplainService.class, org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConfigurationProto.ExplainService)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConfigurationProto.ExplainService other = (org.nettlering.wire.proto.ConfigurationProto.ExplainService) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConfigurationProto.ExplainService prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.ExplainService}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.ExplainService)
+        org.nettlering.wire.proto.ConfigurationProto.ExplainServiceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConfigurationProto.ExplainService.class, org.nettlering.wire.proto.ConfigurationProto.ExplainService.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConfigurationProto.ExplainService.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_ExplainService_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainService getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainService build() {
+        org.nettlering.wire.proto.ConfigurationProto.ExplainService result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.ExplainService buildPartial() {
+        org.nettlering.wire.proto.ConfigurationProto.ExplainService result = new org.nettlering.wire.proto.ConfigurationProto.ExplainService(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConfigurationProto.ExplainService result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConfigurationProto.ExplainService) {
+          return mergeFrom((org.nettlering.wire.proto.ConfigurationProto.ExplainService)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConfigurationProto.ExplainService other) {
+        if (other == org.nettlering.wire.proto.ConfigurationProto.ExplainService.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.ExplainService)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.ExplainService)
+    private static final org.nettlering.wire.proto.ConfigurationProto.ExplainService DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConfigurationProto.ExplainService();
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.ExplainService getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ExplainService>
+        PARSER = new com.google.protobuf.AbstractParser<ExplainService>() {
+      @java.lang.Override
+      public ExplainService parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ExplainService> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ExplainService> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.ExplainService getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RevisionRecordsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.RevisionRecords)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> 
+        getRecordsList();
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    org.nettlering.wire.proto.ConfigurationProto.RevisionRecord getRecords(int index);
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    int getRecordsCount();
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder> 
+        getRecordsOrBuilderList();
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder getRecordsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code nettlering.RevisionRecords}
+   */
+  public static final class RevisionRecords extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.RevisionRecords)
+      RevisionRecordsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RevisionRecords");
+    }
+    // Use RevisionRecords.newBuilder() to construct.
+    private RevisionRecords(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RevisionRecords() {
+      records_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.class, org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder.class);
+    }
+
+    public static final int RECORDS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> records_;
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> getRecordsList() {
+      return records_;
+    }
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder> 
+        getRecordsOrBuilderList() {
+      return records_;
+    }
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    @java.lang.Override
+    public int getRecordsCount() {
+      return records_.size();
+    }
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.RevisionRecord getRecords(int index) {
+      return records_.get(index);
+    }
+    /**
+     * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder getRecordsOrBuilder(
+        int index) {
+      return records_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < records_.size(); i++) {
+        output.writeMessage(1, records_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = records_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(records_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConfigurationProto.RevisionRecords)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConfigurationProto.RevisionRecords other = (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) obj;
+
+      if (!getRecordsList()
+          .equals(other.getRecordsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getRecordsCount() > 0) {
+        hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+        hash = (53 * hash) + getRecordsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.RevisionRecords}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.RevisionRecords)
+        org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.class, org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+        } else {
+          records_ = null;
+          recordsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConfigurationProto.internal_static_nettlering_RevisionRecords_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords build() {
+        org.nettlering.wire.proto.ConfigurationProto.RevisionRecords result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords buildPartial() {
+        org.nettlering.wire.proto.ConfigurationProto.RevisionRecords result = new org.nettlering.wire.proto.ConfigurationProto.RevisionRecords(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords result) {
+        if (recordsBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            records_ = java.util.Collections.unmodifiableList(records_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.records_ = records_;
+        } else {
+          result.records_ = recordsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) {
+          return mergeFrom((org.nettlering.wire.proto.ConfigurationProto.RevisionRecords)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords other) {
+        if (other == org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance()) return this;
+        if (recordsBuilder_ == null) {
+          if (!other.records_.isEmpty()) {
+            if (records_.isEmpty()) {
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureRecordsIsMutable();
+              records_.addAll(other.records_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.records_.isEmpty()) {
+            if (recordsBuilder_.isEmpty()) {
+              recordsBuilder_.dispose();
+              recordsBuilder_ = null;
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              recordsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetRecordsFieldBuilder() : null;
+            } else {
+              recordsBuilder_.addAllMessages(other.records_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                org.nettlering.wire.proto.ConfigurationProto.RevisionRecord m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.parser(),
+                        extensionRegistry);
+                if (recordsBuilder_ == null) {
+                  ensureRecordsIsMutable();
+                  records_.add(m);
+                } else {
+                  recordsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> records_ =
+        java.util.Collections.emptyList();
+      private void ensureRecordsIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          records_ = new java.util.ArrayList<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord>(records_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecord, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder> recordsBuilder_;
+
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> getRecordsList() {
+        if (recordsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(records_);
+        } else {
+          return recordsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public int getRecordsCount() {
+        if (recordsBuilder_ == null) {
+          return records_.size();
+        } else {
+          return recordsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecord getRecords(int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);
+        } else {
+          return recordsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public Builder setRecords(
+          int index, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord value) {
+        if (recordsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureRecordsIsMutable();
+          records_.set(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public Builder setRecords(
+          int index, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public Builder addRecords(org.nettlering.wire.proto.ConfigurationProto.RevisionRecord value) {
+        if (recordsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureRecordsIsMutable();
+          records_.add(value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public Builder addRecords(
+          int index, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord value) {
+        if (recordsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureRecordsIsMutable();
+          records_.add(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(index, value);
         }
+        return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      public Builder setExplain(org.nettlering.wire.proto.ConfigurationProto.ExplainRevision value) {
-        if (explainBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          request_ = value;
+      public Builder addRecords(
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(builderForValue.build());
           onChanged();
         } else {
-          explainBuilder_.setMessage(value);
+          recordsBuilder_.addMessage(builderForValue.build());
         }
-        requestCase_ = 3;
         return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      public Builder setExplain(
-          org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder builderForValue) {
-        if (explainBuilder_ == null) {
-          request_ = builderForValue.build();
+      public Builder addRecords(
+          int index, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(index, builderForValue.build());
           onChanged();
         } else {
-          explainBuilder_.setMessage(builderForValue.build());
+          recordsBuilder_.addMessage(index, builderForValue.build());
         }
-        requestCase_ = 3;
         return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      public Builder mergeExplain(org.nettlering.wire.proto.ConfigurationProto.ExplainRevision value) {
-        if (explainBuilder_ == null) {
-          if (requestCase_ == 3 &&
-              request_ != org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance()) {
-            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.newBuilder((org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            request_ = value;
-          }
+      public Builder addAllRecords(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.ConfigurationProto.RevisionRecord> values) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, records_);
           onChanged();
         } else {
-          if (requestCase_ == 3) {
-            explainBuilder_.mergeFrom(value);
-          } else {
-            explainBuilder_.setMessage(value);
-          }
+          recordsBuilder_.addAllMessages(values);
         }
-        requestCase_ = 3;
         return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      public Builder clearExplain() {
-        if (explainBuilder_ == null) {
-          if (requestCase_ == 3) {
-            requestCase_ = 0;
-            request_ = null;
-            onChanged();
-          }
+      public Builder clearRecords() {
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
         } else {
-          if (requestCase_ == 3) {
-            requestCase_ = 0;
-            request_ = null;
-          }
-          explainBuilder_.clear();
+          recordsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      public org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder getExplainBuilder() {
-        return internalGetExplainFieldBuilder().getBuilder();
+      public Builder removeRecords(int index) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.remove(index);
+          onChanged();
+        } else {
+          recordsBuilder_.remove(index);
+        }
+        return this;
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      @java.lang.Override
-      public org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder getExplainOrBuilder() {
-        if ((requestCase_ == 3) && (explainBuilder_ != null)) {
-          return explainBuilder_.getMessageOrBuilder();
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder getRecordsBuilder(
+          int index) {
+        return internalGetRecordsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder getRecordsOrBuilder(
+          int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);  } else {
+          return recordsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder> 
+           getRecordsOrBuilderList() {
+        if (recordsBuilder_ != null) {
+          return recordsBuilder_.getMessageOrBuilderList();
         } else {
-          if (requestCase_ == 3) {
-            return (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_;
-          }
-          return org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
+          return java.util.Collections.unmodifiableList(records_);
         }
       }
       /**
-       * <code>.nettlering.ExplainRevision explain = 3;</code>
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.nettlering.wire.proto.ConfigurationProto.ExplainRevision, org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder> 
-          internalGetExplainFieldBuilder() {
-        if (explainBuilder_ == null) {
-          if (!(requestCase_ == 3)) {
-            request_ = org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.getDefaultInstance();
-          }
-          explainBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.nettlering.wire.proto.ConfigurationProto.ExplainRevision, org.nettlering.wire.proto.ConfigurationProto.ExplainRevision.Builder, org.nettlering.wire.proto.ConfigurationProto.ExplainRevisionOrBuilder>(
-                  (org.nettlering.wire.proto.ConfigurationProto.ExplainRevision) request_,
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder addRecordsBuilder() {
+        return internalGetRecordsFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder addRecordsBuilder(
+          int index) {
+        return internalGetRecordsFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.RevisionRecord records = 1;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder> 
+           getRecordsBuilderList() {
+        return internalGetRecordsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecord, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder> 
+          internalGetRecordsFieldBuilder() {
+        if (recordsBuilder_ == null) {
+          recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.ConfigurationProto.RevisionRecord, org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder>(
+                  records_,
+                  ((bitField0_ & 0x00000001) != 0),
                   getParentForChildren(),
                   isClean());
-          request_ = null;
+          records_ = null;
         }
-        requestCase_ = 3;
-        onChanged();
-        return explainBuilder_;
+        return recordsBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.ConfigurationRequest)
+      // @@protoc_insertion_point(builder_scope:nettlering.RevisionRecords)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.ConfigurationRequest)
-    private static final org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.RevisionRecords)
+    private static final org.nettlering.wire.proto.ConfigurationProto.RevisionRecords DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConfigurationProto.RevisionRecords();
     }
 
-    public static org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest getDefaultInstance() {
+    public static org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ConfigurationRequest>
-        PARSER = new com.google.protobuf.AbstractParser<ConfigurationRequest>() {
+    private static final com.google.protobuf.Parser<RevisionRecords>
+        PARSER = new com.google.protobuf.AbstractParser<RevisionRecords>() {
       @java.lang.Override
-      public ConfigurationRequest parsePartialFrom(
+      public RevisionRecords parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -11063,17 +12547,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ConfigurationRequest> parser() {
+    public static com.google.protobuf.Parser<RevisionRecords> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ConfigurationRequest> getParserForType() {
+    public com.google.protobuf.Parser<RevisionRecords> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -12105,6 +13589,21 @@
      */
     org.nettlering.wire.proto.ConfigurationProto.RevisionRecordOrBuilder getRecordOrBuilder();
 
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     * @return Whether the records field is set.
+     */
+    boolean hasRecords();
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     * @return The records.
+     */
+    org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getRecords();
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     */
+    org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder getRecordsOrBuilder();
+
     org.nettlering.wire.proto.ConfigurationProto.ConfigurationResponse.ResponseCase getResponseCase();
   }
   /**
@@ -12158,6 +13657,7 @@
       UPDATE(1),
       RESULT(2),
       RECORD(3),
+      RECORDS(4),
       RESPONSE_NOT_SET(0);
       private final int value;
       private ResponseCase(int value) {
@@ -12178,6 +13678,7 @@
           case 1: return UPDATE;
           case 2: return RESULT;
           case 3: return RECORD;
+          case 4: return RECORDS;
           case 0: return RESPONSE_NOT_SET;
           default: return null;
         }
@@ -12286,6 +13787,37 @@
       return org.nettlering.wire.proto.ConfigurationProto.RevisionRecord.getDefaultInstance();
     }
 
+    public static final int RECORDS_FIELD_NUMBER = 4;
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     * @return Whether the records field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecords() {
+      return responseCase_ == 4;
+    }
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     * @return The records.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getRecords() {
+      if (responseCase_ == 4) {
+         return (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.RevisionRecords records = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder getRecordsOrBuilder() {
+      if (responseCase_ == 4) {
+         return (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_;
+      }
+      return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12309,6 +13841,9 @@
       if (responseCase_ == 3) {
         output.writeMessage(3, (org.nettlering.wire.proto.ConfigurationProto.RevisionRecord) response_);
       }
+      if (responseCase_ == 4) {
+        output.writeMessage(4, (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -12325,6 +13860,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (org.nettlering.wire.proto.ConfigurationProto.RevisionRecord) response_);
       }
+      if (responseCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_);
+      }
       return size;
     }
     @java.lang.Override
@@ -12363,6 +13902,10 @@
           if (!getRecord()
               .equals(other.getRecord())) return false;
           break;
+        case 4:
+          if (!getRecords()
+              .equals(other.getRecords())) return false;
+          break;
         case 0:
         default:
       }
@@ -12390,6 +13933,10 @@
           hash = (37 * hash) + RECORD_FIELD_NUMBER;
           hash = (53 * hash) + getRecord().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+          hash = (53 * hash) + getRecords().hashCode();
+          break;
         case 0:
         default:
       }
@@ -12533,6 +14080,9 @@
         if (recordBuilder_ != null) {
           recordBuilder_.clear();
         }
+        if (recordsBuilder_ != null) {
+          recordsBuilder_.clear();
+        }
         responseCase_ = 0;
         response_ = null;
         return this;
@@ -12586,6 +14136,10 @@
             recordBuilder_ != null) {
           result.response_ = recordBuilder_.build();
         }
+        if (responseCase_ == 4 &&
+            recordsBuilder_ != null) {
+          result.response_ = recordsBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -12613,6 +14167,10 @@
             mergeRecord(other.getRecord());
             break;
           }
+          case RECORDS: {
+            mergeRecords(other.getRecords());
+            break;
+          }
           case RESPONSE_NOT_SET: {
             break;
           }
@@ -12662,6 +14220,13 @@
                 responseCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetRecordsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                responseCase_ = 4;
+                break;
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13114,6 +14679,146 @@
         return recordBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecords, org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder> recordsBuilder_;
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       * @return Whether the records field is set.
+       */
+      @java.lang.Override
+      public boolean hasRecords() {
+        return responseCase_ == 4;
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       * @return The records.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords getRecords() {
+        if (recordsBuilder_ == null) {
+          if (responseCase_ == 4) {
+            return (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+        } else {
+          if (responseCase_ == 4) {
+            return recordsBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      public Builder setRecords(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords value) {
+        if (recordsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          response_ = value;
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(value);
+        }
+        responseCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      public Builder setRecords(
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          response_ = builderForValue.build();
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(builderForValue.build());
+        }
+        responseCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      public Builder mergeRecords(org.nettlering.wire.proto.ConfigurationProto.RevisionRecords value) {
+        if (recordsBuilder_ == null) {
+          if (responseCase_ == 4 &&
+              response_ != org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance()) {
+            response_ = org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.newBuilder((org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            response_ = value;
+          }
+          onChanged();
+        } else {
+          if (responseCase_ == 4) {
+            recordsBuilder_.mergeFrom(value);
+          } else {
+            recordsBuilder_.setMessage(value);
+          }
+        }
+        responseCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      public Builder clearRecords() {
+        if (recordsBuilder_ == null) {
+          if (responseCase_ == 4) {
+            responseCase_ = 0;
+            response_ = null;
+            onChanged();
+          }
+        } else {
+          if (responseCase_ == 4) {
+            responseCase_ = 0;
+            response_ = null;
+          }
+          recordsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder getRecordsBuilder() {
+        return internalGetRecordsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder getRecordsOrBuilder() {
+        if ((responseCase_ == 4) && (recordsBuilder_ != null)) {
+          return recordsBuilder_.getMessageOrBuilder();
+        } else {
+          if (responseCase_ == 4) {
+            return (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_;
+          }
+          return org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.RevisionRecords records = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConfigurationProto.RevisionRecords, org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder> 
+          internalGetRecordsFieldBuilder() {
+        if (recordsBuilder_ == null) {
+          if (!(responseCase_ == 4)) {
+            response_ = org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.getDefaultInstance();
+          }
+          recordsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConfigurationProto.RevisionRecords, org.nettlering.wire.proto.ConfigurationProto.RevisionRecords.Builder, org.nettlering.wire.proto.ConfigurationProto.RevisionRecordsOrBuilder>(
+                  (org.nettlering.wire.proto.ConfigurationProto.RevisionRecords) response_,
+                  getParentForChildren(),
+                  isClean());
+          response_ = null;
+        }
+        responseCase_ = 4;
+        onChanged();
+        return recordsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.ConfigurationResponse)
     }
 
@@ -17827,6 +19532,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_ConfigurationRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_ExplainService_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_ExplainService_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_RevisionRecords_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_RevisionRecords_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_FetchConfiguration_descriptor;
   private static final 
@@ -17902,37 +19617,42 @@
       "e_unix_millis\030\005 \001(\004\"l\n\023ConfigurationResu" +
       "lt\022\020\n\010revision\030\001 \001(\004\022\022\n\nerror_code\030\002 \001(\t" +
       "\022\025\n\rerror_message\030\003 \001(\t\022\030\n\020current_revis" +
-      "ion\030\004 \001(\004\"\266\001\n\024ConfigurationRequest\022/\n\005fe" +
+      "ion\030\004 \001(\004\"\355\001\n\024ConfigurationRequest\022/\n\005fe" +
       "tch\030\001 \001(\0132\036.nettlering.FetchConfiguratio" +
       "nH\000\0222\n\006change\030\002 \001(\0132 .nettlering.Configu" +
       "rationCommandH\000\022.\n\007explain\030\003 \001(\0132\033.nettl" +
-      "ering.ExplainRevisionH\000B\t\n\007request\";\n\022Fe" +
-      "tchConfiguration\022\026\n\016known_revision\030\001 \001(\004" +
-      "\022\r\n\005local\030\002 \001(\010\"#\n\017ExplainRevision\022\020\n\010re" +
-      "vision\030\001 \001(\004\"\267\001\n\025ConfigurationResponse\0221" +
-      "\n\006update\030\001 \001(\0132\037.nettlering.Configuratio" +
-      "nUpdateH\000\0221\n\006result\030\002 \001(\0132\037.nettlering.C" +
-      "onfigurationResultH\000\022,\n\006record\030\003 \001(\0132\032.n" +
-      "ettlering.RevisionRecordH\000B\n\n\010response\"\205" +
-      "\001\n\023ConfigurationUpdate\022\020\n\010revision\030\001 \001(\004" +
-      "\022/\n\013differences\030\002 \003(\0132\032.nettlering.Revis" +
-      "ionRecord\022+\n\004full\030\003 \001(\0132\035.nettlering.Sit" +
-      "eConfiguration\"\233\001\n\016RevisionRecord\022\020\n\010rev" +
-      "ision\030\001 \001(\004\022\024\n\014operation_id\030\002 \001(\t\022\025\n\rope" +
-      "rator_name\030\003 \001(\t\022\030\n\020time_unix_millis\030\004 \001" +
-      "(\004\0220\n\007changes\030\005 \003(\0132\037.nettlering.Configu" +
-      "rationChange\"\257\001\n\025ConfigurationSnapshot\0224" +
-      "\n\rconfiguration\030\001 \001(\0132\035.nettlering.SiteC" +
-      "onfiguration\022+\n\007history\030\002 \003(\0132\032.nettleri" +
-      "ng.RevisionRecord\0223\n\noperations\030\003 \003(\0132\037." +
-      "nettlering.RememberedOperation\"t\n\023Rememb" +
-      "eredOperation\022\024\n\014operation_id\030\001 \001(\t\022\026\n\016c" +
-      "ontent_digest\030\002 \001(\t\022/\n\006result\030\003 \001(\0132\037.ne" +
-      "ttlering.ConfigurationResult*P\n\014Interrup" +
-      "tion\022\034\n\030INTERRUPTION_UNSPECIFIED\020\000\022\t\n\005NE" +
-      "VER\020\001\022\014\n\010THROTTLE\020\002\022\t\n\005EVICT\020\003B/\n\031org.ne" +
-      "ttlering.wire.protoB\022ConfigurationProtob" +
-      "\006proto3"
+      "ering.ExplainRevisionH\000\0225\n\017explain_servi" +
+      "ce\030\004 \001(\0132\032.nettlering.ExplainServiceH\000B\t" +
+      "\n\007request\"!\n\016ExplainService\022\017\n\007service\030\001" +
+      " \001(\t\">\n\017RevisionRecords\022+\n\007records\030\001 \003(\013" +
+      "2\032.nettlering.RevisionRecord\";\n\022FetchCon" +
+      "figuration\022\026\n\016known_revision\030\001 \001(\004\022\r\n\005lo" +
+      "cal\030\002 \001(\010\"#\n\017ExplainRevision\022\020\n\010revision" +
+      "\030\001 \001(\004\"\347\001\n\025ConfigurationResponse\0221\n\006upda" +
+      "te\030\001 \001(\0132\037.nettlering.ConfigurationUpdat" +
+      "eH\000\0221\n\006result\030\002 \001(\0132\037.nettlering.Configu" +
+      "rationResultH\000\022,\n\006record\030\003 \001(\0132\032.nettler" +
+      "ing.RevisionRecordH\000\022.\n\007records\030\004 \001(\0132\033." +
+      "nettlering.RevisionRecordsH\000B\n\n\010response" +
+      "\"\205\001\n\023ConfigurationUpdate\022\020\n\010revision\030\001 \001" +
+      "(\004\022/\n\013differences\030\002 \003(\0132\032.nettlering.Rev" +
+      "isionRecord\022+\n\004full\030\003 \001(\0132\035.nettlering.S" +
+      "iteConfiguration\"\233\001\n\016RevisionRecord\022\020\n\010r" +
+      "evision\030\001 \001(\004\022\024\n\014operation_id\030\002 \001(\t\022\025\n\ro" +
+      "perator_name\030\003 \001(\t\022\030\n\020time_unix_millis\030\004" +
+      " \001(\004\0220\n\007changes\030\005 \003(\0132\037.nettlering.Confi" +
+      "gurationChange\"\257\001\n\025ConfigurationSnapshot" +
+      "\0224\n\rconfiguration\030\001 \001(\0132\035.nettlering.Sit" +
+      "eConfiguration\022+\n\007history\030\002 \003(\0132\032.nettle" +
+      "ring.RevisionRecord\0223\n\noperations\030\003 \003(\0132" +
+      "\037.nettlering.RememberedOperation\"t\n\023Reme" +
+      "mberedOperation\022\024\n\014operation_id\030\001 \001(\t\022\026\n" +
+      "\016content_digest\030\002 \001(\t\022/\n\006result\030\003 \001(\0132\037." +
+      "nettlering.ConfigurationResult*P\n\014Interr" +
+      "uption\022\034\n\030INTERRUPTION_UNSPECIFIED\020\000\022\t\n\005" +
+      "NEVER\020\001\022\014\n\010THROTTLE\020\002\022\t\n\005EVICT\020\003B/\n\031org." +
+      "nettlering.wire.protoB\022ConfigurationProt" +
+      "ob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -17997,45 +19717,57 @@
     internal_static_nettlering_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ConfigurationRequest_descriptor,
-        new java.lang.String[] { "Fetch", "Change", "Explain", "Request", });
-    internal_static_nettlering_FetchConfiguration_descriptor =
+        new java.lang.String[] { "Fetch", "Change", "Explain", "ExplainService", "Request", });
+    internal_static_nettlering_ExplainService_descriptor =
       getDescriptor().getMessageType(10);
+    internal_static_nettlering_ExplainService_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_ExplainService_descriptor,
+        new java.lang.String[] { "Service", });
+    internal_static_nettlering_RevisionRecords_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_nettlering_RevisionRecords_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_RevisionRecords_descriptor,
+        new java.lang.String[] { "Records", });
+    internal_static_nettlering_FetchConfiguration_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_nettlering_FetchConfiguration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_FetchConfiguration_descriptor,
         new java.lang.String[] { "KnownRevision", "Local", });
     internal_static_nettlering_ExplainRevision_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_nettlering_ExplainRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ExplainRevision_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_nettlering_ConfigurationResponse_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_nettlering_ConfigurationResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ConfigurationResponse_descriptor,
-        new java.lang.String[] { "Update", "Result", "Record", "Response", });
+        new java.lang.String[] { "Update", "Result", "Record", "Records", "Response", });
     internal_static_nettlering_ConfigurationUpdate_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_nettlering_ConfigurationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ConfigurationUpdate_descriptor,
         new java.lang.String[] { "Revision", "Differences", "Full", });
     internal_static_nettlering_RevisionRecord_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_nettlering_RevisionRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_RevisionRecord_descriptor,
         new java.lang.String[] { "Revision", "OperationId", "OperatorName", "TimeUnixMillis", "Changes", });
     internal_static_nettlering_ConfigurationSnapshot_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_nettlering_ConfigurationSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ConfigurationSnapshot_descriptor,
         new java.lang.String[] { "Configuration", "History", "Operations", });
     internal_static_nettlering_RememberedOperation_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_nettlering_RememberedOperation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_RememberedOperation_descriptor,
