--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -0,0 +1,41 @@
+package org.nettlering.benchmarks;
+
+/**
+ * Runs one benchmark by name.
+ *
+ * <p>Exit codes: 0 on success, 1 when a benchmark's bound is not met, 2 for a wrong command line.
+ */
+public final class BenchmarkMain {
+    private static final int EXIT_USAGE = 2;
+
+    private BenchmarkMain() {}
+
+    /**
+     * Runs the benchmark that the first argument names, with the others.
+     *
+     * @param arguments the command line, not null
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    private static int run(String[] arguments) {
+        if (arguments.length == 0) {
+            return usage();
+        }
+        return switch (arguments[0]) {
+            case "--help" -> help();
+            default -> usage();
+        };
+    }
+
+    private static int help() {
+        System.out.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
+        return 0;
+    }
+
+    private static int usage() {
+        System.err.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
+        return EXIT_USAGE;
+    }
+}
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/package-info.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/package-info.java
@@ -1,4 +1,8 @@
-/** Placeholder. */
+/**
+ * The benchmarks behind the figures in the documents.
+ *
+ * <p>{@link org.nettlering.benchmarks.BenchmarkMain} runs one by name; each prints the table that a page quotes.
+ */
 @NullMarked
 package org.nettlering.benchmarks;
 
--- /dev/null
+++ b/standins/src/main/java/org/nettlering/standins/demo/ControlHost.java
@@ -0,0 +1,14 @@
+package org.nettlering.standins.demo;
+
+import java.nio.file.Path;
+
+/**
+ * Where one control process runs.
+ *
+ * @param id the member id
+ * @param failureDomain its failure domain
+ * @param peers the address for the system's own processes
+ * @param metrics the address for metrics
+ * @param dataFolder its data folder
+ */
+record ControlHost(String id, String failureDomain, String peers, String metrics, Path dataFolder) {}
--- /dev/null
+++ b/standins/src/main/java/org/nettlering/standins/demo/EntryHost.java
@@ -0,0 +1,13 @@
+package org.nettlering.standins.demo;
+
+/**
+ * Where one entry process runs.
+ *
+ * @param id the name of the entry
+ * @param failureDomain its failure domain
+ * @param callers the address for callers
+ * @param platform the address for upstreams and workers
+ * @param operators the address for operators
+ * @param peers the address for the system's own processes
+ */
+record EntryHost(String id, String failureDomain, String callers, String platform, String operators, String peers) {}
--- /dev/null
+++ b/standins/src/main/java/org/nettlering/standins/demo/SiteClient.java
@@ -0,0 +1,88 @@
+package org.nettlering.standins.demo;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.nettlering.standins.http.Addresses;
+import org.nettlering.standins.http.JsonClient;
+import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
+import org.nettlering.wire.proto.TaskProto.JobList;
+import org.nettlering.wire.proto.TaskProto.JobStatus;
+import org.nettlering.wire.proto.TaskProto.PowerStatus;
+
+/**
+ * Asks the operators' ports of the entries for the state of the site.
+ *
+ * <p>Each question goes to the entries in order until one answers. Thread-safe.
+ */
+final class SiteClient {
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    /** Sends the questions. */
+    private final JsonClient client;
+
+    /** The operators' ports. */
+    private final List<SocketAddress> entries;
+
+    static SiteClient create(Vertx vertx, List<EntryHost> entries) {
+        return new SiteClient(vertx, entries);
+    }
+
+    private SiteClient(Vertx vertx, List<EntryHost> entries) {
+        this.client = JsonClient.create(vertx, TIMEOUT);
+        this.entries = entries.stream()
+                .map(entry -> Addresses.parse(entry.operators()))
+                .toList();
+    }
+
+    /** Returns whether an address answers a path with 2xx. */
+    boolean answers(String address, String path) {
+        return fetch(Addresses.parse(address), path).isPresent();
+    }
+
+    /** Returns the leader's member id, if there is one. */
+    Optional<String> leader() {
+        return ask("/v1/members")
+                .map(json -> JsonClient.read(json, MembershipResponse.newBuilder())
+                        .build()
+                        .getLeaderId())
+                .filter(leader -> !leader.isEmpty());
+    }
+
+    /** Returns the jobs, or none if no entry answers. */
+    List<JobStatus> jobs() {
+        return ask("/v1/jobs")
+                .map(json -> JsonClient.read(json, JobList.newBuilder()).build().getJobsList())
+                .orElse(List.of());
+    }
+
+    /** Returns the power, if an entry answers. */
+    Optional<PowerStatus> power() {
+        return ask("/v1/power")
+                .map(json -> JsonClient.read(json, PowerStatus.newBuilder()).build());
+    }
+
+    private Optional<String> ask(String path) {
+        for (SocketAddress entry : entries) {
+            Optional<String> answer = fetch(entry, path);
+            if (answer.isPresent()) {
+                return answer;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<String> fetch(SocketAddress address, String path) {
+        try {
+            Future<String> answer = client.get(address, path);
+            return Optional.of(answer.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (TimeoutException | RuntimeException unanswered) {
+            return Optional.empty();
+        }
+    }
+}
