--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -1,5 +1,8 @@
 package org.nettlering.benchmarks;
 
+import java.util.Arrays;
+import org.nettlering.benchmarks.path.PathBenchmark;
+
 /**
  * Runs one benchmark by name.
  *
@@ -23,7 +26,9 @@
         if (arguments.length == 0) {
             return usage();
         }
+        String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
+            case "path" -> new PathBenchmark().run(rest);
             case "--help" -> help();
             default -> usage();
         };
--- a/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
+++ b/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
@@ -15,6 +15,12 @@
 import org.nettlering.standins.load.LoadPlan;
 import org.nettlering.standins.load.LoadResult;
 import org.nettlering.standins.load.Outcome;
+import org.nettlering.standins.site.LocalSite;
+import org.nettlering.standins.site.ManagedProcess;
+import org.nettlering.standins.site.OperatorProgram;
+import org.nettlering.standins.site.SiteClient;
+import org.nettlering.standins.site.SiteSetup;
+import org.nettlering.standins.site.Waiting;
 
 /**
  * The default demonstration: some hundred requests and a dozen jobs, while a control leader and an entry are killed.
@@ -46,7 +52,7 @@
     public Verdict run(PrintStream output) {
         progress = output;
         Verdict verdict = new Verdict();
-        try (DemoSite site = DemoSite.create(CONTROLS, ENTRIES, UPSTREAMS)) {
+        try (LocalSite site = LocalSite.create(CONTROLS, ENTRIES, UPSTREAMS)) {
             progress.println("Files and logs: " + site.folder());
             start(site, verdict);
             LoadResult result = breakUnderLoad(site, verdict);
@@ -58,7 +64,7 @@
         return verdict;
     }
 
-    private void start(DemoSite site, Verdict verdict) {
+    private void start(LocalSite site, Verdict verdict) {
         Duration ready = site.startSystem();
         verdict.report("start until all entries are ready", ready.toMillis() + " ms");
         for (int number = 1; number <= UPSTREAMS; number++) {
@@ -72,12 +78,12 @@
         Waiting.until("an answer at every entry", SERVICE_LIMIT, () -> isServing(site));
     }
 
-    private static boolean isServing(DemoSite site) {
+    private static boolean isServing(LocalSite site) {
         SiteClient client = site.client();
         return site.entries().stream().allMatch(entry -> client.answers(entry.callers(), "/previews/probe"));
     }
 
-    private LoadResult breakUnderLoad(DemoSite site, Verdict verdict) {
+    private LoadResult breakUnderLoad(LocalSite site, Verdict verdict) {
         await(CallerLoad.create(site.time(), site.vertx(), site.callerPorts(), WARM_UP)
                 .start());
         progress.println("Sending " + LOAD.requests() + " requests and " + JOBS + " jobs.");
@@ -99,14 +105,14 @@
         return result;
     }
 
-    private void submitJobs(DemoSite site) {
+    private void submitJobs(LocalSite site) {
         OperatorProgram operator = site.operator();
         for (int number = 1; number <= JOBS; number++) {
             SiteSetup.submitJob(operator, "proof-" + number, JOB_MILLIS);
         }
     }
 
-    private void judgeJobs(DemoSite site, Verdict verdict) {
+    private void judgeJobs(LocalSite site, Verdict verdict) {
         SiteClient client = site.client();
         try {
             Waiting.until("the end of all jobs", JOBS_LIMIT, () -> countDone(client) == JOBS);
@@ -160,7 +166,7 @@
                 peakWatts <= SiteSetup.POWER_CAP_WATTS);
     }
 
-    private static void judgeMemory(Verdict verdict, DemoSite site) {
+    private static void judgeMemory(Verdict verdict, LocalSite site) {
         for (ManagedProcess process : site.running()) {
             if (process.name().startsWith("control-") || process.name().startsWith("entry-")) {
                 long mebibytes = process.residentMebibytes();
@@ -170,7 +176,7 @@
         }
     }
 
-    private void judgeStop(Verdict verdict, DemoSite site) {
+    private void judgeStop(Verdict verdict, LocalSite site) {
         progress.println("Stopping everything gracefully.");
         List<String> failed = new ArrayList<>();
         stop(site, "upstream-");
@@ -180,7 +186,7 @@
         verdict.check("programs that did not stop gracefully", failed, failed.isEmpty());
     }
 
-    private static List<String> stop(DemoSite site, String prefix) {
+    private static List<String> stop(LocalSite site, String prefix) {
         return site.stopGracefully(site.running().stream()
                 .map(ManagedProcess::name)
                 .filter(name -> name.startsWith(prefix))
--- a/standins/src/main/java/org/nettlering/standins/demo/ControlHost.java
+++ b/standins/src/main/java/org/nettlering/standins/site/ControlHost.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import java.nio.file.Path;
 
@@ -11,4 +11,4 @@
  * @param metrics the address for metrics
  * @param dataFolder its data folder
  */
-record ControlHost(String id, String failureDomain, String peers, String metrics, Path dataFolder) {}
+public record ControlHost(String id, String failureDomain, String peers, String metrics, Path dataFolder) {}
--- a/standins/src/main/java/org/nettlering/standins/demo/EntryHost.java
+++ b/standins/src/main/java/org/nettlering/standins/site/EntryHost.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 /**
  * Where one entry process runs.
@@ -10,4 +10,5 @@
  * @param operators the address for operators
  * @param peers the address for the system's own processes
  */
-record EntryHost(String id, String failureDomain, String callers, String platform, String operators, String peers) {}
+public record EntryHost(
+        String id, String failureDomain, String callers, String platform, String operators, String peers) {}
--- a/standins/src/main/java/org/nettlering/standins/demo/DemoSite.java
+++ b/standins/src/main/java/org/nettlering/standins/site/LocalSite.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -22,9 +22,9 @@
  * <p>The settings, data folders, journals and logs lie in one temporary folder. Closing the site kills what still runs.
  * Not thread-safe.
  */
-final class DemoSite implements AutoCloseable {
+public final class LocalSite implements AutoCloseable {
     /** The service that the upstream stand-ins belong to. */
-    static final String SERVICE = "portfolio";
+    public static final String SERVICE = "portfolio";
 
     private static final int PORTS_PER_CONTROL = 2;
     private static final int PORTS_PER_ENTRY = 4;
@@ -50,6 +50,9 @@
     /** The control ports of the upstream stand-ins by instance. */
     private final Map<String, String> upstreamControls = new LinkedHashMap<>();
 
+    /** Where the upstream stand-ins take requests, by instance. */
+    private final Map<String, String> upstreamAddresses = new LinkedHashMap<>();
+
     /** The journals of the stand-ins. */
     private final List<Path> journals = new ArrayList<>();
 
@@ -62,11 +65,19 @@
     /** The timers of this process. */
     private final SystemTime time = SystemTime.create("demo-timer");
 
-    static DemoSite create(int controlCount, int entryCount, int upstreamCount) {
+    /**
+     * Plans a site and starts nothing.
+     *
+     * @param controlCount the control processes
+     * @param entryCount the entry processes
+     * @param upstreamCount the most upstream stand-ins
+     * @return a new site, never null
+     */
+    public static LocalSite create(int controlCount, int entryCount, int upstreamCount) {
         int portCount =
                 controlCount * PORTS_PER_CONTROL + entryCount * PORTS_PER_ENTRY + upstreamCount * PORTS_PER_UPSTREAM;
         try {
-            DemoSite site = new DemoSite(Files.createTempDirectory("nettlering-demo-"), FreePorts.find(portCount));
+            LocalSite site = new LocalSite(Files.createTempDirectory("nettlering-demo-"), FreePorts.find(portCount));
             site.plan(controlCount, entryCount);
             return site;
         } catch (IOException exception) {
@@ -74,79 +85,173 @@
         }
     }
 
-    private DemoSite(Path folder, FreePorts ports) {
+    private LocalSite(Path folder, FreePorts ports) {
         this.folder = folder;
         this.ports = ports;
         this.group = ProcessGroup.create(folder);
     }
 
-    Path folder() {
+    /**
+     * Returns where everything is written.
+     *
+     * @return the temporary folder, never null
+     */
+    public Path folder() {
         return folder;
     }
 
-    Vertx vertx() {
+    /**
+     * Returns the event loops of this process.
+     *
+     * @return the event loops, never null
+     */
+    public Vertx vertx() {
         return vertx;
     }
 
-    SystemTime time() {
+    /**
+     * Returns the clock of this process.
+     *
+     * @return the clock, never null
+     */
+    public SystemTime time() {
         return time;
     }
 
-    List<EntryHost> entries() {
+    /**
+     * Returns the entry hosts.
+     *
+     * @return a copy, never null
+     */
+    public List<EntryHost> entries() {
         return List.copyOf(entries);
     }
 
-    List<ControlHost> controls() {
+    /**
+     * Returns the control hosts.
+     *
+     * @return a copy, never null
+     */
+    public List<ControlHost> controls() {
         return List.copyOf(controls);
     }
 
-    List<SocketAddress> callerPorts() {
+    /**
+     * Returns the callers' ports of the entries.
+     *
+     * @return the addresses, never null
+     */
+    public List<SocketAddress> callerPorts() {
         return entries.stream().map(entry -> Addresses.parse(entry.callers())).toList();
     }
 
-    SiteClient client() {
+    /**
+     * Returns a client for the operators' ports.
+     *
+     * @return a new client, never null
+     */
+    public SiteClient client() {
         return SiteClient.create(vertx, entries);
     }
 
-    OperatorProgram operator() {
+    /**
+     * Returns the operators' program for this site.
+     *
+     * @return the program, never null
+     */
+    public OperatorProgram operator() {
         return OperatorProgram.of(entries);
     }
 
-    JournalCheck journals() {
+    /**
+     * Reads what the stand-ins ran so far.
+     *
+     * @return the check of all journals, never null
+     */
+    public JournalCheck journals() {
         return JournalCheck.read(journals);
     }
 
-    ManagedProcess process(String name) {
-        ManagedProcess process = processes.get(name);
-        if (process == null) {
-            throw new IllegalArgumentException("process " + name + " was not started");
-        }
-        return process;
+    /**
+     * Returns a process that was started.
+     *
+     * @param name such as {@code entry-1}, not null
+     * @return the process that was last started under the name, never null
+     * @throws IllegalArgumentException if none was started
+     */
+    public ManagedProcess process(String name) {
+        return known(processes, name);
     }
 
-    List<ManagedProcess> running() {
+    /**
+     * Returns where an upstream stand-in takes requests.
+     *
+     * @param instance its name, not null
+     * @return {@code IP:PORT}, never null
+     * @throws IllegalArgumentException if it was not started
+     */
+    public String upstreamAddress(String instance) {
+        return known(upstreamAddresses, instance);
+    }
+
+    /**
+     * Returns where the behaviour of an upstream stand-in is set.
+     *
+     * @param instance its name, not null
+     * @return {@code IP:PORT}, never null
+     * @throws IllegalArgumentException if it was not started
+     */
+    public String upstreamControl(String instance) {
+        return known(upstreamControls, instance);
+    }
+
+    /**
+     * Returns the processes that run now.
+     *
+     * @return the processes in the order of their start, never null
+     */
+    public List<ManagedProcess> running() {
         return processes.values().stream()
                 .filter(process -> process.process().isAlive())
                 .toList();
     }
 
-    void startControl(ControlHost host) {
+    /**
+     * Starts a control process on its data folder.
+     *
+     * @param host one of {@link #controls()}, not null
+     */
+    public void startControl(ControlHost host) {
         Path settings = SettingsFiles.writeControl(folder, host, controls);
         start(host.id(), Program.CONTROL, List.of("--settings", settings.toString()));
     }
 
-    void startEntry(EntryHost host) {
+    /**
+     * Starts an entry process.
+     *
+     * @param host one of {@link #entries()}, not null
+     */
+    public void startEntry(EntryHost host) {
         Path settings = SettingsFiles.writeEntry(folder, host, controls, entries);
         start(host.id(), Program.ENTRY, List.of("--settings", settings.toString()));
     }
 
-    void startUpstream(String instance, String failureDomain, long delayMillis) {
+    /**
+     * Starts an upstream stand-in of {@link #SERVICE}.
+     *
+     * @param instance its name, not null
+     * @param failureDomain its failure domain, not null
+     * @param delayMillis the time to its answers in milliseconds
+     */
+    public void startUpstream(String instance, String failureDomain, long delayMillis) {
+        String listen = ports.next();
         String control = ports.next();
         upstreamControls.put(instance, control);
+        upstreamAddresses.put(instance, listen);
         List<String> arguments = List.of(
                 "upstream",
                 "--listen",
-                ports.next(),
+                listen,
                 "--control",
                 control,
                 "--entries",
@@ -164,7 +269,14 @@
         start(instance, Program.STANDIN, arguments);
     }
 
-    void startWorker(String id, String rack, String failureDomain) {
+    /**
+     * Starts a worker stand-in.
+     *
+     * @param id its name, not null
+     * @param rack its rack, not null
+     * @param failureDomain its failure domain, not null
+     */
+    public void startWorker(String id, String rack, String failureDomain) {
         List<String> arguments = List.of(
                 "worker",
                 "--entries",
@@ -180,8 +292,13 @@
         start(id, Program.STANDIN, arguments);
     }
 
-    /** Starts every control and entry, and returns how long it took until all entries were ready. */
-    Duration startSystem() {
+    /**
+     * Starts every control and entry.
+     *
+     * @return how long it took until all entries were ready, never null
+     * @throws org.nettlering.domain.error.NettleringException with {@code DEADLINE_EXCEEDED} if they are not ready in time
+     */
+    public Duration startSystem() {
         controls.forEach(this::startControl);
         entries.forEach(this::startEntry);
         SiteClient client = client();
@@ -191,8 +308,13 @@
                 () -> entries.stream().allMatch(entry -> client.answers(entry.operators(), "/ready")));
     }
 
-    /** Stops a kind of process gracefully and returns the names of those that did not exit with 0. */
-    List<String> stopGracefully(List<String> names) {
+    /**
+     * Stops processes gracefully.
+     *
+     * @param names the processes; those that have ended are passed over, not null
+     * @return the names of those that did not exit with 0, never null
+     */
+    public List<String> stopGracefully(List<String> names) {
         List<ManagedProcess> stopping = names.stream()
                 .map(this::process)
                 .filter(process -> process.process().isAlive())
@@ -212,6 +334,14 @@
         vertx.close().await();
     }
 
+    private static <T> T known(Map<String, T> things, String name) {
+        T thing = things.get(name);
+        if (thing == null) {
+            throw new IllegalArgumentException(name + " was not started");
+        }
+        return thing;
+    }
+
     private void plan(int controlCount, int entryCount) {
         for (int number = 1; number <= controlCount; number++) {
             String id = "control-" + number;
--- a/standins/src/main/java/org/nettlering/standins/demo/ManagedProcess.java
+++ b/standins/src/main/java/org/nettlering/standins/site/ManagedProcess.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -16,20 +16,25 @@
  * @param process the process
  * @param log the file with its output
  */
-record ManagedProcess(String name, Process process, Path log) {
+public record ManagedProcess(String name, Process process, Path log) {
     /** Kills the process without notice and waits until it is gone. */
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
         awaitExit(Duration.ofSeconds(10));
     }
 
     /** Asks the process to stop gracefully. */
-    void terminate() {
+    public void terminate() {
         process.destroy();
     }
 
-    /** Returns whether the process ended within a time. */
-    boolean awaitExit(Duration limit) {
+    /**
+     * Waits for the end of the process.
+     *
+     * @param limit how long to wait, not null
+     * @return true if the process ended within the time
+     */
+    public boolean awaitExit(Duration limit) {
         try {
             return process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException exception) {
@@ -38,11 +43,24 @@
         }
     }
 
-    /** Returns the resident memory in mebibytes, or zero if the process has ended. */
-    long residentMebibytes() {
+    /**
+     * Returns the resident memory.
+     *
+     * @return mebibytes, or zero if the process has ended
+     */
+    public long residentMebibytes() {
         return statusKibibytes("VmRSS:") / 1_024;
     }
 
+    /**
+     * Returns what the process has used so far.
+     *
+     * @return the counters, all zero if the process has ended, never null
+     */
+    public ProcessCounters counters() {
+        return ProcessCounters.of(process.pid());
+    }
+
     private long statusKibibytes(String field) {
         Path status = Path.of("/proc", Long.toString(process.pid()), "status");
         if (!Files.exists(status)) {
--- a/standins/src/main/java/org/nettlering/standins/demo/OperatorProgram.java
+++ b/standins/src/main/java/org/nettlering/standins/site/OperatorProgram.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,7 +15,7 @@
  *
  * <p>Thread-safe.
  */
-final class OperatorProgram {
+public final class OperatorProgram {
     private static final Duration LIMIT = Duration.ofSeconds(30);
 
     /** The options that name the entries. */
@@ -30,8 +30,14 @@
         this.entryOptions = entryOptions;
     }
 
-    /** Runs a command and returns what it printed; any exit code but 0 is an error. */
-    String run(String... arguments) {
+    /**
+     * Runs a command.
+     *
+     * @param arguments the command line without the options that name the entries, not null
+     * @return what it printed, never null
+     * @throws NettleringException with {@code INTERNAL} for any exit code but 0
+     */
+    public String run(String... arguments) {
         List<String> all = new ArrayList<>(entryOptions);
         all.addAll(List.of(arguments));
         try {
--- a/standins/src/main/java/org/nettlering/standins/demo/ProcessGroup.java
+++ b/standins/src/main/java/org/nettlering/standins/site/ProcessGroup.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/standins/src/main/java/org/nettlering/standins/demo/SiteClient.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteClient.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -20,7 +20,7 @@
  *
  * <p>Each question goes to the entries in order until one answers. Thread-safe.
  */
-final class SiteClient {
+public final class SiteClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     /** Sends the questions. */
@@ -40,13 +40,23 @@
                 .toList();
     }
 
-    /** Returns whether an address answers a path with 2xx. */
-    boolean answers(String address, String path) {
+    /**
+     * Returns whether an address answers a path with 2xx.
+     *
+     * @param address as {@code IP:PORT}, not null
+     * @param path the path to get, not null
+     * @return true for a 2xx answer
+     */
+    public boolean answers(String address, String path) {
         return fetch(Addresses.parse(address), path).isPresent();
     }
 
-    /** Returns the leader's member id, if there is one. */
-    Optional<String> leader() {
+    /**
+     * Returns the control leader.
+     *
+     * @return its member id, or empty if no entry names one, never null
+     */
+    public Optional<String> leader() {
         return ask("/v1/members")
                 .map(json -> JsonClient.read(json, MembershipResponse.newBuilder())
                         .build()
@@ -54,15 +64,23 @@
                 .filter(leader -> !leader.isEmpty());
     }
 
-    /** Returns the jobs, or none if no entry answers. */
-    List<JobStatus> jobs() {
+    /**
+     * Returns the jobs.
+     *
+     * @return the jobs, or none if no entry answers, never null
+     */
+    public List<JobStatus> jobs() {
         return ask("/v1/jobs")
                 .map(json -> JsonClient.read(json, JobList.newBuilder()).build().getJobsList())
                 .orElse(List.of());
     }
 
-    /** Returns the power, if an entry answers. */
-    Optional<PowerStatus> power() {
+    /**
+     * Returns the committed power.
+     *
+     * @return the power, or empty if no entry answers, never null
+     */
+    public Optional<PowerStatus> power() {
         return ask("/v1/power")
                 .map(json -> JsonClient.read(json, PowerStatus.newBuilder()).build());
     }
--- a/standins/src/main/java/org/nettlering/standins/demo/SiteSetup.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteSetup.java
@@ -1,24 +1,34 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
-/** What the demonstrations put into a new site through the operators' program. */
-final class SiteSetup {
+/** Puts a first configuration into a new site through the operators' program. */
+public final class SiteSetup {
     /** The cap of the site in watts. */
-    static final long POWER_CAP_WATTS = 800;
+    public static final long POWER_CAP_WATTS = 800;
 
     private SiteSetup() {}
 
-    /** Puts in the profiles, the service, the teams and the power cap. */
-    static void configure(OperatorProgram operator) {
+    /**
+     * Puts in the profiles, the service, the teams and the power cap.
+     *
+     * @param operator the operators' program, not null
+     */
+    public static void configure(OperatorProgram operator) {
         operator.run("power", "cap", "--watts", Long.toString(POWER_CAP_WATTS));
         operator.run(
                 "profile", "put", "interactive", "--urgency", "90", "--interruption", "never", "--power-share", "40");
         operator.run("profile", "put", "batch", "--urgency", "20", "--interruption", "evict", "--power-share", "60");
         operator.run("team", "put", "studio", "--millicores", "60000", "--memory-mebibytes", "120000");
-        operator.run("service", "put", DemoSite.SERVICE, "--profile", "interactive", "--route", "/");
+        operator.run("service", "put", LocalSite.SERVICE, "--profile", "interactive", "--route", "/");
     }
 
-    /** Submits a batch job. */
-    static void submitJob(OperatorProgram operator, String jobId, long runTimeMillis) {
+    /**
+     * Submits a batch job.
+     *
+     * @param operator the operators' program, not null
+     * @param jobId the name of the job, not null
+     * @param runTimeMillis the declared run time, which is also the real one
+     */
+    public static void submitJob(OperatorProgram operator, String jobId, long runTimeMillis) {
         operator.run(
                 "job",
                 "submit",
--- a/standins/src/main/java/org/nettlering/standins/demo/Waiting.java
+++ b/standins/src/main/java/org/nettlering/standins/site/Waiting.java
@@ -1,4 +1,4 @@
-package org.nettlering.standins.demo;
+package org.nettlering.standins.site;
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
@@ -6,13 +6,21 @@
 import org.nettlering.domain.error.NettleringException;
 
 /** Waits for conditions of other processes, which can only be polled. */
-final class Waiting {
+public final class Waiting {
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     private Waiting() {}
 
-    /** Waits until a condition holds, and returns how long that took. */
-    static Duration until(String what, Duration limit, BooleanSupplier condition) {
+    /**
+     * Waits until a condition holds.
+     *
+     * @param what names the condition in the error, not null
+     * @param limit how long to wait, not null
+     * @param condition what is polled, not null
+     * @return how long it took, never null
+     * @throws NettleringException with {@code DEADLINE_EXCEEDED} if the condition does not hold in time
+     */
+    public static Duration until(String what, Duration limit, BooleanSupplier condition) {
         long start = System.nanoTime();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() - start > limit.toNanos()) {
@@ -24,8 +32,13 @@
         return Duration.ofNanos(System.nanoTime() - start);
     }
 
-    /** Waits for a fixed time. */
-    static void pause(Duration time) {
+    /**
+     * Waits for a fixed time.
+     *
+     * @param time how long, not null
+     * @throws NettleringException with {@code STOPPING} if the thread is interrupted
+     */
+    public static void pause(Duration time) {
         try {
             Thread.sleep(time);
         } catch (InterruptedException exception) {
