Add the connections between processes

Cause: control and entry processes need one transport before any path can run from end to end.

Ruled out: deciding "not run" by the result of a socket write. A failed write may have moved a part of its bytes, so a request counts as unsent only until its frame is handed to an open channel on that channel's own thread.

LeaderControlGateway follows the leader that a failure names and asks the other members while a request certainly was not run.

--- /dev/null
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -0,0 +1,192 @@
+package org.nettlering.wire.transport;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.wire.proto.FrameProto.Frame;
+
+/**
+ * Finds the leader among the control members.
+ *
+ * <p>Remembers which member answered last, follows the leader that a failure names, and asks the others in turn while a
+ * request certainly was not run, or while it may be repeated. Waits a little after each round without a leader.
+ * Thread-safe.
+ */
+public final class LeaderControlGateway implements ControlGateway {
+    private static final Duration ROUND_WAIT = Duration.ofMillis(50);
+
+    private static final Duration REPEATABLE_ATTEMPT_LIMIT = Duration.ofSeconds(3);
+
+    /** The members by id, in the order of the settings. */
+    private final Map<String, Peer> members;
+
+    /** The ids in order. */
+    private final List<String> order;
+
+    /** Sets the timers. */
+    private final TimeSource time;
+
+    /** The member that is believed to lead. */
+    private volatile String leader;
+
+    /**
+     * Creates a gateway.
+     *
+     * @param members the members by id, at least one, not null
+     * @param time sets the timers, not null
+     * @return a new gateway, never null
+     * @throws NettleringException with {@code INVALID_ARGUMENT} if there are no members
+     */
+    public static LeaderControlGateway of(Map<String, ? extends Peer> members, TimeSource time) {
+        if (members.isEmpty()) {
+            throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "there are no control members");
+        }
+        return new LeaderControlGateway(members, time);
+    }
+
+    private LeaderControlGateway(Map<String, ? extends Peer> members, TimeSource time) {
+        this.members = new LinkedHashMap<>(members);
+        this.time = time;
+        order = List.copyOf(members.keySet());
+        leader = order.get(0);
+    }
+
+    @Override
+    public CompletionStage<Frame> callLeader(Frame request, boolean repeatable, Duration timeout) {
+        LeaderCall call = new LeaderCall(request, repeatable, time.nanoTime() + timeout.toNanos());
+        call.attempt(leader);
+        return call.result;
+    }
+
+    @Override
+    public List<CompletionStage<Frame>> callEveryMember(Frame request, Duration timeout) {
+        List<CompletionStage<Frame>> responses = new ArrayList<>();
+        members.values().forEach(peer -> responses.add(peer.call(request, timeout)));
+        return List.copyOf(responses);
+    }
+
+    /**
+     * Returns the member that is believed to lead.
+     *
+     * @return the id of a member, never null
+     */
+    public String believedLeader() {
+        return leader;
+    }
+
+    /** One request on its way through the members; its attempts come one after the other. */
+    private final class LeaderCall {
+        /** Receives the response. */
+        private final CompletableFuture<Frame> result = new CompletableFuture<>();
+
+        /** The request. */
+        private final Frame request;
+
+        /** True when running it twice does no harm. */
+        private final boolean repeatable;
+
+        /** When all attempts end, in monotonic time. */
+        private final long deadlineNanos;
+
+        /** Attempts since the last wait. */
+        private int attemptsInRound;
+
+        /** True once an attempt may have taken effect. */
+        private boolean possiblyRun;
+
+        LeaderCall(Frame request, boolean repeatable, long deadlineNanos) {
+            this.request = request;
+            this.repeatable = repeatable;
+            this.deadlineNanos = deadlineNanos;
+        }
+
+        void attempt(String member) {
+            Duration remaining = Duration.ofNanos(deadlineNanos - time.nanoTime());
+            if (remaining.isNegative() || remaining.isZero()) {
+                giveUp(null);
+                return;
+            }
+            Peer peer = members.get(member);
+            if (peer == null) {
+                attempt(order.get(0));
+                return;
+            }
+            attemptsInRound++;
+            Duration limit = repeatable && remaining.compareTo(REPEATABLE_ATTEMPT_LIMIT) > 0
+                    ? REPEATABLE_ATTEMPT_LIMIT
+                    : remaining;
+            peer.call(request, limit).whenComplete((response, error) -> {
+                if (error == null) {
+                    leader = member;
+                    result.complete(response);
+                    return;
+                }
+                failed(
+                        member,
+                        error instanceof CompletionException && error.getCause() != null ? error.getCause() : error);
+            });
+        }
+
+        private void failed(String member, Throwable error) {
+            boolean notRun = FrameFailureException.isNotRun(error);
+            possiblyRun |= !notRun;
+            if (!(error instanceof NettleringException exception) || !isWorthAnotherMember(exception.code())) {
+                result.completeExceptionally(error);
+                return;
+            }
+            if (!notRun && !repeatable) {
+                giveUp(error);
+                return;
+            }
+            String next = next(member, error);
+            if (attemptsInRound < order.size() + 1) {
+                attempt(next);
+                return;
+            }
+            attemptsInRound = 0;
+            if (deadlineNanos - time.nanoTime() <= ROUND_WAIT.toNanos()) {
+                giveUp(error);
+                return;
+            }
+            time.schedule(ROUND_WAIT, () -> attempt(next));
+        }
+
+        private String next(String member, Throwable error) {
+            String named = error instanceof FrameFailureException failure
+                    ? failure.leaderId().orElse("")
+                    : "";
+            String next = members.containsKey(named) && !named.equals(member)
+                    ? named
+                    : order.get((order.indexOf(member) + 1) % order.size());
+            leader = next;
+            return next;
+        }
+
+        private boolean isWorthAnotherMember(ErrorCode code) {
+            return switch (code) {
+                case NOT_LEADER, NO_LEADER, STOPPING, CONNECTION_LOST, WRONG_CLUSTER, OUTCOME_UNKNOWN -> true;
+                default -> false;
+            };
+        }
+
+        private void giveUp(@Nullable Throwable cause) {
+            String reason = cause == null ? "the timeout passed" : String.valueOf(cause.getMessage());
+            if (possiblyRun) {
+                String text = "the request may have taken effect: " + reason;
+                result.completeExceptionally(new NettleringException(ErrorCode.OUTCOME_UNKNOWN, text));
+                return;
+            }
+            String text = "no control leader took the request: " + reason;
+            result.completeExceptionally(new NettleringException(ErrorCode.NO_LEADER, text));
+        }
+    }
+}
