Carry a job from submission to done over the replicated log

Cause: there was no path for jobs; the task messages held only the submission. Ruled out: one lease a task (at 108,000 tasks a renewal each would go through the leader), and recording every report in the log. Change: domain.task holds the replicated state machine (epochs, integer commitments, release on proof only), domain.worker reads reports against it and keeps one session lease a worker, control.task proposes what reports prove and what the planner decides, in one batch at a time. The leader confirms its leadership before it renews a lease; a new leader counts every lease as renewed when its term began. A speed change carries a version, because a report sent before the change arrived could otherwise confirm a speed that is no longer in force.

--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/task/Leadership.java
@@ -0,0 +1,108 @@
+package org.nettlering.control.task;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.placement.Planner;
+import org.nettlering.domain.placement.SitePolicy;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+import org.nettlering.domain.worker.ReportReader;
+import org.nettlering.domain.worker.SessionLeases;
+import org.nettlering.domain.worker.WorkerReport;
+
+/**
+ * What the leader of one term knows beside the replicated state.
+ *
+ * <p>Not thread-safe: used under the lock of {@link TaskPart}.
+ */
+final class Leadership {
+    /** How many commands one record of the log may hold. */
+    private static final int MAX_BATCH = 1_000;
+
+    /** The term that this leadership belongs to. */
+    private final long term;
+
+    /** The session leases. */
+    private final SessionLeases leases;
+
+    /** Decides on starts and the rest. */
+    private final Planner planner;
+
+    /** Commands that wait to be proposed, without repetitions. */
+    private final Map<Object, TaskCommand> outbox = new LinkedHashMap<>();
+
+    /** Whether a batch was proposed whose outcome is open. */
+    private boolean proposing;
+
+    Leadership(long term, SessionLeases leases, Planner planner) {
+        this.term = term;
+        this.leases = leases;
+        this.planner = planner;
+    }
+
+    long term() {
+        return term;
+    }
+
+    /** Reads a report; returns whether the worker's lease is renewed. */
+    boolean receive(TaskState state, WorkerReport report, long receivedNanos, long nowMillis) {
+        if (!leases.accept(report)) {
+            return false;
+        }
+        for (TaskCommand command : ReportReader.commandsToPropose(state, report, nowMillis)) {
+            outbox.put(key(command), command);
+        }
+        planner.observe(state, report);
+        return state.worker(report.workerId())
+                .filter(worker -> worker.isLive() && worker.incarnation() == report.incarnation())
+                .map(worker -> leases.renew(worker, receivedNanos))
+                .orElse(false);
+    }
+
+    /** Returns the next batch to propose, or an empty list if one is under way or there is nothing to do. */
+    List<TaskCommand> nextBatch(TaskState state, SitePolicy policy, long nowNanos, long nowMillis, boolean plan) {
+        if (proposing) {
+            return List.of();
+        }
+        for (Worker worker : leases.expire(state.workers(), nowNanos)) {
+            TaskCommand lost = new TaskCommand.LoseWorker(nowMillis, worker.id(), worker.session());
+            outbox.put(key(lost), lost);
+        }
+        List<TaskCommand> batch = new ArrayList<>();
+        while (!outbox.isEmpty() && batch.size() < MAX_BATCH) {
+            Object first = outbox.keySet().iterator().next();
+            batch.add(outbox.remove(first));
+        }
+        if (plan && outbox.isEmpty()) {
+            batch.addAll(planner.plan(state, policy, nowMillis));
+        }
+        proposing = !batch.isEmpty();
+        return batch;
+    }
+
+    /** Notes that the outcome of the batch is known, or never will be. */
+    void proposed() {
+        proposing = false;
+    }
+
+    boolean hasOutbox() {
+        return !outbox.isEmpty();
+    }
+
+    private static Object key(TaskCommand command) {
+        return switch (command) {
+            case TaskCommand.RecordProgress progress -> new Key("progress", progress.jobId(), progress.epoch());
+            case TaskCommand.RecordEnd end -> new Key("end", end.jobId(), end.epoch());
+            case TaskCommand.RegisterWorker register -> new Key("register", register.workerId(), 0);
+            case TaskCommand.LoseWorker lost -> new Key("lost", lost.workerId(), lost.session());
+            case TaskCommand.ConfirmThrottle confirm -> new Key("throttle", confirm.jobId(), confirm.epoch());
+            default -> command;
+        };
+    }
+
+    /** What makes two commands from reports repetitions of each other; the later one replaces the earlier one. */
+    private record Key(String kind, String id, long number) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/task/TaskPart.java
@@ -0,0 +1,76 @@
+package org.nettlering.control.task;
+
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import org.nettlering.control.log.StatePart;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.TaskStateImage;
+import org.nettlering.wire.codec.TaskCommandCodec;
+import org.nettlering.wire.codec.TaskSnapshotCodec;
+import org.nettlering.wire.proto.CommandProto.SiteCommand;
+import org.nettlering.wire.proto.CommandProto.SiteResult;
+import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
+
+/**
+ * The jobs and workers in the replicated state.
+ *
+ * <p>Thread-safe: the state and whatever is derived from it are read and changed under the lock of this part.
+ */
+public final class TaskPart implements StatePart {
+    /** Guards the state. */
+    private final ReentrantLock lock = new ReentrantLock();
+
+    /** The jobs and workers. */
+    private TaskState state = TaskState.empty();
+
+    /**
+     * Returns a part without jobs and workers.
+     *
+     * @return a new part, never null
+     */
+    public static TaskPart create() {
+        return new TaskPart();
+    }
+
+    private TaskPart() {}
+
+    /**
+     * Reads the state under its lock.
+     *
+     * @param reader what to do with the state; it neither blocks nor keeps the state, not null
+     * @param <T> what is read
+     * @return what the reader returned
+     */
+    public <T> T read(Function<TaskState, T> reader) {
+        lock.lock();
+        try {
+            return reader.apply(state);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public SiteResult apply(SiteCommand command) {
+        return read(current -> SiteResult.newBuilder()
+                .setTask(TaskCommandCodec.encode(current.apply(TaskCommandCodec.decode(command.getTask()))))
+                .build());
+    }
+
+    @Override
+    public void save(SiteSnapshot.Builder snapshot) {
+        TaskStateImage image = read(TaskState::image);
+        snapshot.setTask(TaskSnapshotCodec.encode(image));
+    }
+
+    @Override
+    public void restore(SiteSnapshot snapshot) {
+        TaskState restored = TaskState.from(TaskSnapshotCodec.decode(snapshot.getTask()));
+        lock.lock();
+        try {
+            state = restored;
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -0,0 +1,51 @@
+package org.nettlering.control.task;
+
+import java.util.Arrays;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.placement.SitePolicy;
+import org.nettlering.domain.task.Task;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+import org.nettlering.wire.codec.TaskCodec;
+import org.nettlering.wire.proto.TaskProto;
+import org.nettlering.wire.proto.TaskProto.TaskResponse;
+
+/** Makes the responses to readers of the task state. Stateless and thread-safe. */
+final class TaskResponses {
+    private TaskResponses() {}
+
+    static TaskResponse job(Task task) {
+        return TaskResponse.newBuilder().setJob(TaskCodec.status(task)).build();
+    }
+
+    static TaskResponse jobs(TaskState state) {
+        TaskProto.JobList.Builder list = TaskProto.JobList.newBuilder();
+        for (Task task : state.tasks()) {
+            list.addJobs(TaskCodec.status(task).toBuilder().clearDecisions());
+        }
+        return TaskResponse.newBuilder().setJobs(list).build();
+    }
+
+    static TaskResponse worker(Worker worker, long nowMillis) {
+        return TaskResponse.newBuilder()
+                .setWorker(TaskCodec.status(worker, nowMillis))
+                .build();
+    }
+
+    static TaskResponse power(TaskState state, SitePolicy policy, long nowMillis) {
+        return TaskResponse.newBuilder()
+                .setPower(TaskProto.PowerStatus.newBuilder()
+                        .setCapMilliwatts(policy.capMilliwatts())
+                        .setCommittedMilliwatts(state.committedMilliwatts())
+                        .setPeakCommittedMilliwatts(state.peakMilliwatts())
+                        .setAboveCap(state.committedMilliwatts() > policy.capMilliwatts()))
+                .build();
+    }
+
+    static ErrorCode errorCode(String text) {
+        return Arrays.stream(ErrorCode.values())
+                .filter(code -> code.text().equals(text))
+                .findFirst()
+                .orElse(ErrorCode.INTERNAL);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/placement/FirstFitPlanner.java
@@ -0,0 +1,80 @@
+package org.nettlering.domain.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.task.JobSpecification;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.task.Task;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+import org.nettlering.domain.worker.WorkerReport;
+
+/**
+ * The naive planner: the jobs in the order of submission, each on the first worker with room for what it declared.
+ *
+ * <p>The measure against which the others are held.
+ */
+public final class FirstFitPlanner implements Planner {
+    /** How many starts one round may hold. */
+    private static final int MAX_STARTS = 512;
+
+    /**
+     * Returns a new planner.
+     *
+     * @return the planner, never null
+     */
+    public static FirstFitPlanner create() {
+        return new FirstFitPlanner();
+    }
+
+    private FirstFitPlanner() {}
+
+    @Override
+    public List<TaskCommand> plan(TaskState state, SitePolicy policy, long nowMillis) {
+        state.drainChangedTasks();
+        state.drainChangedWorkers();
+        List<TaskCommand> commands = new ArrayList<>();
+        Map<Worker, Resources> free = new HashMap<>();
+        long committed = state.committedMilliwatts();
+        for (Task task : state.tasks()) {
+            if (!task.phase().isWaiting() || commands.size() == MAX_STARTS) {
+                continue;
+            }
+            JobSpecification job = task.job();
+            if (committed + job.powerMilliwatts() > policy.capMilliwatts()) {
+                continue;
+            }
+            for (Worker worker : state.workers()) {
+                Resources left = free.getOrDefault(worker, worker.free());
+                if (worker.isLive() && job.declared().fitsIn(left)) {
+                    free.put(worker, left.minus(job.declared()));
+                    committed += job.powerMilliwatts();
+                    commands.add(start(job, worker, policy, nowMillis));
+                    break;
+                }
+            }
+        }
+        return commands;
+    }
+
+    @Override
+    public void observe(TaskState state, WorkerReport report) {
+        // Takes declarations at their word.
+    }
+
+    private static TaskCommand start(JobSpecification job, Worker worker, SitePolicy policy, long nowMillis) {
+        return new TaskCommand.Start(
+                nowMillis,
+                job.jobId(),
+                worker.id(),
+                job.declared(),
+                job.powerMilliwatts(),
+                Task.FULL_SPEED_PERCENT,
+                policy.capMilliwatts(),
+                "first fit",
+                "free " + worker.free());
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/task/Decision.java
@@ -0,0 +1,13 @@
+package org.nettlering.domain.task;
+
+/**
+ * Why something was decided, for {@code job show} and {@code explain}.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param timeMillis the leader's wall clock, in milliseconds since the epoch
+ * @param what what was decided, not null
+ * @param rule the rule that led to it, not null
+ * @param figures the figures it rested on, not null
+ */
+public record Decision(long timeMillis, String what, String rule, String figures) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskImage.java
@@ -0,0 +1,30 @@
+package org.nettlering.domain.task;
+
+import java.util.List;
+
+/**
+ * A job as it is written into a snapshot.
+ *
+ * <p>Immutable and thread-safe; the components are those of {@link Task}.
+ */
+public record TaskImage(
+        JobSpecification job,
+        String operationId,
+        long submittedMillis,
+        TaskPhase phase,
+        long epoch,
+        String workerId,
+        Resources commitment,
+        long powerMilliwatts,
+        int committedPercent,
+        int throttlePercent,
+        long throttleVersion,
+        long checkpoint,
+        long checkpointMillis,
+        long resumedFrom,
+        long startedMillis,
+        long phaseMillis,
+        int evictions,
+        int losses,
+        List<String> failedOn,
+        List<Decision> decisions) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskStateImage.java
@@ -0,0 +1,21 @@
+package org.nettlering.domain.task;
+
+import java.util.List;
+
+/**
+ * The whole task state as it is written into a snapshot.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param tasks the jobs in the order of submission, not null
+ * @param workers the workers in the order of their first registration, not null
+ * @param finishedJobIds ended jobs whose details are kept, the oldest first, not null
+ * @param forgottenJobIds ended jobs of which only the id is kept, the oldest first, not null
+ * @param peakMilliwatts the largest committed draw so far
+ */
+public record TaskStateImage(
+        List<TaskImage> tasks,
+        List<WorkerImage> workers,
+        List<String> finishedJobIds,
+        List<String> forgottenJobIds,
+        long peakMilliwatts) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/worker/ReportReader.java
@@ -0,0 +1,181 @@
+package org.nettlering.domain.worker;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.nettlering.domain.task.Task;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.domain.task.TaskEpoch;
+import org.nettlering.domain.task.TaskPhase;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+
+/**
+ * Compares a worker's report with the replicated state.
+ *
+ * <p>Finds what has to be recorded and what the worker has to be told. It keeps nothing: the same report gives the same
+ * result until the state changes, so nothing is lost when a proposal or a response is. Thread-safe, as long as the state
+ * does not change during a call.
+ */
+public final class ReportReader {
+    /** How long a task that is to be evicted may take to write a checkpoint. */
+    public static final long CHECKPOINT_GRACE_MILLIS = 10_000;
+
+    private ReportReader() {}
+
+    /**
+     * Finds what a report proves and the state does not record yet.
+     *
+     * @param state the replicated state, not null
+     * @param report the latest report of the worker, not null
+     * @param nowMillis the leader's wall clock
+     * @return commands to propose, never null
+     */
+    public static List<TaskCommand> commandsToPropose(TaskState state, WorkerReport report, long nowMillis) {
+        Optional<Worker> known = state.worker(report.workerId());
+        if (known.isEmpty() || needsRegistration(known.get(), report)) {
+            return registration(known, report, nowMillis);
+        }
+        List<TaskCommand> commands = new ArrayList<>();
+        for (WorkerReport.Ended ended : report.ended()) {
+            if (find(state, report.workerId(), ended.jobId(), ended.epoch()).isPresent()) {
+                commands.add(new TaskCommand.RecordEnd(
+                        nowMillis, ended.jobId(), ended.epoch(), ended.reason(), ended.checkpoint(), ended.detail()));
+            }
+        }
+        for (WorkerReport.Running running : report.running()) {
+            find(state, report.workerId(), running.jobId(), running.epoch())
+                    .ifPresent(task -> addProgress(commands, task, running, nowMillis));
+        }
+        return commands;
+    }
+
+    /**
+     * Finds what the worker has to be told.
+     *
+     * @param state the replicated state, not null
+     * @param report the latest report of the worker, not null
+     * @param nowMillis the leader's wall clock
+     * @return commands for the worker, never null
+     */
+    public static List<WorkerCommand> commandsForWorker(TaskState state, WorkerReport report, long nowMillis) {
+        List<WorkerCommand> commands = new ArrayList<>();
+        Set<TaskEpoch> seen = new HashSet<>();
+        for (WorkerReport.Ended ended : report.ended()) {
+            seen.add(new TaskEpoch(ended.jobId(), ended.epoch()));
+            if (find(state, report.workerId(), ended.jobId(), ended.epoch()).isEmpty()) {
+                commands.add(new WorkerCommand.Acknowledge(ended.jobId(), ended.epoch()));
+            }
+        }
+        for (WorkerReport.Running running : report.running()) {
+            TaskEpoch epoch = new TaskEpoch(running.jobId(), running.epoch());
+            if (seen.add(epoch)) {
+                find(state, report.workerId(), running.jobId(), running.epoch())
+                        .ifPresentOrElse(
+                                task -> addForRunning(commands, task, running, nowMillis),
+                                () -> commands.add(new WorkerCommand.Stop(running.jobId(), running.epoch())));
+            }
+        }
+        state.worker(report.workerId())
+                .filter(worker -> worker.isLive() && worker.incarnation() == report.incarnation())
+                .ifPresent(worker -> addForAbsent(commands, worker, seen));
+        return commands;
+    }
+
+    /**
+     * Tells whether a worker has to be registered before it gets a lease.
+     *
+     * @param worker the worker as recorded, not null
+     * @param report its report, not null
+     * @return true when its session is closed, or it restarted, or it offers something else
+     */
+    public static boolean needsRegistration(Worker worker, WorkerReport report) {
+        return !worker.isLive()
+                || worker.incarnation() != report.incarnation()
+                || !worker.capacity().equals(report.capacity())
+                || worker.idleMilliwatts() != report.idleMilliwatts()
+                || !worker.rack().equals(report.rack())
+                || !worker.failureDomain().equals(report.failureDomain());
+    }
+
+    private static List<TaskCommand> registration(Optional<Worker> known, WorkerReport report, long nowMillis) {
+        if (known.isPresent() && report.incarnation() < known.get().incarnation()) {
+            return List.of();
+        }
+        List<TaskEpoch> running = report.running().stream()
+                .map(task -> new TaskEpoch(task.jobId(), task.epoch()))
+                .toList();
+        return List.of(new TaskCommand.RegisterWorker(
+                nowMillis,
+                report.workerId(),
+                report.incarnation(),
+                report.capacity(),
+                report.rack(),
+                report.failureDomain(),
+                report.idleMilliwatts(),
+                running));
+    }
+
+    private static Optional<Task> find(TaskState state, String workerId, String jobId, long epoch) {
+        return state.task(jobId)
+                .filter(task -> task.phase().isPlaced()
+                        && task.epoch() == epoch
+                        && task.workerId().equals(workerId));
+    }
+
+    private static void addProgress(
+            List<TaskCommand> commands, Task task, WorkerReport.Running running, long nowMillis) {
+        boolean started = task.phase() == TaskPhase.STARTING || task.phase() == TaskPhase.RESUMING;
+        if (started || running.checkpoint() > task.checkpoint()) {
+            commands.add(
+                    new TaskCommand.RecordProgress(nowMillis, running.jobId(), running.epoch(), running.checkpoint()));
+        }
+        if (running.throttleVersion() == task.throttleVersion() && task.throttlePercent() < task.committedPercent()) {
+            commands.add(new TaskCommand.ConfirmThrottle(
+                    nowMillis, running.jobId(), running.epoch(), running.throttleVersion()));
+        }
+    }
+
+    private static void addForRunning(
+            List<WorkerCommand> commands, Task task, WorkerReport.Running running, long nowMillis) {
+        String jobId = running.jobId();
+        if (task.phase() == TaskPhase.CANCELLING) {
+            commands.add(new WorkerCommand.Stop(jobId, running.epoch()));
+            return;
+        }
+        if (task.phase() == TaskPhase.CHECKPOINTING) {
+            boolean saved = task.checkpointMillis() > task.phaseMillis();
+            boolean late = nowMillis - task.phaseMillis() > CHECKPOINT_GRACE_MILLIS;
+            commands.add(
+                    saved || late
+                            ? new WorkerCommand.Stop(jobId, running.epoch())
+                            : new WorkerCommand.Checkpoint(jobId, running.epoch()));
+            return;
+        }
+        if (running.throttleVersion() != task.throttleVersion()) {
+            commands.add(
+                    new WorkerCommand.Throttle(jobId, running.epoch(), task.throttlePercent(), task.throttleVersion()));
+        }
+    }
+
+    /** A task that is committed here and was not reported gets its start, or the command never to start. */
+    private static void addForAbsent(List<WorkerCommand> commands, Worker worker, Set<TaskEpoch> seen) {
+        for (Task task : worker.tasks()) {
+            if (seen.contains(new TaskEpoch(task.job().jobId(), task.epoch()))) {
+                continue;
+            }
+            boolean leaving = task.phase() == TaskPhase.CANCELLING || task.phase() == TaskPhase.CHECKPOINTING;
+            commands.add(
+                    leaving
+                            ? new WorkerCommand.Stop(task.job().jobId(), task.epoch())
+                            : new WorkerCommand.Start(
+                                    task.job(),
+                                    task.epoch(),
+                                    task.resumedFrom(),
+                                    task.throttlePercent(),
+                                    task.throttleVersion()));
+        }
+    }
+}
