--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/upstream/AgedAnnouncement.java
@@ -0,0 +1,13 @@
+package org.nettlering.domain.upstream;
+
+import java.time.Duration;
+
+/**
+ * An announcement and an upper bound of the time since the upstream made it.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param announcement the announcement, not null
+ * @param age at least as long as the true age, not null
+ */
+public record AgedAnnouncement(UpstreamAnnouncement announcement, Duration age) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/upstream/DirectoryChanges.java
@@ -0,0 +1,18 @@
+package org.nettlering.domain.upstream;
+
+import java.util.List;
+
+/**
+ * The announcements that an entry received itself after a version of its directory.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param version the version up to which the announcements are complete
+ * @param announcements the announcements with their ages, not null
+ */
+public record DirectoryChanges(long version, List<AgedAnnouncement> announcements) {
+    /** Copies the list. */
+    public DirectoryChanges {
+        announcements = List.copyOf(announcements);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/upstream/UpstreamAddress.java
@@ -0,0 +1,72 @@
+package org.nettlering.domain.upstream;
+
+import java.util.regex.Pattern;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+/**
+ * The IP number and port of an upstream.
+ *
+ * <p>Services that announce the same address share the slots of one instance. Immutable and thread-safe.
+ *
+ * @param host the IP number, not null
+ * @param port from 1 to 65535
+ */
+public record UpstreamAddress(String host, int port) implements Comparable<UpstreamAddress> {
+    private static final int HIGHEST_PORT = 65_535;
+    private static final Pattern IP_NUMBER =
+            Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]*");
+
+    /**
+     * Checks the parts.
+     *
+     * @throws NettleringException {@code INVALID_ARGUMENT} when the host is no IP number or the port is out of range
+     */
+    public UpstreamAddress {
+        if (!IP_NUMBER.matcher(host).matches()) {
+            throw new NettleringException(
+                    ErrorCode.INVALID_ARGUMENT, "upstream address \"" + host + "\" is no IP number");
+        }
+        if (port < 1 || port > HIGHEST_PORT) {
+            throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "upstream port " + port + " is out of range");
+        }
+    }
+
+    /**
+     * Parses {@code IP:PORT}; an IPv6 number stands in brackets.
+     *
+     * @param text the text, not null
+     * @return the address, never null
+     * @throws NettleringException {@code INVALID_ARGUMENT} when the text is malformed
+     */
+    public static UpstreamAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw malformed(text);
+        }
+        String host = text.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        }
+        try {
+            return new UpstreamAddress(host, Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException exception) {
+            throw malformed(text);
+        }
+    }
+
+    private static NettleringException malformed(String text) {
+        return new NettleringException(ErrorCode.INVALID_ARGUMENT, "upstream address \"" + text + "\" is not IP:PORT");
+    }
+
+    @Override
+    public int compareTo(UpstreamAddress other) {
+        int byHost = host.compareTo(other.host);
+        return byHost != 0 ? byHost : Integer.compare(port, other.port);
+    }
+
+    @Override
+    public String toString() {
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + port;
+    }
+}
--- a/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
@@ -1855,56 +1855,142 @@
         getEntryIdBytes();
 
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
-     */
-    java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> 
-        getAnnouncementsList();
-    /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
-     */
-    org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index);
-    /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
-     */
-    int getAnnouncementsCount();
-    /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <pre>
+     * The incarnation and version that the last response of this peer carried; zero asks for everything.
+     * </pre>
+     *
+     * <code>uint64 known_incarnation = 2;</code>
+     * @return The knownIncarnation.
      */
-    java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
-        getAnnouncementsOrBuilderList();
+    long getKnownIncarnation();
+
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>uint64 known_version = 3;</code>
+     * @return The knownVersion.
      */
-    org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
-        int index);
+    long getKnownVersion();
 
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> 
         getLoadsList();
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index);
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     int getLoadsCount();
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
         getLoadsOrBuilderList();
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> 
+        getHeldList();
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.SlotCount getHeld(int index);
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    int getHeldCount();
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+        getHeldOrBuilderList();
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getHeldOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 last_grant = 6;</code>
+     * @return The lastGrant.
+     */
+    long getLastGrant();
+
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots> 
+        getWantedList();
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.WantedSlots getWanted(int index);
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    int getWantedCount();
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder> 
+        getWantedOrBuilderList();
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder getWantedOrBuilder(
+        int index);
   }
   /**
    * <pre>
-   * What one entry tells its peers: announcements it received, with their age, and its own counts.
+   * Asks a peer for the announcements that it received itself, and exchanges counts and borrowed slots.
    * </pre>
    *
    * Protobuf type {@code nettlering.GossipRequest}
@@ -1929,8 +2015,9 @@
     }
     private GossipRequest() {
       entryId_ = "";
-      announcements_ = java.util.Collections.emptyList();
       loads_ = java.util.Collections.emptyList();
+      held_ = java.util.Collections.emptyList();
+      wanted_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -1990,86 +2077,204 @@
       }
     }
 
-    public static final int ANNOUNCEMENTS_FIELD_NUMBER = 2;
+    public static final int KNOWN_INCARNATION_FIELD_NUMBER = 2;
+    private long knownIncarnation_ = 0L;
+    /**
+     * <pre>
+     * The incarnation and version that the last response of this peer carried; zero asks for everything.
+     * </pre>
+     *
+     * <code>uint64 known_incarnation = 2;</code>
+     * @return The knownIncarnation.
+     */
+    @java.lang.Override
+    public long getKnownIncarnation() {
+      return knownIncarnation_;
+    }
+
+    public static final int KNOWN_VERSION_FIELD_NUMBER = 3;
+    private long knownVersion_ = 0L;
+    /**
+     * <code>uint64 known_version = 3;</code>
+     * @return The knownVersion.
+     */
+    @java.lang.Override
+    public long getKnownVersion() {
+      return knownVersion_;
+    }
+
+    public static final int LOADS_FIELD_NUMBER = 4;
     @SuppressWarnings("serial")
-    private java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> announcements_;
+    private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_;
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     @java.lang.Override
-    public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> getAnnouncementsList() {
-      return announcements_;
+    public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
+      return loads_;
     }
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
-        getAnnouncementsOrBuilderList() {
-      return announcements_;
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+        getLoadsOrBuilderList() {
+      return loads_;
     }
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     @java.lang.Override
-    public int getAnnouncementsCount() {
-      return announcements_.size();
+    public int getLoadsCount() {
+      return loads_.size();
     }
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index) {
-      return announcements_.get(index);
+    public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
+      return loads_.get(index);
     }
     /**
-     * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+     * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
+    public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
         int index) {
-      return announcements_.get(index);
+      return loads_.get(index);
     }
 
-    public static final int LOADS_FIELD_NUMBER = 3;
+    public static final int HELD_FIELD_NUMBER = 5;
     @SuppressWarnings("serial")
-    private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_;
+    private java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> held_;
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
      */
     @java.lang.Override
-    public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
-      return loads_;
+    public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> getHeldList() {
+      return held_;
     }
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
-        getLoadsOrBuilderList() {
-      return loads_;
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+        getHeldOrBuilderList() {
+      return held_;
+    }
+    /**
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
+     */
+    @java.lang.Override
+    public int getHeldCount() {
+      return held_.size();
     }
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
      */
     @java.lang.Override
-    public int getLoadsCount() {
-      return loads_.size();
+    public org.nettlering.wire.proto.RequestProto.SlotCount getHeld(int index) {
+      return held_.get(index);
     }
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <pre>
+     * Slots that the sender holds from the peer now, after the grant of this number.
+     * </pre>
+     *
+     * <code>repeated .nettlering.SlotCount held = 5;</code>
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
-      return loads_.get(index);
+    public org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getHeldOrBuilder(
+        int index) {
+      return held_.get(index);
+    }
+
+    public static final int LAST_GRANT_FIELD_NUMBER = 6;
+    private long lastGrant_ = 0L;
+    /**
+     * <code>uint64 last_grant = 6;</code>
+     * @return The lastGrant.
+     */
+    @java.lang.Override
+    public long getLastGrant() {
+      return lastGrant_;
     }
+
+    public static final int WANTED_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots> wanted_;
     /**
-     * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
+    public java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots> getWantedList() {
+      return wanted_;
+    }
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder> 
+        getWantedOrBuilderList() {
+      return wanted_;
+    }
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    @java.lang.Override
+    public int getWantedCount() {
+      return wanted_.size();
+    }
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.WantedSlots getWanted(int index) {
+      return wanted_.get(index);
+    }
+    /**
+     * <pre>
+     * Slots that the sender asks to borrow.
+     * </pre>
+     *
+     * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder getWantedOrBuilder(
         int index) {
-      return loads_.get(index);
+      return wanted_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -2089,11 +2294,23 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entryId_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, entryId_);
       }
-      for (int i = 0; i < announcements_.size(); i++) {
-        output.writeMessage(2, announcements_.get(i));
+      if (knownIncarnation_ != 0L) {
+        output.writeUInt64(2, knownIncarnation_);
+      }
+      if (knownVersion_ != 0L) {
+        output.writeUInt64(3, knownVersion_);
       }
       for (int i = 0; i < loads_.size(); i++) {
-        output.writeMessage(3, loads_.get(i));
+        output.writeMessage(4, loads_.get(i));
+      }
+      for (int i = 0; i < held_.size(); i++) {
+        output.writeMessage(5, held_.get(i));
+      }
+      if (lastGrant_ != 0L) {
+        output.writeUInt64(6, lastGrant_);
+      }
+      for (int i = 0; i < wanted_.size(); i++) {
+        output.writeMessage(7, wanted_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -2102,21 +2319,42 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entryId_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entryId_);
       }
+      if (knownIncarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, knownIncarnation_);
+      }
+      if (knownVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, knownVersion_);
+      }
 
           {
-            final int count = announcements_.size();
+            final int count = loads_.size();
             for (int i = 0; i < count; i++) {
               size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(announcements_.get(i));
+                .computeMessageSizeNoTag(loads_.get(i));
             }
             size += 1 * count;
           }
 
           {
-            final int count = loads_.size();
+            final int count = held_.size();
             for (int i = 0; i < count; i++) {
               size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(loads_.get(i));
+                .computeMessageSizeNoTag(held_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (lastGrant_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, lastGrant_);
+      }
+
+          {
+            final int count = wanted_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(wanted_.get(i));
             }
             size += 1 * count;
           }
@@ -2146,10 +2384,18 @@
 
       if (!getEntryId()
           .equals(other.getEntryId())) return false;
-      if (!getAnnouncementsList()
-          .equals(other.getAnnouncementsList())) return false;
+      if (getKnownIncarnation()
+          != other.getKnownIncarnation()) return false;
+      if (getKnownVersion()
+          != other.getKnownVersion()) return false;
       if (!getLoadsList()
           .equals(other.getLoadsList())) return false;
+      if (!getHeldList()
+          .equals(other.getHeldList())) return false;
+      if (getLastGrant()
+          != other.getLastGrant()) return false;
+      if (!getWantedList()
+          .equals(other.getWantedList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2163,14 +2409,27 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + ENTRY_ID_FIELD_NUMBER;
       hash = (53 * hash) + getEntryId().hashCode();
-      if (getAnnouncementsCount() > 0) {
-        hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
-        hash = (53 * hash) + getAnnouncementsList().hashCode();
-      }
+      hash = (37 * hash) + KNOWN_INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getKnownIncarnation());
+      hash = (37 * hash) + KNOWN_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getKnownVersion());
       if (getLoadsCount() > 0) {
         hash = (37 * hash) + LOADS_FIELD_NUMBER;
         hash = (53 * hash) + getLoadsList().hashCode();
       }
+      if (getHeldCount() > 0) {
+        hash = (37 * hash) + HELD_FIELD_NUMBER;
+        hash = (53 * hash) + getHeldList().hashCode();
+      }
+      hash = (37 * hash) + LAST_GRANT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastGrant());
+      if (getWantedCount() > 0) {
+        hash = (37 * hash) + WANTED_FIELD_NUMBER;
+        hash = (53 * hash) + getWantedList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2270,7 +2529,7 @@
     }
     /**
      * <pre>
-     * What one entry tells its peers: announcements it received, with their age, and its own counts.
+     * Asks a peer for the announcements that it received itself, and exchanges counts and borrowed slots.
      * </pre>
      *
      * Protobuf type {@code nettlering.GossipRequest}
@@ -2307,20 +2566,30 @@
         super.clear();
         bitField0_ = 0;
         entryId_ = "";
-        if (announcementsBuilder_ == null) {
-          announcements_ = java.util.Collections.emptyList();
-        } else {
-          announcements_ = null;
-          announcementsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000002);
+        knownIncarnation_ = 0L;
+        knownVersion_ = 0L;
         if (loadsBuilder_ == null) {
           loads_ = java.util.Collections.emptyList();
         } else {
           loads_ = null;
           loadsBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (heldBuilder_ == null) {
+          held_ = java.util.Collections.emptyList();
+        } else {
+          held_ = null;
+          heldBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        lastGrant_ = 0L;
+        if (wantedBuilder_ == null) {
+          wanted_ = java.util.Collections.emptyList();
+        } else {
+          wanted_ = null;
+          wantedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
         return this;
       }
 
@@ -2354,24 +2623,33 @@
       }
 
       private void buildPartialRepeatedFields(org.nettlering.wire.proto.RequestProto.GossipRequest result) {
-        if (announcementsBuilder_ == null) {
-          if (((bitField0_ & 0x00000002) != 0)) {
-            announcements_ = java.util.Collections.unmodifiableList(announcements_);
-            bitField0_ = (bitField0_ & ~0x00000002);
-          }
-          result.announcements_ = announcements_;
-        } else {
-          result.announcements_ = announcementsBuilder_.build();
-        }
         if (loadsBuilder_ == null) {
-          if (((bitField0_ & 0x00000004) != 0)) {
+          if (((bitField0_ & 0x00000008) != 0)) {
             loads_ = java.util.Collections.unmodifiableList(loads_);
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000008);
           }
           result.loads_ = loads_;
         } else {
           result.loads_ = loadsBuilder_.build();
         }
+        if (heldBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            held_ = java.util.Collections.unmodifiableList(held_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.held_ = held_;
+        } else {
+          result.held_ = heldBuilder_.build();
+        }
+        if (wantedBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            wanted_ = java.util.Collections.unmodifiableList(wanted_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.wanted_ = wanted_;
+        } else {
+          result.wanted_ = wantedBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.nettlering.wire.proto.RequestProto.GossipRequest result) {
@@ -2379,6 +2657,15 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.entryId_ = entryId_;
         }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.knownIncarnation_ = knownIncarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.knownVersion_ = knownVersion_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.lastGrant_ = lastGrant_;
+        }
       }
 
       @java.lang.Override
@@ -2398,37 +2685,17 @@
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (announcementsBuilder_ == null) {
-          if (!other.announcements_.isEmpty()) {
-            if (announcements_.isEmpty()) {
-              announcements_ = other.announcements_;
-              bitField0_ = (bitField0_ & ~0x00000002);
-            } else {
-              ensureAnnouncementsIsMutable();
-              announcements_.addAll(other.announcements_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.announcements_.isEmpty()) {
-            if (announcementsBuilder_.isEmpty()) {
-              announcementsBuilder_.dispose();
-              announcementsBuilder_ = null;
-              announcements_ = other.announcements_;
-              bitField0_ = (bitField0_ & ~0x00000002);
-              announcementsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetAnnouncementsFieldBuilder() : null;
-            } else {
-              announcementsBuilder_.addAllMessages(other.announcements_);
-            }
-          }
+        if (other.getKnownIncarnation() != 0L) {
+          setKnownIncarnation(other.getKnownIncarnation());
+        }
+        if (other.getKnownVersion() != 0L) {
+          setKnownVersion(other.getKnownVersion());
         }
         if (loadsBuilder_ == null) {
           if (!other.loads_.isEmpty()) {
             if (loads_.isEmpty()) {
               loads_ = other.loads_;
-              bitField0_ = (bitField0_ & ~0x00000004);
+              bitField0_ = (bitField0_ & ~0x00000008);
             } else {
               ensureLoadsIsMutable();
               loads_.addAll(other.loads_);
@@ -2441,7 +2708,7 @@
               loadsBuilder_.dispose();
               loadsBuilder_ = null;
               loads_ = other.loads_;
-              bitField0_ = (bitField0_ & ~0x00000004);
+              bitField0_ = (bitField0_ & ~0x00000008);
               loadsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetLoadsFieldBuilder() : null;
@@ -2450,6 +2717,61 @@
             }
           }
         }
+        if (heldBuilder_ == null) {
+          if (!other.held_.isEmpty()) {
+            if (held_.isEmpty()) {
+              held_ = other.held_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureHeldIsMutable();
+              held_.addAll(other.held_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.held_.isEmpty()) {
+            if (heldBuilder_.isEmpty()) {
+              heldBuilder_.dispose();
+              heldBuilder_ = null;
+              held_ = other.held_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              heldBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetHeldFieldBuilder() : null;
+            } else {
+              heldBuilder_.addAllMessages(other.held_);
+            }
+          }
+        }
+        if (other.getLastGrant() != 0L) {
+          setLastGrant(other.getLastGrant());
+        }
+        if (wantedBuilder_ == null) {
+          if (!other.wanted_.isEmpty()) {
+            if (wanted_.isEmpty()) {
+              wanted_ = other.wanted_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureWantedIsMutable();
+              wanted_.addAll(other.wanted_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.wanted_.isEmpty()) {
+            if (wantedBuilder_.isEmpty()) {
+              wantedBuilder_.dispose();
+              wantedBuilder_ = null;
+              wanted_ = other.wanted_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              wantedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWantedFieldBuilder() : null;
+            } else {
+              wantedBuilder_.addAllMessages(other.wanted_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -2479,20 +2801,17 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 18: {
-                org.nettlering.wire.proto.RequestProto.AgedAnnouncement m =
-                    input.readMessage(
-                        org.nettlering.wire.proto.RequestProto.AgedAnnouncement.parser(),
-                        extensionRegistry);
-                if (announcementsBuilder_ == null) {
-                  ensureAnnouncementsIsMutable();
-                  announcements_.add(m);
-                } else {
-                  announcementsBuilder_.addMessage(m);
-                }
+              case 16: {
+                knownIncarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
                 break;
-              } // case 18
-              case 26: {
+              } // case 16
+              case 24: {
+                knownVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
                 org.nettlering.wire.proto.RequestProto.UpstreamLoad m =
                     input.readMessage(
                         org.nettlering.wire.proto.RequestProto.UpstreamLoad.parser(),
@@ -2504,7 +2823,38 @@
                   loadsBuilder_.addMessage(m);
                 }
                 break;
-              } // case 26
+              } // case 34
+              case 42: {
+                org.nettlering.wire.proto.RequestProto.SlotCount m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.RequestProto.SlotCount.parser(),
+                        extensionRegistry);
+                if (heldBuilder_ == null) {
+                  ensureHeldIsMutable();
+                  held_.add(m);
+                } else {
+                  heldBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              case 48: {
+                lastGrant_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 58: {
+                org.nettlering.wire.proto.RequestProto.WantedSlots m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.RequestProto.WantedSlots.parser(),
+                        extensionRegistry);
+                if (wantedBuilder_ == null) {
+                  ensureWantedIsMutable();
+                  wanted_.add(m);
+                } else {
+                  wantedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2594,488 +2944,974 @@
         return this;
       }
 
-      private java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> announcements_ =
+      private long knownIncarnation_ ;
+      /**
+       * <pre>
+       * The incarnation and version that the last response of this peer carried; zero asks for everything.
+       * </pre>
+       *
+       * <code>uint64 known_incarnation = 2;</code>
+       * @return The knownIncarnation.
+       */
+      @java.lang.Override
+      public long getKnownIncarnation() {
+        return knownIncarnation_;
+      }
+      /**
+       * <pre>
+       * The incarnation and version that the last response of this peer carried; zero asks for everything.
+       * </pre>
+       *
+       * <code>uint64 known_incarnation = 2;</code>
+       * @param value The knownIncarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKnownIncarnation(long value) {
+
+        knownIncarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The incarnation and version that the last response of this peer carried; zero asks for everything.
+       * </pre>
+       *
+       * <code>uint64 known_incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKnownIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        knownIncarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long knownVersion_ ;
+      /**
+       * <code>uint64 known_version = 3;</code>
+       * @return The knownVersion.
+       */
+      @java.lang.Override
+      public long getKnownVersion() {
+        return knownVersion_;
+      }
+      /**
+       * <code>uint64 known_version = 3;</code>
+       * @param value The knownVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKnownVersion(long value) {
+
+        knownVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 known_version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKnownVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        knownVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_ =
         java.util.Collections.emptyList();
-      private void ensureAnnouncementsIsMutable() {
-        if (!((bitField0_ & 0x00000002) != 0)) {
-          announcements_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.AgedAnnouncement>(announcements_);
-          bitField0_ |= 0x00000002;
+      private void ensureLoadsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          loads_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.UpstreamLoad>(loads_);
+          bitField0_ |= 0x00000008;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> announcementsBuilder_;
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> loadsBuilder_;
 
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> getAnnouncementsList() {
-        if (announcementsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(announcements_);
+      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
+        if (loadsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(loads_);
         } else {
-          return announcementsBuilder_.getMessageList();
+          return loadsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public int getAnnouncementsCount() {
-        if (announcementsBuilder_ == null) {
-          return announcements_.size();
+      public int getLoadsCount() {
+        if (loadsBuilder_ == null) {
+          return loads_.size();
         } else {
-          return announcementsBuilder_.getCount();
+          return loadsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index) {
-        if (announcementsBuilder_ == null) {
-          return announcements_.get(index);
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);
         } else {
-          return announcementsBuilder_.getMessage(index);
+          return loadsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder setAnnouncements(
-          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
-        if (announcementsBuilder_ == null) {
+      public Builder setLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureAnnouncementsIsMutable();
-          announcements_.set(index, value);
+          ensureLoadsIsMutable();
+          loads_.set(index, value);
           onChanged();
         } else {
-          announcementsBuilder_.setMessage(index, value);
+          loadsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder setAnnouncements(
-          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
-        if (announcementsBuilder_ == null) {
-          ensureAnnouncementsIsMutable();
-          announcements_.set(index, builderForValue.build());
+      public Builder setLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.set(index, builderForValue.build());
           onChanged();
         } else {
-          announcementsBuilder_.setMessage(index, builderForValue.build());
+          loadsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder addAnnouncements(org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
-        if (announcementsBuilder_ == null) {
+      public Builder addLoads(org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureAnnouncementsIsMutable();
-          announcements_.add(value);
+          ensureLoadsIsMutable();
+          loads_.add(value);
           onChanged();
         } else {
-          announcementsBuilder_.addMessage(value);
+          loadsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder addAnnouncements(
-          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
-        if (announcementsBuilder_ == null) {
+      public Builder addLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureAnnouncementsIsMutable();
-          announcements_.add(index, value);
+          ensureLoadsIsMutable();
+          loads_.add(index, value);
           onChanged();
         } else {
-          announcementsBuilder_.addMessage(index, value);
+          loadsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder addAnnouncements(
-          org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
-        if (announcementsBuilder_ == null) {
-          ensureAnnouncementsIsMutable();
-          announcements_.add(builderForValue.build());
+      public Builder addLoads(
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(builderForValue.build());
           onChanged();
         } else {
-          announcementsBuilder_.addMessage(builderForValue.build());
+          loadsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder addAnnouncements(
-          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
-        if (announcementsBuilder_ == null) {
-          ensureAnnouncementsIsMutable();
-          announcements_.add(index, builderForValue.build());
+      public Builder addLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(index, builderForValue.build());
           onChanged();
         } else {
-          announcementsBuilder_.addMessage(index, builderForValue.build());
+          loadsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder addAllAnnouncements(
-          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncement> values) {
-        if (announcementsBuilder_ == null) {
-          ensureAnnouncementsIsMutable();
+      public Builder addAllLoads(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoad> values) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, announcements_);
+              values, loads_);
           onChanged();
         } else {
-          announcementsBuilder_.addAllMessages(values);
+          loadsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder clearAnnouncements() {
-        if (announcementsBuilder_ == null) {
-          announcements_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000002);
-          onChanged();
-        } else {
-          announcementsBuilder_.clear();
+      public Builder clearLoads() {
+        if (loadsBuilder_ == null) {
+          loads_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          loadsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public Builder removeAnnouncements(int index) {
-        if (announcementsBuilder_ == null) {
-          ensureAnnouncementsIsMutable();
-          announcements_.remove(index);
+      public Builder removeLoads(int index) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.remove(index);
           onChanged();
         } else {
-          announcementsBuilder_.remove(index);
+          loadsBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder getAnnouncementsBuilder(
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder getLoadsBuilder(
           int index) {
-        return internalGetAnnouncementsFieldBuilder().getBuilder(index);
+        return internalGetLoadsFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
           int index) {
-        if (announcementsBuilder_ == null) {
-          return announcements_.get(index);  } else {
-          return announcementsBuilder_.getMessageOrBuilder(index);
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);  } else {
+          return loadsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
-           getAnnouncementsOrBuilderList() {
-        if (announcementsBuilder_ != null) {
-          return announcementsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+           getLoadsOrBuilderList() {
+        if (loadsBuilder_ != null) {
+          return loadsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(announcements_);
+          return java.util.Collections.unmodifiableList(loads_);
         }
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder addAnnouncementsBuilder() {
-        return internalGetAnnouncementsFieldBuilder().addBuilder(
-            org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance());
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder() {
+        return internalGetLoadsFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder addAnnouncementsBuilder(
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder(
           int index) {
-        return internalGetAnnouncementsFieldBuilder().addBuilder(
-            index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance());
+        return internalGetLoadsFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
       }
       /**
-       * <code>repeated .nettlering.AgedAnnouncement announcements = 2;</code>
+       * <code>repeated .nettlering.UpstreamLoad loads = 4;</code>
        */
-      public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder> 
-           getAnnouncementsBuilderList() {
-        return internalGetAnnouncementsFieldBuilder().getBuilderList();
+      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder> 
+           getLoadsBuilderList() {
+        return internalGetLoadsFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
-          internalGetAnnouncementsFieldBuilder() {
-        if (announcementsBuilder_ == null) {
-          announcementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder>(
-                  announcements_,
-                  ((bitField0_ & 0x00000002) != 0),
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+          internalGetLoadsFieldBuilder() {
+        if (loadsBuilder_ == null) {
+          loadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder>(
+                  loads_,
+                  ((bitField0_ & 0x00000008) != 0),
                   getParentForChildren(),
                   isClean());
-          announcements_ = null;
+          loads_ = null;
         }
-        return announcementsBuilder_;
+        return loadsBuilder_;
       }
 
-      private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_ =
+      private java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> held_ =
         java.util.Collections.emptyList();
-      private void ensureLoadsIsMutable() {
-        if (!((bitField0_ & 0x00000004) != 0)) {
-          loads_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.UpstreamLoad>(loads_);
-          bitField0_ |= 0x00000004;
+      private void ensureHeldIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          held_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.SlotCount>(held_);
+          bitField0_ |= 0x00000010;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> loadsBuilder_;
+          org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> heldBuilder_;
 
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
-        if (loadsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(loads_);
+      public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> getHeldList() {
+        if (heldBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(held_);
         } else {
-          return loadsBuilder_.getMessageList();
+          return heldBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public int getLoadsCount() {
-        if (loadsBuilder_ == null) {
-          return loads_.size();
+      public int getHeldCount() {
+        if (heldBuilder_ == null) {
+          return held_.size();
         } else {
-          return loadsBuilder_.getCount();
+          return heldBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
-        if (loadsBuilder_ == null) {
-          return loads_.get(index);
+      public org.nettlering.wire.proto.RequestProto.SlotCount getHeld(int index) {
+        if (heldBuilder_ == null) {
+          return held_.get(index);
         } else {
-          return loadsBuilder_.getMessage(index);
+          return heldBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder setLoads(
-          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
-        if (loadsBuilder_ == null) {
+      public Builder setHeld(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (heldBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureLoadsIsMutable();
-          loads_.set(index, value);
+          ensureHeldIsMutable();
+          held_.set(index, value);
           onChanged();
         } else {
-          loadsBuilder_.setMessage(index, value);
+          heldBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder setLoads(
-          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
-        if (loadsBuilder_ == null) {
-          ensureLoadsIsMutable();
-          loads_.set(index, builderForValue.build());
+      public Builder setHeld(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (heldBuilder_ == null) {
+          ensureHeldIsMutable();
+          held_.set(index, builderForValue.build());
           onChanged();
         } else {
-          loadsBuilder_.setMessage(index, builderForValue.build());
+          heldBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder addLoads(org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
-        if (loadsBuilder_ == null) {
+      public Builder addHeld(org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (heldBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureLoadsIsMutable();
-          loads_.add(value);
+          ensureHeldIsMutable();
+          held_.add(value);
           onChanged();
         } else {
-          loadsBuilder_.addMessage(value);
+          heldBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder addLoads(
-          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
-        if (loadsBuilder_ == null) {
+      public Builder addHeld(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (heldBuilder_ == null) {
           java.util.Objects.requireNonNull(value);
-          ensureLoadsIsMutable();
-          loads_.add(index, value);
+          ensureHeldIsMutable();
+          held_.add(index, value);
           onChanged();
         } else {
-          loadsBuilder_.addMessage(index, value);
+          heldBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder addLoads(
-          org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
-        if (loadsBuilder_ == null) {
-          ensureLoadsIsMutable();
-          loads_.add(builderForValue.build());
+      public Builder addHeld(
+          org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (heldBuilder_ == null) {
+          ensureHeldIsMutable();
+          held_.add(builderForValue.build());
           onChanged();
         } else {
-          loadsBuilder_.addMessage(builderForValue.build());
+          heldBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder addLoads(
-          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
-        if (loadsBuilder_ == null) {
-          ensureLoadsIsMutable();
-          loads_.add(index, builderForValue.build());
+      public Builder addHeld(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (heldBuilder_ == null) {
+          ensureHeldIsMutable();
+          held_.add(index, builderForValue.build());
           onChanged();
         } else {
-          loadsBuilder_.addMessage(index, builderForValue.build());
+          heldBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder addAllLoads(
-          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoad> values) {
-        if (loadsBuilder_ == null) {
-          ensureLoadsIsMutable();
+      public Builder addAllHeld(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.SlotCount> values) {
+        if (heldBuilder_ == null) {
+          ensureHeldIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, loads_);
+              values, held_);
           onChanged();
         } else {
-          loadsBuilder_.addAllMessages(values);
+          heldBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder clearLoads() {
-        if (loadsBuilder_ == null) {
-          loads_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000004);
+      public Builder clearHeld() {
+        if (heldBuilder_ == null) {
+          held_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
           onChanged();
         } else {
-          loadsBuilder_.clear();
+          heldBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public Builder removeLoads(int index) {
-        if (loadsBuilder_ == null) {
-          ensureLoadsIsMutable();
-          loads_.remove(index);
+      public Builder removeHeld(int index) {
+        if (heldBuilder_ == null) {
+          ensureHeldIsMutable();
+          held_.remove(index);
           onChanged();
         } else {
-          loadsBuilder_.remove(index);
+          heldBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder getLoadsBuilder(
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder getHeldBuilder(
           int index) {
-        return internalGetLoadsFieldBuilder().getBuilder(index);
+        return internalGetHeldFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
+      public org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getHeldOrBuilder(
           int index) {
-        if (loadsBuilder_ == null) {
-          return loads_.get(index);  } else {
-          return loadsBuilder_.getMessageOrBuilder(index);
+        if (heldBuilder_ == null) {
+          return held_.get(index);  } else {
+          return heldBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
-           getLoadsOrBuilderList() {
-        if (loadsBuilder_ != null) {
-          return loadsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+           getHeldOrBuilderList() {
+        if (heldBuilder_ != null) {
+          return heldBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(loads_);
+          return java.util.Collections.unmodifiableList(held_);
         }
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder() {
-        return internalGetLoadsFieldBuilder().addBuilder(
-            org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder addHeldBuilder() {
+        return internalGetHeldFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance());
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder(
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder addHeldBuilder(
           int index) {
-        return internalGetLoadsFieldBuilder().addBuilder(
-            index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
+        return internalGetHeldFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance());
       }
       /**
-       * <code>repeated .nettlering.UpstreamLoad loads = 3;</code>
+       * <pre>
+       * Slots that the sender holds from the peer now, after the grant of this number.
+       * </pre>
+       *
+       * <code>repeated .nettlering.SlotCount held = 5;</code>
        */
-      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder> 
-           getLoadsBuilderList() {
-        return internalGetLoadsFieldBuilder().getBuilderList();
+      public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount.Builder> 
+           getHeldBuilderList() {
+        return internalGetHeldFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
-          internalGetLoadsFieldBuilder() {
-        if (loadsBuilder_ == null) {
-          loadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder>(
-                  loads_,
-                  ((bitField0_ & 0x00000004) != 0),
+          org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+          internalGetHeldFieldBuilder() {
+        if (heldBuilder_ == null) {
+          heldBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder>(
+                  held_,
+                  ((bitField0_ & 0x00000010) != 0),
                   getParentForChildren(),
                   isClean());
-          loads_ = null;
+          held_ = null;
         }
-        return loadsBuilder_;
+        return heldBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.GossipRequest)
-    }
+      private long lastGrant_ ;
+      /**
+       * <code>uint64 last_grant = 6;</code>
+       * @return The lastGrant.
+       */
+      @java.lang.Override
+      public long getLastGrant() {
+        return lastGrant_;
+      }
+      /**
+       * <code>uint64 last_grant = 6;</code>
+       * @param value The lastGrant to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastGrant(long value) {
 
-    // @@protoc_insertion_point(class_scope:nettlering.GossipRequest)
-    private static final org.nettlering.wire.proto.RequestProto.GossipRequest DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.GossipRequest();
-    }
+        lastGrant_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 last_grant = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastGrant() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        lastGrant_ = 0L;
+        onChanged();
+        return this;
+      }
 
-    public static org.nettlering.wire.proto.RequestProto.GossipRequest getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
+      private java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots> wanted_ =
+        java.util.Collections.emptyList();
+      private void ensureWantedIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          wanted_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.WantedSlots>(wanted_);
+          bitField0_ |= 0x00000040;
+         }
+      }
 
-    private static final com.google.protobuf.Parser<GossipRequest>
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.WantedSlots, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder, org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder> wantedBuilder_;
+
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots> getWantedList() {
+        if (wantedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(wanted_);
+        } else {
+          return wantedBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public int getWantedCount() {
+        if (wantedBuilder_ == null) {
+          return wanted_.size();
+        } else {
+          return wantedBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.WantedSlots getWanted(int index) {
+        if (wantedBuilder_ == null) {
+          return wanted_.get(index);
+        } else {
+          return wantedBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder setWanted(
+          int index, org.nettlering.wire.proto.RequestProto.WantedSlots value) {
+        if (wantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWantedIsMutable();
+          wanted_.set(index, value);
+          onChanged();
+        } else {
+          wantedBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder setWanted(
+          int index, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder builderForValue) {
+        if (wantedBuilder_ == null) {
+          ensureWantedIsMutable();
+          wanted_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          wantedBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder addWanted(org.nettlering.wire.proto.RequestProto.WantedSlots value) {
+        if (wantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWantedIsMutable();
+          wanted_.add(value);
+          onChanged();
+        } else {
+          wantedBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder addWanted(
+          int index, org.nettlering.wire.proto.RequestProto.WantedSlots value) {
+        if (wantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWantedIsMutable();
+          wanted_.add(index, value);
+          onChanged();
+        } else {
+          wantedBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder addWanted(
+          org.nettlering.wire.proto.RequestProto.WantedSlots.Builder builderForValue) {
+        if (wantedBuilder_ == null) {
+          ensureWantedIsMutable();
+          wanted_.add(builderForValue.build());
+          onChanged();
+        } else {
+          wantedBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder addWanted(
+          int index, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder builderForValue) {
+        if (wantedBuilder_ == null) {
+          ensureWantedIsMutable();
+          wanted_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          wantedBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder addAllWanted(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.WantedSlots> values) {
+        if (wantedBuilder_ == null) {
+          ensureWantedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, wanted_);
+          onChanged();
+        } else {
+          wantedBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder clearWanted() {
+        if (wantedBuilder_ == null) {
+          wanted_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          wantedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public Builder removeWanted(int index) {
+        if (wantedBuilder_ == null) {
+          ensureWantedIsMutable();
+          wanted_.remove(index);
+          onChanged();
+        } else {
+          wantedBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.WantedSlots.Builder getWantedBuilder(
+          int index) {
+        return internalGetWantedFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder getWantedOrBuilder(
+          int index) {
+        if (wantedBuilder_ == null) {
+          return wanted_.get(index);  } else {
+          return wantedBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder> 
+           getWantedOrBuilderList() {
+        if (wantedBuilder_ != null) {
+          return wantedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(wanted_);
+        }
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.WantedSlots.Builder addWantedBuilder() {
+        return internalGetWantedFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.WantedSlots.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.WantedSlots.Builder addWantedBuilder(
+          int index) {
+        return internalGetWantedFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.WantedSlots.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Slots that the sender asks to borrow.
+       * </pre>
+       *
+       * <code>repeated .nettlering.WantedSlots wanted = 7;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.WantedSlots.Builder> 
+           getWantedBuilderList() {
+        return internalGetWantedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.WantedSlots, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder, org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder> 
+          internalGetWantedFieldBuilder() {
+        if (wantedBuilder_ == null) {
+          wantedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.WantedSlots, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder, org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder>(
+                  wanted_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          wanted_ = null;
+        }
+        return wantedBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.GossipRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.GossipRequest)
+    private static final org.nettlering.wire.proto.RequestProto.GossipRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.GossipRequest();
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.GossipRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<GossipRequest>
         PARSER = new com.google.protobuf.AbstractParser<GossipRequest>() {
       @java.lang.Override
       public GossipRequest parsePartialFrom(
@@ -3113,38 +3949,2553 @@
 
   }
 
-  public interface AgedAnnouncementOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:nettlering.AgedAnnouncement)
+  public interface GossipResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.GossipResponse)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
-     * @return Whether the announcement field is set.
+     * <code>string entry_id = 1;</code>
+     * @return The entryId.
      */
-    boolean hasAnnouncement();
+    java.lang.String getEntryId();
     /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
-     * @return The announcement.
+     * <code>string entry_id = 1;</code>
+     * @return The bytes for entryId.
      */
-    org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement();
+    com.google.protobuf.ByteString
+        getEntryIdBytes();
+
     /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
      */
-    org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder();
+    long getIncarnation();
 
     /**
-     * <code>uint32 age_millis = 2;</code>
-     * @return The ageMillis.
+     * <code>uint64 version = 3;</code>
+     * @return The version.
      */
-    int getAgeMillis();
+    long getVersion();
+
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> 
+        getAnnouncementsList();
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index);
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    int getAnnouncementsCount();
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
+        getAnnouncementsOrBuilderList();
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> 
+        getLoadsList();
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index);
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    int getLoadsCount();
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+        getLoadsOrBuilderList();
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> 
+        getGrantedList();
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.SlotCount getGranted(int index);
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    int getGrantedCount();
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+        getGrantedOrBuilderList();
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getGrantedOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 grant = 7;</code>
+     * @return The grant.
+     */
+    long getGrant();
+  }
+  /**
+   * <pre>
+   * The receiver adds the time since it sent its request to each age, so that a delayed response never looks fresh.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.GossipResponse}
+   */
+  public static final class GossipResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.GossipResponse)
+      GossipResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "GossipResponse");
+    }
+    // Use GossipResponse.newBuilder() to construct.
+    private GossipResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private GossipResponse() {
+      entryId_ = "";
+      announcements_ = java.util.Collections.emptyList();
+      loads_ = java.util.Collections.emptyList();
+      granted_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.RequestProto.GossipResponse.class, org.nettlering.wire.proto.RequestProto.GossipResponse.Builder.class);
+    }
+
+    public static final int ENTRY_ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object entryId_ = "";
+    /**
+     * <code>string entry_id = 1;</code>
+     * @return The entryId.
+     */
+    @java.lang.Override
+    public java.lang.String getEntryId() {
+      java.lang.Object ref = entryId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entryId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string entry_id = 1;</code>
+     * @return The bytes for entryId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryIdBytes() {
+      java.lang.Object ref = entryId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entryId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 3;
+    private long version_ = 0L;
+    /**
+     * <code>uint64 version = 3;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int ANNOUNCEMENTS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> announcements_;
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> getAnnouncementsList() {
+      return announcements_;
+    }
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
+        getAnnouncementsOrBuilderList() {
+      return announcements_;
+    }
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    @java.lang.Override
+    public int getAnnouncementsCount() {
+      return announcements_.size();
+    }
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index) {
+      return announcements_.get(index);
+    }
+    /**
+     * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
+        int index) {
+      return announcements_.get(index);
+    }
+
+    public static final int LOADS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_;
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
+      return loads_;
+    }
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+        getLoadsOrBuilderList() {
+      return loads_;
+    }
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    @java.lang.Override
+    public int getLoadsCount() {
+      return loads_.size();
+    }
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
+      return loads_.get(index);
+    }
+    /**
+     * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
+        int index) {
+      return loads_.get(index);
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> granted_;
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> getGrantedList() {
+      return granted_;
+    }
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+        getGrantedOrBuilderList() {
+      return granted_;
+    }
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    @java.lang.Override
+    public int getGrantedCount() {
+      return granted_.size();
+    }
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.SlotCount getGranted(int index) {
+      return granted_.get(index);
+    }
+    /**
+     * <code>repeated .nettlering.SlotCount granted = 6;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getGrantedOrBuilder(
+        int index) {
+      return granted_.get(index);
+    }
+
+    public static final int GRANT_FIELD_NUMBER = 7;
+    private long grant_ = 0L;
+    /**
+     * <code>uint64 grant = 7;</code>
+     * @return The grant.
+     */
+    @java.lang.Override
+    public long getGrant() {
+      return grant_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entryId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, entryId_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
+      }
+      if (version_ != 0L) {
+        output.writeUInt64(3, version_);
+      }
+      for (int i = 0; i < announcements_.size(); i++) {
+        output.writeMessage(4, announcements_.get(i));
+      }
+      for (int i = 0; i < loads_.size(); i++) {
+        output.writeMessage(5, loads_.get(i));
+      }
+      for (int i = 0; i < granted_.size(); i++) {
+        output.writeMessage(6, granted_.get(i));
+      }
+      if (grant_ != 0L) {
+        output.writeUInt64(7, grant_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entryId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entryId_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, incarnation_);
+      }
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, version_);
+      }
+
+          {
+            final int count = announcements_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(announcements_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = loads_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(loads_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = granted_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(granted_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (grant_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, grant_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.GossipResponse)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.RequestProto.GossipResponse other = (org.nettlering.wire.proto.RequestProto.GossipResponse) obj;
+
+      if (!getEntryId()
+          .equals(other.getEntryId())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (!getAnnouncementsList()
+          .equals(other.getAnnouncementsList())) return false;
+      if (!getLoadsList()
+          .equals(other.getLoadsList())) return false;
+      if (!getGrantedList()
+          .equals(other.getGrantedList())) return false;
+      if (getGrant()
+          != other.getGrant()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENTRY_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getEntryId().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      if (getAnnouncementsCount() > 0) {
+        hash = (37 * hash) + ANNOUNCEMENTS_FIELD_NUMBER;
+        hash = (53 * hash) + getAnnouncementsList().hashCode();
+      }
+      if (getLoadsCount() > 0) {
+        hash = (37 * hash) + LOADS_FIELD_NUMBER;
+        hash = (53 * hash) + getLoadsList().hashCode();
+      }
+      if (getGrantedCount() > 0) {
+        hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+        hash = (53 * hash) + getGrantedList().hashCode();
+      }
+      hash = (37 * hash) + GRANT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getGrant());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.GossipResponse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The receiver adds the time since it sent its request to each age, so that a delayed response never looks fresh.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.GossipResponse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.GossipResponse)
+        org.nettlering.wire.proto.RequestProto.GossipResponseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.RequestProto.GossipResponse.class, org.nettlering.wire.proto.RequestProto.GossipResponse.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.RequestProto.GossipResponse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        entryId_ = "";
+        incarnation_ = 0L;
+        version_ = 0L;
+        if (announcementsBuilder_ == null) {
+          announcements_ = java.util.Collections.emptyList();
+        } else {
+          announcements_ = null;
+          announcementsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (loadsBuilder_ == null) {
+          loads_ = java.util.Collections.emptyList();
+        } else {
+          loads_ = null;
+          loadsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        if (grantedBuilder_ == null) {
+          granted_ = java.util.Collections.emptyList();
+        } else {
+          granted_ = null;
+          grantedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        grant_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.RequestProto.GossipResponse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.GossipResponse build() {
+        org.nettlering.wire.proto.RequestProto.GossipResponse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.GossipResponse buildPartial() {
+        org.nettlering.wire.proto.RequestProto.GossipResponse result = new org.nettlering.wire.proto.RequestProto.GossipResponse(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.nettlering.wire.proto.RequestProto.GossipResponse result) {
+        if (announcementsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            announcements_ = java.util.Collections.unmodifiableList(announcements_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.announcements_ = announcements_;
+        } else {
+          result.announcements_ = announcementsBuilder_.build();
+        }
+        if (loadsBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            loads_ = java.util.Collections.unmodifiableList(loads_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.loads_ = loads_;
+        } else {
+          result.loads_ = loadsBuilder_.build();
+        }
+        if (grantedBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            granted_ = java.util.Collections.unmodifiableList(granted_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.granted_ = granted_;
+        } else {
+          result.granted_ = grantedBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.RequestProto.GossipResponse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.entryId_ = entryId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.grant_ = grant_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.RequestProto.GossipResponse) {
+          return mergeFrom((org.nettlering.wire.proto.RequestProto.GossipResponse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.GossipResponse other) {
+        if (other == org.nettlering.wire.proto.RequestProto.GossipResponse.getDefaultInstance()) return this;
+        if (!other.getEntryId().isEmpty()) {
+          entryId_ = other.entryId_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (announcementsBuilder_ == null) {
+          if (!other.announcements_.isEmpty()) {
+            if (announcements_.isEmpty()) {
+              announcements_ = other.announcements_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureAnnouncementsIsMutable();
+              announcements_.addAll(other.announcements_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.announcements_.isEmpty()) {
+            if (announcementsBuilder_.isEmpty()) {
+              announcementsBuilder_.dispose();
+              announcementsBuilder_ = null;
+              announcements_ = other.announcements_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              announcementsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetAnnouncementsFieldBuilder() : null;
+            } else {
+              announcementsBuilder_.addAllMessages(other.announcements_);
+            }
+          }
+        }
+        if (loadsBuilder_ == null) {
+          if (!other.loads_.isEmpty()) {
+            if (loads_.isEmpty()) {
+              loads_ = other.loads_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureLoadsIsMutable();
+              loads_.addAll(other.loads_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.loads_.isEmpty()) {
+            if (loadsBuilder_.isEmpty()) {
+              loadsBuilder_.dispose();
+              loadsBuilder_ = null;
+              loads_ = other.loads_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              loadsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLoadsFieldBuilder() : null;
+            } else {
+              loadsBuilder_.addAllMessages(other.loads_);
+            }
+          }
+        }
+        if (grantedBuilder_ == null) {
+          if (!other.granted_.isEmpty()) {
+            if (granted_.isEmpty()) {
+              granted_ = other.granted_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureGrantedIsMutable();
+              granted_.addAll(other.granted_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.granted_.isEmpty()) {
+            if (grantedBuilder_.isEmpty()) {
+              grantedBuilder_.dispose();
+              grantedBuilder_ = null;
+              granted_ = other.granted_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              grantedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetGrantedFieldBuilder() : null;
+            } else {
+              grantedBuilder_.addAllMessages(other.granted_);
+            }
+          }
+        }
+        if (other.getGrant() != 0L) {
+          setGrant(other.getGrant());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                entryId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                org.nettlering.wire.proto.RequestProto.AgedAnnouncement m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.RequestProto.AgedAnnouncement.parser(),
+                        extensionRegistry);
+                if (announcementsBuilder_ == null) {
+                  ensureAnnouncementsIsMutable();
+                  announcements_.add(m);
+                } else {
+                  announcementsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              case 42: {
+                org.nettlering.wire.proto.RequestProto.UpstreamLoad m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.RequestProto.UpstreamLoad.parser(),
+                        extensionRegistry);
+                if (loadsBuilder_ == null) {
+                  ensureLoadsIsMutable();
+                  loads_.add(m);
+                } else {
+                  loadsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              case 50: {
+                org.nettlering.wire.proto.RequestProto.SlotCount m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.RequestProto.SlotCount.parser(),
+                        extensionRegistry);
+                if (grantedBuilder_ == null) {
+                  ensureGrantedIsMutable();
+                  granted_.add(m);
+                } else {
+                  grantedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 56: {
+                grant_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object entryId_ = "";
+      /**
+       * <code>string entry_id = 1;</code>
+       * @return The entryId.
+       */
+      public java.lang.String getEntryId() {
+        java.lang.Object ref = entryId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          entryId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string entry_id = 1;</code>
+       * @return The bytes for entryId.
+       */
+      public com.google.protobuf.ByteString
+          getEntryIdBytes() {
+        java.lang.Object ref = entryId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          entryId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string entry_id = 1;</code>
+       * @param value The entryId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryId(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        entryId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntryId() {
+        entryId_ = getDefaultInstance().getEntryId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry_id = 1;</code>
+       * @param value The bytes for entryId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryIdBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entryId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long version_ ;
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> announcements_ =
+        java.util.Collections.emptyList();
+      private void ensureAnnouncementsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          announcements_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.AgedAnnouncement>(announcements_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> announcementsBuilder_;
+
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement> getAnnouncementsList() {
+        if (announcementsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(announcements_);
+        } else {
+          return announcementsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public int getAnnouncementsCount() {
+        if (announcementsBuilder_ == null) {
+          return announcements_.size();
+        } else {
+          return announcementsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getAnnouncements(int index) {
+        if (announcementsBuilder_ == null) {
+          return announcements_.get(index);
+        } else {
+          return announcementsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder setAnnouncements(
+          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
+        if (announcementsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAnnouncementsIsMutable();
+          announcements_.set(index, value);
+          onChanged();
+        } else {
+          announcementsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder setAnnouncements(
+          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
+        if (announcementsBuilder_ == null) {
+          ensureAnnouncementsIsMutable();
+          announcements_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          announcementsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder addAnnouncements(org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
+        if (announcementsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAnnouncementsIsMutable();
+          announcements_.add(value);
+          onChanged();
+        } else {
+          announcementsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder addAnnouncements(
+          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement value) {
+        if (announcementsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAnnouncementsIsMutable();
+          announcements_.add(index, value);
+          onChanged();
+        } else {
+          announcementsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder addAnnouncements(
+          org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
+        if (announcementsBuilder_ == null) {
+          ensureAnnouncementsIsMutable();
+          announcements_.add(builderForValue.build());
+          onChanged();
+        } else {
+          announcementsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder addAnnouncements(
+          int index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder builderForValue) {
+        if (announcementsBuilder_ == null) {
+          ensureAnnouncementsIsMutable();
+          announcements_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          announcementsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder addAllAnnouncements(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncement> values) {
+        if (announcementsBuilder_ == null) {
+          ensureAnnouncementsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, announcements_);
+          onChanged();
+        } else {
+          announcementsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder clearAnnouncements() {
+        if (announcementsBuilder_ == null) {
+          announcements_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          announcementsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public Builder removeAnnouncements(int index) {
+        if (announcementsBuilder_ == null) {
+          ensureAnnouncementsIsMutable();
+          announcements_.remove(index);
+          onChanged();
+        } else {
+          announcementsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder getAnnouncementsBuilder(
+          int index) {
+        return internalGetAnnouncementsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder getAnnouncementsOrBuilder(
+          int index) {
+        if (announcementsBuilder_ == null) {
+          return announcements_.get(index);  } else {
+          return announcementsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
+           getAnnouncementsOrBuilderList() {
+        if (announcementsBuilder_ != null) {
+          return announcementsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(announcements_);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder addAnnouncementsBuilder() {
+        return internalGetAnnouncementsFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder addAnnouncementsBuilder(
+          int index) {
+        return internalGetAnnouncementsFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.AgedAnnouncement announcements = 4;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder> 
+           getAnnouncementsBuilderList() {
+        return internalGetAnnouncementsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder> 
+          internalGetAnnouncementsFieldBuilder() {
+        if (announcementsBuilder_ == null) {
+          announcementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.AgedAnnouncement, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder, org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder>(
+                  announcements_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          announcements_ = null;
+        }
+        return announcementsBuilder_;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> loads_ =
+        java.util.Collections.emptyList();
+      private void ensureLoadsIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          loads_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.UpstreamLoad>(loads_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> loadsBuilder_;
+
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad> getLoadsList() {
+        if (loadsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(loads_);
+        } else {
+          return loadsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public int getLoadsCount() {
+        if (loadsBuilder_ == null) {
+          return loads_.size();
+        } else {
+          return loadsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad getLoads(int index) {
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);
+        } else {
+          return loadsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder setLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.set(index, value);
+          onChanged();
+        } else {
+          loadsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder setLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder addLoads(org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.add(value);
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder addLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.add(index, value);
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder addLoads(
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder addLoads(
+          int index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder addAllLoads(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoad> values) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, loads_);
+          onChanged();
+        } else {
+          loadsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder clearLoads() {
+        if (loadsBuilder_ == null) {
+          loads_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          loadsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public Builder removeLoads(int index) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.remove(index);
+          onChanged();
+        } else {
+          loadsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder getLoadsBuilder(
+          int index) {
+        return internalGetLoadsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder getLoadsOrBuilder(
+          int index) {
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);  } else {
+          return loadsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+           getLoadsOrBuilderList() {
+        if (loadsBuilder_ != null) {
+          return loadsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(loads_);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder() {
+        return internalGetLoadsFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder addLoadsBuilder(
+          int index) {
+        return internalGetLoadsFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.UpstreamLoad loads = 5;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder> 
+           getLoadsBuilderList() {
+        return internalGetLoadsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder> 
+          internalGetLoadsFieldBuilder() {
+        if (loadsBuilder_ == null) {
+          loadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.UpstreamLoad, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder, org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder>(
+                  loads_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          loads_ = null;
+        }
+        return loadsBuilder_;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> granted_ =
+        java.util.Collections.emptyList();
+      private void ensureGrantedIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          granted_ = new java.util.ArrayList<org.nettlering.wire.proto.RequestProto.SlotCount>(granted_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> grantedBuilder_;
+
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount> getGrantedList() {
+        if (grantedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(granted_);
+        } else {
+          return grantedBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public int getGrantedCount() {
+        if (grantedBuilder_ == null) {
+          return granted_.size();
+        } else {
+          return grantedBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.SlotCount getGranted(int index) {
+        if (grantedBuilder_ == null) {
+          return granted_.get(index);
+        } else {
+          return grantedBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder setGranted(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (grantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureGrantedIsMutable();
+          granted_.set(index, value);
+          onChanged();
+        } else {
+          grantedBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder setGranted(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (grantedBuilder_ == null) {
+          ensureGrantedIsMutable();
+          granted_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          grantedBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder addGranted(org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (grantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureGrantedIsMutable();
+          granted_.add(value);
+          onChanged();
+        } else {
+          grantedBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder addGranted(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount value) {
+        if (grantedBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureGrantedIsMutable();
+          granted_.add(index, value);
+          onChanged();
+        } else {
+          grantedBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder addGranted(
+          org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (grantedBuilder_ == null) {
+          ensureGrantedIsMutable();
+          granted_.add(builderForValue.build());
+          onChanged();
+        } else {
+          grantedBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder addGranted(
+          int index, org.nettlering.wire.proto.RequestProto.SlotCount.Builder builderForValue) {
+        if (grantedBuilder_ == null) {
+          ensureGrantedIsMutable();
+          granted_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          grantedBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder addAllGranted(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.RequestProto.SlotCount> values) {
+        if (grantedBuilder_ == null) {
+          ensureGrantedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, granted_);
+          onChanged();
+        } else {
+          grantedBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder clearGranted() {
+        if (grantedBuilder_ == null) {
+          granted_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          grantedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public Builder removeGranted(int index) {
+        if (grantedBuilder_ == null) {
+          ensureGrantedIsMutable();
+          granted_.remove(index);
+          onChanged();
+        } else {
+          grantedBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder getGrantedBuilder(
+          int index) {
+        return internalGetGrantedFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder getGrantedOrBuilder(
+          int index) {
+        if (grantedBuilder_ == null) {
+          return granted_.get(index);  } else {
+          return grantedBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+           getGrantedOrBuilderList() {
+        if (grantedBuilder_ != null) {
+          return grantedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(granted_);
+        }
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder addGrantedBuilder() {
+        return internalGetGrantedFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.SlotCount.Builder addGrantedBuilder(
+          int index) {
+        return internalGetGrantedFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .nettlering.SlotCount granted = 6;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.RequestProto.SlotCount.Builder> 
+           getGrantedBuilderList() {
+        return internalGetGrantedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder> 
+          internalGetGrantedFieldBuilder() {
+        if (grantedBuilder_ == null) {
+          grantedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.SlotCount, org.nettlering.wire.proto.RequestProto.SlotCount.Builder, org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder>(
+                  granted_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          granted_ = null;
+        }
+        return grantedBuilder_;
+      }
+
+      private long grant_ ;
+      /**
+       * <code>uint64 grant = 7;</code>
+       * @return The grant.
+       */
+      @java.lang.Override
+      public long getGrant() {
+        return grant_;
+      }
+      /**
+       * <code>uint64 grant = 7;</code>
+       * @param value The grant to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGrant(long value) {
+
+        grant_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 grant = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGrant() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        grant_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.GossipResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.GossipResponse)
+    private static final org.nettlering.wire.proto.RequestProto.GossipResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.GossipResponse();
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<GossipResponse>
+        PARSER = new com.google.protobuf.AbstractParser<GossipResponse>() {
+      @java.lang.Override
+      public GossipResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<GossipResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<GossipResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AgedAnnouncementOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.AgedAnnouncement)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     * @return Whether the announcement field is set.
+     */
+    boolean hasAnnouncement();
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     * @return The announcement.
+     */
+    org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement();
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     */
+    org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder();
+
+    /**
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    int getAgeMillis();
+  }
+  /**
+   * Protobuf type {@code nettlering.AgedAnnouncement}
+   */
+  public static final class AgedAnnouncement extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.AgedAnnouncement)
+      AgedAnnouncementOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AgedAnnouncement");
+    }
+    // Use AgedAnnouncement.newBuilder() to construct.
+    private AgedAnnouncement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AgedAnnouncement() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.RequestProto.AgedAnnouncement.class, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int ANNOUNCEMENT_FIELD_NUMBER = 1;
+    private org.nettlering.wire.proto.RequestProto.Announcement announcement_;
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     * @return Whether the announcement field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnnouncement() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     * @return The announcement.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement() {
+      return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+    }
+    /**
+     * <code>.nettlering.Announcement announcement = 1;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder() {
+      return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private int ageMillis_ = 0;
+    /**
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getAnnouncement());
+      }
+      if (ageMillis_ != 0) {
+        output.writeUInt32(2, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getAnnouncement());
+      }
+      if (ageMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, ageMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.AgedAnnouncement)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.RequestProto.AgedAnnouncement other = (org.nettlering.wire.proto.RequestProto.AgedAnnouncement) obj;
+
+      if (hasAnnouncement() != other.hasAnnouncement()) return false;
+      if (hasAnnouncement()) {
+        if (!getAnnouncement()
+            .equals(other.getAnnouncement())) return false;
+      }
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasAnnouncement()) {
+        hash = (37 * hash) + ANNOUNCEMENT_FIELD_NUMBER;
+        hash = (53 * hash) + getAnnouncement().hashCode();
+      }
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.AgedAnnouncement prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.AgedAnnouncement}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.AgedAnnouncement)
+        org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.RequestProto.AgedAnnouncement.class, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.RequestProto.AgedAnnouncement.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetAnnouncementFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        announcement_ = null;
+        if (announcementBuilder_ != null) {
+          announcementBuilder_.dispose();
+          announcementBuilder_ = null;
+        }
+        ageMillis_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement build() {
+        org.nettlering.wire.proto.RequestProto.AgedAnnouncement result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement buildPartial() {
+        org.nettlering.wire.proto.RequestProto.AgedAnnouncement result = new org.nettlering.wire.proto.RequestProto.AgedAnnouncement(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.RequestProto.AgedAnnouncement result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.announcement_ = announcementBuilder_ == null
+              ? announcement_
+              : announcementBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.RequestProto.AgedAnnouncement) {
+          return mergeFrom((org.nettlering.wire.proto.RequestProto.AgedAnnouncement)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.AgedAnnouncement other) {
+        if (other == org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance()) return this;
+        if (other.hasAnnouncement()) {
+          mergeAnnouncement(other.getAnnouncement());
+        }
+        if (other.getAgeMillis() != 0) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetAnnouncementFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                ageMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private org.nettlering.wire.proto.RequestProto.Announcement announcement_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder> announcementBuilder_;
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       * @return Whether the announcement field is set.
+       */
+      public boolean hasAnnouncement() {
+        return ((bitField0_ & 0x00000001) != 0);
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       * @return The announcement.
+       */
+      public org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement() {
+        if (announcementBuilder_ == null) {
+          return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+        } else {
+          return announcementBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public Builder setAnnouncement(org.nettlering.wire.proto.RequestProto.Announcement value) {
+        if (announcementBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          announcement_ = value;
+        } else {
+          announcementBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public Builder setAnnouncement(
+          org.nettlering.wire.proto.RequestProto.Announcement.Builder builderForValue) {
+        if (announcementBuilder_ == null) {
+          announcement_ = builderForValue.build();
+        } else {
+          announcementBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public Builder mergeAnnouncement(org.nettlering.wire.proto.RequestProto.Announcement value) {
+        if (announcementBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            announcement_ != null &&
+            announcement_ != org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance()) {
+            getAnnouncementBuilder().mergeFrom(value);
+          } else {
+            announcement_ = value;
+          }
+        } else {
+          announcementBuilder_.mergeFrom(value);
+        }
+        if (announcement_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public Builder clearAnnouncement() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        announcement_ = null;
+        if (announcementBuilder_ != null) {
+          announcementBuilder_.dispose();
+          announcementBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.Announcement.Builder getAnnouncementBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetAnnouncementFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      public org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder() {
+        if (announcementBuilder_ != null) {
+          return announcementBuilder_.getMessageOrBuilder();
+        } else {
+          return announcement_ == null ?
+              org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+        }
+      }
+      /**
+       * <code>.nettlering.Announcement announcement = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder> 
+          internalGetAnnouncementFieldBuilder() {
+        if (announcementBuilder_ == null) {
+          announcementBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder>(
+                  getAnnouncement(),
+                  getParentForChildren(),
+                  isClean());
+          announcement_ = null;
+        }
+        return announcementBuilder_;
+      }
+
+      private int ageMillis_ ;
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public int getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(int value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.AgedAnnouncement)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.AgedAnnouncement)
+    private static final org.nettlering.wire.proto.RequestProto.AgedAnnouncement DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.AgedAnnouncement();
+    }
+
+    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AgedAnnouncement>
+        PARSER = new com.google.protobuf.AbstractParser<AgedAnnouncement>() {
+      @java.lang.Override
+      public AgedAnnouncement parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AgedAnnouncement> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AgedAnnouncement> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface UpstreamLoadOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.UpstreamLoad)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string address = 1;</code>
+     * @return The address.
+     */
+    java.lang.String getAddress();
+    /**
+     * <code>string address = 1;</code>
+     * @return The bytes for address.
+     */
+    com.google.protobuf.ByteString
+        getAddressBytes();
+
+    /**
+     * <code>uint32 in_flight = 2;</code>
+     * @return The inFlight.
+     */
+    int getInFlight();
   }
   /**
-   * Protobuf type {@code nettlering.AgedAnnouncement}
+   * <pre>
+   * Requests that an entry has in flight at an instance.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.UpstreamLoad}
    */
-  public static final class AgedAnnouncement extends
+  public static final class UpstreamLoad extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:nettlering.AgedAnnouncement)
-      AgedAnnouncementOrBuilder {
+      // @@protoc_insertion_point(message_implements:nettlering.UpstreamLoad)
+      UpstreamLoadOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3153,69 +6504,82 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "AgedAnnouncement");
+        "UpstreamLoad");
     }
-    // Use AgedAnnouncement.newBuilder() to construct.
-    private AgedAnnouncement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use UpstreamLoad.newBuilder() to construct.
+    private UpstreamLoad(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private AgedAnnouncement() {
+    private UpstreamLoad() {
+      address_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_fieldAccessorTable
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.nettlering.wire.proto.RequestProto.AgedAnnouncement.class, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder.class);
+              org.nettlering.wire.proto.RequestProto.UpstreamLoad.class, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder.class);
     }
 
-    private int bitField0_;
-    public static final int ANNOUNCEMENT_FIELD_NUMBER = 1;
-    private org.nettlering.wire.proto.RequestProto.Announcement announcement_;
-    /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
-     * @return Whether the announcement field is set.
-     */
-    @java.lang.Override
-    public boolean hasAnnouncement() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
+    public static final int ADDRESS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object address_ = "";
     /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
-     * @return The announcement.
+     * <code>string address = 1;</code>
+     * @return The address.
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement() {
-      return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+    public java.lang.String getAddress() {
+      java.lang.Object ref = address_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        address_ = s;
+        return s;
+      }
     }
     /**
-     * <code>.nettlering.Announcement announcement = 1;</code>
+     * <code>string address = 1;</code>
+     * @return The bytes for address.
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder() {
-      return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
+    public com.google.protobuf.ByteString
+        getAddressBytes() {
+      java.lang.Object ref = address_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        address_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
-    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
-    private int ageMillis_ = 0;
+    public static final int IN_FLIGHT_FIELD_NUMBER = 2;
+    private int inFlight_ = 0;
     /**
-     * <code>uint32 age_millis = 2;</code>
-     * @return The ageMillis.
+     * <code>uint32 in_flight = 2;</code>
+     * @return The inFlight.
      */
     @java.lang.Override
-    public int getAgeMillis() {
-      return ageMillis_;
+    public int getInFlight() {
+      return inFlight_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -3232,23 +6596,22 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(1, getAnnouncement());
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
       }
-      if (ageMillis_ != 0) {
-        output.writeUInt32(2, ageMillis_);
+      if (inFlight_ != 0) {
+        output.writeUInt32(2, inFlight_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(1, getAnnouncement());
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
       }
-      if (ageMillis_ != 0) {
+      if (inFlight_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(2, ageMillis_);
+          .computeUInt32Size(2, inFlight_);
       }
       return size;
     }
@@ -3269,18 +6632,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.AgedAnnouncement)) {
+      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.UpstreamLoad)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.RequestProto.AgedAnnouncement other = (org.nettlering.wire.proto.RequestProto.AgedAnnouncement) obj;
+      org.nettlering.wire.proto.RequestProto.UpstreamLoad other = (org.nettlering.wire.proto.RequestProto.UpstreamLoad) obj;
 
-      if (hasAnnouncement() != other.hasAnnouncement()) return false;
-      if (hasAnnouncement()) {
-        if (!getAnnouncement()
-            .equals(other.getAnnouncement())) return false;
-      }
-      if (getAgeMillis()
-          != other.getAgeMillis()) return false;
+      if (!getAddress()
+          .equals(other.getAddress())) return false;
+      if (getInFlight()
+          != other.getInFlight()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3292,55 +6652,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (hasAnnouncement()) {
-        hash = (37 * hash) + ANNOUNCEMENT_FIELD_NUMBER;
-        hash = (53 * hash) + getAnnouncement().hashCode();
-      }
-      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + getAgeMillis();
+      hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getAddress().hashCode();
+      hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
+      hash = (53 * hash) + getInFlight();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3348,26 +6706,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseDelimitedFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3380,7 +6738,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.AgedAnnouncement prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.UpstreamLoad prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -3396,68 +6754,62 @@
       return builder;
     }
     /**
-     * Protobuf type {@code nettlering.AgedAnnouncement}
+     * <pre>
+     * Requests that an entry has in flight at an instance.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.UpstreamLoad}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.AgedAnnouncement)
-        org.nettlering.wire.proto.RequestProto.AgedAnnouncementOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.UpstreamLoad)
+        org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_fieldAccessorTable
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.RequestProto.AgedAnnouncement.class, org.nettlering.wire.proto.RequestProto.AgedAnnouncement.Builder.class);
+                org.nettlering.wire.proto.RequestProto.UpstreamLoad.class, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.RequestProto.AgedAnnouncement.newBuilder()
+      // Construct using org.nettlering.wire.proto.RequestProto.UpstreamLoad.newBuilder()
       private Builder() {
-        maybeForceBuilderInitialization();
+
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetAnnouncementFieldBuilder();
-        }
+
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        announcement_ = null;
-        if (announcementBuilder_ != null) {
-          announcementBuilder_.dispose();
-          announcementBuilder_ = null;
-        }
-        ageMillis_ = 0;
+        address_ = "";
+        inFlight_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_AgedAnnouncement_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance();
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement build() {
-        org.nettlering.wire.proto.RequestProto.AgedAnnouncement result = buildPartial();
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad build() {
+        org.nettlering.wire.proto.RequestProto.UpstreamLoad result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -3465,45 +6817,42 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.AgedAnnouncement buildPartial() {
-        org.nettlering.wire.proto.RequestProto.AgedAnnouncement result = new org.nettlering.wire.proto.RequestProto.AgedAnnouncement(this);
+      public org.nettlering.wire.proto.RequestProto.UpstreamLoad buildPartial() {
+        org.nettlering.wire.proto.RequestProto.UpstreamLoad result = new org.nettlering.wire.proto.RequestProto.UpstreamLoad(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.nettlering.wire.proto.RequestProto.AgedAnnouncement result) {
+      private void buildPartial0(org.nettlering.wire.proto.RequestProto.UpstreamLoad result) {
         int from_bitField0_ = bitField0_;
-        int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.announcement_ = announcementBuilder_ == null
-              ? announcement_
-              : announcementBuilder_.build();
-          to_bitField0_ |= 0x00000001;
+          result.address_ = address_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.ageMillis_ = ageMillis_;
+          result.inFlight_ = inFlight_;
         }
-        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.RequestProto.AgedAnnouncement) {
-          return mergeFrom((org.nettlering.wire.proto.RequestProto.AgedAnnouncement)other);
+        if (other instanceof org.nettlering.wire.proto.RequestProto.UpstreamLoad) {
+          return mergeFrom((org.nettlering.wire.proto.RequestProto.UpstreamLoad)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.AgedAnnouncement other) {
-        if (other == org.nettlering.wire.proto.RequestProto.AgedAnnouncement.getDefaultInstance()) return this;
-        if (other.hasAnnouncement()) {
-          mergeAnnouncement(other.getAnnouncement());
+      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.UpstreamLoad other) {
+        if (other == org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance()) return this;
+        if (!other.getAddress().isEmpty()) {
+          address_ = other.address_;
+          bitField0_ |= 0x00000001;
+          onChanged();
         }
-        if (other.getAgeMillis() != 0) {
-          setAgeMillis(other.getAgeMillis());
+        if (other.getInFlight() != 0) {
+          setInFlight(other.getInFlight());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
