@@ -3530,14 +6879,12 @@
                 done = true;
                 break;
               case 10: {
-                input.readMessage(
-                    internalGetAnnouncementFieldBuilder().getBuilder(),
-                    extensionRegistry);
+                address_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
               case 16: {
-                ageMillis_ = input.readUInt32();
+                inFlight_ = input.readUInt32();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
@@ -3553,179 +6900,132 @@
           throw e.unwrapIOException();
         } finally {
           onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private org.nettlering.wire.proto.RequestProto.Announcement announcement_;
-      private com.google.protobuf.SingleFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder> announcementBuilder_;
-      /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
-       * @return Whether the announcement field is set.
-       */
-      public boolean hasAnnouncement() {
-        return ((bitField0_ & 0x00000001) != 0);
-      }
-      /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
-       * @return The announcement.
-       */
-      public org.nettlering.wire.proto.RequestProto.Announcement getAnnouncement() {
-        if (announcementBuilder_ == null) {
-          return announcement_ == null ? org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
-        } else {
-          return announcementBuilder_.getMessage();
-        }
+        } // finally
+        return this;
       }
+      private int bitField0_;
+
+      private java.lang.Object address_ = "";
       /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
+       * <code>string address = 1;</code>
+       * @return The address.
        */
-      public Builder setAnnouncement(org.nettlering.wire.proto.RequestProto.Announcement value) {
-        if (announcementBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          announcement_ = value;
+      public java.lang.String getAddress() {
+        java.lang.Object ref = address_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          address_ = s;
+          return s;
         } else {
-          announcementBuilder_.setMessage(value);
+          return (java.lang.String) ref;
         }
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
       }
       /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
+       * <code>string address = 1;</code>
+       * @return The bytes for address.
        */
-      public Builder setAnnouncement(
-          org.nettlering.wire.proto.RequestProto.Announcement.Builder builderForValue) {
-        if (announcementBuilder_ == null) {
-          announcement_ = builderForValue.build();
+      public com.google.protobuf.ByteString
+          getAddressBytes() {
+        java.lang.Object ref = address_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          address_ = b;
+          return b;
         } else {
-          announcementBuilder_.setMessage(builderForValue.build());
+          return (com.google.protobuf.ByteString) ref;
         }
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
       }
       /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
+       * <code>string address = 1;</code>
+       * @param value The address to set.
+       * @return This builder for chaining.
        */
-      public Builder mergeAnnouncement(org.nettlering.wire.proto.RequestProto.Announcement value) {
-        if (announcementBuilder_ == null) {
-          if (((bitField0_ & 0x00000001) != 0) &&
-            announcement_ != null &&
-            announcement_ != org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance()) {
-            getAnnouncementBuilder().mergeFrom(value);
-          } else {
-            announcement_ = value;
-          }
-        } else {
-          announcementBuilder_.mergeFrom(value);
-        }
-        if (announcement_ != null) {
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
+      public Builder setAddress(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        address_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
+       * <code>string address = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder clearAnnouncement() {
+      public Builder clearAddress() {
+        address_ = getDefaultInstance().getAddress();
         bitField0_ = (bitField0_ & ~0x00000001);
-        announcement_ = null;
-        if (announcementBuilder_ != null) {
-          announcementBuilder_.dispose();
-          announcementBuilder_ = null;
-        }
         onChanged();
         return this;
       }
       /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
+       * <code>string address = 1;</code>
+       * @param value The bytes for address to set.
+       * @return This builder for chaining.
        */
-      public org.nettlering.wire.proto.RequestProto.Announcement.Builder getAnnouncementBuilder() {
+      public Builder setAddressBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        address_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
-        return internalGetAnnouncementFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
-       */
-      public org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder getAnnouncementOrBuilder() {
-        if (announcementBuilder_ != null) {
-          return announcementBuilder_.getMessageOrBuilder();
-        } else {
-          return announcement_ == null ?
-              org.nettlering.wire.proto.RequestProto.Announcement.getDefaultInstance() : announcement_;
-        }
-      }
-      /**
-       * <code>.nettlering.Announcement announcement = 1;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder> 
-          internalGetAnnouncementFieldBuilder() {
-        if (announcementBuilder_ == null) {
-          announcementBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.nettlering.wire.proto.RequestProto.Announcement, org.nettlering.wire.proto.RequestProto.Announcement.Builder, org.nettlering.wire.proto.RequestProto.AnnouncementOrBuilder>(
-                  getAnnouncement(),
-                  getParentForChildren(),
-                  isClean());
-          announcement_ = null;
-        }
-        return announcementBuilder_;
+        return this;
       }
 
-      private int ageMillis_ ;
+      private int inFlight_ ;
       /**
-       * <code>uint32 age_millis = 2;</code>
-       * @return The ageMillis.
+       * <code>uint32 in_flight = 2;</code>
+       * @return The inFlight.
        */
       @java.lang.Override
-      public int getAgeMillis() {
-        return ageMillis_;
+      public int getInFlight() {
+        return inFlight_;
       }
       /**
-       * <code>uint32 age_millis = 2;</code>
-       * @param value The ageMillis to set.
+       * <code>uint32 in_flight = 2;</code>
+       * @param value The inFlight to set.
        * @return This builder for chaining.
        */
-      public Builder setAgeMillis(int value) {
+      public Builder setInFlight(int value) {
 
-        ageMillis_ = value;
+        inFlight_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 age_millis = 2;</code>
+       * <code>uint32 in_flight = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearAgeMillis() {
+      public Builder clearInFlight() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        ageMillis_ = 0;
+        inFlight_ = 0;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.AgedAnnouncement)
+      // @@protoc_insertion_point(builder_scope:nettlering.UpstreamLoad)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.AgedAnnouncement)
-    private static final org.nettlering.wire.proto.RequestProto.AgedAnnouncement DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.UpstreamLoad)
+    private static final org.nettlering.wire.proto.RequestProto.UpstreamLoad DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.AgedAnnouncement();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.UpstreamLoad();
     }
 
-    public static org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstance() {
+    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<AgedAnnouncement>
-        PARSER = new com.google.protobuf.AbstractParser<AgedAnnouncement>() {
+    private static final com.google.protobuf.Parser<UpstreamLoad>
+        PARSER = new com.google.protobuf.AbstractParser<UpstreamLoad>() {
       @java.lang.Override
-      public AgedAnnouncement parsePartialFrom(
+      public UpstreamLoad parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3744,63 +7044,51 @@
       }
     };
 
-    public static com.google.protobuf.Parser<AgedAnnouncement> parser() {
+    public static com.google.protobuf.Parser<UpstreamLoad> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<AgedAnnouncement> getParserForType() {
+    public com.google.protobuf.Parser<UpstreamLoad> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.AgedAnnouncement getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface UpstreamLoadOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:nettlering.UpstreamLoad)
+  public interface SlotCountOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.SlotCount)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string service = 1;</code>
-     * @return The service.
-     */
-    java.lang.String getService();
-    /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
-     */
-    com.google.protobuf.ByteString
-        getServiceBytes();
-
-    /**
-     * <code>string instance = 2;</code>
-     * @return The instance.
+     * <code>string address = 1;</code>
+     * @return The address.
      */
-    java.lang.String getInstance();
+    java.lang.String getAddress();
     /**
-     * <code>string instance = 2;</code>
-     * @return The bytes for instance.
+     * <code>string address = 1;</code>
+     * @return The bytes for address.
      */
     com.google.protobuf.ByteString
-        getInstanceBytes();
+        getAddressBytes();
 
     /**
-     * <code>uint32 in_flight = 3;</code>
-     * @return The inFlight.
+     * <code>uint32 slots = 2;</code>
+     * @return The slots.
      */
-    int getInFlight();
+    int getSlots();
   }
   /**
-   * Protobuf type {@code nettlering.UpstreamLoad}
+   * Protobuf type {@code nettlering.SlotCount}
    */
-  public static final class UpstreamLoad extends
+  public static final class SlotCount extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:nettlering.UpstreamLoad)
-      UpstreamLoadOrBuilder {
+      // @@protoc_insertion_point(message_implements:nettlering.SlotCount)
+      SlotCountOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3809,122 +7097,82 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "UpstreamLoad");
+        "SlotCount");
     }
-    // Use UpstreamLoad.newBuilder() to construct.
-    private UpstreamLoad(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use SlotCount.newBuilder() to construct.
+    private SlotCount(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private UpstreamLoad() {
-      service_ = "";
-      instance_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.nettlering.wire.proto.RequestProto.UpstreamLoad.class, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder.class);
-    }
-
-    public static final int SERVICE_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object service_ = "";
-    /**
-     * <code>string service = 1;</code>
-     * @return The service.
-     */
-    @java.lang.Override
-    public java.lang.String getService() {
-      java.lang.Object ref = service_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        service_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getServiceBytes() {
-      java.lang.Object ref = service_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        service_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    private SlotCount() {
+      address_ = "";
     }
 
-    public static final int INSTANCE_FIELD_NUMBER = 2;
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.RequestProto.SlotCount.class, org.nettlering.wire.proto.RequestProto.SlotCount.Builder.class);
+    }
+
+    public static final int ADDRESS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object instance_ = "";
+    private volatile java.lang.Object address_ = "";
     /**
-     * <code>string instance = 2;</code>
-     * @return The instance.
+     * <code>string address = 1;</code>
+     * @return The address.
      */
     @java.lang.Override
-    public java.lang.String getInstance() {
-      java.lang.Object ref = instance_;
+    public java.lang.String getAddress() {
+      java.lang.Object ref = address_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        instance_ = s;
+        address_ = s;
         return s;
       }
     }
     /**
-     * <code>string instance = 2;</code>
-     * @return The bytes for instance.
+     * <code>string address = 1;</code>
+     * @return The bytes for address.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getInstanceBytes() {
-      java.lang.Object ref = instance_;
+        getAddressBytes() {
+      java.lang.Object ref = address_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        instance_ = b;
+        address_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int IN_FLIGHT_FIELD_NUMBER = 3;
-    private int inFlight_ = 0;
+    public static final int SLOTS_FIELD_NUMBER = 2;
+    private int slots_ = 0;
     /**
-     * <code>uint32 in_flight = 3;</code>
-     * @return The inFlight.
+     * <code>uint32 slots = 2;</code>
+     * @return The slots.
      */
     @java.lang.Override
-    public int getInFlight() {
-      return inFlight_;
+    public int getSlots() {
+      return slots_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -3941,28 +7189,22 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, instance_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
       }
-      if (inFlight_ != 0) {
-        output.writeUInt32(3, inFlight_);
+      if (slots_ != 0) {
+        output.writeUInt32(2, slots_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, instance_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
       }
-      if (inFlight_ != 0) {
+      if (slots_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, inFlight_);
+          .computeUInt32Size(2, slots_);
       }
       return size;
     }
@@ -3983,17 +7225,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.UpstreamLoad)) {
+      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.SlotCount)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.RequestProto.UpstreamLoad other = (org.nettlering.wire.proto.RequestProto.UpstreamLoad) obj;
+      org.nettlering.wire.proto.RequestProto.SlotCount other = (org.nettlering.wire.proto.RequestProto.SlotCount) obj;
 
-      if (!getService()
-          .equals(other.getService())) return false;
-      if (!getInstance()
-          .equals(other.getInstance())) return false;
-      if (getInFlight()
-          != other.getInFlight()) return false;
+      if (!getAddress()
+          .equals(other.getAddress())) return false;
+      if (getSlots()
+          != other.getSlots()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4005,55 +7245,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
-      hash = (53 * hash) + getService().hashCode();
-      hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
-      hash = (53 * hash) + getInstance().hashCode();
-      hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
-      hash = (53 * hash) + getInFlight();
+      hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getAddress().hashCode();
+      hash = (37 * hash) + SLOTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSlots();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4061,26 +7299,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseDelimitedFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.SlotCount parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4093,7 +7331,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.UpstreamLoad prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.SlotCount prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -4109,26 +7347,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code nettlering.UpstreamLoad}
+     * Protobuf type {@code nettlering.SlotCount}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.UpstreamLoad)
-        org.nettlering.wire.proto.RequestProto.UpstreamLoadOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.SlotCount)
+        org.nettlering.wire.proto.RequestProto.SlotCountOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_fieldAccessorTable
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.RequestProto.UpstreamLoad.class, org.nettlering.wire.proto.RequestProto.UpstreamLoad.Builder.class);
+                org.nettlering.wire.proto.RequestProto.SlotCount.class, org.nettlering.wire.proto.RequestProto.SlotCount.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.RequestProto.UpstreamLoad.newBuilder()
+      // Construct using org.nettlering.wire.proto.RequestProto.SlotCount.newBuilder()
       private Builder() {
 
       }
@@ -4142,26 +7380,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        service_ = "";
-        instance_ = "";
-        inFlight_ = 0;
+        address_ = "";
+        slots_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_UpstreamLoad_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_SlotCount_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance();
+      public org.nettlering.wire.proto.RequestProto.SlotCount getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad build() {
-        org.nettlering.wire.proto.RequestProto.UpstreamLoad result = buildPartial();
+      public org.nettlering.wire.proto.RequestProto.SlotCount build() {
+        org.nettlering.wire.proto.RequestProto.SlotCount result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -4169,50 +7406,42 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.UpstreamLoad buildPartial() {
-        org.nettlering.wire.proto.RequestProto.UpstreamLoad result = new org.nettlering.wire.proto.RequestProto.UpstreamLoad(this);
+      public org.nettlering.wire.proto.RequestProto.SlotCount buildPartial() {
+        org.nettlering.wire.proto.RequestProto.SlotCount result = new org.nettlering.wire.proto.RequestProto.SlotCount(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.nettlering.wire.proto.RequestProto.UpstreamLoad result) {
+      private void buildPartial0(org.nettlering.wire.proto.RequestProto.SlotCount result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.service_ = service_;
+          result.address_ = address_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.instance_ = instance_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.inFlight_ = inFlight_;
+          result.slots_ = slots_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.RequestProto.UpstreamLoad) {
-          return mergeFrom((org.nettlering.wire.proto.RequestProto.UpstreamLoad)other);
+        if (other instanceof org.nettlering.wire.proto.RequestProto.SlotCount) {
+          return mergeFrom((org.nettlering.wire.proto.RequestProto.SlotCount)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.UpstreamLoad other) {
-        if (other == org.nettlering.wire.proto.RequestProto.UpstreamLoad.getDefaultInstance()) return this;
-        if (!other.getService().isEmpty()) {
-          service_ = other.service_;
+      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.SlotCount other) {
+        if (other == org.nettlering.wire.proto.RequestProto.SlotCount.getDefaultInstance()) return this;
+        if (!other.getAddress().isEmpty()) {
+          address_ = other.address_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.getInstance().isEmpty()) {
-          instance_ = other.instance_;
-          bitField0_ |= 0x00000002;
-          onChanged();
-        }
-        if (other.getInFlight() != 0) {
-          setInFlight(other.getInFlight());
+        if (other.getSlots() != 0) {
+          setSlots(other.getSlots());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -4221,248 +7450,171 @@
 
       @java.lang.Override
       public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        java.util.Objects.requireNonNull(extensionRegistry);
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                service_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 18: {
-                instance_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
-              case 24: {
-                inFlight_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
-      }
-      private int bitField0_;
-
-      private java.lang.Object service_ = "";
-      /**
-       * <code>string service = 1;</code>
-       * @return The service.
-       */
-      public java.lang.String getService() {
-        java.lang.Object ref = service_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          service_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @return The bytes for service.
-       */
-      public com.google.protobuf.ByteString
-          getServiceBytes() {
-        java.lang.Object ref = service_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          service_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @param value The service to set.
-       * @return This builder for chaining.
-       */
-      public Builder setService(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearService() {
-        service_ = getDefaultInstance().getService();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @param value The bytes for service to set.
-       * @return This builder for chaining.
-       */
-      public Builder setServiceBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                address_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                slots_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
 
-      private java.lang.Object instance_ = "";
+      private java.lang.Object address_ = "";
       /**
-       * <code>string instance = 2;</code>
-       * @return The instance.
+       * <code>string address = 1;</code>
+       * @return The address.
        */
-      public java.lang.String getInstance() {
-        java.lang.Object ref = instance_;
+      public java.lang.String getAddress() {
+        java.lang.Object ref = address_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          instance_ = s;
+          address_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string instance = 2;</code>
-       * @return The bytes for instance.
+       * <code>string address = 1;</code>
+       * @return The bytes for address.
        */
       public com.google.protobuf.ByteString
-          getInstanceBytes() {
-        java.lang.Object ref = instance_;
+          getAddressBytes() {
+        java.lang.Object ref = address_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          instance_ = b;
+          address_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string instance = 2;</code>
-       * @param value The instance to set.
+       * <code>string address = 1;</code>
+       * @param value The address to set.
        * @return This builder for chaining.
        */
-      public Builder setInstance(
+      public Builder setAddress(
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
-        instance_ = value;
-        bitField0_ |= 0x00000002;
+        address_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string instance = 2;</code>
+       * <code>string address = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearInstance() {
-        instance_ = getDefaultInstance().getInstance();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder clearAddress() {
+        address_ = getDefaultInstance().getAddress();
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string instance = 2;</code>
-       * @param value The bytes for instance to set.
+       * <code>string address = 1;</code>
+       * @param value The bytes for address to set.
        * @return This builder for chaining.
        */
-      public Builder setInstanceBytes(
+      public Builder setAddressBytes(
           com.google.protobuf.ByteString value) {
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
-        instance_ = value;
-        bitField0_ |= 0x00000002;
+        address_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private int inFlight_ ;
+      private int slots_ ;
       /**
-       * <code>uint32 in_flight = 3;</code>
-       * @return The inFlight.
+       * <code>uint32 slots = 2;</code>
+       * @return The slots.
        */
       @java.lang.Override
-      public int getInFlight() {
-        return inFlight_;
+      public int getSlots() {
+        return slots_;
       }
       /**
-       * <code>uint32 in_flight = 3;</code>
-       * @param value The inFlight to set.
+       * <code>uint32 slots = 2;</code>
+       * @param value The slots to set.
        * @return This builder for chaining.
        */
-      public Builder setInFlight(int value) {
+      public Builder setSlots(int value) {
 
-        inFlight_ = value;
-        bitField0_ |= 0x00000004;
+        slots_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 in_flight = 3;</code>
+       * <code>uint32 slots = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearInFlight() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        inFlight_ = 0;
+      public Builder clearSlots() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        slots_ = 0;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.UpstreamLoad)
+      // @@protoc_insertion_point(builder_scope:nettlering.SlotCount)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.UpstreamLoad)
-    private static final org.nettlering.wire.proto.RequestProto.UpstreamLoad DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.SlotCount)
+    private static final org.nettlering.wire.proto.RequestProto.SlotCount DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.UpstreamLoad();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.SlotCount();
     }
 
-    public static org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstance() {
+    public static org.nettlering.wire.proto.RequestProto.SlotCount getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<UpstreamLoad>
-        PARSER = new com.google.protobuf.AbstractParser<UpstreamLoad>() {
+    private static final com.google.protobuf.Parser<SlotCount>
+        PARSER = new com.google.protobuf.AbstractParser<SlotCount>() {
       @java.lang.Override
-      public UpstreamLoad parsePartialFrom(
+      public SlotCount parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4481,33 +7633,51 @@
       }
     };
 
-    public static com.google.protobuf.Parser<UpstreamLoad> parser() {
+    public static com.google.protobuf.Parser<SlotCount> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<UpstreamLoad> getParserForType() {
+    public com.google.protobuf.Parser<SlotCount> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.UpstreamLoad getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.RequestProto.SlotCount getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface GossipResponseOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:nettlering.GossipResponse)
+  public interface WantedSlotsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.WantedSlots)
       com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>uint32 slots = 2;</code>
+     * @return The slots.
+     */
+    int getSlots();
   }
   /**
-   * Protobuf type {@code nettlering.GossipResponse}
+   * Protobuf type {@code nettlering.WantedSlots}
    */
-  public static final class GossipResponse extends
+  public static final class WantedSlots extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:nettlering.GossipResponse)
-      GossipResponseOrBuilder {
+      // @@protoc_insertion_point(message_implements:nettlering.WantedSlots)
+      WantedSlotsOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -4516,31 +7686,82 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "GossipResponse");
+        "WantedSlots");
     }
-    // Use GossipResponse.newBuilder() to construct.
-    private GossipResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use WantedSlots.newBuilder() to construct.
+    private WantedSlots(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private GossipResponse() {
+    private WantedSlots() {
+      service_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_fieldAccessorTable
+      return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.nettlering.wire.proto.RequestProto.GossipResponse.class, org.nettlering.wire.proto.RequestProto.GossipResponse.Builder.class);
+              org.nettlering.wire.proto.RequestProto.WantedSlots.class, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SLOTS_FIELD_NUMBER = 2;
+    private int slots_ = 0;
+    /**
+     * <code>uint32 slots = 2;</code>
+     * @return The slots.
+     */
+    @java.lang.Override
+    public int getSlots() {
+      return slots_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -4557,14 +7778,32 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (slots_ != 0) {
+        output.writeUInt32(2, slots_);
+      }
       getUnknownFields().writeTo(output);
     }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (slots_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, slots_);
+      }
+      return size;
+    }
     @java.lang.Override
     public int getSerializedSize() {
       int size = memoizedSize;
       if (size != -1) return size;
 
       size = 0;
+      size += computeSerializedSize_0();
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -4575,11 +7814,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.GossipResponse)) {
+      if (!(obj instanceof org.nettlering.wire.proto.RequestProto.WantedSlots)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.RequestProto.GossipResponse other = (org.nettlering.wire.proto.RequestProto.GossipResponse) obj;
+      org.nettlering.wire.proto.RequestProto.WantedSlots other = (org.nettlering.wire.proto.RequestProto.WantedSlots) obj;
 
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (getSlots()
+          != other.getSlots()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4591,49 +7834,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + SLOTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSlots();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4641,26 +7888,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseDelimitedFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse parseFrom(
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -4673,7 +7920,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.GossipResponse prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.RequestProto.WantedSlots prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -4689,26 +7936,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code nettlering.GossipResponse}
+     * Protobuf type {@code nettlering.WantedSlots}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.GossipResponse)
-        org.nettlering.wire.proto.RequestProto.GossipResponseOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.WantedSlots)
+        org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_fieldAccessorTable
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.RequestProto.GossipResponse.class, org.nettlering.wire.proto.RequestProto.GossipResponse.Builder.class);
+                org.nettlering.wire.proto.RequestProto.WantedSlots.class, org.nettlering.wire.proto.RequestProto.WantedSlots.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.RequestProto.GossipResponse.newBuilder()
+      // Construct using org.nettlering.wire.proto.RequestProto.WantedSlots.newBuilder()
       private Builder() {
 
       }
@@ -4721,23 +7968,26 @@
       @java.lang.Override
       public Builder clear() {
         super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        slots_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_GossipResponse_descriptor;
+        return org.nettlering.wire.proto.RequestProto.internal_static_nettlering_WantedSlots_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.RequestProto.GossipResponse.getDefaultInstance();
+      public org.nettlering.wire.proto.RequestProto.WantedSlots getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.RequestProto.WantedSlots.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.GossipResponse build() {
-        org.nettlering.wire.proto.RequestProto.GossipResponse result = buildPartial();
+      public org.nettlering.wire.proto.RequestProto.WantedSlots build() {
+        org.nettlering.wire.proto.RequestProto.WantedSlots result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -4745,24 +7995,43 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.RequestProto.GossipResponse buildPartial() {
-        org.nettlering.wire.proto.RequestProto.GossipResponse result = new org.nettlering.wire.proto.RequestProto.GossipResponse(this);
+      public org.nettlering.wire.proto.RequestProto.WantedSlots buildPartial() {
+        org.nettlering.wire.proto.RequestProto.WantedSlots result = new org.nettlering.wire.proto.RequestProto.WantedSlots(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
+      private void buildPartial0(org.nettlering.wire.proto.RequestProto.WantedSlots result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.slots_ = slots_;
+        }
+      }
+
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.RequestProto.GossipResponse) {
-          return mergeFrom((org.nettlering.wire.proto.RequestProto.GossipResponse)other);
+        if (other instanceof org.nettlering.wire.proto.RequestProto.WantedSlots) {
+          return mergeFrom((org.nettlering.wire.proto.RequestProto.WantedSlots)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.GossipResponse other) {
-        if (other == org.nettlering.wire.proto.RequestProto.GossipResponse.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.nettlering.wire.proto.RequestProto.WantedSlots other) {
+        if (other == org.nettlering.wire.proto.RequestProto.WantedSlots.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getSlots() != 0) {
+          setSlots(other.getSlots());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4787,6 +8056,16 @@
               case 0:
                 done = true;
                 break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                slots_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4802,24 +8081,129 @@
         } // finally
         return this;
       }
+      private int bitField0_;
 
-      // @@protoc_insertion_point(builder_scope:nettlering.GossipResponse)
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int slots_ ;
+      /**
+       * <code>uint32 slots = 2;</code>
+       * @return The slots.
+       */
+      @java.lang.Override
+      public int getSlots() {
+        return slots_;
+      }
+      /**
+       * <code>uint32 slots = 2;</code>
+       * @param value The slots to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSlots(int value) {
+
+        slots_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 slots = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSlots() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        slots_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.WantedSlots)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.GossipResponse)
-    private static final org.nettlering.wire.proto.RequestProto.GossipResponse DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.WantedSlots)
+    private static final org.nettlering.wire.proto.RequestProto.WantedSlots DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.GossipResponse();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.RequestProto.WantedSlots();
     }
 
-    public static org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstance() {
+    public static org.nettlering.wire.proto.RequestProto.WantedSlots getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<GossipResponse>
-        PARSER = new com.google.protobuf.AbstractParser<GossipResponse>() {
+    private static final com.google.protobuf.Parser<WantedSlots>
+        PARSER = new com.google.protobuf.AbstractParser<WantedSlots>() {
       @java.lang.Override
-      public GossipResponse parsePartialFrom(
+      public WantedSlots parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4838,17 +8222,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<GossipResponse> parser() {
+    public static com.google.protobuf.Parser<WantedSlots> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<GossipResponse> getParserForType() {
+    public com.google.protobuf.Parser<WantedSlots> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.RequestProto.GossipResponse getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.RequestProto.WantedSlots getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -6022,10 +9406,24 @@
         getAttemptIdBytes();
 
     /**
+     * <pre>
+     * Set by the leader when it proposes the command.
+     * </pre>
+     *
      * <code>uint64 time_unix_millis = 6;</code>
      * @return The timeUnixMillis.
      */
     long getTimeUnixMillis();
+
+    /**
+     * <pre>
+     * How long the holder waits for the answer at most.
+     * </pre>
+     *
+     * <code>uint32 timeout_millis = 7;</code>
+     * @return The timeoutMillis.
+     */
+    int getTimeoutMillis();
   }
   /**
    * <pre>
@@ -6248,6 +9646,10 @@
     public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 6;
     private long timeUnixMillis_ = 0L;
     /**
+     * <pre>
+     * Set by the leader when it proposes the command.
+     * </pre>
+     *
      * <code>uint64 time_unix_millis = 6;</code>
      * @return The timeUnixMillis.
      */
@@ -6256,6 +9658,21 @@
       return timeUnixMillis_;
     }
 
+    public static final int TIMEOUT_MILLIS_FIELD_NUMBER = 7;
+    private int timeoutMillis_ = 0;
+    /**
+     * <pre>
+     * How long the holder waits for the answer at most.
+     * </pre>
+     *
+     * <code>uint32 timeout_millis = 7;</code>
+     * @return The timeoutMillis.
+     */
+    @java.lang.Override
+    public int getTimeoutMillis() {
+      return timeoutMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6288,6 +9705,9 @@
       if (timeUnixMillis_ != 0L) {
         output.writeUInt64(6, timeUnixMillis_);
       }
+      if (timeoutMillis_ != 0) {
+        output.writeUInt32(7, timeoutMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -6312,6 +9732,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(6, timeUnixMillis_);
       }
+      if (timeoutMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(7, timeoutMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -6348,6 +9772,8 @@
           .equals(other.getAttemptId())) return false;
       if (getTimeUnixMillis()
           != other.getTimeUnixMillis()) return false;
+      if (getTimeoutMillis()
+          != other.getTimeoutMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6372,6 +9798,8 @@
       hash = (37 * hash) + TIME_UNIX_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getTimeUnixMillis());
+      hash = (37 * hash) + TIMEOUT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getTimeoutMillis();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6513,6 +9941,7 @@
         entryId_ = "";
         attemptId_ = "";
         timeUnixMillis_ = 0L;
+        timeoutMillis_ = 0;
         return this;
       }
 
@@ -6564,6 +9993,9 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.timeUnixMillis_ = timeUnixMillis_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.timeoutMillis_ = timeoutMillis_;
+        }
       }
 
       @java.lang.Override
@@ -6604,6 +10036,9 @@
         if (other.getTimeUnixMillis() != 0L) {
           setTimeUnixMillis(other.getTimeUnixMillis());
         }
+        if (other.getTimeoutMillis() != 0) {
+          setTimeoutMillis(other.getTimeoutMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6658,6 +10093,11 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                timeoutMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6997,6 +10437,10 @@
 
       private long timeUnixMillis_ ;
       /**
+       * <pre>
+       * Set by the leader when it proposes the command.
+       * </pre>
+       *
        * <code>uint64 time_unix_millis = 6;</code>
        * @return The timeUnixMillis.
        */
@@ -7005,6 +10449,10 @@
         return timeUnixMillis_;
       }
       /**
+       * <pre>
+       * Set by the leader when it proposes the command.
+       * </pre>
+       *
        * <code>uint64 time_unix_millis = 6;</code>
        * @param value The timeUnixMillis to set.
        * @return This builder for chaining.
@@ -7017,6 +10465,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Set by the leader when it proposes the command.
+       * </pre>
+       *
        * <code>uint64 time_unix_millis = 6;</code>
        * @return This builder for chaining.
        */
@@ -7027,6 +10479,50 @@
         return this;
       }
 
+      private int timeoutMillis_ ;
+      /**
+       * <pre>
+       * How long the holder waits for the answer at most.
+       * </pre>
+       *
+       * <code>uint32 timeout_millis = 7;</code>
+       * @return The timeoutMillis.
+       */
+      @java.lang.Override
+      public int getTimeoutMillis() {
+        return timeoutMillis_;
+      }
+      /**
+       * <pre>
+       * How long the holder waits for the answer at most.
+       * </pre>
+       *
+       * <code>uint32 timeout_millis = 7;</code>
+       * @param value The timeoutMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTimeoutMillis(int value) {
+
+        timeoutMillis_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long the holder waits for the answer at most.
+       * </pre>
+       *
+       * <code>uint32 timeout_millis = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTimeoutMillis() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        timeoutMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.ReserveKey)
     }
 
@@ -13996,6 +17492,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_GossipRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_GossipResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_GossipResponse_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_AgedAnnouncement_descriptor;
   private static final 
@@ -14007,10 +17508,15 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_UpstreamLoad_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_nettlering_GossipResponse_descriptor;
+    internal_static_nettlering_SlotCount_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_nettlering_GossipResponse_fieldAccessorTable;
+      internal_static_nettlering_SlotCount_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_WantedSlots_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_WantedSlots_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_LedgerRequest_descriptor;
   private static final 
@@ -14075,22 +17581,32 @@
       "\017\n\007address\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\023\n\013conne" +
       "ctions\030\005 \001(\r\022\026\n\016failure_domain\030\006 \001(\t\022(\n\005" +
       "state\030\007 \001(\0162\031.nettlering.UpstreamState\022\023" +
-      "\n\013incarnation\030\010 \001(\004\022\020\n\010sequence\030\t \001(\004\"\177\n" +
-      "\rGossipRequest\022\020\n\010entry_id\030\001 \001(\t\0223\n\ranno" +
-      "uncements\030\002 \003(\0132\034.nettlering.AgedAnnounc" +
-      "ement\022\'\n\005loads\030\003 \003(\0132\030.nettlering.Upstre" +
-      "amLoad\"V\n\020AgedAnnouncement\022.\n\014announceme" +
+      "\n\013incarnation\030\010 \001(\004\022\020\n\010sequence\030\t \001(\004\"\336\001" +
+      "\n\rGossipRequest\022\020\n\010entry_id\030\001 \001(\t\022\031\n\021kno" +
+      "wn_incarnation\030\002 \001(\004\022\025\n\rknown_version\030\003 " +
+      "\001(\004\022\'\n\005loads\030\004 \003(\0132\030.nettlering.Upstream" +
+      "Load\022#\n\004held\030\005 \003(\0132\025.nettlering.SlotCoun" +
+      "t\022\022\n\nlast_grant\030\006 \001(\004\022\'\n\006wanted\030\007 \003(\0132\027." +
+      "nettlering.WantedSlots\"\335\001\n\016GossipRespons" +
+      "e\022\020\n\010entry_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
+      "\022\017\n\007version\030\003 \001(\004\0223\n\rannouncements\030\004 \003(\013" +
+      "2\034.nettlering.AgedAnnouncement\022\'\n\005loads\030" +
+      "\005 \003(\0132\030.nettlering.UpstreamLoad\022&\n\007grant" +
+      "ed\030\006 \003(\0132\025.nettlering.SlotCount\022\r\n\005grant" +
+      "\030\007 \001(\004\"V\n\020AgedAnnouncement\022.\n\014announceme" +
       "nt\030\001 \001(\0132\030.nettlering.Announcement\022\022\n\nag" +
-      "e_millis\030\002 \001(\r\"D\n\014UpstreamLoad\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\020\n\010instance\030\002 \001(\t\022\021\n\tin_flight\030\003" +
-      " \001(\r\"\020\n\016GossipResponse\"\234\001\n\rLedgerRequest" +
-      "\022)\n\007reserve\030\001 \001(\0132\026.nettlering.ReserveKe" +
-      "yH\000\022+\n\010complete\030\002 \001(\0132\027.nettlering.Compl" +
-      "eteKeyH\000\022(\n\007look_up\030\003 \001(\0132\025.nettlering.L" +
-      "ookUpKeyH\000B\t\n\007request\"\202\001\n\nReserveKey\022\017\n\007" +
-      "service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\026\n\016content_di" +
-      "gest\030\003 \001(\014\022\020\n\010entry_id\030\004 \001(\t\022\022\n\nattempt_" +
-      "id\030\005 \001(\t\022\030\n\020time_unix_millis\030\006 \001(\004\"\252\001\n\013C" +
+      "e_millis\030\002 \001(\r\"2\n\014UpstreamLoad\022\017\n\007addres" +
+      "s\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"+\n\tSlotCount\022" +
+      "\017\n\007address\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"-\n\013Wante" +
+      "dSlots\022\017\n\007service\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"\234" +
+      "\001\n\rLedgerRequest\022)\n\007reserve\030\001 \001(\0132\026.nett" +
+      "lering.ReserveKeyH\000\022+\n\010complete\030\002 \001(\0132\027." +
+      "nettlering.CompleteKeyH\000\022(\n\007look_up\030\003 \001(" +
+      "\0132\025.nettlering.LookUpKeyH\000B\t\n\007request\"\232\001" +
+      "\n\nReserveKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001" +
+      "(\t\022\026\n\016content_digest\030\003 \001(\014\022\020\n\010entry_id\030\004" +
+      " \001(\t\022\022\n\nattempt_id\030\005 \001(\t\022\030\n\020time_unix_mi" +
+      "llis\030\006 \001(\004\022\026\n\016timeout_millis\030\007 \001(\r\"\252\001\n\013C" +
       "ompleteKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t" +
       "\022\022\n\nattempt_id\030\003 \001(\t\022\'\n\007outcome\030\004 \001(\0162\026." +
       "nettlering.KeyOutcome\022&\n\006answer\030\005 \001(\0132\026." +
@@ -14137,81 +17653,93 @@
     internal_static_nettlering_GossipRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_GossipRequest_descriptor,
-        new java.lang.String[] { "EntryId", "Announcements", "Loads", });
-    internal_static_nettlering_AgedAnnouncement_descriptor =
+        new java.lang.String[] { "EntryId", "KnownIncarnation", "KnownVersion", "Loads", "Held", "LastGrant", "Wanted", });
+    internal_static_nettlering_GossipResponse_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_nettlering_GossipResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_GossipResponse_descriptor,
+        new java.lang.String[] { "EntryId", "Incarnation", "Version", "Announcements", "Loads", "Granted", "Grant", });
+    internal_static_nettlering_AgedAnnouncement_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_nettlering_AgedAnnouncement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_AgedAnnouncement_descriptor,
         new java.lang.String[] { "Announcement", "AgeMillis", });
     internal_static_nettlering_UpstreamLoad_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_nettlering_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_UpstreamLoad_descriptor,
-        new java.lang.String[] { "Service", "Instance", "InFlight", });
-    internal_static_nettlering_GossipResponse_descriptor =
-      getDescriptor().getMessageType(4);
-    internal_static_nettlering_GossipResponse_fieldAccessorTable = new
+        new java.lang.String[] { "Address", "InFlight", });
+    internal_static_nettlering_SlotCount_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_nettlering_SlotCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_nettlering_GossipResponse_descriptor,
-        new java.lang.String[] { });
+        internal_static_nettlering_SlotCount_descriptor,
+        new java.lang.String[] { "Address", "Slots", });
+    internal_static_nettlering_WantedSlots_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_nettlering_WantedSlots_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_WantedSlots_descriptor,
+        new java.lang.String[] { "Service", "Slots", });
     internal_static_nettlering_LedgerRequest_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_nettlering_LedgerRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerRequest_descriptor,
         new java.lang.String[] { "Reserve", "Complete", "LookUp", "Request", });
     internal_static_nettlering_ReserveKey_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_nettlering_ReserveKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ReserveKey_descriptor,
-        new java.lang.String[] { "Service", "Key", "ContentDigest", "EntryId", "AttemptId", "TimeUnixMillis", });
+        new java.lang.String[] { "Service", "Key", "ContentDigest", "EntryId", "AttemptId", "TimeUnixMillis", "TimeoutMillis", });
     internal_static_nettlering_CompleteKey_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_nettlering_CompleteKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_CompleteKey_descriptor,
         new java.lang.String[] { "Service", "Key", "AttemptId", "Outcome", "Answer", "TimeUnixMillis", });
     internal_static_nettlering_LookUpKey_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_nettlering_LookUpKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LookUpKey_descriptor,
         new java.lang.String[] { "Service", "Key", });
     internal_static_nettlering_KeptAnswer_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_nettlering_KeptAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_KeptAnswer_descriptor,
         new java.lang.String[] { "Status", "Headers", "Body", "BodyDropped", });
     internal_static_nettlering_HeaderField_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_nettlering_HeaderField_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_HeaderField_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_nettlering_LedgerResponse_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_nettlering_LedgerResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerResponse_descriptor,
         new java.lang.String[] { "State", "Answer", "HolderEntryId", "HolderAttemptId", });
     internal_static_nettlering_LedgerCommand_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_nettlering_LedgerCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerCommand_descriptor,
         new java.lang.String[] { "Reserve", "Complete", "Command", });
     internal_static_nettlering_LedgerSnapshot_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_nettlering_LedgerSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerSnapshot_descriptor,
         new java.lang.String[] { "Entries", });
     internal_static_nettlering_LedgerEntry_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_nettlering_LedgerEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerEntry_descriptor,
