Add the replicated ledger of non-idempotent requests

Cause: a resend at another entry, or after an entry's death, must not run a request twice. The key is reserved through the log before the dispatch; the leader stamps the time, so that entries' clocks do not matter.

--- a/domain/src/main/java/org/nettlering/domain/admission/ServiceQueue.java
+++ b/domain/src/main/java/org/nettlering/domain/admission/ServiceQueue.java
@@ -77,7 +77,7 @@
         if (!drainRate.isMeasured()) {
             return AdmissionController.SHORTEST_RETRY_AFTER.multipliedBy(10);
         }
-        double nanos = Math.min(waitNanos(size() + 1, now), AdmissionController.LONGEST_RETRY_AFTER.toNanos());
+        double nanos = Math.min(waitNanos(size() + 1, now), (double) AdmissionController.LONGEST_RETRY_AFTER.toNanos());
         long bounded = Math.max((long) nanos, AdmissionController.SHORTEST_RETRY_AFTER.toNanos());
         return Duration.ofNanos(bounded);
     }
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/ledger/AnswerHeader.java
@@ -0,0 +1,11 @@
+package org.nettlering.domain.ledger;
+
+/**
+ * A header of a kept answer.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name the name, not null
+ * @param value the value, not null
+ */
+public record AnswerHeader(String name, String value) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/ledger/KeyTime.java
@@ -0,0 +1,29 @@
+package org.nettlering.domain.ledger;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.UUID;
+
+/** Reads when a key was made, if the key says so. */
+final class KeyTime {
+    private static final int TIME_ORDERED_VERSION = 7;
+    private static final int TIME_SHIFT_BITS = 16;
+    private static final int UUID_CHARACTERS = 36;
+
+    private KeyTime() {}
+
+    /** Returns the time in a version 7 UUID; empty for every other key. */
+    static Optional<Instant> of(String key) {
+        if (key.length() != UUID_CHARACTERS) {
+            return Optional.empty();
+        }
+        try {
+            UUID uuid = UUID.fromString(key);
+            return uuid.version() == TIME_ORDERED_VERSION
+                    ? Optional.of(Instant.ofEpochMilli(uuid.getMostSignificantBits() >>> TIME_SHIFT_BITS))
+                    : Optional.empty();
+        } catch (IllegalArgumentException exception) {
+            return Optional.empty();
+        }
+    }
+}
--- a/domain/src/test/java/org/nettlering/domain/configuration/ConfigurationStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/configuration/ConfigurationStateTest.java
@@ -54,8 +54,9 @@
 
         ConfigurationOutcome outcome = state.apply(operation("a", 1, 9));
 
-        assertThat(outcome).isInstanceOfSatisfying(Refused.class, refused -> assertThat(refused.code())
-                .isEqualTo(ErrorCode.OPERATION_REUSED));
+        assertThat(outcome)
+                .isInstanceOfSatisfying(
+                        Refused.class, refused -> assertThat(refused.code()).isEqualTo(ErrorCode.OPERATION_REUSED));
     }
 
     @Test
@@ -67,8 +68,9 @@
 
         ConfigurationOutcome outcome = state.apply(operation("old", 0, 7));
 
-        assertThat(outcome).isInstanceOfSatisfying(Refused.class, refused -> assertThat(refused.code())
-                .isEqualTo(ErrorCode.REVISION_CONFLICT));
+        assertThat(outcome)
+                .isInstanceOfSatisfying(
+                        Refused.class, refused -> assertThat(refused.code()).isEqualTo(ErrorCode.REVISION_CONFLICT));
     }
 
     @Test
@@ -90,7 +92,8 @@
 
         assertThat(state.differencesSince(2)).isEmpty();
         assertThat(state.differencesSince(3)).isPresent();
-        assertThat(state.differencesSince(ConfigurationState.KEPT_REVISIONS + 4)).isEmpty();
+        assertThat(state.differencesSince(ConfigurationState.KEPT_REVISIONS + 4))
+                .isEmpty();
     }
 
     @Test
@@ -127,8 +130,7 @@
                 naiveRevision++;
                 naiveAccepted.put(id, naiveRevision);
             }
-            boolean sameContent =
-                    first == null || first.contentDigest().equals(operation.contentDigest());
+            boolean sameContent = first == null || first.contentDigest().equals(operation.contentDigest());
             Long accepted = sameContent ? naiveAccepted.get(id) : null;
 
             ConfigurationOutcome outcome = state.apply(operation);
--- a/domain/src/test/java/org/nettlering/domain/configuration/SiteConfigurationTest.java
+++ b/domain/src/test/java/org/nettlering/domain/configuration/SiteConfigurationTest.java
@@ -54,8 +54,7 @@
 
     @Test
     void aProfileInUseCannotBeRemoved() {
-        SiteConfiguration used =
-                base.plusChanges(List.of(new PutService(service("previews", "urgent", "/previews"))));
+        SiteConfiguration used = base.plusChanges(List.of(new PutService(service("previews", "urgent", "/previews"))));
 
         assertThatThrownBy(() -> used.plusChanges(List.of(new RemoveProfile("urgent"))))
                 .hasMessageContaining("which does not exist");
@@ -77,8 +76,7 @@
 
     @Test
     void anOperationWithOneBadChangeChangesNothing() {
-        assertRefused(
-                ErrorCode.NOT_FOUND, "\"absent\"", new SetPowerCap(5), new RemoveProfile("absent"));
+        assertRefused(ErrorCode.NOT_FOUND, "\"absent\"", new SetPowerCap(5), new RemoveProfile("absent"));
         assertThat(base.powerCapMilliwatts()).isZero();
     }
 
@@ -97,15 +95,20 @@
                 new PutService(service("all", "urgent", "/")),
                 new PutService(service("previews", "urgent", "/previews")),
                 new PutService(new ServiceDefinition(
-                        "studio",
-                        "urgent",
-                        List.of(new Route("studio.example", "/")),
-                        Duration.ofSeconds(1),
-                        10))));
-
-        assertThat(configuration.serviceFor("x", "/other")).get().extracting("name").isEqualTo("all");
-        assertThat(configuration.serviceFor("x", "/previews/7")).get().extracting("name").isEqualTo("previews");
-        assertThat(configuration.serviceFor("x", "/previewsold")).get().extracting("name").isEqualTo("all");
+                        "studio", "urgent", List.of(new Route("studio.example", "/")), Duration.ofSeconds(1), 10))));
+
+        assertThat(configuration.serviceFor("x", "/other"))
+                .get()
+                .extracting("name")
+                .isEqualTo("all");
+        assertThat(configuration.serviceFor("x", "/previews/7"))
+                .get()
+                .extracting("name")
+                .isEqualTo("previews");
+        assertThat(configuration.serviceFor("x", "/previewsold"))
+                .get()
+                .extracting("name")
+                .isEqualTo("all");
         assertThat(configuration.serviceFor("Studio.Example", "/previews"))
                 .get()
                 .extracting("name")
--- a/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
@@ -14145,6 +14145,16 @@
      */
     com.google.protobuf.ByteString
         getHolderAttemptIdBytes();
+
+    /**
+     * <pre>
+     * How long the holder may still wait for its answer.
+     * </pre>
+     *
+     * <code>uint32 remaining_millis = 5;</code>
+     * @return The remainingMillis.
+     */
+    int getRemainingMillis();
   }
   /**
    * Protobuf type {@code nettlering.LedgerResponse}
@@ -14314,6 +14324,21 @@
       }
     }
 
+    public static final int REMAINING_MILLIS_FIELD_NUMBER = 5;
+    private int remainingMillis_ = 0;
+    /**
+     * <pre>
+     * How long the holder may still wait for its answer.
+     * </pre>
+     *
+     * <code>uint32 remaining_millis = 5;</code>
+     * @return The remainingMillis.
+     */
+    @java.lang.Override
+    public int getRemainingMillis() {
+      return remainingMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -14340,6 +14365,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAttemptId_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 4, holderAttemptId_);
       }
+      if (remainingMillis_ != 0) {
+        output.writeUInt32(5, remainingMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -14358,6 +14386,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAttemptId_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(4, holderAttemptId_);
       }
+      if (remainingMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, remainingMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -14392,6 +14424,8 @@
           .equals(other.getHolderEntryId())) return false;
       if (!getHolderAttemptId()
           .equals(other.getHolderAttemptId())) return false;
+      if (getRemainingMillis()
+          != other.getRemainingMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -14413,6 +14447,8 @@
       hash = (53 * hash) + getHolderEntryId().hashCode();
       hash = (37 * hash) + HOLDER_ATTEMPT_ID_FIELD_NUMBER;
       hash = (53 * hash) + getHolderAttemptId().hashCode();
+      hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getRemainingMillis();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -14558,6 +14594,7 @@
         }
         holderEntryId_ = "";
         holderAttemptId_ = "";
+        remainingMillis_ = 0;
         return this;
       }
 
@@ -14607,6 +14644,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.holderAttemptId_ = holderAttemptId_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.remainingMillis_ = remainingMillis_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -14638,6 +14678,9 @@
           bitField0_ |= 0x00000008;
           onChanged();
         }
+        if (other.getRemainingMillis() != 0) {
+          setRemainingMillis(other.getRemainingMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -14684,6 +14727,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 34
+              case 40: {
+                remainingMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -15016,6 +15064,50 @@
         return this;
       }
 
+      private int remainingMillis_ ;
+      /**
+       * <pre>
+       * How long the holder may still wait for its answer.
+       * </pre>
+       *
+       * <code>uint32 remaining_millis = 5;</code>
+       * @return The remainingMillis.
+       */
+      @java.lang.Override
+      public int getRemainingMillis() {
+        return remainingMillis_;
+      }
+      /**
+       * <pre>
+       * How long the holder may still wait for its answer.
+       * </pre>
+       *
+       * <code>uint32 remaining_millis = 5;</code>
+       * @param value The remainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMillis(int value) {
+
+        remainingMillis_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long the holder may still wait for its answer.
+       * </pre>
+       *
+       * <code>uint32 remaining_millis = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        remainingMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.LedgerResponse)
     }
 
@@ -15968,28 +16060,64 @@
       com.google.protobuf.MessageOrBuilder {
 
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     java.util.List<org.nettlering.wire.proto.RequestProto.LedgerEntry> 
         getEntriesList();
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     org.nettlering.wire.proto.RequestProto.LedgerEntry getEntries(int index);
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     int getEntriesCount();
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     java.util.List<? extends org.nettlering.wire.proto.RequestProto.LedgerEntryOrBuilder> 
         getEntriesOrBuilderList();
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     org.nettlering.wire.proto.RequestProto.LedgerEntryOrBuilder getEntriesOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * The latest time of a command, and of a key that was dropped.
+     * </pre>
+     *
+     * <code>uint64 clock_unix_millis = 2;</code>
+     * @return The clockUnixMillis.
+     */
+    long getClockUnixMillis();
+
+    /**
+     * <code>uint64 horizon_unix_millis = 3;</code>
+     * @return The horizonUnixMillis.
+     */
+    long getHorizonUnixMillis();
   }
   /**
    * Protobuf type {@code nettlering.LedgerSnapshot}
@@ -16038,6 +16166,10 @@
     @SuppressWarnings("serial")
     private java.util.List<org.nettlering.wire.proto.RequestProto.LedgerEntry> entries_;
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     @java.lang.Override
@@ -16045,6 +16177,10 @@
       return entries_;
     }
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     @java.lang.Override
@@ -16053,6 +16189,10 @@
       return entries_;
     }
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     @java.lang.Override
@@ -16060,6 +16200,10 @@
       return entries_.size();
     }
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     @java.lang.Override
@@ -16067,6 +16211,10 @@
       return entries_.get(index);
     }
     /**
+     * <pre>
+     * In the order of their reservation.
+     * </pre>
+     *
      * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
      */
     @java.lang.Override
@@ -16075,6 +16223,32 @@
       return entries_.get(index);
     }
 
+    public static final int CLOCK_UNIX_MILLIS_FIELD_NUMBER = 2;
+    private long clockUnixMillis_ = 0L;
+    /**
+     * <pre>
+     * The latest time of a command, and of a key that was dropped.
+     * </pre>
+     *
+     * <code>uint64 clock_unix_millis = 2;</code>
+     * @return The clockUnixMillis.
+     */
+    @java.lang.Override
+    public long getClockUnixMillis() {
+      return clockUnixMillis_;
+    }
+
+    public static final int HORIZON_UNIX_MILLIS_FIELD_NUMBER = 3;
+    private long horizonUnixMillis_ = 0L;
+    /**
+     * <code>uint64 horizon_unix_millis = 3;</code>
+     * @return The horizonUnixMillis.
+     */
+    @java.lang.Override
+    public long getHorizonUnixMillis() {
+      return horizonUnixMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -16092,6 +16266,12 @@
       for (int i = 0; i < entries_.size(); i++) {
         output.writeMessage(1, entries_.get(i));
       }
+      if (clockUnixMillis_ != 0L) {
+        output.writeUInt64(2, clockUnixMillis_);
+      }
+      if (horizonUnixMillis_ != 0L) {
+        output.writeUInt64(3, horizonUnixMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -16105,6 +16285,14 @@
             }
             size += 1 * count;
           }
+      if (clockUnixMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, clockUnixMillis_);
+      }
+      if (horizonUnixMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, horizonUnixMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -16131,6 +16319,10 @@
 
       if (!getEntriesList()
           .equals(other.getEntriesList())) return false;
+      if (getClockUnixMillis()
+          != other.getClockUnixMillis()) return false;
+      if (getHorizonUnixMillis()
+          != other.getHorizonUnixMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -16146,6 +16338,12 @@
         hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
         hash = (53 * hash) + getEntriesList().hashCode();
       }
+      hash = (37 * hash) + CLOCK_UNIX_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getClockUnixMillis());
+      hash = (37 * hash) + HORIZON_UNIX_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHorizonUnixMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -16284,6 +16482,8 @@
           entriesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000001);
+        clockUnixMillis_ = 0L;
+        horizonUnixMillis_ = 0L;
         return this;
       }
 
@@ -16330,6 +16530,12 @@
 
       private void buildPartial0(org.nettlering.wire.proto.RequestProto.LedgerSnapshot result) {
         int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.clockUnixMillis_ = clockUnixMillis_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.horizonUnixMillis_ = horizonUnixMillis_;
+        }
       }
 
       @java.lang.Override
@@ -16370,6 +16576,12 @@
             }
           }
         }
+        if (other.getClockUnixMillis() != 0L) {
+          setClockUnixMillis(other.getClockUnixMillis());
+        }
+        if (other.getHorizonUnixMillis() != 0L) {
+          setHorizonUnixMillis(other.getHorizonUnixMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -16407,6 +16619,16 @@
                 }
                 break;
               } // case 10
+              case 16: {
+                clockUnixMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                horizonUnixMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -16437,6 +16659,10 @@
           org.nettlering.wire.proto.RequestProto.LedgerEntry, org.nettlering.wire.proto.RequestProto.LedgerEntry.Builder, org.nettlering.wire.proto.RequestProto.LedgerEntryOrBuilder> entriesBuilder_;
 
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public java.util.List<org.nettlering.wire.proto.RequestProto.LedgerEntry> getEntriesList() {
@@ -16447,6 +16673,10 @@
         }
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public int getEntriesCount() {
@@ -16457,6 +16687,10 @@
         }
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public org.nettlering.wire.proto.RequestProto.LedgerEntry getEntries(int index) {
@@ -16467,6 +16701,10 @@
         }
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder setEntries(
@@ -16482,6 +16720,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder setEntries(
@@ -16496,6 +16738,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder addEntries(org.nettlering.wire.proto.RequestProto.LedgerEntry value) {
@@ -16510,6 +16756,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder addEntries(
@@ -16525,6 +16775,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder addEntries(
@@ -16539,6 +16793,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder addEntries(
@@ -16553,6 +16811,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder addAllEntries(
@@ -16568,6 +16830,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder clearEntries() {
@@ -16581,6 +16847,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public Builder removeEntries(int index) {
@@ -16594,6 +16864,10 @@
         return this;
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public org.nettlering.wire.proto.RequestProto.LedgerEntry.Builder getEntriesBuilder(
@@ -16601,6 +16875,10 @@
         return internalGetEntriesFieldBuilder().getBuilder(index);
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public org.nettlering.wire.proto.RequestProto.LedgerEntryOrBuilder getEntriesOrBuilder(
@@ -16611,6 +16889,10 @@
         }
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public java.util.List<? extends org.nettlering.wire.proto.RequestProto.LedgerEntryOrBuilder> 
@@ -16622,6 +16904,10 @@
         }
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public org.nettlering.wire.proto.RequestProto.LedgerEntry.Builder addEntriesBuilder() {
@@ -16629,6 +16915,10 @@
             org.nettlering.wire.proto.RequestProto.LedgerEntry.getDefaultInstance());
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public org.nettlering.wire.proto.RequestProto.LedgerEntry.Builder addEntriesBuilder(
@@ -16637,6 +16927,10 @@
             index, org.nettlering.wire.proto.RequestProto.LedgerEntry.getDefaultInstance());
       }
       /**
+       * <pre>
+       * In the order of their reservation.
+       * </pre>
+       *
        * <code>repeated .nettlering.LedgerEntry entries = 1;</code>
        */
       public java.util.List<org.nettlering.wire.proto.RequestProto.LedgerEntry.Builder> 
@@ -16658,6 +16952,82 @@
         return entriesBuilder_;
       }
 
+      private long clockUnixMillis_ ;
+      /**
+       * <pre>
+       * The latest time of a command, and of a key that was dropped.
+       * </pre>
+       *
+       * <code>uint64 clock_unix_millis = 2;</code>
+       * @return The clockUnixMillis.
+       */
+      @java.lang.Override
+      public long getClockUnixMillis() {
+        return clockUnixMillis_;
+      }
+      /**
+       * <pre>
+       * The latest time of a command, and of a key that was dropped.
+       * </pre>
+       *
+       * <code>uint64 clock_unix_millis = 2;</code>
+       * @param value The clockUnixMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setClockUnixMillis(long value) {
+
+        clockUnixMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The latest time of a command, and of a key that was dropped.
+       * </pre>
+       *
+       * <code>uint64 clock_unix_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearClockUnixMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        clockUnixMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long horizonUnixMillis_ ;
+      /**
+       * <code>uint64 horizon_unix_millis = 3;</code>
+       * @return The horizonUnixMillis.
+       */
+      @java.lang.Override
+      public long getHorizonUnixMillis() {
+        return horizonUnixMillis_;
+      }
+      /**
+       * <code>uint64 horizon_unix_millis = 3;</code>
+       * @param value The horizonUnixMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHorizonUnixMillis(long value) {
+
+        horizonUnixMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 horizon_unix_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHorizonUnixMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        horizonUnixMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.LedgerSnapshot)
     }
 
@@ -17616,27 +17986,29 @@
       "\022(\n\007headers\030\002 \003(\0132\027.nettlering.HeaderFie" +
       "ld\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001(\010\"*" +
       "\n\013HeaderField\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\t\"\231\001\n\016LedgerResponse\022+\n\005state\030\001 \001(\0162\034.n" +
+      "(\t\"\263\001\n\016LedgerResponse\022+\n\005state\030\001 \001(\0162\034.n" +
       "ettlering.ReservationState\022&\n\006answer\030\002 \001" +
       "(\0132\026.nettlering.KeptAnswer\022\027\n\017holder_ent" +
-      "ry_id\030\003 \001(\t\022\031\n\021holder_attempt_id\030\004 \001(\t\"r" +
-      "\n\rLedgerCommand\022)\n\007reserve\030\001 \001(\0132\026.nettl" +
-      "ering.ReserveKeyH\000\022+\n\010complete\030\002 \001(\0132\027.n" +
-      "ettlering.CompleteKeyH\000B\t\n\007command\":\n\016Le" +
-      "dgerSnapshot\022(\n\007entries\030\001 \003(\0132\027.nettleri" +
-      "ng.LedgerEntry\"g\n\013LedgerEntry\022+\n\013reserva" +
-      "tion\030\001 \001(\0132\026.nettlering.ReserveKey\022+\n\nco" +
-      "mpletion\030\002 \001(\0132\027.nettlering.CompleteKey*" +
-      "I\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_UNSPE" +
-      "CIFIED\020\000\022\013\n\007SERVING\020\001\022\013\n\007LEAVING\020\002*Q\n\nKe" +
-      "yOutcome\022\033\n\027KEY_OUTCOME_UNSPECIFIED\020\000\022\014\n" +
-      "\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\267\001" +
-      "\n\020ReservationState\022!\n\035RESERVATION_STATE_" +
-      "UNSPECIFIED\020\000\022\014\n\010RESERVED\020\001\022\r\n\tIN_FLIGHT" +
-      "\020\002\022\017\n\013KEPT_ANSWER\020\003\022\023\n\017OUTCOME_UNKNOWN\020\004" +
-      "\022\024\n\020CONTENT_MISMATCH\020\005\022\n\n\006ABSENT\020\006\022\n\n\006ST" +
-      "ORED\020\007\022\017\n\013LEDGER_FULL\020\010B)\n\031org.nettlerin" +
-      "g.wire.protoB\014RequestProtob\006proto3"
+      "ry_id\030\003 \001(\t\022\031\n\021holder_attempt_id\030\004 \001(\t\022\030" +
+      "\n\020remaining_millis\030\005 \001(\r\"r\n\rLedgerComman" +
+      "d\022)\n\007reserve\030\001 \001(\0132\026.nettlering.ReserveK" +
+      "eyH\000\022+\n\010complete\030\002 \001(\0132\027.nettlering.Comp" +
+      "leteKeyH\000B\t\n\007command\"r\n\016LedgerSnapshot\022(" +
+      "\n\007entries\030\001 \003(\0132\027.nettlering.LedgerEntry" +
+      "\022\031\n\021clock_unix_millis\030\002 \001(\004\022\033\n\023horizon_u" +
+      "nix_millis\030\003 \001(\004\"g\n\013LedgerEntry\022+\n\013reser" +
+      "vation\030\001 \001(\0132\026.nettlering.ReserveKey\022+\n\n" +
+      "completion\030\002 \001(\0132\027.nettlering.CompleteKe" +
+      "y*I\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_UNS" +
+      "PECIFIED\020\000\022\013\n\007SERVING\020\001\022\013\n\007LEAVING\020\002*Q\n\n" +
+      "KeyOutcome\022\033\n\027KEY_OUTCOME_UNSPECIFIED\020\000\022" +
+      "\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*" +
+      "\267\001\n\020ReservationState\022!\n\035RESERVATION_STAT" +
+      "E_UNSPECIFIED\020\000\022\014\n\010RESERVED\020\001\022\r\n\tIN_FLIG" +
+      "HT\020\002\022\017\n\013KEPT_ANSWER\020\003\022\023\n\017OUTCOME_UNKNOWN" +
+      "\020\004\022\024\n\020CONTENT_MISMATCH\020\005\022\n\n\006ABSENT\020\006\022\n\n\006" +
+      "STORED\020\007\022\017\n\013LEDGER_FULL\020\010B)\n\031org.nettler" +
+      "ing.wire.protoB\014RequestProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -17725,7 +18097,7 @@
     internal_static_nettlering_LedgerResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerResponse_descriptor,
-        new java.lang.String[] { "State", "Answer", "HolderEntryId", "HolderAttemptId", });
+        new java.lang.String[] { "State", "Answer", "HolderEntryId", "HolderAttemptId", "RemainingMillis", });
     internal_static_nettlering_LedgerCommand_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_nettlering_LedgerCommand_fieldAccessorTable = new
@@ -17737,7 +18109,7 @@
     internal_static_nettlering_LedgerSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LedgerSnapshot_descriptor,
-        new java.lang.String[] { "Entries", });
+        new java.lang.String[] { "Entries", "ClockUnixMillis", "HorizonUnixMillis", });
     internal_static_nettlering_LedgerEntry_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_nettlering_LedgerEntry_fieldAccessorTable = new
--- a/wire/src/test/java/org/nettlering/wire/codec/ConfigurationCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/ConfigurationCodecTest.java
@@ -67,8 +67,7 @@
                 .setOperationId("id")
                 .setTimeUnixMillis(1)
                 .build();
-        ConfigurationCommand resent =
-                command.toBuilder().setTimeUnixMillis(2).build();
+        ConfigurationCommand resent = command.toBuilder().setTimeUnixMillis(2).build();
         ConfigurationCommand other = command.toBuilder().setExpectedRevision(9).build();
 
         String digest = ConfigurationCodec.toOperation(command).contentDigest();
