--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -1,6 +1,7 @@
 package org.nettlering.benchmarks;
 
 import java.util.Arrays;
+import org.nettlering.benchmarks.capacity.CapacityBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
 
 /**
@@ -29,6 +30,7 @@
         String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
             case "path" -> new PathBenchmark().run(rest);
+            case "capacity" -> new CapacityBenchmark().run(rest);
             case "--help" -> help();
             default -> usage();
         };
--- a/standins/src/main/java/org/nettlering/standins/http/JsonClient.java
+++ b/standins/src/main/java/org/nettlering/standins/http/JsonClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
@@ -24,6 +25,8 @@
  * <p>Each call has a timeout, after which its connection is closed. Thread-safe.
  */
 public final class JsonClient {
+    private static final int POOL_SIZE = 64;
+
     /** The HTTP client. */
     private final HttpClient client;
 
@@ -43,7 +46,7 @@
 
     private JsonClient(Vertx vertx, Duration timeout) {
         HttpClientOptions options = new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
-        this.client = vertx.createHttpClient(options);
+        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(POOL_SIZE));
         this.timeout = timeout;
     }
 
--- a/standins/src/main/java/org/nettlering/standins/site/SiteSetup.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteSetup.java
@@ -13,7 +13,17 @@
      * @param operator the operators' program, not null
      */
     public static void configure(OperatorProgram operator) {
-        operator.run("power", "cap", "--watts", Long.toString(POWER_CAP_WATTS));
+        configure(operator, POWER_CAP_WATTS);
+    }
+
+    /**
+     * Puts in the profiles, the service, the teams and another power cap.
+     *
+     * @param operator the operators' program, not null
+     * @param powerCapWatts the cap in watts
+     */
+    public static void configure(OperatorProgram operator, long powerCapWatts) {
+        operator.run("power", "cap", "--watts", Long.toString(powerCapWatts));
         operator.run(
                 "profile", "put", "interactive", "--urgency", "90", "--interruption", "never", "--power-share", "40");
         operator.run("profile", "put", "batch", "--urgency", "20", "--interruption", "evict", "--power-share", "60");
--- a/standins/src/main/java/org/nettlering/standins/worker/WorkerStandin.java
+++ b/standins/src/main/java/org/nettlering/standins/worker/WorkerStandin.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.standins.StandinEvent;
@@ -43,6 +44,12 @@
     /** The position of the entry that gets the next report. */
     private volatile int entry;
 
+    /** Whether the stand-in has been stopped. */
+    private volatile boolean stopped;
+
+    /** The responses that arrived. */
+    private final AtomicLong responses = new AtomicLong();
+
     /** The time between two reports. */
     private volatile Duration interval = FIRST_INTERVAL;
 
@@ -58,13 +65,28 @@
      */
     public static WorkerStandin create(
             TimeSource time, Vertx vertx, List<SocketAddress> entries, String workerId, WorkerTasks tasks) {
-        return new WorkerStandin(time, vertx, entries, workerId, tasks);
+        return new WorkerStandin(time, JsonClient.create(vertx, REPORT_TIMEOUT), entries, workerId, tasks);
+    }
+
+    /**
+     * Creates a stand-in that shares its HTTP client with others.
+     *
+     * @param time the clock, not null
+     * @param client sends the reports, not null
+     * @param entries the platform ports of the entries, at least one, not null
+     * @param workerId the name of the worker, not null
+     * @param tasks what it runs, not null
+     * @return a new stand-in, never null
+     */
+    public static WorkerStandin sharing(
+            TimeSource time, JsonClient client, List<SocketAddress> entries, String workerId, WorkerTasks tasks) {
+        return new WorkerStandin(time, client, entries, workerId, tasks);
     }
 
     private WorkerStandin(
-            TimeSource time, Vertx vertx, List<SocketAddress> entries, String workerId, WorkerTasks tasks) {
+            TimeSource time, JsonClient client, List<SocketAddress> entries, String workerId, WorkerTasks tasks) {
         this.time = time;
-        this.client = JsonClient.create(vertx, REPORT_TIMEOUT);
+        this.client = client;
         this.entries = List.copyOf(entries);
         this.workerId = workerId;
         this.tasks = tasks;
@@ -76,7 +98,24 @@
         advance();
     }
 
+    /** Stops to report and to run tasks, as if the worker had lost its power. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Returns the number of responses so far.
+     *
+     * @return zero or more
+     */
+    public long responses() {
+        return responses.get();
+    }
+
     private void advance() {
+        if (stopped) {
+            return;
+        }
         int expired = tasks.advance();
         if (expired > 0) {
             LOGGER.log(StandinEvent.LEASE_EXPIRED, workerId, expired);
@@ -85,6 +124,9 @@
     }
 
     private void report() {
+        if (stopped) {
+            return;
+        }
         SocketAddress target = entries.get(entry);
         WorkerReport report = tasks.nextReport();
         long sentNanos = time.nanoTime();
@@ -104,6 +146,7 @@
     }
 
     private void take(long sentNanos, String json) {
+        responses.incrementAndGet();
         WorkerReportResponse response =
                 JsonClient.read(json, WorkerReportResponse.newBuilder()).build();
         tasks.accept(sentNanos, response);
