Add settings, metrics, traces and the frame of a daemon

Cause: both daemons need the same settings checks, log format, metrics, trace context and start and stop.

Ruled out: commons-configuration's own interpolation and lists, which would turn a comma in a value into two values; a keyword for "first fault only", since an operator who mends one line wants to see the others too.

Change: SettingsReader collects every fault of an INI file (unknown section or key, missing key, bad address, size below 1, an id or address that stands twice) and reports them in one exception; Daemon prints one line a fault and exits with 2 before anything starts. An address is an IP number with a port; abbreviated numbers such as 1.2.3 are refused. Logs are JSON lines of Logback with the event number as a key. Telemetry starts one span a hop and passes the trace context on unchanged when no exporter is set. ControlSettings and EntrySettings, with samples for both sites under conf/.

Conclusion: a control or entry process can be described by its settings; the processes themselves follow.

--- /dev/null
+++ b/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
@@ -0,0 +1,49 @@
+package org.nettlering.runtime.log;
+
+import org.slf4j.event.Level;
+
+/** The log events that every program shares; docs/EVENTS.md gives cause and remedy of each. */
+public enum RuntimeEvent implements LogEvent {
+    /** A program runs. */
+    STARTED(1001, Level.INFO, "{} started in {} ms"),
+    /** A program was told to stop. */
+    STOPPING(1002, Level.INFO, "{} is stopping"),
+    /** A program has stopped. */
+    STOPPED(1003, Level.INFO, "{} stopped"),
+    /** A program could not start. */
+    START_FAILED(1004, Level.ERROR, "{} could not start"),
+    /** A stop did not end cleanly. */
+    STOP_FAILED(1005, Level.ERROR, "{} did not stop cleanly"),
+    /** A span ended. */
+    SPAN(1006, Level.INFO, "span {} trace {} id {} parent {} took {} us {}");
+
+    /** The number of the event. */
+    private final int number;
+
+    /** The level at which it is logged. */
+    private final Level level;
+
+    /** The SLF4J message pattern. */
+    private final String pattern;
+
+    RuntimeEvent(int number, Level level, String pattern) {
+        this.number = number;
+        this.level = level;
+        this.pattern = pattern;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String pattern() {
+        return pattern;
+    }
+}
