Serve callers' requests in the entry process

Requests are routed by the replicated configuration, wait for a slot, are streamed with back-pressure and end with a whole answer, an error that says what is known, or a reset connection. Announcements come in over HTTP and spread by gossip.

--- a/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
+++ b/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
@@ -57,6 +57,8 @@
     STORAGE_TOO_NEW(500),
     /** A change of membership was refused because it would lose data or availability. */
     MEMBERSHIP_REFUSED(409),
+    /** The request ran before, but its answer is no longer kept. */
+    ANSWER_NOT_KEPT(410),
     /** A fault of the program itself. */
     INTERNAL(500);
 
--- a/domain/src/main/java/org/nettlering/domain/routing/SlotGrant.java
+++ b/domain/src/main/java/org/nettlering/domain/routing/SlotGrant.java
@@ -1,5 +1,6 @@
 package org.nettlering.domain.routing;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.nettlering.domain.upstream.UpstreamAddress;
 
@@ -16,4 +17,16 @@
     public SlotGrant {
         slots = Map.copyOf(slots);
     }
+
+    /**
+     * Returns a copy with the slots of a later grant to the same borrower.
+     *
+     * @param later the later grant, not null
+     * @return the copy with the later number, never null
+     */
+    public SlotGrant plus(SlotGrant later) {
+        Map<UpstreamAddress, Integer> sum = new HashMap<>(slots);
+        later.slots.forEach((address, count) -> sum.merge(address, count, Integer::sum));
+        return new SlotGrant(later.number, sum);
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/EntryConfiguration.java
@@ -0,0 +1,16 @@
+package org.nettlering.entry;
+
+import java.net.InetSocketAddress;
+
+/**
+ * What one entry process needs to know of itself.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param processId its id, not null
+ * @param callers where it takes callers' requests, not null
+ * @param platform where it takes announcements and workers' reports, not null
+ * @param limits bounds of what it takes from outside, not null
+ */
+public record EntryConfiguration(
+        String processId, InetSocketAddress callers, InetSocketAddress platform, RequestLimits limits) {}
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerServices.java
@@ -0,0 +1,41 @@
+package org.nettlering.entry.callers;
+
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.entry.RequestLimits;
+import org.nettlering.entry.configuration.ConfigurationClient;
+import org.nettlering.entry.ledger.LedgerClient;
+import org.nettlering.entry.lifecycle.AcceptanceGate;
+import org.nettlering.entry.lifecycle.RequestsInFlight;
+import org.nettlering.entry.metrics.EntryMetrics;
+import org.nettlering.entry.upstreams.SlotDesk;
+import org.nettlering.entry.upstreams.UpstreamPools;
+
+/**
+ * What the handling of a caller's request needs.
+ *
+ * <p>Immutable; the parts are thread-safe.
+ *
+ * @param entryId the id of this entry, not null
+ * @param limits bounds of what is taken from callers, not null
+ * @param configuration the configuration in force, not null
+ * @param gate tells whether a new request is taken, not null
+ * @param desk gives out slots, not null
+ * @param pools the connections to upstreams, not null
+ * @param ledger the ledger of non-idempotent requests, not null
+ * @param serviceLimits the budgets of the services, not null
+ * @param inFlight counts the requests, not null
+ * @param metrics the counters, not null
+ * @param time the clock, not null
+ */
+public record CallerServices(
+        String entryId,
+        RequestLimits limits,
+        ConfigurationClient configuration,
+        AcceptanceGate gate,
+        SlotDesk desk,
+        UpstreamPools pools,
+        LedgerClient ledger,
+        ServiceLimits serviceLimits,
+        RequestsInFlight inFlight,
+        EntryMetrics metrics,
+        TimeSource time) {}
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/configuration/package-info.java
@@ -0,0 +1,5 @@
+/** Follows the replicated configuration and knows whether the copy here is fresh. */
+@NullMarked
+package org.nettlering.entry.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/gossip/GossipService.java
@@ -0,0 +1,131 @@
+package org.nettlering.entry.gossip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.nettlering.domain.admission.AdmissionController;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.routing.InstanceSlots;
+import org.nettlering.domain.routing.SlotGrant;
+import org.nettlering.domain.routing.SlotTable;
+import org.nettlering.domain.upstream.DirectoryChanges;
+import org.nettlering.domain.upstream.UpstreamAddress;
+import org.nettlering.domain.upstream.UpstreamDirectory;
+import org.nettlering.entry.upstreams.SlotDesk;
+import org.nettlering.entry.upstreams.SlotWaiter;
+import org.nettlering.wire.codec.AnnouncementCodec;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.RequestProto.GossipRequest;
+import org.nettlering.wire.proto.RequestProto.GossipResponse;
+import org.nettlering.wire.proto.RequestProto.WantedSlots;
+import org.nettlering.wire.transport.FrameHandler;
+
+/** Answers the other entries: what upstreams told this entry, what it has in flight, and which slots it lends. Thread-safe. */
+public final class GossipService implements FrameHandler {
+    private static final int MAXIMUM_WANTED = 1_024;
+
+    /** The id of this entry. */
+    private final String entryId;
+
+    /** Differs at each start of the process. */
+    private final long incarnation;
+
+    /** What upstreams say. */
+    private final UpstreamDirectory directory;
+
+    /** Knows which instances serve a service. */
+    private final AdmissionController<SlotWaiter> admission;
+
+    /** Gives out slots. */
+    private final SlotDesk desk;
+
+    /**
+     * Creates the service.
+     *
+     * @param entryId the id of this entry, not null
+     * @param incarnation differs at each start of the process
+     * @param directory what upstreams say, not null
+     * @param admission knows which instances serve a service, not null
+     * @param desk gives out slots, not null
+     */
+    public GossipService(
+            String entryId,
+            long incarnation,
+            UpstreamDirectory directory,
+            AdmissionController<SlotWaiter> admission,
+            SlotDesk desk) {
+        this.entryId = entryId;
+        this.incarnation = incarnation;
+        this.directory = directory;
+        this.admission = admission;
+        this.desk = desk;
+    }
+
+    @Override
+    public CompletionStage<Frame> handleRequest(Frame request) {
+        if (!request.hasGossipRequest()) {
+            return CompletableFuture.failedStage(new NettleringException(
+                    ErrorCode.INVALID_ARGUMENT, "an entry does not answer frames of kind " + request.getBodyCase()));
+        }
+        try {
+            GossipResponse response = answer(request.getGossipRequest());
+            return CompletableFuture.completedStage(
+                    Frame.newBuilder().setGossipResponse(response).build());
+        } catch (NettleringException exception) {
+            return CompletableFuture.failedStage(exception);
+        }
+    }
+
+    @Override
+    public void handleMessage(Frame message) {
+        // Entries exchange requests and responses only.
+    }
+
+    private GossipResponse answer(GossipRequest request) {
+        Map<UpstreamAddress, Integer> peerLoads = SlotCounts.toLoads(request.getLoadsList());
+        Map<UpstreamAddress, Integer> held = SlotCounts.toSlots(request.getHeldList());
+        Map<String, List<UpstreamAddress>> instances = new HashMap<>();
+        for (WantedSlots wanted : request.getWantedList()) {
+            instances.put(wanted.getService(), admission.instancesOf(wanted.getService()));
+        }
+        SlotAnswer slots = desk.withSlots(table -> {
+            table.setPeerLoads(request.getEntryId(), peerLoads);
+            table.settleLoan(request.getEntryId(), request.getLastGrant(), held);
+            return lend(table, request, instances);
+        });
+        DirectoryChanges changes =
+                directory.changesSince(request.getKnownIncarnation() == incarnation ? request.getKnownVersion() : 0);
+        GossipResponse.Builder response = GossipResponse.newBuilder()
+                .setEntryId(entryId)
+                .setIncarnation(incarnation)
+                .setVersion(changes.version())
+                .addAllLoads(SlotCounts.toLoadMessages(slots.loads()))
+                .addAllGranted(SlotCounts.toMessages(slots.grant().slots()))
+                .setGrant(slots.grant().number());
+        changes.announcements().forEach(aged -> response.addAnnouncements(AnnouncementCodec.toMessage(aged)));
+        return response.build();
+    }
+
+    private static SlotAnswer lend(
+            SlotTable table, GossipRequest request, Map<String, List<UpstreamAddress>> instances) {
+        SlotGrant grant = table.lend(request.getEntryId(), List.of(), 0);
+        for (WantedSlots wanted : request.getWantedList()) {
+            List<InstanceSlots> candidates = new ArrayList<>();
+            for (UpstreamAddress address : instances.getOrDefault(wanted.getService(), List.of())) {
+                InstanceSlots slots = table.find(address);
+                if (slots != null) {
+                    candidates.add(slots);
+                }
+            }
+            SlotGrant part = table.lend(request.getEntryId(), candidates, Math.min(MAXIMUM_WANTED, wanted.getSlots()));
+            grant = grant.plus(part);
+        }
+        return new SlotAnswer(table.loads(), grant);
+    }
+
+    private record SlotAnswer(Map<UpstreamAddress, Integer> loads, SlotGrant grant) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/gossip/package-info.java
@@ -0,0 +1,5 @@
+/** Announcements, counts and borrowed slots between entries. */
+@NullMarked
+package org.nettlering.entry.gossip;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Counters of the entry process. */
+@NullMarked
+package org.nettlering.entry.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/platform/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP server for the platform, where upstreams announce themselves and workers report. */
+@NullMarked
+package org.nettlering.entry.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamAttempt.java
@@ -0,0 +1,171 @@
+package org.nettlering.entry.upstreams;
+
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.retry.AttemptOutcome;
+import org.nettlering.domain.retry.RequestOutcome;
+import org.nettlering.domain.upstream.UpstreamAddress;
+import org.nettlering.entry.callers.HeaderNames;
+
+/**
+ * One try of a request at one upstream.
+ *
+ * <p>Reports exactly one of an answer's head or a failure, unless it was cancelled. Used on the request's own context only.
+ */
+public final class UpstreamAttempt {
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** The connections to the upstream. */
+    private final UpstreamPool pool;
+
+    /** Hears of the attempt. */
+    private final AttemptListener listener;
+
+    /** When the attempt began, in monotonic time. */
+    private final long startNanos;
+
+    /** The request on its connection, null before there is one. */
+    private @Nullable HttpClientRequest request;
+
+    /** True when the connection had carried an answer before. */
+    private boolean onProvenConnection;
+
+    /** True once the attempt was reported or cancelled. */
+    private boolean ended;
+
+    /**
+     * Creates an attempt that was not started.
+     *
+     * @param pool the connections to the upstream, not null
+     * @param startNanos the monotonic time, in nanoseconds
+     * @param listener hears of the attempt, not null
+     */
+    public UpstreamAttempt(UpstreamPool pool, long startNanos, AttemptListener listener) {
+        this.pool = pool;
+        this.startNanos = startNanos;
+        this.listener = listener;
+    }
+
+    /**
+     * Returns the upstream.
+     *
+     * @return the address, never null
+     */
+    public UpstreamAddress upstream() {
+        return pool.address();
+    }
+
+    /**
+     * Returns when the attempt began.
+     *
+     * @return the monotonic time, in nanoseconds
+     */
+    public long startNanos() {
+        return startNanos;
+    }
+
+    /**
+     * Tells whether the request may have reached the upstream.
+     *
+     * @return true once a byte may have been sent
+     */
+    public boolean isSent() {
+        return request != null;
+    }
+
+    /**
+     * Tells whether the attempt uses a connection that had carried an answer before.
+     *
+     * @return true for a used connection
+     */
+    public boolean isOnProvenConnection() {
+        return onProvenConnection;
+    }
+
+    /**
+     * Opens or takes a connection and sends the request.
+     *
+     * @param options the method, the path and the headers, not null
+     * @param sender sends the body, not null
+     */
+    public void start(RequestOptions options, Consumer<HttpClientRequest> sender) {
+        pool.request(options).onComplete(taken -> {
+            if (taken.failed()) {
+                fail(new AttemptOutcome.NotRun(ErrorCode.CONNECTION_LOST));
+                return;
+            }
+            if (ended) {
+                taken.result().reset();
+                return;
+            }
+            send(taken.result(), sender);
+        });
+    }
+
+    /** Ends the attempt without a report; a request that was sent closes its connection. */
+    public void cancel() {
+        ended = true;
+        HttpClientRequest sent = request;
+        if (sent != null) {
+            sent.reset();
+        }
+    }
+
+    /** Notes that the whole answer has come. */
+    public void succeed() {
+        HttpClientRequest sent = request;
+        if (sent != null) {
+            pool.prove(sent.connection());
+        }
+    }
+
+    /** Replaces the connections to the upstream. */
+    public void replaceConnections() {
+        pool.replaceConnections();
+    }
+
+    private void send(HttpClientRequest taken, Consumer<HttpClientRequest> sender) {
+        request = taken;
+        onProvenConnection = pool.isProven(taken.connection());
+        taken.exceptionHandler(failure -> fail(new AttemptOutcome.Unknown(ErrorCode.UPSTREAM_FAILED)));
+        taken.response().onComplete(response -> {
+            if (response.failed()) {
+                fail(new AttemptOutcome.Unknown(ErrorCode.UPSTREAM_FAILED));
+                return;
+            }
+            receive(response.result());
+        });
+        sender.accept(taken);
+    }
+
+    private void receive(HttpClientResponse response) {
+        if (ended) {
+            return;
+        }
+        response.pause();
+        if (isRefusal(response)) {
+            response.resume();
+            fail(new AttemptOutcome.NotRun(ErrorCode.OVERLOADED));
+            return;
+        }
+        ended = true;
+        listener.answerBegins(this, response);
+    }
+
+    private static boolean isRefusal(HttpClientResponse response) {
+        return response.statusCode() == SERVICE_UNAVAILABLE
+                && RequestOutcome.NOT_RUN.text().equals(response.getHeader(HeaderNames.OUTCOME));
+    }
+
+    private void fail(AttemptOutcome outcome) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        listener.attemptFailed(this, outcome);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamRefresher.java
@@ -0,0 +1,113 @@
+package org.nettlering.entry.upstreams;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.nettlering.domain.admission.AdmissionController;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.domain.upstream.UpstreamAddress;
+import org.nettlering.domain.upstream.UpstreamAnnouncement;
+import org.nettlering.domain.upstream.UpstreamDirectory;
+
+/**
+ * Keeps the admission control up to date with the directory and the clock.
+ *
+ * <p>Runs every {@link #INTERVAL}. Thread-safe.
+ */
+public final class UpstreamRefresher {
+    /** How often the waiting requests and the upstreams are looked at. */
+    public static final Duration INTERVAL = Duration.ofMillis(20);
+
+    private static final int ROUNDS_BETWEEN_FORGETTING = 3_000;
+
+    /** The names of the configured services. */
+    private final Supplier<Set<String>> services;
+
+    /** What upstreams say. */
+    private final UpstreamDirectory directory;
+
+    /** Decides who runs. */
+    private final AdmissionController<SlotWaiter> admission;
+
+    /** Carries the decisions out. */
+    private final SlotDesk desk;
+
+    /** The connections. */
+    private final UpstreamPools pools;
+
+    /** The clock. */
+    private final TimeSource time;
+
+    /** True while the refresher runs. */
+    private volatile boolean running;
+
+    /** The services of the last round; used by one round at a time. */
+    private volatile Set<String> lastServices = Set.of();
+
+    /**
+     * Creates a refresher that does not run yet.
+     *
+     * @param services the names of the configured services, not null
+     * @param directory what upstreams say, not null
+     * @param admission decides who runs, not null
+     * @param desk carries the decisions out, not null
+     * @param pools the connections, not null
+     * @param time the clock, not null
+     */
+    public UpstreamRefresher(
+            Supplier<Set<String>> services,
+            UpstreamDirectory directory,
+            AdmissionController<SlotWaiter> admission,
+            SlotDesk desk,
+            UpstreamPools pools,
+            TimeSource time) {
+        this.services = services;
+        this.directory = directory;
+        this.admission = admission;
+        this.desk = desk;
+        this.pools = pools;
+        this.time = time;
+    }
+
+    /** Starts to run. */
+    public void start() {
+        running = true;
+        round(0);
+    }
+
+    /** Stops. */
+    public void stop() {
+        running = false;
+    }
+
+    private void round(int number) {
+        if (!running) {
+            return;
+        }
+        refreshUpstreams();
+        desk.refresh();
+        if (number == ROUNDS_BETWEEN_FORGETTING) {
+            directory.forgetSilent();
+        }
+        time.schedule(INTERVAL, () -> round(number == ROUNDS_BETWEEN_FORGETTING ? 0 : number + 1));
+    }
+
+    private void refreshUpstreams() {
+        Set<String> names = services.get();
+        Set<UpstreamAddress> used = new HashSet<>();
+        for (String service : names) {
+            List<UpstreamAnnouncement> serving = directory.serving(service);
+            serving.forEach(announcement -> used.add(announcement.address()));
+            desk.carryOut(admission.setUpstreams(service, serving));
+        }
+        for (String service : lastServices) {
+            if (!names.contains(service)) {
+                desk.carryOut(admission.setUpstreams(service, List.of()));
+            }
+        }
+        lastServices = names;
+        pools.retain(used);
+    }
+}
