--- a/standins/src/main/java/org/nettlering/standins/worker/RunningWork.java
+++ b/standins/src/main/java/org/nettlering/standins/worker/RunningWork.java
@@ -2,6 +2,8 @@
 
 import org.nettlering.wire.proto.TaskProto.JobSpecification;
 import org.nettlering.wire.proto.TaskProto.RunningTask;
+import org.nettlering.wire.proto.TaskProto.StartTask;
+import org.nettlering.wire.proto.TaskProto.ThrottleTask;
 
 /**
  * One task that a worker stand-in runs, with its progress.
@@ -31,12 +33,16 @@
     /** The progress of the last checkpoint in milliseconds. */
     private long checkpointSequence;
 
-    RunningWork(JobSpecification job, long epoch, long resumeSequence, int throttlePercent, long nowNanos) {
-        this.job = job;
-        this.epoch = epoch;
-        this.progressNanos = resumeSequence * NANOS_PER_MILLI;
-        this.checkpointSequence = resumeSequence;
-        this.throttlePercent = speedOf(throttlePercent);
+    /** The version of the last throttle that is in force. */
+    private long throttleVersion;
+
+    RunningWork(StartTask start, long nowNanos) {
+        this.job = start.getJob();
+        this.epoch = start.getEpoch();
+        this.progressNanos = start.getResumeCheckpointSequence() * NANOS_PER_MILLI;
+        this.checkpointSequence = start.getResumeCheckpointSequence();
+        this.throttlePercent = speedOf(start.getThrottlePercent());
+        this.throttleVersion = start.getThrottleVersion();
         this.countedNanos = nowNanos;
     }
 
@@ -68,6 +74,7 @@
                 .setEpoch(epoch)
                 .setThrottlePercent(throttlePercent)
                 .setCheckpointSequence(checkpointSequence)
+                .setThrottleVersion(throttleVersion)
                 .build();
     }
 
@@ -84,10 +91,13 @@
         }
     }
 
-    void throttle(int percent, long nowNanos) {
-        if (!isCompleteAt(nowNanos)) {
-            throttlePercent = speedOf(percent);
+    /** Changes the speed, unless a later version of the command is in force. */
+    void throttle(ThrottleTask command, long nowNanos) {
+        if (command.getThrottleVersion() < throttleVersion || isCompleteAt(nowNanos)) {
+            return;
         }
+        throttlePercent = speedOf(command.getThrottlePercent());
+        throttleVersion = command.getThrottleVersion();
     }
 
     private static int speedOf(int percent) {
--- a/standins/src/main/java/org/nettlering/standins/worker/WorkerTasks.java
+++ b/standins/src/main/java/org/nettlering/standins/worker/WorkerTasks.java
@@ -205,9 +205,7 @@
         }
         highestEpochs.put(jobId, start.getEpoch());
         long now = time.nanoTime();
-        RunningWork work = new RunningWork(
-                start.getJob(), start.getEpoch(), start.getResumeCheckpointSequence(), start.getThrottlePercent(), now);
-        running.put(jobId, work);
+        running.put(jobId, new RunningWork(start, now));
         records.add(() -> recorder.record(new TaskStarted(now, jobId, start.getEpoch())));
         recordPower();
     }
@@ -234,7 +232,7 @@
     private void throttle(ThrottleTask throttle) {
         RunningWork work = running.get(throttle.getJobId());
         if (work != null && work.epoch() == throttle.getEpoch()) {
-            work.throttle(throttle.getThrottlePercent(), time.nanoTime());
+            work.throttle(throttle, time.nanoTime());
             recordPower();
         }
     }
--- a/standins/src/test/java/org/nettlering/standins/worker/WorkerTasksTest.java
+++ b/standins/src/test/java/org/nettlering/standins/worker/WorkerTasksTest.java
@@ -121,6 +121,16 @@
         assertThat(tasks.nextReport().getRunningCount()).isZero();
     }
 
+    @Test
+    void aThrottleThatArrivesAfterALaterOneIsIgnored() {
+        accept(start(1, 0));
+        accept(throttle(50, 2));
+        accept(throttle(80, 1));
+
+        assertThat(tasks.nextReport().getRunning(0).getThrottlePercent()).isEqualTo(50);
+        assertThat(tasks.nextReport().getRunning(0).getThrottleVersion()).isEqualTo(2);
+    }
+
     @Test
     void aResumedTaskRunsOnlyWhatIsLeftSinceItsCheckpoint() {
         accept(start(1, 0));
@@ -162,6 +172,16 @@
                 .build();
     }
 
+    private static WorkerCommand throttle(int percent, long version) {
+        return WorkerCommand.newBuilder()
+                .setThrottle(ThrottleTask.newBuilder()
+                        .setJobId("job")
+                        .setEpoch(1)
+                        .setThrottlePercent(percent)
+                        .setThrottleVersion(version))
+                .build();
+    }
+
     private static WorkerCommand stop(long epoch) {
         return WorkerCommand.newBuilder()
                 .setStop(StopTask.newBuilder().setJobId("job").setEpoch(epoch))
