--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusExecutors.java
@@ -0,0 +1,56 @@
+package org.nettlering.consensus;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The threads of a member.
+ *
+ * <p>Each executor runs one task at a time, in order.
+ *
+ * @param disk writes and syncs the log, not null
+ * @param apply drives the state machine, not null
+ * @param background encodes, writes and reads snapshots, not null
+ */
+public record ConsensusExecutors(Executor disk, Executor apply, Executor background) {
+    /** How long closing waits for a thread to finish its task. */
+    private static final long CLOSE_TIMEOUT_SECONDS = 30;
+
+    /**
+     * Creates executors with one daemon thread each.
+     *
+     * @param self the member after which the threads are named, not null
+     * @return new executors, never null
+     */
+    public static ConsensusExecutors create(MemberId self) {
+        return new ConsensusExecutors(thread(self, "disk"), thread(self, "apply"), thread(self, "snapshot"));
+    }
+
+    private static ExecutorService thread(MemberId self, String job) {
+        return Executors.newSingleThreadExecutor(Thread.ofPlatform()
+                .daemon(true)
+                .name("consensus-" + job + "-" + self)
+                .factory());
+    }
+
+    /** Waits until the tasks that were handed over have run, and ends the threads. */
+    void close() {
+        close(apply);
+        close(background);
+        close(disk);
+    }
+
+    private static void close(Executor executor) {
+        if (!(executor instanceof ExecutorService service)) {
+            return;
+        }
+        service.shutdown();
+        try {
+            service.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusTransport.java
@@ -0,0 +1,13 @@
+package org.nettlering.consensus;
+
+/** The port through which a member sends to the others. Implementations are thread-safe and do not block. */
+@FunctionalInterface
+public interface ConsensusTransport {
+    /**
+     * Sends a message; it may be lost, delayed or duplicated.
+     *
+     * @param to the receiver, not null
+     * @param message the message, not null
+     */
+    void send(MemberId to, ConsensusMessage message);
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/Membership.java
@@ -0,0 +1,124 @@
+package org.nettlering.consensus;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The members of the group at one position of the log.
+ *
+ * <p>Takes effect when it is appended. Two memberships that follow each other differ in one member. Immutable and
+ * thread-safe.
+ */
+public final class Membership {
+    /** A membership without members, that of a member that knows no group yet. */
+    public static final Membership EMPTY = new Membership(List.of());
+
+    /** The members, ordered by id. */
+    private final List<Member> members;
+
+    /**
+     * Returns the membership with the given members.
+     *
+     * @param members the members; of two with the same id the later one counts, not null
+     * @return the membership, never null
+     */
+    public static Membership of(Collection<Member> members) {
+        TreeMap<MemberId, Member> ordered = new TreeMap<>();
+        members.forEach(member -> ordered.put(member.id(), member));
+        return new Membership(List.copyOf(ordered.values()));
+    }
+
+    private Membership(List<Member> members) {
+        this.members = members;
+    }
+
+    /**
+     * Returns every member, ordered by id.
+     *
+     * @return an immutable list, never null
+     */
+    public List<Member> members() {
+        return members;
+    }
+
+    /**
+     * Returns the voting members, ordered by id.
+     *
+     * @return an immutable list, never null
+     */
+    public List<Member> voters() {
+        return members.stream().filter(Member::voting).toList();
+    }
+
+    /**
+     * Finds a member.
+     *
+     * @param id the member's name, not null
+     * @return the member, or empty if it is not listed, never null
+     */
+    public Optional<Member> find(MemberId id) {
+        return members.stream().filter(member -> member.id().equals(id)).findFirst();
+    }
+
+    /**
+     * Tells whether a member votes with a disk.
+     *
+     * @param id the member's name, not null
+     * @param diskId the id of the disk
+     * @return true if the member is listed as a voter with that disk
+     */
+    public boolean isVoter(MemberId id, long diskId) {
+        return find(id).filter(member -> member.voting() && member.diskId() == diskId)
+                .isPresent();
+    }
+
+    /**
+     * Returns how many voting members make a majority.
+     *
+     * @return the size of the quorum, at least one
+     */
+    public int quorum() {
+        return voters().size() / 2 + 1;
+    }
+
+    /**
+     * Returns a copy in which a member is added or replaced.
+     *
+     * @param member the member, not null
+     * @return the changed membership, never null
+     */
+    public Membership with(Member member) {
+        TreeMap<MemberId, Member> changed = new TreeMap<>();
+        members.forEach(present -> changed.put(present.id(), present));
+        changed.put(member.id(), member);
+        return new Membership(List.copyOf(changed.values()));
+    }
+
+    /**
+     * Returns a copy without a member.
+     *
+     * @param id the member's name, not null
+     * @return the changed membership, never null
+     */
+    public Membership without(MemberId id) {
+        return new Membership(
+                members.stream().filter(member -> !member.id().equals(id)).toList());
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Membership that && members.equals(that.members);
+    }
+
+    @Override
+    public int hashCode() {
+        return members.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return members.toString();
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Bootstrap.java
@@ -0,0 +1,106 @@
+package org.nettlering.consensus.protocol;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.consensus.ConsensusMessage.DiscoveryRequest;
+import org.nettlering.consensus.ConsensusMessage.DiscoveryResponse;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
+
+/**
+ * The first start of a group.
+ *
+ * <p>The initial member with the lowest id creates the first entry, and only after every other initial member has answered
+ * that its disk is empty as well. So members that lost their disks found no second group, as long as any initial member
+ * has ever heard of the first one.
+ */
+final class Bootstrap {
+    /** What the member knows. */
+    private final MemberState state;
+
+    /** The members that found the group. */
+    private final Membership initialMembers;
+
+    /** The members that answered that their disk is empty. */
+    private final Map<MemberId, DiscoveryResponse> empty = new HashMap<>();
+
+    /** When the others are asked next, by the monotonic clock. */
+    private long nextRequestNanos;
+
+    Bootstrap(MemberState state, List<Member> initialMembers) {
+        this.state = state;
+        this.initialMembers = Membership.of(initialMembers);
+        nextRequestNanos = state.time.nanoTime();
+    }
+
+    private boolean isFounder() {
+        List<Member> members = initialMembers.members();
+        return !state.isInitialised()
+                && !members.isEmpty()
+                && members.getFirst().id().equals(state.self);
+    }
+
+    /** Asks the others, and founds the group when it has no others; tells whether it was founded. */
+    boolean tick() {
+        if (!isFounder() || state.time.nanoTime() - nextRequestNanos < 0) {
+            return false;
+        }
+        nextRequestNanos =
+                state.time.nanoTime() + state.settings.heartbeatInterval().toNanos();
+        if (isEveryOtherEmpty()) {
+            found();
+            return true;
+        }
+        for (Member member : initialMembers.members()) {
+            if (!member.id().equals(state.self)) {
+                state.outbox.sendWhenDurable(member.id(), new DiscoveryRequest(state.term, state.diskId));
+            }
+        }
+        return false;
+    }
+
+    void receive(MemberId from, DiscoveryRequest request) {
+        state.outbox.sendWhenDurable(
+                from, new DiscoveryResponse(state.term, state.diskId, request.requestingDisk(), state.isInitialised()));
+    }
+
+    /** Takes an answer and tells whether the group was founded. */
+    boolean receive(MemberId from, DiscoveryResponse response) {
+        if (!isFounder() || response.requestingDisk() != state.diskId) {
+            return false;
+        }
+        if (response.initialised()) {
+            empty.remove(from);
+            return false;
+        }
+        empty.put(from, response);
+        if (!isEveryOtherEmpty()) {
+            return false;
+        }
+        found();
+        return true;
+    }
+
+    private boolean isEveryOtherEmpty() {
+        return initialMembers.members().stream()
+                .map(Member::id)
+                .allMatch(id -> id.equals(state.self) || empty.containsKey(id));
+    }
+
+    private void found() {
+        List<Member> voters = new ArrayList<>();
+        for (Member member : initialMembers.members()) {
+            DiscoveryResponse response = empty.get(member.id());
+            voters.add(member.withVote(response == null ? state.diskId : response.diskId()));
+        }
+        state.term = 1;
+        state.saveVote();
+        LogEntry first =
+                new LogEntry(1L, state.term, LogEntry.Kind.MEMBERSHIP, MembershipCodec.encode(Membership.of(voters)));
+        state.append(List.of(first));
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Elections.java
@@ -0,0 +1,193 @@
+package org.nettlering.consensus.protocol;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.nettlering.consensus.ConsensusListener.ElectionStarted;
+import org.nettlering.consensus.ConsensusMessage.PreVoteRequest;
+import org.nettlering.consensus.ConsensusMessage.PreVoteResponse;
+import org.nettlering.consensus.ConsensusMessage.TimeoutNow;
+import org.nettlering.consensus.ConsensusMessage.VoteRequest;
+import org.nettlering.consensus.ConsensusMessage.VoteResponse;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+
+/**
+ * Elections: the timeout, the pre-vote and the vote.
+ *
+ * <p>A pre-vote raises no term, so a member that was cut off does not upset the group when it comes back. A vote is
+ * answered only after it is durable, and only for the disk that the candidate's membership lists.
+ */
+final class Elections {
+    /** What the member knows. */
+    private final MemberState state;
+
+    /** Changes the role. */
+    private final RoleChanges roles;
+
+    /** Draws the election timeouts. */
+    private final RandomGenerator random;
+
+    /** Who granted the pre-vote or vote that is under way. */
+    private final Set<MemberId> grants = new HashSet<>();
+
+    /** When this member stands, by the monotonic clock. */
+    private long deadlineNanos;
+
+    Elections(MemberState state, RoleChanges roles, RandomGenerator random) {
+        this.state = state;
+        this.roles = roles;
+        this.random = random;
+        resetDeadline();
+    }
+
+    void resetDeadline() {
+        long timeout = state.settings.electionTimeout().toNanos();
+        deadlineNanos = state.time.nanoTime() + timeout + random.nextLong(timeout);
+    }
+
+    void standSoon() {
+        deadlineNanos = state.time.nanoTime();
+    }
+
+    void tick() {
+        if (state.role == Role.LEADER || state.time.nanoTime() - deadlineNanos < 0) {
+            return;
+        }
+        resetDeadline();
+        if (state.isVoter()) {
+            startPreVote();
+        }
+    }
+
+    private void startPreVote() {
+        state.role = Role.PRE_CANDIDATE;
+        state.leader = null;
+        grants.clear();
+        grants.add(state.self);
+        if (hasQuorum()) {
+            startElection(false);
+            return;
+        }
+        for (Member voter : state.membership().voters()) {
+            if (!voter.id().equals(state.self)) {
+                state.outbox.send(
+                        voter.id(),
+                        new PreVoteRequest(
+                                state.term + 1, voter.diskId(), state.log.lastIndex(), state.log.lastTerm()));
+            }
+        }
+    }
+
+    private void startElection(boolean transfer) {
+        state.role = Role.CANDIDATE;
+        state.leader = null;
+        state.term++;
+        state.votedFor = state.self;
+        state.saveVote();
+        grants.clear();
+        resetDeadline();
+        state.outbox.report(new ElectionStarted(state.term));
+        for (Member voter : state.membership().voters()) {
+            if (!voter.id().equals(state.self)) {
+                state.outbox.sendWhenDurable(
+                        voter.id(),
+                        new VoteRequest(
+                                state.term, voter.diskId(), state.log.lastIndex(), state.log.lastTerm(), transfer));
+            }
+        }
+        long electionTerm = state.term;
+        state.outbox.whenDurable(() -> countVote(electionTerm, state.self));
+    }
+
+    private void countVote(long electionTerm, MemberId voter) {
+        if (state.role != Role.CANDIDATE || state.term != electionTerm) {
+            return;
+        }
+        grants.add(voter);
+        if (hasQuorum()) {
+            roles.becomeLeader();
+        }
+    }
+
+    private boolean hasQuorum() {
+        long granted = state.membership().voters().stream()
+                .filter(voter -> grants.contains(voter.id()))
+                .count();
+        return granted >= state.membership().quorum();
+    }
+
+    void receive(MemberId from, PreVoteRequest request) {
+        boolean granted = request.targetDisk() == state.diskId
+                && request.term() > state.term
+                && !state.hasLiveLeader()
+                && state.isUpToDate(request.lastIndex(), request.lastTerm());
+        state.outbox.sendWhenDurable(from, new PreVoteResponse(state.term, state.diskId, request.term(), granted));
+    }
+
+    void receive(MemberId from, PreVoteResponse response) {
+        if (response.term() > state.term) {
+            roles.becomeFollower(response.term(), "a member is in a later term");
+            return;
+        }
+        boolean counts = state.role == Role.PRE_CANDIDATE
+                && response.granted()
+                && response.requestedTerm() == state.term + 1
+                && state.membership().isVoter(from, response.diskId());
+        if (!counts) {
+            return;
+        }
+        grants.add(from);
+        if (hasQuorum()) {
+            startElection(false);
+        }
+    }
+
+    void receive(MemberId from, VoteRequest request) {
+        if (!request.transfer() && state.hasLiveLeader()) {
+            refuse(from);
+            return;
+        }
+        if (request.term() > state.term) {
+            roles.becomeFollower(request.term(), "a candidate stands in a later term");
+        }
+        boolean granted = request.term() == state.term
+                && request.targetDisk() == state.diskId
+                && (state.votedFor == null || state.votedFor.equals(from))
+                && state.isUpToDate(request.lastIndex(), request.lastTerm());
+        if (!granted) {
+            refuse(from);
+            return;
+        }
+        state.role = Role.FOLLOWER;
+        if (state.votedFor == null) {
+            state.votedFor = from;
+            state.saveVote();
+        }
+        resetDeadline();
+        state.outbox.sendWhenDurable(from, new VoteResponse(state.term, state.diskId, true));
+    }
+
+    private void refuse(MemberId candidate) {
+        state.outbox.sendWhenDurable(candidate, new VoteResponse(state.term, state.diskId, false));
+    }
+
+    void receive(MemberId from, VoteResponse response) {
+        if (response.term() > state.term) {
+            roles.becomeFollower(response.term(), "a member is in a later term");
+            return;
+        }
+        boolean counts = response.granted()
+                && response.term() == state.term
+                && state.membership().isVoter(from, response.diskId());
+        if (counts) {
+            countVote(state.term, from);
+        }
+    }
+
+    void receive(TimeoutNow request) {
+        if (request.term() == state.term && state.role == Role.FOLLOWER && state.isVoter()) {
+            startElection(true);
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Follower.java
@@ -0,0 +1,146 @@
+package org.nettlering.consensus.protocol;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusListener.SnapshotInstalled;
+import org.nettlering.consensus.ConsensusMessage.AppendRequest;
+import org.nettlering.consensus.ConsensusMessage.AppendResponse;
+import org.nettlering.consensus.ConsensusMessage.SnapshotPiece;
+import org.nettlering.consensus.ConsensusMessage.SnapshotPieceResponse;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.LogStorage.StoredSnapshot;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.SnapshotHeader;
+
+/** Takes entries and snapshots from the leader, and answers once they are durable. */
+final class Follower {
+    /** What the member knows. */
+    private final MemberState state;
+
+    /** Receives a complete snapshot for the state machine. */
+    private final ApplyQueue applyQueue;
+
+    /** The snapshot that is arriving. */
+    private @Nullable IncomingSnapshot incoming;
+
+    Follower(MemberState state, ApplyQueue applyQueue) {
+        this.state = state;
+        this.applyQueue = applyQueue;
+    }
+
+    /** Takes entries from the leader of the current term. */
+    void receive(MemberId from, AppendRequest request) {
+        long previousIndex = request.previousIndex();
+        long previousTerm = request.previousTerm();
+        List<LogEntry> entries = request.entries();
+        long sentUpTo = previousIndex + entries.size();
+        long included = state.log.baseIndex() - previousIndex;
+        if (included > 0) {
+            entries = entries.subList((int) Math.min(included, entries.size()), entries.size());
+            previousIndex = Math.min(state.log.baseIndex(), sentUpTo);
+            previousTerm = state.log.termAt(previousIndex);
+        }
+        if (previousIndex >= state.log.baseIndex() && state.log.termAt(previousIndex) != previousTerm) {
+            reject(from, request);
+            return;
+        }
+        takeOver(entries);
+        long committed = Math.min(request.commitIndex(), sentUpTo);
+        state.commitIndex = Math.max(state.commitIndex, committed);
+        state.outbox.sendWhenDurable(
+                from, new AppendResponse(state.term, state.diskId, true, sentUpTo, sentUpTo + 1, request.round()));
+    }
+
+    private void takeOver(List<LogEntry> entries) {
+        int known = 0;
+        while (known < entries.size()) {
+            LogEntry entry = entries.get(known);
+            if (entry.index() > state.log.lastIndex()) {
+                break;
+            }
+            if (state.log.termAt(entry.index()) != entry.term()) {
+                state.truncateFrom(entry.index());
+                break;
+            }
+            known++;
+        }
+        if (known < entries.size()) {
+            state.append(List.copyOf(entries.subList(known, entries.size())));
+        }
+    }
+
+    private void reject(MemberId from, AppendRequest request) {
+        state.outbox.sendWhenDurable(
+                from,
+                new AppendResponse(
+                        state.term,
+                        state.diskId,
+                        false,
+                        request.previousIndex(),
+                        firstDoubtfulIndex(request.previousIndex()),
+                        request.round()));
+    }
+
+    /** Returns the first entry of the conflicting term, so that the leader passes over a whole term at once. */
+    private long firstDoubtfulIndex(long previousIndex) {
+        if (previousIndex > state.log.lastIndex()) {
+            return state.log.lastIndex() + 1;
+        }
+        long conflictingTerm = state.log.termAt(previousIndex);
+        long index = previousIndex;
+        while (index - 1 > state.commitIndex && state.log.termAt(index - 1) == conflictingTerm) {
+            index--;
+        }
+        return index;
+    }
+
+    /** Takes a part of a snapshot from the leader of the current term. */
+    void receive(MemberId from, SnapshotPiece piece) {
+        SnapshotHeader header = piece.header();
+        if (header.index() <= state.commitIndex) {
+            incoming = null;
+            answer(from, header, header.sizeBytes(), true);
+            return;
+        }
+        IncomingSnapshot snapshot = incoming;
+        if (snapshot == null || !snapshot.header().equals(header)) {
+            snapshot = new IncomingSnapshot(header);
+            incoming = snapshot;
+        }
+        snapshot.add(piece.offset(), piece.data());
+        if (!snapshot.isComplete()) {
+            answer(from, header, snapshot.receivedBytes(), false);
+            return;
+        }
+        incoming = null;
+        if (!snapshot.isIntact()) {
+            answer(from, header, 0L, false);
+            return;
+        }
+        install(new StoredSnapshot(header, snapshot.state()));
+        answer(from, header, header.sizeBytes(), true);
+    }
+
+    private void answer(MemberId from, SnapshotHeader header, long receivedBytes, boolean installed) {
+        state.outbox.sendWhenDurable(
+                from, new SnapshotPieceResponse(state.term, state.diskId, header.index(), receivedBytes, installed));
+    }
+
+    private void install(StoredSnapshot snapshot) {
+        SnapshotHeader header = snapshot.header();
+        boolean keepsLog = state.log.termAt(header.index()) == header.term();
+        if (keepsLog) {
+            state.log.discardUpTo(header.index());
+            state.memberships.discardBefore(header.index());
+        } else {
+            state.log.resetTo(header.index(), header.term());
+            state.memberships.resetTo(header.index(), header.membership());
+            state.reportMembership();
+        }
+        state.commitIndex = header.index();
+        state.snapshot = header;
+        applyQueue.restore(snapshot);
+        state.outbox.write(new DiskWrite.Install(header, snapshot.state(), keepsLog));
+        state.outbox.whenDurable(() -> state.outbox.report(new SnapshotInstalled(header.index(), header.sizeBytes())));
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
@@ -0,0 +1,379 @@
+package org.nettlering.consensus.protocol;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusListener.LeadershipLost;
+import org.nettlering.consensus.ConsensusListener.SnapshotSaved;
+import org.nettlering.consensus.ConsensusMessage;
+import org.nettlering.consensus.ConsensusMessage.AppendRequest;
+import org.nettlering.consensus.ConsensusMessage.AppendResponse;
+import org.nettlering.consensus.ConsensusMessage.DiscoveryRequest;
+import org.nettlering.consensus.ConsensusMessage.DiscoveryResponse;
+import org.nettlering.consensus.ConsensusMessage.PreVoteRequest;
+import org.nettlering.consensus.ConsensusMessage.PreVoteResponse;
+import org.nettlering.consensus.ConsensusMessage.SnapshotPiece;
+import org.nettlering.consensus.ConsensusMessage.SnapshotPieceResponse;
+import org.nettlering.consensus.ConsensusMessage.TimeoutNow;
+import org.nettlering.consensus.ConsensusMessage.VoteRequest;
+import org.nettlering.consensus.ConsensusMessage.VoteResponse;
+import org.nettlering.consensus.ConsensusSettings;
+import org.nettlering.consensus.ConsensusStatus;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.LogStorage.StoredSnapshot;
+import org.nettlering.consensus.LogStorage.StoredState;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.SnapshotHeader;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeSource;
+
+/** The protocol of one member, put together from its parts. Used under the lock of {@code ConsensusNode}. */
+public final class MemberProtocol implements RoleChanges {
+    /** What the member knows. */
+    private final MemberState state;
+
+    /** What the state machine has to take over. */
+    private final ApplyQueue applyQueue;
+
+    /** The proposals that wait for their outcome. */
+    private final Proposals proposals;
+
+    /** The first start of the group. */
+    private final Bootstrap bootstrap;
+
+    /** Elections. */
+    private final Elections elections;
+
+    /** What the member does while it follows. */
+    private final Follower follower;
+
+    /** What the member does while it leads. */
+    private final Leadership leadership;
+
+    /** Changes of membership. */
+    private final MembershipChanges changes;
+
+    /** The handing over of the leadership. */
+    private final LeadershipTransfer transfer;
+
+    /**
+     * Creates the protocol of a member that has just started.
+     *
+     * @param identity the member and its disk, not null
+     * @param initialMembers the members that found the group, not null
+     * @param settings times and limits, not null
+     * @param time the clock, not null
+     * @param random draws the election timeouts, not null
+     * @param outbox collects what has to be done outside, not null
+     * @param stored what was found on disk, not null
+     */
+    public MemberProtocol(
+            Identity identity,
+            List<Member> initialMembers,
+            ConsensusSettings settings,
+            TimeSource time,
+            RandomGenerator random,
+            Outbox outbox,
+            StoredState stored) {
+        state = new MemberState(identity.self(), identity.diskId(), settings, time, outbox, stored);
+        applyQueue = new ApplyQueue(state);
+        stored.snapshot().ifPresent(applyQueue::restore);
+        proposals = new Proposals(outbox);
+        bootstrap = new Bootstrap(state, initialMembers);
+        elections = new Elections(state, this, random);
+        follower = new Follower(state, applyQueue);
+        leadership = new Leadership(state, this, applyQueue, proposals);
+        changes = new MembershipChanges(state, leadership);
+        transfer = new LeadershipTransfer(state, leadership);
+        if (!state.membership().members().isEmpty()) {
+            state.reportMembership();
+        }
+    }
+
+    /** A member and its disk. */
+    public record Identity(MemberId self, long diskId) {}
+
+    /** Does what is due by the clock. */
+    public void tick() {
+        if (bootstrap.tick()) {
+            elections.standSoon();
+        }
+        elections.tick();
+        if (state.role != Role.LEADER) {
+            return;
+        }
+        leadership.tick();
+        if (state.role == Role.LEADER) {
+            changes.tick();
+            transfer.tick();
+            settle();
+        }
+    }
+
+    /** Takes a message from another member. */
+    public void receive(MemberId from, ConsensusMessage message) {
+        switch (message) {
+            case PreVoteRequest request -> elections.receive(from, request);
+            case PreVoteResponse response -> elections.receive(from, response);
+            case VoteRequest request -> elections.receive(from, request);
+            case VoteResponse response -> elections.receive(from, response);
+            case TimeoutNow request -> elections.receive(request);
+            case AppendRequest request -> receive(from, request);
+            case SnapshotPiece piece -> receive(from, piece);
+            case AppendResponse response -> receive(from, response);
+            case SnapshotPieceResponse response -> receive(from, response);
+            case DiscoveryRequest request -> bootstrap.receive(from, request);
+            case DiscoveryResponse response -> receive(from, response);
+        }
+    }
+
+    private void receive(MemberId from, AppendRequest request) {
+        if (!followLeader(from, request.term())) {
+            state.outbox.sendWhenDurable(
+                    from,
+                    new AppendResponse(state.term, state.diskId, false, request.previousIndex(), 0L, request.round()));
+            return;
+        }
+        follower.receive(from, request);
+    }
+
+    private void receive(MemberId from, SnapshotPiece piece) {
+        if (!followLeader(from, piece.term())) {
+            state.outbox.sendWhenDurable(
+                    from,
+                    new SnapshotPieceResponse(
+                            state.term, state.diskId, piece.header().index(), 0L, false));
+            return;
+        }
+        follower.receive(from, piece);
+    }
+
+    /** Follows the leader of a term and tells whether that term is current. */
+    private boolean followLeader(MemberId from, long leaderTerm) {
+        if (leaderTerm < state.term) {
+            return false;
+        }
+        if (leaderTerm == state.term && state.role == Role.LEADER) {
+            throw new IllegalStateException("members " + state.self + " and " + from + " both lead term " + leaderTerm);
+        }
+        if (leaderTerm > state.term || state.role != Role.FOLLOWER) {
+            becomeFollower(leaderTerm, "member " + from + " leads term " + leaderTerm);
+        }
+        state.heardLeader(from);
+        elections.resetDeadline();
+        return true;
+    }
+
+    private void receive(MemberId from, AppendResponse response) {
+        if (isCurrent(response)) {
+            leadership.receive(from, response);
+            settle();
+        }
+    }
+
+    private void receive(MemberId from, SnapshotPieceResponse response) {
+        if (isCurrent(response)) {
+            leadership.receive(from, response);
+            settle();
+        }
+    }
+
+    private boolean isCurrent(ConsensusMessage response) {
+        if (response.term() > state.term) {
+            becomeFollower(response.term(), "a member is in a later term");
+            return false;
+        }
+        return response.term() == state.term && state.role == Role.LEADER;
+    }
+
+    private void receive(MemberId from, DiscoveryResponse response) {
+        if (bootstrap.receive(from, response)) {
+            elections.standSoon();
+        }
+    }
+
+    @Override
+    public void becomeFollower(long term, String reason) {
+        boolean led = state.role == Role.LEADER;
+        state.role = Role.FOLLOWER;
+        if (led) {
+            leadership.stop(reason);
+            changes.stop();
+            transfer.stop();
+            state.outbox.report(new LeadershipLost(state.term, reason));
+        }
+        if (term > state.term) {
+            state.term = term;
+            state.votedFor = null;
+            state.saveVote();
+        }
+        state.leader = null;
+        elections.resetDeadline();
+    }
+
+    @Override
+    public void becomeLeader() {
+        state.role = Role.LEADER;
+        state.heardLeader(state.self);
+        leadership.start();
+    }
+
+    private void settle() {
+        changes.committed();
+        transfer.proceed();
+    }
+
+    /** Notes that writes became durable. */
+    public void becameDurable(int writes) {
+        state.outbox.becameDurable(writes);
+        if (state.role == Role.LEADER) {
+            settle();
+        }
+    }
+
+    /** Appends a command, or fails the future. */
+    public void propose(byte[] command, CompletableFuture<byte[]> future) {
+        if (state.role != Role.LEADER || transfer.isActive()) {
+            refuse(future);
+            return;
+        }
+        leadership.propose(command, future);
+    }
+
+    /** Confirms the leadership, or fails the future. */
+    public void readIndex(CompletableFuture<Void> future) {
+        if (state.role != Role.LEADER || !leadership.hasCommittedInTerm()) {
+            refuse(future);
+            return;
+        }
+        leadership.read(future);
+    }
+
+    /** Adds a learner, or fails the future. */
+    public void addMember(Member member, CompletableFuture<Void> future) {
+        if (state.role != Role.LEADER) {
+            refuse(future);
+            return;
+        }
+        changes.add(member, future);
+    }
+
+    /** Removes a member, or fails the future. */
+    public void removeMember(MemberId id, CompletableFuture<Void> future) {
+        if (state.role != Role.LEADER) {
+            refuse(future);
+            return;
+        }
+        changes.remove(id, future);
+    }
+
+    /** Hands the leadership over, or fails the future. */
+    public void transferLeadership(Optional<MemberId> target, CompletableFuture<Void> future) {
+        if (state.role != Role.LEADER) {
+            refuse(future);
+            return;
+        }
+        transfer.begin(target, future);
+    }
+
+    private void refuse(CompletableFuture<?> future) {
+        String known = state.leader == null ? "no leader is known" : "the leader is " + state.leader;
+        NettleringException refused = new NettleringException(
+                ErrorCode.NOT_LEADER, "member " + state.self + " does not take this now; " + known);
+        state.outbox.later(() -> future.completeExceptionally(refused));
+    }
+
+    /** Tells whether the state machine has anything to take over. */
+    public boolean hasStep() {
+        return applyQueue.hasStep();
+    }
+
+    /** Returns the next step of the state machine, or null if there is none. */
+    public @Nullable ApplyStep takeStep() {
+        return applyQueue.take();
+    }
+
+    /** Notes that the state machine took over a snapshot. */
+    public void restored(SnapshotHeader header) {
+        applyQueue.applied(header.index());
+        proposals.failUpTo(
+                header.index(),
+                new NettleringException(
+                        ErrorCode.OUTCOME_UNKNOWN,
+                        "the result is included in a snapshot up to entry " + header.index()));
+        leadership.applied();
+    }
+
+    /** Notes that the state machine applied entries. */
+    public void applied(List<LogEntry> entries, List<byte[]> results) {
+        applyQueue.applied(entries.getLast().index());
+        for (int position = 0; position < entries.size(); position++) {
+            proposals.applied(entries.get(position), results.get(position));
+        }
+        leadership.applied();
+    }
+
+    /** Notes that a snapshot of this member's state is stored. */
+    public void snapshotSaved(SnapshotHeader header) {
+        if (header.index() <= state.snapshot.index()) {
+            return;
+        }
+        state.snapshot = header;
+        long discardable = header.index() - state.settings.trailingEntries();
+        state.log.discardUpTo(discardable);
+        state.memberships.discardBefore(Math.max(discardable, 0L));
+        state.outbox.write(new DiskWrite.Discard(header.index()));
+        state.outbox.report(new SnapshotSaved(header.index(), header.sizeBytes()));
+    }
+
+    /** Takes over the stored snapshot that was loaded for other members. */
+    public void snapshotLoaded(StoredSnapshot snapshot) {
+        if (state.role == Role.LEADER) {
+            leadership.snapshotLoaded(snapshot);
+        }
+    }
+
+    /** Fails whatever somebody waits for. */
+    public void stop() {
+        if (state.role == Role.LEADER) {
+            becomeFollower(state.term, "the member stops");
+        }
+        NettleringException unknown = new NettleringException(ErrorCode.OUTCOME_UNKNOWN, "the member stops");
+        proposals.failAfter(0L, unknown);
+        leadership.closeReads(new NettleringException(ErrorCode.STOPPING, "the member stops"));
+    }
+
+    /** Tells whether the member leads and has applied every entry of earlier terms. */
+    public boolean isReadyLeader() {
+        return state.role == Role.LEADER && leadership.isReady();
+    }
+
+    /** Returns what the member knows. */
+    public ConsensusStatus status() {
+        List<ConsensusStatus.Progress> progress = new ArrayList<>();
+        long now = state.time.nanoTime();
+        for (Replica replica : leadership.replicas()) {
+            Optional<Member> member = state.membership().find(replica.id);
+            boolean sameDisk = member.isPresent() && (!member.get().voting() || replica.countsFor(member.get()));
+            progress.add(new ConsensusStatus.Progress(
+                    replica.id, replica.matchIndex, (now - replica.lastHeardNanos) / 1_000_000, sameDisk));
+        }
+        return new ConsensusStatus(
+                state.self,
+                state.diskId,
+                state.term,
+                Optional.ofNullable(state.leader),
+                state.membership(),
+                !changes.isPending(),
+                state.log.lastIndex(),
+                state.commitIndex,
+                applyQueue.appliedIndex(),
+                state.snapshot.index(),
+                progress);
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Proposals.java
@@ -0,0 +1,56 @@
+package org.nettlering.consensus.protocol;
+
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.nettlering.consensus.LogEntry;
+
+/** The proposals whose outcome somebody waits for. Not thread-safe. */
+final class Proposals {
+    /** Collects the completions. */
+    private final Outbox outbox;
+
+    /** The proposals by the index of their entry. */
+    private final TreeMap<Long, Proposal> waiting = new TreeMap<>();
+
+    Proposals(Outbox outbox) {
+        this.outbox = outbox;
+    }
+
+    void add(LogEntry entry, CompletableFuture<byte[]> future) {
+        waiting.put(entry.index(), new Proposal(entry.term(), future));
+    }
+
+    void applied(LogEntry entry, byte[] result) {
+        Proposal proposal = waiting.remove(entry.index());
+        if (proposal == null) {
+            return;
+        }
+        if (proposal.term() != entry.term()) {
+            throw new IllegalStateException("entry " + entry.index() + " of term " + entry.term()
+                    + " was applied in place of a proposal of term " + proposal.term());
+        }
+        outbox.later(() -> proposal.future().complete(result));
+    }
+
+    /** Fails the proposals after an index. */
+    void failAfter(long index, RuntimeException failure) {
+        Map<Long, Proposal> failing = waiting.tailMap(index, false);
+        failing.values()
+                .forEach(proposal -> outbox.later(() -> proposal.future().completeExceptionally(failure)));
+        failing.clear();
+    }
+
+    /** Fails the proposals up to an index, whose results a snapshot has swallowed. */
+    void failUpTo(long index, RuntimeException failure) {
+        Iterator<Proposal> failing = waiting.headMap(index, true).values().iterator();
+        while (failing.hasNext()) {
+            Proposal proposal = failing.next();
+            failing.remove();
+            outbox.later(() -> proposal.future().completeExceptionally(failure));
+        }
+    }
+
+    private record Proposal(long term, CompletableFuture<byte[]> future) {}
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Clients.java
@@ -0,0 +1,90 @@
+package org.nettlering.consensus.simulation;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+/** Clients that propose racing commands and read, at any member that might lead. Not thread-safe. */
+final class Clients {
+    /** How many requests are made in one step, at most. */
+    private static final int MAX_REQUESTS = 4;
+
+    /** The run. */
+    private final Simulation simulation;
+
+    /** Draws the requests. */
+    private final SplittableRandom random;
+
+    /** The id of the next command. */
+    private long nextId = 1;
+
+    /** The latest revision that an answer named. */
+    private long knownRevision;
+
+    Clients(Simulation simulation, SplittableRandom random) {
+        this.simulation = simulation;
+        this.random = random;
+    }
+
+    void step() {
+        int requests = random.nextInt(MAX_REQUESTS);
+        for (int request = 0; request < requests; request++) {
+            Optional<SimulatedMember> member = choose();
+            if (member.isPresent() && random.nextInt(3) == 0) {
+                read(member.get());
+            } else if (member.isPresent()) {
+                propose(member.get());
+            }
+        }
+    }
+
+    private Optional<SimulatedMember> choose() {
+        if (random.nextInt(4) > 0) {
+            return simulation.leader();
+        }
+        List<SimulatedMember> all = List.copyOf(simulation.members().values());
+        return Optional.of(all.get(random.nextInt(all.size())));
+    }
+
+    private void propose(SimulatedMember member) {
+        Optional<ConsensusNode> node = member.node();
+        if (node.isEmpty()) {
+            return;
+        }
+        RegisterCommand command = new RegisterCommand(nextId++, knownRevision);
+        History history = simulation.history();
+        long acknowledgedBefore = history.acknowledgedIndex();
+        CompletableFuture<byte[]> _ = node.get().propose(command.encode()).whenComplete((result, failure) -> {
+            if (failure == null) {
+                Register answer = Register.decode(result);
+                knownRevision = Math.max(knownRevision, answer.revision());
+                history.acknowledged(command, answer, acknowledgedBefore);
+                return;
+            }
+            if (!isUnknown(failure)) {
+                history.refused(command);
+            }
+        });
+    }
+
+    private static boolean isUnknown(Throwable failure) {
+        return failure instanceof NettleringException known && known.code() == ErrorCode.OUTCOME_UNKNOWN;
+    }
+
+    private void read(SimulatedMember member) {
+        Optional<ConsensusNode> node = member.node();
+        if (node.isEmpty()) {
+            return;
+        }
+        History history = simulation.history();
+        long acknowledgedBefore = history.acknowledgedIndex();
+        RegisterMachine machine = member.machine();
+        CompletableFuture<Void> _ = node.get()
+                .readIndex()
+                .thenRun(() -> history.read(machine.register(), machine.appliedIndex(), acknowledgedBefore));
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/RegisterMachine.java
@@ -0,0 +1,62 @@
+package org.nettlering.consensus.simulation;
+
+import java.nio.ByteBuffer;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.ReplicatedStateMachine;
+
+/** The replicated register of one member; every step is checked against the history. Not thread-safe. */
+final class RegisterMachine implements ReplicatedStateMachine {
+    /** Zero bytes that make a snapshot larger than one piece. */
+    private static final int PADDING_BYTES = 600;
+
+    /** The member. */
+    private final MemberId self;
+
+    /** Checks every step. */
+    private final History history;
+
+    /** The register. */
+    private Register register = Register.INITIAL;
+
+    /** The last command that was applied. */
+    private long appliedIndex;
+
+    RegisterMachine(MemberId self, History history) {
+        this.self = self;
+        this.history = history;
+    }
+
+    Register register() {
+        return register;
+    }
+
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        history.require(index > appliedIndex, self + " applied entry " + index + " after entry " + appliedIndex);
+        register = register.apply(RegisterCommand.decode(command));
+        appliedIndex = index;
+        history.applied(self, index, command, register);
+        return register.encode();
+    }
+
+    @Override
+    public CapturedState capture() {
+        byte[] encoded = ByteBuffer.allocate(3 * Long.BYTES + PADDING_BYTES)
+                .putLong(appliedIndex)
+                .put(register.encode())
+                .array();
+        return () -> encoded;
+    }
+
+    @Override
+    public void restore(byte[] encodedState) {
+        ByteBuffer buffer = ByteBuffer.wrap(encodedState);
+        appliedIndex = buffer.getLong();
+        register = new Register(buffer.getLong(), buffer.getLong());
+        history.restored(self, appliedIndex, register);
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedMember.java
@@ -0,0 +1,177 @@
+package org.nettlering.consensus.simulation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusExecutors;
+import org.nettlering.consensus.ConsensusListener;
+import org.nettlering.consensus.ConsensusMessage;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusPorts;
+import org.nettlering.consensus.ConsensusSettings;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.storage.FileLogStorage;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.domain.time.TimeSource;
+
+/** One member of a simulated group: its disk, and the process that runs on it, if any. Not thread-safe. */
+final class SimulatedMember {
+    /** The size of a segment, small so that segments are removed in a short run. */
+    private static final int SEGMENT_BYTES = 1_500;
+
+    /** The longest time that a task waits for its thread. */
+    private static final int MAX_TASK_DELAY_MICROS = 4_000;
+
+    /** The member. */
+    final MemberId id;
+
+    /** Its disk. */
+    final SimulatedFolder folder;
+
+    /** What the whole run shares. */
+    private final Environment environment;
+
+    /** The running process. */
+    private @Nullable Incarnation incarnation;
+
+    /** Until when the process stands still. */
+    private long frozenUntilNanos;
+
+    SimulatedMember(MemberId id, Environment environment) {
+        this.id = id;
+        this.environment = environment;
+        folder = new SimulatedFolder(environment.random());
+    }
+
+    /** What the members of a run share. */
+    record Environment(
+            ManualTime time,
+            RandomGenerator random,
+            SimulatedNetwork network,
+            History history,
+            List<Member> initialMembers,
+            ConsensusSettings settings) {}
+
+    /** Starts the process; false if its disk fails meanwhile. */
+    boolean start() {
+        Incarnation started = new Incarnation();
+        incarnation = started;
+        try {
+            started.node.start();
+            return true;
+        } catch (NettleringException e) {
+            environment.history().require(e.code().name().equals("STORAGE_FAILED"), id + ": " + e.getMessage());
+            incarnation = null;
+            return false;
+        }
+    }
+
+    /** Ends the process without notice and loses what was not synced. */
+    void crash() {
+        incarnation = null;
+        folder.crash();
+    }
+
+    void freeze(Duration duration) {
+        frozenUntilNanos = environment.time().nanoTime() + duration.toNanos();
+    }
+
+    void unfreeze() {
+        frozenUntilNanos = environment.time().nanoTime();
+    }
+
+    Optional<ConsensusNode> node() {
+        return Optional.ofNullable(incarnation).map(running -> running.node);
+    }
+
+    RegisterMachine machine() {
+        Incarnation running = incarnation;
+        return running == null ? new RegisterMachine(id, environment.history()) : running.machine;
+    }
+
+    void receive(MemberId from, ConsensusMessage message) {
+        Incarnation running = incarnation;
+        if (running != null) {
+            running.run(() -> running.node.receive(from, message));
+        }
+    }
+
+    /** One run of the process. What it scheduled does nothing once it has ended. */
+    private final class Incarnation implements TimeSource {
+        /** The state machine. */
+        final RegisterMachine machine = new RegisterMachine(id, environment.history());
+
+        /** The member of the group. */
+        final ConsensusNode node;
+
+        Incarnation() {
+            ConsensusPorts ports = new ConsensusPorts(
+                    this,
+                    FileLogStorage.open(folder, id, SEGMENT_BYTES),
+                    (to, message) -> environment.network().send(id, to, message),
+                    machine,
+                    this::happened,
+                    new ConsensusExecutors(this::executeLater, this::executeLater, this::executeLater),
+                    environment.random());
+            node = ConsensusNode.create(id, environment.initialMembers(), environment.settings(), ports);
+        }
+
+        private void happened(ConsensusListener.Happening happening) {
+            switch (happening) {
+                case ConsensusListener.LeadershipGained gained ->
+                    environment.history().led(id, gained.term());
+                case ConsensusListener.MemberFailed failed -> failed(failed.failure());
+                default -> {}
+            }
+        }
+
+        private void failed(Throwable failure) {
+            boolean expected = failure instanceof NettleringException known
+                    && known.code().name().equals("STORAGE_FAILED");
+            environment.history().require(expected, id + " failed: " + failure);
+            if (equalsCurrent()) {
+                incarnation = null;
+            }
+        }
+
+        private boolean equalsCurrent() {
+            return node().filter(current -> current.equals(node)).isPresent();
+        }
+
+        private void executeLater(Runnable task) {
+            schedule(Duration.ofNanos(environment.random().nextInt(MAX_TASK_DELAY_MICROS) * 1_000L), task);
+        }
+
+        private void run(Runnable task) {
+            if (!equalsCurrent()) {
+                return;
+            }
+            long frozenNanos = frozenUntilNanos - nanoTime();
+            if (frozenNanos > 0) {
+                environment.time().schedule(Duration.ofNanos(frozenNanos), () -> run(task));
+                return;
+            }
+            task.run();
+        }
+
+        @Override
+        public Instant instant() {
+            return environment.time().instant();
+        }
+
+        @Override
+        public long nanoTime() {
+            return environment.time().nanoTime();
+        }
+
+        @Override
+        public Timer schedule(Duration delay, Runnable task) {
+            return environment.time().schedule(delay, () -> run(task));
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/IdentityFile.java
@@ -0,0 +1,74 @@
+package org.nettlering.consensus.storage;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Payload;
+import org.nettlering.consensus.storage.StorageFolder.AppendFile;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+/** The file that names the member and the disk: file header, checksum, disk id, name of the member. */
+final class IdentityFile {
+    /** The name of the file. */
+    private static final String NAME = "identity";
+
+    /** The name of the file while it is written. */
+    private static final String INCOMPLETE_NAME = "identity.incomplete";
+
+    /** Where the checksummed part begins. */
+    private static final int CHECKED_OFFSET = FileHeader.SIZE_BYTES + Integer.BYTES;
+
+    private IdentityFile() {}
+
+    /** Returns the id of the disk, drawing one if the folder is empty. */
+    static long readOrCreate(StorageFolder folder, MemberId self) {
+        List<String> names = folder.list();
+        if (names.contains(NAME)) {
+            return decode(folder.read(NAME), self);
+        }
+        if (!names.isEmpty()) {
+            throw new NettleringException(
+                    ErrorCode.STORAGE_CORRUPT, "the data folder holds " + names + " but no file " + NAME);
+        }
+        long diskId = new SecureRandom().nextLong(Long.MAX_VALUE) + 1;
+        try (AppendFile file = folder.open(INCOMPLETE_NAME)) {
+            file.write(encode(diskId, self));
+            file.sync();
+        }
+        folder.rename(INCOMPLETE_NAME, NAME);
+        folder.sync();
+        return diskId;
+    }
+
+    private static byte[] encode(long diskId, MemberId self) {
+        byte[] name = self.value().getBytes(StandardCharsets.UTF_8);
+        ByteBuffer file = ByteBuffer.allocate(CHECKED_OFFSET + Long.BYTES + name.length);
+        file.put(FileHeader.encode()).putInt(0).putLong(diskId).put(name);
+        return file.putInt(FileHeader.SIZE_BYTES, checksum(file.array())).array();
+    }
+
+    private static int checksum(byte[] file) {
+        return (int) Payload.of(file)
+                .slice(CHECKED_OFFSET, file.length - CHECKED_OFFSET)
+                .checksum();
+    }
+
+    private static long decode(byte[] file, MemberId self) {
+        FileHeader.check(NAME, file);
+        boolean intact = file.length > CHECKED_OFFSET + Long.BYTES
+                && ByteBuffer.wrap(file).getInt(FileHeader.SIZE_BYTES) == checksum(file);
+        if (!intact) {
+            throw new NettleringException(ErrorCode.STORAGE_CORRUPT, "file " + NAME + " is corrupt");
+        }
+        int nameOffset = CHECKED_OFFSET + Long.BYTES;
+        String owner = new String(file, nameOffset, file.length - nameOffset, StandardCharsets.UTF_8);
+        if (!owner.equals(self.value())) {
+            throw new NettleringException(
+                    ErrorCode.INVALID_SETTINGS, "the data folder belongs to member " + owner + ", not to " + self);
+        }
+        return ByteBuffer.wrap(file).getLong(CHECKED_OFFSET);
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/LogOperation.java
@@ -0,0 +1,106 @@
+package org.nettlering.consensus.storage;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Payload;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+/** One change of the log as it is written to a file. Immutable. */
+sealed interface LogOperation {
+    /** Stands for {@link Vote} in files. */
+    int VOTE = 1;
+
+    /** Stands for {@link Append} in files. */
+    int APPEND = 2;
+
+    /** Stands for {@link Truncate} in files. */
+    int TRUNCATE = 3;
+
+    /** Stands for {@link Reset} in files. */
+    int RESET = 4;
+
+    /** The term and the vote. */
+    record Vote(long term, Optional<MemberId> votedFor) implements LogOperation {}
+
+    /** Entries after the last one. */
+    record Append(List<LogEntry> entries) implements LogOperation {}
+
+    /** The removal of entries from an index on. */
+    record Truncate(long index) implements LogOperation {}
+
+    /** The removal of all entries; the next one follows an index. */
+    record Reset(long index) implements LogOperation {}
+
+    default void encode(DataOutputStream output) throws IOException {
+        switch (this) {
+            case Vote vote -> {
+                output.writeByte(VOTE);
+                output.writeLong(vote.term());
+                output.writeUTF(vote.votedFor().map(MemberId::value).orElse(""));
+            }
+            case Append append -> {
+                output.writeByte(APPEND);
+                encodeEntries(append.entries(), output);
+            }
+            case Truncate truncate -> {
+                output.writeByte(TRUNCATE);
+                output.writeLong(truncate.index());
+            }
+            case Reset reset -> {
+                output.writeByte(RESET);
+                output.writeLong(reset.index());
+            }
+        }
+    }
+
+    private static void encodeEntries(List<LogEntry> entries, DataOutputStream output) throws IOException {
+        output.writeInt(entries.size());
+        for (LogEntry entry : entries) {
+            output.writeLong(entry.index());
+            output.writeLong(entry.term());
+            output.writeByte(entry.kind().code());
+            output.writeInt(entry.payload().length());
+            output.write(entry.payload().bytes());
+        }
+    }
+
+    static LogOperation decode(DataInputStream input) throws IOException {
+        int type = input.readByte();
+        return switch (type) {
+            case VOTE -> decodeVote(input);
+            case APPEND -> new Append(decodeEntries(input));
+            case TRUNCATE -> new Truncate(input.readLong());
+            case RESET -> new Reset(input.readLong());
+            default ->
+                throw new NettleringException(
+                        ErrorCode.STORAGE_CORRUPT, "the log holds an operation of unknown type " + type);
+        };
+    }
+
+    private static Vote decodeVote(DataInputStream input) throws IOException {
+        long term = input.readLong();
+        String votedFor = input.readUTF();
+        return new Vote(term, votedFor.isEmpty() ? Optional.empty() : Optional.of(MemberId.of(votedFor)));
+    }
+
+    private static List<LogEntry> decodeEntries(DataInputStream input) throws IOException {
+        int count = input.readInt();
+        List<LogEntry> entries = new ArrayList<>();
+        for (int read = 0; read < count; read++) {
+            long index = input.readLong();
+            long term = input.readLong();
+            LogEntry.Kind kind = LogEntry.Kind.ofCode(input.readByte());
+            byte[] payload = new byte[input.readInt()];
+            input.readFully(payload);
+            entries.add(new LogEntry(index, term, kind, Payload.of(payload)));
+        }
+        return entries;
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/LogReplay.java
@@ -0,0 +1,87 @@
+package org.nettlering.consensus.storage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.SnapshotHeader;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+/** Rebuilds the term, the vote and the entries from the operations in the files. Not thread-safe. */
+final class LogReplay {
+    /** The term. */
+    private long term;
+
+    /** The vote in that term. */
+    private Optional<MemberId> votedFor = Optional.empty();
+
+    /** The entries so far. */
+    private final List<LogEntry> entries = new ArrayList<>();
+
+    /** The entry before the first one, known after a reset. */
+    private long resetIndex = -1;
+
+    long term() {
+        return term;
+    }
+
+    Optional<MemberId> votedFor() {
+        return votedFor;
+    }
+
+    void replay(LogOperation operation) {
+        switch (operation) {
+            case LogOperation.Vote vote -> {
+                term = vote.term();
+                votedFor = vote.votedFor();
+            }
+            case LogOperation.Append append -> append.entries().forEach(this::append);
+            case LogOperation.Truncate truncate -> entries.removeIf(entry -> entry.index() >= truncate.index());
+            case LogOperation.Reset reset -> {
+                entries.clear();
+                resetIndex = reset.index();
+            }
+        }
+    }
+
+    private void append(LogEntry entry) {
+        boolean follows = entries.isEmpty()
+                ? resetIndex < 0 || entry.index() <= resetIndex + 1
+                : entry.index() == entries.getLast().index() + 1;
+        if (!follows) {
+            throw new NettleringException(
+                    ErrorCode.STORAGE_CORRUPT,
+                    "entry " + entry.index() + " of the log does not follow the one before it");
+        }
+        entries.add(entry);
+    }
+
+    /** Returns the entries after the snapshot. */
+    List<LogEntry> entriesAfter(SnapshotHeader snapshot) {
+        List<LogEntry> after = new ArrayList<>();
+        for (LogEntry entry : entries) {
+            if (entry.index() == snapshot.index() && entry.term() != snapshot.term()) {
+                return List.of();
+            }
+            if (entry.index() > snapshot.index()) {
+                after.add(entry);
+            }
+        }
+        if (!after.isEmpty() && after.getFirst().index() != snapshot.index() + 1) {
+            throw new NettleringException(
+                    ErrorCode.STORAGE_CORRUPT,
+                    "entries " + (snapshot.index() + 1) + " to "
+                            + (after.getFirst().index() - 1) + " are missing");
+        }
+        return after;
+    }
+
+    /** Tells whether the files would accept an entry after the given one. */
+    boolean endsAt(long index) {
+        return entries.isEmpty()
+                ? resetIndex < 0 || resetIndex == index
+                : entries.getLast().index() == index;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -0,0 +1,57 @@
+package org.nettlering.control.consensus;
+
+import org.nettlering.runtime.log.LogEvent;
+import org.slf4j.event.Level;
+
+/** The log events of the replicated log. */
+enum ConsensusEvent implements LogEvent {
+    /** This member began to lead. */
+    LEADERSHIP_GAINED(4001, Level.INFO, "this member leads term {}"),
+    /** This member no longer leads. */
+    LEADERSHIP_LOST(4002, Level.WARN, "this member no longer leads term {}: {}"),
+    /** The member learned who leads. */
+    LEADER_CHANGED(4003, Level.INFO, "in term {} the leader is member {}"),
+    /** The member stands for election. */
+    ELECTION_STARTED(4004, Level.INFO, "this member stands for election in term {}"),
+    /** A membership took effect. */
+    MEMBERSHIP_CHANGED(4005, Level.INFO, "entry {} sets the membership: {}"),
+    /** A voter answers with another disk. */
+    DISK_REPLACED(
+            4006, Level.WARN, "member {} came back with another disk; it gets its vote again once it has caught up"),
+    /** A snapshot was saved. */
+    SNAPSHOT_SAVED(4007, Level.INFO, "saved a snapshot up to entry {} ({} bytes)"),
+    /** A snapshot was taken over from the leader. */
+    SNAPSHOT_INSTALLED(4008, Level.INFO, "took over the leader's snapshot up to entry {} ({} bytes)"),
+    /** The member stopped for good. */
+    MEMBER_FAILED(4009, Level.ERROR, "the member stopped: {}");
+
+    /** The number of the event. */
+    private final int number;
+
+    /** The level at which it is logged. */
+    private final Level level;
+
+    /** The message with a placeholder for each argument. */
+    private final String pattern;
+
+    ConsensusEvent(int number, Level level, String pattern) {
+        this.number = number;
+        this.level = level;
+        this.pattern = pattern;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String pattern() {
+        return pattern;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
@@ -0,0 +1,42 @@
+package org.nettlering.control.consensus;
+
+import org.nettlering.consensus.ConsensusListener;
+import org.nettlering.runtime.log.EventLogger;
+
+/** Writes what happens in the replicated log to the log. Thread-safe. */
+public final class ConsensusEvents implements ConsensusListener {
+    /** Where the events go. */
+    private final EventLogger logger = EventLogger.of(ConsensusEvents.class);
+
+    /**
+     * Creates a listener that logs.
+     *
+     * @return the listener, never null
+     */
+    public static ConsensusEvents logging() {
+        return new ConsensusEvents();
+    }
+
+    private ConsensusEvents() {}
+
+    @Override
+    public void happened(Happening happening) {
+        switch (happening) {
+            case LeadershipGained gained -> logger.log(ConsensusEvent.LEADERSHIP_GAINED, gained.term());
+            case LeadershipLost lost -> logger.log(ConsensusEvent.LEADERSHIP_LOST, lost.term(), lost.reason());
+            case LeaderChanged changed -> logger.log(ConsensusEvent.LEADER_CHANGED, changed.term(), changed.leader());
+            case ElectionStarted started -> logger.log(ConsensusEvent.ELECTION_STARTED, started.term());
+            case MembershipChanged changed ->
+                logger.log(ConsensusEvent.MEMBERSHIP_CHANGED, changed.index(), changed.membership());
+            case DiskReplaced replaced -> logger.log(ConsensusEvent.DISK_REPLACED, replaced.member());
+            case SnapshotSaved saved -> logger.log(ConsensusEvent.SNAPSHOT_SAVED, saved.index(), saved.sizeBytes());
+            case SnapshotInstalled installed ->
+                logger.log(ConsensusEvent.SNAPSHOT_INSTALLED, installed.index(), installed.sizeBytes());
+            case MemberFailed failed ->
+                logger.log(
+                        ConsensusEvent.MEMBER_FAILED,
+                        String.valueOf(failed.failure().getMessage()),
+                        failed.failure());
+        }
+    }
+}
--- a/wire/src/main/java/org/nettlering/wire/proto/ConsensusProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/ConsensusProto.java
@@ -26,6 +26,141 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  /**
+   * Protobuf enum {@code nettlering.LogEntryKind}
+   */
+  public enum LogEntryKind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>LOG_ENTRY_KIND_UNSPECIFIED = 0;</code>
+     */
+    LOG_ENTRY_KIND_UNSPECIFIED(0),
+    /**
+     * <code>LOG_ENTRY_KIND_NO_OP = 1;</code>
+     */
+    LOG_ENTRY_KIND_NO_OP(1),
+    /**
+     * <code>LOG_ENTRY_KIND_COMMAND = 2;</code>
+     */
+    LOG_ENTRY_KIND_COMMAND(2),
+    /**
+     * <code>LOG_ENTRY_KIND_MEMBERSHIP = 3;</code>
+     */
+    LOG_ENTRY_KIND_MEMBERSHIP(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "LogEntryKind");
+    }
+    /**
+     * <code>LOG_ENTRY_KIND_UNSPECIFIED = 0;</code>
+     */
+    public static final int LOG_ENTRY_KIND_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>LOG_ENTRY_KIND_NO_OP = 1;</code>
+     */
+    public static final int LOG_ENTRY_KIND_NO_OP_VALUE = 1;
+    /**
+     * <code>LOG_ENTRY_KIND_COMMAND = 2;</code>
+     */
+    public static final int LOG_ENTRY_KIND_COMMAND_VALUE = 2;
+    /**
+     * <code>LOG_ENTRY_KIND_MEMBERSHIP = 3;</code>
+     */
+    public static final int LOG_ENTRY_KIND_MEMBERSHIP_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static LogEntryKind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static LogEntryKind forNumber(int value) {
+      switch (value) {
+        case 0: return LOG_ENTRY_KIND_UNSPECIFIED;
+        case 1: return LOG_ENTRY_KIND_NO_OP;
+        case 2: return LOG_ENTRY_KIND_COMMAND;
+        case 3: return LOG_ENTRY_KIND_MEMBERSHIP;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<LogEntryKind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        LogEntryKind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<LogEntryKind>() {
+            public LogEntryKind findValueByNumber(int number) {
+              return LogEntryKind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.getDescriptor().getEnumType(0);
+    }
+
+    private static final LogEntryKind[] VALUES = values();
+
+    public static LogEntryKind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private LogEntryKind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:nettlering.LogEntryKind)
+  }
+
   public interface ConsensusMessageOrBuilder extends
       // @@protoc_insertion_point(interface_extends:nettlering.ConsensusMessage)
       com.google.protobuf.MessageOrBuilder {
@@ -55,10 +190,181 @@
         getToBytes();
 
     /**
-     * <code>bytes encoded = 3;</code>
-     * @return The encoded.
+     * <pre>
+     * The sender's term.
+     * </pre>
+     *
+     * <code>uint64 term = 3;</code>
+     * @return The term.
+     */
+    long getTerm();
+
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     * @return Whether the preVoteRequest field is set.
+     */
+    boolean hasPreVoteRequest();
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     * @return The preVoteRequest.
+     */
+    org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getPreVoteRequest();
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder getPreVoteRequestOrBuilder();
+
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     * @return Whether the preVoteResponse field is set.
+     */
+    boolean hasPreVoteResponse();
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     * @return The preVoteResponse.
+     */
+    org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getPreVoteResponse();
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder getPreVoteResponseOrBuilder();
+
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     * @return Whether the voteRequest field is set.
+     */
+    boolean hasVoteRequest();
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     * @return The voteRequest.
+     */
+    org.nettlering.wire.proto.ConsensusProto.VoteRequest getVoteRequest();
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder getVoteRequestOrBuilder();
+
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     * @return Whether the voteResponse field is set.
+     */
+    boolean hasVoteResponse();
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     * @return The voteResponse.
+     */
+    org.nettlering.wire.proto.ConsensusProto.VoteResponse getVoteResponse();
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder getVoteResponseOrBuilder();
+
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     * @return Whether the appendRequest field is set.
+     */
+    boolean hasAppendRequest();
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     * @return The appendRequest.
+     */
+    org.nettlering.wire.proto.ConsensusProto.AppendRequest getAppendRequest();
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder getAppendRequestOrBuilder();
+
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     * @return Whether the appendResponse field is set.
+     */
+    boolean hasAppendResponse();
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     * @return The appendResponse.
+     */
+    org.nettlering.wire.proto.ConsensusProto.AppendResponse getAppendResponse();
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder getAppendResponseOrBuilder();
+
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     * @return Whether the snapshotPiece field is set.
+     */
+    boolean hasSnapshotPiece();
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     * @return The snapshotPiece.
+     */
+    org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getSnapshotPiece();
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder getSnapshotPieceOrBuilder();
+
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     * @return Whether the snapshotPieceResponse field is set.
+     */
+    boolean hasSnapshotPieceResponse();
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     * @return The snapshotPieceResponse.
+     */
+    org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getSnapshotPieceResponse();
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder getSnapshotPieceResponseOrBuilder();
+
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     * @return Whether the timeoutNow field is set.
+     */
+    boolean hasTimeoutNow();
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     * @return The timeoutNow.
+     */
+    org.nettlering.wire.proto.ConsensusProto.TimeoutNow getTimeoutNow();
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder getTimeoutNowOrBuilder();
+
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     * @return Whether the discoveryRequest field is set.
      */
-    com.google.protobuf.ByteString getEncoded();
+    boolean hasDiscoveryRequest();
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     * @return The discoveryRequest.
+     */
+    org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDiscoveryRequest();
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder getDiscoveryRequestOrBuilder();
+
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     * @return Whether the discoveryResponse field is set.
+     */
+    boolean hasDiscoveryResponse();
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     * @return The discoveryResponse.
+     */
+    org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDiscoveryResponse();
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder getDiscoveryResponseOrBuilder();
+
+    org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.MessageCase getMessageCase();
   }
   /**
    * <pre>
@@ -88,7 +394,6 @@
     private ConsensusMessage() {
       from_ = "";
       to_ = "";
-      encoded_ = com.google.protobuf.ByteString.EMPTY;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -109,6 +414,66 @@
               org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.class, org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.Builder.class);
     }
 
+    private int messageCase_ = 0;
+    @SuppressWarnings("serial")
+    private java.lang.Object message_;
+    public enum MessageCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      PRE_VOTE_REQUEST(4),
+      PRE_VOTE_RESPONSE(5),
+      VOTE_REQUEST(6),
+      VOTE_RESPONSE(7),
+      APPEND_REQUEST(8),
+      APPEND_RESPONSE(9),
+      SNAPSHOT_PIECE(10),
+      SNAPSHOT_PIECE_RESPONSE(11),
+      TIMEOUT_NOW(12),
+      DISCOVERY_REQUEST(13),
+      DISCOVERY_RESPONSE(14),
+      MESSAGE_NOT_SET(0);
+      private final int value;
+      private MessageCase(int value) {
+        this.value = value;
+      }
+      /**
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static MessageCase valueOf(int value) {
+        return forNumber(value);
+      }
+
+      public static MessageCase forNumber(int value) {
+        switch (value) {
+          case 4: return PRE_VOTE_REQUEST;
+          case 5: return PRE_VOTE_RESPONSE;
+          case 6: return VOTE_REQUEST;
+          case 7: return VOTE_RESPONSE;
+          case 8: return APPEND_REQUEST;
+          case 9: return APPEND_RESPONSE;
+          case 10: return SNAPSHOT_PIECE;
+          case 11: return SNAPSHOT_PIECE_RESPONSE;
+          case 12: return TIMEOUT_NOW;
+          case 13: return DISCOVERY_REQUEST;
+          case 14: return DISCOVERY_RESPONSE;
+          case 0: return MESSAGE_NOT_SET;
+          default: return null;
+        }
+      }
+      public int getNumber() {
+        return this.value;
+      }
+    };
+
+    public MessageCase
+    getMessageCase() {
+      return MessageCase.forNumber(
+          messageCase_);
+    }
+
     public static final int FROM_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object from_ = "";
@@ -187,15 +552,10178 @@
       }
     }
 
-    public static final int ENCODED_FIELD_NUMBER = 3;
-    private com.google.protobuf.ByteString encoded_ = com.google.protobuf.ByteString.EMPTY;
+    public static final int TERM_FIELD_NUMBER = 3;
+    private long term_ = 0L;
+    /**
+     * <pre>
+     * The sender's term.
+     * </pre>
+     *
+     * <code>uint64 term = 3;</code>
+     * @return The term.
+     */
+    @java.lang.Override
+    public long getTerm() {
+      return term_;
+    }
+
+    public static final int PRE_VOTE_REQUEST_FIELD_NUMBER = 4;
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     * @return Whether the preVoteRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasPreVoteRequest() {
+      return messageCase_ == 4;
+    }
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     * @return The preVoteRequest.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getPreVoteRequest() {
+      if (messageCase_ == 4) {
+         return (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder getPreVoteRequestOrBuilder() {
+      if (messageCase_ == 4) {
+         return (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+    }
+
+    public static final int PRE_VOTE_RESPONSE_FIELD_NUMBER = 5;
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     * @return Whether the preVoteResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasPreVoteResponse() {
+      return messageCase_ == 5;
+    }
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     * @return The preVoteResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getPreVoteResponse() {
+      if (messageCase_ == 5) {
+         return (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder getPreVoteResponseOrBuilder() {
+      if (messageCase_ == 5) {
+         return (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+    }
+
+    public static final int VOTE_REQUEST_FIELD_NUMBER = 6;
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     * @return Whether the voteRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasVoteRequest() {
+      return messageCase_ == 6;
+    }
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     * @return The voteRequest.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteRequest getVoteRequest() {
+      if (messageCase_ == 6) {
+         return (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.VoteRequest vote_request = 6;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder getVoteRequestOrBuilder() {
+      if (messageCase_ == 6) {
+         return (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+    }
+
+    public static final int VOTE_RESPONSE_FIELD_NUMBER = 7;
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     * @return Whether the voteResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasVoteResponse() {
+      return messageCase_ == 7;
+    }
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     * @return The voteResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteResponse getVoteResponse() {
+      if (messageCase_ == 7) {
+         return (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.VoteResponse vote_response = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder getVoteResponseOrBuilder() {
+      if (messageCase_ == 7) {
+         return (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+    }
+
+    public static final int APPEND_REQUEST_FIELD_NUMBER = 8;
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     * @return Whether the appendRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasAppendRequest() {
+      return messageCase_ == 8;
+    }
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     * @return The appendRequest.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendRequest getAppendRequest() {
+      if (messageCase_ == 8) {
+         return (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.AppendRequest append_request = 8;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder getAppendRequestOrBuilder() {
+      if (messageCase_ == 8) {
+         return (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+    }
+
+    public static final int APPEND_RESPONSE_FIELD_NUMBER = 9;
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     * @return Whether the appendResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasAppendResponse() {
+      return messageCase_ == 9;
+    }
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     * @return The appendResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendResponse getAppendResponse() {
+      if (messageCase_ == 9) {
+         return (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.AppendResponse append_response = 9;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder getAppendResponseOrBuilder() {
+      if (messageCase_ == 9) {
+         return (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+    }
+
+    public static final int SNAPSHOT_PIECE_FIELD_NUMBER = 10;
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     * @return Whether the snapshotPiece field is set.
+     */
+    @java.lang.Override
+    public boolean hasSnapshotPiece() {
+      return messageCase_ == 10;
+    }
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     * @return The snapshotPiece.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getSnapshotPiece() {
+      if (messageCase_ == 10) {
+         return (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder getSnapshotPieceOrBuilder() {
+      if (messageCase_ == 10) {
+         return (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+    }
+
+    public static final int SNAPSHOT_PIECE_RESPONSE_FIELD_NUMBER = 11;
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     * @return Whether the snapshotPieceResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasSnapshotPieceResponse() {
+      return messageCase_ == 11;
+    }
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     * @return The snapshotPieceResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getSnapshotPieceResponse() {
+      if (messageCase_ == 11) {
+         return (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder getSnapshotPieceResponseOrBuilder() {
+      if (messageCase_ == 11) {
+         return (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+    }
+
+    public static final int TIMEOUT_NOW_FIELD_NUMBER = 12;
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     * @return Whether the timeoutNow field is set.
+     */
+    @java.lang.Override
+    public boolean hasTimeoutNow() {
+      return messageCase_ == 12;
+    }
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     * @return The timeoutNow.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.TimeoutNow getTimeoutNow() {
+      if (messageCase_ == 12) {
+         return (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder getTimeoutNowOrBuilder() {
+      if (messageCase_ == 12) {
+         return (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+    }
+
+    public static final int DISCOVERY_REQUEST_FIELD_NUMBER = 13;
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     * @return Whether the discoveryRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasDiscoveryRequest() {
+      return messageCase_ == 13;
+    }
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     * @return The discoveryRequest.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDiscoveryRequest() {
+      if (messageCase_ == 13) {
+         return (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder getDiscoveryRequestOrBuilder() {
+      if (messageCase_ == 13) {
+         return (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+    }
+
+    public static final int DISCOVERY_RESPONSE_FIELD_NUMBER = 14;
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     * @return Whether the discoveryResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasDiscoveryResponse() {
+      return messageCase_ == 14;
+    }
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     * @return The discoveryResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDiscoveryResponse() {
+      if (messageCase_ == 14) {
+         return (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder getDiscoveryResponseOrBuilder() {
+      if (messageCase_ == 14) {
+         return (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_;
+      }
+      return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, from_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(to_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, to_);
+      }
+      if (term_ != 0L) {
+        output.writeUInt64(3, term_);
+      }
+      if (messageCase_ == 4) {
+        output.writeMessage(4, (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_);
+      }
+      if (messageCase_ == 5) {
+        output.writeMessage(5, (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_);
+      }
+      if (messageCase_ == 6) {
+        output.writeMessage(6, (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_);
+      }
+      if (messageCase_ == 7) {
+        output.writeMessage(7, (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_);
+      }
+      if (messageCase_ == 8) {
+        output.writeMessage(8, (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_);
+      }
+      if (messageCase_ == 9) {
+        output.writeMessage(9, (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_);
+      }
+      if (messageCase_ == 10) {
+        output.writeMessage(10, (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_);
+      }
+      if (messageCase_ == 11) {
+        output.writeMessage(11, (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_);
+      }
+      if (messageCase_ == 12) {
+        output.writeMessage(12, (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_);
+      }
+      if (messageCase_ == 13) {
+        output.writeMessage(13, (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_);
+      }
+      if (messageCase_ == 14) {
+        output.writeMessage(14, (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, from_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(to_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, to_);
+      }
+      if (term_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, term_);
+      }
+      if (messageCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_);
+      }
+      if (messageCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_);
+      }
+      if (messageCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_);
+      }
+      if (messageCase_ == 7) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_);
+      }
+      if (messageCase_ == 8) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_);
+      }
+      if (messageCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_);
+      }
+      if (messageCase_ == 10) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_);
+      }
+      if (messageCase_ == 11) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(11, (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_);
+      }
+      if (messageCase_ == 12) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(12, (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_);
+      }
+      if (messageCase_ == 13) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(13, (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_);
+      }
+      if (messageCase_ == 14) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.ConsensusMessage)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.ConsensusMessage other = (org.nettlering.wire.proto.ConsensusProto.ConsensusMessage) obj;
+
+      if (!getFrom()
+          .equals(other.getFrom())) return false;
+      if (!getTo()
+          .equals(other.getTo())) return false;
+      if (getTerm()
+          != other.getTerm()) return false;
+      if (!getMessageCase().equals(other.getMessageCase())) return false;
+      switch (messageCase_) {
+        case 4:
+          if (!getPreVoteRequest()
+              .equals(other.getPreVoteRequest())) return false;
+          break;
+        case 5:
+          if (!getPreVoteResponse()
+              .equals(other.getPreVoteResponse())) return false;
+          break;
+        case 6:
+          if (!getVoteRequest()
+              .equals(other.getVoteRequest())) return false;
+          break;
+        case 7:
+          if (!getVoteResponse()
+              .equals(other.getVoteResponse())) return false;
+          break;
+        case 8:
+          if (!getAppendRequest()
+              .equals(other.getAppendRequest())) return false;
+          break;
+        case 9:
+          if (!getAppendResponse()
+              .equals(other.getAppendResponse())) return false;
+          break;
+        case 10:
+          if (!getSnapshotPiece()
+              .equals(other.getSnapshotPiece())) return false;
+          break;
+        case 11:
+          if (!getSnapshotPieceResponse()
+              .equals(other.getSnapshotPieceResponse())) return false;
+          break;
+        case 12:
+          if (!getTimeoutNow()
+              .equals(other.getTimeoutNow())) return false;
+          break;
+        case 13:
+          if (!getDiscoveryRequest()
+              .equals(other.getDiscoveryRequest())) return false;
+          break;
+        case 14:
+          if (!getDiscoveryResponse()
+              .equals(other.getDiscoveryResponse())) return false;
+          break;
+        case 0:
+        default:
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FROM_FIELD_NUMBER;
+      hash = (53 * hash) + getFrom().hashCode();
+      hash = (37 * hash) + TO_FIELD_NUMBER;
+      hash = (53 * hash) + getTo().hashCode();
+      hash = (37 * hash) + TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTerm());
+      switch (messageCase_) {
+        case 4:
+          hash = (37 * hash) + PRE_VOTE_REQUEST_FIELD_NUMBER;
+          hash = (53 * hash) + getPreVoteRequest().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + PRE_VOTE_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getPreVoteResponse().hashCode();
+          break;
+        case 6:
+          hash = (37 * hash) + VOTE_REQUEST_FIELD_NUMBER;
+          hash = (53 * hash) + getVoteRequest().hashCode();
+          break;
+        case 7:
+          hash = (37 * hash) + VOTE_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getVoteResponse().hashCode();
+          break;
+        case 8:
+          hash = (37 * hash) + APPEND_REQUEST_FIELD_NUMBER;
+          hash = (53 * hash) + getAppendRequest().hashCode();
+          break;
+        case 9:
+          hash = (37 * hash) + APPEND_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getAppendResponse().hashCode();
+          break;
+        case 10:
+          hash = (37 * hash) + SNAPSHOT_PIECE_FIELD_NUMBER;
+          hash = (53 * hash) + getSnapshotPiece().hashCode();
+          break;
+        case 11:
+          hash = (37 * hash) + SNAPSHOT_PIECE_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getSnapshotPieceResponse().hashCode();
+          break;
+        case 12:
+          hash = (37 * hash) + TIMEOUT_NOW_FIELD_NUMBER;
+          hash = (53 * hash) + getTimeoutNow().hashCode();
+          break;
+        case 13:
+          hash = (37 * hash) + DISCOVERY_REQUEST_FIELD_NUMBER;
+          hash = (53 * hash) + getDiscoveryRequest().hashCode();
+          break;
+        case 14:
+          hash = (37 * hash) + DISCOVERY_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getDiscoveryResponse().hashCode();
+          break;
+        case 0:
+        default:
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * One message of the replicated log, between control processes.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.ConsensusMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.ConsensusMessage)
+        org.nettlering.wire.proto.ConsensusProto.ConsensusMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.class, org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        from_ = "";
+        to_ = "";
+        term_ = 0L;
+        if (preVoteRequestBuilder_ != null) {
+          preVoteRequestBuilder_.clear();
+        }
+        if (preVoteResponseBuilder_ != null) {
+          preVoteResponseBuilder_.clear();
+        }
+        if (voteRequestBuilder_ != null) {
+          voteRequestBuilder_.clear();
+        }
+        if (voteResponseBuilder_ != null) {
+          voteResponseBuilder_.clear();
+        }
+        if (appendRequestBuilder_ != null) {
+          appendRequestBuilder_.clear();
+        }
+        if (appendResponseBuilder_ != null) {
+          appendResponseBuilder_.clear();
+        }
+        if (snapshotPieceBuilder_ != null) {
+          snapshotPieceBuilder_.clear();
+        }
+        if (snapshotPieceResponseBuilder_ != null) {
+          snapshotPieceResponseBuilder_.clear();
+        }
+        if (timeoutNowBuilder_ != null) {
+          timeoutNowBuilder_.clear();
+        }
+        if (discoveryRequestBuilder_ != null) {
+          discoveryRequestBuilder_.clear();
+        }
+        if (discoveryResponseBuilder_ != null) {
+          discoveryResponseBuilder_.clear();
+        }
+        messageCase_ = 0;
+        message_ = null;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage build() {
+        org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result = new org.nettlering.wire.proto.ConsensusProto.ConsensusMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.from_ = from_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.to_ = to_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.term_ = term_;
+        }
+      }
+
+      private void buildPartialOneofs(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result) {
+        result.messageCase_ = messageCase_;
+        result.message_ = this.message_;
+        if (messageCase_ == 4 &&
+            preVoteRequestBuilder_ != null) {
+          result.message_ = preVoteRequestBuilder_.build();
+        }
+        if (messageCase_ == 5 &&
+            preVoteResponseBuilder_ != null) {
+          result.message_ = preVoteResponseBuilder_.build();
+        }
+        if (messageCase_ == 6 &&
+            voteRequestBuilder_ != null) {
+          result.message_ = voteRequestBuilder_.build();
+        }
+        if (messageCase_ == 7 &&
+            voteResponseBuilder_ != null) {
+          result.message_ = voteResponseBuilder_.build();
+        }
+        if (messageCase_ == 8 &&
+            appendRequestBuilder_ != null) {
+          result.message_ = appendRequestBuilder_.build();
+        }
+        if (messageCase_ == 9 &&
+            appendResponseBuilder_ != null) {
+          result.message_ = appendResponseBuilder_.build();
+        }
+        if (messageCase_ == 10 &&
+            snapshotPieceBuilder_ != null) {
+          result.message_ = snapshotPieceBuilder_.build();
+        }
+        if (messageCase_ == 11 &&
+            snapshotPieceResponseBuilder_ != null) {
+          result.message_ = snapshotPieceResponseBuilder_.build();
+        }
+        if (messageCase_ == 12 &&
+            timeoutNowBuilder_ != null) {
+          result.message_ = timeoutNowBuilder_.build();
+        }
+        if (messageCase_ == 13 &&
+            discoveryRequestBuilder_ != null) {
+          result.message_ = discoveryRequestBuilder_.build();
+        }
+        if (messageCase_ == 14 &&
+            discoveryResponseBuilder_ != null) {
+          result.message_ = discoveryResponseBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.ConsensusMessage) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.ConsensusMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.getDefaultInstance()) return this;
+        if (!other.getFrom().isEmpty()) {
+          from_ = other.from_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getTo().isEmpty()) {
+          to_ = other.to_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getTerm() != 0L) {
+          setTerm(other.getTerm());
+        }
+        switch (other.getMessageCase()) {
+          case PRE_VOTE_REQUEST: {
+            mergePreVoteRequest(other.getPreVoteRequest());
+            break;
+          }
+          case PRE_VOTE_RESPONSE: {
+            mergePreVoteResponse(other.getPreVoteResponse());
+            break;
+          }
+          case VOTE_REQUEST: {
+            mergeVoteRequest(other.getVoteRequest());
+            break;
+          }
+          case VOTE_RESPONSE: {
+            mergeVoteResponse(other.getVoteResponse());
+            break;
+          }
+          case APPEND_REQUEST: {
+            mergeAppendRequest(other.getAppendRequest());
+            break;
+          }
+          case APPEND_RESPONSE: {
+            mergeAppendResponse(other.getAppendResponse());
+            break;
+          }
+          case SNAPSHOT_PIECE: {
+            mergeSnapshotPiece(other.getSnapshotPiece());
+            break;
+          }
+          case SNAPSHOT_PIECE_RESPONSE: {
+            mergeSnapshotPieceResponse(other.getSnapshotPieceResponse());
+            break;
+          }
+          case TIMEOUT_NOW: {
+            mergeTimeoutNow(other.getTimeoutNow());
+            break;
+          }
+          case DISCOVERY_REQUEST: {
+            mergeDiscoveryRequest(other.getDiscoveryRequest());
+            break;
+          }
+          case DISCOVERY_RESPONSE: {
+            mergeDiscoveryResponse(other.getDiscoveryResponse());
+            break;
+          }
+          case MESSAGE_NOT_SET: {
+            break;
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                from_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                to_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                term_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                input.readMessage(
+                    internalGetPreVoteRequestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetPreVoteResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 5;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetVoteRequestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 6;
+                break;
+              } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetVoteResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 7;
+                break;
+              } // case 58
+              case 66: {
+                input.readMessage(
+                    internalGetAppendRequestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 8;
+                break;
+              } // case 66
+              case 74: {
+                input.readMessage(
+                    internalGetAppendResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 9;
+                break;
+              } // case 74
+              case 82: {
+                input.readMessage(
+                    internalGetSnapshotPieceFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 10;
+                break;
+              } // case 82
+              case 90: {
+                input.readMessage(
+                    internalGetSnapshotPieceResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 11;
+                break;
+              } // case 90
+              case 98: {
+                input.readMessage(
+                    internalGetTimeoutNowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 12;
+                break;
+              } // case 98
+              case 106: {
+                input.readMessage(
+                    internalGetDiscoveryRequestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 13;
+                break;
+              } // case 106
+              case 114: {
+                input.readMessage(
+                    internalGetDiscoveryResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                messageCase_ = 14;
+                break;
+              } // case 114
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int messageCase_ = 0;
+      private java.lang.Object message_;
+      public MessageCase
+          getMessageCase() {
+        return MessageCase.forNumber(
+            messageCase_);
+      }
+
+      public Builder clearMessage() {
+        messageCase_ = 0;
+        message_ = null;
+        onChanged();
+        return this;
+      }
+
+      private int bitField0_;
+
+      private java.lang.Object from_ = "";
+      /**
+       * <code>string from = 1;</code>
+       * @return The from.
+       */
+      public java.lang.String getFrom() {
+        java.lang.Object ref = from_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          from_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string from = 1;</code>
+       * @return The bytes for from.
+       */
+      public com.google.protobuf.ByteString
+          getFromBytes() {
+        java.lang.Object ref = from_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          from_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string from = 1;</code>
+       * @param value The from to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFrom(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        from_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string from = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFrom() {
+        from_ = getDefaultInstance().getFrom();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string from = 1;</code>
+       * @param value The bytes for from to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFromBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        from_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object to_ = "";
+      /**
+       * <code>string to = 2;</code>
+       * @return The to.
+       */
+      public java.lang.String getTo() {
+        java.lang.Object ref = to_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          to_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string to = 2;</code>
+       * @return The bytes for to.
+       */
+      public com.google.protobuf.ByteString
+          getToBytes() {
+        java.lang.Object ref = to_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          to_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string to = 2;</code>
+       * @param value The to to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTo(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        to_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string to = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTo() {
+        to_ = getDefaultInstance().getTo();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string to = 2;</code>
+       * @param value The bytes for to to set.
+       * @return This builder for chaining.
+       */
+      public Builder setToBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        to_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private long term_ ;
+      /**
+       * <pre>
+       * The sender's term.
+       * </pre>
+       *
+       * <code>uint64 term = 3;</code>
+       * @return The term.
+       */
+      @java.lang.Override
+      public long getTerm() {
+        return term_;
+      }
+      /**
+       * <pre>
+       * The sender's term.
+       * </pre>
+       *
+       * <code>uint64 term = 3;</code>
+       * @param value The term to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTerm(long value) {
+
+        term_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The sender's term.
+       * </pre>
+       *
+       * <code>uint64 term = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTerm() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        term_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.PreVoteRequest, org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder> preVoteRequestBuilder_;
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       * @return Whether the preVoteRequest field is set.
+       */
+      @java.lang.Override
+      public boolean hasPreVoteRequest() {
+        return messageCase_ == 4;
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       * @return The preVoteRequest.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getPreVoteRequest() {
+        if (preVoteRequestBuilder_ == null) {
+          if (messageCase_ == 4) {
+            return (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+        } else {
+          if (messageCase_ == 4) {
+            return preVoteRequestBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      public Builder setPreVoteRequest(org.nettlering.wire.proto.ConsensusProto.PreVoteRequest value) {
+        if (preVoteRequestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          preVoteRequestBuilder_.setMessage(value);
+        }
+        messageCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      public Builder setPreVoteRequest(
+          org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder builderForValue) {
+        if (preVoteRequestBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          preVoteRequestBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      public Builder mergePreVoteRequest(org.nettlering.wire.proto.ConsensusProto.PreVoteRequest value) {
+        if (preVoteRequestBuilder_ == null) {
+          if (messageCase_ == 4 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.newBuilder((org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 4) {
+            preVoteRequestBuilder_.mergeFrom(value);
+          } else {
+            preVoteRequestBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      public Builder clearPreVoteRequest() {
+        if (preVoteRequestBuilder_ == null) {
+          if (messageCase_ == 4) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 4) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          preVoteRequestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder getPreVoteRequestBuilder() {
+        return internalGetPreVoteRequestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder getPreVoteRequestOrBuilder() {
+        if ((messageCase_ == 4) && (preVoteRequestBuilder_ != null)) {
+          return preVoteRequestBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 4) {
+            return (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.PreVoteRequest pre_vote_request = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.PreVoteRequest, org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder> 
+          internalGetPreVoteRequestFieldBuilder() {
+        if (preVoteRequestBuilder_ == null) {
+          if (!(messageCase_ == 4)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+          }
+          preVoteRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.PreVoteRequest, org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 4;
+        onChanged();
+        return preVoteRequestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.PreVoteResponse, org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder> preVoteResponseBuilder_;
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       * @return Whether the preVoteResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasPreVoteResponse() {
+        return messageCase_ == 5;
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       * @return The preVoteResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getPreVoteResponse() {
+        if (preVoteResponseBuilder_ == null) {
+          if (messageCase_ == 5) {
+            return (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+        } else {
+          if (messageCase_ == 5) {
+            return preVoteResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      public Builder setPreVoteResponse(org.nettlering.wire.proto.ConsensusProto.PreVoteResponse value) {
+        if (preVoteResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          preVoteResponseBuilder_.setMessage(value);
+        }
+        messageCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      public Builder setPreVoteResponse(
+          org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder builderForValue) {
+        if (preVoteResponseBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          preVoteResponseBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      public Builder mergePreVoteResponse(org.nettlering.wire.proto.ConsensusProto.PreVoteResponse value) {
+        if (preVoteResponseBuilder_ == null) {
+          if (messageCase_ == 5 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.newBuilder((org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 5) {
+            preVoteResponseBuilder_.mergeFrom(value);
+          } else {
+            preVoteResponseBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      public Builder clearPreVoteResponse() {
+        if (preVoteResponseBuilder_ == null) {
+          if (messageCase_ == 5) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 5) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          preVoteResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder getPreVoteResponseBuilder() {
+        return internalGetPreVoteResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder getPreVoteResponseOrBuilder() {
+        if ((messageCase_ == 5) && (preVoteResponseBuilder_ != null)) {
+          return preVoteResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 5) {
+            return (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.PreVoteResponse pre_vote_response = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.PreVoteResponse, org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder> 
+          internalGetPreVoteResponseFieldBuilder() {
+        if (preVoteResponseBuilder_ == null) {
+          if (!(messageCase_ == 5)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+          }
+          preVoteResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.PreVoteResponse, org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 5;
+        onChanged();
+        return preVoteResponseBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.VoteRequest, org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder> voteRequestBuilder_;
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       * @return Whether the voteRequest field is set.
+       */
+      @java.lang.Override
+      public boolean hasVoteRequest() {
+        return messageCase_ == 6;
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       * @return The voteRequest.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequest getVoteRequest() {
+        if (voteRequestBuilder_ == null) {
+          if (messageCase_ == 6) {
+            return (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+        } else {
+          if (messageCase_ == 6) {
+            return voteRequestBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      public Builder setVoteRequest(org.nettlering.wire.proto.ConsensusProto.VoteRequest value) {
+        if (voteRequestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          voteRequestBuilder_.setMessage(value);
+        }
+        messageCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      public Builder setVoteRequest(
+          org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder builderForValue) {
+        if (voteRequestBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          voteRequestBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      public Builder mergeVoteRequest(org.nettlering.wire.proto.ConsensusProto.VoteRequest value) {
+        if (voteRequestBuilder_ == null) {
+          if (messageCase_ == 6 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.VoteRequest.newBuilder((org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 6) {
+            voteRequestBuilder_.mergeFrom(value);
+          } else {
+            voteRequestBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      public Builder clearVoteRequest() {
+        if (voteRequestBuilder_ == null) {
+          if (messageCase_ == 6) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 6) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          voteRequestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder getVoteRequestBuilder() {
+        return internalGetVoteRequestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder getVoteRequestOrBuilder() {
+        if ((messageCase_ == 6) && (voteRequestBuilder_ != null)) {
+          return voteRequestBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 6) {
+            return (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.VoteRequest vote_request = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.VoteRequest, org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder> 
+          internalGetVoteRequestFieldBuilder() {
+        if (voteRequestBuilder_ == null) {
+          if (!(messageCase_ == 6)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+          }
+          voteRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.VoteRequest, org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder, org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.VoteRequest) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 6;
+        onChanged();
+        return voteRequestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.VoteResponse, org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder> voteResponseBuilder_;
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       * @return Whether the voteResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasVoteResponse() {
+        return messageCase_ == 7;
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       * @return The voteResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponse getVoteResponse() {
+        if (voteResponseBuilder_ == null) {
+          if (messageCase_ == 7) {
+            return (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+        } else {
+          if (messageCase_ == 7) {
+            return voteResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      public Builder setVoteResponse(org.nettlering.wire.proto.ConsensusProto.VoteResponse value) {
+        if (voteResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          voteResponseBuilder_.setMessage(value);
+        }
+        messageCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      public Builder setVoteResponse(
+          org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder builderForValue) {
+        if (voteResponseBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          voteResponseBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      public Builder mergeVoteResponse(org.nettlering.wire.proto.ConsensusProto.VoteResponse value) {
+        if (voteResponseBuilder_ == null) {
+          if (messageCase_ == 7 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.VoteResponse.newBuilder((org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 7) {
+            voteResponseBuilder_.mergeFrom(value);
+          } else {
+            voteResponseBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      public Builder clearVoteResponse() {
+        if (voteResponseBuilder_ == null) {
+          if (messageCase_ == 7) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 7) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          voteResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder getVoteResponseBuilder() {
+        return internalGetVoteResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder getVoteResponseOrBuilder() {
+        if ((messageCase_ == 7) && (voteResponseBuilder_ != null)) {
+          return voteResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 7) {
+            return (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.VoteResponse vote_response = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.VoteResponse, org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder> 
+          internalGetVoteResponseFieldBuilder() {
+        if (voteResponseBuilder_ == null) {
+          if (!(messageCase_ == 7)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+          }
+          voteResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.VoteResponse, org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder, org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.VoteResponse) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 7;
+        onChanged();
+        return voteResponseBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.AppendRequest, org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder, org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder> appendRequestBuilder_;
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       * @return Whether the appendRequest field is set.
+       */
+      @java.lang.Override
+      public boolean hasAppendRequest() {
+        return messageCase_ == 8;
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       * @return The appendRequest.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequest getAppendRequest() {
+        if (appendRequestBuilder_ == null) {
+          if (messageCase_ == 8) {
+            return (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+        } else {
+          if (messageCase_ == 8) {
+            return appendRequestBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      public Builder setAppendRequest(org.nettlering.wire.proto.ConsensusProto.AppendRequest value) {
+        if (appendRequestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          appendRequestBuilder_.setMessage(value);
+        }
+        messageCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      public Builder setAppendRequest(
+          org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder builderForValue) {
+        if (appendRequestBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          appendRequestBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      public Builder mergeAppendRequest(org.nettlering.wire.proto.ConsensusProto.AppendRequest value) {
+        if (appendRequestBuilder_ == null) {
+          if (messageCase_ == 8 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.AppendRequest.newBuilder((org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 8) {
+            appendRequestBuilder_.mergeFrom(value);
+          } else {
+            appendRequestBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      public Builder clearAppendRequest() {
+        if (appendRequestBuilder_ == null) {
+          if (messageCase_ == 8) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 8) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          appendRequestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder getAppendRequestBuilder() {
+        return internalGetAppendRequestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder getAppendRequestOrBuilder() {
+        if ((messageCase_ == 8) && (appendRequestBuilder_ != null)) {
+          return appendRequestBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 8) {
+            return (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.AppendRequest append_request = 8;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.AppendRequest, org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder, org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder> 
+          internalGetAppendRequestFieldBuilder() {
+        if (appendRequestBuilder_ == null) {
+          if (!(messageCase_ == 8)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+          }
+          appendRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.AppendRequest, org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder, org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.AppendRequest) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 8;
+        onChanged();
+        return appendRequestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.AppendResponse, org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder, org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder> appendResponseBuilder_;
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       * @return Whether the appendResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasAppendResponse() {
+        return messageCase_ == 9;
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       * @return The appendResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponse getAppendResponse() {
+        if (appendResponseBuilder_ == null) {
+          if (messageCase_ == 9) {
+            return (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+        } else {
+          if (messageCase_ == 9) {
+            return appendResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      public Builder setAppendResponse(org.nettlering.wire.proto.ConsensusProto.AppendResponse value) {
+        if (appendResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          appendResponseBuilder_.setMessage(value);
+        }
+        messageCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      public Builder setAppendResponse(
+          org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder builderForValue) {
+        if (appendResponseBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          appendResponseBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      public Builder mergeAppendResponse(org.nettlering.wire.proto.ConsensusProto.AppendResponse value) {
+        if (appendResponseBuilder_ == null) {
+          if (messageCase_ == 9 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.AppendResponse.newBuilder((org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 9) {
+            appendResponseBuilder_.mergeFrom(value);
+          } else {
+            appendResponseBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      public Builder clearAppendResponse() {
+        if (appendResponseBuilder_ == null) {
+          if (messageCase_ == 9) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 9) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          appendResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder getAppendResponseBuilder() {
+        return internalGetAppendResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder getAppendResponseOrBuilder() {
+        if ((messageCase_ == 9) && (appendResponseBuilder_ != null)) {
+          return appendResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 9) {
+            return (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.AppendResponse append_response = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.AppendResponse, org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder, org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder> 
+          internalGetAppendResponseFieldBuilder() {
+        if (appendResponseBuilder_ == null) {
+          if (!(messageCase_ == 9)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+          }
+          appendResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.AppendResponse, org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder, org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.AppendResponse) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 9;
+        onChanged();
+        return appendResponseBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPiece, org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder> snapshotPieceBuilder_;
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       * @return Whether the snapshotPiece field is set.
+       */
+      @java.lang.Override
+      public boolean hasSnapshotPiece() {
+        return messageCase_ == 10;
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       * @return The snapshotPiece.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getSnapshotPiece() {
+        if (snapshotPieceBuilder_ == null) {
+          if (messageCase_ == 10) {
+            return (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+        } else {
+          if (messageCase_ == 10) {
+            return snapshotPieceBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      public Builder setSnapshotPiece(org.nettlering.wire.proto.ConsensusProto.SnapshotPiece value) {
+        if (snapshotPieceBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          snapshotPieceBuilder_.setMessage(value);
+        }
+        messageCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      public Builder setSnapshotPiece(
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder builderForValue) {
+        if (snapshotPieceBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          snapshotPieceBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      public Builder mergeSnapshotPiece(org.nettlering.wire.proto.ConsensusProto.SnapshotPiece value) {
+        if (snapshotPieceBuilder_ == null) {
+          if (messageCase_ == 10 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.newBuilder((org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 10) {
+            snapshotPieceBuilder_.mergeFrom(value);
+          } else {
+            snapshotPieceBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      public Builder clearSnapshotPiece() {
+        if (snapshotPieceBuilder_ == null) {
+          if (messageCase_ == 10) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 10) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          snapshotPieceBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder getSnapshotPieceBuilder() {
+        return internalGetSnapshotPieceFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder getSnapshotPieceOrBuilder() {
+        if ((messageCase_ == 10) && (snapshotPieceBuilder_ != null)) {
+          return snapshotPieceBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 10) {
+            return (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.SnapshotPiece snapshot_piece = 10;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPiece, org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder> 
+          internalGetSnapshotPieceFieldBuilder() {
+        if (snapshotPieceBuilder_ == null) {
+          if (!(messageCase_ == 10)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+          }
+          snapshotPieceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.SnapshotPiece, org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 10;
+        onChanged();
+        return snapshotPieceBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder> snapshotPieceResponseBuilder_;
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       * @return Whether the snapshotPieceResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasSnapshotPieceResponse() {
+        return messageCase_ == 11;
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       * @return The snapshotPieceResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getSnapshotPieceResponse() {
+        if (snapshotPieceResponseBuilder_ == null) {
+          if (messageCase_ == 11) {
+            return (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+        } else {
+          if (messageCase_ == 11) {
+            return snapshotPieceResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      public Builder setSnapshotPieceResponse(org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse value) {
+        if (snapshotPieceResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          snapshotPieceResponseBuilder_.setMessage(value);
+        }
+        messageCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      public Builder setSnapshotPieceResponse(
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder builderForValue) {
+        if (snapshotPieceResponseBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          snapshotPieceResponseBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      public Builder mergeSnapshotPieceResponse(org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse value) {
+        if (snapshotPieceResponseBuilder_ == null) {
+          if (messageCase_ == 11 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.newBuilder((org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 11) {
+            snapshotPieceResponseBuilder_.mergeFrom(value);
+          } else {
+            snapshotPieceResponseBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      public Builder clearSnapshotPieceResponse() {
+        if (snapshotPieceResponseBuilder_ == null) {
+          if (messageCase_ == 11) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 11) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          snapshotPieceResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder getSnapshotPieceResponseBuilder() {
+        return internalGetSnapshotPieceResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder getSnapshotPieceResponseOrBuilder() {
+        if ((messageCase_ == 11) && (snapshotPieceResponseBuilder_ != null)) {
+          return snapshotPieceResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 11) {
+            return (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.SnapshotPieceResponse snapshot_piece_response = 11;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder> 
+          internalGetSnapshotPieceResponseFieldBuilder() {
+        if (snapshotPieceResponseBuilder_ == null) {
+          if (!(messageCase_ == 11)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+          }
+          snapshotPieceResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 11;
+        onChanged();
+        return snapshotPieceResponseBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.TimeoutNow, org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder, org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder> timeoutNowBuilder_;
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       * @return Whether the timeoutNow field is set.
+       */
+      @java.lang.Override
+      public boolean hasTimeoutNow() {
+        return messageCase_ == 12;
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       * @return The timeoutNow.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNow getTimeoutNow() {
+        if (timeoutNowBuilder_ == null) {
+          if (messageCase_ == 12) {
+            return (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+        } else {
+          if (messageCase_ == 12) {
+            return timeoutNowBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      public Builder setTimeoutNow(org.nettlering.wire.proto.ConsensusProto.TimeoutNow value) {
+        if (timeoutNowBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          timeoutNowBuilder_.setMessage(value);
+        }
+        messageCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      public Builder setTimeoutNow(
+          org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder builderForValue) {
+        if (timeoutNowBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          timeoutNowBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      public Builder mergeTimeoutNow(org.nettlering.wire.proto.ConsensusProto.TimeoutNow value) {
+        if (timeoutNowBuilder_ == null) {
+          if (messageCase_ == 12 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.TimeoutNow.newBuilder((org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 12) {
+            timeoutNowBuilder_.mergeFrom(value);
+          } else {
+            timeoutNowBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      public Builder clearTimeoutNow() {
+        if (timeoutNowBuilder_ == null) {
+          if (messageCase_ == 12) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 12) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          timeoutNowBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder getTimeoutNowBuilder() {
+        return internalGetTimeoutNowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder getTimeoutNowOrBuilder() {
+        if ((messageCase_ == 12) && (timeoutNowBuilder_ != null)) {
+          return timeoutNowBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 12) {
+            return (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.TimeoutNow timeout_now = 12;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.TimeoutNow, org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder, org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder> 
+          internalGetTimeoutNowFieldBuilder() {
+        if (timeoutNowBuilder_ == null) {
+          if (!(messageCase_ == 12)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+          }
+          timeoutNowBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.TimeoutNow, org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder, org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 12;
+        onChanged();
+        return timeoutNowBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder> discoveryRequestBuilder_;
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       * @return Whether the discoveryRequest field is set.
+       */
+      @java.lang.Override
+      public boolean hasDiscoveryRequest() {
+        return messageCase_ == 13;
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       * @return The discoveryRequest.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDiscoveryRequest() {
+        if (discoveryRequestBuilder_ == null) {
+          if (messageCase_ == 13) {
+            return (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+        } else {
+          if (messageCase_ == 13) {
+            return discoveryRequestBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      public Builder setDiscoveryRequest(org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest value) {
+        if (discoveryRequestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          discoveryRequestBuilder_.setMessage(value);
+        }
+        messageCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      public Builder setDiscoveryRequest(
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder builderForValue) {
+        if (discoveryRequestBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          discoveryRequestBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      public Builder mergeDiscoveryRequest(org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest value) {
+        if (discoveryRequestBuilder_ == null) {
+          if (messageCase_ == 13 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.newBuilder((org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 13) {
+            discoveryRequestBuilder_.mergeFrom(value);
+          } else {
+            discoveryRequestBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      public Builder clearDiscoveryRequest() {
+        if (discoveryRequestBuilder_ == null) {
+          if (messageCase_ == 13) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 13) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          discoveryRequestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder getDiscoveryRequestBuilder() {
+        return internalGetDiscoveryRequestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder getDiscoveryRequestOrBuilder() {
+        if ((messageCase_ == 13) && (discoveryRequestBuilder_ != null)) {
+          return discoveryRequestBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 13) {
+            return (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.DiscoveryRequest discovery_request = 13;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder> 
+          internalGetDiscoveryRequestFieldBuilder() {
+        if (discoveryRequestBuilder_ == null) {
+          if (!(messageCase_ == 13)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+          }
+          discoveryRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 13;
+        onChanged();
+        return discoveryRequestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder> discoveryResponseBuilder_;
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       * @return Whether the discoveryResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasDiscoveryResponse() {
+        return messageCase_ == 14;
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       * @return The discoveryResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDiscoveryResponse() {
+        if (discoveryResponseBuilder_ == null) {
+          if (messageCase_ == 14) {
+            return (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+        } else {
+          if (messageCase_ == 14) {
+            return discoveryResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      public Builder setDiscoveryResponse(org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse value) {
+        if (discoveryResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          message_ = value;
+          onChanged();
+        } else {
+          discoveryResponseBuilder_.setMessage(value);
+        }
+        messageCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      public Builder setDiscoveryResponse(
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder builderForValue) {
+        if (discoveryResponseBuilder_ == null) {
+          message_ = builderForValue.build();
+          onChanged();
+        } else {
+          discoveryResponseBuilder_.setMessage(builderForValue.build());
+        }
+        messageCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      public Builder mergeDiscoveryResponse(org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse value) {
+        if (discoveryResponseBuilder_ == null) {
+          if (messageCase_ == 14 &&
+              message_ != org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance()) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.newBuilder((org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            message_ = value;
+          }
+          onChanged();
+        } else {
+          if (messageCase_ == 14) {
+            discoveryResponseBuilder_.mergeFrom(value);
+          } else {
+            discoveryResponseBuilder_.setMessage(value);
+          }
+        }
+        messageCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      public Builder clearDiscoveryResponse() {
+        if (discoveryResponseBuilder_ == null) {
+          if (messageCase_ == 14) {
+            messageCase_ = 0;
+            message_ = null;
+            onChanged();
+          }
+        } else {
+          if (messageCase_ == 14) {
+            messageCase_ = 0;
+            message_ = null;
+          }
+          discoveryResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder getDiscoveryResponseBuilder() {
+        return internalGetDiscoveryResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder getDiscoveryResponseOrBuilder() {
+        if ((messageCase_ == 14) && (discoveryResponseBuilder_ != null)) {
+          return discoveryResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (messageCase_ == 14) {
+            return (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_;
+          }
+          return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.DiscoveryResponse discovery_response = 14;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder> 
+          internalGetDiscoveryResponseFieldBuilder() {
+        if (discoveryResponseBuilder_ == null) {
+          if (!(messageCase_ == 14)) {
+            message_ = org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
+          }
+          discoveryResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder>(
+                  (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) message_,
+                  getParentForChildren(),
+                  isClean());
+          message_ = null;
+        }
+        messageCase_ = 14;
+        onChanged();
+        return discoveryResponseBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.ConsensusMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.ConsensusMessage)
+    private static final org.nettlering.wire.proto.ConsensusProto.ConsensusMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.ConsensusMessage();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ConsensusMessage>
+        PARSER = new com.google.protobuf.AbstractParser<ConsensusMessage>() {
+      @java.lang.Override
+      public ConsensusMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ConsensusMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ConsensusMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PreVoteRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.PreVoteRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 target_disk = 1;</code>
+     * @return The targetDisk.
+     */
+    long getTargetDisk();
+
+    /**
+     * <code>uint64 last_index = 2;</code>
+     * @return The lastIndex.
+     */
+    long getLastIndex();
+
+    /**
+     * <code>uint64 last_term = 3;</code>
+     * @return The lastTerm.
+     */
+    long getLastTerm();
+  }
+  /**
+   * Protobuf type {@code nettlering.PreVoteRequest}
+   */
+  public static final class PreVoteRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.PreVoteRequest)
+      PreVoteRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PreVoteRequest");
+    }
+    // Use PreVoteRequest.newBuilder() to construct.
+    private PreVoteRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PreVoteRequest() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.class, org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder.class);
+    }
+
+    public static final int TARGET_DISK_FIELD_NUMBER = 1;
+    private long targetDisk_ = 0L;
+    /**
+     * <code>fixed64 target_disk = 1;</code>
+     * @return The targetDisk.
+     */
+    @java.lang.Override
+    public long getTargetDisk() {
+      return targetDisk_;
+    }
+
+    public static final int LAST_INDEX_FIELD_NUMBER = 2;
+    private long lastIndex_ = 0L;
+    /**
+     * <code>uint64 last_index = 2;</code>
+     * @return The lastIndex.
+     */
+    @java.lang.Override
+    public long getLastIndex() {
+      return lastIndex_;
+    }
+
+    public static final int LAST_TERM_FIELD_NUMBER = 3;
+    private long lastTerm_ = 0L;
+    /**
+     * <code>uint64 last_term = 3;</code>
+     * @return The lastTerm.
