+     */
+    @java.lang.Override
+    public long getLastTerm() {
+      return lastTerm_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (targetDisk_ != 0L) {
+        output.writeFixed64(1, targetDisk_);
+      }
+      if (lastIndex_ != 0L) {
+        output.writeUInt64(2, lastIndex_);
+      }
+      if (lastTerm_ != 0L) {
+        output.writeUInt64(3, lastTerm_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (targetDisk_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, targetDisk_);
+      }
+      if (lastIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, lastIndex_);
+      }
+      if (lastTerm_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, lastTerm_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.PreVoteRequest)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.PreVoteRequest other = (org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) obj;
+
+      if (getTargetDisk()
+          != other.getTargetDisk()) return false;
+      if (getLastIndex()
+          != other.getLastIndex()) return false;
+      if (getLastTerm()
+          != other.getLastTerm()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_DISK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTargetDisk());
+      hash = (37 * hash) + LAST_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastIndex());
+      hash = (37 * hash) + LAST_TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastTerm());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.PreVoteRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.PreVoteRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.PreVoteRequest)
+        org.nettlering.wire.proto.ConsensusProto.PreVoteRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.class, org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        targetDisk_ = 0L;
+        lastIndex_ = 0L;
+        lastTerm_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteRequest_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest build() {
+        org.nettlering.wire.proto.ConsensusProto.PreVoteRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.PreVoteRequest result = new org.nettlering.wire.proto.ConsensusProto.PreVoteRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.PreVoteRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.targetDisk_ = targetDisk_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.lastIndex_ = lastIndex_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.lastTerm_ = lastTerm_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.PreVoteRequest) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.PreVoteRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.PreVoteRequest other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.PreVoteRequest.getDefaultInstance()) return this;
+        if (other.getTargetDisk() != 0L) {
+          setTargetDisk(other.getTargetDisk());
+        }
+        if (other.getLastIndex() != 0L) {
+          setLastIndex(other.getLastIndex());
+        }
+        if (other.getLastTerm() != 0L) {
+          setLastTerm(other.getLastTerm());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                targetDisk_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                lastIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                lastTerm_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long targetDisk_ ;
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @return The targetDisk.
+       */
+      @java.lang.Override
+      public long getTargetDisk() {
+        return targetDisk_;
+      }
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @param value The targetDisk to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetDisk(long value) {
+
+        targetDisk_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTargetDisk() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        targetDisk_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lastIndex_ ;
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @return The lastIndex.
+       */
+      @java.lang.Override
+      public long getLastIndex() {
+        return lastIndex_;
+      }
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @param value The lastIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastIndex(long value) {
+
+        lastIndex_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastIndex() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        lastIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lastTerm_ ;
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @return The lastTerm.
+       */
+      @java.lang.Override
+      public long getLastTerm() {
+        return lastTerm_;
+      }
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @param value The lastTerm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastTerm(long value) {
+
+        lastTerm_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastTerm() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        lastTerm_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.PreVoteRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.PreVoteRequest)
+    private static final org.nettlering.wire.proto.ConsensusProto.PreVoteRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.PreVoteRequest();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PreVoteRequest>
+        PARSER = new com.google.protobuf.AbstractParser<PreVoteRequest>() {
+      @java.lang.Override
+      public PreVoteRequest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PreVoteRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PreVoteRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PreVoteResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.PreVoteResponse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    long getDiskId();
+
+    /**
+     * <code>uint64 requested_term = 2;</code>
+     * @return The requestedTerm.
+     */
+    long getRequestedTerm();
+
+    /**
+     * <code>bool granted = 3;</code>
+     * @return The granted.
+     */
+    boolean getGranted();
+  }
+  /**
+   * Protobuf type {@code nettlering.PreVoteResponse}
+   */
+  public static final class PreVoteResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.PreVoteResponse)
+      PreVoteResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PreVoteResponse");
+    }
+    // Use PreVoteResponse.newBuilder() to construct.
+    private PreVoteResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PreVoteResponse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.class, org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder.class);
+    }
+
+    public static final int DISK_ID_FIELD_NUMBER = 1;
+    private long diskId_ = 0L;
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    @java.lang.Override
+    public long getDiskId() {
+      return diskId_;
+    }
+
+    public static final int REQUESTED_TERM_FIELD_NUMBER = 2;
+    private long requestedTerm_ = 0L;
+    /**
+     * <code>uint64 requested_term = 2;</code>
+     * @return The requestedTerm.
+     */
+    @java.lang.Override
+    public long getRequestedTerm() {
+      return requestedTerm_;
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 3;
+    private boolean granted_ = false;
+    /**
+     * <code>bool granted = 3;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public boolean getGranted() {
+      return granted_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (diskId_ != 0L) {
+        output.writeFixed64(1, diskId_);
+      }
+      if (requestedTerm_ != 0L) {
+        output.writeUInt64(2, requestedTerm_);
+      }
+      if (granted_ != false) {
+        output.writeBool(3, granted_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (diskId_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, diskId_);
+      }
+      if (requestedTerm_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, requestedTerm_);
+      }
+      if (granted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, granted_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.PreVoteResponse)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.PreVoteResponse other = (org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) obj;
+
+      if (getDiskId()
+          != other.getDiskId()) return false;
+      if (getRequestedTerm()
+          != other.getRequestedTerm()) return false;
+      if (getGranted()
+          != other.getGranted()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DISK_ID_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDiskId());
+      hash = (37 * hash) + REQUESTED_TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRequestedTerm());
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getGranted());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.PreVoteResponse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.PreVoteResponse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.PreVoteResponse)
+        org.nettlering.wire.proto.ConsensusProto.PreVoteResponseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.class, org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        diskId_ = 0L;
+        requestedTerm_ = 0L;
+        granted_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_PreVoteResponse_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse build() {
+        org.nettlering.wire.proto.ConsensusProto.PreVoteResponse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.PreVoteResponse result = new org.nettlering.wire.proto.ConsensusProto.PreVoteResponse(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.PreVoteResponse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.diskId_ = diskId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requestedTerm_ = requestedTerm_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.granted_ = granted_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.PreVoteResponse) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.PreVoteResponse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.PreVoteResponse other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.PreVoteResponse.getDefaultInstance()) return this;
+        if (other.getDiskId() != 0L) {
+          setDiskId(other.getDiskId());
+        }
+        if (other.getRequestedTerm() != 0L) {
+          setRequestedTerm(other.getRequestedTerm());
+        }
+        if (other.getGranted() != false) {
+          setGranted(other.getGranted());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                diskId_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                requestedTerm_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                granted_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long diskId_ ;
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return The diskId.
+       */
+      @java.lang.Override
+      public long getDiskId() {
+        return diskId_;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @param value The diskId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDiskId(long value) {
+
+        diskId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDiskId() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        diskId_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long requestedTerm_ ;
+      /**
+       * <code>uint64 requested_term = 2;</code>
+       * @return The requestedTerm.
+       */
+      @java.lang.Override
+      public long getRequestedTerm() {
+        return requestedTerm_;
+      }
+      /**
+       * <code>uint64 requested_term = 2;</code>
+       * @param value The requestedTerm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestedTerm(long value) {
+
+        requestedTerm_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 requested_term = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequestedTerm() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requestedTerm_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean granted_ ;
+      /**
+       * <code>bool granted = 3;</code>
+       * @return The granted.
+       */
+      @java.lang.Override
+      public boolean getGranted() {
+        return granted_;
+      }
+      /**
+       * <code>bool granted = 3;</code>
+       * @param value The granted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGranted(boolean value) {
+
+        granted_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool granted = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGranted() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        granted_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.PreVoteResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.PreVoteResponse)
+    private static final org.nettlering.wire.proto.ConsensusProto.PreVoteResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.PreVoteResponse();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PreVoteResponse>
+        PARSER = new com.google.protobuf.AbstractParser<PreVoteResponse>() {
+      @java.lang.Override
+      public PreVoteResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PreVoteResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PreVoteResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.PreVoteResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface VoteRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.VoteRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 target_disk = 1;</code>
+     * @return The targetDisk.
+     */
+    long getTargetDisk();
+
+    /**
+     * <code>uint64 last_index = 2;</code>
+     * @return The lastIndex.
+     */
+    long getLastIndex();
+
+    /**
+     * <code>uint64 last_term = 3;</code>
+     * @return The lastTerm.
+     */
+    long getLastTerm();
+
+    /**
+     * <code>bool transfer = 4;</code>
+     * @return The transfer.
+     */
+    boolean getTransfer();
+  }
+  /**
+   * Protobuf type {@code nettlering.VoteRequest}
+   */
+  public static final class VoteRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.VoteRequest)
+      VoteRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "VoteRequest");
+    }
+    // Use VoteRequest.newBuilder() to construct.
+    private VoteRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private VoteRequest() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.VoteRequest.class, org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder.class);
+    }
+
+    public static final int TARGET_DISK_FIELD_NUMBER = 1;
+    private long targetDisk_ = 0L;
+    /**
+     * <code>fixed64 target_disk = 1;</code>
+     * @return The targetDisk.
+     */
+    @java.lang.Override
+    public long getTargetDisk() {
+      return targetDisk_;
+    }
+
+    public static final int LAST_INDEX_FIELD_NUMBER = 2;
+    private long lastIndex_ = 0L;
+    /**
+     * <code>uint64 last_index = 2;</code>
+     * @return The lastIndex.
+     */
+    @java.lang.Override
+    public long getLastIndex() {
+      return lastIndex_;
+    }
+
+    public static final int LAST_TERM_FIELD_NUMBER = 3;
+    private long lastTerm_ = 0L;
+    /**
+     * <code>uint64 last_term = 3;</code>
+     * @return The lastTerm.
+     */
+    @java.lang.Override
+    public long getLastTerm() {
+      return lastTerm_;
+    }
+
+    public static final int TRANSFER_FIELD_NUMBER = 4;
+    private boolean transfer_ = false;
+    /**
+     * <code>bool transfer = 4;</code>
+     * @return The transfer.
+     */
+    @java.lang.Override
+    public boolean getTransfer() {
+      return transfer_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (targetDisk_ != 0L) {
+        output.writeFixed64(1, targetDisk_);
+      }
+      if (lastIndex_ != 0L) {
+        output.writeUInt64(2, lastIndex_);
+      }
+      if (lastTerm_ != 0L) {
+        output.writeUInt64(3, lastTerm_);
+      }
+      if (transfer_ != false) {
+        output.writeBool(4, transfer_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (targetDisk_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, targetDisk_);
+      }
+      if (lastIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, lastIndex_);
+      }
+      if (lastTerm_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, lastTerm_);
+      }
+      if (transfer_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, transfer_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.VoteRequest)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.VoteRequest other = (org.nettlering.wire.proto.ConsensusProto.VoteRequest) obj;
+
+      if (getTargetDisk()
+          != other.getTargetDisk()) return false;
+      if (getLastIndex()
+          != other.getLastIndex()) return false;
+      if (getLastTerm()
+          != other.getLastTerm()) return false;
+      if (getTransfer()
+          != other.getTransfer()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_DISK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTargetDisk());
+      hash = (37 * hash) + LAST_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastIndex());
+      hash = (37 * hash) + LAST_TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastTerm());
+      hash = (37 * hash) + TRANSFER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getTransfer());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.VoteRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.VoteRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.VoteRequest)
+        org.nettlering.wire.proto.ConsensusProto.VoteRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.VoteRequest.class, org.nettlering.wire.proto.ConsensusProto.VoteRequest.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.VoteRequest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        targetDisk_ = 0L;
+        lastIndex_ = 0L;
+        lastTerm_ = 0L;
+        transfer_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteRequest_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequest getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequest build() {
+        org.nettlering.wire.proto.ConsensusProto.VoteRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteRequest buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.VoteRequest result = new org.nettlering.wire.proto.ConsensusProto.VoteRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.VoteRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.targetDisk_ = targetDisk_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.lastIndex_ = lastIndex_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.lastTerm_ = lastTerm_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.transfer_ = transfer_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.VoteRequest) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.VoteRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.VoteRequest other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.VoteRequest.getDefaultInstance()) return this;
+        if (other.getTargetDisk() != 0L) {
+          setTargetDisk(other.getTargetDisk());
+        }
+        if (other.getLastIndex() != 0L) {
+          setLastIndex(other.getLastIndex());
+        }
+        if (other.getLastTerm() != 0L) {
+          setLastTerm(other.getLastTerm());
+        }
+        if (other.getTransfer() != false) {
+          setTransfer(other.getTransfer());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                targetDisk_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                lastIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                lastTerm_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                transfer_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long targetDisk_ ;
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @return The targetDisk.
+       */
+      @java.lang.Override
+      public long getTargetDisk() {
+        return targetDisk_;
+      }
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @param value The targetDisk to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetDisk(long value) {
+
+        targetDisk_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 target_disk = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTargetDisk() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        targetDisk_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lastIndex_ ;
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @return The lastIndex.
+       */
+      @java.lang.Override
+      public long getLastIndex() {
+        return lastIndex_;
+      }
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @param value The lastIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastIndex(long value) {
+
+        lastIndex_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 last_index = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastIndex() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        lastIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lastTerm_ ;
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @return The lastTerm.
+       */
+      @java.lang.Override
+      public long getLastTerm() {
+        return lastTerm_;
+      }
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @param value The lastTerm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastTerm(long value) {
+
+        lastTerm_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 last_term = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastTerm() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        lastTerm_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean transfer_ ;
+      /**
+       * <code>bool transfer = 4;</code>
+       * @return The transfer.
+       */
+      @java.lang.Override
+      public boolean getTransfer() {
+        return transfer_;
+      }
+      /**
+       * <code>bool transfer = 4;</code>
+       * @param value The transfer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTransfer(boolean value) {
+
+        transfer_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool transfer = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTransfer() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        transfer_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.VoteRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.VoteRequest)
+    private static final org.nettlering.wire.proto.ConsensusProto.VoteRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.VoteRequest();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<VoteRequest>
+        PARSER = new com.google.protobuf.AbstractParser<VoteRequest>() {
+      @java.lang.Override
+      public VoteRequest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<VoteRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<VoteRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface VoteResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.VoteResponse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    long getDiskId();
+
+    /**
+     * <code>bool granted = 2;</code>
+     * @return The granted.
+     */
+    boolean getGranted();
+  }
+  /**
+   * Protobuf type {@code nettlering.VoteResponse}
+   */
+  public static final class VoteResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.VoteResponse)
+      VoteResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "VoteResponse");
+    }
+    // Use VoteResponse.newBuilder() to construct.
+    private VoteResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private VoteResponse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.VoteResponse.class, org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder.class);
+    }
+
+    public static final int DISK_ID_FIELD_NUMBER = 1;
+    private long diskId_ = 0L;
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    @java.lang.Override
+    public long getDiskId() {
+      return diskId_;
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 2;
+    private boolean granted_ = false;
+    /**
+     * <code>bool granted = 2;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public boolean getGranted() {
+      return granted_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (diskId_ != 0L) {
+        output.writeFixed64(1, diskId_);
+      }
+      if (granted_ != false) {
+        output.writeBool(2, granted_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (diskId_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, diskId_);
+      }
+      if (granted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, granted_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.VoteResponse)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.VoteResponse other = (org.nettlering.wire.proto.ConsensusProto.VoteResponse) obj;
+
+      if (getDiskId()
+          != other.getDiskId()) return false;
+      if (getGranted()
+          != other.getGranted()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DISK_ID_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDiskId());
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getGranted());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.VoteResponse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.VoteResponse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.VoteResponse)
+        org.nettlering.wire.proto.ConsensusProto.VoteResponseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.VoteResponse.class, org.nettlering.wire.proto.ConsensusProto.VoteResponse.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.VoteResponse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        diskId_ = 0L;
+        granted_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_VoteResponse_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponse build() {
+        org.nettlering.wire.proto.ConsensusProto.VoteResponse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.VoteResponse buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.VoteResponse result = new org.nettlering.wire.proto.ConsensusProto.VoteResponse(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.VoteResponse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.diskId_ = diskId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.granted_ = granted_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.VoteResponse) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.VoteResponse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.VoteResponse other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.VoteResponse.getDefaultInstance()) return this;
+        if (other.getDiskId() != 0L) {
+          setDiskId(other.getDiskId());
+        }
+        if (other.getGranted() != false) {
+          setGranted(other.getGranted());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                diskId_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                granted_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long diskId_ ;
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return The diskId.
+       */
+      @java.lang.Override
+      public long getDiskId() {
+        return diskId_;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @param value The diskId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDiskId(long value) {
+
+        diskId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDiskId() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        diskId_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean granted_ ;
+      /**
+       * <code>bool granted = 2;</code>
+       * @return The granted.
+       */
+      @java.lang.Override
+      public boolean getGranted() {
+        return granted_;
+      }
+      /**
+       * <code>bool granted = 2;</code>
+       * @param value The granted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGranted(boolean value) {
+
+        granted_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool granted = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGranted() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        granted_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.VoteResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.VoteResponse)
+    private static final org.nettlering.wire.proto.ConsensusProto.VoteResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.VoteResponse();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.VoteResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<VoteResponse>
+        PARSER = new com.google.protobuf.AbstractParser<VoteResponse>() {
+      @java.lang.Override
+      public VoteResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<VoteResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<VoteResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.VoteResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AppendRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.AppendRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 previous_index = 1;</code>
+     * @return The previousIndex.
+     */
+    long getPreviousIndex();
+
+    /**
+     * <code>uint64 previous_term = 2;</code>
+     * @return The previousTerm.
+     */
+    long getPreviousTerm();
+
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry> 
+        getEntriesList();
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.LogEntry getEntries(int index);
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    int getEntriesCount();
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder> 
+        getEntriesOrBuilderList();
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder getEntriesOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 commit_index = 4;</code>
+     * @return The commitIndex.
+     */
+    long getCommitIndex();
+
+    /**
+     * <code>uint64 round = 5;</code>
+     * @return The round.
+     */
+    long getRound();
+  }
+  /**
+   * Protobuf type {@code nettlering.AppendRequest}
+   */
+  public static final class AppendRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.AppendRequest)
+      AppendRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AppendRequest");
+    }
+    // Use AppendRequest.newBuilder() to construct.
+    private AppendRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AppendRequest() {
+      entries_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.AppendRequest.class, org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder.class);
+    }
+
+    public static final int PREVIOUS_INDEX_FIELD_NUMBER = 1;
+    private long previousIndex_ = 0L;
+    /**
+     * <code>uint64 previous_index = 1;</code>
+     * @return The previousIndex.
+     */
+    @java.lang.Override
+    public long getPreviousIndex() {
+      return previousIndex_;
+    }
+
+    public static final int PREVIOUS_TERM_FIELD_NUMBER = 2;
+    private long previousTerm_ = 0L;
+    /**
+     * <code>uint64 previous_term = 2;</code>
+     * @return The previousTerm.
+     */
+    @java.lang.Override
+    public long getPreviousTerm() {
+      return previousTerm_;
+    }
+
+    public static final int ENTRIES_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry> entries_;
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry> getEntriesList() {
+      return entries_;
+    }
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder> 
+        getEntriesOrBuilderList() {
+      return entries_;
+    }
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    @java.lang.Override
+    public int getEntriesCount() {
+      return entries_.size();
+    }
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.LogEntry getEntries(int index) {
+      return entries_.get(index);
+    }
+    /**
+     * <pre>
+     * Entries follow each other from previous_index + 1.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LogEntry entries = 3;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder getEntriesOrBuilder(
+        int index) {
+      return entries_.get(index);
+    }
+
+    public static final int COMMIT_INDEX_FIELD_NUMBER = 4;
+    private long commitIndex_ = 0L;
+    /**
+     * <code>uint64 commit_index = 4;</code>
+     * @return The commitIndex.
+     */
+    @java.lang.Override
+    public long getCommitIndex() {
+      return commitIndex_;
+    }
+
+    public static final int ROUND_FIELD_NUMBER = 5;
+    private long round_ = 0L;
+    /**
+     * <code>uint64 round = 5;</code>
+     * @return The round.
+     */
+    @java.lang.Override
+    public long getRound() {
+      return round_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (previousIndex_ != 0L) {
+        output.writeUInt64(1, previousIndex_);
+      }
+      if (previousTerm_ != 0L) {
+        output.writeUInt64(2, previousTerm_);
+      }
+      for (int i = 0; i < entries_.size(); i++) {
+        output.writeMessage(3, entries_.get(i));
+      }
+      if (commitIndex_ != 0L) {
+        output.writeUInt64(4, commitIndex_);
+      }
+      if (round_ != 0L) {
+        output.writeUInt64(5, round_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (previousIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, previousIndex_);
+      }
+      if (previousTerm_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, previousTerm_);
+      }
+
+          {
+            final int count = entries_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(entries_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (commitIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, commitIndex_);
+      }
+      if (round_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, round_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.AppendRequest)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.AppendRequest other = (org.nettlering.wire.proto.ConsensusProto.AppendRequest) obj;
+
+      if (getPreviousIndex()
+          != other.getPreviousIndex()) return false;
+      if (getPreviousTerm()
+          != other.getPreviousTerm()) return false;
+      if (!getEntriesList()
+          .equals(other.getEntriesList())) return false;
+      if (getCommitIndex()
+          != other.getCommitIndex()) return false;
+      if (getRound()
+          != other.getRound()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PREVIOUS_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getPreviousIndex());
+      hash = (37 * hash) + PREVIOUS_TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getPreviousTerm());
+      if (getEntriesCount() > 0) {
+        hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
+        hash = (53 * hash) + getEntriesList().hashCode();
+      }
+      hash = (37 * hash) + COMMIT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCommitIndex());
+      hash = (37 * hash) + ROUND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRound());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.AppendRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.AppendRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.AppendRequest)
+        org.nettlering.wire.proto.ConsensusProto.AppendRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.AppendRequest.class, org.nettlering.wire.proto.ConsensusProto.AppendRequest.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.AppendRequest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        previousIndex_ = 0L;
+        previousTerm_ = 0L;
+        if (entriesBuilder_ == null) {
+          entries_ = java.util.Collections.emptyList();
+        } else {
+          entries_ = null;
+          entriesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        commitIndex_ = 0L;
+        round_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendRequest_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequest getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequest build() {
+        org.nettlering.wire.proto.ConsensusProto.AppendRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendRequest buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.AppendRequest result = new org.nettlering.wire.proto.ConsensusProto.AppendRequest(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.nettlering.wire.proto.ConsensusProto.AppendRequest result) {
+        if (entriesBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            entries_ = java.util.Collections.unmodifiableList(entries_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.entries_ = entries_;
+        } else {
+          result.entries_ = entriesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.AppendRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.previousIndex_ = previousIndex_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.previousTerm_ = previousTerm_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.commitIndex_ = commitIndex_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.round_ = round_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.AppendRequest) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.AppendRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.AppendRequest other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.AppendRequest.getDefaultInstance()) return this;
+        if (other.getPreviousIndex() != 0L) {
+          setPreviousIndex(other.getPreviousIndex());
+        }
+        if (other.getPreviousTerm() != 0L) {
+          setPreviousTerm(other.getPreviousTerm());
+        }
+        if (entriesBuilder_ == null) {
+          if (!other.entries_.isEmpty()) {
+            if (entries_.isEmpty()) {
+              entries_ = other.entries_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureEntriesIsMutable();
+              entries_.addAll(other.entries_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.entries_.isEmpty()) {
+            if (entriesBuilder_.isEmpty()) {
+              entriesBuilder_.dispose();
+              entriesBuilder_ = null;
+              entries_ = other.entries_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              entriesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetEntriesFieldBuilder() : null;
+            } else {
+              entriesBuilder_.addAllMessages(other.entries_);
+            }
+          }
+        }
+        if (other.getCommitIndex() != 0L) {
+          setCommitIndex(other.getCommitIndex());
+        }
+        if (other.getRound() != 0L) {
+          setRound(other.getRound());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                previousIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                previousTerm_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                org.nettlering.wire.proto.ConsensusProto.LogEntry m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.ConsensusProto.LogEntry.parser(),
+                        extensionRegistry);
+                if (entriesBuilder_ == null) {
+                  ensureEntriesIsMutable();
+                  entries_.add(m);
+                } else {
+                  entriesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              case 32: {
+                commitIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                round_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long previousIndex_ ;
+      /**
+       * <code>uint64 previous_index = 1;</code>
+       * @return The previousIndex.
+       */
+      @java.lang.Override
+      public long getPreviousIndex() {
+        return previousIndex_;
+      }
+      /**
+       * <code>uint64 previous_index = 1;</code>
+       * @param value The previousIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPreviousIndex(long value) {
+
+        previousIndex_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 previous_index = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPreviousIndex() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        previousIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long previousTerm_ ;
+      /**
+       * <code>uint64 previous_term = 2;</code>
+       * @return The previousTerm.
+       */
+      @java.lang.Override
+      public long getPreviousTerm() {
+        return previousTerm_;
+      }
+      /**
+       * <code>uint64 previous_term = 2;</code>
+       * @param value The previousTerm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPreviousTerm(long value) {
+
+        previousTerm_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 previous_term = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPreviousTerm() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        previousTerm_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry> entries_ =
+        java.util.Collections.emptyList();
+      private void ensureEntriesIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          entries_ = new java.util.ArrayList<org.nettlering.wire.proto.ConsensusProto.LogEntry>(entries_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.LogEntry, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder, org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder> entriesBuilder_;
+
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry> getEntriesList() {
+        if (entriesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(entries_);
+        } else {
+          return entriesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public int getEntriesCount() {
+        if (entriesBuilder_ == null) {
+          return entries_.size();
+        } else {
+          return entriesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry getEntries(int index) {
+        if (entriesBuilder_ == null) {
+          return entries_.get(index);
+        } else {
+          return entriesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder setEntries(
+          int index, org.nettlering.wire.proto.ConsensusProto.LogEntry value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.set(index, value);
+          onChanged();
+        } else {
+          entriesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder setEntries(
+          int index, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder addEntries(org.nettlering.wire.proto.ConsensusProto.LogEntry value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.add(value);
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder addEntries(
+          int index, org.nettlering.wire.proto.ConsensusProto.LogEntry value) {
+        if (entriesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureEntriesIsMutable();
+          entries_.add(index, value);
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder addEntries(
+          org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.add(builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder addEntries(
+          int index, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder builderForValue) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          entriesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder addAllEntries(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.ConsensusProto.LogEntry> values) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, entries_);
+          onChanged();
+        } else {
+          entriesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder clearEntries() {
+        if (entriesBuilder_ == null) {
+          entries_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          entriesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public Builder removeEntries(int index) {
+        if (entriesBuilder_ == null) {
+          ensureEntriesIsMutable();
+          entries_.remove(index);
+          onChanged();
+        } else {
+          entriesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder getEntriesBuilder(
+          int index) {
+        return internalGetEntriesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder getEntriesOrBuilder(
+          int index) {
+        if (entriesBuilder_ == null) {
+          return entries_.get(index);  } else {
+          return entriesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder> 
+           getEntriesOrBuilderList() {
+        if (entriesBuilder_ != null) {
+          return entriesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(entries_);
+        }
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder addEntriesBuilder() {
+        return internalGetEntriesFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.ConsensusProto.LogEntry.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder addEntriesBuilder(
+          int index) {
+        return internalGetEntriesFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.ConsensusProto.LogEntry.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Entries follow each other from previous_index + 1.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LogEntry entries = 3;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder> 
+           getEntriesBuilderList() {
+        return internalGetEntriesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.ConsensusProto.LogEntry, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder, org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder> 
+          internalGetEntriesFieldBuilder() {
+        if (entriesBuilder_ == null) {
+          entriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.ConsensusProto.LogEntry, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder, org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder>(
+                  entries_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          entries_ = null;
+        }
+        return entriesBuilder_;
+      }
+
+      private long commitIndex_ ;
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @return The commitIndex.
+       */
+      @java.lang.Override
+      public long getCommitIndex() {
+        return commitIndex_;
+      }
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @param value The commitIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCommitIndex(long value) {
+
+        commitIndex_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCommitIndex() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        commitIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long round_ ;
+      /**
+       * <code>uint64 round = 5;</code>
+       * @return The round.
+       */
+      @java.lang.Override
+      public long getRound() {
+        return round_;
+      }
+      /**
+       * <code>uint64 round = 5;</code>
+       * @param value The round to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRound(long value) {
+
+        round_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 round = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRound() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        round_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.AppendRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.AppendRequest)
+    private static final org.nettlering.wire.proto.ConsensusProto.AppendRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.AppendRequest();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AppendRequest>
+        PARSER = new com.google.protobuf.AbstractParser<AppendRequest>() {
+      @java.lang.Override
+      public AppendRequest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AppendRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AppendRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface LogEntryOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.LogEntry)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 term = 1;</code>
+     * @return The term.
+     */
+    long getTerm();
+
+    /**
+     * <code>.nettlering.LogEntryKind kind = 2;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    int getKindValue();
+    /**
+     * <code>.nettlering.LogEntryKind kind = 2;</code>
+     * @return The kind.
+     */
+    org.nettlering.wire.proto.ConsensusProto.LogEntryKind getKind();
+
+    /**
+     * <code>bytes payload = 3;</code>
+     * @return The payload.
+     */
+    com.google.protobuf.ByteString getPayload();
+  }
+  /**
+   * Protobuf type {@code nettlering.LogEntry}
+   */
+  public static final class LogEntry extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.LogEntry)
+      LogEntryOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "LogEntry");
+    }
+    // Use LogEntry.newBuilder() to construct.
+    private LogEntry(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private LogEntry() {
+      kind_ = 0;
+      payload_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.LogEntry.class, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder.class);
+    }
+
+    public static final int TERM_FIELD_NUMBER = 1;
+    private long term_ = 0L;
+    /**
+     * <code>uint64 term = 1;</code>
+     * @return The term.
+     */
+    @java.lang.Override
+    public long getTerm() {
+      return term_;
+    }
+
+    public static final int KIND_FIELD_NUMBER = 2;
+    private int kind_ = 0;
+    /**
+     * <code>.nettlering.LogEntryKind kind = 2;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.nettlering.LogEntryKind kind = 2;</code>
+     * @return The kind.
+     */
+    @java.lang.Override public org.nettlering.wire.proto.ConsensusProto.LogEntryKind getKind() {
+      org.nettlering.wire.proto.ConsensusProto.LogEntryKind result = org.nettlering.wire.proto.ConsensusProto.LogEntryKind.forNumber(kind_);
+      return result == null ? org.nettlering.wire.proto.ConsensusProto.LogEntryKind.UNRECOGNIZED : result;
+    }
+
+    public static final int PAYLOAD_FIELD_NUMBER = 3;
+    private com.google.protobuf.ByteString payload_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes payload = 3;</code>
+     * @return The payload.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getPayload() {
+      return payload_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (term_ != 0L) {
+        output.writeUInt64(1, term_);
+      }
+      if (kind_ != org.nettlering.wire.proto.ConsensusProto.LogEntryKind.LOG_ENTRY_KIND_UNSPECIFIED.getNumber()) {
+        output.writeEnum(2, kind_);
+      }
+      if (!payload_.isEmpty()) {
+        output.writeBytes(3, payload_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (term_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, term_);
+      }
+      if (kind_ != org.nettlering.wire.proto.ConsensusProto.LogEntryKind.LOG_ENTRY_KIND_UNSPECIFIED.getNumber()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeEnumSize(2, kind_);
+      }
+      if (!payload_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(3, payload_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.LogEntry)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.LogEntry other = (org.nettlering.wire.proto.ConsensusProto.LogEntry) obj;
+
+      if (getTerm()
+          != other.getTerm()) return false;
+      if (kind_ != other.kind_) return false;
+      if (!getPayload()
+          .equals(other.getPayload())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTerm());
+      hash = (37 * hash) + KIND_FIELD_NUMBER;
+      hash = (53 * hash) + kind_;
+      hash = (37 * hash) + PAYLOAD_FIELD_NUMBER;
+      hash = (53 * hash) + getPayload().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.LogEntry prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.LogEntry}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.LogEntry)
+        org.nettlering.wire.proto.ConsensusProto.LogEntryOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.LogEntry.class, org.nettlering.wire.proto.ConsensusProto.LogEntry.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.LogEntry.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        term_ = 0L;
+        kind_ = 0;
+        payload_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_LogEntry_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.LogEntry.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry build() {
+        org.nettlering.wire.proto.ConsensusProto.LogEntry result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.LogEntry buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.LogEntry result = new org.nettlering.wire.proto.ConsensusProto.LogEntry(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.LogEntry result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.term_ = term_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.kind_ = kind_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.payload_ = payload_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.LogEntry) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.LogEntry)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.LogEntry other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.LogEntry.getDefaultInstance()) return this;
+        if (other.getTerm() != 0L) {
+          setTerm(other.getTerm());
+        }
+        if (other.kind_ != 0) {
+          setKindValue(other.getKindValue());
+        }
+        if (!other.getPayload().isEmpty()) {
+          setPayload(other.getPayload());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                term_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                kind_ = input.readEnum();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                payload_ = input.readBytes();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long term_ ;
+      /**
+       * <code>uint64 term = 1;</code>
+       * @return The term.
+       */
+      @java.lang.Override
+      public long getTerm() {
+        return term_;
+      }
+      /**
+       * <code>uint64 term = 1;</code>
+       * @param value The term to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTerm(long value) {
+
+        term_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 term = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTerm() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        term_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int kind_ = 0;
+      /**
+       * <code>.nettlering.LogEntryKind kind = 2;</code>
+       * @return The enum numeric value on the wire for kind.
+       */
+      @java.lang.Override public int getKindValue() {
+        return kind_;
+      }
+      /**
+       * <code>.nettlering.LogEntryKind kind = 2;</code>
+       * @param value The enum numeric value on the wire for kind to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKindValue(int value) {
+        kind_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.LogEntryKind kind = 2;</code>
+       * @return The kind.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.LogEntryKind getKind() {
+        org.nettlering.wire.proto.ConsensusProto.LogEntryKind result = org.nettlering.wire.proto.ConsensusProto.LogEntryKind.forNumber(kind_);
+        return result == null ? org.nettlering.wire.proto.ConsensusProto.LogEntryKind.UNRECOGNIZED : result;
+      }
+      /**
+       * <code>.nettlering.LogEntryKind kind = 2;</code>
+       * @param value The kind to set.
+       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * @return This builder for chaining.
+       */
+      public Builder setKind(org.nettlering.wire.proto.ConsensusProto.LogEntryKind value) {
+        java.util.Objects.requireNonNull(value);
+        bitField0_ |= 0x00000002;
+        kind_ = value.getNumber();
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.LogEntryKind kind = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKind() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        kind_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString payload_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes payload = 3;</code>
+       * @return The payload.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getPayload() {
+        return payload_;
+      }
+      /**
+       * <code>bytes payload = 3;</code>
+       * @param value The payload to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPayload(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        payload_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes payload = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPayload() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        payload_ = getDefaultInstance().getPayload();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.LogEntry)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.LogEntry)
+    private static final org.nettlering.wire.proto.ConsensusProto.LogEntry DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.LogEntry();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.LogEntry getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<LogEntry>
+        PARSER = new com.google.protobuf.AbstractParser<LogEntry>() {
+      @java.lang.Override
+      public LogEntry parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<LogEntry> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<LogEntry> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.LogEntry getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AppendResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.AppendResponse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    long getDiskId();
+
+    /**
+     * <code>bool accepted = 2;</code>
+     * @return The accepted.
+     */
+    boolean getAccepted();
+
+    /**
+     * <code>uint64 index = 3;</code>
+     * @return The index.
+     */
+    long getIndex();
+
+    /**
+     * <code>uint64 next_index = 4;</code>
+     * @return The nextIndex.
+     */
+    long getNextIndex();
+
+    /**
+     * <code>uint64 round = 5;</code>
+     * @return The round.
+     */
+    long getRound();
+  }
+  /**
+   * Protobuf type {@code nettlering.AppendResponse}
+   */
+  public static final class AppendResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.AppendResponse)
+      AppendResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AppendResponse");
+    }
+    // Use AppendResponse.newBuilder() to construct.
+    private AppendResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AppendResponse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.AppendResponse.class, org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder.class);
+    }
+
+    public static final int DISK_ID_FIELD_NUMBER = 1;
+    private long diskId_ = 0L;
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    @java.lang.Override
+    public long getDiskId() {
+      return diskId_;
+    }
+
+    public static final int ACCEPTED_FIELD_NUMBER = 2;
+    private boolean accepted_ = false;
+    /**
+     * <code>bool accepted = 2;</code>
+     * @return The accepted.
+     */
+    @java.lang.Override
+    public boolean getAccepted() {
+      return accepted_;
+    }
+
+    public static final int INDEX_FIELD_NUMBER = 3;
+    private long index_ = 0L;
+    /**
+     * <code>uint64 index = 3;</code>
+     * @return The index.
+     */
+    @java.lang.Override
+    public long getIndex() {
+      return index_;
+    }
+
+    public static final int NEXT_INDEX_FIELD_NUMBER = 4;
+    private long nextIndex_ = 0L;
+    /**
+     * <code>uint64 next_index = 4;</code>
+     * @return The nextIndex.
+     */
+    @java.lang.Override
+    public long getNextIndex() {
+      return nextIndex_;
+    }
+
+    public static final int ROUND_FIELD_NUMBER = 5;
+    private long round_ = 0L;
+    /**
+     * <code>uint64 round = 5;</code>
+     * @return The round.
+     */
+    @java.lang.Override
+    public long getRound() {
+      return round_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (diskId_ != 0L) {
+        output.writeFixed64(1, diskId_);
+      }
+      if (accepted_ != false) {
+        output.writeBool(2, accepted_);
+      }
+      if (index_ != 0L) {
+        output.writeUInt64(3, index_);
+      }
+      if (nextIndex_ != 0L) {
+        output.writeUInt64(4, nextIndex_);
+      }
+      if (round_ != 0L) {
+        output.writeUInt64(5, round_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (diskId_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, diskId_);
+      }
+      if (accepted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, accepted_);
+      }
+      if (index_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, index_);
+      }
+      if (nextIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, nextIndex_);
+      }
+      if (round_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, round_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.AppendResponse)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.AppendResponse other = (org.nettlering.wire.proto.ConsensusProto.AppendResponse) obj;
+
+      if (getDiskId()
+          != other.getDiskId()) return false;
+      if (getAccepted()
+          != other.getAccepted()) return false;
+      if (getIndex()
+          != other.getIndex()) return false;
+      if (getNextIndex()
+          != other.getNextIndex()) return false;
+      if (getRound()
+          != other.getRound()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DISK_ID_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDiskId());
+      hash = (37 * hash) + ACCEPTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAccepted());
+      hash = (37 * hash) + INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIndex());
+      hash = (37 * hash) + NEXT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNextIndex());
+      hash = (37 * hash) + ROUND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRound());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.AppendResponse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.AppendResponse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.AppendResponse)
+        org.nettlering.wire.proto.ConsensusProto.AppendResponseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.AppendResponse.class, org.nettlering.wire.proto.ConsensusProto.AppendResponse.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.AppendResponse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        diskId_ = 0L;
+        accepted_ = false;
+        index_ = 0L;
+        nextIndex_ = 0L;
+        round_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_AppendResponse_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponse build() {
+        org.nettlering.wire.proto.ConsensusProto.AppendResponse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.AppendResponse buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.AppendResponse result = new org.nettlering.wire.proto.ConsensusProto.AppendResponse(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.AppendResponse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.diskId_ = diskId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.accepted_ = accepted_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.index_ = index_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.nextIndex_ = nextIndex_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.round_ = round_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.AppendResponse) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.AppendResponse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.AppendResponse other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.AppendResponse.getDefaultInstance()) return this;
+        if (other.getDiskId() != 0L) {
+          setDiskId(other.getDiskId());
+        }
+        if (other.getAccepted() != false) {
+          setAccepted(other.getAccepted());
+        }
+        if (other.getIndex() != 0L) {
+          setIndex(other.getIndex());
+        }
+        if (other.getNextIndex() != 0L) {
+          setNextIndex(other.getNextIndex());
+        }
+        if (other.getRound() != 0L) {
+          setRound(other.getRound());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                diskId_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                accepted_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                index_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                nextIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                round_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long diskId_ ;
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return The diskId.
+       */
+      @java.lang.Override
+      public long getDiskId() {
+        return diskId_;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @param value The diskId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDiskId(long value) {
+
+        diskId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDiskId() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        diskId_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean accepted_ ;
+      /**
+       * <code>bool accepted = 2;</code>
+       * @return The accepted.
+       */
+      @java.lang.Override
+      public boolean getAccepted() {
+        return accepted_;
+      }
+      /**
+       * <code>bool accepted = 2;</code>
+       * @param value The accepted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAccepted(boolean value) {
+
+        accepted_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool accepted = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAccepted() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        accepted_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long index_ ;
+      /**
+       * <code>uint64 index = 3;</code>
+       * @return The index.
+       */
+      @java.lang.Override
+      public long getIndex() {
+        return index_;
+      }
+      /**
+       * <code>uint64 index = 3;</code>
+       * @param value The index to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIndex(long value) {
+
+        index_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 index = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIndex() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        index_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long nextIndex_ ;
+      /**
+       * <code>uint64 next_index = 4;</code>
+       * @return The nextIndex.
+       */
+      @java.lang.Override
+      public long getNextIndex() {
+        return nextIndex_;
+      }
+      /**
+       * <code>uint64 next_index = 4;</code>
+       * @param value The nextIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNextIndex(long value) {
+
+        nextIndex_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 next_index = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNextIndex() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        nextIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long round_ ;
+      /**
+       * <code>uint64 round = 5;</code>
+       * @return The round.
+       */
+      @java.lang.Override
+      public long getRound() {
+        return round_;
+      }
+      /**
+       * <code>uint64 round = 5;</code>
+       * @param value The round to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRound(long value) {
+
+        round_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 round = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRound() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        round_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.AppendResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.AppendResponse)
+    private static final org.nettlering.wire.proto.ConsensusProto.AppendResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.AppendResponse();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.AppendResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<AppendResponse>
+        PARSER = new com.google.protobuf.AbstractParser<AppendResponse>() {
+      @java.lang.Override
+      public AppendResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<AppendResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<AppendResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.AppendResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SnapshotPieceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.SnapshotPiece)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 index = 1;</code>
+     * @return The index.
+     */
+    long getIndex();
+
+    /**
+     * <code>uint64 index_term = 2;</code>
+     * @return The indexTerm.
+     */
+    long getIndexTerm();
+
+    /**
+     * <code>bytes membership = 3;</code>
+     * @return The membership.
+     */
+    com.google.protobuf.ByteString getMembership();
+
+    /**
+     * <code>uint64 size_bytes = 4;</code>
+     * @return The sizeBytes.
+     */
+    long getSizeBytes();
+
+    /**
+     * <code>fixed32 checksum = 5;</code>
+     * @return The checksum.
+     */
+    int getChecksum();
+
+    /**
+     * <code>uint64 offset = 6;</code>
+     * @return The offset.
+     */
+    long getOffset();
+
+    /**
+     * <code>bytes data = 7;</code>
+     * @return The data.
+     */
+    com.google.protobuf.ByteString getData();
+  }
+  /**
+   * Protobuf type {@code nettlering.SnapshotPiece}
+   */
+  public static final class SnapshotPiece extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.SnapshotPiece)
+      SnapshotPieceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SnapshotPiece");
+    }
+    // Use SnapshotPiece.newBuilder() to construct.
+    private SnapshotPiece(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SnapshotPiece() {
+      membership_ = com.google.protobuf.ByteString.EMPTY;
+      data_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.class, org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder.class);
+    }
+
+    public static final int INDEX_FIELD_NUMBER = 1;
+    private long index_ = 0L;
+    /**
+     * <code>uint64 index = 1;</code>
+     * @return The index.
+     */
+    @java.lang.Override
+    public long getIndex() {
+      return index_;
+    }
+
+    public static final int INDEX_TERM_FIELD_NUMBER = 2;
+    private long indexTerm_ = 0L;
+    /**
+     * <code>uint64 index_term = 2;</code>
+     * @return The indexTerm.
+     */
+    @java.lang.Override
+    public long getIndexTerm() {
+      return indexTerm_;
+    }
+
+    public static final int MEMBERSHIP_FIELD_NUMBER = 3;
+    private com.google.protobuf.ByteString membership_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes membership = 3;</code>
+     * @return The membership.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getMembership() {
+      return membership_;
+    }
+
+    public static final int SIZE_BYTES_FIELD_NUMBER = 4;
+    private long sizeBytes_ = 0L;
+    /**
+     * <code>uint64 size_bytes = 4;</code>
+     * @return The sizeBytes.
+     */
+    @java.lang.Override
+    public long getSizeBytes() {
+      return sizeBytes_;
+    }
+
+    public static final int CHECKSUM_FIELD_NUMBER = 5;
+    private int checksum_ = 0;
+    /**
+     * <code>fixed32 checksum = 5;</code>
+     * @return The checksum.
+     */
+    @java.lang.Override
+    public int getChecksum() {
+      return checksum_;
+    }
+
+    public static final int OFFSET_FIELD_NUMBER = 6;
+    private long offset_ = 0L;
+    /**
+     * <code>uint64 offset = 6;</code>
+     * @return The offset.
+     */
+    @java.lang.Override
+    public long getOffset() {
+      return offset_;
+    }
+
+    public static final int DATA_FIELD_NUMBER = 7;
+    private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes data = 7;</code>
+     * @return The data.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getData() {
+      return data_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (index_ != 0L) {
+        output.writeUInt64(1, index_);
+      }
+      if (indexTerm_ != 0L) {
+        output.writeUInt64(2, indexTerm_);
+      }
+      if (!membership_.isEmpty()) {
+        output.writeBytes(3, membership_);
+      }
+      if (sizeBytes_ != 0L) {
+        output.writeUInt64(4, sizeBytes_);
+      }
+      if (checksum_ != 0) {
+        output.writeFixed32(5, checksum_);
+      }
+      if (offset_ != 0L) {
+        output.writeUInt64(6, offset_);
+      }
+      if (!data_.isEmpty()) {
+        output.writeBytes(7, data_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (index_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, index_);
+      }
+      if (indexTerm_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, indexTerm_);
+      }
+      if (!membership_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(3, membership_);
+      }
+      if (sizeBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, sizeBytes_);
+      }
+      if (checksum_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed32Size(5, checksum_);
+      }
+      if (offset_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, offset_);
+      }
+      if (!data_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(7, data_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.SnapshotPiece)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.SnapshotPiece other = (org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) obj;
+
+      if (getIndex()
+          != other.getIndex()) return false;
+      if (getIndexTerm()
+          != other.getIndexTerm()) return false;
+      if (!getMembership()
+          .equals(other.getMembership())) return false;
+      if (getSizeBytes()
+          != other.getSizeBytes()) return false;
+      if (getChecksum()
+          != other.getChecksum()) return false;
+      if (getOffset()
+          != other.getOffset()) return false;
+      if (!getData()
+          .equals(other.getData())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIndex());
+      hash = (37 * hash) + INDEX_TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIndexTerm());
+      hash = (37 * hash) + MEMBERSHIP_FIELD_NUMBER;
+      hash = (53 * hash) + getMembership().hashCode();
+      hash = (37 * hash) + SIZE_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSizeBytes());
+      hash = (37 * hash) + CHECKSUM_FIELD_NUMBER;
+      hash = (53 * hash) + getChecksum();
+      hash = (37 * hash) + OFFSET_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getOffset());
+      hash = (37 * hash) + DATA_FIELD_NUMBER;
+      hash = (53 * hash) + getData().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.SnapshotPiece prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.SnapshotPiece}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.SnapshotPiece)
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPieceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.class, org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        index_ = 0L;
+        indexTerm_ = 0L;
+        membership_ = com.google.protobuf.ByteString.EMPTY;
+        sizeBytes_ = 0L;
+        checksum_ = 0;
+        offset_ = 0L;
+        data_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPiece_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece build() {
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPiece result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPiece result = new org.nettlering.wire.proto.ConsensusProto.SnapshotPiece(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.SnapshotPiece result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.index_ = index_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.indexTerm_ = indexTerm_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.membership_ = membership_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.sizeBytes_ = sizeBytes_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.checksum_ = checksum_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.offset_ = offset_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.data_ = data_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.SnapshotPiece) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.SnapshotPiece)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.SnapshotPiece other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.SnapshotPiece.getDefaultInstance()) return this;
+        if (other.getIndex() != 0L) {
+          setIndex(other.getIndex());
+        }
+        if (other.getIndexTerm() != 0L) {
+          setIndexTerm(other.getIndexTerm());
+        }
+        if (!other.getMembership().isEmpty()) {
+          setMembership(other.getMembership());
+        }
+        if (other.getSizeBytes() != 0L) {
+          setSizeBytes(other.getSizeBytes());
+        }
+        if (other.getChecksum() != 0) {
+          setChecksum(other.getChecksum());
+        }
+        if (other.getOffset() != 0L) {
+          setOffset(other.getOffset());
+        }
+        if (!other.getData().isEmpty()) {
+          setData(other.getData());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                index_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                indexTerm_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                membership_ = input.readBytes();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                sizeBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 45: {
+                checksum_ = input.readFixed32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 45
+              case 48: {
+                offset_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 58: {
+                data_ = input.readBytes();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 58
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long index_ ;
+      /**
+       * <code>uint64 index = 1;</code>
+       * @return The index.
+       */
+      @java.lang.Override
+      public long getIndex() {
+        return index_;
+      }
+      /**
+       * <code>uint64 index = 1;</code>
+       * @param value The index to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIndex(long value) {
+
+        index_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 index = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIndex() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        index_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long indexTerm_ ;
+      /**
+       * <code>uint64 index_term = 2;</code>
+       * @return The indexTerm.
+       */
+      @java.lang.Override
+      public long getIndexTerm() {
+        return indexTerm_;
+      }
+      /**
+       * <code>uint64 index_term = 2;</code>
+       * @param value The indexTerm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIndexTerm(long value) {
+
+        indexTerm_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 index_term = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIndexTerm() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        indexTerm_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString membership_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes membership = 3;</code>
+       * @return The membership.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getMembership() {
+        return membership_;
+      }
+      /**
+       * <code>bytes membership = 3;</code>
+       * @param value The membership to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMembership(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        membership_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes membership = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMembership() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        membership_ = getDefaultInstance().getMembership();
+        onChanged();
+        return this;
+      }
+
+      private long sizeBytes_ ;
+      /**
+       * <code>uint64 size_bytes = 4;</code>
+       * @return The sizeBytes.
+       */
+      @java.lang.Override
+      public long getSizeBytes() {
+        return sizeBytes_;
+      }
+      /**
+       * <code>uint64 size_bytes = 4;</code>
+       * @param value The sizeBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSizeBytes(long value) {
+
+        sizeBytes_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 size_bytes = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSizeBytes() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        sizeBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int checksum_ ;
+      /**
+       * <code>fixed32 checksum = 5;</code>
+       * @return The checksum.
+       */
+      @java.lang.Override
+      public int getChecksum() {
+        return checksum_;
+      }
+      /**
+       * <code>fixed32 checksum = 5;</code>
+       * @param value The checksum to set.
+       * @return This builder for chaining.
+       */
+      public Builder setChecksum(int value) {
+
+        checksum_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed32 checksum = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearChecksum() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        checksum_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long offset_ ;
+      /**
+       * <code>uint64 offset = 6;</code>
+       * @return The offset.
+       */
+      @java.lang.Override
+      public long getOffset() {
+        return offset_;
+      }
+      /**
+       * <code>uint64 offset = 6;</code>
+       * @param value The offset to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOffset(long value) {
+
+        offset_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 offset = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOffset() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        offset_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes data = 7;</code>
+       * @return The data.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getData() {
+        return data_;
+      }
+      /**
+       * <code>bytes data = 7;</code>
+       * @param value The data to set.
+       * @return This builder for chaining.
+       */
+      public Builder setData(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        data_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes data = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearData() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        data_ = getDefaultInstance().getData();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.SnapshotPiece)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.SnapshotPiece)
+    private static final org.nettlering.wire.proto.ConsensusProto.SnapshotPiece DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.SnapshotPiece();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SnapshotPiece>
+        PARSER = new com.google.protobuf.AbstractParser<SnapshotPiece>() {
+      @java.lang.Override
+      public SnapshotPiece parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SnapshotPiece> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SnapshotPiece> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPiece getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SnapshotPieceResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.SnapshotPieceResponse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    long getDiskId();
+
+    /**
+     * <code>uint64 snapshot_index = 2;</code>
+     * @return The snapshotIndex.
+     */
+    long getSnapshotIndex();
+
+    /**
+     * <code>uint64 received_bytes = 3;</code>
+     * @return The receivedBytes.
+     */
+    long getReceivedBytes();
+
+    /**
+     * <code>bool installed = 4;</code>
+     * @return The installed.
+     */
+    boolean getInstalled();
+  }
+  /**
+   * Protobuf type {@code nettlering.SnapshotPieceResponse}
+   */
+  public static final class SnapshotPieceResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.SnapshotPieceResponse)
+      SnapshotPieceResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SnapshotPieceResponse");
+    }
+    // Use SnapshotPieceResponse.newBuilder() to construct.
+    private SnapshotPieceResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SnapshotPieceResponse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.class, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder.class);
+    }
+
+    public static final int DISK_ID_FIELD_NUMBER = 1;
+    private long diskId_ = 0L;
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
