+    @java.lang.Override
+    public long getDiskId() {
+      return diskId_;
+    }
+
+    public static final int SNAPSHOT_INDEX_FIELD_NUMBER = 2;
+    private long snapshotIndex_ = 0L;
+    /**
+     * <code>uint64 snapshot_index = 2;</code>
+     * @return The snapshotIndex.
+     */
+    @java.lang.Override
+    public long getSnapshotIndex() {
+      return snapshotIndex_;
+    }
+
+    public static final int RECEIVED_BYTES_FIELD_NUMBER = 3;
+    private long receivedBytes_ = 0L;
+    /**
+     * <code>uint64 received_bytes = 3;</code>
+     * @return The receivedBytes.
+     */
+    @java.lang.Override
+    public long getReceivedBytes() {
+      return receivedBytes_;
+    }
+
+    public static final int INSTALLED_FIELD_NUMBER = 4;
+    private boolean installed_ = false;
+    /**
+     * <code>bool installed = 4;</code>
+     * @return The installed.
+     */
+    @java.lang.Override
+    public boolean getInstalled() {
+      return installed_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (diskId_ != 0L) {
+        output.writeFixed64(1, diskId_);
+      }
+      if (snapshotIndex_ != 0L) {
+        output.writeUInt64(2, snapshotIndex_);
+      }
+      if (receivedBytes_ != 0L) {
+        output.writeUInt64(3, receivedBytes_);
+      }
+      if (installed_ != false) {
+        output.writeBool(4, installed_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (diskId_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, diskId_);
+      }
+      if (snapshotIndex_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, snapshotIndex_);
+      }
+      if (receivedBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, receivedBytes_);
+      }
+      if (installed_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, installed_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse other = (org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) obj;
+
+      if (getDiskId()
+          != other.getDiskId()) return false;
+      if (getSnapshotIndex()
+          != other.getSnapshotIndex()) return false;
+      if (getReceivedBytes()
+          != other.getReceivedBytes()) return false;
+      if (getInstalled()
+          != other.getInstalled()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DISK_ID_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDiskId());
+      hash = (37 * hash) + SNAPSHOT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSnapshotIndex());
+      hash = (37 * hash) + RECEIVED_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getReceivedBytes());
+      hash = (37 * hash) + INSTALLED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getInstalled());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.SnapshotPieceResponse}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.SnapshotPieceResponse)
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponseOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.class, org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        diskId_ = 0L;
+        snapshotIndex_ = 0L;
+        receivedBytes_ = 0L;
+        installed_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_SnapshotPieceResponse_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse build() {
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse result = new org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.diskId_ = diskId_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.snapshotIndex_ = snapshotIndex_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.receivedBytes_ = receivedBytes_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.installed_ = installed_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse.getDefaultInstance()) return this;
+        if (other.getDiskId() != 0L) {
+          setDiskId(other.getDiskId());
+        }
+        if (other.getSnapshotIndex() != 0L) {
+          setSnapshotIndex(other.getSnapshotIndex());
+        }
+        if (other.getReceivedBytes() != 0L) {
+          setReceivedBytes(other.getReceivedBytes());
+        }
+        if (other.getInstalled() != false) {
+          setInstalled(other.getInstalled());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                diskId_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                snapshotIndex_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                receivedBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                installed_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long diskId_ ;
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return The diskId.
+       */
+      @java.lang.Override
+      public long getDiskId() {
+        return diskId_;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @param value The diskId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDiskId(long value) {
+
+        diskId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 disk_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDiskId() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        diskId_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long snapshotIndex_ ;
+      /**
+       * <code>uint64 snapshot_index = 2;</code>
+       * @return The snapshotIndex.
+       */
+      @java.lang.Override
+      public long getSnapshotIndex() {
+        return snapshotIndex_;
+      }
+      /**
+       * <code>uint64 snapshot_index = 2;</code>
+       * @param value The snapshotIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSnapshotIndex(long value) {
+
+        snapshotIndex_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 snapshot_index = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSnapshotIndex() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        snapshotIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long receivedBytes_ ;
+      /**
+       * <code>uint64 received_bytes = 3;</code>
+       * @return The receivedBytes.
+       */
+      @java.lang.Override
+      public long getReceivedBytes() {
+        return receivedBytes_;
+      }
+      /**
+       * <code>uint64 received_bytes = 3;</code>
+       * @param value The receivedBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReceivedBytes(long value) {
+
+        receivedBytes_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 received_bytes = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReceivedBytes() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        receivedBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean installed_ ;
+      /**
+       * <code>bool installed = 4;</code>
+       * @return The installed.
+       */
+      @java.lang.Override
+      public boolean getInstalled() {
+        return installed_;
+      }
+      /**
+       * <code>bool installed = 4;</code>
+       * @param value The installed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstalled(boolean value) {
+
+        installed_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool installed = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInstalled() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        installed_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.SnapshotPieceResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.SnapshotPieceResponse)
+    private static final org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SnapshotPieceResponse>
+        PARSER = new com.google.protobuf.AbstractParser<SnapshotPieceResponse>() {
+      @java.lang.Override
+      public SnapshotPieceResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SnapshotPieceResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SnapshotPieceResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.SnapshotPieceResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TimeoutNowOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.TimeoutNow)
+      com.google.protobuf.MessageOrBuilder {
+  }
+  /**
+   * Protobuf type {@code nettlering.TimeoutNow}
+   */
+  public static final class TimeoutNow extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.TimeoutNow)
+      TimeoutNowOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "TimeoutNow");
+    }
+    // Use TimeoutNow.newBuilder() to construct.
+    private TimeoutNow(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TimeoutNow() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.TimeoutNow.class, org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder.class);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getUnknownFields().writeTo(output);
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.TimeoutNow)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.TimeoutNow other = (org.nettlering.wire.proto.ConsensusProto.TimeoutNow) obj;
+
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.TimeoutNow prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.TimeoutNow}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.TimeoutNow)
+        org.nettlering.wire.proto.ConsensusProto.TimeoutNowOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.TimeoutNow.class, org.nettlering.wire.proto.ConsensusProto.TimeoutNow.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.TimeoutNow.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_TimeoutNow_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNow getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNow build() {
+        org.nettlering.wire.proto.ConsensusProto.TimeoutNow result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.TimeoutNow buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.TimeoutNow result = new org.nettlering.wire.proto.ConsensusProto.TimeoutNow(this);
+        onBuilt();
+        return result;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.TimeoutNow) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.TimeoutNow)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.TimeoutNow other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.TimeoutNow.getDefaultInstance()) return this;
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.TimeoutNow)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.TimeoutNow)
+    private static final org.nettlering.wire.proto.ConsensusProto.TimeoutNow DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.TimeoutNow();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.TimeoutNow getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TimeoutNow>
+        PARSER = new com.google.protobuf.AbstractParser<TimeoutNow>() {
+      @java.lang.Override
+      public TimeoutNow parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TimeoutNow> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TimeoutNow> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.TimeoutNow getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DiscoveryRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.DiscoveryRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 requesting_disk = 1;</code>
+     * @return The requestingDisk.
+     */
+    long getRequestingDisk();
+  }
+  /**
+   * Protobuf type {@code nettlering.DiscoveryRequest}
+   */
+  public static final class DiscoveryRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.DiscoveryRequest)
+      DiscoveryRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "DiscoveryRequest");
+    }
+    // Use DiscoveryRequest.newBuilder() to construct.
+    private DiscoveryRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DiscoveryRequest() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.class, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder.class);
+    }
+
+    public static final int REQUESTING_DISK_FIELD_NUMBER = 1;
+    private long requestingDisk_ = 0L;
+    /**
+     * <code>fixed64 requesting_disk = 1;</code>
+     * @return The requestingDisk.
+     */
+    @java.lang.Override
+    public long getRequestingDisk() {
+      return requestingDisk_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (requestingDisk_ != 0L) {
+        output.writeFixed64(1, requestingDisk_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (requestingDisk_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, requestingDisk_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest other = (org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) obj;
+
+      if (getRequestingDisk()
+          != other.getRequestingDisk()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REQUESTING_DISK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRequestingDisk());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.DiscoveryRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.DiscoveryRequest)
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.class, org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        requestingDisk_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryRequest_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest build() {
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest result = new org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.requestingDisk_ = requestingDisk_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest.getDefaultInstance()) return this;
+        if (other.getRequestingDisk() != 0L) {
+          setRequestingDisk(other.getRequestingDisk());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                requestingDisk_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long requestingDisk_ ;
+      /**
+       * <code>fixed64 requesting_disk = 1;</code>
+       * @return The requestingDisk.
+       */
+      @java.lang.Override
+      public long getRequestingDisk() {
+        return requestingDisk_;
+      }
+      /**
+       * <code>fixed64 requesting_disk = 1;</code>
+       * @param value The requestingDisk to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestingDisk(long value) {
+
+        requestingDisk_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 requesting_disk = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequestingDisk() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        requestingDisk_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.DiscoveryRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.DiscoveryRequest)
+    private static final org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest();
+    }
+
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DiscoveryRequest>
+        PARSER = new com.google.protobuf.AbstractParser<DiscoveryRequest>() {
+      @java.lang.Override
+      public DiscoveryRequest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DiscoveryRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DiscoveryRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DiscoveryResponseOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.DiscoveryResponse)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    long getDiskId();
+
+    /**
+     * <code>fixed64 requesting_disk = 2;</code>
+     * @return The requestingDisk.
+     */
+    long getRequestingDisk();
+
+    /**
+     * <code>bool initialised = 3;</code>
+     * @return The initialised.
+     */
+    boolean getInitialised();
+  }
+  /**
+   * Protobuf type {@code nettlering.DiscoveryResponse}
+   */
+  public static final class DiscoveryResponse extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.DiscoveryResponse)
+      DiscoveryResponseOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "DiscoveryResponse");
+    }
+    // Use DiscoveryResponse.newBuilder() to construct.
+    private DiscoveryResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DiscoveryResponse() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.class, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder.class);
+    }
+
+    public static final int DISK_ID_FIELD_NUMBER = 1;
+    private long diskId_ = 0L;
+    /**
+     * <code>fixed64 disk_id = 1;</code>
+     * @return The diskId.
+     */
+    @java.lang.Override
+    public long getDiskId() {
+      return diskId_;
+    }
+
+    public static final int REQUESTING_DISK_FIELD_NUMBER = 2;
+    private long requestingDisk_ = 0L;
+    /**
+     * <code>fixed64 requesting_disk = 2;</code>
+     * @return The requestingDisk.
+     */
+    @java.lang.Override
+    public long getRequestingDisk() {
+      return requestingDisk_;
+    }
+
+    public static final int INITIALISED_FIELD_NUMBER = 3;
+    private boolean initialised_ = false;
     /**
-     * <code>bytes encoded = 3;</code>
-     * @return The encoded.
+     * <code>bool initialised = 3;</code>
+     * @return The initialised.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getEncoded() {
-      return encoded_;
+    public boolean getInitialised() {
+      return initialised_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -212,28 +10740,30 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, from_);
+      if (diskId_ != 0L) {
+        output.writeFixed64(1, diskId_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(to_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, to_);
+      if (requestingDisk_ != 0L) {
+        output.writeFixed64(2, requestingDisk_);
       }
-      if (!encoded_.isEmpty()) {
-        output.writeBytes(3, encoded_);
+      if (initialised_ != false) {
+        output.writeBool(3, initialised_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(from_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, from_);
+      if (diskId_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, diskId_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(to_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, to_);
+      if (requestingDisk_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, requestingDisk_);
       }
-      if (!encoded_.isEmpty()) {
+      if (initialised_ != false) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBytesSize(3, encoded_);
+          .computeBoolSize(3, initialised_);
       }
       return size;
     }
@@ -254,17 +10784,17 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.ConsensusMessage)) {
+      if (!(obj instanceof org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.ConsensusProto.ConsensusMessage other = (org.nettlering.wire.proto.ConsensusProto.ConsensusMessage) obj;
+      org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse other = (org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) obj;
 
-      if (!getFrom()
-          .equals(other.getFrom())) return false;
-      if (!getTo()
-          .equals(other.getTo())) return false;
-      if (!getEncoded()
-          .equals(other.getEncoded())) return false;
+      if (getDiskId()
+          != other.getDiskId()) return false;
+      if (getRequestingDisk()
+          != other.getRequestingDisk()) return false;
+      if (getInitialised()
+          != other.getInitialised()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -276,55 +10806,58 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + FROM_FIELD_NUMBER;
-      hash = (53 * hash) + getFrom().hashCode();
-      hash = (37 * hash) + TO_FIELD_NUMBER;
-      hash = (53 * hash) + getTo().hashCode();
-      hash = (37 * hash) + ENCODED_FIELD_NUMBER;
-      hash = (53 * hash) + getEncoded().hashCode();
+      hash = (37 * hash) + DISK_ID_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDiskId());
+      hash = (37 * hash) + REQUESTING_DISK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRequestingDisk());
+      hash = (37 * hash) + INITIALISED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getInitialised());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -332,26 +10865,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseDelimitedFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage parseFrom(
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -364,7 +10897,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -380,30 +10913,26 @@
       return builder;
     }
     /**
-     * <pre>
-     * One message of the replicated log, between control processes.
-     * </pre>
-     *
-     * Protobuf type {@code nettlering.ConsensusMessage}
+     * Protobuf type {@code nettlering.DiscoveryResponse}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.ConsensusMessage)
-        org.nettlering.wire.proto.ConsensusProto.ConsensusMessageOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.DiscoveryResponse)
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryResponseOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_descriptor;
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_fieldAccessorTable
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.class, org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.Builder.class);
+                org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.class, org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.newBuilder()
+      // Construct using org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.newBuilder()
       private Builder() {
 
       }
@@ -417,26 +10946,26 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        from_ = "";
-        to_ = "";
-        encoded_ = com.google.protobuf.ByteString.EMPTY;
+        diskId_ = 0L;
+        requestingDisk_ = 0L;
+        initialised_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_ConsensusMessage_descriptor;
+        return org.nettlering.wire.proto.ConsensusProto.internal_static_nettlering_DiscoveryResponse_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.getDefaultInstance();
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage build() {
-        org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result = buildPartial();
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse build() {
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -444,50 +10973,46 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage buildPartial() {
-        org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result = new org.nettlering.wire.proto.ConsensusProto.ConsensusMessage(this);
+      public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse buildPartial() {
+        org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse result = new org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage result) {
+      private void buildPartial0(org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.from_ = from_;
+          result.diskId_ = diskId_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.to_ = to_;
+          result.requestingDisk_ = requestingDisk_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.encoded_ = encoded_;
+          result.initialised_ = initialised_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.ConsensusProto.ConsensusMessage) {
-          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.ConsensusMessage)other);
+        if (other instanceof org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse) {
+          return mergeFrom((org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.ConsensusMessage other) {
-        if (other == org.nettlering.wire.proto.ConsensusProto.ConsensusMessage.getDefaultInstance()) return this;
-        if (!other.getFrom().isEmpty()) {
-          from_ = other.from_;
-          bitField0_ |= 0x00000001;
-          onChanged();
+      public Builder mergeFrom(org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse other) {
+        if (other == org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse.getDefaultInstance()) return this;
+        if (other.getDiskId() != 0L) {
+          setDiskId(other.getDiskId());
         }
-        if (!other.getTo().isEmpty()) {
-          to_ = other.to_;
-          bitField0_ |= 0x00000002;
-          onChanged();
+        if (other.getRequestingDisk() != 0L) {
+          setRequestingDisk(other.getRequestingDisk());
         }
-        if (!other.getEncoded().isEmpty()) {
-          setEncoded(other.getEncoded());
+        if (other.getInitialised() != false) {
+          setInitialised(other.getInitialised());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -513,21 +11038,21 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                from_ = input.readStringRequireUtf8();
+              case 9: {
+                diskId_ = input.readFixed64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
-              case 18: {
-                to_ = input.readStringRequireUtf8();
+              } // case 9
+              case 17: {
+                requestingDisk_ = input.readFixed64();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 18
-              case 26: {
-                encoded_ = input.readBytes();
+              } // case 17
+              case 24: {
+                initialised_ = input.readBool();
                 bitField0_ |= 0x00000004;
                 break;
-              } // case 26
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -545,199 +11070,119 @@
       }
       private int bitField0_;
 
-      private java.lang.Object from_ = "";
-      /**
-       * <code>string from = 1;</code>
-       * @return The from.
-       */
-      public java.lang.String getFrom() {
-        java.lang.Object ref = from_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          from_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private long diskId_ ;
       /**
-       * <code>string from = 1;</code>
-       * @return The bytes for from.
+       * <code>fixed64 disk_id = 1;</code>
+       * @return The diskId.
        */
-      public com.google.protobuf.ByteString
-          getFromBytes() {
-        java.lang.Object ref = from_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          from_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public long getDiskId() {
+        return diskId_;
       }
       /**
-       * <code>string from = 1;</code>
-       * @param value The from to set.
+       * <code>fixed64 disk_id = 1;</code>
+       * @param value The diskId to set.
        * @return This builder for chaining.
        */
-      public Builder setFrom(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        from_ = value;
+      public Builder setDiskId(long value) {
+
+        diskId_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string from = 1;</code>
+       * <code>fixed64 disk_id = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearFrom() {
-        from_ = getDefaultInstance().getFrom();
+      public Builder clearDiskId() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string from = 1;</code>
-       * @param value The bytes for from to set.
-       * @return This builder for chaining.
-       */
-      public Builder setFromBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        from_ = value;
-        bitField0_ |= 0x00000001;
+        diskId_ = 0L;
         onChanged();
         return this;
       }
 
-      private java.lang.Object to_ = "";
-      /**
-       * <code>string to = 2;</code>
-       * @return The to.
-       */
-      public java.lang.String getTo() {
-        java.lang.Object ref = to_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          to_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private long requestingDisk_ ;
       /**
-       * <code>string to = 2;</code>
-       * @return The bytes for to.
+       * <code>fixed64 requesting_disk = 2;</code>
+       * @return The requestingDisk.
        */
-      public com.google.protobuf.ByteString
-          getToBytes() {
-        java.lang.Object ref = to_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          to_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public long getRequestingDisk() {
+        return requestingDisk_;
       }
       /**
-       * <code>string to = 2;</code>
-       * @param value The to to set.
+       * <code>fixed64 requesting_disk = 2;</code>
+       * @param value The requestingDisk to set.
        * @return This builder for chaining.
        */
-      public Builder setTo(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        to_ = value;
+      public Builder setRequestingDisk(long value) {
+
+        requestingDisk_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string to = 2;</code>
+       * <code>fixed64 requesting_disk = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearTo() {
-        to_ = getDefaultInstance().getTo();
+      public Builder clearRequestingDisk() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string to = 2;</code>
-       * @param value The bytes for to to set.
-       * @return This builder for chaining.
-       */
-      public Builder setToBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        to_ = value;
-        bitField0_ |= 0x00000002;
+        requestingDisk_ = 0L;
         onChanged();
         return this;
       }
 
-      private com.google.protobuf.ByteString encoded_ = com.google.protobuf.ByteString.EMPTY;
+      private boolean initialised_ ;
       /**
-       * <code>bytes encoded = 3;</code>
-       * @return The encoded.
+       * <code>bool initialised = 3;</code>
+       * @return The initialised.
        */
       @java.lang.Override
-      public com.google.protobuf.ByteString getEncoded() {
-        return encoded_;
+      public boolean getInitialised() {
+        return initialised_;
       }
       /**
-       * <code>bytes encoded = 3;</code>
-       * @param value The encoded to set.
+       * <code>bool initialised = 3;</code>
+       * @param value The initialised to set.
        * @return This builder for chaining.
        */
-      public Builder setEncoded(com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        encoded_ = value;
+      public Builder setInitialised(boolean value) {
+
+        initialised_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>bytes encoded = 3;</code>
+       * <code>bool initialised = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearEncoded() {
+      public Builder clearInitialised() {
         bitField0_ = (bitField0_ & ~0x00000004);
-        encoded_ = getDefaultInstance().getEncoded();
+        initialised_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.ConsensusMessage)
+      // @@protoc_insertion_point(builder_scope:nettlering.DiscoveryResponse)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.ConsensusMessage)
-    private static final org.nettlering.wire.proto.ConsensusProto.ConsensusMessage DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.DiscoveryResponse)
+    private static final org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.ConsensusMessage();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse();
     }
 
-    public static org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstance() {
+    public static org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ConsensusMessage>
-        PARSER = new com.google.protobuf.AbstractParser<ConsensusMessage>() {
+    private static final com.google.protobuf.Parser<DiscoveryResponse>
+        PARSER = new com.google.protobuf.AbstractParser<DiscoveryResponse>() {
       @java.lang.Override
-      public ConsensusMessage parsePartialFrom(
+      public DiscoveryResponse parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -756,17 +11201,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ConsensusMessage> parser() {
+    public static com.google.protobuf.Parser<DiscoveryResponse> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ConsensusMessage> getParserForType() {
+    public com.google.protobuf.Parser<DiscoveryResponse> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.ConsensusProto.ConsensusMessage getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.ConsensusProto.DiscoveryResponse getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -777,6 +11222,66 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_ConsensusMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_PreVoteRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_PreVoteRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_PreVoteResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_PreVoteResponse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_VoteRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_VoteRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_VoteResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_VoteResponse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_AppendRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_AppendRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_LogEntry_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_LogEntry_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_AppendResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_AppendResponse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_SnapshotPiece_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_SnapshotPiece_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_SnapshotPieceResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_SnapshotPieceResponse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_TimeoutNow_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_TimeoutNow_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_DiscoveryRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_DiscoveryRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_DiscoveryResponse_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_DiscoveryResponse_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -786,10 +11291,54 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\017consensus.proto\022\nnettlering\"=\n\020Consens" +
-      "usMessage\022\014\n\004from\030\001 \001(\t\022\n\n\002to\030\002 \001(\t\022\017\n\007e" +
-      "ncoded\030\003 \001(\014B+\n\031org.nettlering.wire.prot" +
-      "oB\016ConsensusProtob\006proto3"
+      "\n\017consensus.proto\022\nnettlering\"\251\005\n\020Consen" +
+      "susMessage\022\014\n\004from\030\001 \001(\t\022\n\n\002to\030\002 \001(\t\022\014\n\004" +
+      "term\030\003 \001(\004\0226\n\020pre_vote_request\030\004 \001(\0132\032.n" +
+      "ettlering.PreVoteRequestH\000\0228\n\021pre_vote_r" +
+      "esponse\030\005 \001(\0132\033.nettlering.PreVoteRespon" +
+      "seH\000\022/\n\014vote_request\030\006 \001(\0132\027.nettlering." +
+      "VoteRequestH\000\0221\n\rvote_response\030\007 \001(\0132\030.n" +
+      "ettlering.VoteResponseH\000\0223\n\016append_reque" +
+      "st\030\010 \001(\0132\031.nettlering.AppendRequestH\000\0225\n" +
+      "\017append_response\030\t \001(\0132\032.nettlering.Appe" +
+      "ndResponseH\000\0223\n\016snapshot_piece\030\n \001(\0132\031.n" +
+      "ettlering.SnapshotPieceH\000\022D\n\027snapshot_pi" +
+      "ece_response\030\013 \001(\0132!.nettlering.Snapshot" +
+      "PieceResponseH\000\022-\n\013timeout_now\030\014 \001(\0132\026.n" +
+      "ettlering.TimeoutNowH\000\0229\n\021discovery_requ" +
+      "est\030\r \001(\0132\034.nettlering.DiscoveryRequestH" +
+      "\000\022;\n\022discovery_response\030\016 \001(\0132\035.nettleri" +
+      "ng.DiscoveryResponseH\000B\t\n\007message\"L\n\016Pre" +
+      "VoteRequest\022\023\n\013target_disk\030\001 \001(\006\022\022\n\nlast" +
+      "_index\030\002 \001(\004\022\021\n\tlast_term\030\003 \001(\004\"K\n\017PreVo" +
+      "teResponse\022\017\n\007disk_id\030\001 \001(\006\022\026\n\016requested" +
+      "_term\030\002 \001(\004\022\017\n\007granted\030\003 \001(\010\"[\n\013VoteRequ" +
+      "est\022\023\n\013target_disk\030\001 \001(\006\022\022\n\nlast_index\030\002" +
+      " \001(\004\022\021\n\tlast_term\030\003 \001(\004\022\020\n\010transfer\030\004 \001(" +
+      "\010\"0\n\014VoteResponse\022\017\n\007disk_id\030\001 \001(\006\022\017\n\007gr" +
+      "anted\030\002 \001(\010\"\212\001\n\rAppendRequest\022\026\n\016previou" +
+      "s_index\030\001 \001(\004\022\025\n\rprevious_term\030\002 \001(\004\022%\n\007" +
+      "entries\030\003 \003(\0132\024.nettlering.LogEntry\022\024\n\014c" +
+      "ommit_index\030\004 \001(\004\022\r\n\005round\030\005 \001(\004\"Q\n\010LogE" +
+      "ntry\022\014\n\004term\030\001 \001(\004\022&\n\004kind\030\002 \001(\0162\030.nettl" +
+      "ering.LogEntryKind\022\017\n\007payload\030\003 \001(\014\"e\n\016A" +
+      "ppendResponse\022\017\n\007disk_id\030\001 \001(\006\022\020\n\010accept" +
+      "ed\030\002 \001(\010\022\r\n\005index\030\003 \001(\004\022\022\n\nnext_index\030\004 " +
+      "\001(\004\022\r\n\005round\030\005 \001(\004\"\212\001\n\rSnapshotPiece\022\r\n\005" +
+      "index\030\001 \001(\004\022\022\n\nindex_term\030\002 \001(\004\022\022\n\nmembe" +
+      "rship\030\003 \001(\014\022\022\n\nsize_bytes\030\004 \001(\004\022\020\n\010check" +
+      "sum\030\005 \001(\007\022\016\n\006offset\030\006 \001(\004\022\014\n\004data\030\007 \001(\014\"" +
+      "k\n\025SnapshotPieceResponse\022\017\n\007disk_id\030\001 \001(" +
+      "\006\022\026\n\016snapshot_index\030\002 \001(\004\022\026\n\016received_by" +
+      "tes\030\003 \001(\004\022\021\n\tinstalled\030\004 \001(\010\"\014\n\nTimeoutN" +
+      "ow\"+\n\020DiscoveryRequest\022\027\n\017requesting_dis" +
+      "k\030\001 \001(\006\"R\n\021DiscoveryResponse\022\017\n\007disk_id\030" +
+      "\001 \001(\006\022\027\n\017requesting_disk\030\002 \001(\006\022\023\n\013initia" +
+      "lised\030\003 \001(\010*\203\001\n\014LogEntryKind\022\036\n\032LOG_ENTR" +
+      "Y_KIND_UNSPECIFIED\020\000\022\030\n\024LOG_ENTRY_KIND_N" +
+      "O_OP\020\001\022\032\n\026LOG_ENTRY_KIND_COMMAND\020\002\022\035\n\031LO" +
+      "G_ENTRY_KIND_MEMBERSHIP\020\003B+\n\031org.nettler" +
+      "ing.wire.protoB\016ConsensusProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -800,7 +11349,79 @@
     internal_static_nettlering_ConsensusMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ConsensusMessage_descriptor,
-        new java.lang.String[] { "From", "To", "Encoded", });
+        new java.lang.String[] { "From", "To", "Term", "PreVoteRequest", "PreVoteResponse", "VoteRequest", "VoteResponse", "AppendRequest", "AppendResponse", "SnapshotPiece", "SnapshotPieceResponse", "TimeoutNow", "DiscoveryRequest", "DiscoveryResponse", "Message", });
+    internal_static_nettlering_PreVoteRequest_descriptor =
+      getDescriptor().getMessageType(1);
+    internal_static_nettlering_PreVoteRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_PreVoteRequest_descriptor,
+        new java.lang.String[] { "TargetDisk", "LastIndex", "LastTerm", });
+    internal_static_nettlering_PreVoteResponse_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_nettlering_PreVoteResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_PreVoteResponse_descriptor,
+        new java.lang.String[] { "DiskId", "RequestedTerm", "Granted", });
+    internal_static_nettlering_VoteRequest_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_nettlering_VoteRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_VoteRequest_descriptor,
+        new java.lang.String[] { "TargetDisk", "LastIndex", "LastTerm", "Transfer", });
+    internal_static_nettlering_VoteResponse_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_nettlering_VoteResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_VoteResponse_descriptor,
+        new java.lang.String[] { "DiskId", "Granted", });
+    internal_static_nettlering_AppendRequest_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_nettlering_AppendRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_AppendRequest_descriptor,
+        new java.lang.String[] { "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "Round", });
+    internal_static_nettlering_LogEntry_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_nettlering_LogEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_LogEntry_descriptor,
+        new java.lang.String[] { "Term", "Kind", "Payload", });
+    internal_static_nettlering_AppendResponse_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_nettlering_AppendResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_AppendResponse_descriptor,
+        new java.lang.String[] { "DiskId", "Accepted", "Index", "NextIndex", "Round", });
+    internal_static_nettlering_SnapshotPiece_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_nettlering_SnapshotPiece_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_SnapshotPiece_descriptor,
+        new java.lang.String[] { "Index", "IndexTerm", "Membership", "SizeBytes", "Checksum", "Offset", "Data", });
+    internal_static_nettlering_SnapshotPieceResponse_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_nettlering_SnapshotPieceResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_SnapshotPieceResponse_descriptor,
+        new java.lang.String[] { "DiskId", "SnapshotIndex", "ReceivedBytes", "Installed", });
+    internal_static_nettlering_TimeoutNow_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_nettlering_TimeoutNow_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_TimeoutNow_descriptor,
+        new java.lang.String[] { });
+    internal_static_nettlering_DiscoveryRequest_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_nettlering_DiscoveryRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_DiscoveryRequest_descriptor,
+        new java.lang.String[] { "RequestingDisk", });
+    internal_static_nettlering_DiscoveryResponse_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_nettlering_DiscoveryResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_DiscoveryResponse_descriptor,
+        new java.lang.String[] { "DiskId", "RequestingDisk", "Initialised", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
