--- a/wire/src/main/java/org/nettlering/wire/codec/package-info.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/package-info.java
@@ -1,4 +1,4 @@
-/** Conversions between the generated messages and the values of the inner modules. */
+/** Conversions between the messages of {@code wire.proto} and domain values; one class a subject. */
 @NullMarked
 package org.nettlering.wire.codec;
 
