--- a/control/src/main/java/org/nettlering/control/task/Leadership.java
+++ b/control/src/main/java/org/nettlering/control/task/Leadership.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.placement.Planner;
-import org.nettlering.domain.placement.SitePolicy;
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.Worker;
@@ -63,7 +63,8 @@
     }
 
     /** Returns the next batch to propose, or an empty list if one is under way or there is nothing to do. */
-    List<TaskCommand> nextBatch(TaskState state, SitePolicy policy, long nowNanos, long nowMillis, boolean plan) {
+    List<TaskCommand> nextBatch(
+            TaskState state, SiteConfiguration configuration, long nowNanos, long nowMillis, boolean plan) {
         if (proposing) {
             return List.of();
         }
@@ -77,7 +78,7 @@
             batch.add(outbox.remove(first));
         }
         if (plan && outbox.isEmpty()) {
-            batch.addAll(planner.plan(state, policy, nowMillis));
+            batch.addAll(planner.plan(state, configuration, nowMillis));
         }
         proposing = !batch.isEmpty();
         return batch;
--- a/control/src/main/java/org/nettlering/control/task/TaskPart.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskPart.java
@@ -2,7 +2,10 @@
 
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.nettlering.control.log.StatePart;
+import org.nettlering.domain.task.CommandOutcome;
+import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.TaskStateImage;
 import org.nettlering.wire.codec.TaskCommandCodec;
@@ -23,16 +26,23 @@
     /** The jobs and workers. */
     private TaskState state = TaskState.empty();
 
+    /** Returns the power cap in the replicated configuration. */
+    private final LongSupplier capMilliwatts;
+
     /**
      * Returns a part without jobs and workers.
      *
+     * @param capMilliwatts returns the power cap of the replicated configuration as applied so far, so that every member
+     *     reads the same cap at the same position of the log, not null
      * @return a new part, never null
      */
-    public static TaskPart create() {
-        return new TaskPart();
+    public static TaskPart create(LongSupplier capMilliwatts) {
+        return new TaskPart(capMilliwatts);
     }
 
-    private TaskPart() {}
+    private TaskPart(LongSupplier capMilliwatts) {
+        this.capMilliwatts = capMilliwatts;
+    }
 
     /**
      * Reads the state under its lock.
@@ -52,9 +62,10 @@
 
     @Override
     public SiteResult apply(SiteCommand command) {
-        return read(current -> SiteResult.newBuilder()
-                .setTask(TaskCommandCodec.encode(current.apply(TaskCommandCodec.decode(command.getTask()))))
-                .build());
+        TaskCommand decoded = TaskCommandCodec.decode(command.getTask());
+        long cap = capMilliwatts.getAsLong();
+        CommandOutcome outcome = read(current -> current.apply(decoded, cap));
+        return SiteResult.newBuilder().setTask(TaskCommandCodec.encode(outcome)).build();
     }
 
     @Override
--- a/control/src/main/java/org/nettlering/control/task/TaskResponses.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -1,8 +1,8 @@
 package org.nettlering.control.task;
 
 import java.util.Arrays;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
-import org.nettlering.domain.placement.SitePolicy;
 import org.nettlering.domain.task.Task;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.Worker;
@@ -32,13 +32,13 @@
                 .build();
     }
 
-    static TaskResponse power(TaskState state, SitePolicy policy, long nowMillis) {
+    static TaskResponse power(TaskState state, SiteConfiguration configuration, long nowMillis) {
         return TaskResponse.newBuilder()
                 .setPower(TaskProto.PowerStatus.newBuilder()
-                        .setCapMilliwatts(policy.capMilliwatts())
+                        .setCapMilliwatts(configuration.powerCapMilliwatts())
                         .setCommittedMilliwatts(state.committedMilliwatts())
                         .setPeakCommittedMilliwatts(state.peakMilliwatts())
-                        .setAboveCap(state.committedMilliwatts() > policy.capMilliwatts()))
+                        .setAboveCap(state.committedMilliwatts() > configuration.powerCapMilliwatts()))
                 .build();
     }
 
--- a/control/src/main/java/org/nettlering/control/task/TaskService.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskService.java
@@ -9,10 +9,10 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.control.log.CommandLog;
 import org.nettlering.control.log.FrameService;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.placement.Planner;
-import org.nettlering.domain.placement.SitePolicy;
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.time.TimeSource;
@@ -24,7 +24,6 @@
 import org.nettlering.wire.codec.TaskCommandCodec;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 import org.nettlering.wire.proto.CommandProto.SiteResult;
-import org.nettlering.wire.proto.ConfigurationProto.SiteConfiguration;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.TaskProto;
 import org.nettlering.wire.proto.TaskProto.TaskRequest;
@@ -73,9 +72,6 @@
     /** What is known while this member leads. */
     private @Nullable Leadership leadership;
 
-    /** The policy made from the last configuration. */
-    private volatile @Nullable SitePolicy policy;
-
     /** The next run of the loop. */
     private volatile TimeSource.@Nullable Timer timer;
 
@@ -145,7 +141,7 @@
             case LIST -> read(TaskResponses::jobs);
             case SHOW_WORKER ->
                 read(state -> showWorker(state, request.getShowWorker().getWorkerId()));
-            case SHOW_POWER -> read(state -> TaskResponses.power(state, policy(), time.millis()));
+            case SHOW_POWER -> read(state -> TaskResponses.power(state, configuration.get(), time.millis()));
             case REQUEST_NOT_SET ->
                 throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "task request is missing");
         };
@@ -239,7 +235,7 @@
 
     /** Proposes what reports proved and, if asked for, what the planner decides. */
     private void propose(boolean plan) {
-        SitePolicy current = policy();
+        SiteConfiguration current = configuration.get();
         List<TaskCommand> batch =
                 part.read(state -> leadership().nextBatch(state, current, time.nanoTime(), time.millis(), plan));
         if (batch.isEmpty()) {
@@ -287,16 +283,6 @@
         return current;
     }
 
-    private SitePolicy policy() {
-        SiteConfiguration latest = configuration.get();
-        SitePolicy current = policy;
-        if (current == null || current.revision() != latest.getRevision()) {
-            current = SitePolicies.from(latest);
-            policy = current;
-        }
-        return current;
-    }
-
     private static SiteCommand encode(TaskCommand command) {
         return SiteCommand.newBuilder()
                 .setTask(TaskCommandCodec.encode(command))
--- a/control/src/test/java/org/nettlering/control/task/TaskServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/task/TaskServiceTest.java
@@ -5,16 +5,18 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.nettlering.domain.configuration.Interruption;
+import org.nettlering.domain.configuration.Profile;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.placement.FirstFitPlanner;
 import org.nettlering.domain.time.ManualTime;
 import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
-import org.nettlering.wire.proto.ConfigurationProto;
-import org.nettlering.wire.proto.ConfigurationProto.SiteConfiguration;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.TaskProto;
 import org.nettlering.wire.proto.TaskProto.JobStatus;
@@ -27,17 +29,10 @@
     private static final String TRACE = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
 
     private final ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
-    private final TaskPart part = TaskPart.create();
+    private final TaskPart part = TaskPart.create(() -> 1_000_000);
     private final DirectLog log = new DirectLog(part);
-    private SiteConfiguration configuration = SiteConfiguration.newBuilder()
-            .setRevision(1)
-            .addProfiles(ConfigurationProto.Profile.newBuilder()
-                    .setName("letters")
-                    .setUrgency(50)
-                    .setInterruption(ConfigurationProto.Interruption.EVICT)
-                    .setPowerSharePercent(50))
-            .setPowerCapMilliwatts(1_000_000)
-            .build();
+    private final SiteConfiguration configuration = SiteConfiguration.of(
+            1, List.of(new Profile("letters", 50, Interruption.EVICT, 50)), List.of(), List.of(), 1_000_000);
     private final TaskService service =
             TaskService.start(log, part, time, () -> configuration, FirstFitPlanner::create, TaskListener.NONE);
     private long sequence;
@@ -154,7 +149,7 @@
         tick();
         SiteSnapshot.Builder snapshot = SiteSnapshot.newBuilder();
         part.save(snapshot);
-        TaskPart restored = TaskPart.create();
+        TaskPart restored = TaskPart.create(() -> 1_000_000);
 
         restored.restore(snapshot.build());
 
--- a/domain/src/main/java/org/nettlering/domain/placement/FirstFitPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/FirstFitPlanner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.task.JobSpecification;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.task.Task;
@@ -33,7 +34,7 @@
     private FirstFitPlanner() {}
 
     @Override
-    public List<TaskCommand> plan(TaskState state, SitePolicy policy, long nowMillis) {
+    public List<TaskCommand> plan(TaskState state, SiteConfiguration configuration, long nowMillis) {
         state.drainChangedTasks();
         state.drainChangedWorkers();
         List<TaskCommand> commands = new ArrayList<>();
@@ -44,7 +45,7 @@
                 continue;
             }
             JobSpecification job = task.job();
-            if (committed + job.powerMilliwatts() > policy.capMilliwatts()) {
+            if (committed + job.powerMilliwatts() > configuration.powerCapMilliwatts()) {
                 continue;
             }
             for (Worker worker : state.workers()) {
@@ -52,7 +53,7 @@
                 if (worker.isLive() && job.declared().fitsIn(left)) {
                     free.put(worker, left.minus(job.declared()));
                     committed += job.powerMilliwatts();
-                    commands.add(start(job, worker, policy, nowMillis));
+                    commands.add(start(job, worker, nowMillis));
                     break;
                 }
             }
@@ -65,7 +66,7 @@
         // Takes declarations at their word.
     }
 
-    private static TaskCommand start(JobSpecification job, Worker worker, SitePolicy policy, long nowMillis) {
+    private static TaskCommand start(JobSpecification job, Worker worker, long nowMillis) {
         return new TaskCommand.Start(
                 nowMillis,
                 job.jobId(),
@@ -73,7 +74,6 @@
                 job.declared(),
                 job.powerMilliwatts(),
                 Task.FULL_SPEED_PERCENT,
-                policy.capMilliwatts(),
                 "first fit",
                 "free " + worker.free());
     }
--- a/domain/src/main/java/org/nettlering/domain/placement/Planner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Planner.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.placement;
 
 import java.util.List;
+import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.worker.WorkerReport;
@@ -15,11 +16,11 @@
      * Decides on the next commands.
      *
      * @param state the replicated state; the planner does not change it, not null
-     * @param policy the configuration in force, not null
+     * @param configuration the configuration in force, not null
      * @param nowMillis the leader's wall clock, in milliseconds since the epoch
      * @return the commands to propose, in order, never null
      */
-    List<TaskCommand> plan(TaskState state, SitePolicy policy, long nowMillis);
+    List<TaskCommand> plan(TaskState state, SiteConfiguration configuration, long nowMillis);
 
     /**
      * Takes in what a worker measured.
--- a/domain/src/main/java/org/nettlering/domain/task/Task.java
+++ b/domain/src/main/java/org/nettlering/domain/task/Task.java
@@ -68,6 +68,9 @@
     /** When the current phase began. */
     long phaseMillis;
 
+    /** How long it may take to write a checkpoint before it has to leave. */
+    long graceMillis;
+
     /** How often it was evicted. */
     int evictions;
 
@@ -101,6 +104,7 @@
         task.resumedFrom = image.resumedFrom();
         task.startedMillis = image.startedMillis();
         task.phaseMillis = image.phaseMillis();
+        task.graceMillis = image.graceMillis();
         task.evictions = image.evictions();
         task.losses = image.losses();
         task.failedOn.addAll(image.failedOn());
@@ -126,6 +130,7 @@
                 resumedFrom,
                 startedMillis,
                 phaseMillis,
+                graceMillis,
                 evictions,
                 losses,
                 List.copyOf(failedOn),
@@ -222,6 +227,11 @@
         return phaseMillis;
     }
 
+    /** Returns how long it may take to write a checkpoint before it has to leave. */
+    public long graceMillis() {
+        return graceMillis;
+    }
+
     /** Returns how often it lost its worker. */
     public int losses() {
         return losses;
--- a/domain/src/main/java/org/nettlering/domain/task/TaskCommand.java
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskCommand.java
@@ -46,7 +46,6 @@
             Resources commitment,
             long powerMilliwatts,
             int throttlePercent,
-            long capMilliwatts,
             String rule,
             String figures)
             implements TaskCommand {}
@@ -62,21 +61,15 @@
     record LoseWorker(long timeMillis, String workerId, long session) implements TaskCommand {}
 
     /** Asks for another speed; a lower one frees power only once confirmed, a higher one commits it at once. */
-    record Throttle(
-            long timeMillis,
-            String jobId,
-            long epoch,
-            int throttlePercent,
-            long capMilliwatts,
-            String rule,
-            String figures)
+    record Throttle(long timeMillis, String jobId, long epoch, int throttlePercent, String rule, String figures)
             implements TaskCommand {}
 
     /** Records that the worker reported the lower speed in force. */
     record ConfirmThrottle(long timeMillis, String jobId, long epoch, long throttleVersion) implements TaskCommand {}
 
-    /** Asks a task to write a checkpoint and stop. */
-    record Evict(long timeMillis, String jobId, long epoch, String rule, String figures) implements TaskCommand {}
+    /** Asks a task to write a checkpoint and stop, at the latest after a grace. */
+    record Evict(long timeMillis, String jobId, long epoch, long graceMillis, String rule, String figures)
+            implements TaskCommand {}
 
     /** Corrects the commitment of a placed task to what was measured. */
     record Resize(
--- a/domain/src/main/java/org/nettlering/domain/task/TaskImage.java
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskImage.java
@@ -24,6 +24,7 @@
         long resumedFrom,
         long startedMillis,
         long phaseMillis,
+        long graceMillis,
         int evictions,
         int losses,
         List<String> failedOn,
--- a/domain/src/main/java/org/nettlering/domain/worker/ReportReader.java
+++ b/domain/src/main/java/org/nettlering/domain/worker/ReportReader.java
@@ -20,9 +20,6 @@
  * does not change during a call.
  */
 public final class ReportReader {
-    /** How long a task that is to be evicted may take to write a checkpoint. */
-    public static final long CHECKPOINT_GRACE_MILLIS = 10_000;
-
     private ReportReader() {}
 
     /**
@@ -147,7 +144,7 @@
         }
         if (task.phase() == TaskPhase.CHECKPOINTING) {
             boolean saved = task.checkpointMillis() > task.phaseMillis();
-            boolean late = nowMillis - task.phaseMillis() > CHECKPOINT_GRACE_MILLIS;
+            boolean late = nowMillis - task.phaseMillis() > task.graceMillis();
             commands.add(
                     saved || late
                             ? new WorkerCommand.Stop(jobId, running.epoch())
--- a/wire/src/main/java/org/nettlering/wire/codec/TaskCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/TaskCommandCodec.java
@@ -128,7 +128,6 @@
                 .setCommitment(TaskCodec.resources(command.commitment()))
                 .setPowerMilliwatts(command.powerMilliwatts())
                 .setThrottlePercent(command.throttlePercent())
-                .setCapMilliwatts(command.capMilliwatts())
                 .setRule(command.rule())
                 .setFigures(command.figures())
                 .build();
@@ -142,7 +141,6 @@
                 TaskCodec.resources(message.getCommitment()),
                 message.getPowerMilliwatts(),
                 message.getThrottlePercent(),
-                message.getCapMilliwatts(),
                 message.getRule(),
                 message.getFigures());
     }
@@ -200,7 +198,6 @@
                 .setJobId(command.jobId())
                 .setEpoch(command.epoch())
                 .setThrottlePercent(command.throttlePercent())
-                .setCapMilliwatts(command.capMilliwatts())
                 .setRule(command.rule())
                 .setFigures(command.figures())
                 .build();
@@ -212,7 +209,6 @@
                 message.getJobId(),
                 message.getEpoch(),
                 message.getThrottlePercent(),
-                message.getCapMilliwatts(),
                 message.getRule(),
                 message.getFigures());
     }
@@ -236,6 +232,7 @@
                 .setTimeUnixMillis(command.timeMillis())
                 .setJobId(command.jobId())
                 .setEpoch(command.epoch())
+                .setGraceMillis(command.graceMillis())
                 .setRule(command.rule())
                 .setFigures(command.figures())
                 .build();
@@ -246,6 +243,7 @@
                 message.getTimeUnixMillis(),
                 message.getJobId(),
                 message.getEpoch(),
+                message.getGraceMillis(),
                 message.getRule(),
                 message.getFigures());
     }
--- a/wire/src/main/java/org/nettlering/wire/codec/TaskSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/TaskSnapshotCodec.java
@@ -50,6 +50,7 @@
                 .setResumedFrom(task.resumedFrom())
                 .setStartedUnixMillis(task.startedMillis())
                 .setPhaseUnixMillis(task.phaseMillis())
+                .setGraceMillis(task.graceMillis())
                 .setEvictions(task.evictions())
                 .setLosses(task.losses())
                 .addAllFailedOn(task.failedOn());
@@ -75,6 +76,7 @@
                 message.getResumedFrom(),
                 message.getStartedUnixMillis(),
                 message.getPhaseUnixMillis(),
+                message.getGraceMillis(),
                 message.getEvictions(),
                 message.getLosses(),
                 message.getFailedOnList(),
--- a/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
@@ -34719,37 +34719,31 @@
     int getThrottlePercent();
 
     /**
-     * <code>uint64 cap_milliwatts = 6;</code>
-     * @return The capMilliwatts.
-     */
-    long getCapMilliwatts();
-
-    /**
-     * <code>string rule = 7;</code>
+     * <code>string rule = 6;</code>
      * @return The rule.
      */
     java.lang.String getRule();
     /**
-     * <code>string rule = 7;</code>
+     * <code>string rule = 6;</code>
      * @return The bytes for rule.
      */
     com.google.protobuf.ByteString
         getRuleBytes();
 
     /**
-     * <code>string figures = 8;</code>
+     * <code>string figures = 7;</code>
      * @return The figures.
      */
     java.lang.String getFigures();
     /**
-     * <code>string figures = 8;</code>
+     * <code>string figures = 7;</code>
      * @return The bytes for figures.
      */
     com.google.protobuf.ByteString
         getFiguresBytes();
 
     /**
-     * <code>uint64 time_unix_millis = 9;</code>
+     * <code>uint64 time_unix_millis = 8;</code>
      * @return The timeUnixMillis.
      */
     long getTimeUnixMillis();
@@ -34927,22 +34921,11 @@
       return throttlePercent_;
     }
 
-    public static final int CAP_MILLIWATTS_FIELD_NUMBER = 6;
-    private long capMilliwatts_ = 0L;
-    /**
-     * <code>uint64 cap_milliwatts = 6;</code>
-     * @return The capMilliwatts.
-     */
-    @java.lang.Override
-    public long getCapMilliwatts() {
-      return capMilliwatts_;
-    }
-
-    public static final int RULE_FIELD_NUMBER = 7;
+    public static final int RULE_FIELD_NUMBER = 6;
     @SuppressWarnings("serial")
     private volatile java.lang.Object rule_ = "";
     /**
-     * <code>string rule = 7;</code>
+     * <code>string rule = 6;</code>
      * @return The rule.
      */
     @java.lang.Override
@@ -34959,7 +34942,7 @@
       }
     }
     /**
-     * <code>string rule = 7;</code>
+     * <code>string rule = 6;</code>
      * @return The bytes for rule.
      */
     @java.lang.Override
@@ -34977,11 +34960,11 @@
       }
     }
 
-    public static final int FIGURES_FIELD_NUMBER = 8;
+    public static final int FIGURES_FIELD_NUMBER = 7;
     @SuppressWarnings("serial")
     private volatile java.lang.Object figures_ = "";
     /**
-     * <code>string figures = 8;</code>
+     * <code>string figures = 7;</code>
      * @return The figures.
      */
     @java.lang.Override
@@ -34998,7 +34981,7 @@
       }
     }
     /**
-     * <code>string figures = 8;</code>
+     * <code>string figures = 7;</code>
      * @return The bytes for figures.
      */
     @java.lang.Override
@@ -35016,10 +34999,10 @@
       }
     }
 
-    public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 9;
+    public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 8;
     private long timeUnixMillis_ = 0L;
     /**
-     * <code>uint64 time_unix_millis = 9;</code>
+     * <code>uint64 time_unix_millis = 8;</code>
      * @return The timeUnixMillis.
      */
     @java.lang.Override
@@ -35056,17 +35039,14 @@
       if (throttlePercent_ != 0) {
         output.writeUInt32(5, throttlePercent_);
       }
-      if (capMilliwatts_ != 0L) {
-        output.writeUInt64(6, capMilliwatts_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rule_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 7, rule_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, rule_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(figures_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 8, figures_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 7, figures_);
       }
       if (timeUnixMillis_ != 0L) {
-        output.writeUInt64(9, timeUnixMillis_);
+        output.writeUInt64(8, timeUnixMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -35090,19 +35070,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, throttlePercent_);
       }
-      if (capMilliwatts_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(6, capMilliwatts_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rule_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(7, rule_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, rule_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(figures_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(8, figures_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(7, figures_);
       }
       if (timeUnixMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(9, timeUnixMillis_);
+          .computeUInt64Size(8, timeUnixMillis_);
       }
       return size;
     }
@@ -35141,8 +35117,6 @@
           != other.getPowerMilliwatts()) return false;
       if (getThrottlePercent()
           != other.getThrottlePercent()) return false;
-      if (getCapMilliwatts()
-          != other.getCapMilliwatts()) return false;
       if (!getRule()
           .equals(other.getRule())) return false;
       if (!getFigures()
@@ -35173,9 +35147,6 @@
           getPowerMilliwatts());
       hash = (37 * hash) + THROTTLE_PERCENT_FIELD_NUMBER;
       hash = (53 * hash) + getThrottlePercent();
-      hash = (37 * hash) + CAP_MILLIWATTS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getCapMilliwatts());
       hash = (37 * hash) + RULE_FIELD_NUMBER;
       hash = (53 * hash) + getRule().hashCode();
       hash = (37 * hash) + FIGURES_FIELD_NUMBER;
@@ -35329,7 +35300,6 @@
         }
         powerMilliwatts_ = 0L;
         throttlePercent_ = 0;
-        capMilliwatts_ = 0L;
         rule_ = "";
         figures_ = "";
         timeUnixMillis_ = 0L;
@@ -35386,15 +35356,12 @@
           result.throttlePercent_ = throttlePercent_;
         }
         if (((from_bitField0_ & 0x00000020) != 0)) {
-          result.capMilliwatts_ = capMilliwatts_;
-        }
-        if (((from_bitField0_ & 0x00000040) != 0)) {
           result.rule_ = rule_;
         }
-        if (((from_bitField0_ & 0x00000080) != 0)) {
+        if (((from_bitField0_ & 0x00000040) != 0)) {
           result.figures_ = figures_;
         }
-        if (((from_bitField0_ & 0x00000100) != 0)) {
+        if (((from_bitField0_ & 0x00000080) != 0)) {
           result.timeUnixMillis_ = timeUnixMillis_;
         }
         result.bitField0_ |= to_bitField0_;
@@ -35431,17 +35398,14 @@
         if (other.getThrottlePercent() != 0) {
           setThrottlePercent(other.getThrottlePercent());
         }
-        if (other.getCapMilliwatts() != 0L) {
-          setCapMilliwatts(other.getCapMilliwatts());
-        }
         if (!other.getRule().isEmpty()) {
           rule_ = other.rule_;
-          bitField0_ |= 0x00000040;
+          bitField0_ |= 0x00000020;
           onChanged();
         }
         if (!other.getFigures().isEmpty()) {
           figures_ = other.figures_;
-          bitField0_ |= 0x00000080;
+          bitField0_ |= 0x00000040;
           onChanged();
         }
         if (other.getTimeUnixMillis() != 0L) {
@@ -35498,26 +35462,21 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
-              case 48: {
-                capMilliwatts_ = input.readUInt64();
+              case 50: {
+                rule_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000020;
                 break;
-              } // case 48
+              } // case 50
               case 58: {
-                rule_ = input.readStringRequireUtf8();
+                figures_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000040;
                 break;
               } // case 58
-              case 66: {
-                figures_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000080;
-                break;
-              } // case 66
-              case 72: {
+              case 64: {
                 timeUnixMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000100;
+                bitField0_ |= 0x00000080;
                 break;
-              } // case 72
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -35862,41 +35821,9 @@
         return this;
       }
 
-      private long capMilliwatts_ ;
-      /**
-       * <code>uint64 cap_milliwatts = 6;</code>
-       * @return The capMilliwatts.
-       */
-      @java.lang.Override
-      public long getCapMilliwatts() {
-        return capMilliwatts_;
-      }
-      /**
-       * <code>uint64 cap_milliwatts = 6;</code>
-       * @param value The capMilliwatts to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCapMilliwatts(long value) {
-
-        capMilliwatts_ = value;
-        bitField0_ |= 0x00000020;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 cap_milliwatts = 6;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearCapMilliwatts() {
-        bitField0_ = (bitField0_ & ~0x00000020);
-        capMilliwatts_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object rule_ = "";
       /**
-       * <code>string rule = 7;</code>
+       * <code>string rule = 6;</code>
        * @return The rule.
        */
       public java.lang.String getRule() {
@@ -35912,7 +35839,7 @@
         }
       }
       /**
-       * <code>string rule = 7;</code>
+       * <code>string rule = 6;</code>
        * @return The bytes for rule.
        */
       public com.google.protobuf.ByteString
@@ -35929,7 +35856,7 @@
         }
       }
       /**
-       * <code>string rule = 7;</code>
+       * <code>string rule = 6;</code>
        * @param value The rule to set.
        * @return This builder for chaining.
        */
@@ -35937,22 +35864,22 @@
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         rule_ = value;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
       /**
-       * <code>string rule = 7;</code>
+       * <code>string rule = 6;</code>
        * @return This builder for chaining.
        */
       public Builder clearRule() {
         rule_ = getDefaultInstance().getRule();
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000020);
         onChanged();
         return this;
       }
       /**
-       * <code>string rule = 7;</code>
+       * <code>string rule = 6;</code>
        * @param value The bytes for rule to set.
        * @return This builder for chaining.
        */
@@ -35961,14 +35888,14 @@
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
         rule_ = value;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
 
       private java.lang.Object figures_ = "";
       /**
-       * <code>string figures = 8;</code>
+       * <code>string figures = 7;</code>
        * @return The figures.
        */
       public java.lang.String getFigures() {
@@ -35984,7 +35911,7 @@
         }
       }
       /**
-       * <code>string figures = 8;</code>
+       * <code>string figures = 7;</code>
        * @return The bytes for figures.
        */
       public com.google.protobuf.ByteString
@@ -36001,7 +35928,7 @@
         }
       }
       /**
-       * <code>string figures = 8;</code>
+       * <code>string figures = 7;</code>
        * @param value The figures to set.
        * @return This builder for chaining.
        */
@@ -36009,22 +35936,22 @@
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         figures_ = value;
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000040;
         onChanged();
         return this;
       }
       /**
-       * <code>string figures = 8;</code>
+       * <code>string figures = 7;</code>
        * @return This builder for chaining.
        */
       public Builder clearFigures() {
         figures_ = getDefaultInstance().getFigures();
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
         return this;
       }
       /**
-       * <code>string figures = 8;</code>
+       * <code>string figures = 7;</code>
        * @param value The bytes for figures to set.
        * @return This builder for chaining.
        */
@@ -36033,14 +35960,14 @@
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
         figures_ = value;
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000040;
         onChanged();
         return this;
       }
 
       private long timeUnixMillis_ ;
       /**
-       * <code>uint64 time_unix_millis = 9;</code>
+       * <code>uint64 time_unix_millis = 8;</code>
        * @return The timeUnixMillis.
        */
       @java.lang.Override
@@ -36048,23 +35975,23 @@
         return timeUnixMillis_;
       }
       /**
-       * <code>uint64 time_unix_millis = 9;</code>
+       * <code>uint64 time_unix_millis = 8;</code>
        * @param value The timeUnixMillis to set.
        * @return This builder for chaining.
        */
       public Builder setTimeUnixMillis(long value) {
 
         timeUnixMillis_ = value;
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 time_unix_millis = 9;</code>
+       * <code>uint64 time_unix_millis = 8;</code>
        * @return This builder for chaining.
        */
       public Builder clearTimeUnixMillis() {
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000080);
         timeUnixMillis_ = 0L;
         onChanged();
         return this;
@@ -38537,37 +38464,31 @@
     int getThrottlePercent();
 
     /**
-     * <code>uint64 cap_milliwatts = 4;</code>
-     * @return The capMilliwatts.
-     */
-    long getCapMilliwatts();
-
-    /**
-     * <code>string rule = 5;</code>
+     * <code>string rule = 4;</code>
      * @return The rule.
      */
     java.lang.String getRule();
     /**
-     * <code>string rule = 5;</code>
+     * <code>string rule = 4;</code>
      * @return The bytes for rule.
      */
     com.google.protobuf.ByteString
         getRuleBytes();
 
     /**
-     * <code>string figures = 6;</code>
+     * <code>string figures = 5;</code>
      * @return The figures.
      */
     java.lang.String getFigures();
     /**
-     * <code>string figures = 6;</code>
+     * <code>string figures = 5;</code>
      * @return The bytes for figures.
      */
     com.google.protobuf.ByteString
         getFiguresBytes();
 
     /**
-     * <code>uint64 time_unix_millis = 7;</code>
+     * <code>uint64 time_unix_millis = 6;</code>
      * @return The timeUnixMillis.
      */
     long getTimeUnixMillis();
@@ -38678,22 +38599,11 @@
       return throttlePercent_;
     }
 
-    public static final int CAP_MILLIWATTS_FIELD_NUMBER = 4;
-    private long capMilliwatts_ = 0L;
-    /**
-     * <code>uint64 cap_milliwatts = 4;</code>
-     * @return The capMilliwatts.
-     */
-    @java.lang.Override
-    public long getCapMilliwatts() {
-      return capMilliwatts_;
-    }
-
-    public static final int RULE_FIELD_NUMBER = 5;
+    public static final int RULE_FIELD_NUMBER = 4;
     @SuppressWarnings("serial")
     private volatile java.lang.Object rule_ = "";
     /**
-     * <code>string rule = 5;</code>
+     * <code>string rule = 4;</code>
      * @return The rule.
      */
     @java.lang.Override
@@ -38710,7 +38620,7 @@
       }
     }
     /**
-     * <code>string rule = 5;</code>
+     * <code>string rule = 4;</code>
      * @return The bytes for rule.
      */
     @java.lang.Override
@@ -38728,11 +38638,11 @@
       }
     }
 
-    public static final int FIGURES_FIELD_NUMBER = 6;
+    public static final int FIGURES_FIELD_NUMBER = 5;
     @SuppressWarnings("serial")
     private volatile java.lang.Object figures_ = "";
     /**
-     * <code>string figures = 6;</code>
+     * <code>string figures = 5;</code>
      * @return The figures.
      */
     @java.lang.Override
@@ -38749,7 +38659,7 @@
       }
     }
     /**
-     * <code>string figures = 6;</code>
+     * <code>string figures = 5;</code>
      * @return The bytes for figures.
      */
     @java.lang.Override
@@ -38767,10 +38677,10 @@
       }
     }
 
-    public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 7;
+    public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 6;
     private long timeUnixMillis_ = 0L;
     /**
-     * <code>uint64 time_unix_millis = 7;</code>
+     * <code>uint64 time_unix_millis = 6;</code>
      * @return The timeUnixMillis.
      */
     @java.lang.Override
@@ -38801,17 +38711,14 @@
       if (throttlePercent_ != 0) {
         output.writeUInt32(3, throttlePercent_);
       }
-      if (capMilliwatts_ != 0L) {
-        output.writeUInt64(4, capMilliwatts_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rule_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 5, rule_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, rule_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(figures_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 6, figures_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, figures_);
       }
       if (timeUnixMillis_ != 0L) {
-        output.writeUInt64(7, timeUnixMillis_);
+        output.writeUInt64(6, timeUnixMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -38828,19 +38735,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, throttlePercent_);
       }
-      if (capMilliwatts_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, capMilliwatts_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(rule_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, rule_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, rule_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(figures_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, figures_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, figures_);
       }
       if (timeUnixMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(7, timeUnixMillis_);
+          .computeUInt64Size(6, timeUnixMillis_);
       }
       return size;
     }
@@ -38872,8 +38775,6 @@
           != other.getEpoch()) return false;
       if (getThrottlePercent()
           != other.getThrottlePercent()) return false;
-      if (getCapMilliwatts()
-          != other.getCapMilliwatts()) return false;
       if (!getRule()
           .equals(other.getRule())) return false;
       if (!getFigures()
@@ -38898,9 +38799,6 @@
           getEpoch());
       hash = (37 * hash) + THROTTLE_PERCENT_FIELD_NUMBER;
       hash = (53 * hash) + getThrottlePercent();
-      hash = (37 * hash) + CAP_MILLIWATTS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getCapMilliwatts());
       hash = (37 * hash) + RULE_FIELD_NUMBER;
       hash = (53 * hash) + getRule().hashCode();
       hash = (37 * hash) + FIGURES_FIELD_NUMBER;
@@ -39042,7 +38940,6 @@
         jobId_ = "";
         epoch_ = 0L;
         throttlePercent_ = 0;
-        capMilliwatts_ = 0L;
         rule_ = "";
         figures_ = "";
         timeUnixMillis_ = 0L;
@@ -39089,15 +38986,12 @@
           result.throttlePercent_ = throttlePercent_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.capMilliwatts_ = capMilliwatts_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
           result.rule_ = rule_;
         }
-        if (((from_bitField0_ & 0x00000020) != 0)) {
+        if (((from_bitField0_ & 0x00000010) != 0)) {
           result.figures_ = figures_;
         }
-        if (((from_bitField0_ & 0x00000040) != 0)) {
+        if (((from_bitField0_ & 0x00000020) != 0)) {
           result.timeUnixMillis_ = timeUnixMillis_;
         }
       }
@@ -39125,17 +39019,14 @@
         if (other.getThrottlePercent() != 0) {
           setThrottlePercent(other.getThrottlePercent());
         }
-        if (other.getCapMilliwatts() != 0L) {
-          setCapMilliwatts(other.getCapMilliwatts());
-        }
         if (!other.getRule().isEmpty()) {
           rule_ = other.rule_;
-          bitField0_ |= 0x00000010;
+          bitField0_ |= 0x00000008;
           onChanged();
         }
         if (!other.getFigures().isEmpty()) {
           figures_ = other.figures_;
-          bitField0_ |= 0x00000020;
+          bitField0_ |= 0x00000010;
           onChanged();
         }
         if (other.getTimeUnixMillis() != 0L) {
@@ -39180,26 +39071,21 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
-              case 32: {
-                capMilliwatts_ = input.readUInt64();
+              case 34: {
+                rule_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000008;
                 break;
-              } // case 32
+              } // case 34
               case 42: {
-                rule_ = input.readStringRequireUtf8();
+                figures_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 42
-              case 50: {
-                figures_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000020;
-                break;
-              } // case 50
-              case 56: {
+              case 48: {
                 timeUnixMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000040;
+                bitField0_ |= 0x00000020;
                 break;
-              } // case 56
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -39353,41 +39239,9 @@
         return this;
       }
 
-      private long capMilliwatts_ ;
-      /**
-       * <code>uint64 cap_milliwatts = 4;</code>
-       * @return The capMilliwatts.
-       */
-      @java.lang.Override
-      public long getCapMilliwatts() {
-        return capMilliwatts_;
-      }
-      /**
-       * <code>uint64 cap_milliwatts = 4;</code>
-       * @param value The capMilliwatts to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCapMilliwatts(long value) {
-
-        capMilliwatts_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 cap_milliwatts = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearCapMilliwatts() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        capMilliwatts_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object rule_ = "";
       /**
-       * <code>string rule = 5;</code>
+       * <code>string rule = 4;</code>
        * @return The rule.
        */
       public java.lang.String getRule() {
@@ -39403,7 +39257,7 @@
         }
       }
       /**
-       * <code>string rule = 5;</code>
+       * <code>string rule = 4;</code>
        * @return The bytes for rule.
        */
       public com.google.protobuf.ByteString
@@ -39420,7 +39274,7 @@
         }
       }
       /**
-       * <code>string rule = 5;</code>
+       * <code>string rule = 4;</code>
        * @param value The rule to set.
        * @return This builder for chaining.
        */
@@ -39428,22 +39282,22 @@
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         rule_ = value;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>string rule = 5;</code>
+       * <code>string rule = 4;</code>
        * @return This builder for chaining.
        */
       public Builder clearRule() {
         rule_ = getDefaultInstance().getRule();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
         return this;
       }
       /**
-       * <code>string rule = 5;</code>
+       * <code>string rule = 4;</code>
        * @param value The bytes for rule to set.
        * @return This builder for chaining.
        */
@@ -39452,14 +39306,14 @@
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
         rule_ = value;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
 
       private java.lang.Object figures_ = "";
       /**
-       * <code>string figures = 6;</code>
+       * <code>string figures = 5;</code>
        * @return The figures.
        */
       public java.lang.String getFigures() {
@@ -39475,7 +39329,7 @@
         }
       }
       /**
-       * <code>string figures = 6;</code>
+       * <code>string figures = 5;</code>
        * @return The bytes for figures.
        */
       public com.google.protobuf.ByteString
@@ -39492,7 +39346,7 @@
         }
       }
       /**
-       * <code>string figures = 6;</code>
+       * <code>string figures = 5;</code>
        * @param value The figures to set.
        * @return This builder for chaining.
        */
@@ -39500,22 +39354,22 @@
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         figures_ = value;
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>string figures = 6;</code>
+       * <code>string figures = 5;</code>
        * @return This builder for chaining.
        */
       public Builder clearFigures() {
         figures_ = getDefaultInstance().getFigures();
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
         return this;
       }
       /**
-       * <code>string figures = 6;</code>
+       * <code>string figures = 5;</code>
        * @param value The bytes for figures to set.
        * @return This builder for chaining.
        */
@@ -39524,14 +39378,14 @@
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
         figures_ = value;
-        bitField0_ |= 0x00000020;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
 
       private long timeUnixMillis_ ;
       /**
-       * <code>uint64 time_unix_millis = 7;</code>
+       * <code>uint64 time_unix_millis = 6;</code>
        * @return The timeUnixMillis.
        */
       @java.lang.Override
@@ -39539,23 +39393,23 @@
         return timeUnixMillis_;
       }
       /**
-       * <code>uint64 time_unix_millis = 7;</code>
+       * <code>uint64 time_unix_millis = 6;</code>
        * @param value The timeUnixMillis to set.
        * @return This builder for chaining.
        */
       public Builder setTimeUnixMillis(long value) {
 
         timeUnixMillis_ = value;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 time_unix_millis = 7;</code>
+       * <code>uint64 time_unix_millis = 6;</code>
        * @return This builder for chaining.
        */
       public Builder clearTimeUnixMillis() {
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000020);
         timeUnixMillis_ = 0L;
         onChanged();
         return this;
@@ -40399,6 +40253,12 @@
      * @return The timeUnixMillis.
      */
     long getTimeUnixMillis();
+
+    /**
+     * <code>uint64 grace_millis = 6;</code>
+     * @return The graceMillis.
+     */
+    long getGraceMillis();
   }
   /**
    * Protobuf type {@code nettlering.EvictCommand}
@@ -40584,6 +40444,17 @@
       return timeUnixMillis_;
     }
 
+    public static final int GRACE_MILLIS_FIELD_NUMBER = 6;
+    private long graceMillis_ = 0L;
+    /**
+     * <code>uint64 grace_millis = 6;</code>
+     * @return The graceMillis.
+     */
+    @java.lang.Override
+    public long getGraceMillis() {
+      return graceMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -40613,6 +40484,9 @@
       if (timeUnixMillis_ != 0L) {
         output.writeUInt64(5, timeUnixMillis_);
       }
+      if (graceMillis_ != 0L) {
+        output.writeUInt64(6, graceMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -40634,6 +40508,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(5, timeUnixMillis_);
       }
+      if (graceMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, graceMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -40668,6 +40546,8 @@
           .equals(other.getFigures())) return false;
       if (getTimeUnixMillis()
           != other.getTimeUnixMillis()) return false;
+      if (getGraceMillis()
+          != other.getGraceMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -40691,6 +40571,9 @@
       hash = (37 * hash) + TIME_UNIX_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getTimeUnixMillis());
+      hash = (37 * hash) + GRACE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getGraceMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -40827,6 +40710,7 @@
         rule_ = "";
         figures_ = "";
         timeUnixMillis_ = 0L;
+        graceMillis_ = 0L;
         return this;
       }
 
@@ -40875,6 +40759,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.timeUnixMillis_ = timeUnixMillis_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.graceMillis_ = graceMillis_;
+        }
       }
 
       @java.lang.Override
@@ -40910,6 +40797,9 @@
         if (other.getTimeUnixMillis() != 0L) {
           setTimeUnixMillis(other.getTimeUnixMillis());
         }
+        if (other.getGraceMillis() != 0L) {
+          setGraceMillis(other.getGraceMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -40959,6 +40849,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                graceMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -41256,6 +41151,38 @@
         return this;
       }
 
+      private long graceMillis_ ;
+      /**
+       * <code>uint64 grace_millis = 6;</code>
+       * @return The graceMillis.
+       */
+      @java.lang.Override
+      public long getGraceMillis() {
+        return graceMillis_;
+      }
+      /**
+       * <code>uint64 grace_millis = 6;</code>
+       * @param value The graceMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGraceMillis(long value) {
+
+        graceMillis_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 grace_millis = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGraceMillis() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        graceMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.EvictCommand)
     }
 
@@ -48322,6 +48249,12 @@
      */
     org.nettlering.wire.proto.TaskProto.DecisionOrBuilder getDecisionsOrBuilder(
         int index);
+
+    /**
+     * <code>uint64 grace_millis = 21;</code>
+     * @return The graceMillis.
+     */
+    long getGraceMillis();
   }
   /**
    * Protobuf type {@code nettlering.TaskRecord}
@@ -48762,6 +48695,17 @@
       return decisions_.get(index);
     }
 
+    public static final int GRACE_MILLIS_FIELD_NUMBER = 21;
+    private long graceMillis_ = 0L;
+    /**
+     * <code>uint64 grace_millis = 21;</code>
+     * @return The graceMillis.
+     */
+    @java.lang.Override
+    public long getGraceMillis() {
+      return graceMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -48836,6 +48780,9 @@
       for (int i = 0; i < decisions_.size(); i++) {
         output.writeMessage(20, decisions_.get(i));
       }
+      if (graceMillis_ != 0L) {
+        output.writeUInt64(21, graceMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -48926,6 +48873,10 @@
             }
             size += 2 * count;
           }
+      if (graceMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(21, graceMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -48996,6 +48947,8 @@
           .equals(other.getFailedOnList())) return false;
       if (!getDecisionsList()
           .equals(other.getDecisionsList())) return false;
+      if (getGraceMillis()
+          != other.getGraceMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -49064,6 +49017,9 @@
         hash = (37 * hash) + DECISIONS_FIELD_NUMBER;
         hash = (53 * hash) + getDecisionsList().hashCode();
       }
+      hash = (37 * hash) + GRACE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getGraceMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -49238,6 +49194,7 @@
           decisionsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00080000);
+        graceMillis_ = 0L;
         return this;
       }
 
@@ -49349,6 +49306,9 @@
           failedOn_.makeImmutable();
           result.failedOn_ = failedOn_;
         }
+        if (((from_bitField0_ & 0x00100000) != 0)) {
+          result.graceMillis_ = graceMillis_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -49460,6 +49420,9 @@
             }
           }
         }
+        if (other.getGraceMillis() != 0L) {
+          setGraceMillis(other.getGraceMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -49596,6 +49559,11 @@
                 }
                 break;
               } // case 162
+              case 168: {
+                graceMillis_ = input.readUInt64();
+                bitField0_ |= 0x00100000;
+                break;
+              } // case 168
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -50828,6 +50796,38 @@
         return decisionsBuilder_;
       }
 
+      private long graceMillis_ ;
+      /**
+       * <code>uint64 grace_millis = 21;</code>
+       * @return The graceMillis.
+       */
+      @java.lang.Override
+      public long getGraceMillis() {
+        return graceMillis_;
+      }
+      /**
+       * <code>uint64 grace_millis = 21;</code>
+       * @param value The graceMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGraceMillis(long value) {
+
+        graceMillis_ = value;
+        bitField0_ |= 0x00100000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 grace_millis = 21;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGraceMillis() {
+        bitField0_ = (bitField0_ & ~0x00100000);
+        graceMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.TaskRecord)
     }
 
@@ -53293,75 +53293,75 @@
       "ering.Resources\022\014\n\004rack\030\004 \001(\t\022\026\n\016failure" +
       "_domain\030\005 \001(\t\022\027\n\017idle_milliwatts\030\006 \001(\004\022&" +
       "\n\007running\030\007 \003(\0132\025.nettlering.TaskEpoch\022\030" +
-      "\n\020time_unix_millis\030\010 \001(\004\"\341\001\n\014StartComman" +
+      "\n\020time_unix_millis\030\010 \001(\004\"\311\001\n\014StartComman" +
       "d\022\016\n\006job_id\030\001 \001(\t\022\021\n\tworker_id\030\002 \001(\t\022)\n\n" +
       "commitment\030\003 \001(\0132\025.nettlering.Resources\022" +
       "\030\n\020power_milliwatts\030\004 \001(\004\022\030\n\020throttle_pe" +
-      "rcent\030\005 \001(\r\022\026\n\016cap_milliwatts\030\006 \001(\004\022\014\n\004r" +
-      "ule\030\007 \001(\t\022\017\n\007figures\030\010 \001(\t\022\030\n\020time_unix_" +
-      "millis\030\t \001(\004\"m\n\025RecordProgressCommand\022\016\n" +
-      "\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\033\n\023checkpoi" +
-      "nt_sequence\030\003 \001(\004\022\030\n\020time_unix_millis\030\004 " +
-      "\001(\004\"\237\001\n\020RecordEndCommand\022\016\n\006job_id\030\001 \001(\t" +
-      "\022\r\n\005epoch\030\002 \001(\004\022%\n\006reason\030\003 \001(\0162\025.nettle" +
-      "ring.EndReason\022\033\n\023checkpoint_sequence\030\004 " +
-      "\001(\004\022\016\n\006detail\030\005 \001(\t\022\030\n\020time_unix_millis\030" +
-      "\006 \001(\004\"Q\n\021LoseWorkerCommand\022\021\n\tworker_id\030" +
-      "\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\030\n\020time_unix_mill" +
-      "is\030\003 \001(\004\"\233\001\n\017ThrottleCommand\022\016\n\006job_id\030\001" +
-      " \001(\t\022\r\n\005epoch\030\002 \001(\004\022\030\n\020throttle_percent\030" +
-      "\003 \001(\r\022\026\n\016cap_milliwatts\030\004 \001(\004\022\014\n\004rule\030\005 " +
-      "\001(\t\022\017\n\007figures\030\006 \001(\t\022\030\n\020time_unix_millis" +
-      "\030\007 \001(\004\"k\n\026ConfirmThrottleCommand\022\016\n\006job_" +
-      "id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\030\n\020throttle_vers" +
-      "ion\030\003 \001(\004\022\030\n\020time_unix_millis\030\004 \001(\004\"f\n\014E" +
-      "victCommand\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001" +
-      "(\004\022\014\n\004rule\030\003 \001(\t\022\017\n\007figures\030\004 \001(\t\022\030\n\020tim" +
-      "e_unix_millis\030\005 \001(\004\"\254\001\n\rResizeCommand\022\016\n" +
-      "\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022)\n\ncommitme" +
-      "nt\030\003 \001(\0132\025.nettlering.Resources\022\030\n\020power" +
-      "_milliwatts\030\004 \001(\004\022\014\n\004rule\030\005 \001(\t\022\017\n\007figur" +
-      "es\030\006 \001(\t\022\030\n\020time_unix_millis\030\007 \001(\004\"z\n\021Qu" +
-      "arantineCommand\022\021\n\tworker_id\030\001 \001(\t\022\031\n\021un" +
-      "til_unix_millis\030\002 \001(\004\022\014\n\004rule\030\003 \001(\t\022\017\n\007f" +
-      "igures\030\004 \001(\t\022\030\n\020time_unix_millis\030\005 \001(\004\"Q" +
-      "\n\025MarkUnrunnableCommand\022\016\n\006job_id\030\001 \001(\t\022" +
-      "\016\n\006reason\030\002 \001(\t\022\030\n\020time_unix_millis\030\003 \001(" +
-      "\004\"I\n\rReviveCommand\022\016\n\006job_id\030\001 \001(\t\022\016\n\006re" +
-      "ason\030\002 \001(\t\022\030\n\020time_unix_millis\030\003 \001(\004\"S\n\014" +
-      "BatchCommand\022)\n\010commands\030\001 \003(\0132\027.nettler" +
-      "ing.TaskCommand\022\030\n\020time_unix_millis\030\002 \001(" +
-      "\004\"7\n\nTaskResult\022\022\n\nerror_code\030\001 \001(\t\022\025\n\re" +
-      "rror_message\030\002 \001(\t\"\256\001\n\014TaskSnapshot\022%\n\005t" +
-      "asks\030\001 \003(\0132\026.nettlering.TaskRecord\022)\n\007wo" +
-      "rkers\030\002 \003(\0132\030.nettlering.WorkerRecord\022\030\n" +
-      "\020finished_job_ids\030\003 \003(\t\022\031\n\021forgotten_job" +
-      "_ids\030\004 \003(\t\022\027\n\017peak_milliwatts\030\005 \001(\004\"\233\004\n\n" +
-      "TaskRecord\022)\n\003job\030\001 \001(\0132\034.nettlering.Job" +
-      "Specification\022\024\n\014operation_id\030\002 \001(\t\022\035\n\025s" +
-      "ubmitted_unix_millis\030\003 \001(\004\022\r\n\005phase\030\004 \001(" +
-      "\t\022\r\n\005epoch\030\005 \001(\004\022\021\n\tworker_id\030\006 \001(\t\022)\n\nc" +
-      "ommitment\030\007 \001(\0132\025.nettlering.Resources\022\030" +
-      "\n\020power_milliwatts\030\010 \001(\004\022\031\n\021committed_pe" +
-      "rcent\030\t \001(\r\022\030\n\020throttle_percent\030\n \001(\r\022\030\n" +
-      "\020throttle_version\030\013 \001(\004\022\033\n\023checkpoint_se" +
-      "quence\030\014 \001(\004\022\036\n\026checkpoint_unix_millis\030\r" +
-      " \001(\004\022\024\n\014resumed_from\030\016 \001(\004\022\033\n\023started_un" +
-      "ix_millis\030\017 \001(\004\022\031\n\021phase_unix_millis\030\020 \001" +
-      "(\004\022\021\n\tevictions\030\021 \001(\r\022\016\n\006losses\030\022 \001(\r\022\021\n" +
-      "\tfailed_on\030\023 \003(\t\022\'\n\tdecisions\030\024 \003(\0132\024.ne" +
-      "ttlering.Decision\"\257\002\n\014WorkerRecord\022\n\n\002id" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007session\030\003" +
-      " \001(\004\022\014\n\004live\030\004 \001(\010\022\'\n\010capacity\030\005 \001(\0132\025.n" +
-      "ettlering.Resources\022\027\n\017idle_milliwatts\030\006" +
-      " \001(\004\022\014\n\004rack\030\007 \001(\t\022\026\n\016failure_domain\030\010 \001" +
-      "(\t\022%\n\035quarantined_until_unix_millis\030\t \001(" +
-      "\004\022\023\n\013quarantines\030\n \001(\r\022\022\n\nblamed_for\030\013 \003" +
-      "(\t\022\'\n\tdecisions\030\014 \003(\0132\024.nettlering.Decis" +
-      "ion*b\n\tEndReason\022\032\n\026END_REASON_UNSPECIFI" +
-      "ED\020\000\022\r\n\tCOMPLETED\020\001\022\013\n\007STOPPED\020\002\022\n\n\006FAIL" +
-      "ED\020\003\022\021\n\rLEASE_EXPIRED\020\004B&\n\031org.nettlerin" +
-      "g.wire.protoB\tTaskProtob\006proto3"
+      "rcent\030\005 \001(\r\022\014\n\004rule\030\006 \001(\t\022\017\n\007figures\030\007 \001" +
+      "(\t\022\030\n\020time_unix_millis\030\010 \001(\004\"m\n\025RecordPr" +
+      "ogressCommand\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002" +
+      " \001(\004\022\033\n\023checkpoint_sequence\030\003 \001(\004\022\030\n\020tim" +
+      "e_unix_millis\030\004 \001(\004\"\237\001\n\020RecordEndCommand" +
+      "\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022%\n\006reaso" +
+      "n\030\003 \001(\0162\025.nettlering.EndReason\022\033\n\023checkp" +
+      "oint_sequence\030\004 \001(\004\022\016\n\006detail\030\005 \001(\t\022\030\n\020t" +
+      "ime_unix_millis\030\006 \001(\004\"Q\n\021LoseWorkerComma" +
+      "nd\022\021\n\tworker_id\030\001 \001(\t\022\017\n\007session\030\002 \001(\004\022\030" +
+      "\n\020time_unix_millis\030\003 \001(\004\"\203\001\n\017ThrottleCom" +
+      "mand\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\030\n\020t" +
+      "hrottle_percent\030\003 \001(\r\022\014\n\004rule\030\004 \001(\t\022\017\n\007f" +
+      "igures\030\005 \001(\t\022\030\n\020time_unix_millis\030\006 \001(\004\"k" +
+      "\n\026ConfirmThrottleCommand\022\016\n\006job_id\030\001 \001(\t" +
+      "\022\r\n\005epoch\030\002 \001(\004\022\030\n\020throttle_version\030\003 \001(" +
+      "\004\022\030\n\020time_unix_millis\030\004 \001(\004\"|\n\014EvictComm" +
+      "and\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\014\n\004ru" +
+      "le\030\003 \001(\t\022\017\n\007figures\030\004 \001(\t\022\030\n\020time_unix_m" +
+      "illis\030\005 \001(\004\022\024\n\014grace_millis\030\006 \001(\004\"\254\001\n\rRe" +
+      "sizeCommand\022\016\n\006job_id\030\001 \001(\t\022\r\n\005epoch\030\002 \001" +
+      "(\004\022)\n\ncommitment\030\003 \001(\0132\025.nettlering.Reso" +
+      "urces\022\030\n\020power_milliwatts\030\004 \001(\004\022\014\n\004rule\030" +
+      "\005 \001(\t\022\017\n\007figures\030\006 \001(\t\022\030\n\020time_unix_mill" +
+      "is\030\007 \001(\004\"z\n\021QuarantineCommand\022\021\n\tworker_" +
+      "id\030\001 \001(\t\022\031\n\021until_unix_millis\030\002 \001(\004\022\014\n\004r" +
+      "ule\030\003 \001(\t\022\017\n\007figures\030\004 \001(\t\022\030\n\020time_unix_" +
+      "millis\030\005 \001(\004\"Q\n\025MarkUnrunnableCommand\022\016\n" +
+      "\006job_id\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\030\n\020time_un" +
+      "ix_millis\030\003 \001(\004\"I\n\rReviveCommand\022\016\n\006job_" +
+      "id\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\030\n\020time_unix_mi" +
+      "llis\030\003 \001(\004\"S\n\014BatchCommand\022)\n\010commands\030\001" +
+      " \003(\0132\027.nettlering.TaskCommand\022\030\n\020time_un" +
+      "ix_millis\030\002 \001(\004\"7\n\nTaskResult\022\022\n\nerror_c" +
+      "ode\030\001 \001(\t\022\025\n\rerror_message\030\002 \001(\t\"\256\001\n\014Tas" +
+      "kSnapshot\022%\n\005tasks\030\001 \003(\0132\026.nettlering.Ta" +
+      "skRecord\022)\n\007workers\030\002 \003(\0132\030.nettlering.W" +
+      "orkerRecord\022\030\n\020finished_job_ids\030\003 \003(\t\022\031\n" +
+      "\021forgotten_job_ids\030\004 \003(\t\022\027\n\017peak_milliwa" +
+      "tts\030\005 \001(\004\"\261\004\n\nTaskRecord\022)\n\003job\030\001 \001(\0132\034." +
+      "nettlering.JobSpecification\022\024\n\014operation" +
+      "_id\030\002 \001(\t\022\035\n\025submitted_unix_millis\030\003 \001(\004" +
+      "\022\r\n\005phase\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\022\021\n\tworker" +
+      "_id\030\006 \001(\t\022)\n\ncommitment\030\007 \001(\0132\025.nettleri" +
+      "ng.Resources\022\030\n\020power_milliwatts\030\010 \001(\004\022\031" +
+      "\n\021committed_percent\030\t \001(\r\022\030\n\020throttle_pe" +
+      "rcent\030\n \001(\r\022\030\n\020throttle_version\030\013 \001(\004\022\033\n" +
+      "\023checkpoint_sequence\030\014 \001(\004\022\036\n\026checkpoint" +
+      "_unix_millis\030\r \001(\004\022\024\n\014resumed_from\030\016 \001(\004" +
+      "\022\033\n\023started_unix_millis\030\017 \001(\004\022\031\n\021phase_u" +
+      "nix_millis\030\020 \001(\004\022\021\n\tevictions\030\021 \001(\r\022\016\n\006l" +
+      "osses\030\022 \001(\r\022\021\n\tfailed_on\030\023 \003(\t\022\'\n\tdecisi" +
+      "ons\030\024 \003(\0132\024.nettlering.Decision\022\024\n\014grace" +
+      "_millis\030\025 \001(\004\"\257\002\n\014WorkerRecord\022\n\n\002id\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007session\030\003 \001(\004" +
+      "\022\014\n\004live\030\004 \001(\010\022\'\n\010capacity\030\005 \001(\0132\025.nettl" +
+      "ering.Resources\022\027\n\017idle_milliwatts\030\006 \001(\004" +
+      "\022\014\n\004rack\030\007 \001(\t\022\026\n\016failure_domain\030\010 \001(\t\022%" +
+      "\n\035quarantined_until_unix_millis\030\t \001(\004\022\023\n" +
+      "\013quarantines\030\n \001(\r\022\022\n\nblamed_for\030\013 \003(\t\022\'" +
+      "\n\tdecisions\030\014 \003(\0132\024.nettlering.Decision*" +
+      "b\n\tEndReason\022\032\n\026END_REASON_UNSPECIFIED\020\000" +
+      "\022\r\n\tCOMPLETED\020\001\022\013\n\007STOPPED\020\002\022\n\n\006FAILED\020\003" +
+      "\022\021\n\rLEASE_EXPIRED\020\004B&\n\031org.nettlering.wi" +
+      "re.protoB\tTaskProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -53564,7 +53564,7 @@
     internal_static_nettlering_StartCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_StartCommand_descriptor,
-        new java.lang.String[] { "JobId", "WorkerId", "Commitment", "PowerMilliwatts", "ThrottlePercent", "CapMilliwatts", "Rule", "Figures", "TimeUnixMillis", });
+        new java.lang.String[] { "JobId", "WorkerId", "Commitment", "PowerMilliwatts", "ThrottlePercent", "Rule", "Figures", "TimeUnixMillis", });
     internal_static_nettlering_RecordProgressCommand_descriptor =
       getDescriptor().getMessageType(33);
     internal_static_nettlering_RecordProgressCommand_fieldAccessorTable = new
@@ -53588,7 +53588,7 @@
     internal_static_nettlering_ThrottleCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ThrottleCommand_descriptor,
-        new java.lang.String[] { "JobId", "Epoch", "ThrottlePercent", "CapMilliwatts", "Rule", "Figures", "TimeUnixMillis", });
+        new java.lang.String[] { "JobId", "Epoch", "ThrottlePercent", "Rule", "Figures", "TimeUnixMillis", });
     internal_static_nettlering_ConfirmThrottleCommand_descriptor =
       getDescriptor().getMessageType(37);
     internal_static_nettlering_ConfirmThrottleCommand_fieldAccessorTable = new
@@ -53600,7 +53600,7 @@
     internal_static_nettlering_EvictCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_EvictCommand_descriptor,
-        new java.lang.String[] { "JobId", "Epoch", "Rule", "Figures", "TimeUnixMillis", });
+        new java.lang.String[] { "JobId", "Epoch", "Rule", "Figures", "TimeUnixMillis", "GraceMillis", });
     internal_static_nettlering_ResizeCommand_descriptor =
       getDescriptor().getMessageType(39);
     internal_static_nettlering_ResizeCommand_fieldAccessorTable = new
@@ -53648,7 +53648,7 @@
     internal_static_nettlering_TaskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskRecord_descriptor,
-        new java.lang.String[] { "Job", "OperationId", "SubmittedUnixMillis", "Phase", "Epoch", "WorkerId", "Commitment", "PowerMilliwatts", "CommittedPercent", "ThrottlePercent", "ThrottleVersion", "CheckpointSequence", "CheckpointUnixMillis", "ResumedFrom", "StartedUnixMillis", "PhaseUnixMillis", "Evictions", "Losses", "FailedOn", "Decisions", });
+        new java.lang.String[] { "Job", "OperationId", "SubmittedUnixMillis", "Phase", "Epoch", "WorkerId", "Commitment", "PowerMilliwatts", "CommittedPercent", "ThrottlePercent", "ThrottleVersion", "CheckpointSequence", "CheckpointUnixMillis", "ResumedFrom", "StartedUnixMillis", "PhaseUnixMillis", "Evictions", "Losses", "FailedOn", "Decisions", "GraceMillis", });
     internal_static_nettlering_WorkerRecord_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_nettlering_WorkerRecord_fieldAccessorTable = new
