--- /dev/null
+++ b/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
@@ -0,0 +1,192 @@
+package org.nettlering.entry.testing;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Vertx;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.nettlering.domain.configuration.ConfigurationChange;
+import org.nettlering.domain.configuration.Interruption;
+import org.nettlering.domain.configuration.Profile;
+import org.nettlering.domain.configuration.Route;
+import org.nettlering.domain.configuration.ServiceDefinition;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.entry.EntryConfiguration;
+import org.nettlering.entry.EntryProcess;
+import org.nettlering.entry.RequestLimits;
+import org.nettlering.wire.transport.Peer;
+
+/** One entry process on loopback with a paused clock, fake control members and real sockets. */
+public final class EntryFixture implements AutoCloseable {
+    /** How long a test waits for something that should have happened at once. */
+    public static final Duration PATIENCE = Duration.ofSeconds(10);
+
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.ofLiteral("127.0.0.1"), 0);
+
+    /** The paused clock. */
+    private final ManualTime time;
+
+    /** The control members. */
+    private final FakeControl control;
+
+    /** Runs the servers. */
+    private final Vertx vertx = Vertx.vertx();
+
+    /** The counters. */
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+
+    /** The entry. */
+    private final EntryProcess process;
+
+    /** Sends requests. */
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    /** Numbers the announcements. */
+    private final AtomicLong sequence = new AtomicLong();
+
+    private EntryFixture(
+            String id, ManualTime time, FakeControl control, RequestLimits limits, Map<String, Peer> peers) {
+        this.time = time;
+        this.control = control;
+        process = new EntryProcess(
+                new EntryConfiguration(id, ANY_PORT, ANY_PORT, limits),
+                vertx,
+                time,
+                control,
+                peers,
+                registry,
+                router -> {});
+        await(process.start().toCompletableFuture());
+    }
+
+    /** Starts an entry with one service, "previews" at /previews. */
+    public static EntryFixture start() {
+        return start(RequestLimits.defaults());
+    }
+
+    public static EntryFixture start(RequestLimits limits) {
+        ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
+        FakeControl control = new FakeControl(time);
+        control.change(
+                new ConfigurationChange.PutProfile(new Profile("urgent", 90, Interruption.NEVER, 50)),
+                putService("previews", 10_000));
+        return start("entry-1", time, control, limits, Map.of());
+    }
+
+    public static EntryFixture start(
+            String id, ManualTime time, FakeControl control, RequestLimits limits, Map<String, Peer> peers) {
+        return new EntryFixture(id, time, control, limits, peers);
+    }
+
+    public static ConfigurationChange putService(String name, int timeoutMillis) {
+        return new ConfigurationChange.PutService(new ServiceDefinition(
+                name, "urgent", List.of(new Route("", "/" + name)), Duration.ofMillis(timeoutMillis), 16));
+    }
+
+    public ManualTime time() {
+        return time;
+    }
+
+    public FakeControl control() {
+        return control;
+    }
+
+    public EntryProcess process() {
+        return process;
+    }
+
+    /** Moves the clock in small steps, so that each loop sees each of its rounds. */
+    public void advance(Duration duration) {
+        long step = 10;
+        for (long passed = 0; passed < duration.toMillis(); passed += step) {
+            time.advance(Duration.ofMillis(step));
+        }
+    }
+
+    /** Announces an upstream of a service and lets the entry take notice. */
+    public HttpResponse<String> announce(String service, String instance, ScriptedUpstream upstream, String state) {
+        return announce("{\"service\":\"" + service + "\",\"instance\":\"" + instance + "\",\"address\":\""
+                + upstream.address() + "\",\"slots\":8,\"connections\":60,\"failureDomain\":\"a\",\"state\":\"" + state
+                + "\",\"incarnation\":1,\"sequence\":" + sequence.incrementAndGet() + "}");
+    }
+
+    public HttpResponse<String> announce(String json) {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + process.platformPort() + "/v1/announcements"))
+                .POST(HttpRequest.BodyPublishers.ofString(json))
+                .build();
+        HttpResponse<String> response = await(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+        advance(Duration.ofMillis(30));
+        return response;
+    }
+
+    public HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + process.callersPort() + path));
+    }
+
+    /** Sends a request without waiting for its answer. */
+    public CompletableFuture<HttpResponse<String>> send(HttpRequest request) {
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    public HttpResponse<String> get(String path) {
+        return await(send(request(path).build()));
+    }
+
+    /** Sends a non-idempotent request with a key. */
+    public CompletableFuture<HttpResponse<String>> post(String path, String key, String body) {
+        HttpRequest.Builder builder = request(path).POST(HttpRequest.BodyPublishers.ofString(body));
+        if (!key.isEmpty()) {
+            builder.header("Idempotency-Key", key);
+        }
+        return send(builder.build());
+    }
+
+    /** Returns the metrics as text. */
+    public String metrics() {
+        try {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+            return out.toString(StandardCharsets.UTF_8);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    public static <T> T await(Future<T> future) {
+        try {
+            return future.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    public static String header(HttpResponse<?> response, String name) {
+        return response.headers().firstValue(name).orElse("");
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        await(vertx.close().toCompletionStage().toCompletableFuture());
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/nettlering/entry/testing/FakeControl.java
@@ -0,0 +1,176 @@
+package org.nettlering.entry.testing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.nettlering.domain.configuration.ConfigurationChange;
+import org.nettlering.domain.configuration.ConfigurationOperation;
+import org.nettlering.domain.configuration.ConfigurationState;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.ledger.LedgerKey;
+import org.nettlering.domain.ledger.LedgerReply;
+import org.nettlering.domain.ledger.LedgerState;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.wire.codec.ConfigurationCodec;
+import org.nettlering.wire.codec.LedgerCodec;
+import org.nettlering.wire.proto.ConfigurationProto.ConfigurationResponse;
+import org.nettlering.wire.proto.ConfigurationProto.ConfigurationUpdate;
+import org.nettlering.wire.proto.ConfigurationProto.FetchConfiguration;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.RequestProto.LedgerRequest;
+import org.nettlering.wire.transport.ControlGateway;
+
+/** Three control members in memory that can lose their leader, be cut off or go silent. */
+public final class FakeControl implements ControlGateway {
+    private static final int MEMBERS = 3;
+
+    /** The clock. */
+    private final TimeSource time;
+
+    /** The replicated configuration. */
+    private final ConfigurationState configuration = ConfigurationState.create();
+
+    /** The replicated ledger. */
+    private final LedgerState ledger = LedgerState.create();
+
+    /** How many members answer local questions. */
+    private volatile int reachableMembers = MEMBERS;
+
+    /** True while a leader answers. */
+    private volatile boolean leader = true;
+
+    /** True while nothing is answered at all. */
+    private volatile boolean silent;
+
+    /** Answered instead of the current configuration when set. */
+    private volatile long forcedRevision = -1;
+
+    public FakeControl(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Returns the revision in force. */
+    public long revision() {
+        return configuration.current().revision();
+    }
+
+    /** Applies changes as one operation. */
+    public void change(ConfigurationChange... changes) {
+        long revision = revision();
+        configuration.apply(new ConfigurationOperation(
+                "operation-" + revision, "test", revision, List.of(changes), Instant.EPOCH, "digest"));
+    }
+
+    /** Makes the leader disappear or come back. */
+    public void setLeader(boolean present) {
+        leader = present;
+    }
+
+    /** Sets how many members answer local questions. */
+    public void setReachableMembers(int count) {
+        reachableMembers = count;
+    }
+
+    /** Makes every question go unanswered. */
+    public void setSilent(boolean isSilent) {
+        silent = isSilent;
+    }
+
+    /** Makes the leader answer with a full copy of a given revision. */
+    public void forceRevision(long revision) {
+        forcedRevision = revision;
+    }
+
+    /** Returns the ledger of the members. */
+    public LedgerState ledger() {
+        return ledger;
+    }
+
+    @Override
+    public CompletionStage<Frame> callLeader(Frame request, boolean repeatable, Duration timeout) {
+        if (silent) {
+            return timeOut(timeout);
+        }
+        if (!leader) {
+            return CompletableFuture.failedStage(new NettleringException(ErrorCode.NO_LEADER, "no leader"));
+        }
+        return CompletableFuture.completedStage(answer(request));
+    }
+
+    @Override
+    public List<CompletionStage<Frame>> callEveryMember(Frame request, Duration timeout) {
+        List<CompletionStage<Frame>> stages = new ArrayList<>();
+        for (int member = 0; member < MEMBERS; member++) {
+            boolean answers = !silent && member < reachableMembers;
+            stages.add(answers ? CompletableFuture.completedStage(answer(request)) : timeOut(timeout));
+        }
+        return stages;
+    }
+
+    private CompletionStage<Frame> timeOut(Duration timeout) {
+        CompletableFuture<Frame> future = new CompletableFuture<>();
+        time.schedule(
+                timeout,
+                () -> future.completeExceptionally(new NettleringException(ErrorCode.OUTCOME_UNKNOWN, "timeout")));
+        return future;
+    }
+
+    private Frame answer(Frame request) {
+        if (request.hasLedgerRequest()) {
+            return Frame.newBuilder()
+                    .setLedgerResponse(LedgerCodec.toMessage(answer(request.getLedgerRequest())))
+                    .build();
+        }
+        ConfigurationUpdate update = update(request.getConfigurationRequest().getFetch());
+        return Frame.newBuilder()
+                .setConfigurationResponse(ConfigurationResponse.newBuilder().setUpdate(update))
+                .build();
+    }
+
+    private LedgerReply answer(LedgerRequest request) {
+        return switch (request.getRequestCase()) {
+            case RESERVE ->
+                ledger.reserve(LedgerCodec.toReservation(request.getReserve().toBuilder()
+                        .setTimeUnixMillis(time.instant().toEpochMilli())
+                        .build()));
+            case COMPLETE ->
+                ledger.complete(
+                        new LedgerKey(
+                                request.getComplete().getService(),
+                                request.getComplete().getKey()),
+                        request.getComplete().getAttemptId(),
+                        LedgerCodec.toOutcome(request.getComplete()),
+                        LedgerCodec.toAnswer(request.getComplete()),
+                        time.instant());
+            case LOOK_UP ->
+                ledger.lookUp(
+                        new LedgerKey(
+                                request.getLookUp().getService(),
+                                request.getLookUp().getKey()),
+                        time.instant());
+            case REQUEST_NOT_SET -> throw new IllegalArgumentException("empty ledger request");
+        };
+    }
+
+    private ConfigurationUpdate update(FetchConfiguration fetch) {
+        if (forcedRevision >= 0) {
+            return ConfigurationUpdate.newBuilder()
+                    .setRevision(forcedRevision)
+                    .setFull(ConfigurationCodec.toMessage(configuration.current()).toBuilder()
+                            .setRevision(forcedRevision))
+                    .build();
+        }
+        ConfigurationUpdate.Builder update = ConfigurationUpdate.newBuilder().setRevision(revision());
+        configuration
+                .differencesSince(fetch.getKnownRevision())
+                .ifPresentOrElse(
+                        records ->
+                                records.forEach(record -> update.addDifferences(ConfigurationCodec.toMessage(record))),
+                        () -> update.setFull(ConfigurationCodec.toMessage(configuration.current())));
+        return update.build();
+    }
+}
