Report a blank setting as blank

A blank value was reported as missing.

Ruled out: changing the expected text. An operator who sees the key in the file and reads "is missing" looks at the wrong place.

Change: the reader takes the raw value, since the typed list of the library leaves blank values out.

Conclusion: the test holds as it was written.

--- a/runtime/src/main/java/org/nettlering/runtime/settings/SettingsReader.java
+++ b/runtime/src/main/java/org/nettlering/runtime/settings/SettingsReader.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -85,12 +86,19 @@
         Iterator<String> keys = configuration.getSection(section).getKeys();
         while (keys.hasNext()) {
             String key = keys.next();
-            List<String> list = configuration.getSection(section).getList(String.class, key, List.of());
-            values.put(key.replace("..", "."), List.copyOf(list));
+            Object value = configuration.getSection(section).getProperty(key);
+            values.put(key.replace("..", "."), texts(value));
         }
         return values;
     }
 
+    private static List<String> texts(@Nullable Object value) {
+        if (value instanceof Collection<?> several) {
+            return several.stream().map(String::valueOf).toList();
+        }
+        return List.of(value == null ? "" : value.toString());
+    }
+
     /**
      * Reads a value that must be there.
      *
