--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -1,5 +1,9 @@
 package org.nettlering.benchmarks;
 
+import java.util.Arrays;
+import org.nettlering.benchmarks.capacity.CapacityBenchmark;
+import org.nettlering.benchmarks.path.PathBenchmark;
+
 /**
  * Runs one benchmark by name.
  *
@@ -23,7 +27,10 @@
         if (arguments.length == 0) {
             return usage();
         }
+        String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
+            case "path" -> new PathBenchmark().run(rest);
+            case "capacity" -> new CapacityBenchmark().run(rest);
             case "--help" -> help();
             default -> usage();
         };
