--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -0,0 +1,172 @@
+package org.nettlering.control.process;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.nettlering.consensus.ConsensusExecutors;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusPorts;
+import org.nettlering.consensus.ConsensusSettings;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.storage.DiskFolder;
+import org.nettlering.consensus.storage.FileLogStorage;
+import org.nettlering.control.configuration.ConfigurationPart;
+import org.nettlering.control.configuration.ConfigurationService;
+import org.nettlering.control.consensus.ConsensusEvents;
+import org.nettlering.control.consensus.MembershipService;
+import org.nettlering.control.consensus.PeerConsensusTransport;
+import org.nettlering.control.consensus.ReplicatedCommandLog;
+import org.nettlering.control.ledger.LedgerPart;
+import org.nettlering.control.ledger.LedgerService;
+import org.nettlering.control.metrics.ControlMetrics;
+import org.nettlering.control.metrics.MetricsServer;
+import org.nettlering.control.service.FrameDispatcher;
+import org.nettlering.control.settings.ControlSettings;
+import org.nettlering.control.state.SiteStateMachine;
+import org.nettlering.control.task.TaskListener;
+import org.nettlering.control.task.TaskPart;
+import org.nettlering.control.task.TaskService;
+import org.nettlering.domain.placement.FirstFitPlanner;
+import org.nettlering.domain.time.SystemTime;
+import org.nettlering.runtime.metrics.Metrics;
+import org.nettlering.runtime.program.Daemon;
+import org.nettlering.wire.transport.NettyPeer;
+import org.nettlering.wire.transport.NettyPeerServer;
+import org.nettlering.wire.transport.PeerNetwork;
+import org.nettlering.wire.transport.TransportLimits;
+
+/**
+ * A running control process.
+ *
+ * <p>Stopping hands leadership over first, so that a planned stop costs no election timeout. Thread-safe.
+ */
+public final class ControlProcess implements Daemon.Running {
+    /** How long a planned stop waits for another member to take over, in seconds. */
+    private static final long HAND_OVER_TIMEOUT_SECONDS = 3;
+
+    /** The members that the settings name. */
+    private final List<Member> settingsMembers;
+
+    /** The clock and the timers. */
+    private final SystemTime time;
+
+    /** The connections to other processes. */
+    private final PeerNetwork network;
+
+    /** The replicated log. */
+    private final ConsensusNode node;
+
+    /** The scheduling loop. */
+    private final TaskService tasks;
+
+    /** Accepts connections. */
+    private final NettyPeerServer server;
+
+    /** Serves metrics. */
+    private final MetricsServer metricsServer;
+
+    /**
+     * Starts a control process.
+     *
+     * @param settings the checked settings, not null
+     * @return the running process, never null
+     * @throws org.nettlering.domain.error.NettleringException if the data folder is in use, damaged or too new, or an
+     *     address cannot be bound
+     */
+    public static ControlProcess start(ControlSettings settings) {
+        return new ControlProcess(settings);
+    }
+
+    private ControlProcess(ControlSettings settings) {
+        MemberId self = MemberId.of(settings.identity().processId());
+        settingsMembers = initialMembers(settings);
+        time = SystemTime.create("control-timers");
+        network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
+        ConfigurationPart configurationPart = ConfigurationPart.create();
+        TaskPart taskPart =
+                TaskPart.create(() -> configurationPart.state().current().powerCapMilliwatts());
+        LedgerPart ledgerPart = LedgerPart.create();
+        MemberPeers peers = MemberPeers.of(this::findMember, this::openPeer);
+        PeerConsensusTransport transport = PeerConsensusTransport.of(self, peers);
+        node = ConsensusNode.create(
+                self,
+                settingsMembers,
+                ConsensusSettings.DEFAULT,
+                new ConsensusPorts(
+                        time,
+                        FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
+                        transport,
+                        SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
+                        ConsensusEvents.logging(),
+                        ConsensusExecutors.create(self),
+                        RandomGenerator.getDefault()));
+        ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
+        tasks = TaskService.start(
+                log, taskPart, time, configurationPart.state()::current, FirstFitPlanner::create, TaskListener.NONE);
+        FrameDispatcher dispatcher = FrameDispatcher.of(
+                frame -> transport.deliver(frame, node),
+                ConfigurationService.of(log, configurationPart, time),
+                tasks,
+                LedgerService.of(log, ledgerPart, time),
+                MembershipService.of(node));
+        node.start();
+        server = network.listen(settings.peersAddress(), dispatcher);
+        Metrics metrics = Metrics.create();
+        ControlMetrics.register(metrics.registry(), node, configurationPart.state());
+        metricsServer = MetricsServer.start(
+                settings.metricsAddress(), metrics, () -> node.leader().isPresent());
+    }
+
+    /** Hands leadership over, then stops everything in the reverse order of its start. */
+    @Override
+    public void stop() {
+        handLeadershipOver();
+        metricsServer.close();
+        server.close();
+        tasks.close();
+        node.close();
+        network.close();
+        time.close();
+    }
+
+    private void handLeadershipOver() {
+        if (!node.isReadyLeader()) {
+            return;
+        }
+        node.transferLeadership(Optional.empty())
+                .completeOnTimeout(null, HAND_OVER_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .exceptionally(failure -> null)
+                .join();
+    }
+
+    /** Looks in the current membership, then in the settings, which a member without a log has alone. */
+    private Optional<Member> findMember(MemberId id) {
+        return node.status()
+                .flatMap(status -> status.membership().find(id))
+                .or(() -> settingsMembers.stream()
+                        .filter(member -> member.id().equals(id))
+                        .findFirst());
+    }
+
+    private NettyPeer openPeer(String id, String address) {
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress socketAddress =
+                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        return network.peer(id, socketAddress);
+    }
+
+    private static List<Member> initialMembers(ControlSettings settings) {
+        return settings.members().values().stream()
+                .map(member -> new Member(
+                        MemberId.of(member.id()),
+                        member.address().getHostString() + ":"
+                                + member.address().getPort(),
+                        member.failureDomain(),
+                        0L,
+                        true))
+                .toList();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/process/MemberPeers.java
@@ -0,0 +1,66 @@
+package org.nettlering.control.process;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.wire.transport.NettyPeer;
+import org.nettlering.wire.transport.Peer;
+
+/**
+ * The connections to the other control members, made when the membership first names them.
+ *
+ * <p>A member that changed its address gets a new connection. Thread-safe.
+ */
+final class MemberPeers implements Function<MemberId, Optional<Peer>> {
+    /** Looks up a member in the current membership. */
+    private final Function<MemberId, Optional<Member>> membership;
+
+    /** Opens a connection to an id and an address. */
+    private final BiFunction<String, String, NettyPeer> opener;
+
+    /** The connections by member. */
+    private final Map<MemberId, Connection> connections = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a set without connections.
+     *
+     * @param membership looks up a member in the current membership, not null
+     * @param opener opens a connection to an id and an address, not null
+     * @return a new instance, never null
+     */
+    static MemberPeers of(
+            Function<MemberId, Optional<Member>> membership, BiFunction<String, String, NettyPeer> opener) {
+        return new MemberPeers(membership, opener);
+    }
+
+    private MemberPeers(Function<MemberId, Optional<Member>> membership, BiFunction<String, String, NettyPeer> opener) {
+        this.membership = membership;
+        this.opener = opener;
+    }
+
+    @Override
+    public Optional<Peer> apply(MemberId id) {
+        return membership
+                .apply(id)
+                .map(member -> connections
+                        .compute(id, (ignored, present) -> connect(member, present))
+                        .peer());
+    }
+
+    private Connection connect(Member member, @Nullable Connection present) {
+        if (present != null && present.address().equals(member.address())) {
+            return present;
+        }
+        if (present != null) {
+            present.peer().close();
+        }
+        return new Connection(member.address(), opener.apply(member.id().value(), member.address()));
+    }
+
+    private record Connection(String address, NettyPeer peer) {}
+}
--- a/control/src/main/java/org/nettlering/control/service/FrameDispatcher.java
+++ b/control/src/main/java/org/nettlering/control/service/FrameDispatcher.java
@@ -6,7 +6,6 @@
 import org.nettlering.control.log.FrameService;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
-import org.nettlering.wire.proto.ConsensusProto.ConsensusMessage;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.transport.FrameHandler;
 
@@ -16,8 +15,8 @@
  * <p>Immutable and thread-safe.
  */
 public final class FrameDispatcher implements FrameHandler {
-    /** Receives the messages of the replicated log. */
-    private final Consumer<ConsensusMessage> consensus;
+    /** Receives the frames of the replicated log. */
+    private final Consumer<Frame> consensus;
 
     /** Answers requests about the configuration. */
     private final FrameService configuration;
@@ -34,7 +33,7 @@
     /**
      * Creates a dispatcher.
      *
-     * @param consensus receives the messages of the replicated log, not null
+     * @param consensus receives the frames of the replicated log, not null
      * @param configuration answers requests about the configuration, not null
      * @param tasks answers requests about tasks and workers, not null
      * @param ledger answers requests about idempotency keys, not null
@@ -42,7 +41,7 @@
      * @return a new dispatcher, never null
      */
     public static FrameDispatcher of(
-            Consumer<ConsensusMessage> consensus,
+            Consumer<Frame> consensus,
             FrameService configuration,
             FrameService tasks,
             FrameService ledger,
@@ -51,7 +50,7 @@
     }
 
     private FrameDispatcher(
-            Consumer<ConsensusMessage> consensus,
+            Consumer<Frame> consensus,
             FrameService configuration,
             FrameService tasks,
             FrameService ledger,
@@ -75,7 +74,7 @@
     @Override
     public void handleMessage(Frame message) {
         if (message.hasConsensus()) {
-            consensus.accept(message.getConsensus());
+            consensus.accept(message);
         }
     }
 
