--- a/entry/src/main/java/org/nettlering/entry/EntryConfiguration.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryConfiguration.java
@@ -1,6 +1,7 @@
 package org.nettlering.entry;
 
 import java.net.InetSocketAddress;
+import org.nettlering.entry.settings.EntryLimits;
 
 /**
  * What one entry process needs to know of itself.
@@ -13,4 +14,4 @@
  * @param limits bounds of what it takes from outside, not null
  */
 public record EntryConfiguration(
-        String processId, InetSocketAddress callers, InetSocketAddress platform, RequestLimits limits) {}
+        String processId, InetSocketAddress callers, InetSocketAddress platform, EntryLimits limits) {}
--- a/entry/src/main/java/org/nettlering/entry/EntryProcess.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryProcess.java
@@ -41,6 +41,7 @@
 import org.nettlering.entry.upstreams.UpstreamPools;
 import org.nettlering.entry.upstreams.UpstreamRefresher;
 import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.ControlGateway;
 import org.nettlering.wire.transport.FrameHandler;
 import org.nettlering.wire.transport.Peer;
@@ -111,6 +112,7 @@
      * @param gateway the control members, not null
      * @param peers the connections to the other entries by id, not null
      * @param registry where counters are registered, not null
+     * @param telemetry records the spans, not null
      * @param platformRoutes adds further routes to the platform port, not null
      */
     public EntryProcess(
@@ -120,6 +122,7 @@
             ControlGateway gateway,
             Map<String, ? extends Peer> peers,
             PrometheusRegistry registry,
+            Telemetry telemetry,
             Consumer<Router> platformRoutes) {
         this.settings = settings;
         this.vertx = vertx;
@@ -155,6 +158,7 @@
                 ServiceLimits.create(),
                 inFlight,
                 metrics,
+                telemetry,
                 time);
         metrics.showCounts(inFlight::count, admission::waitingCount);
     }
--- a/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
@@ -36,6 +36,8 @@
 import org.nettlering.entry.upstreams.SlotWaiter;
 import org.nettlering.entry.upstreams.UpstreamAttempt;
 import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.runtime.trace.Hop;
+import org.nettlering.runtime.trace.TraceSpan;
 
 /**
  * One request of a caller, from its head to its answer.
@@ -61,6 +63,9 @@
     /** When the request came, in monotonic time. */
     private final long startNanos;
 
+    /** The span of the request. */
+    private final TraceSpan span;
+
     /** The attempts that have neither answered nor failed. */
     private final List<UpstreamAttempt> live = new ArrayList<>();
 
@@ -100,6 +105,8 @@
         this.response = request.response();
         this.context = context;
         this.startNanos = services.time().nanoTime();
+        String traceparent = request.getHeader(HeaderNames.TRACEPARENT);
+        this.span = services.telemetry().start(Hop.CALLER_TO_ENTRY, traceparent == null ? "" : traceparent);
     }
 
     void start() {
@@ -245,6 +252,7 @@
                 new LedgerKey(begun.service().name(), key.get()),
                 KeyedRequest.digest(begun.head(), begun.body().held()),
                 begun.deadlineNanos(),
+                span.traceparent(),
                 this);
         keyed = reserving;
         reserving.reserve();
@@ -269,14 +277,17 @@
         tried.add(upstream);
         history = history.plusAttempt();
         services.metrics().attempted(serviceName());
+        TraceSpan attemptSpan = services.telemetry()
+                .start(Hop.ENTRY_TO_UPSTREAM, span.traceparent())
+                .attribute("upstream", upstream.toString());
         UpstreamAttempt attempt = new UpstreamAttempt(
-                services.pools().pool(upstream), services.time().nanoTime(), this);
+                services.pools().pool(upstream), services.time().nanoTime(), attemptSpan, this);
         live.add(attempt);
-        attempt.start(requestOptions(), this::sendBody);
+        attempt.start(requestOptions(attemptSpan), this::sendBody);
         startPatience(attempt);
     }
 
-    private RequestOptions requestOptions() {
+    private RequestOptions requestOptions(TraceSpan attemptSpan) {
         AcceptedRequest begun = accepted();
         RequestOptions options = new RequestOptions()
                 .setMethod(begun.head().method())
@@ -294,6 +305,9 @@
                 Long.toString(Math.max(1, remaining().toMillis())));
         options.putHeader(HeaderNames.ATTEMPT, Integer.toString(history.attempts()));
         options.putHeader(HeaderNames.ENTRY, services.entryId());
+        if (!attemptSpan.traceparent().isEmpty()) {
+            options.putHeader(HeaderNames.TRACEPARENT, attemptSpan.traceparent());
+        }
         return options;
     }
 
@@ -385,6 +399,7 @@
     private void endWithError(ErrorAnswer answer) {
         services.metrics()
                 .refused(serviceName(), answer.code().text(), answer.outcome().text());
+        span.attribute("error", answer.code().text());
         boolean bodyUnread = accepted == null || !accepted.body().isWhole();
         if (!response.closed() && !response.ended()) {
             answer.write(response, bodyUnread && request.version() != io.vertx.core.http.HttpVersion.HTTP_2);
@@ -422,6 +437,7 @@
             boolean notRun = outcome == RequestOutcome.NOT_RUN && !mayHaveRun;
             key.complete(notRun ? KeyOutcome.NOT_RUN : KeyOutcome.UNKNOWN, null);
         }
+        span.end();
         services.inFlight().end();
     }
 
--- a/entry/src/main/java/org/nettlering/entry/callers/CallerServices.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerServices.java
@@ -1,14 +1,15 @@
 package org.nettlering.entry.callers;
 
 import org.nettlering.domain.time.TimeSource;
-import org.nettlering.entry.RequestLimits;
 import org.nettlering.entry.configuration.ConfigurationClient;
 import org.nettlering.entry.ledger.LedgerClient;
 import org.nettlering.entry.lifecycle.AcceptanceGate;
 import org.nettlering.entry.lifecycle.RequestsInFlight;
 import org.nettlering.entry.metrics.EntryMetrics;
+import org.nettlering.entry.settings.EntryLimits;
 import org.nettlering.entry.upstreams.SlotDesk;
 import org.nettlering.entry.upstreams.UpstreamPools;
+import org.nettlering.runtime.trace.Telemetry;
 
 /**
  * What the handling of a caller's request needs.
@@ -25,11 +26,12 @@
  * @param serviceLimits the budgets of the services, not null
  * @param inFlight counts the requests, not null
  * @param metrics the counters, not null
+ * @param telemetry records the spans, not null
  * @param time the clock, not null
  */
 public record CallerServices(
         String entryId,
-        RequestLimits limits,
+        EntryLimits limits,
         ConfigurationClient configuration,
         AcceptanceGate gate,
         SlotDesk desk,
@@ -38,4 +40,5 @@
         ServiceLimits serviceLimits,
         RequestsInFlight inFlight,
         EntryMetrics metrics,
+        Telemetry telemetry,
         TimeSource time) {}
--- a/entry/src/main/java/org/nettlering/entry/callers/KeyedRequest.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/KeyedRequest.java
@@ -48,6 +48,9 @@
     /** When the own answer is due, in monotonic time. */
     private final long deadlineNanos;
 
+    /** The W3C trace context, empty if there is none. */
+    private final String traceparent;
+
     /** This attempt, unique over all entries. */
     private final String attemptId = UUID.randomUUID().toString();
 
@@ -67,7 +70,9 @@
             LedgerKey key,
             byte[] digest,
             long deadlineNanos,
+            String traceparent,
             Listener listener) {
+        this.traceparent = traceparent;
         this.ledger = ledger;
         this.time = time;
         this.context = context;
@@ -93,7 +98,7 @@
 
     void reserve() {
         holdsKey = true;
-        onContext(ledger.reserve(key, digest, attemptId, remaining()), this::takeReservation);
+        onContext(ledger.reserve(key, digest, attemptId, remaining(), traceparent), this::takeReservation);
     }
 
     /** Stores the outcome if this attempt may hold the key; later calls do nothing. */
--- a/entry/src/main/java/org/nettlering/entry/ledger/LedgerClient.java
+++ b/entry/src/main/java/org/nettlering/entry/ledger/LedgerClient.java
@@ -51,9 +51,11 @@
      * @param digest the digest of the request, not null
      * @param attemptId the attempt, not null
      * @param timeout how long the attempt waits for its answer, not null
+     * @param traceparent the W3C trace context, empty if there is none, not null
      * @return the reply; a failure means that the request must not be dispatched, never null
      */
-    public CompletionStage<LedgerReply> reserve(LedgerKey key, byte[] digest, String attemptId, Duration timeout) {
+    public CompletionStage<LedgerReply> reserve(
+            LedgerKey key, byte[] digest, String attemptId, Duration timeout, String traceparent) {
         ReserveKey reserve = ReserveKey.newBuilder()
                 .setService(key.service())
                 .setKey(key.key())
@@ -62,7 +64,7 @@
                 .setAttemptId(attemptId)
                 .setTimeoutMillis(Math.toIntExact(timeout.toMillis()))
                 .build();
-        return call(LedgerRequest.newBuilder().setReserve(reserve), timeout);
+        return call(LedgerRequest.newBuilder().setReserve(reserve), timeout, traceparent);
     }
 
     /**
@@ -77,7 +79,7 @@
                 .setService(key.service())
                 .setKey(key.key())
                 .build();
-        return call(LedgerRequest.newBuilder().setLookUp(lookUp), timeout);
+        return call(LedgerRequest.newBuilder().setLookUp(lookUp), timeout, "");
     }
 
     /**
@@ -91,15 +93,18 @@
     public void complete(LedgerKey key, String attemptId, KeyOutcome outcome, @Nullable KeptAnswer answer) {
         LedgerRequest.Builder request =
                 LedgerRequest.newBuilder().setComplete(LedgerCodec.toMessage(key, attemptId, outcome, answer));
-        call(request, COMPLETION_TIMEOUT).whenComplete((reply, error) -> {
+        call(request, COMPLETION_TIMEOUT, "").whenComplete((reply, error) -> {
             if (error != null) {
                 LOGGER.log(EntryEvent.LEDGER_OUTCOME_LOST, key.service(), error.toString());
             }
         });
     }
 
-    private CompletionStage<LedgerReply> call(LedgerRequest.Builder request, Duration timeout) {
-        Frame frame = Frame.newBuilder().setLedgerRequest(request).build();
+    private CompletionStage<LedgerReply> call(LedgerRequest.Builder request, Duration timeout, String traceparent) {
+        Frame frame = Frame.newBuilder()
+                .setTraceparent(traceparent)
+                .setLedgerRequest(request)
+                .build();
         return gateway.callLeader(frame, true, timeout)
                 .thenApply(response -> LedgerCodec.toReply(response.getLedgerResponse()));
     }
--- a/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamAttempt.java
+++ b/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import org.nettlering.domain.retry.RequestOutcome;
 import org.nettlering.domain.upstream.UpstreamAddress;
 import org.nettlering.entry.callers.HeaderNames;
+import org.nettlering.runtime.trace.TraceSpan;
 
 /**
  * One try of a request at one upstream.
@@ -28,12 +29,18 @@
     /** When the attempt began, in monotonic time. */
     private final long startNanos;
 
+    /** The span of the attempt. */
+    private final TraceSpan span;
+
     /** The request on its connection, null before there is one. */
     private @Nullable HttpClientRequest request;
 
     /** True when the connection had carried an answer before. */
     private boolean onProvenConnection;
 
+    /** True once the span has ended. */
+    private boolean spanEnded;
+
     /** True once the attempt was reported or cancelled. */
     private boolean ended;
 
@@ -42,9 +49,11 @@
      *
      * @param pool the connections to the upstream, not null
      * @param startNanos the monotonic time, in nanoseconds
+     * @param span the span of the attempt, ended by it, not null
      * @param listener hears of the attempt, not null
      */
-    public UpstreamAttempt(UpstreamPool pool, long startNanos, AttemptListener listener) {
+    public UpstreamAttempt(UpstreamPool pool, long startNanos, TraceSpan span, AttemptListener listener) {
+        this.span = span;
         this.pool = pool;
         this.startNanos = startNanos;
         this.listener = listener;
@@ -109,6 +118,7 @@
     /** Ends the attempt without a report; a request that was sent closes its connection. */
     public void cancel() {
         ended = true;
+        endSpan("cancelled");
         HttpClientRequest sent = request;
         if (sent != null) {
             sent.reset();
@@ -117,6 +127,8 @@
 
     /** Notes that the whole answer has come. */
     public void succeed() {
+        spanEnded = true;
+        span.end();
         HttpClientRequest sent = request;
         if (sent != null) {
             pool.prove(sent.connection());
@@ -161,11 +173,19 @@
                 && RequestOutcome.NOT_RUN.text().equals(response.getHeader(HeaderNames.OUTCOME));
     }
 
+    private void endSpan(String code) {
+        if (!spanEnded) {
+            spanEnded = true;
+            span.fail(code);
+        }
+    }
+
     private void fail(AttemptOutcome outcome) {
         if (ended) {
             return;
         }
         ended = true;
+        endSpan(outcome instanceof AttemptOutcome.NotRun ? "not-run" : "unknown");
         listener.attemptFailed(this, outcome);
     }
 }
--- a/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
+++ b/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
@@ -31,7 +31,8 @@
 import org.nettlering.domain.time.ManualTime;
 import org.nettlering.entry.EntryConfiguration;
 import org.nettlering.entry.EntryProcess;
-import org.nettlering.entry.RequestLimits;
+import org.nettlering.entry.settings.EntryLimits;
+import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.Peer;
 
 /** One entry process on loopback with a paused clock, fake control members and real sockets. */
@@ -63,8 +64,7 @@
     /** Numbers the announcements. */
     private final AtomicLong sequence = new AtomicLong();
 
-    private EntryFixture(
-            String id, ManualTime time, FakeControl control, RequestLimits limits, Map<String, Peer> peers) {
+    private EntryFixture(String id, ManualTime time, FakeControl control, EntryLimits limits, Map<String, Peer> peers) {
         this.time = time;
         this.control = control;
         process = new EntryProcess(
@@ -74,16 +74,17 @@
                 control,
                 peers,
                 registry,
+                Telemetry.disabled(),
                 router -> {});
         await(process.start().toCompletableFuture());
     }
 
     /** Starts an entry with one service, "previews" at /previews. */
     public static EntryFixture start() {
-        return start(RequestLimits.defaults());
+        return start(EntryLimits.DEFAULTS);
     }
 
-    public static EntryFixture start(RequestLimits limits) {
+    public static EntryFixture start(EntryLimits limits) {
         ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
         FakeControl control = new FakeControl(time);
         control.change(
@@ -93,7 +94,7 @@
     }
 
     public static EntryFixture start(
-            String id, ManualTime time, FakeControl control, RequestLimits limits, Map<String, Peer> peers) {
+            String id, ManualTime time, FakeControl control, EntryLimits limits, Map<String, Peer> peers) {
         return new EntryFixture(id, time, control, limits, peers);
     }
 
