--- a/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
+++ b/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
@@ -69,6 +69,21 @@
         this.httpStatus = httpStatus;
     }
 
+    /**
+     * Finds the code with the given text.
+     *
+     * @param text the text, such as {@code not-leader}, not null
+     * @return the code, or {@link #INTERNAL} for a text that no code has, never null
+     */
+    public static ErrorCode fromText(String text) {
+        for (ErrorCode code : values()) {
+            if (code.text().equals(text)) {
+                return code;
+            }
+        }
+        return INTERNAL;
+    }
+
     /**
      * Finds a code by its text.
      *
--- /dev/null
+++ b/entry/src/main/java/org/nettlering/entry/operators/OperatorServer.java
@@ -0,0 +1,84 @@
+package org.nettlering.entry.operators;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Serves the operators' port of an entry: configuration, jobs, workers, power, members, status, metrics, readiness.
+ *
+ * <p>docs/INTERFACES.md lists the resources. Thread-safe.
+ */
+public final class OperatorServer {
+    private static final long MAX_BODY_BYTES = 1024 * 1024;
+
+    private static final int IDLE_TIMEOUT_SECONDS = 60;
+
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+
+    /** The server. */
+    private final HttpServer server;
+
+    private OperatorServer(HttpServer server) {
+        this.server = server;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param vertx runs the server, not null
+     * @param address where to listen; port 0 takes any free one, not null
+     * @param services the parts of the entry, not null
+     * @return the running server, never null
+     */
+    public static Future<OperatorServer> start(Vertx vertx, InetSocketAddress address, OperatorServices services) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(address.getHostString())
+                .setPort(address.getPort())
+                .setIdleTimeout(IDLE_TIMEOUT_SECONDS);
+        return vertx.createHttpServer(options)
+                .requestHandler(router(vertx, services))
+                .listen()
+                .map(OperatorServer::new);
+    }
+
+    private static Router router(Vertx vertx, OperatorServices services) {
+        ControlForwarder forwarder = new ControlForwarder(services.gateway(), services.telemetry(), DEFAULT_TIMEOUT);
+        Router router = Router.router(vertx);
+        router.route("/v1/*")
+                .handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES))
+                .handler(routing -> HttpAnswers.startSpan(routing, services.telemetry()));
+        ConfigurationRoutes.register(router, forwarder);
+        TaskRoutes.register(router, forwarder);
+        MemberRoutes.register(router, forwarder);
+        StatusRoutes.register(router, services, forwarder);
+        router.route().failureHandler(HttpAnswers::failed);
+        for (int status : new int[] {400, 404, 405, 413}) {
+            router.errorHandler(status, HttpAnswers::failed);
+        }
+        return router;
+    }
+
+    /**
+     * Returns the port on which the server listens.
+     *
+     * @return the port that was bound
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /**
+     * Stops listening.
+     *
+     * @return completes when the server is closed, never null
+     */
+    public Future<Void> close() {
+        return server.close();
+    }
+}
--- a/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
@@ -1,6 +1,7 @@
 package org.nettlering.wire.transport;
 
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.wire.proto.FrameProto.Failure;
@@ -29,7 +30,7 @@
      * @param leaderId the member that is believed to lead, or null if none is known
      * @return a new exception, never null
      */
-    public static FrameFailureException notLeader(@org.jspecify.annotations.Nullable String leaderId) {
+    public static FrameFailureException notLeader(@Nullable String leaderId) {
         String leader = leaderId == null ? "" : leaderId;
         String message = leader.isEmpty() ? "no leader is known" : "member \"" + leader + "\" leads";
         return new FrameFailureException(ErrorCode.NOT_LEADER, message, leader, true, 0);
@@ -56,7 +57,7 @@
      */
     public static FrameFailureException from(Failure failure) {
         return new FrameFailureException(
-                codeOf(failure.getCode()),
+                ErrorCode.fromText(failure.getCode()),
                 failure.getMessage(),
                 failure.getLeaderId(),
                 failure.getNotRun(),
@@ -139,13 +140,4 @@
             default -> true;
         };
     }
-
-    private static ErrorCode codeOf(String text) {
-        for (ErrorCode code : ErrorCode.values()) {
-            if (code.text().equals(text)) {
-                return code;
-            }
-        }
-        return ErrorCode.INTERNAL;
-    }
 }
