--- a/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
+++ b/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
@@ -33,7 +33,7 @@
     private static final int UPSTREAMS = 4;
     private static final int WORKERS = 4;
     private static final int JOBS = 12;
-    private static final long JOB_MILLIS = 1_500;
+    private static final long JOB_SECONDS = 2;
     private static final long UPSTREAM_DELAY_MILLIS = 10;
     private static final LoadPlan WARM_UP = new LoadPlan("warm", "/previews/1", 50, 50, 5, 5, Duration.ofSeconds(2));
     private static final LoadPlan LOAD = new LoadPlan("load", "/previews/1", 600, 60, 5, 8, Duration.ofSeconds(2));
@@ -108,7 +108,7 @@
     private void submitJobs(LocalSite site) {
         OperatorProgram operator = site.operator();
         for (int number = 1; number <= JOBS; number++) {
-            SiteSetup.submitJob(operator, "proof-" + number, JOB_MILLIS);
+            SiteSetup.submitJob(operator, "proof-" + number, JOB_SECONDS);
         }
     }
 
--- a/standins/src/main/java/org/nettlering/standins/site/OperatorProgram.java
+++ b/standins/src/main/java/org/nettlering/standins/site/OperatorProgram.java
@@ -22,8 +22,12 @@
     private final List<String> entryOptions;
 
     static OperatorProgram of(List<EntryHost> entries) {
-        List<String> addresses = entries.stream().map(EntryHost::operators).toList();
-        return new OperatorProgram(List.of("--entries", String.join(",", addresses)));
+        List<String> options = new ArrayList<>();
+        for (EntryHost entry : entries) {
+            options.add("--entry");
+            options.add(entry.operators());
+        }
+        return new OperatorProgram(List.copyOf(options));
     }
 
     private OperatorProgram(List<String> entryOptions) {
@@ -38,8 +42,8 @@
      * @throws NettleringException with {@code INTERNAL} for any exit code but 0
      */
     public String run(String... arguments) {
-        List<String> all = new ArrayList<>(entryOptions);
-        all.addAll(List.of(arguments));
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.addAll(entryOptions);
         try {
             Process process = new ProcessBuilder(Program.OPERATOR.commandLine(all))
                     .redirectErrorStream(true)
--- a/standins/src/main/java/org/nettlering/standins/site/SiteSetup.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteSetup.java
@@ -5,6 +5,8 @@
     /** The cap of the site in watts. */
     public static final long POWER_CAP_WATTS = 800;
 
+    private static final long JOB_WATTS = 50;
+
     private SiteSetup() {}
 
     /**
@@ -23,7 +25,7 @@
      * @param powerCapWatts the cap in watts
      */
     public static void configure(OperatorProgram operator, long powerCapWatts) {
-        operator.run("power", "cap", "--watts", Long.toString(powerCapWatts));
+        operator.run("power-cap", "set", powerCapWatts + "W");
         operator.run(
                 "profile", "put", "interactive", "--urgency", "90", "--interruption", "never", "--power-share", "40");
         operator.run("profile", "put", "batch", "--urgency", "20", "--interruption", "evict", "--power-share", "60");
@@ -36,9 +38,9 @@
      *
      * @param operator the operators' program, not null
      * @param jobId the name of the job, not null
-     * @param runTimeMillis the declared run time, which is also the real one
+     * @param runTimeSeconds the declared run time in seconds, which is also the real one
      */
-    public static void submitJob(OperatorProgram operator, String jobId, long runTimeMillis) {
+    public static void submitJob(OperatorProgram operator, String jobId, long runTimeSeconds) {
         operator.run(
                 "job",
                 "submit",
@@ -53,9 +55,9 @@
                 "4000",
                 "--memory-mebibytes",
                 "4000",
-                "--power-milliwatts",
-                "50000",
-                "--run-time-millis",
-                Long.toString(runTimeMillis));
+                "--power",
+                JOB_WATTS + "W",
+                "--run-time-seconds",
+                Long.toString(runTimeSeconds));
     }
 }
