--- a/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/CapacityBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/CapacityBenchmark.java
@@ -36,6 +36,7 @@
     private static final Duration WINDOW = Duration.ofSeconds(10);
     private static final Duration SETTLING = Duration.ofSeconds(4);
     private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration LOAD_LIMIT = Duration.ofMinutes(2);
     private static final String PATH = "/previews/1";
 
     /** The table. */
@@ -108,9 +109,8 @@
     private static void load(LocalSite site, String name, int nonIdempotentEvery) {
         LoadPlan plan =
                 new LoadPlan(name, PATH, REQUESTS, REQUESTS_PER_SECOND, nonIdempotentEvery, 1, Duration.ofSeconds(5));
-        LoadResult result = CallerLoad.create(site.time(), site.vertx(), site.callerPorts(), plan)
-                .start()
-                .await();
+        CallerLoad load = CallerLoad.create(site.time(), site.vertx(), site.callerPorts(), plan);
+        LoadResult result = Waiting.forAnswer("the end of the load " + name, LOAD_LIMIT, load.start());
         if (result.count(Outcome.ANSWERED) < REQUESTS) {
             throw new NettleringException(
                     ErrorCode.INTERNAL, "requests of the load " + name + " failed: " + result.errors());
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SiteChanges.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SiteChanges.java
@@ -68,7 +68,7 @@
                 batch.add(client.post(entry, "/v1/jobs", submission(jobs)));
                 jobs++;
             }
-            Future.all(batch).await();
+            Waiting.forAnswer("submission of jobs", TIMEOUT, Future.all(batch));
         }
         Waiting.until("the start of all jobs", RUNNING_LIMIT, () -> running() >= total);
     }
@@ -86,8 +86,8 @@
                                     .setName(TEAM + "-" + number % 10)
                                     .setMillicores(1_000L + number)))
                     .build();
-            String json =
-                    client.post(entry, "/v1/configuration/changes", command).await();
+            String json = Waiting.forAnswer(
+                    "configuration change", TIMEOUT, client.post(entry, "/v1/configuration/changes", command));
             revision = JsonClient.read(json, ConfigurationResult.newBuilder()).getRevision();
         }
     }
@@ -99,7 +99,7 @@
     }
 
     private long revision() {
-        String json = client.get(entry, "/v1/configuration").await();
+        String json = Waiting.forAnswer("configuration", TIMEOUT, client.get(entry, "/v1/configuration"));
         return JsonClient.read(json, SiteConfiguration.newBuilder()).getRevision();
     }
 
--- a/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
+++ b/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
@@ -6,8 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.standins.journal.JournalCheck;
@@ -194,11 +192,7 @@
     }
 
     private static LoadResult await(Future<LoadResult> load) {
-        try {
-            return load.await(LOAD_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (TimeoutException exception) {
-            throw new NettleringException(ErrorCode.DEADLINE_EXCEEDED, "the load did not end", exception);
-        }
+        return Waiting.forAnswer("the end of the load", LOAD_LIMIT, load);
     }
 
     private static void join(Thread thread) {
--- a/standins/src/main/java/org/nettlering/standins/site/SiteClient.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteClient.java
@@ -1,13 +1,11 @@
 package org.nettlering.standins.site;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import org.nettlering.domain.error.NettleringException;
 import org.nettlering.standins.http.Addresses;
 import org.nettlering.standins.http.JsonClient;
 import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
@@ -97,9 +95,8 @@
 
     private Optional<String> fetch(SocketAddress address, String path) {
         try {
-            Future<String> answer = client.get(address, path);
-            return Optional.of(answer.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
-        } catch (TimeoutException | RuntimeException unanswered) {
+            return Optional.of(Waiting.forAnswer(path, TIMEOUT, client.get(address, path)));
+        } catch (NettleringException unanswered) {
             return Optional.empty();
         }
     }
--- a/standins/src/main/java/org/nettlering/standins/site/Waiting.java
+++ b/standins/src/main/java/org/nettlering/standins/site/Waiting.java
@@ -1,6 +1,10 @@
 package org.nettlering.standins.site;
 
+import io.vertx.core.Future;
 import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -46,4 +50,30 @@
             throw new NettleringException(ErrorCode.STOPPING, "interrupted", exception);
         }
     }
+
+    /**
+     * Waits for an answer.
+     *
+     * @param what names the answer in the error, not null
+     * @param limit how long to wait, not null
+     * @param answer the answer, not null
+     * @param <T> the type of the answer
+     * @return the answer
+     * @throws NettleringException with {@code DEADLINE_EXCEEDED} if there is none in time, {@code UPSTREAM_FAILED} if it
+     *     failed, {@code STOPPING} if the thread is interrupted
+     */
+    public static <T> T forAnswer(String what, Duration limit, Future<T> answer) {
+        try {
+            return answer.toCompletionStage().toCompletableFuture().get(limit.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException exception) {
+            throw new NettleringException(
+                    ErrorCode.UPSTREAM_FAILED, what + " failed: " + exception.getCause(), exception);
+        } catch (TimeoutException exception) {
+            throw new NettleringException(
+                    ErrorCode.DEADLINE_EXCEEDED, what + " did not come within " + limit.toSeconds() + " s", exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new NettleringException(ErrorCode.STOPPING, "interrupted", exception);
+        }
+    }
 }
