Let the demonstration's power cap bite

The idle draw of the workers was not in their journals until their first task, and the jobs came one after the other, so the peak was 200 W of 800 W and proved nothing. Workers record their draw from the start and the jobs are submitted together: 12 jobs of 50 W beside 400 W at idle under a cap of 800 W.

--- a/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
+++ b/standins/src/main/java/org/nettlering/standins/demo/StandardScenario.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.IntStream;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.standins.journal.JournalCheck;
@@ -31,7 +32,7 @@
     private static final int UPSTREAMS = 4;
     private static final int WORKERS = 4;
     private static final int JOBS = 12;
-    private static final long JOB_SECONDS = 2;
+    private static final long JOB_SECONDS = 4;
     private static final long UPSTREAM_DELAY_MILLIS = 10;
     private static final LoadPlan WARM_UP = new LoadPlan("warm", "/previews/1", 50, 50, 5, 5, Duration.ofSeconds(2));
     private static final LoadPlan LOAD = new LoadPlan("load", "/previews/1", 600, 60, 5, 8, Duration.ofSeconds(2));
@@ -105,9 +106,9 @@
 
     private void submitJobs(LocalSite site) {
         OperatorProgram operator = site.operator();
-        for (int number = 1; number <= JOBS; number++) {
-            SiteSetup.submitJob(operator, "proof-" + number, JOB_SECONDS);
-        }
+        IntStream.rangeClosed(1, JOBS)
+                .parallel()
+                .forEach(number -> SiteSetup.submitJob(operator, "proof-" + number, JOB_SECONDS));
     }
 
     private void judgeJobs(LocalSite site, Verdict verdict) {
--- a/standins/src/main/java/org/nettlering/standins/worker/WorkerTasks.java
+++ b/standins/src/main/java/org/nettlering/standins/worker/WorkerTasks.java
@@ -147,6 +147,7 @@
         int expired;
         lock.lock();
         try {
+            recordPower();
             expired = expire();
             long now = time.nanoTime();
             for (RunningWork work : List.copyOf(running.values())) {
--- a/standins/src/test/java/org/nettlering/standins/worker/WorkerTasksTest.java
+++ b/standins/src/test/java/org/nettlering/standins/worker/WorkerTasksTest.java
@@ -121,6 +121,14 @@
         assertThat(tasks.nextReport().getRunningCount()).isZero();
     }
 
+    @Test
+    void anIdleWorkerRecordsWhatItDraws() {
+        tasks.advance();
+        tasks.advance();
+
+        assertThat(lines).containsExactly(new PowerDrawn(time.nanoTime(), 100));
+    }
+
     @Test
     void aThrottleThatArrivesAfterALaterOneIsIgnored() {
         accept(start(1, 0));
