Score placements by learned interference, sizes and power

Cause: first fit takes declarations at their word, packs batch work beside services without looking, and does nothing when the cap is lowered. Ruled out: a full scan of the workers for each job (at 7,200 workers it cannot reach the target); storing measurements in the log (they are soft state of the leader). Change: ScoredPlanner. Workers stand in a grid by what they have free; alike jobs wait in groups, so that one that finds no place stands for the others; a job's rank is fixed from submission, urgency and deadline; sizes, draws and run times are learned by class and corrected while running; the slowdown of services is learned for each pair of classes from samples grouped by the moment of their measurement; a guard throttles, then evicts, and takes a step back only after a calm that grows; the governor lowers the draw by profile; workers that fail what others complete are quarantined; jobs that can never run are named. A worker that was silent for three report intervals gets nothing new. A draw that is measured above its commitment is committed only when the cap has room for it; others slow down first.

--- a/control/src/main/java/org/nettlering/control/task/Leadership.java
+++ b/control/src/main/java/org/nettlering/control/task/Leadership.java
@@ -55,7 +55,7 @@
         for (TaskCommand command : ReportReader.commandsToPropose(state, report, nowMillis)) {
             outbox.put(key(command), command);
         }
-        planner.observe(state, report);
+        planner.observe(state, report, nowMillis);
         return state.worker(report.workerId())
                 .filter(worker -> worker.isLive() && worker.incarnation() == report.incarnation())
                 .map(worker -> leases.renew(worker, receivedNanos))
--- a/control/src/main/java/org/nettlering/control/task/TaskService.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskService.java
@@ -42,7 +42,7 @@
     /** How often a worker reports. */
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
 
-    /** How soon a worker without a lease reports again. */
+    /** How soon a worker reports again that has no lease, or was told to do something. */
     private static final Duration EARLY_REPORT_INTERVAL = Duration.ofMillis(200);
 
     /** The replicated log. */
@@ -157,13 +157,14 @@
 
     private TaskResponse answer(TaskState state, WorkerReport report, boolean renewed) {
         TaskProto.WorkerReportResponse.Builder response = TaskProto.WorkerReportResponse.newBuilder()
-                .setLeaseMillis(renewed ? (int) SessionLeases.LEASE.toMillis() : 0)
-                .setReportIntervalMillis((int) (renewed ? REPORT_INTERVAL : EARLY_REPORT_INTERVAL).toMillis());
+                .setLeaseMillis(renewed ? (int) SessionLeases.LEASE.toMillis() : 0);
         if (renewed) {
             for (WorkerCommand command : ReportReader.commandsForWorker(state, report, time.millis())) {
                 response.addCommands(TaskCodec.workerCommand(command, traces.of(command)));
             }
         }
+        boolean isSettled = renewed && response.getCommandsCount() == 0;
+        response.setReportIntervalMillis((int) (isSettled ? REPORT_INTERVAL : EARLY_REPORT_INTERVAL).toMillis());
         return TaskResponse.newBuilder().setReport(response).build();
     }
 
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/estimate/package-info.java
@@ -0,0 +1,5 @@
+/** Sizes, draws and run times learned for each class of work from what workers measured. */
+@NullMarked
+package org.nettlering.domain.estimate;
+
+import org.jspecify.annotations.NullMarked;
--- a/domain/src/main/java/org/nettlering/domain/placement/FirstFitPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/FirstFitPlanner.java
@@ -62,7 +62,7 @@
     }
 
     @Override
-    public void observe(TaskState state, WorkerReport report) {
+    public void observe(TaskState state, WorkerReport report, long nowMillis) {
         // Takes declarations at their word.
     }
 
--- a/domain/src/main/java/org/nettlering/domain/placement/Planner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Planner.java
@@ -27,6 +27,7 @@
      *
      * @param state the replicated state, not null
      * @param report the report; the times of its measurements lie in the past, not null
+     * @param nowMillis the leader's wall clock when it was received
      */
-    void observe(TaskState state, WorkerReport report);
+    void observe(TaskState state, WorkerReport report, long nowMillis);
 }
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/placement/RunnableCheck.java
@@ -0,0 +1,63 @@
+package org.nettlering.domain.placement;
+
+import java.util.Optional;
+import org.nettlering.domain.configuration.Interruption;
+import org.nettlering.domain.configuration.Profile;
+import org.nettlering.domain.configuration.SiteConfiguration;
+import org.nettlering.domain.configuration.Team;
+import org.nettlering.domain.profile.Profiles;
+import org.nettlering.domain.task.JobSpecification;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+
+/** Finds jobs that can never run on the site as it is configured now, and says why. Stateless and thread-safe. */
+final class RunnableCheck {
+    private RunnableCheck() {}
+
+    /** Returns why a job can never run, or nothing if it can, or if no worker has registered yet. */
+    static Optional<String> reason(
+            JobSpecification job, Resources size, long milliwatts, TaskState state, SiteConfiguration configuration) {
+        if (state.workers().isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<Profile> profile = Profiles.of(configuration, job);
+        if (profile.isEmpty()) {
+            return Optional.of("profile \"" + job.profile() + "\" does not exist");
+        }
+        Team team = configuration.teams().get(job.team());
+        if (team != null && !size.fitsIn(quota(team))) {
+            return Optional.of("needs " + size + ", and the quota of team \"" + team.name() + "\" is " + quota(team));
+        }
+        Resources largest = Resources.NONE;
+        long idle = 0;
+        boolean fits = false;
+        for (Worker worker : state.workers()) {
+            idle += worker.idleMilliwatts();
+            largest = largest.max(worker.capacity());
+            fits |= size.fitsIn(worker.capacity());
+        }
+        if (!fits) {
+            return Optional.of("needs " + size + ", and no worker offers that; the largest of each is " + largest);
+        }
+        return powerReason(milliwatts, configuration, profile.get(), idle);
+    }
+
+    static Resources quota(Team team) {
+        return Resources.of(team.millicores(), team.memoryMebibytes(), team.accelerators());
+    }
+
+    private static Optional<String> powerReason(
+            long milliwatts, SiteConfiguration configuration, Profile profile, long idle) {
+        long budget = Math.max(0, configuration.powerCapMilliwatts() - idle);
+        if (milliwatts > budget) {
+            return Optional.of("draws " + milliwatts + " mW, and the cap leaves " + budget + " mW for all tasks");
+        }
+        long share = budget * profile.powerSharePercent() / 100;
+        if (profile.interruption() == Interruption.NEVER && milliwatts > share) {
+            return Optional.of("draws " + milliwatts + " mW, and profile \"" + profile.name()
+                    + "\", which is never interrupted, has a share of " + share + " mW");
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
@@ -0,0 +1,224 @@
+package org.nettlering.domain.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import org.nettlering.domain.configuration.SiteConfiguration;
+import org.nettlering.domain.interference.InterferenceModel.Neighbor;
+import org.nettlering.domain.interference.WorkerMeasurement;
+import org.nettlering.domain.interference.WorkerMeasurement.MeasuredTask;
+import org.nettlering.domain.power.PowerGovernor;
+import org.nettlering.domain.quarantine.QuarantineRule;
+import org.nettlering.domain.task.JobSpecification;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.task.Task;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.domain.task.TaskPhase;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+import org.nettlering.domain.worker.WorkerReport;
+import org.nettlering.domain.worker.WorkerReport.Usage;
+
+/**
+ * The planner that is used: scores workers by what a job would do to the services there, and corrects what turns out wrong.
+ *
+ * <p>In each round it quarantines workers, meets the cap, protects services, corrects commitments, gives speed back, and then
+ * starts waiting jobs in the order of their rank, moved back by what their team already uses. Work is in proportion to what
+ * changed and to what starts, not to the size of the site. Not thread-safe.
+ */
+public final class ScoredPlanner implements Planner {
+    /** Starts in one round. */
+    private static final int MAX_STARTS = 512;
+
+    /** How far a team that uses the whole site is moved back. */
+    private static final long FAIR_SHARE_MILLIS = 600_000;
+
+    /** What is known of the site. */
+    private final Site site = new Site();
+
+    /** Starts jobs. */
+    private final StartRule startRule = new StartRule(site);
+
+    /** Makes room for jobs that cannot wait. */
+    private final Preemption preemption = new Preemption(site);
+
+    /** Corrects commitments. */
+    private final Corrections corrections = new Corrections(site);
+
+    /** Gives speed back. */
+    private final SpeedUps speedUps = new SpeedUps(site);
+
+    /** Whether a job within its profile's share found no power in the last round. */
+    private boolean isPowerClaimed;
+
+    /**
+     * Returns a planner that has learned nothing yet.
+     *
+     * @return a new planner, never null
+     */
+    public static ScoredPlanner create() {
+        return new ScoredPlanner();
+    }
+
+    private ScoredPlanner() {}
+
+    @Override
+    public List<TaskCommand> plan(TaskState state, SiteConfiguration configuration, long nowMillis) {
+        site.update(state, configuration, nowMillis);
+        Round round = new Round(state, configuration, nowMillis);
+        quarantine(round);
+        checkRunnable(round);
+        if (round.committedMilliwatts > round.capMilliwatts()) {
+            round.isPowerLowered = true;
+            round.commands.addAll(PowerGovernor.lower(
+                    state, configuration, round.capMilliwatts(), PowerGovernor.ANY_URGENCY, "cap is exceeded", nowMillis));
+        }
+        round.commands.addAll(site.guard.steps(state, configuration, nowMillis));
+        corrections.plan(round);
+        if (round.committedMilliwatts < round.capMilliwatts()) {
+            start(round);
+            speedUps.plan(round);
+        }
+        return round.commands;
+    }
+
+    @Override
+    public void observe(TaskState state, WorkerReport report, long nowMillis) {
+        site.heard(report.workerId(), nowMillis);
+        Map<Long, List<Usage>> byMoment = new TreeMap<>();
+        for (Usage usage : report.usage()) {
+            byMoment.computeIfAbsent(usage.measuredMillis(), moment -> new ArrayList<>())
+                    .add(usage);
+        }
+        byMoment.forEach((moment, usages) -> observe(state, report.workerId(), moment, usages));
+    }
+
+    private void observe(TaskState state, String workerId, long moment, List<Usage> usages) {
+        List<MeasuredTask> services = new ArrayList<>();
+        List<MeasuredTask> batch = new ArrayList<>();
+        for (Usage usage : usages) {
+            Optional<Task> known = state.task(usage.jobId()).filter(task -> task.epoch() == usage.epoch());
+            if (known.isEmpty()) {
+                continue;
+            }
+            Task task = known.get();
+            MeasuredTask measured = new MeasuredTask(
+                    usage.jobId(),
+                    usage.epoch(),
+                    task.job().workClass(),
+                    usage.millicores(),
+                    usage.slowdownThousandths());
+            (task.job().serviceTask() ? services : batch).add(measured);
+            boolean atFullSpeed = task.committedPercent() == Task.FULL_SPEED_PERCENT
+                    && task.throttlePercent() == Task.FULL_SPEED_PERCENT;
+            if (task.phase() == TaskPhase.RUNNING && atFullSpeed) {
+                site.estimates.addUsage(
+                        task.job().workClass(), usage.millicores(), usage.memoryMebibytes(), usage.milliwatts());
+                corrections.observe(task, usage);
+            }
+        }
+        learnInterference(workerId, new WorkerMeasurement(moment, services, batch));
+    }
+
+    private void learnInterference(String workerId, WorkerMeasurement measurement) {
+        Map<String, Double> processors = new HashMap<>();
+        for (MeasuredTask task : measurement.batch()) {
+            processors.merge(task.workClass(), task.millicores() / 1000.0, Double::sum);
+        }
+        List<Neighbor> neighbors = processors.entrySet().stream()
+                .map(entry -> new Neighbor(entry.getKey(), entry.getValue()))
+                .toList();
+        for (MeasuredTask service : measurement.services()) {
+            if (service.slowdownThousandths() > 0) {
+                site.model.learn(service.workClass(), service.slowdownThousandths(), neighbors);
+            }
+        }
+        site.guard.observe(workerId, measurement);
+    }
+
+    private void quarantine(Round round) {
+        for (Worker worker : site.changedWorkers()) {
+            QuarantineRule.check(worker, round.state, round.nowMillis).ifPresent(round.commands::add);
+        }
+    }
+
+    private void checkRunnable(Round round) {
+        for (Task task : site.unchecked) {
+            JobSpecification job = task.job();
+            Optional<String> reason = RunnableCheck.reason(
+                    job, startRule.size(job), site.estimates.milliwatts(job), round.state, round.configuration);
+            if (task.phase().isWaiting()) {
+                reason.ifPresent(
+                        text -> round.commands.add(new TaskCommand.MarkUnrunnable(round.nowMillis, job.jobId(), text)));
+            } else if (task.phase() == TaskPhase.UNRUNNABLE && reason.isEmpty()) {
+                round.commands.add(new TaskCommand.Revive(
+                        round.nowMillis, job.jobId(), "configuration, workers or learned size changed"));
+            }
+        }
+        site.unchecked.clear();
+    }
+
+    private void start(Round round) {
+        preemption.beginRound();
+        boolean claimed = isPowerClaimed;
+        isPowerClaimed = false;
+        PriorityQueue<Cursor> cursors = new PriorityQueue<>(Comparator.comparingLong(Cursor::rank));
+        for (WaitingJobs.Group group : site.waiting.groups()) {
+            cursors.add(cursor(group.entries.first()));
+        }
+        int starts = 0;
+        while (!cursors.isEmpty() && starts < MAX_STARTS) {
+            Cursor cursor = cursors.remove();
+            Task task = cursor.entry().task();
+            StartRule.Blocked blocked = startRule.tryStart(task, round, claimed);
+            if (blocked != StartRule.Blocked.NOT_BLOCKED) {
+                handleBlocked(task, blocked, round);
+                continue;
+            }
+            starts++;
+            WaitingJobs.Entry next = cursor.entry().group().entries.higher(cursor.entry());
+            if (next != null) {
+                cursors.add(cursor(next));
+            }
+        }
+    }
+
+    private void handleBlocked(Task task, StartRule.Blocked blocked, Round round) {
+        Resources size = startRule.size(task.job());
+        switch (blocked) {
+            case POWER -> {
+                isPowerClaimed |= startRule.isWithinShare(task.job(), round);
+                preemption.makePower(task, site.estimates.milliwatts(task.job()), round);
+            }
+            case ROOM, SERVICES -> preemption.makeRoom(task, size, round);
+            case QUOTA, NOT_BLOCKED -> {
+                // Waits for its team's own tasks.
+            }
+        }
+    }
+
+    private Cursor cursor(WaitingJobs.Entry entry) {
+        long penalty = (long) (FAIR_SHARE_MILLIS * shareOf(entry.task().job().team()));
+        return new Cursor(entry.rank() + penalty, entry);
+    }
+
+    /** Returns the larger part of the site's processors and memory that a team uses. */
+    private double shareOf(String team) {
+        Resources used = site.placed.ofTeam(team);
+        Resources whole = site.capacity();
+        if (whole.millicores() == 0 || whole.memoryMebibytes() == 0) {
+            return 0;
+        }
+        return Math.max(
+                (double) used.millicores() / whole.millicores(),
+                (double) used.memoryMebibytes() / whole.memoryMebibytes());
+    }
+
+    /** The next job of a group, and its rank after the team's use was counted. */
+    private record Cursor(long rank, WaitingJobs.Entry entry) {}
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/placement/WorkerSlot.java
@@ -0,0 +1,37 @@
+package org.nettlering.domain.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.nettlering.domain.interference.InterferenceModel.Neighbor;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.task.Worker;
+
+/** A worker as the planner sees it, with what this round has already given away taken off. Not thread-safe. */
+final class WorkerSlot {
+    /** The worker. */
+    final Worker worker;
+
+    /** What is left after the commitments and this round's decisions. */
+    Resources free;
+
+    /** The batch tasks that this round starts here. */
+    final List<Neighbor> started = new ArrayList<>(0);
+
+    /** The row of the index that it stands in, negative when it is not offered. */
+    int row = -1;
+
+    /** The column of the index. */
+    int column = -1;
+
+    /** Its place within the cell. */
+    int position = -1;
+
+    WorkerSlot(Worker worker) {
+        this.worker = worker;
+        this.free = worker.free();
+    }
+
+    boolean isOffered() {
+        return row >= 0;
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/power/PowerGovernor.java
@@ -0,0 +1,184 @@
+package org.nettlering.domain.power;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.configuration.Interruption;
+import org.nettlering.domain.configuration.SiteConfiguration;
+import org.nettlering.domain.profile.Profiles;
+import org.nettlering.domain.task.Task;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.domain.task.TaskPhase;
+import org.nettlering.domain.task.TaskState;
+import org.nettlering.domain.task.Worker;
+
+/**
+ * Lowers the committed draw by the levers that the profiles allow.
+ *
+ * <p>The levers in order: start nothing (which is the planner's matter), run at half and at quarter speed, write a
+ * checkpoint and leave; each from the least urgent profile up. What was asked for before and is not confirmed yet counts as
+ * done, so that late confirmations do not lead to further steps. Stateless and thread-safe.
+ */
+public final class PowerGovernor {
+    /** An urgency above every profile's. */
+    public static final int ANY_URGENCY = 101;
+
+    /** The speeds that are asked for in turn, in percent. */
+    private static final int[] REDUCED_SPEEDS_PERCENT = {50, 25};
+
+    /** How long an evicted task may take to write its checkpoint. */
+    static final long GRACE_MILLIS = 10_000;
+
+    private PowerGovernor() {}
+
+    /**
+     * Lowers the draw that is expected once everything asked for is done.
+     *
+     * @param state the replicated state, not null
+     * @param configuration the configuration in force, not null
+     * @param targetMilliwatts the draw to reach
+     * @param belowUrgency only tasks of lower urgency are disturbed
+     * @param rule why, for the explanation, not null
+     * @param nowMillis the leader's wall clock
+     * @return the commands; empty when the target is expected to be met or nothing more can be done, never null
+     */
+    public static List<TaskCommand> lower(
+            TaskState state,
+            SiteConfiguration configuration,
+            long targetMilliwatts,
+            int belowUrgency,
+            String rule,
+            long nowMillis) {
+        long excess = expectedMilliwatts(state) - targetMilliwatts;
+        if (excess <= 0) {
+            return List.of();
+        }
+        List<Candidate> candidates = candidates(state, configuration, belowUrgency);
+        String figures = "expected " + expectedMilliwatts(state) + " mW, target " + targetMilliwatts + " mW";
+        Steps steps = new Steps(excess, rule, figures, nowMillis);
+        for (int percent : REDUCED_SPEEDS_PERCENT) {
+            candidates.forEach(candidate -> steps.throttle(candidate, percent));
+        }
+        candidates.stream()
+                .filter(candidate -> candidate.interruption() == Interruption.EVICT)
+                .sorted(Comparator.comparingInt(Candidate::urgency)
+                        .thenComparingLong(candidate -> unsavedMillis(candidate.task(), nowMillis)))
+                .forEach(steps::evict);
+        return steps.commands();
+    }
+
+    /**
+     * Returns the committed draw once every lower speed and every end that was asked for is confirmed.
+     *
+     * @param state the replicated state, not null
+     * @return milliwatts
+     */
+    public static long expectedMilliwatts(TaskState state) {
+        long expected = 0;
+        for (Worker worker : state.workers()) {
+            expected += worker.idleMilliwatts();
+            for (Task task : worker.tasks()) {
+                expected += expectedMilliwatts(task);
+            }
+        }
+        return expected;
+    }
+
+    static long expectedMilliwatts(Task task) {
+        if (isLeaving(task)) {
+            return 0;
+        }
+        return Task.scaled(task.fullPowerMilliwatts(), Math.min(task.committedPercent(), task.throttlePercent()));
+    }
+
+    static boolean isLeaving(Task task) {
+        return task.phase() == TaskPhase.CHECKPOINTING || task.phase() == TaskPhase.CANCELLING;
+    }
+
+    private static long unsavedMillis(Task task, long nowMillis) {
+        return nowMillis - Math.max(task.startedMillis(), task.checkpointMillis());
+    }
+
+    private static List<Candidate> candidates(TaskState state, SiteConfiguration configuration, int belowUrgency) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (Worker worker : state.workers()) {
+            for (Task task : worker.tasks()) {
+                Interruption interruption = Profiles.interruption(configuration, task.job());
+                int urgency = Profiles.urgency(configuration, task.job());
+                if (!isLeaving(task) && interruption != Interruption.NEVER && urgency < belowUrgency) {
+                    candidates.add(new Candidate(task, interruption, urgency));
+                }
+            }
+        }
+        candidates.sort(Comparator.comparingInt(Candidate::urgency)
+                .thenComparingLong(candidate -> -candidate.task().fullPowerMilliwatts())
+                .thenComparing(candidate -> candidate.task().job().jobId()));
+        return candidates;
+    }
+
+    /** A task that may be disturbed. */
+    private record Candidate(Task task, Interruption interruption, int urgency) {}
+
+    /** The steps that are taken until the excess is gone. */
+    private static final class Steps {
+        /** The draw that is still too much. */
+        private long excess;
+
+        /** The speed decided on for each task, in percent; zero for those that leave. */
+        private final Map<Task, Integer> speeds = new LinkedHashMap<>();
+
+        /** Why. */
+        private final String rule;
+
+        /** The figures behind it. */
+        private final String figures;
+
+        /** The leader's wall clock. */
+        private final long nowMillis;
+
+        Steps(long excess, String rule, String figures, long nowMillis) {
+            this.excess = excess;
+            this.rule = rule;
+            this.figures = figures;
+            this.nowMillis = nowMillis;
+        }
+
+        void throttle(Candidate candidate, int percent) {
+            Task task = candidate.task();
+            long after = Task.scaled(task.fullPowerMilliwatts(), percent);
+            if (excess <= 0 || after >= pending(task)) {
+                return;
+            }
+            excess -= pending(task) - after;
+            speeds.put(task, percent);
+        }
+
+        void evict(Candidate candidate) {
+            if (excess <= 0) {
+                return;
+            }
+            excess -= pending(candidate.task());
+            speeds.put(candidate.task(), 0);
+        }
+
+        List<TaskCommand> commands() {
+            List<TaskCommand> commands = new ArrayList<>();
+            speeds.forEach((task, percent) -> commands.add(command(task, percent)));
+            return commands;
+        }
+
+        private TaskCommand command(Task task, int percent) {
+            String jobId = task.job().jobId();
+            return percent == 0
+                    ? new TaskCommand.Evict(nowMillis, jobId, task.epoch(), GRACE_MILLIS, rule, figures)
+                    : new TaskCommand.Throttle(nowMillis, jobId, task.epoch(), percent, rule, figures);
+        }
+
+        private long pending(Task task) {
+            Integer percent = speeds.get(task);
+            return percent == null ? expectedMilliwatts(task) : Task.scaled(task.fullPowerMilliwatts(), percent);
+        }
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/task/CommitmentBook.java
+++ b/domain/src/main/java/org/nettlering/domain/task/CommitmentBook.java
@@ -19,6 +19,9 @@
     /** The committed draw of all workers and tasks. */
     private long committedMilliwatts;
 
+    /** The idle draw of all workers. */
+    private long idleMilliwatts;
+
     /** The largest committed draw so far. */
     private long peakMilliwatts;
 
@@ -26,6 +29,10 @@
         return committedMilliwatts;
     }
 
+    long idleMilliwatts() {
+        return idleMilliwatts;
+    }
+
     long peakMilliwatts() {
         return peakMilliwatts;
     }
@@ -55,9 +62,10 @@
     }
 
     /** Changes the idle draw of a worker. */
-    void setIdle(Worker worker, long idleMilliwatts) {
-        addPower(idleMilliwatts - worker.idleMilliwatts);
-        worker.idleMilliwatts = idleMilliwatts;
+    void setIdle(Worker worker, long milliwatts) {
+        addPower(milliwatts - worker.idleMilliwatts);
+        idleMilliwatts += milliwatts - worker.idleMilliwatts;
+        worker.idleMilliwatts = milliwatts;
         touch(worker);
     }
 
--- a/domain/src/main/java/org/nettlering/domain/task/Placements.java
+++ b/domain/src/main/java/org/nettlering/domain/task/Placements.java
@@ -33,6 +33,7 @@
         task.committedPercent = command.throttlePercent();
         task.throttlePercent = command.throttlePercent();
         task.throttleVersion++;
+        task.throttledMillis = command.timeMillis();
         task.startedMillis = command.timeMillis();
         task.resumedFrom = task.checkpoint;
         task.enter(task.epoch == 1 ? TaskPhase.STARTING : TaskPhase.RESUMING, command.timeMillis());
@@ -63,6 +64,7 @@
         }
         task.throttlePercent = command.throttlePercent();
         task.throttleVersion++;
+        task.throttledMillis = command.timeMillis();
         task.explain(
                 command.timeMillis(),
                 "speed " + command.throttlePercent() + "% asked for",
@@ -84,6 +86,7 @@
         }
         if (task.throttlePercent < task.committedPercent) {
             tables.book.setCommittedPercent(task, worker, task.throttlePercent);
+            task.throttledMillis = command.timeMillis();
         }
         return CommandOutcome.accepted();
     }
@@ -103,7 +106,7 @@
         return CommandOutcome.accepted();
     }
 
-    CommandOutcome resize(TaskCommand.Resize command) {
+    CommandOutcome resize(TaskCommand.Resize command, long capMilliwatts) {
         Task task = tables.tasks.get(command.jobId());
         Worker worker = task == null ? null : task.worker;
         if (task == null || worker == null || task.epoch != command.epoch()) {
@@ -114,6 +117,10 @@
             return Tables.stale(
                     "worker \"" + worker.id() + "\" has no room for job \"" + command.jobId() + "\" to grow");
         }
+        long more = Task.scaled(command.powerMilliwatts(), task.committedPercent()) - task.committedMilliwatts();
+        if (more > 0 && tables.book.committedMilliwatts() + more > capMilliwatts) {
+            return Tables.stale("the power cap leaves no room for job \"" + command.jobId() + "\" to draw more");
+        }
         tables.book.resize(task, worker, command.commitment(), command.powerMilliwatts());
         task.explain(command.timeMillis(), "commitment corrected", command.rule(), command.figures());
         return CommandOutcome.accepted();
--- a/domain/src/main/java/org/nettlering/domain/task/Task.java
+++ b/domain/src/main/java/org/nettlering/domain/task/Task.java
@@ -53,6 +53,9 @@
     /** Raised by each change of the speed that was asked for; the worker reports back the one in force. */
     long throttleVersion;
 
+    /** When the speed was last changed or confirmed. */
+    long throttledMillis;
+
     /** The last recorded checkpoint. */
     long checkpoint;
 
@@ -99,6 +102,7 @@
         task.committedPercent = image.committedPercent();
         task.throttlePercent = image.throttlePercent();
         task.throttleVersion = image.throttleVersion();
+        task.throttledMillis = image.throttledMillis();
         task.checkpoint = image.checkpoint();
         task.checkpointMillis = image.checkpointMillis();
         task.resumedFrom = image.resumedFrom();
@@ -125,6 +129,7 @@
                 committedPercent,
                 throttlePercent,
                 throttleVersion,
+                throttledMillis,
                 checkpoint,
                 checkpointMillis,
                 resumedFrom,
@@ -202,6 +207,11 @@
         return throttleVersion;
     }
 
+    /** Returns when the speed was last asked for or confirmed. */
+    public long throttledMillis() {
+        return throttledMillis;
+    }
+
     /** Returns the checkpoint from which the present epoch started. */
     public long resumedFrom() {
         return resumedFrom;
--- a/domain/src/main/java/org/nettlering/domain/task/TaskImage.java
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskImage.java
@@ -19,6 +19,7 @@
         int committedPercent,
         int throttlePercent,
         long throttleVersion,
+        long throttledMillis,
         long checkpoint,
         long checkpointMillis,
         long resumedFrom,
--- a/domain/src/main/java/org/nettlering/domain/task/TaskState.java
+++ b/domain/src/main/java/org/nettlering/domain/task/TaskState.java
@@ -125,6 +125,15 @@
         return tables.book.committedMilliwatts();
     }
 
+    /**
+     * Returns the idle draw of all workers, lost ones included, because a host that is silent may still draw.
+     *
+     * @return milliwatts
+     */
+    public long idleMilliwatts() {
+        return tables.book.idleMilliwatts();
+    }
+
     /**
      * Returns the largest committed draw so far.
      *
@@ -171,7 +180,7 @@
             case TaskCommand.Throttle throttle -> placements.throttle(throttle, capMilliwatts);
             case TaskCommand.ConfirmThrottle confirmed -> placements.confirmThrottle(confirmed);
             case TaskCommand.Evict evict -> placements.evict(evict);
-            case TaskCommand.Resize resize -> placements.resize(resize);
+            case TaskCommand.Resize resize -> placements.resize(resize, capMilliwatts);
             case TaskCommand.Quarantine quarantine -> sessions.quarantine(quarantine);
             case TaskCommand.MarkUnrunnable unrunnable -> submissions.markUnrunnable(unrunnable);
             case TaskCommand.Revive revive -> submissions.revive(revive);
--- a/domain/src/main/java/org/nettlering/domain/worker/SessionLeases.java
+++ b/domain/src/main/java/org/nettlering/domain/worker/SessionLeases.java
@@ -70,6 +70,7 @@
         if (session.closing == worker.session()) {
             return false;
         }
+        session.open(worker.session(), nowNanos);
         session.renewedNanos = nowNanos;
         return true;
     }
@@ -89,6 +90,7 @@
                 continue;
             }
             Session session = sessions.computeIfAbsent(worker.id(), id -> new Session(beganNanos));
+            session.open(worker.session(), nowNanos);
             if (nowNanos - session.renewedNanos > limitNanos) {
                 session.closing = worker.session();
                 expired.add(worker);
@@ -111,8 +113,19 @@
         /** The session that is being closed, zero if none. */
         private long closing;
 
+        /** The session that the renewals belong to, zero before the first was seen. */
+        private long current;
+
         private Session(long renewedNanos) {
             this.renewedNanos = renewedNanos;
         }
+
+        /** A session that was opened again has a whole lease before it, whatever became of the one before. */
+        private void open(long number, long nowNanos) {
+            if (current != 0 && number != current) {
+                renewedNanos = nowNanos;
+            }
+            current = number;
+        }
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/codec/TaskSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/TaskSnapshotCodec.java
@@ -45,6 +45,7 @@
                 .setCommittedPercent(task.committedPercent())
                 .setThrottlePercent(task.throttlePercent())
                 .setThrottleVersion(task.throttleVersion())
+                .setThrottledUnixMillis(task.throttledMillis())
                 .setCheckpointSequence(task.checkpoint())
                 .setCheckpointUnixMillis(task.checkpointMillis())
                 .setResumedFrom(task.resumedFrom())
@@ -71,6 +72,7 @@
                 message.getCommittedPercent(),
                 message.getThrottlePercent(),
                 message.getThrottleVersion(),
+                message.getThrottledUnixMillis(),
                 message.getCheckpointSequence(),
                 message.getCheckpointUnixMillis(),
                 message.getResumedFrom(),
--- a/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/TaskProto.java
@@ -48255,6 +48255,12 @@
      * @return The graceMillis.
      */
     long getGraceMillis();
+
+    /**
+     * <code>uint64 throttled_unix_millis = 22;</code>
+     * @return The throttledUnixMillis.
+     */
+    long getThrottledUnixMillis();
   }
   /**
    * Protobuf type {@code nettlering.TaskRecord}
@@ -48706,6 +48712,17 @@
       return graceMillis_;
     }
 
+    public static final int THROTTLED_UNIX_MILLIS_FIELD_NUMBER = 22;
+    private long throttledUnixMillis_ = 0L;
+    /**
+     * <code>uint64 throttled_unix_millis = 22;</code>
+     * @return The throttledUnixMillis.
+     */
+    @java.lang.Override
+    public long getThrottledUnixMillis() {
+      return throttledUnixMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -48783,6 +48800,9 @@
       if (graceMillis_ != 0L) {
         output.writeUInt64(21, graceMillis_);
       }
+      if (throttledUnixMillis_ != 0L) {
+        output.writeUInt64(22, throttledUnixMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -48877,6 +48897,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(21, graceMillis_);
       }
+      if (throttledUnixMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(22, throttledUnixMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -48949,6 +48973,8 @@
           .equals(other.getDecisionsList())) return false;
       if (getGraceMillis()
           != other.getGraceMillis()) return false;
+      if (getThrottledUnixMillis()
+          != other.getThrottledUnixMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -49020,6 +49046,9 @@
       hash = (37 * hash) + GRACE_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getGraceMillis());
+      hash = (37 * hash) + THROTTLED_UNIX_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getThrottledUnixMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -49195,6 +49224,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00080000);
         graceMillis_ = 0L;
+        throttledUnixMillis_ = 0L;
         return this;
       }
 
@@ -49309,6 +49339,9 @@
         if (((from_bitField0_ & 0x00100000) != 0)) {
           result.graceMillis_ = graceMillis_;
         }
+        if (((from_bitField0_ & 0x00200000) != 0)) {
+          result.throttledUnixMillis_ = throttledUnixMillis_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -49423,6 +49456,9 @@
         if (other.getGraceMillis() != 0L) {
           setGraceMillis(other.getGraceMillis());
         }
+        if (other.getThrottledUnixMillis() != 0L) {
+          setThrottledUnixMillis(other.getThrottledUnixMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -49564,6 +49600,11 @@
                 bitField0_ |= 0x00100000;
                 break;
               } // case 168
+              case 176: {
+                throttledUnixMillis_ = input.readUInt64();
+                bitField0_ |= 0x00200000;
+                break;
+              } // case 176
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -50828,6 +50869,38 @@
         return this;
       }
 
+      private long throttledUnixMillis_ ;
+      /**
+       * <code>uint64 throttled_unix_millis = 22;</code>
+       * @return The throttledUnixMillis.
+       */
+      @java.lang.Override
+      public long getThrottledUnixMillis() {
+        return throttledUnixMillis_;
+      }
+      /**
+       * <code>uint64 throttled_unix_millis = 22;</code>
+       * @param value The throttledUnixMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setThrottledUnixMillis(long value) {
+
+        throttledUnixMillis_ = value;
+        bitField0_ |= 0x00200000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 throttled_unix_millis = 22;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearThrottledUnixMillis() {
+        bitField0_ = (bitField0_ & ~0x00200000);
+        throttledUnixMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.TaskRecord)
     }
 
@@ -53336,7 +53409,7 @@
       "skRecord\022)\n\007workers\030\002 \003(\0132\030.nettlering.W" +
       "orkerRecord\022\030\n\020finished_job_ids\030\003 \003(\t\022\031\n" +
       "\021forgotten_job_ids\030\004 \003(\t\022\027\n\017peak_milliwa" +
-      "tts\030\005 \001(\004\"\261\004\n\nTaskRecord\022)\n\003job\030\001 \001(\0132\034." +
+      "tts\030\005 \001(\004\"\320\004\n\nTaskRecord\022)\n\003job\030\001 \001(\0132\034." +
       "nettlering.JobSpecification\022\024\n\014operation" +
       "_id\030\002 \001(\t\022\035\n\025submitted_unix_millis\030\003 \001(\004" +
       "\022\r\n\005phase\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\004\022\021\n\tworker" +
@@ -53350,18 +53423,19 @@
       "nix_millis\030\020 \001(\004\022\021\n\tevictions\030\021 \001(\r\022\016\n\006l" +
       "osses\030\022 \001(\r\022\021\n\tfailed_on\030\023 \003(\t\022\'\n\tdecisi" +
       "ons\030\024 \003(\0132\024.nettlering.Decision\022\024\n\014grace" +
-      "_millis\030\025 \001(\004\"\257\002\n\014WorkerRecord\022\n\n\002id\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007session\030\003 \001(\004" +
-      "\022\014\n\004live\030\004 \001(\010\022\'\n\010capacity\030\005 \001(\0132\025.nettl" +
-      "ering.Resources\022\027\n\017idle_milliwatts\030\006 \001(\004" +
-      "\022\014\n\004rack\030\007 \001(\t\022\026\n\016failure_domain\030\010 \001(\t\022%" +
-      "\n\035quarantined_until_unix_millis\030\t \001(\004\022\023\n" +
-      "\013quarantines\030\n \001(\r\022\022\n\nblamed_for\030\013 \003(\t\022\'" +
-      "\n\tdecisions\030\014 \003(\0132\024.nettlering.Decision*" +
-      "b\n\tEndReason\022\032\n\026END_REASON_UNSPECIFIED\020\000" +
-      "\022\r\n\tCOMPLETED\020\001\022\013\n\007STOPPED\020\002\022\n\n\006FAILED\020\003" +
-      "\022\021\n\rLEASE_EXPIRED\020\004B&\n\031org.nettlering.wi" +
-      "re.protoB\tTaskProtob\006proto3"
+      "_millis\030\025 \001(\004\022\035\n\025throttled_unix_millis\030\026" +
+      " \001(\004\"\257\002\n\014WorkerRecord\022\n\n\002id\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\004\022\017\n\007session\030\003 \001(\004\022\014\n\004live\030" +
+      "\004 \001(\010\022\'\n\010capacity\030\005 \001(\0132\025.nettlering.Res" +
+      "ources\022\027\n\017idle_milliwatts\030\006 \001(\004\022\014\n\004rack\030" +
+      "\007 \001(\t\022\026\n\016failure_domain\030\010 \001(\t\022%\n\035quarant" +
+      "ined_until_unix_millis\030\t \001(\004\022\023\n\013quaranti" +
+      "nes\030\n \001(\r\022\022\n\nblamed_for\030\013 \003(\t\022\'\n\tdecisio" +
+      "ns\030\014 \003(\0132\024.nettlering.Decision*b\n\tEndRea" +
+      "son\022\032\n\026END_REASON_UNSPECIFIED\020\000\022\r\n\tCOMPL" +
+      "ETED\020\001\022\013\n\007STOPPED\020\002\022\n\n\006FAILED\020\003\022\021\n\rLEASE" +
+      "_EXPIRED\020\004B&\n\031org.nettlering.wire.protoB" +
+      "\tTaskProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -53648,7 +53722,7 @@
     internal_static_nettlering_TaskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskRecord_descriptor,
-        new java.lang.String[] { "Job", "OperationId", "SubmittedUnixMillis", "Phase", "Epoch", "WorkerId", "Commitment", "PowerMilliwatts", "CommittedPercent", "ThrottlePercent", "ThrottleVersion", "CheckpointSequence", "CheckpointUnixMillis", "ResumedFrom", "StartedUnixMillis", "PhaseUnixMillis", "Evictions", "Losses", "FailedOn", "Decisions", "GraceMillis", });
+        new java.lang.String[] { "Job", "OperationId", "SubmittedUnixMillis", "Phase", "Epoch", "WorkerId", "Commitment", "PowerMilliwatts", "CommittedPercent", "ThrottlePercent", "ThrottleVersion", "CheckpointSequence", "CheckpointUnixMillis", "ResumedFrom", "StartedUnixMillis", "PhaseUnixMillis", "Evictions", "Losses", "FailedOn", "Decisions", "GraceMillis", "ThrottledUnixMillis", });
     internal_static_nettlering_WorkerRecord_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_nettlering_WorkerRecord_fieldAccessorTable = new
