--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
@@ -0,0 +1,109 @@
+package org.nettlering.benchmarks.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.nettlering.benchmarks.placement.model.Measures;
+import org.nettlering.benchmarks.placement.model.Scenario;
+import org.nettlering.benchmarks.placement.model.SiteModel;
+import org.nettlering.domain.placement.FirstFitPlanner;
+import org.nettlering.domain.placement.Planner;
+import org.nettlering.domain.placement.ScoredPlanner;
+
+/**
+ * Holds the chosen planner against the naive one, by the bounds of docs/design/placement.md.
+ *
+ * <p>Arguments: {@code --seed S} for another input, {@code --no-cost} to leave out the cost at three sizes.
+ */
+public final class PlacementBenchmark {
+    /** The seed of the published figures. */
+    private static final long DEFAULT_SEED = 1;
+
+    private PlacementBenchmark() {}
+
+    /**
+     * Runs the benchmark and prints its tables.
+     *
+     * @param arguments the arguments, not null
+     * @return zero if every bound was met, one if not
+     */
+    public static int run(String[] arguments) {
+        List<String> options = List.of(arguments);
+        int seedAt = options.indexOf("--seed");
+        long seed = seedAt < 0 ? DEFAULT_SEED : Long.parseLong(options.get(seedAt + 1));
+        List<String> broken = new ArrayList<>();
+        compare("Ljubljana", seed, Scenario::ljubljana, broken);
+        compare("Ankara", seed, Scenario::ankara, broken);
+        broken.forEach(bound -> System.out.println("BROKEN " + bound));
+        System.out.println(broken.isEmpty() ? "every bound is met" : broken.size() + " bounds are broken");
+        return broken.isEmpty() ? 0 : 1;
+    }
+
+    /** Makes a scenario for a planner. */
+    private interface Maker {
+        Scenario make(long seed, Supplier<Planner> planners);
+    }
+
+    private static void compare(String site, long seed, Maker maker, List<String> broken) {
+        Measures naive = SiteModel.run(maker.make(seed, FirstFitPlanner::create));
+        Measures chosen = SiteModel.run(maker.make(seed, ScoredPlanner::create));
+        System.out.printf(Locale.ROOT, "%n%-42s %14s %14s%n", site + ", seed " + seed, "naive", "chosen");
+        row("services' slowdown p50", naive, chosen, Measures::serviceP50);
+        row("services' slowdown p99", naive, chosen, Measures::serviceP99);
+        row("batch work finished, processor seconds", naive, chosen, Measures::workFinished);
+        row("batch jobs finished", naive, chosen, Measures::jobsFinished);
+        row("evictions", naive, chosen, Measures::evictions);
+        row("tasks that lost their worker", naive, chosen, Measures::losses);
+        row("work lost to stops, processor seconds", naive, chosen, Measures::workLostToStops);
+        row("work lost to faults, processor seconds", naive, chosen, Measures::workLostToFaults);
+        row("missed deadlines", naive, chosen, Measures::missedDeadlines);
+        row("deadlines", naive, chosen, Measures::deadlines);
+        row("peak committed draw, W", naive, chosen, measures -> measures.peakMilliwatts() / 1000);
+        row("peak true draw, W", naive, chosen, measures -> measures.peakTrueMilliwatts() / 1000);
+        row("above the unchanged cap, ms", naive, chosen, Measures::aboveCapMillis);
+        row("above the lowered cap, ms", naive, chosen, Measures::aboveLoweredCapMillis);
+        row("urgent jobs' wait p99, ms", naive, chosen, Measures::urgentStartP99Millis);
+        row("jobs' wait p50, ms", naive, chosen, Measures::waitP50Millis);
+        row("named unrunnable", naive, chosen, Measures::unrunnable);
+        row("refused commands", naive, chosen, Measures::refusals);
+        check(site, naive, chosen, broken);
+    }
+
+    private static void check(String site, Measures naive, Measures chosen, List<String> broken) {
+        require(
+                chosen.serviceP99() - 1 <= (naive.serviceP99() - 1) / 2,
+                site + ": services' excess slowdown at p99 is at most half of the naive one's",
+                broken);
+        require(
+                chosen.workFinished() >= 0.95 * naive.workFinished(),
+                site + ": batch work finished is at least 0.95 of the naive one's",
+                broken);
+        require(
+                chosen.missedDeadlines() <= naive.missedDeadlines(),
+                site + ": missed deadlines are at most the naive one's",
+                broken);
+        require(
+                chosen.workLostToStops() <= 0.02 * chosen.workFinished(),
+                site + ": work lost to evictions is at most 2% of the work finished",
+                broken);
+        require(chosen.aboveLoweredCapMillis() <= 30_000, site + ": the lowered cap is met within 30 s", broken);
+        require(chosen.aboveCapMillis() == 0, site + ": the unchanged cap is never exceeded", broken);
+    }
+
+    private static void require(boolean holds, String bound, List<String> broken) {
+        if (!holds) {
+            broken.add(bound);
+        }
+    }
+
+    private static void row(String name, Measures naive, Measures chosen, Function<Measures, Number> reader) {
+        System.out.printf(
+                Locale.ROOT,
+                "%-42s %14.3f %14.3f%n",
+                name,
+                reader.apply(naive).doubleValue(),
+                reader.apply(chosen).doubleValue());
+    }
+}
