--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -0,0 +1,48 @@
+package org.nettlering.benchmarks;
+
+import java.util.Arrays;
+import org.nettlering.benchmarks.capacity.CapacityBenchmark;
+import org.nettlering.benchmarks.path.PathBenchmark;
+
+/**
+ * Runs one benchmark by name.
+ *
+ * <p>Exit codes: 0 on success, 1 when a benchmark's bound is not met, 2 for a wrong command line.
+ */
+public final class BenchmarkMain {
+    private static final int EXIT_USAGE = 2;
+
+    private BenchmarkMain() {}
+
+    /**
+     * Runs the benchmark that the first argument names, with the others.
+     *
+     * @param arguments the command line, not null
+     */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    private static int run(String[] arguments) {
+        if (arguments.length == 0) {
+            return usage();
+        }
+        String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+        return switch (arguments[0]) {
+            case "path" -> new PathBenchmark().run(rest);
+            case "capacity" -> new CapacityBenchmark().run(rest);
+            case "--help" -> help();
+            default -> usage();
+        };
+    }
+
+    private static int help() {
+        System.out.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
+        return 0;
+    }
+
+    private static int usage() {
+        System.err.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
+        return EXIT_USAGE;
+    }
+}
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/placement/model/Network.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/model/Network.java
@@ -52,6 +52,5 @@
         messages.add(new Message(nowMillis + delay, nextOrder++, delivery));
     }
 
-
     private record Message(long arrivalMillis, long order, Runnable delivery) {}
 }
--- a/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
+++ b/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
@@ -57,6 +57,8 @@
     STORAGE_TOO_NEW(500),
     /** A change of membership was refused because it would lose data or availability. */
     MEMBERSHIP_REFUSED(409),
+    /** The request ran before, but its answer is no longer kept. */
+    ANSWER_NOT_KEPT(410),
     /** A fault of the program itself. */
     INTERNAL(500);
 
@@ -67,6 +69,21 @@
         this.httpStatus = httpStatus;
     }
 
+    /**
+     * Finds the code with the given text.
+     *
+     * @param text the text, such as {@code not-leader}, not null
+     * @return the code, or {@link #INTERNAL} for a text that no code has, never null
+     */
+    public static ErrorCode fromText(String text) {
+        for (ErrorCode code : values()) {
+            if (code.text().equals(text)) {
+                return code;
+            }
+        }
+        return INTERNAL;
+    }
+
     /**
      * Finds a code by its text.
      *
--- a/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
@@ -76,7 +76,12 @@
         if (round.committedMilliwatts > round.capMilliwatts()) {
             round.isPowerLowered = true;
             round.commands.addAll(PowerGovernor.lower(
-                    state, configuration, round.capMilliwatts(), PowerGovernor.ANY_URGENCY, "cap is exceeded", nowMillis));
+                    state,
+                    configuration,
+                    round.capMilliwatts(),
+                    PowerGovernor.ANY_URGENCY,
+                    "cap is exceeded",
+                    nowMillis));
         }
         round.commands.addAll(site.guard.steps(state, configuration, nowMillis));
         corrections.plan(round);
--- a/domain/src/test/java/org/nettlering/domain/worker/SessionLeasesTest.java
+++ b/domain/src/test/java/org/nettlering/domain/worker/SessionLeasesTest.java
@@ -72,15 +72,6 @@
 
     private static WorkerReport report(long incarnation, long sequence) {
         return new WorkerReport(
-                "worker-1",
-                incarnation,
-                sequence,
-                Resources.NONE,
-                "",
-                "",
-                0,
-                List.of(),
-                List.of(),
-                List.of());
+                "worker-1", incarnation, sequence, Resources.NONE, "", "", 0, List.of(), List.of(), List.of());
     }
 }
