--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import org.nettlering.benchmarks.capacity.CapacityBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
+import org.nettlering.benchmarks.routing.RoutingBenchmark;
 
 /**
  * Runs one benchmark by name.
@@ -29,6 +30,7 @@
         }
         String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
+            case "routing" -> RoutingBenchmark.run(rest);
             case "path" -> new PathBenchmark().run(rest);
             case "capacity" -> new CapacityBenchmark().run(rest);
             case "--help" -> help();
