Choose the demonstration's ports below those of outgoing connections

A control process could not listen for metrics: between the choice of a free port and the start of the program another connection had taken it. Ruled out: two programs with one port (all are bound at once).

--- a/standins/src/main/java/org/nettlering/standins/site/FreePorts.java
+++ b/standins/src/main/java/org/nettlering/standins/site/FreePorts.java
@@ -8,14 +8,21 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Loopback addresses that were free a moment ago.
  *
- * <p>All of them are bound at once and then let go, so no two are equal. Not thread-safe.
+ * <p>The ports lie below those that the system gives to outgoing connections, so that a connection made between the choice
+ * and the start of a program takes none of them. All of them are bound at once and then let go, so no two are equal. Not
+ * thread-safe.
  */
 final class FreePorts {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final int FIRST_PORT = 10_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int MAXIMUM_ATTEMPTS = 1_000;
 
     /** The addresses that were not handed out. */
     private final Deque<String> addresses;
@@ -24,12 +31,11 @@
         List<ServerSocket> sockets = new ArrayList<>();
         Deque<String> addresses = new ArrayDeque<>();
         try {
-            for (int index = 0; index < count; index++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                addresses.add(LOOPBACK + ":" + socket.getLocalPort());
+            for (int attempt = 0; attempt < MAXIMUM_ATTEMPTS && sockets.size() < count; attempt++) {
+                bind(ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT)).ifPresent(sockets::add);
             }
             for (ServerSocket socket : sockets) {
+                addresses.add(LOOPBACK + ":" + socket.getLocalPort());
                 socket.close();
             }
         } catch (IOException exception) {
@@ -46,4 +52,12 @@
     String next() {
         return addresses.remove();
     }
+
+    private static Optional<ServerSocket> bind(int port) {
+        try {
+            return Optional.of(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        } catch (IOException taken) {
+            return Optional.empty();
+        }
+    }
 }
