Start the operators' port and the workers' reports with the entry

Cause: EntryMain left the operators' port and the route of workers' reports out, so that nothing but callers' requests had a way in.

Change: EntryMain registers WorkerReportRoutes on the platform port and starts OperatorServer; it closes after the requests in flight have ended. Addresses in the operator program's errors are written IP:PORT.

--- a/entry/src/main/java/org/nettlering/entry/EntryMain.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryMain.java
@@ -9,6 +9,10 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.SystemTime;
+import org.nettlering.entry.operators.OperatorServer;
+import org.nettlering.entry.operators.OperatorServices;
+import org.nettlering.entry.operators.ReadinessReport;
+import org.nettlering.entry.operators.WorkerReportRoutes;
 import org.nettlering.entry.settings.EntrySettings;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
@@ -54,11 +58,16 @@
                 peers(network, settings.entries()),
                 metrics.registry(),
                 telemetry,
-                router -> {});
+                router -> WorkerReportRoutes.register(router, gateway, telemetry));
         NettyPeerServer peerServer = network.listen(settings.peersAddress(), process.peerHandler());
+        OperatorServices operators = new OperatorServices(
+                settings.identity().processId(), gateway, telemetry, metrics, () -> readiness(process));
+        OperatorServer operatorServer = await(OperatorServer.start(vertx, settings.operatorsAddress(), operators)
+                .toCompletionStage());
         await(process.start());
         return () -> {
             await(process.stop());
+            await(operatorServer.close().toCompletionStage());
             peerServer.close();
             network.close();
             telemetry.close();
@@ -67,6 +76,11 @@
         };
     }
 
+    private static ReadinessReport readiness(EntryProcess process) {
+        String reason = process.readiness().reason();
+        return new ReadinessReport(process.readiness().isReady(), reason);
+    }
+
     private static Map<String, NettyPeer> peers(PeerNetwork network, Map<String, InetSocketAddress> addresses) {
         Map<String, NettyPeer> peers = new LinkedHashMap<>();
         addresses.forEach((id, address) -> peers.put(id, network.peer(id, address)));
--- a/operator/src/main/java/org/nettlering/operator/client/EntryClient.java
+++ b/operator/src/main/java/org/nettlering/operator/client/EntryClient.java
@@ -20,6 +20,7 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.runtime.program.ExitCode;
+import org.nettlering.runtime.settings.Addresses;
 
 /**
  * Sends requests to the operators' port of the first entry that takes them.
@@ -146,7 +147,7 @@
         } catch (RuntimeException exception) {
             throw new OperatorException(
                     ErrorCode.CONNECTION_LOST,
-                    "entry " + entry + " cannot be reached: " + rootMessage(exception),
+                    "entry " + Addresses.format(entry) + " cannot be reached: " + rootMessage(exception),
                     ExitCode.UNREACHABLE);
         }
     }
@@ -160,7 +161,7 @@
         } catch (RuntimeException exception) {
             throw new OperatorException(
                     ErrorCode.OUTCOME_UNKNOWN,
-                    "the answer of entry " + entry + " was lost: " + rootMessage(exception),
+                    "the answer of entry " + Addresses.format(entry) + " was lost: " + rootMessage(exception),
                     ExitCode.UNKNOWN_OUTCOME);
         }
     }
@@ -170,7 +171,7 @@
             return answer.body();
         }
         ErrorCode code = ErrorCode.fromText(answer.errorCode());
-        String message = "entry " + entry + ": " + answer.message();
+        String message = "entry " + Addresses.format(entry) + ": " + answer.message();
         if (!answer.outcome().equals("not-run")) {
             throw new OperatorException(code, message, ExitCode.UNKNOWN_OUTCOME);
         }
