--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.nettlering.benchmarks.capacity.CapacityBenchmark;
+import org.nettlering.benchmarks.consensus.ConsensusBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
 import org.nettlering.benchmarks.routing.RoutingBenchmark;
 
@@ -32,6 +33,7 @@
         return switch (arguments[0]) {
             case "routing" -> RoutingBenchmark.run(rest);
             case "path" -> new PathBenchmark().run(rest);
+            case "consensus" -> ConsensusBenchmark.run(rest);
             case "capacity" -> new CapacityBenchmark().run(rest);
             case "--help" -> help();
             default -> usage();
