--- /dev/null
+++ b/consensus/src/test/java/org/nettlering/consensus/protocol/MemberProtocolTest.java
@@ -0,0 +1,358 @@
+package org.nettlering.consensus.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.nettlering.consensus.protocol.ProtocolFixture.B;
+import static org.nettlering.consensus.protocol.ProtocolFixture.C;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_A;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_B;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_C;
+import static org.nettlering.consensus.protocol.ProtocolFixture.MEMBERSHIP;
+import static org.nettlering.consensus.protocol.ProtocolFixture.SETTINGS;
+import static org.nettlering.consensus.protocol.ProtocolFixture.command;
+import static org.nettlering.consensus.protocol.ProtocolFixture.founding;
+import static org.nettlering.consensus.protocol.ProtocolFixture.membership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.nettlering.consensus.ConsensusMessage.AppendRequest;
+import org.nettlering.consensus.ConsensusMessage.AppendResponse;
+import org.nettlering.consensus.ConsensusMessage.PreVoteRequest;
+import org.nettlering.consensus.ConsensusMessage.PreVoteResponse;
+import org.nettlering.consensus.ConsensusMessage.TimeoutNow;
+import org.nettlering.consensus.ConsensusMessage.VoteRequest;
+import org.nettlering.consensus.ConsensusMessage.VoteResponse;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+class MemberProtocolTest {
+    private static final Duration LONG = SETTINGS.electionTimeout().multipliedBy(2);
+
+    private static ProtocolFixture follower() {
+        return new ProtocolFixture(1, Optional.empty(), founding());
+    }
+
+    private static ProtocolFixture leader() {
+        ProtocolFixture fixture = follower();
+        fixture.lead();
+        fixture.sync();
+        return fixture;
+    }
+
+    /** Returns a leader that has committed the first entry of its term, which is entry 2. */
+    private static ProtocolFixture settledLeader() {
+        ProtocolFixture fixture = leader();
+        fixture.acknowledge(B, DISK_B, 2);
+        return fixture;
+    }
+
+    private static ErrorCode codeOf(CompletableFuture<?> future) {
+        assertThat(future).isCompletedExceptionally();
+        try {
+            future.join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof NettleringException known) {
+                return known.code();
+            }
+        }
+        throw new AssertionError("the future failed without a code");
+    }
+
+    @Test
+    void aPreVoteRaisesNoTerm() {
+        ProtocolFixture member = follower();
+
+        for (int round = 0; round < 5; round++) {
+            member.advance(LONG);
+        }
+
+        assertThat(member.sent(PreVoteRequest.class)).isNotEmpty();
+        assertThat(member.protocol.status().term()).isEqualTo(1);
+    }
+
+    @Test
+    void aMemberThatHearsALeaderGrantsNeitherPreVoteNorVote() {
+        ProtocolFixture member = follower();
+        member.receive(B, member.append(1, 1, 1));
+
+        member.receive(C, new PreVoteRequest(2, DISK_A, 9, 1));
+        member.receive(C, new VoteRequest(2, DISK_A, 9, 1, false));
+
+        assertThat(member.last(PreVoteResponse.class).granted()).isFalse();
+        assertThat(member.last(VoteResponse.class).granted()).isFalse();
+        assertThat(member.protocol.status().term()).isEqualTo(1);
+    }
+
+    @Test
+    void aVoteIsAnsweredOnlyOnceItIsDurable() {
+        ProtocolFixture member = follower();
+
+        member.receive(B, new VoteRequest(2, DISK_A, 1, 1, false));
+        assertThat(member.sent(VoteResponse.class)).isEmpty();
+        member.sync();
+
+        assertThat(member.last(VoteResponse.class).granted()).isTrue();
+    }
+
+    @Test
+    void aMemberVotesOnceInATermEvenAfterARestart() {
+        ProtocolFixture restarted = new ProtocolFixture(2, Optional.of(B), founding());
+
+        restarted.receive(C, new VoteRequest(2, DISK_A, 1, 1, false));
+        restarted.sync();
+
+        assertThat(restarted.last(VoteResponse.class).granted()).isFalse();
+    }
+
+    @Test
+    void aVoteIsSavedBeforeItIsAnswered() {
+        ProtocolFixture member = follower();
+
+        member.receive(B, new VoteRequest(2, DISK_A, 1, 1, false));
+
+        assertThat(member.outbox.takeWrites()).contains(new DiskWrite.SaveVote(2, Optional.of(B)));
+    }
+
+    @Test
+    void aCandidateThatListsAnotherDiskGetsNoVote() {
+        ProtocolFixture member = follower();
+
+        member.receive(B, new VoteRequest(2, DISK_A + 100, 1, 1, false));
+        member.sync();
+
+        assertThat(member.last(VoteResponse.class).granted()).isFalse();
+    }
+
+    @Test
+    void aCandidateWithAShorterLogGetsNoVote() {
+        ProtocolFixture member = new ProtocolFixture(1, Optional.empty(), founding(), command(2, 1));
+
+        member.receive(B, new VoteRequest(2, DISK_A, 1, 1, false));
+        member.sync();
+
+        assertThat(member.last(VoteResponse.class).granted()).isFalse();
+    }
+
+    @Test
+    void aVoteFromAnUnlistedDiskDoesNotCount() {
+        ProtocolFixture member = follower();
+        member.advance(LONG);
+        member.receive(B, new PreVoteResponse(1, DISK_B, 2, true));
+        member.sync();
+
+        member.receive(B, new VoteResponse(2, DISK_B + 100, true));
+
+        assertThat(member.protocol.status().leader()).isEmpty();
+    }
+
+    @Test
+    void anEntryOfAnEarlierTermIsNotCommittedByCounting() {
+        ProtocolFixture member = new ProtocolFixture(2, Optional.empty(), founding(), command(2, 2));
+        member.lead();
+        member.sync();
+
+        member.acknowledge(B, DISK_B, 2);
+        assertThat(member.protocol.status().commitIndex()).isZero();
+        member.acknowledge(B, DISK_B, 3);
+
+        assertThat(member.protocol.status().commitIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void aLeaderCountsItselfOnlyOnceItsEntryIsDurable() {
+        ProtocolFixture member = follower();
+        member.lead();
+
+        member.acknowledge(B, DISK_B, 2);
+        assertThat(member.protocol.status().commitIndex()).isZero();
+        member.sync();
+
+        assertThat(member.protocol.status().commitIndex()).isEqualTo(2);
+    }
+
+    @Test
+    void anAcknowledgementFromAnotherDiskDoesNotCount() {
+        ProtocolFixture member = leader();
+
+        member.acknowledge(B, DISK_B + 100, 2);
+
+        assertThat(member.protocol.status().commitIndex()).isZero();
+    }
+
+    @Test
+    void aLateAcknowledgementFromALostDiskDoesNotCount() {
+        ProtocolFixture member = leader();
+        member.acknowledge(B, DISK_B + 100, 0);
+
+        member.acknowledge(B, DISK_B, 2);
+
+        assertThat(member.protocol.status().commitIndex()).isZero();
+    }
+
+    @Test
+    void aLeaderThatHearsNoMajorityStepsDownAndItsProposalsAreUnknown() {
+        ProtocolFixture member = settledLeader();
+        CompletableFuture<byte[]> proposal = member.propose();
+
+        member.advance(LONG);
+
+        assertThat(codeOf(proposal)).isEqualTo(ErrorCode.OUTCOME_UNKNOWN);
+        assertThat(codeOf(member.propose())).isEqualTo(ErrorCode.NOT_LEADER);
+    }
+
+    @Test
+    void aReadWaitsForARoundThatBeganAfterIt() {
+        ProtocolFixture member = settledLeader();
+        AppendResponse early = new AppendResponse(2, DISK_B, true, 2, 3, 0);
+        CompletableFuture<Void> read = new CompletableFuture<>();
+
+        member.protocol.readIndex(read);
+        member.receive(B, early);
+        assertThat(read).isNotDone();
+        member.acknowledge(B, DISK_B, 2);
+        assertThat(read).isNotDone();
+        member.applyEverything();
+
+        assertThat(read).isCompleted();
+    }
+
+    @Test
+    void aReadIsRefusedBeforeAnEntryOfTheTermIsCommitted() {
+        ProtocolFixture member = leader();
+        CompletableFuture<Void> read = new CompletableFuture<>();
+
+        member.protocol.readIndex(read);
+        member.flush();
+
+        assertThat(codeOf(read)).isEqualTo(ErrorCode.NOT_LEADER);
+    }
+
+    @Test
+    void aChangeIsRefusedBeforeAnEntryOfTheTermIsCommitted() {
+        ProtocolFixture member = new ProtocolFixture(1, Optional.empty(), founding(), command(2, 1));
+        member.receive(B, new AppendRequest(1, 2, 1, List.of(), 2, 0));
+        member.lead();
+        member.sync();
+
+        assertThat(codeOf(add(member, "d"))).isEqualTo(ErrorCode.MEMBERSHIP_REFUSED);
+    }
+
+    @Test
+    void aSecondChangeIsRefusedWhileOneIsUnderWay() {
+        ProtocolFixture member = settledLeader();
+
+        assertThat(add(member, "d")).isNotDone();
+
+        assertThat(codeOf(add(member, "e"))).isEqualTo(ErrorCode.MEMBERSHIP_REFUSED);
+    }
+
+    private static CompletableFuture<Void> add(ProtocolFixture member, String id) {
+        CompletableFuture<Void> future = new CompletableFuture<>();
+        member.protocol.addMember(Member.learner(MemberId.of(id), id + ":1", "four"), future);
+        member.flush();
+        return future;
+    }
+
+    @Test
+    void aRemovalIsRefusedWhenNoMajorityOfTheOthersAnswers() {
+        ProtocolFixture member = settledLeader();
+        member.advance(SETTINGS.electionTimeout().minusMillis(100));
+        member.acknowledge(B, DISK_B, 2);
+        member.advance(Duration.ofMillis(200));
+
+        CompletableFuture<Void> removal = new CompletableFuture<>();
+        member.protocol.removeMember(B, removal);
+        member.flush();
+
+        assertThat(codeOf(removal)).isEqualTo(ErrorCode.MEMBERSHIP_REFUSED);
+    }
+
+    @Test
+    void aVoterWithAnotherDiskLosesItsVoteAndGetsItBackOnceItHasCaughtUp() {
+        ProtocolFixture member = settledLeader();
+        member.acknowledge(C, DISK_C, 2);
+        member.acknowledge(B, DISK_B + 100, 0);
+
+        member.advance(SETTINGS.heartbeatInterval());
+        member.sync();
+        assertThat(member.protocol.status().membership().isVoter(B, DISK_B)).isFalse();
+        member.acknowledge(C, DISK_C, 3);
+        member.advance(SETTINGS.heartbeatInterval());
+        assertThat(member.protocol.status().membership().find(B).orElseThrow().voting())
+                .isFalse();
+        member.acknowledge(B, DISK_B + 100, 3);
+        member.advance(SETTINGS.heartbeatInterval());
+
+        assertThat(member.protocol.status().membership().isVoter(B, DISK_B + 100))
+                .isTrue();
+    }
+
+    @Test
+    void aLateShorterAppendRemovesNothing() {
+        ProtocolFixture member = follower();
+        member.receive(B, member.append(1, 1, 1, command(2, 1), command(3, 1)));
+
+        member.receive(B, member.append(1, 1, 1, command(2, 1)));
+
+        assertThat(member.protocol.status().lastIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void aConflictingMembershipGivesWayToTheOneBeforeIt() {
+        Membership without = MEMBERSHIP.without(C);
+        ProtocolFixture member = new ProtocolFixture(2, Optional.empty(), founding(), membership(2, 2, without));
+        assertThat(member.protocol.status().membership()).isEqualTo(without);
+
+        member.receive(B, member.append(3, 1, 1, command(2, 3)));
+
+        assertThat(member.protocol.status().membership()).isEqualTo(MEMBERSHIP);
+    }
+
+    @Test
+    void aCommittedEntryIsNeverReplaced() {
+        ProtocolFixture member = new ProtocolFixture(1, Optional.empty(), founding(), command(2, 1));
+        member.receive(B, new AppendRequest(1, 2, 1, List.of(), 2, 0));
+
+        assertThatThrownBy(() -> member.receive(C, member.append(2, 1, 1, command(2, 2))))
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessageContaining("entry 2 is committed");
+    }
+
+    @Test
+    void aSlowMemberGetsNoMoreMessagesThanItsLimit() {
+        ProtocolFixture member = settledLeader();
+        int before = member.sent(AppendRequest.class).size();
+
+        for (int proposed = 0; proposed < 100; proposed++) {
+            assertThat(member.propose()).isNotDone();
+        }
+
+        long toB = member.sent.subList(before, member.sent.size()).stream()
+                .filter(sent -> sent.to().equals(B)
+                        && sent.message() instanceof AppendRequest request
+                        && !request.entries().isEmpty())
+                .count();
+        assertThat(toB).isEqualTo(SETTINGS.maxMessagesInFlight());
+    }
+
+    @Test
+    void aLeaderTakesNoProposalWhileItHandsOver() {
+        ProtocolFixture member = settledLeader();
+        CompletableFuture<Void> transfer = new CompletableFuture<>();
+
+        member.protocol.transferLeadership(Optional.of(B), transfer);
+        member.flush();
+
+        assertThat(member.sent(TimeoutNow.class)).isNotEmpty();
+        assertThat(codeOf(member.propose())).isEqualTo(ErrorCode.NOT_LEADER);
+        member.receive(B, new VoteRequest(3, DISK_A, 2, 2, true));
+        assertThat(transfer).isCompleted();
+    }
+}
--- /dev/null
+++ b/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
@@ -0,0 +1,274 @@
+package org.nettlering.consensus.storage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.nettlering.consensus.LogEntry;
+import org.nettlering.consensus.LogStorage.StoredState;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
+import org.nettlering.consensus.Payload;
+import org.nettlering.consensus.SnapshotHeader;
+import org.nettlering.consensus.simulation.SimulatedFolder;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+
+class FileLogStorageTest {
+    private static final MemberId SELF = MemberId.of("control-1");
+
+    private final SimulatedFolder folder = new SimulatedFolder(new SplittableRandom(1));
+
+    private FileLogStorage open() {
+        return FileLogStorage.open(folder, SELF);
+    }
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, LogEntry.Kind.COMMAND, payload("command " + index));
+    }
+
+    private static Payload payload(String text) {
+        return Payload.of(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static SnapshotHeader header(long index, long term, Payload state) {
+        return new SnapshotHeader(index, term, Membership.EMPTY, state.length(), state.checksum());
+    }
+
+    private static void fails(ErrorCode code, ThrowingCallable call) {
+        assertThatThrownBy(call)
+                .isInstanceOfSatisfying(
+                        NettleringException.class,
+                        failure -> assertThat(failure.code()).isEqualTo(code));
+    }
+
+    /** Writes two frames with one entry each and returns the name of their file. */
+    private String writeTwoFrames() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.append(List.of(entry(1, 1)));
+        storage.sync();
+        storage.append(List.of(entry(2, 1)));
+        storage.sync();
+        return folder.list().stream()
+                .filter(name -> name.startsWith("log-"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void damage(String file, int offset) {
+        byte[] bytes = folder.read(file);
+        bytes[offset] ^= 0x10;
+        folder.overwrite(file, bytes);
+    }
+
+    @Test
+    void whatWasSyncedIsReadAgain() {
+        FileLogStorage storage = open();
+        long diskId = new LoadedDisk(storage).id();
+        storage.saveVote(7, Optional.of(MemberId.of("control-2")));
+        storage.append(List.of(entry(1, 6), entry(2, 7), entry(3, 7)));
+        storage.truncateFrom(3);
+        storage.sync();
+        folder.crash();
+
+        FileLogStorage reopened = open();
+        StoredState stored = reopened.load();
+
+        assertThat(stored.term()).isEqualTo(7);
+        assertThat(stored.votedFor()).contains(MemberId.of("control-2"));
+        assertThat(stored.entries()).containsExactly(entry(1, 6), entry(2, 7));
+        assertThat(reopened.diskId()).isEqualTo(diskId);
+    }
+
+    /** Loads a storage and reads its disk. */
+    private record LoadedDisk(FileLogStorage storage) {
+        long id() {
+            storage.load();
+            return storage.diskId();
+        }
+    }
+
+    @Test
+    void aTornTailIsCut() {
+        String file = writeTwoFrames();
+        byte[] bytes = folder.read(file);
+        folder.overwrite(file, Arrays.copyOf(bytes, bytes.length - 3));
+
+        assertThat(open().load().entries()).containsExactly(entry(1, 1));
+        assertThat(open().load().entries()).containsExactly(entry(1, 1));
+    }
+
+    @Test
+    void aDamagedFrameBeforeAnIntactOneIsRefusedAndNamed() {
+        String file = writeTwoFrames();
+        damage(file, FileHeader.SIZE_BYTES + LogFrame.HEADER_BYTES + 2);
+
+        assertThatThrownBy(() -> open().load())
+                .hasMessageContaining(file)
+                .hasMessageContaining("byte " + FileHeader.SIZE_BYTES)
+                .hasMessageContaining("fresh copy");
+    }
+
+    @Test
+    void aDamagedFrameInAClosedSegmentIsRefused() {
+        String file = writeTwoFrames();
+        open().load();
+        damage(file, folder.read(file).length - 1);
+
+        fails(ErrorCode.STORAGE_CORRUPT, () -> open().load());
+    }
+
+    @Test
+    void aMissingSegmentIsRefused() {
+        String file = writeTwoFrames();
+        open().load();
+        FileLogStorage third = open();
+        third.load();
+        folder.delete(folder.list().stream()
+                .filter(name -> name.startsWith("log-") && !name.equals(file))
+                .findFirst()
+                .orElseThrow());
+
+        fails(ErrorCode.STORAGE_CORRUPT, () -> open().load());
+    }
+
+    @Test
+    void aNewerFormatIsRefused() {
+        String file = writeTwoFrames();
+        byte[] bytes = folder.read(file);
+        byte[] newer = FileHeader.encode(FileHeader.FORMAT_VERSION + 1);
+        System.arraycopy(newer, 0, bytes, 0, newer.length);
+        folder.overwrite(file, bytes);
+
+        fails(ErrorCode.STORAGE_TOO_NEW, () -> open().load());
+    }
+
+    @Test
+    void aDamagedSnapshotIsRefused() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.saveSnapshot(header(5, 1, payload("state")), payload("state"));
+        String file = folder.list().getLast();
+        damage(file, folder.read(file).length - 1);
+
+        fails(ErrorCode.STORAGE_CORRUPT, () -> open().load());
+    }
+
+    @Test
+    void theFolderOfAnotherMemberIsRefused() {
+        open().load();
+
+        fails(
+                ErrorCode.INVALID_SETTINGS,
+                () -> FileLogStorage.open(folder, MemberId.of("control-2")).load());
+    }
+
+    @Test
+    void filesWithoutAnIdentityAreRefused() {
+        writeTwoFrames();
+        folder.delete("identity");
+
+        fails(ErrorCode.STORAGE_CORRUPT, () -> open().load());
+    }
+
+    @Test
+    void anEmptiedFolderGetsAnotherDiskId() {
+        long before = new LoadedDisk(open()).id();
+        folder.wipe();
+
+        assertThat(new LoadedDisk(open()).id()).isNotEqualTo(before);
+    }
+
+    @Test
+    void aSnapshotReplacesTheSegmentsThatItIncludes() {
+        FileLogStorage storage = FileLogStorage.open(folder, SELF, 1);
+        storage.load();
+        for (long index = 1; index <= 6; index++) {
+            storage.append(List.of(entry(index, 1)));
+            storage.sync();
+        }
+        int before = folder.list().size();
+        storage.saveSnapshot(header(4, 1, payload("state")), payload("state"));
+        storage.discardUpTo(4);
+
+        StoredState stored = open().load();
+
+        assertThat(folder.list().size()).isLessThan(before);
+        assertThat(stored.snapshot().orElseThrow().state()).isEqualTo(payload("state"));
+        assertThat(stored.entries()).containsExactly(entry(5, 1), entry(6, 1));
+    }
+
+    @Test
+    void anInstalledSnapshotReplacesAConflictingLog() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)));
+        storage.sync();
+        storage.installSnapshot(header(3, 2, payload("state")), payload("state"), false);
+        storage.append(List.of(entry(4, 2)));
+        storage.sync();
+
+        assertThat(open().load().entries()).containsExactly(entry(4, 2));
+    }
+
+    @Test
+    void aCrashBetweenAnInstalledSnapshotAndTheLogLeavesNoConflictingEntry() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.append(List.of(entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)));
+        storage.sync();
+        storage.saveSnapshot(header(3, 2, payload("state")), payload("state"));
+
+        FileLogStorage reopened = open();
+        assertThat(reopened.load().entries()).isEmpty();
+        reopened.append(List.of(entry(4, 2)));
+        reopened.sync();
+
+        assertThat(open().load().entries()).containsExactly(entry(4, 2));
+    }
+
+    @Test
+    void aFailedSyncIsReportedAndEverythingAfterItFails() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.append(List.of(entry(1, 1)));
+        folder.failAfter(1);
+
+        fails(ErrorCode.STORAGE_FAILED, storage::sync);
+        storage.append(List.of(entry(2, 1)));
+        fails(ErrorCode.STORAGE_FAILED, storage::sync);
+    }
+
+    @Test
+    void aSecondProcessOnTheSameFolderIsRefused(@TempDir Path path) {
+        FileLogStorage first = FileLogStorage.open(DiskFolder.open(path), SELF);
+        first.load();
+
+        fails(
+                ErrorCode.STORAGE_LOCKED,
+                () -> FileLogStorage.open(DiskFolder.open(path), SELF).load());
+        first.close();
+    }
+
+    @Test
+    void theRealDiskKeepsWhatWasSynced(@TempDir Path path) {
+        try (FileLogStorage first = FileLogStorage.open(DiskFolder.open(path), SELF)) {
+            first.load();
+            first.append(List.of(entry(1, 1)));
+            first.sync();
+        }
+
+        try (FileLogStorage second = FileLogStorage.open(DiskFolder.open(path), SELF)) {
+            assertThat(second.load().entries()).containsExactly(entry(1, 1));
+        }
+    }
+}
