Strike the simulated group where its rules matter

Change: processes also start again at once, a leader is cut off while it appends, a disk is lost beside a member that lags while the leader ends, and in a quarter of the runs elections are as quick as messages.

--- a/consensus/src/main/java/org/nettlering/consensus/simulation/Faults.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Faults.java
@@ -42,6 +42,9 @@
     /** How many faults have struck. */
     private long count;
 
+    /** True once faults no longer strike. */
+    private boolean healed;
+
     /** The number of the next member that is added. */
     private int nextMemberNumber = MAX_MEMBERS;
 
@@ -62,8 +65,8 @@
         }
         count++;
         SimulatedMember member = anyMember();
-        switch (random.nextInt(12)) {
-            case 0 -> member.crash();
+        switch (random.nextInt(14)) {
+            case 0 -> crashWithoutPause(member);
             case 1 -> member.folder.failAfter(random.nextInt(12));
             case 2 -> member.freeze(Duration.ofMillis(random.nextInt(MAX_FREEZE_MILLIS)));
             case 3 -> isolate(member);
@@ -73,10 +76,14 @@
             case 8 -> wipe(member);
             case 9 -> addMember();
             case 10 -> removeMember(member);
+            case 11 -> cutLeaderOff();
+            case 12 -> loseDiskBesideALaggingMember();
             default -> transfer();
         }
         if (random.nextInt(40) == 0) {
             simulation.members().values().forEach(SimulatedMember::crash);
+        } else if (random.nextInt(20) == 0) {
+            simulation.members().values().forEach(this::crashWithoutPause);
         }
     }
 
@@ -94,6 +101,46 @@
         }
     }
 
+    /** Ends a process; half of the time it starts again at once, within the same term. */
+    private void crashWithoutPause(SimulatedMember member) {
+        member.crash();
+        if (random.nextBoolean()) {
+            member.start();
+        }
+    }
+
+    /** Lets the leader append what no other member gets. */
+    private void cutLeaderOff() {
+        for (SimulatedMember leader : simulation.leader().stream().toList()) {
+            simulation.members().keySet().forEach(other -> simulation.network().cut(leader.id, other));
+        }
+    }
+
+    /** Lets a member lag, then loses the disk of another one and ends the leader, which alone holds everything. */
+    private void loseDiskBesideALaggingMember() {
+        Optional<SimulatedMember> leader = simulation.leader();
+        if (leader.isEmpty()) {
+            return;
+        }
+        List<SimulatedMember> others = simulation.members().values().stream()
+                .filter(member -> !member.id.equals(leader.get().id))
+                .toList();
+        if (others.size() < 2) {
+            return;
+        }
+        isolate(others.getFirst());
+        simulation.time().schedule(Duration.ofMillis(500), () -> {
+            if (!healed) {
+                wipe(others.get(1));
+            }
+            if (!healed && others.get(1).node().isEmpty()) {
+                leader.get().crash();
+                simulation.network().heal();
+                others.get(1).start();
+            }
+        });
+    }
+
     private void restartSome() {
         for (SimulatedMember member : simulation.members().values()) {
             if (member.node().isEmpty() && random.nextInt(25) == 0) {
@@ -166,6 +213,7 @@
 
     /** Ends every fault and starts every member. */
     void heal() {
+        healed = true;
         simulation.network().heal();
         for (SimulatedMember member : simulation.members().values()) {
             member.unfreeze();
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/Simulation.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Simulation.java
@@ -84,12 +84,18 @@
         for (int number = 0; number < size; number++) {
             initialMembers.add(describe(idOf(number)));
         }
-        environment = new SimulatedMember.Environment(time, random.split(), network, history, initialMembers, SETTINGS);
+        environment =
+                new SimulatedMember.Environment(time, random.split(), network, history, initialMembers, settings());
         initialMembers.forEach(member -> addProcess(member.id()));
         faults = new Faults(this, random.split());
         clients = new Clients(this, random.split());
     }
 
+    /** Returns the settings of the run; in a part of the runs elections are as quick as messages, so that they collide. */
+    private ConsensusSettings settings() {
+        return random.nextInt(4) == 0 ? SETTINGS.withTimes(Duration.ofMillis(20), Duration.ofMillis(60)) : SETTINGS;
+    }
+
     static MemberId idOf(int number) {
         return MemberId.of("member-" + number);
     }
