--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusStatus.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusStatus.java
@@ -39,6 +39,48 @@
      * @param matchIndex the last entry that it has acknowledged
      * @param lastHeardMillis how long ago it answered
      * @param sameDisk false if it answers with another disk than the membership lists
+     * @param live true if it answered within the election timeout, with the listed disk
      */
-    public record Progress(MemberId id, long matchIndex, long lastHeardMillis, boolean sameDisk) {}
+    public record Progress(MemberId id, long matchIndex, long lastHeardMillis, boolean sameDisk, boolean live) {}
+
+    /**
+     * Returns how many voters can be lost now without losing the quorum, as the leader sees it.
+     *
+     * @return the number, at least zero; zero on other members
+     */
+    public int survivableMembers() {
+        return Math.max(0, liveVoters().size() - membership.quorum());
+    }
+
+    /**
+     * Returns the failure domains each of which can be lost now without losing the quorum, as the leader sees it.
+     *
+     * @return the names in order, empty on other members, never null
+     */
+    public List<String> survivableFailureDomains() {
+        List<Member> live = liveVoters();
+        return membership.members().stream()
+                .map(Member::failureDomain)
+                .distinct()
+                .sorted()
+                .filter(domain -> countOutside(domain, live) >= membership.quorum())
+                .toList();
+    }
+
+    private static long countOutside(String domain, List<Member> voters) {
+        return voters.stream()
+                .filter(voter -> !voter.failureDomain().equals(domain))
+                .count();
+    }
+
+    private List<Member> liveVoters() {
+        return membership.voters().stream().filter(this::isLive).toList();
+    }
+
+    private boolean isLive(Member voter) {
+        boolean leads = voter.id().equals(self) && leader.filter(self::equals).isPresent();
+        return leads
+                || progress.stream()
+                        .anyMatch(other -> other.live() && other.id().equals(voter.id()));
+    }
 }
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
@@ -360,8 +360,11 @@
         for (Replica replica : leadership.replicas()) {
             Optional<Member> member = state.membership().find(replica.id);
             boolean sameDisk = member.isPresent() && (!member.get().voting() || replica.countsFor(member.get()));
+            long silentNanos = now - replica.lastHeardNanos;
+            boolean live =
+                    sameDisk && silentNanos < state.settings.electionTimeout().toNanos();
             progress.add(new ConsensusStatus.Progress(
-                    replica.id, replica.matchIndex, (now - replica.lastHeardNanos) / 1_000_000, sameDisk));
+                    replica.id, replica.matchIndex, silentNanos / 1_000_000, sameDisk, live));
         }
         return new ConsensusStatus(
                 state.self,
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/Clients.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Clients.java
@@ -13,8 +13,8 @@
     /** How many requests are made in one step, at most. */
     private static final int MAX_REQUESTS = 4;
 
-    /** The run. */
-    private final Simulation simulation;
+    /** The group. */
+    private final SimulatedGroup group;
 
     /** Draws the requests. */
     private final SplittableRandom random;
@@ -25,8 +25,8 @@
     /** The latest revision that an answer named. */
     private long knownRevision;
 
-    Clients(Simulation simulation, SplittableRandom random) {
-        this.simulation = simulation;
+    Clients(SimulatedGroup group, SplittableRandom random) {
+        this.group = group;
         this.random = random;
     }
 
@@ -44,9 +44,9 @@
 
     private Optional<SimulatedMember> choose() {
         if (random.nextInt(4) > 0) {
-            return simulation.leader();
+            return group.leader();
         }
-        List<SimulatedMember> all = List.copyOf(simulation.members().values());
+        List<SimulatedMember> all = List.copyOf(group.members().values());
         return Optional.of(all.get(random.nextInt(all.size())));
     }
 
@@ -56,7 +56,7 @@
             return;
         }
         RegisterCommand command = new RegisterCommand(nextId++, knownRevision);
-        History history = simulation.history();
+        History history = group.history();
         long acknowledgedBefore = history.acknowledgedIndex();
         CompletableFuture<byte[]> _ = node.get().propose(command.encode()).whenComplete((result, failure) -> {
             if (failure == null) {
@@ -80,7 +80,7 @@
         if (node.isEmpty()) {
             return;
         }
-        History history = simulation.history();
+        History history = group.history();
         long acknowledgedBefore = history.acknowledgedIndex();
         RegisterMachine machine = member.machine();
         CompletableFuture<Void> _ = node.get()
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/Faults.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Faults.java
@@ -30,8 +30,8 @@
     /** The most members that a group grows to. */
     private static final int MAX_MEMBERS = 5;
 
-    /** The run. */
-    private final Simulation simulation;
+    /** The group. */
+    private final SimulatedGroup group;
 
     /** Draws the faults. */
     private final SplittableRandom random;
@@ -48,8 +48,8 @@
     /** The number of the next member that is added. */
     private int nextMemberNumber = MAX_MEMBERS;
 
-    Faults(Simulation simulation, SplittableRandom random) {
-        this.simulation = simulation;
+    Faults(SimulatedGroup group, SplittableRandom random) {
+        this.group = group;
         this.random = random;
     }
 
@@ -70,9 +70,9 @@
             case 1 -> member.folder.failAfter(random.nextInt(12));
             case 2 -> member.freeze(Duration.ofMillis(random.nextInt(MAX_FREEZE_MILLIS)));
             case 3 -> isolate(member);
-            case 4 -> simulation.network().cut(member.id, anyMember().id);
-            case 5, 6 -> simulation.network().heal();
-            case 7 -> simulation.network().setFaultShare(random.nextDouble() * 0.3);
+            case 4 -> group.network().cut(member.id, anyMember().id);
+            case 5, 6 -> group.network().heal();
+            case 7 -> group.network().setFaultShare(random.nextDouble() * 0.3);
             case 8 -> wipe(member);
             case 9 -> addMember();
             case 10 -> removeMember(member);
@@ -81,22 +81,22 @@
             default -> transfer();
         }
         if (random.nextInt(40) == 0) {
-            simulation.members().values().forEach(SimulatedMember::crash);
+            group.members().values().forEach(SimulatedMember::crash);
         } else if (random.nextInt(20) == 0) {
-            simulation.members().values().forEach(this::crashWithoutPause);
+            group.members().values().forEach(this::crashWithoutPause);
         }
     }
 
     private SimulatedMember anyMember() {
-        List<SimulatedMember> all = List.copyOf(simulation.members().values());
+        List<SimulatedMember> all = List.copyOf(group.members().values());
         return all.get(random.nextInt(all.size()));
     }
 
     private void isolate(SimulatedMember member) {
-        for (MemberId other : simulation.members().keySet()) {
-            simulation.network().cut(member.id, other);
+        for (MemberId other : group.members().keySet()) {
+            group.network().cut(member.id, other);
             if (random.nextInt(4) > 0) {
-                simulation.network().cut(other, member.id);
+                group.network().cut(other, member.id);
             }
         }
     }
@@ -111,38 +111,38 @@
 
     /** Lets the leader append what no other member gets. */
     private void cutLeaderOff() {
-        for (SimulatedMember leader : simulation.leader().stream().toList()) {
-            simulation.members().keySet().forEach(other -> simulation.network().cut(leader.id, other));
+        for (SimulatedMember leader : group.leader().stream().toList()) {
+            group.members().keySet().forEach(other -> group.network().cut(leader.id, other));
         }
     }
 
     /** Lets a member lag, then loses the disk of another one and ends the leader, which alone holds everything. */
     private void loseDiskBesideALaggingMember() {
-        Optional<SimulatedMember> leader = simulation.leader();
+        Optional<SimulatedMember> leader = group.leader();
         if (leader.isEmpty()) {
             return;
         }
-        List<SimulatedMember> others = simulation.members().values().stream()
+        List<SimulatedMember> others = group.members().values().stream()
                 .filter(member -> !member.id.equals(leader.get().id))
                 .toList();
         if (others.size() < 2) {
             return;
         }
         isolate(others.getFirst());
-        simulation.time().schedule(Duration.ofMillis(500), () -> {
+        group.time().schedule(Duration.ofMillis(500), () -> {
             if (!healed) {
                 wipe(others.get(1));
             }
             if (!healed && others.get(1).node().isEmpty()) {
                 leader.get().crash();
-                simulation.network().heal();
+                group.network().heal();
                 others.get(1).start();
             }
         });
     }
 
     private void restartSome() {
-        for (SimulatedMember member : simulation.members().values()) {
+        for (SimulatedMember member : group.members().values()) {
             if (member.node().isEmpty() && random.nextInt(25) == 0) {
                 member.folder.crash();
                 member.start();
@@ -150,13 +150,9 @@
         }
     }
 
-    private Optional<ConsensusStatus> leading() {
-        return simulation.leader().flatMap(SimulatedMember::node).flatMap(ConsensusNode::status);
-    }
-
     /** Forgets the lost disks in whose place the committed membership lists the new one, or nothing. */
     private void noteRepairs() {
-        Optional<ConsensusStatus> status = leading().filter(ConsensusStatus::membershipCommitted);
+        Optional<ConsensusStatus> status = group.leading().filter(ConsensusStatus::membershipCommitted);
         if (status.isEmpty() || lostDisks.isEmpty()) {
             return;
         }
@@ -167,17 +163,17 @@
         if (membership.find(id).isEmpty()) {
             return true;
         }
-        Optional<ConsensusStatus> status = simulation.addProcess(id).node().flatMap(ConsensusNode::status);
+        Optional<ConsensusStatus> status = group.process(id).node().flatMap(ConsensusNode::status);
         return status.isPresent() && membership.isVoter(id, status.get().diskId());
     }
 
     private void wipe(SimulatedMember member) {
-        if (!lostDisks.isEmpty() || leading().isEmpty()) {
+        if (!lostDisks.isEmpty() || group.leading().isEmpty()) {
             return;
         }
-        boolean quiet = leading().get().membershipCommitted()
-                && leading().get().membership().find(member.id).isPresent()
-                && leading().get().membership().members().stream().allMatch(Member::voting);
+        boolean quiet = group.leading().get().membershipCommitted()
+                && group.leading().get().membership().find(member.id).isPresent()
+                && group.leading().get().membership().members().stream().allMatch(Member::voting);
         if (!quiet) {
             return;
         }
@@ -187,17 +183,18 @@
     }
 
     private void addMember() {
-        Optional<ConsensusStatus> status = leading();
+        Optional<ConsensusStatus> status = group.leading();
         if (status.isEmpty() || status.get().membership().members().size() >= MAX_MEMBERS) {
             return;
         }
-        MemberId id = Simulation.idOf(nextMemberNumber++);
-        simulation.addProcess(id).start();
-        ask(node -> node.addMember(Simulation.describe(id)));
+        MemberId id = SimulatedGroup.idOf(nextMemberNumber++);
+        group.process(id).start();
+        ask(node -> node.addMember(SimulatedGroup.describe(id)));
     }
 
     private void removeMember(SimulatedMember member) {
-        if (leading().isPresent() && leading().get().membership().members().size() > 3) {
+        if (group.leading().isPresent()
+                && group.leading().get().membership().members().size() > 3) {
             ask(node -> node.removeMember(member.id));
         }
     }
@@ -208,14 +205,14 @@
 
     private void ask(Function<ConsensusNode, CompletableFuture<Void>> request) {
         Optional<CompletableFuture<Void>> _ =
-                simulation.leader().flatMap(SimulatedMember::node).map(request);
+                group.leader().flatMap(SimulatedMember::node).map(request);
     }
 
     /** Ends every fault and starts every member. */
     void heal() {
         healed = true;
-        simulation.network().heal();
-        for (SimulatedMember member : simulation.members().values()) {
+        group.network().heal();
+        for (SimulatedMember member : group.members().values()) {
             member.unfreeze();
             if (member.node().isEmpty()) {
                 member.folder.crash();
--- /dev/null
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedGroup.java
@@ -0,0 +1,132 @@
+package org.nettlering.consensus.simulation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.nettlering.consensus.ConsensusMessage;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusSettings;
+import org.nettlering.consensus.ConsensusStatus;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.domain.time.ManualTime;
+
+/** A group of simulated members with one clock, one network and one history. Not thread-safe. */
+final class SimulatedGroup {
+    /** The clock. */
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+
+    /** What happened. */
+    private final History history = new History();
+
+    /** The network. */
+    private final SimulatedNetwork network;
+
+    /** The members, those that were removed included. */
+    private final TreeMap<MemberId, SimulatedMember> members = new TreeMap<>();
+
+    /** What the members share. */
+    private final SimulatedMember.Environment environment;
+
+    SimulatedGroup(SplittableRandom random, int size, ConsensusSettings settings) {
+        network = new SimulatedNetwork(time, random.split(), this::deliver);
+        List<Member> initialMembers = new ArrayList<>();
+        for (int number = 0; number < size; number++) {
+            initialMembers.add(describe(idOf(number)));
+        }
+        environment = new SimulatedMember.Environment(time, random.split(), network, history, initialMembers, settings);
+        initialMembers.forEach(member -> process(member.id()));
+    }
+
+    static MemberId idOf(int number) {
+        return MemberId.of("member-" + number);
+    }
+
+    static Member describe(MemberId id) {
+        return Member.learner(id, "127.0.0.1:1", "domain-" + id);
+    }
+
+    /** Returns the member with an id, which is created with an empty disk if there is none. */
+    SimulatedMember process(MemberId id) {
+        return members.computeIfAbsent(id, added -> new SimulatedMember(added, environment));
+    }
+
+    private void deliver(MemberId from, MemberId to, ConsensusMessage message) {
+        SimulatedMember receiver = members.get(to);
+        if (receiver != null) {
+            receiver.receive(from, message);
+        }
+    }
+
+    void startAll() {
+        members.values().forEach(SimulatedMember::start);
+    }
+
+    void advance(Duration duration) {
+        time.advance(duration);
+    }
+
+    ManualTime time() {
+        return time;
+    }
+
+    History history() {
+        return history;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    SortedMap<MemberId, SimulatedMember> members() {
+        return Collections.unmodifiableSortedMap(members);
+    }
+
+    /** Returns the member that leads the latest term, if any is ready. */
+    Optional<SimulatedMember> leader() {
+        SimulatedMember latest = null;
+        long latestTerm = -1;
+        for (SimulatedMember member : members.values()) {
+            Optional<ConsensusNode> node = member.node();
+            if (node.isPresent() && node.get().isReadyLeader() && node.get().term() > latestTerm) {
+                latest = member;
+                latestTerm = node.get().term();
+            }
+        }
+        return Optional.ofNullable(latest);
+    }
+
+    /** Returns what the leader knows, if there is one. */
+    Optional<ConsensusStatus> leading() {
+        return leader().flatMap(SimulatedMember::node).flatMap(ConsensusNode::status);
+    }
+
+    /** Returns the members that the leader's membership lists. */
+    List<SimulatedMember> listedMembers() {
+        return leading().stream()
+                .flatMap(status -> status.membership().members().stream())
+                .map(member -> process(member.id()))
+                .toList();
+    }
+
+    /** Tells whether every listed member votes with its present disk and has applied the whole log. */
+    boolean isSettled() {
+        Optional<ConsensusStatus> leading = leading();
+        if (leading.isEmpty()) {
+            return false;
+        }
+        ConsensusStatus status = leading.get();
+        boolean everyoneVotes = status.membership().members().stream().allMatch(Member::voting);
+        boolean sameDisks = status.progress().stream().allMatch(ConsensusStatus.Progress::sameDisk);
+        boolean everythingApplied = listedMembers().stream()
+                .map(member -> member.node().flatMap(ConsensusNode::status))
+                .allMatch(other -> other.isPresent() && other.get().appliedIndex() == status.lastIndex());
+        return everyoneVotes && sameDisks && everythingApplied;
+    }
+}
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedMember.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedMember.java
@@ -71,6 +71,11 @@
         }
     }
 
+    /** Returns a process that is neither started nor connected to the run. */
+    ConsensusNode create() {
+        return new Incarnation().node;
+    }
+
     /** Ends the process without notice and loses what was not synced. */
     void crash() {
         incarnation = null;
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
@@ -8,16 +8,31 @@
     /** Where the events go. */
     private final EventLogger logger = EventLogger.of(ConsensusEvents.class);
 
+    /** Runs when the member has stopped for good. */
+    private final Runnable onMemberFailed;
+
     /**
      * Creates a listener that logs.
      *
      * @return the listener, never null
      */
     public static ConsensusEvents logging() {
-        return new ConsensusEvents();
+        return new ConsensusEvents(() -> {});
+    }
+
+    /**
+     * Creates a listener that logs, and tells when the member has stopped for good.
+     *
+     * @param onMemberFailed runs after the failure was logged; the process has no use any more, not null
+     * @return the listener, never null
+     */
+    public static ConsensusEvents logging(Runnable onMemberFailed) {
+        return new ConsensusEvents(onMemberFailed);
     }
 
-    private ConsensusEvents() {}
+    private ConsensusEvents(Runnable onMemberFailed) {
+        this.onMemberFailed = onMemberFailed;
+    }
 
     @Override
     public void happened(Happening happening) {
@@ -32,11 +47,11 @@
             case SnapshotSaved saved -> logger.log(ConsensusEvent.SNAPSHOT_SAVED, saved.index(), saved.sizeBytes());
             case SnapshotInstalled installed ->
                 logger.log(ConsensusEvent.SNAPSHOT_INSTALLED, installed.index(), installed.sizeBytes());
-            case MemberFailed failed ->
-                logger.log(
-                        ConsensusEvent.MEMBER_FAILED,
-                        String.valueOf(failed.failure().getMessage()),
-                        failed.failure());
+            case MemberFailed failed -> {
+                Throwable failure = failed.failure();
+                logger.log(ConsensusEvent.MEMBER_FAILED, String.valueOf(failure.getMessage()), failure);
+                onMemberFailed.run();
+            }
         }
     }
 }
--- a/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
+++ b/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
@@ -89,6 +89,8 @@
                 .setLeaderId(status.leader().map(MemberId::value).orElse(""))
                 .setTerm(status.term())
                 .setCommitIndex(status.commitIndex())
+                .setSurvivableMembers(status.survivableMembers())
+                .addAllSurvivableFailureDomains(status.survivableFailureDomains())
                 .build();
     }
 
