--- a/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
@@ -4,18 +4,14 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Instant;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
-import org.nettlering.control.log.CommandLog;
+import org.nettlering.control.state.SiteStateMachine;
+import org.nettlering.control.testing.EmptyPart;
+import org.nettlering.control.testing.SingleMemberLog;
 import org.nettlering.domain.configuration.ConfigurationState;
-import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.ManualTime;
-import org.nettlering.wire.proto.CommandProto.SiteCommand;
-import org.nettlering.wire.proto.CommandProto.SiteResult;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationChange;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationCommand;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationRequest;
@@ -28,7 +24,8 @@
 
 class ConfigurationServiceTest {
     private final ConfigurationPart part = ConfigurationPart.create();
-    private final ImmediateLog log = new ImmediateLog();
+    private final SingleMemberLog log =
+            new SingleMemberLog(SiteStateMachine.of(part, new EmptyPart(), new EmptyPart()));
     private final ConfigurationService service =
             ConfigurationService.of(log, part, ManualTime.startingAt(Instant.ofEpochMilli(50)));
 
@@ -66,7 +63,7 @@
     @Test
     void aMemberThatDoesNotLeadAnswersOnlyLocalFetches() {
         change("a", 0, 100);
-        log.leading = false;
+        log.loseLeadership();
 
         assertThat(fetch(0, true).getRevision()).isEqualTo(1);
         assertThatThrownBy(() -> fetch(0, false)).hasRootCauseInstanceOf(NettleringException.class);
@@ -89,7 +86,7 @@
 
         assertThatThrownBy(() -> call(ConfigurationRequest.newBuilder().setChange(malformed)))
                 .isInstanceOf(NettleringException.class);
-        assertThat(log.proposals).isZero();
+        assertThat(log.size()).isZero();
     }
 
     private ConfigurationResult change(String id, long expectedRevision, long milliwatts) {
@@ -113,38 +110,4 @@
         Frame frame = Frame.newBuilder().setConfigurationRequest(request).build();
         return service.handle(frame).toCompletableFuture().join().getConfigurationResponse();
     }
-
-    /** Applies each command at once, as a group of one member would. */
-    private final class ImmediateLog implements CommandLog {
-        private boolean leading = true;
-        private int proposals;
-
-        @Override
-        public CompletionStage<SiteResult> propose(SiteCommand command) {
-            proposals++;
-            return CompletableFuture.completedStage(part.apply(command));
-        }
-
-        @Override
-        public CompletionStage<Void> confirmLeadership() {
-            return leading
-                    ? CompletableFuture.completedStage(null)
-                    : CompletableFuture.failedStage(new NettleringException(ErrorCode.NOT_LEADER, "not the leader"));
-        }
-
-        @Override
-        public boolean isReadyLeader() {
-            return leading;
-        }
-
-        @Override
-        public long term() {
-            return 1;
-        }
-
-        @Override
-        public Optional<String> leaderId() {
-            return Optional.empty();
-        }
-    }
 }
--- a/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
+++ b/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
@@ -6,7 +6,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.junit.jupiter.api.Test;
 import org.nettlering.control.configuration.ConfigurationPart;
-import org.nettlering.control.log.StatePart;
+import org.nettlering.control.testing.EmptyPart;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
@@ -67,17 +67,4 @@
                 .build()
                 .toByteArray();
     }
-
-    private static final class EmptyPart implements StatePart {
-        @Override
-        public SiteResult apply(SiteCommand command) {
-            return SiteResult.getDefaultInstance();
-        }
-
-        @Override
-        public void save(SiteSnapshot.Builder snapshot) {}
-
-        @Override
-        public void restore(SiteSnapshot snapshot) {}
-    }
 }
