--- a/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelEntry.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelEntry.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.nettlering.benchmarks.routing.ModelSettings.Queueing;
 import org.nettlering.benchmarks.routing.ModelSettings.Retries;
 import org.nettlering.domain.admission.AdmissionController;
@@ -61,6 +62,9 @@
     /** Called when a request had to wait. */
     private Runnable whenWaiting = () -> {};
 
+    /** Called with each peer that got a slot back. */
+    private Consumer<String> whenReturned = peer -> {};
+
     /** False once the entry is lost. */
     private boolean alive = true;
 
@@ -95,6 +99,10 @@
         whenWaiting = action;
     }
 
+    void whenReturned(Consumer<String> action) {
+        whenReturned = action;
+    }
+
     /** Loses the entry with everything that it has in flight. */
     void lose() {
         alive = false;
@@ -121,6 +129,7 @@
         }
         decisions.grants().forEach(grant -> dispatch(grant.payload(), grant.upstream()));
         decisions.refusals().forEach(refusal -> refuse(refusal.payload()));
+        decisions.returnedTo().forEach(whenReturned);
     }
 
     private void submit(ModelRequest request) {
@@ -177,10 +186,11 @@
             return;
         }
         upstream.receive(
-                () -> time.schedule(ModelSettings.LATENCY, () -> answer(request, upstream.address(), sentNanos)));
+                request.work(),
+                ran -> time.schedule(ModelSettings.LATENCY, () -> answer(request, upstream.address(), sentNanos, ran)));
     }
 
-    private void answer(ModelRequest request, UpstreamAddress address, long sentNanos) {
+    private void answer(ModelRequest request, UpstreamAddress address, long sentNanos, Duration ran) {
         if (!alive) {
             return;
         }
@@ -195,7 +205,7 @@
         if (request.isWaiting()) {
             admission.withdraw(request);
         }
-        report.answer(Duration.ofNanos(time.nanoTime() - request.arrivedNanos()), request.isUrgent());
+        report.answer(Duration.ofNanos(time.nanoTime() - request.arrivedNanos()), ran, request.isUrgent());
     }
 
     private void fail(ModelRequest request, UpstreamAddress address) {
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelReport.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelReport.java
@@ -14,6 +14,9 @@
     private final Histogram[] responses = {new Histogram(HIGHEST_MICROS, DIGITS), new Histogram(HIGHEST_MICROS, DIGITS)
     };
 
+    /** How much longer answered requests took than they ran. */
+    private final Histogram delays = new Histogram(HIGHEST_MICROS, DIGITS);
+
     /** How long granted requests waited at their entry. */
     private final Histogram waits = new Histogram(HIGHEST_MICROS, DIGITS);
 
@@ -44,7 +47,8 @@
         arrived++;
     }
 
-    void answer(Duration responseTime, boolean urgent) {
+    void answer(Duration responseTime, Duration ran, boolean urgent) {
+        delays.recordValue(Math.min(HIGHEST_MICROS, responseTime.minus(ran).toNanos() / 1_000));
         responses[urgent ? 1 : 0].recordValue(Math.min(HIGHEST_MICROS, responseTime.toNanos() / 1_000));
         if (responseTime.compareTo(ModelSettings.DEADLINE) <= 0) {
             inTime++;
@@ -150,6 +154,16 @@
         return responses[1].getValueAtPercentile(percentile) / MICROS_PER_MILLI;
     }
 
+    /**
+     * Returns a percentile of the delays: the response time less the time that the instance ran the request.
+     *
+     * @param percentile from 0 to 100
+     * @return the delay in milliseconds
+     */
+    public double delayMillis(double percentile) {
+        return delays.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+
     /**
      * Returns a percentile of the waits at the entries.
      *
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelRequest.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/routing/ModelRequest.java
@@ -13,6 +13,9 @@
     /** Whether its service runs under the urgent profile. */
     private final boolean urgent;
 
+    /** How long it runs, as a multiple of the mean. */
+    private final double work;
+
     /** The upstreams that were tried. */
     private final Set<UpstreamAddress> tried = new HashSet<>();
 
@@ -28,7 +31,8 @@
     /** True once it has its end. */
     private boolean ended;
 
-    ModelRequest(long arrivedNanos, boolean urgent) {
+    ModelRequest(long arrivedNanos, boolean urgent, double work) {
+        this.work = work;
         this.arrivedNanos = arrivedNanos;
         this.urgent = urgent;
     }
@@ -41,6 +45,10 @@
         return arrivedNanos + ModelSettings.DEADLINE.toNanos();
     }
 
+    double work() {
+        return work;
+    }
+
     boolean isUrgent() {
         return urgent;
     }
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/routing/RoutingModel.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/routing/RoutingModel.java
@@ -23,6 +23,7 @@
     private static final Duration SETTLING = Duration.ofSeconds(20);
     private static final Duration ADVANCE_STEP = Duration.ofSeconds(1);
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double SIGMA = 0.8;
 
     /** What the run is about. */
     private final ModelSettings settings;
@@ -44,7 +45,7 @@
         random = new Random(settings.seed());
         Map<UpstreamAddress, ModelUpstream> upstreams = new LinkedHashMap<>();
         for (int number = 0; number < settings.instances(); number++) {
-            ModelUpstream upstream = new ModelUpstream(time, settings, number, new Random(random.nextLong()), report);
+            ModelUpstream upstream = new ModelUpstream(time, settings, number, report);
             upstreams.put(upstream.address(), upstream);
         }
         for (int number = 0; number < ModelSettings.ENTRIES; number++) {
@@ -118,8 +119,9 @@
         double rate = settings.capacityPerSecond() * settings.scenario().load(passed, settings.duration());
         double gapNanos = -Math.log(1 - random.nextDouble()) / rate * NANOS_PER_SECOND;
         time.schedule(Duration.ofNanos((long) gapNanos), () -> {
-            boolean urgent = random.nextBoolean();
-            aliveEntry().take(new ModelRequest(time.nanoTime(), urgent));
+            boolean urgent = random.nextDouble() < settings.urgentShare();
+            double work = Math.exp(SIGMA * random.nextGaussian() - SIGMA * SIGMA / 2);
+            aliveEntry().take(new ModelRequest(time.nanoTime(), urgent, work));
             arriveNext();
         });
     }
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/routing/Scenario.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/routing/Scenario.java
@@ -12,7 +12,7 @@
     WAVE("wave", 0.55),
     /** One entry is lost for good after a third of the time. */
     ENTRY_LOST("entry lost", 0.55),
-    /** Arrivals at twice the capacity, half of them urgent and half of them not. */
+    /** Arrivals at twice the capacity. */
     OVERLOAD("overload", 2.0),
     /** A tenth of the instances refuses every connection. */
     OUTAGE_OF_A_TENTH("outage of a tenth", 0.6),
@@ -22,7 +22,9 @@
     /** How long the wave lasts. */
     public static final Duration WAVE_LENGTH = Duration.ofSeconds(2);
 
-    private static final double WAVE_LOAD = 1.3;
+    /** Arrivals during the wave as a share of the capacity. */
+    public static final double WAVE_LOAD = 1.3;
+
     private static final int SLOW_FACTOR = 4;
     private static final int ALL_SLOW_FACTOR = 10;
     private static final int TENTH = 10;
--- a/domain/src/main/java/org/nettlering/domain/admission/AdmissionController.java
+++ b/domain/src/main/java/org/nettlering/domain/admission/AdmissionController.java
@@ -149,8 +149,12 @@
             if (instance != null) {
                 instance.end();
             }
+            queue(service).end();
             recordEnd(address, service, end, instance, now);
-            return serveWaiting(now);
+            List<String> returnedTo = slots.returnRecalled(address);
+            Decisions<T> decisions = serveWaiting(now);
+            decisions.returnedTo().addAll(returnedTo);
+            return decisions;
         });
     }
 
@@ -346,6 +350,7 @@
 
     private void grant(RequestTicket<T> ticket, InstanceSlots chosen, Decisions<T> decisions) {
         waiting.remove(ticket.payload());
+        queue(ticket.service()).start();
         chosen.start();
         decisions.grants().add(new Decisions.Grant<>(ticket.payload(), chosen.address()));
     }
--- a/domain/src/main/java/org/nettlering/domain/admission/Decisions.java
+++ b/domain/src/main/java/org/nettlering/domain/admission/Decisions.java
@@ -13,11 +13,12 @@
  *
  * @param grants the requests that run now, not null
  * @param refusals the requests that are refused now, not null
+ * @param returnedTo the peers that got a borrowed slot back and wait for the news, not null
  * @param <T> the type of the payload
  */
-public record Decisions<T>(List<Grant<T>> grants, List<Refusal<T>> refusals) {
+public record Decisions<T>(List<Grant<T>> grants, List<Refusal<T>> refusals, List<String> returnedTo) {
     static <T> Decisions<T> create() {
-        return new Decisions<>(new ArrayList<>(), new ArrayList<>());
+        return new Decisions<>(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/admission/ServiceQueue.java
+++ b/domain/src/main/java/org/nettlering/domain/admission/ServiceQueue.java
@@ -35,6 +35,9 @@
     /** The smoothed response time, zero before the first answer. */
     private double responseNanos;
 
+    /** Requests of the service in flight. */
+    private int inFlight;
+
     /** Orders tickets of one deadline. */
     private long nextOrder;
 
@@ -86,6 +89,14 @@
         candidates = List.copyOf(newCandidates);
     }
 
+    void start() {
+        inFlight++;
+    }
+
+    void end() {
+        inFlight--;
+    }
+
     void recordAnswer(Duration responseTime, long now) {
         drainRate.record(now);
         double nanos = responseTime.toNanos();
@@ -130,9 +141,18 @@
     }
 
     private double waitNanos(int ahead, long now) {
-        double rate = drainRate.perSecond(now);
+        double rate = drainPerSecond(now);
         return rate <= 0 ? Double.MAX_VALUE : ahead / rate * NANOS_PER_SECOND;
     }
 
+    /**
+     * Returns how many requests end in a second: what was counted, or by Little's law what is in flight divided by how
+     * long it takes, if that is more. The count alone lags when a load rises that had left slots free.
+     */
+    private double drainPerSecond(long now) {
+        double inFlightRate = responseNanos <= 0 ? 0 : inFlight * NANOS_PER_SECOND / responseNanos;
+        return Math.max(inFlightRate, drainRate.perSecond(now));
+    }
+
     private record Position(long deadlineNanos, long order) {}
 }
--- a/domain/src/main/java/org/nettlering/domain/routing/SlotTable.java
+++ b/domain/src/main/java/org/nettlering/domain/routing/SlotTable.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +36,9 @@
     /** What this entry holds from each peer. */
     private final Map<String, Map<UpstreamAddress, Integer>> borrowed = new TreeMap<>();
 
+    /** The peers that have requests waiting, and want their slots back. */
+    private final Set<String> shortPeers = new HashSet<>();
+
     /** What each peer has in flight, as it reported last. */
     private final Map<String, Map<UpstreamAddress, Integer>> peerLoads = new HashMap<>();
 
@@ -102,6 +107,7 @@
         lent.keySet().retainAll(now);
         borrowed.keySet().retainAll(now);
         peerLoads.keySet().retainAll(now);
+        shortPeers.retainAll(now);
         instances.values().forEach(slots -> resize(slots, slots.slots(), slots.connections()));
         recount();
     }
@@ -214,6 +220,43 @@
         recount();
     }
 
+    /**
+     * Notes whether a peer has requests waiting.
+     *
+     * @param peer the id of the peer, not null
+     * @param isShort true when it wants its slots back
+     */
+    public void setShort(String peer, boolean isShort) {
+        if (isShort) {
+            shortPeers.add(peer);
+        } else {
+            shortPeers.remove(peer);
+        }
+    }
+
+    /**
+     * Gives a slot that has just become free back to a peer that wants it.
+     *
+     * @param address the instance, not null
+     * @return the peers that got a slot back, never null
+     */
+    public List<String> returnRecalled(UpstreamAddress address) {
+        InstanceSlots slots = instances.get(address);
+        if (shortPeers.isEmpty() || slots == null || slots.borrowed() == 0 || slots.freeHeld() == 0) {
+            return List.of();
+        }
+        for (String peer : shortPeers) {
+            Map<UpstreamAddress, Integer> from = borrowed.getOrDefault(peer, Map.of());
+            int count = from.getOrDefault(address, 0);
+            if (count > 0) {
+                from.put(address, count - 1);
+                slots.setBorrowed(slots.borrowed() - 1);
+                return List.of(peer);
+            }
+        }
+        return List.of();
+    }
+
     /** Gives back the borrowed slots that are free; the peers learn of it from the next report. */
     public void returnFreeSlots() {
         for (Map<UpstreamAddress, Integer> from : borrowed.values()) {
--- a/entry/src/main/java/org/nettlering/entry/EntryProcess.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryProcess.java
@@ -142,6 +142,7 @@
         SlotDesk desk = SlotDesk.of(admission);
         gossip = new GossipClient(settings.processId(), peers, directory, admission, desk, time);
         desk.whenWaiting(gossip::borrow);
+        desk.whenReturned(gossip::report);
         gossipService = new GossipService(
                 settings.processId(), ThreadLocalRandom.current().nextLong(), directory, admission, desk);
         UpstreamPools pools = UpstreamPools.of(vertx);
--- a/entry/src/main/java/org/nettlering/entry/gossip/GossipClient.java
+++ b/entry/src/main/java/org/nettlering/entry/gossip/GossipClient.java
@@ -122,6 +122,19 @@
         borrowing.set(false);
     }
 
+    /**
+     * Tells a peer that it has got a slot back.
+     *
+     * @param peerId the id of the peer, not null
+     */
+    public void report(String peerId) {
+        for (PeerGossip peer : peers) {
+            if (running && peer.id().equals(peerId)) {
+                peer.ask(question(peer, false));
+            }
+        }
+    }
+
     @Override
     public void announced(AgedAnnouncement aged) {
         directory.acceptFromPeer(aged);
@@ -133,9 +146,11 @@
         Map<UpstreamAddress, Integer> granted = SlotCounts.toSlots(response.getGrantedList());
         peerLoads.put(
                 peer.id(), loads.values().stream().mapToInt(Integer::intValue).sum());
+        int ownWaiting = admission.waitingCount();
         desk.withSlots(table -> {
             table.setPeerLoads(peer.id(), loads);
             table.addBorrowed(peer.id(), granted);
+            table.setShort(peer.id(), response.getWaiting() > ownWaiting);
             return granted.size();
         });
     }
@@ -195,7 +210,8 @@
 
     private GossipRequest.Builder question(PeerGossip peer, boolean borrows) {
         Map<String, Integer> waiting = borrows ? admission.waitingByService() : new HashMap<>();
-        GossipRequest.Builder request = GossipRequest.newBuilder().setEntryId(entryId);
+        GossipRequest.Builder request =
+                GossipRequest.newBuilder().setEntryId(entryId).setWaiting(admission.waitingCount());
         desk.withSlots(table -> {
             request.addAllLoads(SlotCounts.toLoadMessages(table.loads()));
             request.addAllHeld(SlotCounts.toMessages(table.heldFrom(peer.id())));
--- a/entry/src/main/java/org/nettlering/entry/gossip/GossipService.java
+++ b/entry/src/main/java/org/nettlering/entry/gossip/GossipService.java
@@ -92,7 +92,9 @@
         for (WantedSlots wanted : request.getWantedList()) {
             instances.put(wanted.getService(), admission.instancesOf(wanted.getService()));
         }
+        int ownWaiting = admission.waitingCount();
         SlotAnswer slots = desk.withSlots(table -> {
+            table.setShort(request.getEntryId(), request.getWaiting() > ownWaiting);
             table.setPeerLoads(request.getEntryId(), peerLoads);
             table.settleLoan(request.getEntryId(), request.getLastGrant(), held);
             return lend(table, request, instances);
@@ -103,6 +105,7 @@
                 .setEntryId(entryId)
                 .setIncarnation(incarnation)
                 .setVersion(changes.version())
+                .setWaiting(ownWaiting)
                 .addAllLoads(SlotCounts.toLoadMessages(slots.loads()))
                 .addAllGranted(SlotCounts.toMessages(slots.grant().slots()))
                 .setGrant(slots.grant().number());
--- a/entry/src/main/java/org/nettlering/entry/upstreams/SlotDesk.java
+++ b/entry/src/main/java/org/nettlering/entry/upstreams/SlotDesk.java
@@ -1,5 +1,6 @@
 package org.nettlering.entry.upstreams;
 
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.nettlering.domain.admission.AdmissionController;
 import org.nettlering.domain.admission.Decisions;
@@ -20,6 +21,9 @@
     /** Called after a request had to wait. */
     private volatile Runnable whenWaiting = () -> {};
 
+    /** Called with each peer that got a borrowed slot back. */
+    private volatile Consumer<String> whenReturned = peer -> {};
+
     /**
      * Creates a desk.
      *
@@ -43,6 +47,15 @@
         whenWaiting = action;
     }
 
+    /**
+     * Sets what is called with each peer that got a borrowed slot back.
+     *
+     * @param action called outside every lock, not null
+     */
+    public void whenReturned(Consumer<String> action) {
+        whenReturned = action;
+    }
+
     /**
      * Asks for a slot.
      *
@@ -109,5 +122,6 @@
         for (Decisions.Refusal<SlotWaiter> refusal : decisions.refusals()) {
             refusal.payload().refused(refusal.code(), refusal.retryAfter());
         }
+        decisions.returnedTo().forEach(whenReturned);
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/RequestProto.java
@@ -1987,6 +1987,16 @@
      */
     org.nettlering.wire.proto.RequestProto.WantedSlotsOrBuilder getWantedOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Requests that wait at the sender; the entry with more of them gets its lent slots back.
+     * </pre>
+     *
+     * <code>uint32 waiting = 8;</code>
+     * @return The waiting.
+     */
+    int getWaiting();
   }
   /**
    * <pre>
@@ -2277,6 +2287,21 @@
       return wanted_.get(index);
     }
 
+    public static final int WAITING_FIELD_NUMBER = 8;
+    private int waiting_ = 0;
+    /**
+     * <pre>
+     * Requests that wait at the sender; the entry with more of them gets its lent slots back.
+     * </pre>
+     *
+     * <code>uint32 waiting = 8;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2312,6 +2337,9 @@
       for (int i = 0; i < wanted_.size(); i++) {
         output.writeMessage(7, wanted_.get(i));
       }
+      if (waiting_ != 0) {
+        output.writeUInt32(8, waiting_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2358,6 +2386,10 @@
             }
             size += 1 * count;
           }
+      if (waiting_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(8, waiting_);
+      }
       return size;
     }
     @java.lang.Override
@@ -2396,6 +2428,8 @@
           != other.getLastGrant()) return false;
       if (!getWantedList()
           .equals(other.getWantedList())) return false;
+      if (getWaiting()
+          != other.getWaiting()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2430,6 +2464,8 @@
         hash = (37 * hash) + WANTED_FIELD_NUMBER;
         hash = (53 * hash) + getWantedList().hashCode();
       }
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaiting();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2590,6 +2626,7 @@
           wantedBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000040);
+        waiting_ = 0;
         return this;
       }
 
@@ -2666,6 +2703,9 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.lastGrant_ = lastGrant_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.waiting_ = waiting_;
+        }
       }
 
       @java.lang.Override
@@ -2772,6 +2812,9 @@
             }
           }
         }
+        if (other.getWaiting() != 0) {
+          setWaiting(other.getWaiting());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -2855,6 +2898,11 @@
                 }
                 break;
               } // case 58
+              case 64: {
+                waiting_ = input.readUInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3898,6 +3946,50 @@
         return wantedBuilder_;
       }
 
+      private int waiting_ ;
+      /**
+       * <pre>
+       * Requests that wait at the sender; the entry with more of them gets its lent slots back.
+       * </pre>
+       *
+       * <code>uint32 waiting = 8;</code>
+       * @return The waiting.
+       */
+      @java.lang.Override
+      public int getWaiting() {
+        return waiting_;
+      }
+      /**
+       * <pre>
+       * Requests that wait at the sender; the entry with more of them gets its lent slots back.
+       * </pre>
+       *
+       * <code>uint32 waiting = 8;</code>
+       * @param value The waiting to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaiting(int value) {
+
+        waiting_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that wait at the sender; the entry with more of them gets its lent slots back.
+       * </pre>
+       *
+       * <code>uint32 waiting = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaiting() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        waiting_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.GossipRequest)
     }
 
@@ -4054,6 +4146,12 @@
      * @return The grant.
      */
     long getGrant();
+
+    /**
+     * <code>uint32 waiting = 8;</code>
+     * @return The waiting.
+     */
+    int getWaiting();
   }
   /**
    * <pre>
@@ -4300,6 +4398,17 @@
       return grant_;
     }
 
+    public static final int WAITING_FIELD_NUMBER = 8;
+    private int waiting_ = 0;
+    /**
+     * <code>uint32 waiting = 8;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4335,6 +4444,9 @@
       if (grant_ != 0L) {
         output.writeUInt64(7, grant_);
       }
+      if (waiting_ != 0) {
+        output.writeUInt32(8, waiting_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -4381,6 +4493,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(7, grant_);
       }
+      if (waiting_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(8, waiting_);
+      }
       return size;
     }
     @java.lang.Override
@@ -4419,6 +4535,8 @@
           .equals(other.getGrantedList())) return false;
       if (getGrant()
           != other.getGrant()) return false;
+      if (getWaiting()
+          != other.getWaiting()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4453,6 +4571,8 @@
       hash = (37 * hash) + GRANT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getGrant());
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaiting();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4613,6 +4733,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000020);
         grant_ = 0L;
+        waiting_ = 0;
         return this;
       }
 
@@ -4689,6 +4810,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.grant_ = grant_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.waiting_ = waiting_;
+        }
       }
 
       @java.lang.Override
@@ -4795,6 +4919,9 @@
         if (other.getGrant() != 0L) {
           setGrant(other.getGrant());
         }
+        if (other.getWaiting() != 0) {
+          setWaiting(other.getWaiting());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4878,6 +5005,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                waiting_ = input.readUInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5765,6 +5897,38 @@
         return this;
       }
 
+      private int waiting_ ;
+      /**
+       * <code>uint32 waiting = 8;</code>
+       * @return The waiting.
+       */
+      @java.lang.Override
+      public int getWaiting() {
+        return waiting_;
+      }
+      /**
+       * <code>uint32 waiting = 8;</code>
+       * @param value The waiting to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaiting(int value) {
+
+        waiting_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 waiting = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaiting() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        waiting_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.GossipResponse)
     }
 
@@ -17951,64 +18115,65 @@
       "\017\n\007address\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\023\n\013conne" +
       "ctions\030\005 \001(\r\022\026\n\016failure_domain\030\006 \001(\t\022(\n\005" +
       "state\030\007 \001(\0162\031.nettlering.UpstreamState\022\023" +
-      "\n\013incarnation\030\010 \001(\004\022\020\n\010sequence\030\t \001(\004\"\336\001" +
+      "\n\013incarnation\030\010 \001(\004\022\020\n\010sequence\030\t \001(\004\"\357\001" +
       "\n\rGossipRequest\022\020\n\010entry_id\030\001 \001(\t\022\031\n\021kno" +
       "wn_incarnation\030\002 \001(\004\022\025\n\rknown_version\030\003 " +
       "\001(\004\022\'\n\005loads\030\004 \003(\0132\030.nettlering.Upstream" +
       "Load\022#\n\004held\030\005 \003(\0132\025.nettlering.SlotCoun" +
       "t\022\022\n\nlast_grant\030\006 \001(\004\022\'\n\006wanted\030\007 \003(\0132\027." +
-      "nettlering.WantedSlots\"\335\001\n\016GossipRespons" +
-      "e\022\020\n\010entry_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
-      "\022\017\n\007version\030\003 \001(\004\0223\n\rannouncements\030\004 \003(\013" +
-      "2\034.nettlering.AgedAnnouncement\022\'\n\005loads\030" +
-      "\005 \003(\0132\030.nettlering.UpstreamLoad\022&\n\007grant" +
-      "ed\030\006 \003(\0132\025.nettlering.SlotCount\022\r\n\005grant" +
-      "\030\007 \001(\004\"V\n\020AgedAnnouncement\022.\n\014announceme" +
-      "nt\030\001 \001(\0132\030.nettlering.Announcement\022\022\n\nag" +
-      "e_millis\030\002 \001(\r\"2\n\014UpstreamLoad\022\017\n\007addres" +
-      "s\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\"+\n\tSlotCount\022" +
-      "\017\n\007address\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"-\n\013Wante" +
-      "dSlots\022\017\n\007service\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"\234" +
-      "\001\n\rLedgerRequest\022)\n\007reserve\030\001 \001(\0132\026.nett" +
-      "lering.ReserveKeyH\000\022+\n\010complete\030\002 \001(\0132\027." +
-      "nettlering.CompleteKeyH\000\022(\n\007look_up\030\003 \001(" +
-      "\0132\025.nettlering.LookUpKeyH\000B\t\n\007request\"\232\001" +
-      "\n\nReserveKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001" +
-      "(\t\022\026\n\016content_digest\030\003 \001(\014\022\020\n\010entry_id\030\004" +
-      " \001(\t\022\022\n\nattempt_id\030\005 \001(\t\022\030\n\020time_unix_mi" +
-      "llis\030\006 \001(\004\022\026\n\016timeout_millis\030\007 \001(\r\"\252\001\n\013C" +
-      "ompleteKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t" +
-      "\022\022\n\nattempt_id\030\003 \001(\t\022\'\n\007outcome\030\004 \001(\0162\026." +
-      "nettlering.KeyOutcome\022&\n\006answer\030\005 \001(\0132\026." +
-      "nettlering.KeptAnswer\022\030\n\020time_unix_milli" +
-      "s\030\006 \001(\004\")\n\tLookUpKey\022\017\n\007service\030\001 \001(\t\022\013\n" +
-      "\003key\030\002 \001(\t\"j\n\nKeptAnswer\022\016\n\006status\030\001 \001(\r" +
-      "\022(\n\007headers\030\002 \003(\0132\027.nettlering.HeaderFie" +
-      "ld\022\014\n\004body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001(\010\"*" +
-      "\n\013HeaderField\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\t\"\263\001\n\016LedgerResponse\022+\n\005state\030\001 \001(\0162\034.n" +
-      "ettlering.ReservationState\022&\n\006answer\030\002 \001" +
-      "(\0132\026.nettlering.KeptAnswer\022\027\n\017holder_ent" +
-      "ry_id\030\003 \001(\t\022\031\n\021holder_attempt_id\030\004 \001(\t\022\030" +
-      "\n\020remaining_millis\030\005 \001(\r\"r\n\rLedgerComman" +
-      "d\022)\n\007reserve\030\001 \001(\0132\026.nettlering.ReserveK" +
-      "eyH\000\022+\n\010complete\030\002 \001(\0132\027.nettlering.Comp" +
-      "leteKeyH\000B\t\n\007command\"r\n\016LedgerSnapshot\022(" +
-      "\n\007entries\030\001 \003(\0132\027.nettlering.LedgerEntry" +
-      "\022\031\n\021clock_unix_millis\030\002 \001(\004\022\033\n\023horizon_u" +
-      "nix_millis\030\003 \001(\004\"g\n\013LedgerEntry\022+\n\013reser" +
-      "vation\030\001 \001(\0132\026.nettlering.ReserveKey\022+\n\n" +
-      "completion\030\002 \001(\0132\027.nettlering.CompleteKe" +
-      "y*I\n\rUpstreamState\022\036\n\032UPSTREAM_STATE_UNS" +
-      "PECIFIED\020\000\022\013\n\007SERVING\020\001\022\013\n\007LEAVING\020\002*Q\n\n" +
-      "KeyOutcome\022\033\n\027KEY_OUTCOME_UNSPECIFIED\020\000\022" +
-      "\014\n\010ANSWERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*" +
-      "\267\001\n\020ReservationState\022!\n\035RESERVATION_STAT" +
-      "E_UNSPECIFIED\020\000\022\014\n\010RESERVED\020\001\022\r\n\tIN_FLIG" +
-      "HT\020\002\022\017\n\013KEPT_ANSWER\020\003\022\023\n\017OUTCOME_UNKNOWN" +
-      "\020\004\022\024\n\020CONTENT_MISMATCH\020\005\022\n\n\006ABSENT\020\006\022\n\n\006" +
-      "STORED\020\007\022\017\n\013LEDGER_FULL\020\010B)\n\031org.nettler" +
-      "ing.wire.protoB\014RequestProtob\006proto3"
+      "nettlering.WantedSlots\022\017\n\007waiting\030\010 \001(\r\"" +
+      "\356\001\n\016GossipResponse\022\020\n\010entry_id\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\004\022\017\n\007version\030\003 \001(\004\0223\n\ran" +
+      "nouncements\030\004 \003(\0132\034.nettlering.AgedAnnou" +
+      "ncement\022\'\n\005loads\030\005 \003(\0132\030.nettlering.Upst" +
+      "reamLoad\022&\n\007granted\030\006 \003(\0132\025.nettlering.S" +
+      "lotCount\022\r\n\005grant\030\007 \001(\004\022\017\n\007waiting\030\010 \001(\r" +
+      "\"V\n\020AgedAnnouncement\022.\n\014announcement\030\001 \001" +
+      "(\0132\030.nettlering.Announcement\022\022\n\nage_mill" +
+      "is\030\002 \001(\r\"2\n\014UpstreamLoad\022\017\n\007address\030\001 \001(" +
+      "\t\022\021\n\tin_flight\030\002 \001(\r\"+\n\tSlotCount\022\017\n\007add" +
+      "ress\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"-\n\013WantedSlots" +
+      "\022\017\n\007service\030\001 \001(\t\022\r\n\005slots\030\002 \001(\r\"\234\001\n\rLed" +
+      "gerRequest\022)\n\007reserve\030\001 \001(\0132\026.nettlering" +
+      ".ReserveKeyH\000\022+\n\010complete\030\002 \001(\0132\027.nettle" +
+      "ring.CompleteKeyH\000\022(\n\007look_up\030\003 \001(\0132\025.ne" +
+      "ttlering.LookUpKeyH\000B\t\n\007request\"\232\001\n\nRese" +
+      "rveKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\026\n\016" +
+      "content_digest\030\003 \001(\014\022\020\n\010entry_id\030\004 \001(\t\022\022" +
+      "\n\nattempt_id\030\005 \001(\t\022\030\n\020time_unix_millis\030\006" +
+      " \001(\004\022\026\n\016timeout_millis\030\007 \001(\r\"\252\001\n\013Complet" +
+      "eKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\022\n\nat" +
+      "tempt_id\030\003 \001(\t\022\'\n\007outcome\030\004 \001(\0162\026.nettle" +
+      "ring.KeyOutcome\022&\n\006answer\030\005 \001(\0132\026.nettle" +
+      "ring.KeptAnswer\022\030\n\020time_unix_millis\030\006 \001(" +
+      "\004\")\n\tLookUpKey\022\017\n\007service\030\001 \001(\t\022\013\n\003key\030\002" +
+      " \001(\t\"j\n\nKeptAnswer\022\016\n\006status\030\001 \001(\r\022(\n\007he" +
+      "aders\030\002 \003(\0132\027.nettlering.HeaderField\022\014\n\004" +
+      "body\030\003 \001(\014\022\024\n\014body_dropped\030\004 \001(\010\"*\n\013Head" +
+      "erField\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\263\001\n" +
+      "\016LedgerResponse\022+\n\005state\030\001 \001(\0162\034.nettler" +
+      "ing.ReservationState\022&\n\006answer\030\002 \001(\0132\026.n" +
+      "ettlering.KeptAnswer\022\027\n\017holder_entry_id\030" +
+      "\003 \001(\t\022\031\n\021holder_attempt_id\030\004 \001(\t\022\030\n\020rema" +
+      "ining_millis\030\005 \001(\r\"r\n\rLedgerCommand\022)\n\007r" +
+      "eserve\030\001 \001(\0132\026.nettlering.ReserveKeyH\000\022+" +
+      "\n\010complete\030\002 \001(\0132\027.nettlering.CompleteKe" +
+      "yH\000B\t\n\007command\"r\n\016LedgerSnapshot\022(\n\007entr" +
+      "ies\030\001 \003(\0132\027.nettlering.LedgerEntry\022\031\n\021cl" +
+      "ock_unix_millis\030\002 \001(\004\022\033\n\023horizon_unix_mi" +
+      "llis\030\003 \001(\004\"g\n\013LedgerEntry\022+\n\013reservation" +
+      "\030\001 \001(\0132\026.nettlering.ReserveKey\022+\n\ncomple" +
+      "tion\030\002 \001(\0132\027.nettlering.CompleteKey*I\n\rU" +
+      "pstreamState\022\036\n\032UPSTREAM_STATE_UNSPECIFI" +
+      "ED\020\000\022\013\n\007SERVING\020\001\022\013\n\007LEAVING\020\002*Q\n\nKeyOut" +
+      "come\022\033\n\027KEY_OUTCOME_UNSPECIFIED\020\000\022\014\n\010ANS" +
+      "WERED\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003*\267\001\n\020Re" +
+      "servationState\022!\n\035RESERVATION_STATE_UNSP" +
+      "ECIFIED\020\000\022\014\n\010RESERVED\020\001\022\r\n\tIN_FLIGHT\020\002\022\017" +
+      "\n\013KEPT_ANSWER\020\003\022\023\n\017OUTCOME_UNKNOWN\020\004\022\024\n\020" +
+      "CONTENT_MISMATCH\020\005\022\n\n\006ABSENT\020\006\022\n\n\006STORED" +
+      "\020\007\022\017\n\013LEDGER_FULL\020\010B)\n\031org.nettlering.wi" +
+      "re.protoB\014RequestProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -18025,13 +18190,13 @@
     internal_static_nettlering_GossipRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_GossipRequest_descriptor,
-        new java.lang.String[] { "EntryId", "KnownIncarnation", "KnownVersion", "Loads", "Held", "LastGrant", "Wanted", });
+        new java.lang.String[] { "EntryId", "KnownIncarnation", "KnownVersion", "Loads", "Held", "LastGrant", "Wanted", "Waiting", });
     internal_static_nettlering_GossipResponse_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_nettlering_GossipResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_GossipResponse_descriptor,
-        new java.lang.String[] { "EntryId", "Incarnation", "Version", "Announcements", "Loads", "Granted", "Grant", });
+        new java.lang.String[] { "EntryId", "Incarnation", "Version", "Announcements", "Loads", "Granted", "Grant", "Waiting", });
     internal_static_nettlering_AgedAnnouncement_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_nettlering_AgedAnnouncement_fieldAccessorTable = new
