--- a/domain/src/main/java/org/nettlering/domain/interference/InterferenceGuard.java
+++ b/domain/src/main/java/org/nettlering/domain/interference/InterferenceGuard.java
@@ -252,7 +252,8 @@
                 return;
             }
             smoothed += SMOOTHING * (slowdownThousandths - smoothed);
-            highInARow = smoothed > HIGH_THOUSANDTHS ? highInARow + 1 : 0;
+            boolean isHigh = slowdownThousandths > HIGH_THOUSANDTHS && smoothed > HIGH_THOUSANDTHS;
+            highInARow = isHigh ? highInARow + 1 : 0;
             lowInARow = smoothed < LOW_THOUSANDTHS ? lowInARow + 1 : 0;
         }
 
--- a/domain/src/main/java/org/nettlering/domain/placement/Preemption.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Preemption.java
@@ -46,18 +46,29 @@
     /** Urgent jobs that evict others in one round. */
     private static final int MAX_IN_ROUND = 32;
 
+    /** Workers that are kept for jobs that waited long, in one round. */
+    private static final int MAX_KEPT_IN_ROUND = 2;
+
     /** What is known of the site. */
     private final Site site;
 
     /** Jobs that evicted others in this round. */
     private int inRound;
 
+    /** Workers that this round kept for jobs that waited long. */
+    private int keptInRound;
+
+    /** Whether this round already made others draw less for an urgent job. */
+    private boolean hasMadePower;
+
     Preemption(Site site) {
         this.site = site;
     }
 
     void beginRound() {
         inRound = 0;
+        hasMadePower = false;
+        keptInRound = 0;
     }
 
     /** Makes room for a job that found none, if it is urgent or waited long. */
@@ -71,8 +82,12 @@
             evictFor(task, size, urgency, round);
             return;
         }
+        if (keptInRound == MAX_KEPT_IN_ROUND) {
+            return;
+        }
         int most = 1 + site.slotCount() / WORKERS_PER_STARVING_CLAIM;
         if (round.nowMillis - task.phaseMillis() > STARVING_MILLIS && site.claims.size() < most) {
+            keptInRound++;
             keepWorker(jobId, size, round);
         }
     }
@@ -80,10 +95,10 @@
     /** Slows down or evicts less urgent tasks for an urgent job that finds no power. */
     void makePower(Task task, long milliwatts, Round round) {
         int urgency = Profiles.urgency(round.configuration, task.job());
-        if (urgency < URGENT || inRound >= MAX_IN_ROUND) {
+        if (urgency < URGENT || hasMadePower) {
             return;
         }
-        inRound = MAX_IN_ROUND;
+        hasMadePower = true;
         round.commands.addAll(PowerGovernor.lower(
                 round.state,
                 round.configuration,
--- a/domain/src/main/java/org/nettlering/domain/placement/RunnableCheck.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/RunnableCheck.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.placement;
 
 import java.util.Optional;
+import java.util.Set;
 import org.nettlering.domain.configuration.Interruption;
 import org.nettlering.domain.configuration.Profile;
 import org.nettlering.domain.configuration.SiteConfiguration;
@@ -8,8 +9,6 @@
 import org.nettlering.domain.profile.Profiles;
 import org.nettlering.domain.task.JobSpecification;
 import org.nettlering.domain.task.Resources;
-import org.nettlering.domain.task.TaskState;
-import org.nettlering.domain.task.Worker;
 
 /** Finds jobs that can never run on the site as it is configured now, and says why. Stateless and thread-safe. */
 final class RunnableCheck {
@@ -17,8 +16,13 @@
 
     /** Returns why a job can never run, or nothing if it can, or if no worker has registered yet. */
     static Optional<String> reason(
-            JobSpecification job, Resources size, long milliwatts, TaskState state, SiteConfiguration configuration) {
-        if (state.workers().isEmpty()) {
+            JobSpecification job,
+            Resources size,
+            long milliwatts,
+            Set<Resources> capacities,
+            long idleMilliwatts,
+            SiteConfiguration configuration) {
+        if (capacities.isEmpty()) {
             return Optional.empty();
         }
         Optional<Profile> profile = Profiles.of(configuration, job);
@@ -29,18 +33,12 @@
         if (team != null && !size.fitsIn(quota(team))) {
             return Optional.of("needs " + size + ", and the quota of team \"" + team.name() + "\" is " + quota(team));
         }
-        Resources largest = Resources.NONE;
-        long idle = 0;
-        boolean fits = false;
-        for (Worker worker : state.workers()) {
-            idle += worker.idleMilliwatts();
-            largest = largest.max(worker.capacity());
-            fits |= size.fitsIn(worker.capacity());
-        }
+        Resources largest = capacities.stream().reduce(Resources.NONE, Resources::max);
+        boolean fits = capacities.stream().anyMatch(size::fitsIn);
         if (!fits) {
             return Optional.of("needs " + size + ", and no worker offers that; the largest of each is " + largest);
         }
-        return powerReason(milliwatts, configuration, profile.get(), idle);
+        return powerReason(milliwatts, configuration, profile.get(), idleMilliwatts);
     }
 
     static Resources quota(Team team) {
--- a/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
@@ -13,6 +13,7 @@
 import org.nettlering.domain.interference.WorkerMeasurement;
 import org.nettlering.domain.interference.WorkerMeasurement.MeasuredTask;
 import org.nettlering.domain.power.PowerGovernor;
+import org.nettlering.domain.profile.Profiles;
 import org.nettlering.domain.quarantine.QuarantineRule;
 import org.nettlering.domain.task.JobSpecification;
 import org.nettlering.domain.task.Resources;
@@ -20,7 +21,6 @@
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskPhase;
 import org.nettlering.domain.task.TaskState;
-import org.nettlering.domain.task.Worker;
 import org.nettlering.domain.worker.WorkerReport;
 import org.nettlering.domain.worker.WorkerReport.Usage;
 
@@ -35,9 +35,15 @@
     /** Starts in one round. */
     private static final int MAX_STARTS = 512;
 
+    /** How long a group whose first job found no place is left alone. */
+    private static final long RETRY_MILLIS = 500;
+
     /** How far a team that uses the whole site is moved back. */
     private static final long FAIR_SHARE_MILLIS = 600_000;
 
+    /** The urgency that is noted when nobody claims power. */
+    private static final int NOBODY = -1;
+
     /** What is known of the site. */
     private final Site site = new Site();
 
@@ -53,8 +59,8 @@
     /** Gives speed back. */
     private final SpeedUps speedUps = new SpeedUps(site);
 
-    /** Whether a job within its profile's share found no power in the last round. */
-    private boolean isPowerClaimed;
+    /** The highest urgency of the jobs within their profile's share that found no power in the last round. */
+    private int claimingUrgency = NOBODY;
 
     /**
      * Returns a planner that has learned nothing yet.
@@ -147,16 +153,19 @@
     }
 
     private void quarantine(Round round) {
-        for (Worker worker : site.changedWorkers()) {
-            QuarantineRule.check(worker, round.state, round.nowMillis).ifPresent(round.commands::add);
-        }
+        round.commands.addAll(QuarantineRule.check(site.changedWorkers(), round.state, round.nowMillis));
     }
 
     private void checkRunnable(Round round) {
         for (Task task : site.unchecked) {
             JobSpecification job = task.job();
             Optional<String> reason = RunnableCheck.reason(
-                    job, startRule.size(job), site.estimates.milliwatts(job), round.state, round.configuration);
+                    job,
+                    startRule.size(job),
+                    site.estimates.milliwatts(job),
+                    site.capacities(),
+                    round.idleMilliwatts,
+                    round.configuration);
             if (task.phase().isWaiting()) {
                 reason.ifPresent(
                         text -> round.commands.add(new TaskCommand.MarkUnrunnable(round.nowMillis, job.jobId(), text)));
@@ -170,11 +179,13 @@
 
     private void start(Round round) {
         preemption.beginRound();
-        boolean claimed = isPowerClaimed;
-        isPowerClaimed = false;
+        int claimed = claimingUrgency;
+        claimingUrgency = NOBODY;
         PriorityQueue<Cursor> cursors = new PriorityQueue<>(Comparator.comparingLong(Cursor::rank));
         for (WaitingJobs.Group group : site.waiting.groups()) {
-            cursors.add(cursor(group.entries.first()));
+            if (group.blockedUntilMillis <= round.nowMillis) {
+                cursors.add(cursor(group.entries.first()));
+            }
         }
         int starts = 0;
         while (!cursors.isEmpty() && starts < MAX_STARTS) {
@@ -183,6 +194,7 @@
             StartRule.Blocked blocked = startRule.tryStart(task, round, claimed);
             if (blocked != StartRule.Blocked.NOT_BLOCKED) {
                 handleBlocked(task, blocked, round);
+                cursor.entry().group().blockedUntilMillis = blockedUntil(task, round);
                 continue;
             }
             starts++;
@@ -193,11 +205,19 @@
         }
     }
 
+    /** Urgent jobs are tried in every round, the others again after a while, so that a long queue costs little. */
+    private static long blockedUntil(Task task, Round round) {
+        boolean urgent = Profiles.urgency(round.configuration, task.job()) >= Preemption.URGENT;
+        return urgent ? 0 : round.nowMillis + RETRY_MILLIS;
+    }
+
     private void handleBlocked(Task task, StartRule.Blocked blocked, Round round) {
         Resources size = startRule.size(task.job());
         switch (blocked) {
             case POWER -> {
-                isPowerClaimed |= startRule.isWithinShare(task.job(), round);
+                if (startRule.isWithinShare(task.job(), round)) {
+                    claimingUrgency = Math.max(claimingUrgency, Profiles.urgency(round.configuration, task.job()));
+                }
                 preemption.makePower(task, site.estimates.milliwatts(task.job()), round);
             }
             case ROOM, SERVICES -> preemption.makeRoom(task, size, round);
--- a/domain/src/main/java/org/nettlering/domain/placement/Site.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Site.java
@@ -89,8 +89,11 @@
     /** What each worker counts for in the capacity of the site. */
     private final Map<Worker, Resources> counted = new HashMap<>();
 
-    /** The capacities that were known at the last check of unrunnable jobs. */
-    private Resources largestCapacity = Resources.NONE;
+    /** How many workers, lost ones included, offer each amount. */
+    private final Map<Resources, Integer> capacities = new LinkedHashMap<>();
+
+    /** What each worker, lost or not, offered when it was last looked at. */
+    private final Map<Worker, Resources> offers = new HashMap<>();
 
     /** The configuration that the sums are made for. */
     private @Nullable SiteConfiguration configuration;
@@ -141,6 +144,11 @@
         return slots.values();
     }
 
+    /** Returns the amounts that workers offer, lost ones included. */
+    Set<Resources> capacities() {
+        return capacities.keySet();
+    }
+
     /** Returns what all live workers offer. */
     Resources capacity() {
         return capacity;
@@ -176,10 +184,10 @@
         waiting.clear();
         placed.clear();
         slowed.clear();
-        unchecked.addAll(unrunnable);
         for (Task task : state.tasks()) {
             updateTask(task, latest, nowMillis);
         }
+        unchecked.addAll(unrunnable);
         state.workers().forEach(worker -> updateWorker(worker, nowMillis));
     }
 
@@ -208,18 +216,27 @@
 
     private void updateWorker(Worker worker, long nowMillis) {
         WorkerSlot slot = slots.computeIfAbsent(worker, WorkerSlot::new);
-        Resources offers = worker.isLive() ? worker.capacity() : Resources.NONE;
-        Resources before = counted.put(worker, offers);
-        capacity = capacity.plus(offers).minus(before == null ? Resources.NONE : before);
+        Resources live = worker.isLive() ? worker.capacity() : Resources.NONE;
+        Resources before = counted.put(worker, live);
+        capacity = capacity.plus(live).minus(before == null ? Resources.NONE : before);
         slot.free = worker.free();
         slot.started.clear();
         if (worker.quarantinedUntilMillis() > nowMillis) {
             quarantined.add(worker);
         }
         index(slot).place(slot, isOffered(worker, nowMillis));
-        Resources largest = largestCapacity.max(worker.capacity());
-        if (!largest.equals(largestCapacity)) {
-            largestCapacity = largest;
+        countOffer(worker);
+    }
+
+    private void countOffer(Worker worker) {
+        Resources before = offers.put(worker, worker.capacity());
+        if (worker.capacity().equals(before)) {
+            return;
+        }
+        if (before != null && capacities.merge(before, -1, Integer::sum) == 0) {
+            capacities.remove(before);
+        }
+        if (capacities.merge(worker.capacity(), 1, Integer::sum) == 1) {
             unchecked.addAll(unrunnable);
         }
     }
--- a/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
@@ -22,6 +22,9 @@
     /** Workers that are scored for one job. */
     private static final int MAX_CANDIDATES = 24;
 
+    /** The part of the cap that only urgent jobs may use, so that they need not wait until others draw less. */
+    private static final int URGENT_RESERVE_PERCENT = 1;
+
     /** What is known of the site. */
     private final Site site;
 
@@ -48,7 +51,7 @@
     }
 
     /** Starts a job in this round if it can, and says what stands in its way if not. */
-    Blocked tryStart(Task task, Round round, boolean isPowerClaimed) {
+    Blocked tryStart(Task task, Round round, int claimingUrgency) {
         JobSpecification job = task.job();
         Profile profile = Profiles.of(round.configuration, job).orElse(null);
         if (profile == null) {
@@ -59,7 +62,7 @@
         if (!isWithinQuota(job, size, round)) {
             return Blocked.QUOTA;
         }
-        if (!hasPower(profile, milliwatts, round, isPowerClaimed)) {
+        if (!hasPower(profile, milliwatts, round, claimingUrgency)) {
             return Blocked.POWER;
         }
         List<WorkerSlot> candidates = candidates(task, size, round.nowMillis);
@@ -89,13 +92,15 @@
         return team == null || isWithinTeam(site.placed.ofTeam(job.team()), size, team);
     }
 
-    /** A profile may go beyond its share only with tasks that can be slowed down again, and while nobody claims it. */
-    private boolean hasPower(Profile profile, long milliwatts, Round round, boolean isPowerClaimed) {
-        if (round.committedMilliwatts + milliwatts > round.capMilliwatts()) {
+    /** A profile may go beyond its share only with tasks that can be slowed down again, and if none as urgent claims it. */
+    private boolean hasPower(Profile profile, long milliwatts, Round round, int claimingUrgency) {
+        long reserve =
+                profile.urgency() >= Preemption.URGENT ? 0 : round.capMilliwatts() * URGENT_RESERVE_PERCENT / 100;
+        if (round.committedMilliwatts + milliwatts > round.capMilliwatts() - reserve) {
             return false;
         }
         return isWithinShare(profile, milliwatts, round)
-                || (profile.interruption() != Interruption.NEVER && !isPowerClaimed);
+                || (profile.interruption() != Interruption.NEVER && profile.urgency() > claimingUrgency);
     }
 
     private boolean isWithinShare(Profile profile, long milliwatts, Round round) {
--- a/domain/src/main/java/org/nettlering/domain/placement/WaitingJobs.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/WaitingJobs.java
@@ -115,6 +115,9 @@
         /** What the jobs have in common. */
         private final GroupKey key;
 
+        /** Until when the group is not tried again, because its first job found no place. */
+        long blockedUntilMillis;
+
         /** The waiting jobs. */
         final TreeSet<Entry> entries = new TreeSet<>(Comparator.comparingLong(Entry::rank)
                 .thenComparing(entry -> entry.task().job().jobId()));
--- a/domain/src/main/java/org/nettlering/domain/placement/WorkerIndex.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/WorkerIndex.java
@@ -30,6 +30,12 @@
     /** A bit for each cell of a row that holds a worker. */
     private final long[] masks = new long[SIZE];
 
+    /** Workers that are looked at for one job in all cells. */
+    private static final int MAX_LOOKS = 256;
+
+    /** Looks that are left for the present job. */
+    private int looksLeft;
+
     /** Where to begin within a cell, so that ties do not always fall on the same worker. */
     private int offset;
 
@@ -70,6 +76,7 @@
     List<WorkerSlot> candidates(Resources need, int limit, Predicate<WorkerSlot> accepted) {
         List<WorkerSlot> found = new ArrayList<>(limit);
         offset++;
+        looksLeft = MAX_LOOKS;
         int first = row(need);
         for (int row = first; row < SIZE && found.size() < limit / 2; row++) {
             collectRow(row, need, limit / 2, accepted, found);
@@ -83,7 +90,7 @@
     private void collectRow(
             int row, Resources need, int limit, Predicate<WorkerSlot> accepted, List<WorkerSlot> found) {
         long mask = masks[row] & (-1L << column(need));
-        while (mask != 0 && found.size() < limit) {
+        while (mask != 0 && found.size() < limit && looksLeft > 0) {
             int column = Long.numberOfTrailingZeros(mask);
             mask &= mask - 1;
             collectCell(cells.get(row * SIZE + column), need, limit, accepted, found);
@@ -94,6 +101,7 @@
             List<WorkerSlot> cell, Resources need, int limit, Predicate<WorkerSlot> accepted, List<WorkerSlot> found) {
         int looks = Math.min(cell.size(), MAX_LOOKED_AT);
         for (int look = 0; look < looks && found.size() < limit; look++) {
+            looksLeft--;
             WorkerSlot slot = cell.get(Math.floorMod(offset + look, cell.size()));
             if (need.fitsIn(slot.free) && accepted.test(slot) && !found.contains(slot)) {
                 found.add(slot);
--- a/domain/src/main/java/org/nettlering/domain/quarantine/QuarantineRule.java
+++ b/domain/src/main/java/org/nettlering/domain/quarantine/QuarantineRule.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.quarantine;
 
-import java.util.Optional;
+import java.util.Collection;
+import java.util.List;
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.Worker;
@@ -8,8 +9,8 @@
 /**
  * Decides when a worker that fails its tasks gets no new ones, and for how long.
  *
- * <p>A worker is compared with the others by {@code domain.task}: only jobs that failed nowhere else, or completed
- * elsewhere, count against it. The time doubles with each quarantine; afterwards the worker gets one task at a time until it
+ * <p>A worker is compared with the others twice. Only jobs that failed nowhere else, or completed elsewhere, count against
+ * it; and it must have clearly more of them than the median worker, so that a wave of broken jobs quarantines nobody. The time doubles with each quarantine; afterwards the worker gets one task at a time until it
  * completes one. At most a quarter of the live workers are quarantined at once, because a fault of so many is not theirs.
  * Stateless and thread-safe.
  */
@@ -29,36 +30,61 @@
     private QuarantineRule() {}
 
     /**
-     * Decides whether to quarantine a worker now.
+     * Decides which workers to quarantine now.
      *
-     * @param worker the worker, not null
+     * @param changed the workers that changed lately, not null
      * @param state the replicated state, not null
      * @param nowMillis the leader's wall clock
-     * @return the command, or empty, never null
+     * @return the commands, never null
      */
-    public static Optional<TaskCommand> check(Worker worker, TaskState state, long nowMillis) {
-        int threshold = worker.isOnProbation() ? 1 : JOBS_TO_QUARANTINE;
-        if (!worker.isLive()
-                || worker.quarantinedUntilMillis() > nowMillis
-                || worker.blamedFor().size() < threshold
-                || isFull(state, nowMillis)) {
-            return Optional.empty();
+    public static List<TaskCommand> check(Collection<Worker> changed, TaskState state, long nowMillis) {
+        List<Worker> suspects = changed.stream()
+                .filter(worker -> worker.isLive()
+                        && worker.quarantinedUntilMillis() <= nowMillis
+                        && worker.blamedFor().size() >= threshold(worker))
+                .toList();
+        if (suspects.isEmpty()) {
+            return List.of();
         }
+        int median = medianBlame(state);
+        long room = room(state, nowMillis);
+        return suspects.stream()
+                .filter(worker -> worker.blamedFor().size() >= threshold(worker) * (1 + median))
+                .limit(room)
+                .map(worker -> quarantine(worker, median, nowMillis))
+                .toList();
+    }
+
+    private static int threshold(Worker worker) {
+        return worker.isOnProbation() ? 1 : JOBS_TO_QUARANTINE;
+    }
+
+    private static TaskCommand quarantine(Worker worker, int median, long nowMillis) {
         long millis = Math.min(LONGEST_MILLIS, FIRST_MILLIS << Math.min(6, worker.quarantines()));
-        return Optional.of(new TaskCommand.Quarantine(
+        return new TaskCommand.Quarantine(
                 nowMillis,
                 worker.id(),
                 nowMillis + millis,
                 "fails what others complete",
-                worker.blamedFor().size() + " jobs failed here and not elsewhere: "
-                        + String.join(", ", worker.blamedFor().stream().limit(5).toList())));
+                worker.blamedFor().size() + " jobs failed here and not elsewhere (median of all workers " + median
+                        + "): "
+                        + String.join(", ", worker.blamedFor().stream().limit(5).toList()));
+    }
+
+    private static int medianBlame(TaskState state) {
+        int[] counts = state.workers().stream()
+                .filter(Worker::isLive)
+                .mapToInt(worker -> worker.blamedFor().size())
+                .sorted()
+                .toArray();
+        return counts.length == 0 ? 0 : counts[counts.length / 2];
     }
 
-    private static boolean isFull(TaskState state, long nowMillis) {
+    private static long room(TaskState state, long nowMillis) {
         long live = state.workers().stream().filter(Worker::isLive).count();
         long quarantined = state.workers().stream()
                 .filter(worker -> worker.isLive() && worker.quarantinedUntilMillis() > nowMillis)
                 .count();
-        return quarantined >= Math.max(1, live / QUARANTINED_SHARE);
+        return Math.max(0, Math.max(1, live / QUARANTINED_SHARE) - quarantined);
     }
 }
--- /dev/null
+++ b/domain/src/test/java/org/nettlering/domain/estimate/ClassEstimatesTest.java
@@ -0,0 +1,58 @@
+package org.nettlering.domain.estimate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.placement.Jobs;
+import org.nettlering.domain.task.JobSpecification;
+
+class ClassEstimatesTest {
+    private final ClassEstimates estimates = ClassEstimates.empty();
+    private final JobSpecification job = Jobs.job("job", "letters", 4_000);
+
+    @Test
+    void theDeclarationStandsUntilEnoughWasMeasured() {
+        measure(29, 1_000, 5_000);
+
+        assertThat(estimates.size(job)).isEqualTo(job.declared());
+    }
+
+    @Test
+    void aSizeThatIsMeasuredSmallerIsLowered() {
+        measure(30, 1_000, 5_000);
+
+        assertThat(estimates.size(job).millicores()).isBetween(1_100L, 1_300L);
+    }
+
+    @Test
+    void aSizeThatIsMeasuredLargerIsRaised() {
+        measure(30, 6_000, 5_000);
+
+        assertThat(estimates.size(job).millicores()).isGreaterThan(6_000);
+    }
+
+    @Test
+    void aLargerDrawIsBelievedAtOnceAndASmallerOneOnlyAfterManySamples() {
+        measure(1, 1_000, 90_000);
+        assertThat(estimates.milliwatts(job)).isGreaterThanOrEqualTo(90_000);
+
+        ClassEstimates smaller = ClassEstimates.empty();
+        smaller.addUsage(job.workClass(), 1_000, 1_000, 1_000);
+        assertThat(smaller.milliwatts(job)).isEqualTo(job.powerMilliwatts());
+    }
+
+    @Test
+    void theRunTimeIsTheMedianOfCompletedTasks() {
+        for (int run = 0; run < 5; run++) {
+            estimates.addRunTime(job.workClass(), run == 4 ? 900_000 : 10_000);
+        }
+
+        assertThat(estimates.runTimeMillis(job)).isBetween(10_000L, 11_500L);
+    }
+
+    private void measure(int samples, long millicores, long milliwatts) {
+        for (int sample = 0; sample < samples; sample++) {
+            estimates.addUsage(job.workClass(), millicores, 1_000, milliwatts);
+        }
+    }
+}
