Place with the scored planner, and measure what a placement costs

Cause: the control process still ran the naive planner and said nothing about workers and jobs in its log. Change: the control process uses ScoredPlanner and logs lost and quarantined workers, unrunnable jobs, evictions and failures; the power status says whether a lowered cap is met, when it will be and what it waits for; PlacementCost measures placements a second and bytes at 30, 450 and 7,200 workers.

--- a/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
@@ -21,6 +21,12 @@
     /** The seed of the published figures. */
     private static final long DEFAULT_SEED = 1;
 
+    /** The sizes at which the cost is measured, in workers. */
+    private static final int[] SIZES = {30, 450, 7_200};
+
+    /** The starts a second that one core has to decide at the largest size: ten times the users' peak. */
+    private static final int PLACEMENTS_PER_SECOND = 4_200;
+
     private PlacementBenchmark() {}
 
     /**
@@ -36,11 +42,40 @@
         List<String> broken = new ArrayList<>();
         compare("Ljubljana", seed, Scenario::ljubljana, broken);
         compare("Ankara", seed, Scenario::ankara, broken);
+        if (!options.contains("--no-cost")) {
+            measureCost(broken);
+        }
         broken.forEach(bound -> System.out.println("BROKEN " + bound));
         System.out.println(broken.isEmpty() ? "every bound is met" : broken.size() + " bounds are broken");
         return broken.isEmpty() ? 0 : 1;
     }
 
+    private static void measureCost(List<String> broken) {
+        System.out.printf(
+                Locale.ROOT,
+                "%n%8s %8s %14s %14s %14s%n",
+                "workers",
+                "tasks",
+                "placements/s",
+                "bytes/worker",
+                "bytes/task");
+        List<PlacementCost.Cost> costs = new ArrayList<>();
+        for (int workers : SIZES) {
+            PlacementCost.Cost cost = PlacementCost.measure(workers);
+            costs.add(cost);
+            System.out.println(cost.line());
+        }
+        PlacementCost.Cost first = costs.getFirst();
+        PlacementCost.Cost last = costs.getLast();
+        double slope = (1e6 / last.placementsPerSecond() - 1e6 / first.placementsPerSecond())
+                / (last.workers() - first.workers());
+        System.out.printf(Locale.ROOT, "slope: %.4f microseconds a placement for each worker%n", slope);
+        require(
+                last.placementsPerSecond() >= PLACEMENTS_PER_SECOND,
+                "at least " + PLACEMENTS_PER_SECOND + " placements a second at " + last.workers() + " workers",
+                broken);
+    }
+
     /** Makes a scenario for a planner. */
     private interface Maker {
         Scenario make(long seed, Supplier<Planner> planners);
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -26,10 +26,10 @@
 import org.nettlering.control.service.FrameDispatcher;
 import org.nettlering.control.settings.ControlSettings;
 import org.nettlering.control.state.SiteStateMachine;
-import org.nettlering.control.task.TaskListener;
+import org.nettlering.control.task.TaskEvents;
 import org.nettlering.control.task.TaskPart;
 import org.nettlering.control.task.TaskService;
-import org.nettlering.domain.placement.FirstFitPlanner;
+import org.nettlering.domain.placement.ScoredPlanner;
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
@@ -105,7 +105,7 @@
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = TaskService.start(
-                log, taskPart, time, configurationPart.state()::current, FirstFitPlanner::create, TaskListener.NONE);
+                log, taskPart, time, configurationPart.state()::current, ScoredPlanner::create, TaskEvents.logging());
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, configurationPart, time),
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/task/TaskEvents.java
@@ -0,0 +1,46 @@
+package org.nettlering.control.task;
+
+import org.nettlering.domain.task.EndReason;
+import org.nettlering.domain.task.TaskCommand;
+import org.nettlering.runtime.log.EventLogger;
+
+/** Writes what happens to jobs and workers to the log. Thread-safe. */
+public final class TaskEvents implements TaskListener {
+    /** Where the events go. */
+    private final EventLogger logger = EventLogger.of(TaskEvents.class);
+
+    /**
+     * Creates a listener that logs.
+     *
+     * @return the listener, never null
+     */
+    public static TaskEvents logging() {
+        return new TaskEvents();
+    }
+
+    private TaskEvents() {}
+
+    @Override
+    public void committed(TaskCommand command) {
+        switch (command) {
+            case TaskCommand.RegisterWorker register ->
+                logger.log(TaskEvent.WORKER_REGISTERED, register.workerId(), register.incarnation());
+            case TaskCommand.LoseWorker lost -> logger.log(TaskEvent.WORKER_LOST, lost.workerId());
+            case TaskCommand.Quarantine quarantine ->
+                logger.log(TaskEvent.WORKER_QUARANTINED, quarantine.workerId(), quarantine.figures());
+            case TaskCommand.MarkUnrunnable unrunnable ->
+                logger.log(TaskEvent.JOB_UNRUNNABLE, unrunnable.jobId(), unrunnable.reason());
+            case TaskCommand.Evict evict -> logger.log(TaskEvent.TASK_EVICTED, evict.jobId(), evict.rule());
+            case TaskCommand.RecordEnd end when end.reason() == EndReason.FAILED ->
+                logger.log(TaskEvent.TASK_FAILED, end.jobId(), end.epoch(), end.detail());
+            default -> {
+                // What follows the ordinary course is explained by the job itself.
+            }
+        }
+    }
+
+    @Override
+    public void proposalFailed(Throwable cause) {
+        logger.log(TaskEvent.PROPOSAL_FAILED, String.valueOf(cause.getMessage()));
+    }
+}
--- a/control/src/main/java/org/nettlering/control/task/TaskResponses.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -1,8 +1,11 @@
 package org.nettlering.control.task;
 
 import java.util.Arrays;
+import org.nettlering.domain.configuration.Profile;
 import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.power.PowerOutlook;
+import org.nettlering.domain.profile.Profiles;
 import org.nettlering.domain.task.Task;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.Worker;
@@ -33,13 +36,31 @@
     }
 
     static TaskResponse power(TaskState state, SiteConfiguration configuration, long nowMillis) {
-        return TaskResponse.newBuilder()
-                .setPower(TaskProto.PowerStatus.newBuilder()
-                        .setCapMilliwatts(configuration.powerCapMilliwatts())
-                        .setCommittedMilliwatts(state.committedMilliwatts())
-                        .setPeakCommittedMilliwatts(state.peakMilliwatts())
-                        .setAboveCap(state.committedMilliwatts() > configuration.powerCapMilliwatts()))
-                .build();
+        PowerOutlook outlook = PowerOutlook.of(state, configuration, nowMillis);
+        TaskProto.PowerStatus.Builder power = TaskProto.PowerStatus.newBuilder()
+                .setCapMilliwatts(configuration.powerCapMilliwatts())
+                .setCommittedMilliwatts(state.committedMilliwatts())
+                .setPeakCommittedMilliwatts(state.peakMilliwatts())
+                .setAboveCap(outlook.isAboveCap())
+                .setExpectedMetUnixMillis(outlook.expectedMetMillis())
+                .setExplanation(outlook.explanation());
+        long budget = Math.max(0, configuration.powerCapMilliwatts() - state.idleMilliwatts());
+        for (Profile profile : configuration.profiles().values()) {
+            power.addProfiles(TaskProto.ProfilePower.newBuilder()
+                    .setProfile(profile.name())
+                    .setShareMilliwatts(budget * profile.powerSharePercent() / 100)
+                    .setCommittedMilliwatts(committed(state, configuration, profile)));
+        }
+        return TaskResponse.newBuilder().setPower(power).build();
+    }
+
+    private static long committed(TaskState state, SiteConfiguration configuration, Profile profile) {
+        return state.tasks().stream()
+                .filter(task -> Profiles.of(configuration, task.job())
+                        .filter(profile::equals)
+                        .isPresent())
+                .mapToLong(Task::committedMilliwatts)
+                .sum();
     }
 
     static ErrorCode errorCode(String text) {
