--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -2,7 +2,9 @@
 
 import java.util.Arrays;
 import org.nettlering.benchmarks.capacity.CapacityBenchmark;
+import org.nettlering.benchmarks.consensus.ConsensusBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
+import org.nettlering.benchmarks.routing.RoutingBenchmark;
 
 /**
  * Runs one benchmark by name.
@@ -29,7 +31,9 @@
         }
         String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
+            case "routing" -> RoutingBenchmark.run(rest);
             case "path" -> new PathBenchmark().run(rest);
+            case "consensus" -> ConsensusBenchmark.run(rest);
             case "capacity" -> new CapacityBenchmark().run(rest);
             case "--help" -> help();
             default -> usage();
