--- a/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
@@ -84,25 +84,27 @@
     private static void compare(String site, long seed, Maker maker, List<String> broken) {
         Measures naive = SiteModel.run(maker.make(seed, FirstFitPlanner::create));
         Measures chosen = SiteModel.run(maker.make(seed, ScoredPlanner::create));
-        System.out.printf(Locale.ROOT, "%n%-42s %14s %14s%n", site + ", seed " + seed, "naive", "chosen");
-        row("services' slowdown p50", naive, chosen, Measures::serviceP50);
-        row("services' slowdown p99", naive, chosen, Measures::serviceP99);
-        row("batch work finished, processor seconds", naive, chosen, Measures::workFinished);
-        row("batch jobs finished", naive, chosen, Measures::jobsFinished);
-        row("evictions", naive, chosen, Measures::evictions);
-        row("tasks that lost their worker", naive, chosen, Measures::losses);
-        row("work lost to stops, processor seconds", naive, chosen, Measures::workLostToStops);
-        row("work lost to faults, processor seconds", naive, chosen, Measures::workLostToFaults);
-        row("missed deadlines", naive, chosen, Measures::missedDeadlines);
-        row("deadlines", naive, chosen, Measures::deadlines);
-        row("peak committed draw, W", naive, chosen, measures -> measures.peakMilliwatts() / 1000);
-        row("peak true draw, W", naive, chosen, measures -> measures.peakTrueMilliwatts() / 1000);
-        row("above the unchanged cap, ms", naive, chosen, Measures::aboveCapMillis);
-        row("above the lowered cap, ms", naive, chosen, Measures::aboveLoweredCapMillis);
-        row("urgent jobs' wait p99, ms", naive, chosen, Measures::urgentStartP99Millis);
-        row("jobs' wait p50, ms", naive, chosen, Measures::waitP50Millis);
-        row("named unrunnable", naive, chosen, Measures::unrunnable);
-        row("refused commands", naive, chosen, Measures::refusals);
+        Measures pulling = SiteModel.run(maker.make(seed, ScoredPlanner::pulling));
+        System.out.printf(
+                Locale.ROOT, "%n%-42s %14s %14s %14s%n", site + ", seed " + seed, "naive", "chosen", "chosen, pull");
+        row("services' slowdown p50", naive, chosen, pulling, Measures::serviceP50);
+        row("services' slowdown p99", naive, chosen, pulling, Measures::serviceP99);
+        row("batch work finished, processor seconds", naive, chosen, pulling, Measures::workFinished);
+        row("batch jobs finished", naive, chosen, pulling, Measures::jobsFinished);
+        row("evictions", naive, chosen, pulling, Measures::evictions);
+        row("tasks that lost their worker", naive, chosen, pulling, Measures::losses);
+        row("work lost to stops, processor seconds", naive, chosen, pulling, Measures::workLostToStops);
+        row("work lost to faults, processor seconds", naive, chosen, pulling, Measures::workLostToFaults);
+        row("missed deadlines", naive, chosen, pulling, Measures::missedDeadlines);
+        row("deadlines", naive, chosen, pulling, Measures::deadlines);
+        row("peak committed draw, W", naive, chosen, pulling, measures -> measures.peakMilliwatts() / 1000);
+        row("peak true draw, W", naive, chosen, pulling, measures -> measures.peakTrueMilliwatts() / 1000);
+        row("above the unchanged cap, ms", naive, chosen, pulling, Measures::aboveCapMillis);
+        row("above the lowered cap, ms", naive, chosen, pulling, Measures::aboveLoweredCapMillis);
+        row("urgent jobs' wait p99, ms", naive, chosen, pulling, Measures::urgentStartP99Millis);
+        row("jobs' wait p50, ms", naive, chosen, pulling, Measures::waitP50Millis);
+        row("named unrunnable", naive, chosen, pulling, Measures::unrunnable);
+        row("refused commands", naive, chosen, pulling, Measures::refusals);
         check(site, naive, chosen, broken);
     }
 
@@ -133,12 +135,14 @@
         }
     }
 
-    private static void row(String name, Measures naive, Measures chosen, Function<Measures, Number> reader) {
+    private static void row(
+            String name, Measures naive, Measures chosen, Measures pulling, Function<Measures, Number> reader) {
         System.out.printf(
                 Locale.ROOT,
-                "%-42s %14.3f %14.3f%n",
+                "%-42s %14.3f %14.3f %14.3f%n",
                 name,
                 reader.apply(naive).doubleValue(),
-                reader.apply(chosen).doubleValue());
+                reader.apply(chosen).doubleValue(),
+                reader.apply(pulling).doubleValue());
     }
 }
--- a/benchmarks/src/test/java/org/nettlering/benchmarks/placement/PlacementInvariantsTest.java
+++ b/benchmarks/src/test/java/org/nettlering/benchmarks/placement/PlacementInvariantsTest.java
@@ -28,4 +28,19 @@
 
         assertThat(measures.jobsFinished()).isPositive();
     }
+
+    /** The bounds of docs/design/placement.md, for one hour at the size of Ljubljana. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void onTheSameInputTheChosenPlannerMeetsItsBoundsAgainstTheNaiveOne(long seed) {
+        Measures naive = SiteModel.run(Scenario.ljubljana(seed, FirstFitPlanner::create));
+        Measures chosen = SiteModel.run(Scenario.ljubljana(seed, ScoredPlanner::create));
+
+        assertThat(chosen.serviceP99() - 1).isLessThanOrEqualTo((naive.serviceP99() - 1) / 2);
+        assertThat(chosen.workFinished()).isGreaterThanOrEqualTo(0.95 * naive.workFinished());
+        assertThat(chosen.missedDeadlines()).isLessThanOrEqualTo(naive.missedDeadlines());
+        assertThat(chosen.workLostToStops()).isLessThanOrEqualTo(0.02 * chosen.workFinished());
+        assertThat(chosen.aboveCapMillis()).isZero();
+        assertThat(chosen.aboveLoweredCapMillis()).isLessThanOrEqualTo(30_000);
+    }
 }
--- a/control/src/main/java/org/nettlering/control/task/TaskEvents.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskEvents.java
@@ -31,7 +31,8 @@
             case TaskCommand.MarkUnrunnable unrunnable ->
                 logger.log(TaskEvent.JOB_UNRUNNABLE, unrunnable.jobId(), unrunnable.reason());
             case TaskCommand.Evict evict -> logger.log(TaskEvent.TASK_EVICTED, evict.jobId(), evict.rule());
-            case TaskCommand.RecordEnd end when end.reason() == EndReason.FAILED ->
+            case TaskCommand.RecordEnd end
+            when end.reason() == EndReason.FAILED ->
                 logger.log(TaskEvent.TASK_FAILED, end.jobId(), end.epoch(), end.detail());
             default -> {
                 // What follows the ordinary course is explained by the job itself.
--- a/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
@@ -44,20 +44,29 @@
     /** The urgency that is noted when nobody claims power. */
     private static final int NOBODY = -1;
 
+    /** How long a worker may be silent before it gets no new task: three report intervals. */
+    private static final long SILENT_MILLIS = 3_000;
+
+    /** Workers that are scored for one job. */
+    private static final int CANDIDATES = 24;
+
+    /** How lately a worker must have reported to take a job, where workers pull. */
+    private static final long PULLING_MILLIS = 200;
+
     /** What is known of the site. */
-    private final Site site = new Site();
+    private final Site site;
 
     /** Starts jobs. */
-    private final StartRule startRule = new StartRule(site);
+    private final StartRule startRule;
 
     /** Makes room for jobs that cannot wait. */
-    private final Preemption preemption = new Preemption(site);
+    private final Preemption preemption;
 
     /** Corrects commitments. */
-    private final Corrections corrections = new Corrections(site);
+    private final Corrections corrections;
 
     /** Gives speed back. */
-    private final SpeedUps speedUps = new SpeedUps(site);
+    private final SpeedUps speedUps;
 
     /** The highest urgency of the jobs within their profile's share that found no power in the last round. */
     private int claimingUrgency = NOBODY;
@@ -68,10 +77,27 @@
      * @return a new planner, never null
      */
     public static ScoredPlanner create() {
-        return new ScoredPlanner();
+        return new ScoredPlanner(SILENT_MILLIS, CANDIDATES);
+    }
+
+    /**
+     * Returns a planner that gives the first waiting job that fits to a worker that just reported, without comparing workers.
+     *
+     * <p>The way in which workers pull, for the comparison in docs/design/placement.md; not for use.
+     *
+     * @return the planner, never null
+     */
+    public static ScoredPlanner pulling() {
+        return new ScoredPlanner(PULLING_MILLIS, 2);
     }
 
-    private ScoredPlanner() {}
+    private ScoredPlanner(long silentMillis, int candidates) {
+        site = new Site(silentMillis);
+        startRule = new StartRule(site, candidates);
+        preemption = new Preemption(site);
+        corrections = new Corrections(site);
+        speedUps = new SpeedUps(site);
+    }
 
     @Override
     public List<TaskCommand> plan(TaskState state, SiteConfiguration configuration, long nowMillis) {
--- a/domain/src/main/java/org/nettlering/domain/placement/Site.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Site.java
@@ -26,8 +26,8 @@
  * <p>Brought up to date by what changed since the last round, not by looking at everything. Not thread-safe.
  */
 final class Site {
-    /** How long a worker may be silent before it gets no new task: three report intervals. */
-    private static final long SILENT_MILLIS = 3_000;
+    /** How long a worker may be silent before it gets no new task. */
+    private final long silentMillis;
 
     /** Learned sizes, draws and run times. */
     final ClassEstimates estimates = ClassEstimates.empty();
@@ -98,6 +98,10 @@
     /** The configuration that the sums are made for. */
     private @Nullable SiteConfiguration configuration;
 
+    Site(long silentMillis) {
+        this.silentMillis = silentMillis;
+    }
+
     /** Brings everything up to date with the state. */
     void update(TaskState state, SiteConfiguration latest, long nowMillis) {
         beganMillis = beganMillis == 0 ? nowMillis : beganMillis;
@@ -131,7 +135,7 @@
 
     /** Tells whether a worker reported lately; its lease may still run when it did not, but nothing new is sent there. */
     boolean isHeard(Worker worker, long nowMillis) {
-        return nowMillis - heardMillis.getOrDefault(worker.id(), beganMillis) <= SILENT_MILLIS;
+        return nowMillis - heardMillis.getOrDefault(worker.id(), beganMillis) <= silentMillis;
     }
 
     /** Returns the workers that changed since the round before. */
--- a/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
@@ -19,20 +19,21 @@
 
 /** Tries to find a worker for one job. Not thread-safe. */
 final class StartRule {
-    /** Workers that are scored for one job. */
-    private static final int MAX_CANDIDATES = 24;
-
     /** The part of the cap that only urgent jobs may use, so that they need not wait until others draw less. */
     private static final int URGENT_RESERVE_PERCENT = 1;
 
     /** What is known of the site. */
     private final Site site;
 
+    /** Workers that are scored for one job. */
+    private final int maxCandidates;
+
     /** Scores workers. */
     private final PlacementScore score;
 
-    StartRule(Site site) {
+    StartRule(Site site, int maxCandidates) {
         this.site = site;
+        this.maxCandidates = maxCandidates;
         this.score = new PlacementScore(site);
     }
 
@@ -130,10 +131,10 @@
                 && !(avoids && task.failedOn().contains(slot.worker.id()));
         List<WorkerSlot> found = new ArrayList<>();
         if (size.accelerators() == 0) {
-            found.addAll(site.plainWorkers.candidates(size, MAX_CANDIDATES, accepted));
+            found.addAll(site.plainWorkers.candidates(size, maxCandidates, accepted));
         }
         if (found.isEmpty()) {
-            found.addAll(site.acceleratedWorkers.candidates(size, MAX_CANDIDATES, accepted));
+            found.addAll(site.acceleratedWorkers.candidates(size, maxCandidates, accepted));
         }
         return found;
     }
