--- a/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
@@ -21,6 +21,12 @@
     /** The seed of the published figures. */
     private static final long DEFAULT_SEED = 1;
 
+    /** The sizes at which the cost is measured, in workers. */
+    private static final int[] SIZES = {30, 450, 7_200};
+
+    /** The starts a second that one core has to decide at the largest size: ten times the users' peak. */
+    private static final int PLACEMENTS_PER_SECOND = 4_200;
+
     private PlacementBenchmark() {}
 
     /**
@@ -36,11 +42,40 @@
         List<String> broken = new ArrayList<>();
         compare("Ljubljana", seed, Scenario::ljubljana, broken);
         compare("Ankara", seed, Scenario::ankara, broken);
+        if (!options.contains("--no-cost")) {
+            measureCost(broken);
+        }
         broken.forEach(bound -> System.out.println("BROKEN " + bound));
         System.out.println(broken.isEmpty() ? "every bound is met" : broken.size() + " bounds are broken");
         return broken.isEmpty() ? 0 : 1;
     }
 
+    private static void measureCost(List<String> broken) {
+        System.out.printf(
+                Locale.ROOT,
+                "%n%8s %8s %14s %14s %14s%n",
+                "workers",
+                "tasks",
+                "placements/s",
+                "bytes/worker",
+                "bytes/task");
+        List<PlacementCost.Cost> costs = new ArrayList<>();
+        for (int workers : SIZES) {
+            PlacementCost.Cost cost = PlacementCost.measure(workers);
+            costs.add(cost);
+            System.out.println(cost.line());
+        }
+        PlacementCost.Cost first = costs.getFirst();
+        PlacementCost.Cost last = costs.getLast();
+        double slope = (1e6 / last.placementsPerSecond() - 1e6 / first.placementsPerSecond())
+                / (last.workers() - first.workers());
+        System.out.printf(Locale.ROOT, "slope: %.4f microseconds a placement for each worker%n", slope);
+        require(
+                last.placementsPerSecond() >= PLACEMENTS_PER_SECOND,
+                "at least " + PLACEMENTS_PER_SECOND + " placements a second at " + last.workers() + " workers",
+                broken);
+    }
+
     /** Makes a scenario for a planner. */
     private interface Maker {
         Scenario make(long seed, Supplier<Planner> planners);
@@ -49,25 +84,27 @@
     private static void compare(String site, long seed, Maker maker, List<String> broken) {
         Measures naive = SiteModel.run(maker.make(seed, FirstFitPlanner::create));
         Measures chosen = SiteModel.run(maker.make(seed, ScoredPlanner::create));
-        System.out.printf(Locale.ROOT, "%n%-42s %14s %14s%n", site + ", seed " + seed, "naive", "chosen");
-        row("services' slowdown p50", naive, chosen, Measures::serviceP50);
-        row("services' slowdown p99", naive, chosen, Measures::serviceP99);
-        row("batch work finished, processor seconds", naive, chosen, Measures::workFinished);
-        row("batch jobs finished", naive, chosen, Measures::jobsFinished);
-        row("evictions", naive, chosen, Measures::evictions);
-        row("tasks that lost their worker", naive, chosen, Measures::losses);
-        row("work lost to stops, processor seconds", naive, chosen, Measures::workLostToStops);
-        row("work lost to faults, processor seconds", naive, chosen, Measures::workLostToFaults);
-        row("missed deadlines", naive, chosen, Measures::missedDeadlines);
-        row("deadlines", naive, chosen, Measures::deadlines);
-        row("peak committed draw, W", naive, chosen, measures -> measures.peakMilliwatts() / 1000);
-        row("peak true draw, W", naive, chosen, measures -> measures.peakTrueMilliwatts() / 1000);
-        row("above the unchanged cap, ms", naive, chosen, Measures::aboveCapMillis);
-        row("above the lowered cap, ms", naive, chosen, Measures::aboveLoweredCapMillis);
-        row("urgent jobs' wait p99, ms", naive, chosen, Measures::urgentStartP99Millis);
-        row("jobs' wait p50, ms", naive, chosen, Measures::waitP50Millis);
-        row("named unrunnable", naive, chosen, Measures::unrunnable);
-        row("refused commands", naive, chosen, Measures::refusals);
+        Measures pulling = SiteModel.run(maker.make(seed, ScoredPlanner::pulling));
+        System.out.printf(
+                Locale.ROOT, "%n%-42s %14s %14s %14s%n", site + ", seed " + seed, "naive", "chosen", "chosen, pull");
+        row("services' slowdown p50", naive, chosen, pulling, Measures::serviceP50);
+        row("services' slowdown p99", naive, chosen, pulling, Measures::serviceP99);
+        row("batch work finished, processor seconds", naive, chosen, pulling, Measures::workFinished);
+        row("batch jobs finished", naive, chosen, pulling, Measures::jobsFinished);
+        row("evictions", naive, chosen, pulling, Measures::evictions);
+        row("tasks that lost their worker", naive, chosen, pulling, Measures::losses);
+        row("work lost to stops, processor seconds", naive, chosen, pulling, Measures::workLostToStops);
+        row("work lost to faults, processor seconds", naive, chosen, pulling, Measures::workLostToFaults);
+        row("missed deadlines", naive, chosen, pulling, Measures::missedDeadlines);
+        row("deadlines", naive, chosen, pulling, Measures::deadlines);
+        row("peak committed draw, W", naive, chosen, pulling, measures -> measures.peakMilliwatts() / 1000);
+        row("peak true draw, W", naive, chosen, pulling, measures -> measures.peakTrueMilliwatts() / 1000);
+        row("above the unchanged cap, ms", naive, chosen, pulling, Measures::aboveCapMillis);
+        row("above the lowered cap, ms", naive, chosen, pulling, Measures::aboveLoweredCapMillis);
+        row("urgent jobs' wait p99, ms", naive, chosen, pulling, Measures::urgentStartP99Millis);
+        row("jobs' wait p50, ms", naive, chosen, pulling, Measures::waitP50Millis);
+        row("named unrunnable", naive, chosen, pulling, Measures::unrunnable);
+        row("refused commands", naive, chosen, pulling, Measures::refusals);
         check(site, naive, chosen, broken);
     }
 
@@ -98,12 +135,14 @@
         }
     }
 
-    private static void row(String name, Measures naive, Measures chosen, Function<Measures, Number> reader) {
+    private static void row(
+            String name, Measures naive, Measures chosen, Measures pulling, Function<Measures, Number> reader) {
         System.out.printf(
                 Locale.ROOT,
-                "%-42s %14.3f %14.3f%n",
+                "%-42s %14.3f %14.3f %14.3f%n",
                 name,
                 reader.apply(naive).doubleValue(),
-                reader.apply(chosen).doubleValue());
+                reader.apply(chosen).doubleValue(),
+                reader.apply(pulling).doubleValue());
     }
 }
