Prove silent and slow peers over real sockets, and bound what waits for one

Cause: only a fake had shown that a silent connection is replaced, and a caller that read nothing was served on: one read of the socket decodes thousands of requests, and stopping the reads does not stop those.

Ruled out: watermarks of Netty alone; bytes on their way to the event loop are not in them.

Change: frames that are already decoded wait while the caller does not read (FlowControlHandler), reading goes on as soon as half of the queue is written, and a queue of twice the bound closes the connection. The server's clock of silence no longer waits for its own event loop.

--- a/wire/src/main/java/org/nettlering/wire/transport/NettyPeerServer.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/NettyPeerServer.java
@@ -26,6 +26,15 @@
         return server.address();
     }
 
+    /**
+     * Returns how many accepted connections are open.
+     *
+     * @return at least zero
+     */
+    public int openConnections() {
+        return server.openConnections();
+    }
+
     /** Stops listening and closes every connection. */
     @Override
     public void close() {
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/NettyConnection.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/NettyConnection.java
@@ -14,12 +14,16 @@
     /** The bytes that may wait. */
     private final long maxQueuedBytes;
 
+    /** Called on the event loop when the queue has fallen to half of its bound. */
+    private final Runnable drained;
+
     /** The bytes that wait. */
     private final AtomicLong queuedBytes = new AtomicLong();
 
-    NettyConnection(Channel channel, long maxQueuedBytes) {
+    NettyConnection(Channel channel, long maxQueuedBytes, Runnable drained) {
         this.channel = channel;
         this.maxQueuedBytes = maxQueuedBytes;
+        this.drained = drained;
     }
 
     @Override
@@ -27,7 +31,7 @@
         int size = frame.getSerializedSize();
         queuedBytes.addAndGet(size);
         if (channel.eventLoop().isShuttingDown()) {
-            queuedBytes.addAndGet(-size);
+            release(size);
             return;
         }
         channel.eventLoop().execute(() -> writeNow(frame, size, begin));
@@ -54,9 +58,17 @@
 
     private void writeNow(Frame frame, int size, BooleanSupplier begin) {
         if (!channel.isActive() || !begin.getAsBoolean()) {
-            queuedBytes.addAndGet(-size);
+            release(size);
             return;
         }
-        channel.writeAndFlush(frame).addListener(future -> queuedBytes.addAndGet(-size));
+        channel.writeAndFlush(frame).addListener(future -> release(size));
+    }
+
+    private void release(int size) {
+        long left = queuedBytes.addAndGet(-size);
+        long half = maxQueuedBytes / 2;
+        if (left <= half && left + size > half) {
+            drained.run();
+        }
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/NettyDialer.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/NettyDialer.java
@@ -85,7 +85,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            listener.opened(new NettyConnection(context.channel(), limits.maxQueuedBytes()));
+            listener.opened(new NettyConnection(context.channel(), limits.maxQueuedBytes(), () -> {}));
         }
 
         @Override
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/NettyServer.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/NettyServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import org.nettlering.domain.error.ErrorCode;
@@ -81,6 +82,15 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /**
+     * Returns how many accepted connections are open.
+     *
+     * @return at least zero
+     */
+    public int openConnections() {
+        return connections.size();
+    }
+
     @Override
     public void close() {
         listener.close().awaitUninterruptibly();
@@ -95,6 +105,6 @@
         }
         connections.add(channel);
         FramePipeline.addTo(channel.pipeline(), limits.maxFrameBytes());
-        channel.pipeline().addLast(handler);
+        channel.pipeline().addLast(new FlowControlHandler(), handler);
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
@@ -31,6 +31,8 @@
 
     private static final int SILENCE_FACTOR = 2;
 
+    private static final int HARD_QUEUE_FACTOR = 2;
+
     /** Who this process is. */
     private final ClusterIdentity identity;
 
@@ -68,7 +70,10 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        connection = new NettyConnection(context.channel(), limits.maxQueuedBytes());
+        connection = new NettyConnection(
+                context.channel(),
+                limits.maxQueuedBytes(),
+                () -> context.channel().config().setAutoRead(true));
         caller = String.valueOf(context.channel().remoteAddress());
         scheduleTick(context);
     }
@@ -209,27 +214,28 @@
         if (target == null || target.isWritable()) {
             return;
         }
+        if (target.queuedBytes() > (long) HARD_QUEUE_FACTOR * limits.maxQueuedBytes()) {
+            giveUp(context, target);
+            return;
+        }
         context.channel().config().setAutoRead(false);
     }
 
     private void scheduleTick(ChannelHandlerContext context) {
-        time.schedule(limits.pingInterval(), () -> context.executor().execute(() -> tick(context)));
+        time.schedule(limits.pingInterval(), () -> {
+            if (!context.channel().isActive() || context.executor().isShuttingDown()) {
+                return;
+            }
+            context.executor().execute(() -> tick(context));
+            scheduleTick(context);
+        });
     }
 
     private void tick(ChannelHandlerContext context) {
-        if (!context.channel().isActive()) {
-            return;
-        }
         quietIntervals++;
-        NettyConnection target = connection;
-        if (quietIntervals >= SILENCE_FACTOR * limits.silentIntervals()) {
-            giveUp(context, target);
-            return;
+        if (context.channel().isActive() && quietIntervals >= SILENCE_FACTOR * limits.silentIntervals()) {
+            giveUp(context, connection);
         }
-        if (target != null && target.isWritable() && !context.channel().config().isAutoRead()) {
-            context.channel().config().setAutoRead(true);
-        }
-        scheduleTick(context);
     }
 
     private void giveUp(ChannelHandlerContext context, @Nullable NettyConnection target) {
