Trace a job from its operator to its worker

Cause: the control process recorded no span, and nothing had shown that an operator's resend is safe from the program down to the log.

Ruled out: spans inside of the task service; the frame already carries the context both ways, so one handler around the dispatcher is enough.

Change: TracingFrameHandler records one span a request and one a command that a report is answered with; a command continues the trace of the submission. ControlProcess takes its exporter from the settings, and tells the address it listens on.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.nettlering.consensus.ConsensusExecutors;
 import org.nettlering.consensus.ConsensusNode;
@@ -29,10 +30,13 @@
 import org.nettlering.control.task.TaskListener;
 import org.nettlering.control.task.TaskPart;
 import org.nettlering.control.task.TaskService;
+import org.nettlering.control.trace.TracingFrameHandler;
 import org.nettlering.domain.placement.FirstFitPlanner;
 import org.nettlering.domain.time.SystemTime;
+import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
+import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
@@ -44,6 +48,8 @@
  * <p>Stopping hands leadership over first, so that a planned stop costs no election timeout. Thread-safe.
  */
 public final class ControlProcess implements Daemon.Running {
+    private static final String PROGRAM = "nettlering-control";
+
     /** How long a planned stop waits for another member to take over, in seconds. */
     private static final long HAND_OVER_TIMEOUT_SECONDS = 3;
 
@@ -53,6 +59,9 @@
     /** The clock and the timers. */
     private final SystemTime time;
 
+    /** Starts the spans. */
+    private final Telemetry telemetry;
+
     /** The connections to other processes. */
     private final PeerNetwork network;
 
@@ -77,13 +86,27 @@
      *     address cannot be bound
      */
     public static ControlProcess start(ControlSettings settings) {
-        return new ControlProcess(settings);
+        return start(
+                settings,
+                time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time));
+    }
+
+    /**
+     * Starts a control process whose spans go elsewhere than its settings say.
+     *
+     * @param settings the checked settings, not null
+     * @param telemetry makes what starts the spans, not null
+     * @return the running process, never null
+     */
+    public static ControlProcess start(ControlSettings settings, Function<TimeSource, Telemetry> telemetry) {
+        return new ControlProcess(settings, telemetry);
     }
 
-    private ControlProcess(ControlSettings settings) {
+    private ControlProcess(ControlSettings settings, Function<TimeSource, Telemetry> telemetryFactory) {
         MemberId self = MemberId.of(settings.identity().processId());
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
+        telemetry = telemetryFactory.apply(time);
         network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
         ConfigurationPart configurationPart = ConfigurationPart.create();
         TaskPart taskPart =
@@ -113,13 +136,22 @@
                 LedgerService.of(log, ledgerPart, time),
                 MembershipService.of(node));
         node.start();
-        server = network.listen(settings.peersAddress(), dispatcher);
+        server = network.listen(settings.peersAddress(), TracingFrameHandler.of(dispatcher, telemetry));
         Metrics metrics = Metrics.create();
         ControlMetrics.register(metrics.registry(), node, configurationPart.state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
     }
 
+    /**
+     * Returns where the process listens for the others.
+     *
+     * @return the address with the port that was bound, never null
+     */
+    public InetSocketAddress peersAddress() {
+        return server.address();
+    }
+
     /** Hands leadership over, then stops everything in the reverse order of its start. */
     @Override
     public void stop() {
@@ -129,6 +161,7 @@
         tasks.close();
         node.close();
         network.close();
+        telemetry.close();
         time.close();
     }
 
