--- a/operator/src/main/java/org/nettlering/operator/client/EntryClient.java
+++ b/operator/src/main/java/org/nettlering/operator/client/EntryClient.java
@@ -1,6 +1,8 @@
 package org.nettlering.operator.client;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
@@ -16,6 +18,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -41,6 +44,9 @@
     /** Runs the client. */
     private final Vertx vertx;
 
+    /** The event loop of all exchanges. */
+    private final Context loop;
+
     /** The HTTP client. */
     private final HttpClient http;
 
@@ -67,6 +73,7 @@
         attemptTimeout = share.compareTo(MAX_ATTEMPT) > 0 ? MAX_ATTEMPT : share;
         vertx = Vertx.vertx(
                 new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
+        loop = vertx.getOrCreateContext();
         http = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     }
 
@@ -128,15 +135,22 @@
                 .setMethod(HttpMethod.valueOf(request.method()))
                 .setURI(request.path())
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-        HttpClientRequest opened = connect(entry, http.request(options));
+        HttpClientRequest opened = connect(entry, onLoop(() -> http.request(options)));
         opened.putHeader("Content-Type", "application/json");
         Duration entryTimeout = attemptTimeout.minus(ANSWER_MARGIN);
         opened.putHeader("Nettlering-Timeout-Millis", String.valueOf(Math.max(1, entryTimeout.toMillis())));
-        Future<Answer> answer = opened.send(Buffer.buffer(request.body()))
-                .compose(response -> response.body().map(body -> Answer.of(response, body)));
+        Future<Answer> answer = onLoop(() -> opened.send(Buffer.buffer(request.body()))
+                .compose(response -> response.body().map(body -> Answer.of(response, body))));
         return read(entry, await(entry, answer));
     }
 
+    /** Runs an exchange on the event loop; a callback that is added from another thread can miss the body. */
+    private <T> Future<T> onLoop(Supplier<Future<T>> exchange) {
+        Promise<T> result = Promise.promise();
+        loop.runOnContext(onLoop -> exchange.get().onComplete(result));
+        return result.future();
+    }
+
     private static HttpClientRequest connect(InetSocketAddress entry, Future<HttpClientRequest> connecting) {
         try {
             return connecting
