--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MembershipChanges.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MembershipChanges.java
@@ -40,6 +40,10 @@
     }
 
     void add(Member added, CompletableFuture<Void> future) {
+        if (isPending()) {
+            refuse(future, "another change of membership is under way");
+            return;
+        }
         Optional<Member> present = state.membership().find(added.id());
         if (present.isPresent() && present.get().address().equals(added.address())) {
             state.outbox.later(() -> future.complete(null));
@@ -56,6 +60,10 @@
     }
 
     void remove(MemberId id, CompletableFuture<Void> future) {
+        if (isPending()) {
+            refuse(future, "another change of membership is under way");
+            return;
+        }
         if (state.membership().find(id).isEmpty()) {
             state.outbox.later(() -> future.complete(null));
             return;
@@ -90,10 +98,6 @@
     }
 
     private void change(Membership changed, CompletableFuture<Void> future) {
-        if (isPending()) {
-            refuse(future, "another change of membership is under way");
-            return;
-        }
         if (!leadership.hasCommittedInTerm()) {
             refuse(future, "the leader has not committed an entry of its term yet");
             return;
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -33,6 +33,7 @@
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
+import org.nettlering.runtime.program.ExitCode;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
@@ -100,7 +101,7 @@
                         FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
                         transport,
                         SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
-                        ConsensusEvents.logging(),
+                        ConsensusEvents.logging(ControlProcess::endWithFailure),
                         ConsensusExecutors.create(self),
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
@@ -120,6 +121,11 @@
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
     }
 
+    /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
+    private static void endWithFailure() {
+        Runtime.getRuntime().halt(ExitCode.FAILURE.number());
+    }
+
     /** Hands leadership over, then stops everything in the reverse order of its start. */
     @Override
     public void stop() {
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
@@ -0,0 +1,81 @@
+package org.nettlering.control.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.MembershipProto.AddMember;
+import org.nettlering.wire.proto.MembershipProto.ListMembers;
+import org.nettlering.wire.proto.MembershipProto.MembershipRequest;
+import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
+import org.nettlering.wire.proto.MembershipProto.RemoveMember;
+
+class MembershipServiceTest {
+    private final SingleMember member = new SingleMember(happening -> {});
+    private final MembershipService service = MembershipService.of(member.node);
+
+    private CompletableFuture<MembershipResponse> ask(MembershipRequest.Builder request) {
+        Frame frame = Frame.newBuilder().setMembershipRequest(request).build();
+        return service.handle(frame).thenApply(Frame::getMembershipResponse).toCompletableFuture();
+    }
+
+    private static MembershipRequest.Builder add(String address) {
+        return MembershipRequest.newBuilder()
+                .setAdd(AddMember.newBuilder()
+                        .setMemberId("control-2")
+                        .setAddress(address)
+                        .setFailureDomain("two"));
+    }
+
+    @Test
+    void aListNamesVotersAndWhatCanBeLost() {
+        member.lead();
+
+        MembershipResponse listed = ask(MembershipRequest.newBuilder().setList(ListMembers.getDefaultInstance()))
+                .join();
+
+        assertThat(listed.getMembersList()).singleElement().satisfies(only -> {
+            assertThat(only.getMemberId()).isEqualTo("control-1");
+            assertThat(only.getVoting()).isTrue();
+            assertThat(only.getMatchIndex()).isEqualTo(listed.getCommitIndex());
+        });
+        assertThat(listed.getLeaderId()).isEqualTo("control-1");
+        assertThat(listed.getSurvivableMembers()).isZero();
+        assertThat(listed.getSurvivableFailureDomainsList()).isEmpty();
+    }
+
+    @Test
+    void anAddedMemberIsALearner() {
+        member.lead();
+
+        MembershipResponse changed = ask(add("127.0.0.1:2")).join();
+
+        assertThat(changed.getMembersList())
+                .filteredOn(listed -> listed.getMemberId().equals("control-2"))
+                .singleElement()
+                .satisfies(added -> assertThat(added.getVoting()).isFalse());
+    }
+
+    @Test
+    void aMemberWithoutAnAddressIsRefused() {
+        member.lead();
+
+        assertThat(ask(add(""))).isCompletedExceptionally();
+    }
+
+    @Test
+    void theLeaderIsNotRemoved() {
+        member.lead();
+
+        assertThat(ask(MembershipRequest.newBuilder()
+                        .setRemove(RemoveMember.newBuilder().setMemberId("control-1"))))
+                .isCompletedExceptionally();
+    }
+
+    @Test
+    void aMemberThatDoesNotLeadAnswersNoList() {
+        assertThat(ask(MembershipRequest.newBuilder().setList(ListMembers.getDefaultInstance())))
+                .isCompletedExceptionally();
+    }
+}
