--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -36,6 +36,7 @@
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
+import org.nettlering.runtime.program.ExitCode;
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
@@ -123,7 +124,7 @@
                         FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
                         transport,
                         SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
-                        ConsensusEvents.logging(),
+                        ConsensusEvents.logging(ControlProcess::endWithFailure),
                         ConsensusExecutors.create(self),
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
@@ -152,6 +153,11 @@
         return server.address();
     }
 
+    /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
+    private static void endWithFailure() {
+        Runtime.getRuntime().halt(ExitCode.FAILURE.number());
+    }
+
     /** Hands leadership over, then stops everything in the reverse order of its start. */
     @Override
     public void stop() {
