Keep a declaration that was met, and a worker's own size, when sizes are learned

Cause: a class that uses exactly what it declares was committed up to 24% more (the margin, and the end of the histogram's bucket); a job as large as a worker became unrunnable once its class was measured a little above its declaration. A worker that came back with accelerators stood in two indexes. The leader looked through all leases at every report, which at 7,200 workers is 52 million looks a second. Change: a declaration that was never exceeded is not raised; a learned size beyond every worker is not used; a worker stands in one index; leases are looked through with planning, ten times a second; the power status counts each task once. Seen failing first, with the change off: aDeclarationThatIsMetExactlyStands, aJobThatFillsAWholeWorkerStaysRunnableWhenItsClassIsMeasuredAboveItsDeclaration.

--- a/control/src/main/java/org/nettlering/control/task/Leadership.java
+++ b/control/src/main/java/org/nettlering/control/task/Leadership.java
@@ -62,15 +62,19 @@
                 .orElse(false);
     }
 
-    /** Returns the next batch to propose, or an empty list if one is under way or there is nothing to do. */
+    /**
+     * Returns the next batch to propose, or an empty list if one is under way or there is nothing to do.
+     *
+     * <p>Looking for leases that ended takes time in proportion to the number of workers, so it goes with planning, not with
+     * every report.
+     */
     List<TaskCommand> nextBatch(
             TaskState state, SiteConfiguration configuration, long nowNanos, long nowMillis, boolean plan) {
         if (proposing) {
             return List.of();
         }
-        for (Worker worker : leases.expire(state.workers(), nowNanos)) {
-            TaskCommand lost = new TaskCommand.LoseWorker(nowMillis, worker.id(), worker.session());
-            outbox.put(key(lost), lost);
+        if (plan) {
+            expireLeases(state, nowNanos, nowMillis);
         }
         List<TaskCommand> batch = new ArrayList<>();
         while (!outbox.isEmpty() && batch.size() < MAX_BATCH) {
@@ -84,6 +88,13 @@
         return batch;
     }
 
+    private void expireLeases(TaskState state, long nowNanos, long nowMillis) {
+        for (Worker worker : leases.expire(state.workers(), nowNanos)) {
+            TaskCommand lost = new TaskCommand.LoseWorker(nowMillis, worker.id(), worker.session());
+            outbox.put(key(lost), lost);
+        }
+    }
+
     /** Notes that the outcome of the batch is known, or never will be. */
     void proposed() {
         proposing = false;
--- a/control/src/main/java/org/nettlering/control/task/TaskResponses.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -1,6 +1,8 @@
 package org.nettlering.control.task;
 
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 import org.nettlering.domain.configuration.Profile;
 import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
@@ -45,22 +47,26 @@
                 .setExpectedMetUnixMillis(outlook.expectedMetMillis())
                 .setExplanation(outlook.explanation());
         long budget = Math.max(0, configuration.powerCapMilliwatts() - state.idleMilliwatts());
+        Map<String, Long> committed = committedByProfile(state, configuration);
         for (Profile profile : configuration.profiles().values()) {
             power.addProfiles(TaskProto.ProfilePower.newBuilder()
                     .setProfile(profile.name())
                     .setShareMilliwatts(budget * profile.powerSharePercent() / 100)
-                    .setCommittedMilliwatts(committed(state, configuration, profile)));
+                    .setCommittedMilliwatts(committed.getOrDefault(profile.name(), 0L)));
         }
         return TaskResponse.newBuilder().setPower(power).build();
     }
 
-    private static long committed(TaskState state, SiteConfiguration configuration, Profile profile) {
-        return state.tasks().stream()
-                .filter(task -> Profiles.of(configuration, task.job())
-                        .filter(profile::equals)
-                        .isPresent())
-                .mapToLong(Task::committedMilliwatts)
-                .sum();
+    private static Map<String, Long> committedByProfile(TaskState state, SiteConfiguration configuration) {
+        Map<String, Long> committed = new HashMap<>();
+        for (Worker worker : state.workers()) {
+            for (Task task : worker.tasks()) {
+                Profiles.of(configuration, task.job())
+                        .ifPresent(profile ->
+                                committed.merge(profile.name(), task.committedMilliwatts(), Long::sum));
+            }
+        }
+        return committed;
     }
 
     static ErrorCode errorCode(String text) {
--- a/domain/src/main/java/org/nettlering/domain/estimate/ClassEstimate.java
+++ b/domain/src/main/java/org/nettlering/domain/estimate/ClassEstimate.java
@@ -31,6 +31,12 @@
     /** Run times of completed tasks at any speed. */
     private final LogHistogram runTimeMillis = new LogHistogram();
 
+    /** The largest processor use. */
+    private long largestMillicores;
+
+    /** The largest memory use. */
+    private long largestMebibytes;
+
     /** The largest draw. */
     private long largestMilliwatts;
 
@@ -38,6 +44,8 @@
         millicores.add(usedMillicores);
         memoryMebibytes.add(usedMebibytes);
         milliwatts.add(usedMilliwatts);
+        largestMillicores = Math.max(largestMillicores, usedMillicores);
+        largestMebibytes = Math.max(largestMebibytes, usedMebibytes);
         largestMilliwatts = Math.max(largestMilliwatts, usedMilliwatts);
     }
 
@@ -50,13 +58,13 @@
             return declared;
         }
         return Resources.of(
-                withMargin(millicores.quantile(COVERED_SHARE)),
-                withMargin(memoryMebibytes.quantile(COVERED_SHARE)),
+                bounded(millicores.quantile(COVERED_SHARE), largestMillicores, declared.millicores()),
+                bounded(memoryMebibytes.quantile(COVERED_SHARE), largestMebibytes, declared.memoryMebibytes()),
                 declared.accelerators());
     }
 
     long milliwatts(long declared) {
-        long learned = withMargin(largestMilliwatts);
+        long learned = bounded(largestMilliwatts, largestMilliwatts, declared);
         return milliwatts.total() < SAMPLES_FOR_POWER ? Math.max(declared, learned) : learned;
     }
 
@@ -68,6 +76,12 @@
         return millicores.total() >= SAMPLES_FOR_SIZE;
     }
 
+    /** A declaration that was never exceeded is not raised by the margin. */
+    private static long bounded(long covered, long largest, long declared) {
+        long learned = withMargin(covered);
+        return largest <= declared ? Math.min(learned, declared) : learned;
+    }
+
     private static long withMargin(long amount) {
         return Math.max(1, Math.ceilDiv(amount * (100 + MARGIN_PERCENT), 100));
     }
--- a/domain/src/main/java/org/nettlering/domain/placement/Corrections.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Corrections.java
@@ -139,7 +139,7 @@
         if (grows || task.job().serviceTask()) {
             return used.max(task.commitment());
         }
-        return learned.max(used);
+        return learned.max(used).min(task.commitment());
     }
 
     private static TaskCommand resize(Task task, Resources wanted, long milliwatts, Usage usage, Round round) {
--- a/domain/src/main/java/org/nettlering/domain/placement/Site.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/Site.java
@@ -153,6 +153,11 @@
         return capacities.keySet();
     }
 
+    /** Tells whether some worker, lost or not, could hold an amount. */
+    boolean hasWorkerFor(Resources amount) {
+        return capacities.keySet().stream().anyMatch(amount::fitsIn);
+    }
+
     /** Returns what all live workers offer. */
     Resources capacity() {
         return capacity;
@@ -171,7 +176,7 @@
     void take(WorkerSlot slot, Resources amount) {
         slot.free = slot.free.minus(amount);
         touched.add(slot.worker);
-        index(slot).place(slot, isOffered(slot.worker, 0) && !slot.worker.isOnProbation());
+        offer(slot, slot.isOffered() && !slot.worker.isOnProbation());
     }
 
     /** Counts a start for the rest of the round. */
@@ -228,7 +233,7 @@
         if (worker.quarantinedUntilMillis() > nowMillis) {
             quarantined.add(worker);
         }
-        index(slot).place(slot, isOffered(worker, nowMillis));
+        offer(slot, isOffered(worker, nowMillis));
         countOffer(worker);
     }
 
@@ -251,8 +256,14 @@
                 && (!worker.isOnProbation() || worker.tasks().isEmpty());
     }
 
-    private WorkerIndex index(WorkerSlot slot) {
-        return slot.worker.capacity().accelerators() > 0 ? acceleratedWorkers : plainWorkers;
+    /** Offers a worker in the index for its kind, or takes it out; a worker may come back with other accelerators. */
+    private void offer(WorkerSlot slot, boolean offered) {
+        WorkerIndex index = slot.worker.capacity().accelerators() > 0 ? acceleratedWorkers : plainWorkers;
+        if (slot.index != null && slot.index != index) {
+            slot.index.place(slot, false);
+        }
+        slot.index = index;
+        index.place(slot, offered);
     }
 
     /** A start that was decided and is not applied yet. */
--- a/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/StartRule.java
@@ -78,9 +78,15 @@
         return Blocked.NOT_BLOCKED;
     }
 
-    /** Returns what to commit for a job; a service never gets less than it declared, because its load may rise. */
+    /**
+     * Returns what to commit for a job.
+     *
+     * <p>A service never gets less than it declared, because its load may rise. A learned size beyond every worker is not used,
+     * because the margin alone may be what is too much.
+     */
     Resources size(JobSpecification job) {
-        Resources learned = site.estimates.size(job);
+        Resources measured = site.estimates.size(job);
+        Resources learned = site.hasWorkerFor(measured) ? measured : job.declared();
         return job.serviceTask() ? learned.max(job.declared()) : learned;
     }
 
--- a/domain/src/main/java/org/nettlering/domain/placement/WorkerSlot.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/WorkerSlot.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.interference.InterferenceModel.Neighbor;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.task.Worker;
@@ -17,6 +18,10 @@
     /** The batch tasks that this round starts here. */
     final List<Neighbor> started = new ArrayList<>(0);
 
+    /** The index that it was last offered in. */
+    @Nullable
+    WorkerIndex index;
+
     /** The row of the index that it stands in, negative when it is not offered. */
     int row = -1;
 
--- a/domain/src/main/java/org/nettlering/domain/task/Resources.java
+++ b/domain/src/main/java/org/nettlering/domain/task/Resources.java
@@ -76,6 +76,19 @@
                 Math.max(accelerators, other.accelerators));
     }
 
+    /**
+     * Returns the smaller of two amounts, kind by kind.
+     *
+     * @param other the other amount, not null
+     * @return the smaller of each kind, never null
+     */
+    public Resources min(Resources other) {
+        return new Resources(
+                Math.min(millicores, other.millicores),
+                Math.min(memoryMebibytes, other.memoryMebibytes),
+                Math.min(accelerators, other.accelerators));
+    }
+
     /**
      * Tells whether any kind is negative.
      *
--- a/domain/src/test/java/org/nettlering/domain/estimate/ClassEstimatesTest.java
+++ b/domain/src/test/java/org/nettlering/domain/estimate/ClassEstimatesTest.java
@@ -31,6 +31,20 @@
         assertThat(estimates.size(job).millicores()).isGreaterThan(6_000);
     }
 
+    @Test
+    void aDeclarationThatIsMetExactlyStands() {
+        for (int sample = 0; sample < 300; sample++) {
+            estimates.addUsage(
+                    job.workClass(),
+                    job.declared().millicores(),
+                    job.declared().memoryMebibytes(),
+                    job.powerMilliwatts());
+        }
+
+        assertThat(estimates.size(job)).isEqualTo(job.declared());
+        assertThat(estimates.milliwatts(job)).isEqualTo(job.powerMilliwatts());
+    }
+
     @Test
     void aLargerDrawIsBelievedAtOnceAndASmallerOneOnlyAfterManySamples() {
         measure(1, 1_000, 90_000);
--- a/domain/src/test/java/org/nettlering/domain/placement/BadLuckTest.java
+++ b/domain/src/test/java/org/nettlering/domain/placement/BadLuckTest.java
@@ -7,10 +7,12 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.configuration.Team;
+import org.nettlering.domain.task.JobSpecification;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.task.Task;
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskPhase;
+import org.nettlering.domain.worker.WorkerReport.Usage;
 
 class BadLuckTest {
     private final SmallSite site = new SmallSite(ScoredPlanner.create(), Jobs.configuration(1, Jobs.CAP_MILLIWATTS));
@@ -102,6 +104,23 @@
         assertThat(site.phase("large")).isEqualTo(TaskPhase.RUNNING);
     }
 
+    @Test
+    void aJobThatFillsAWholeWorkerStaysRunnableWhenItsClassIsMeasuredAboveItsDeclaration() {
+        addWorkers(2);
+        site.submit(Jobs.job("whole-0", "letters", 8_000));
+        site.steps(2);
+        String workerId = site.task("whole-0").workerId();
+        for (int sample = 0; sample < 40; sample++) {
+            site.measure(workerId, List.of(new Usage("whole-0", 1, site.nowMillis(), 8_010, 7_000, 70_000, 0)));
+            site.step();
+        }
+
+        site.submit(Jobs.job("whole-1", "letters", 8_000));
+        site.steps(2);
+
+        assertThat(site.phase("whole-1")).isEqualTo(TaskPhase.RUNNING);
+    }
+
     @Test
     void aJobBeyondItsTeamsQuotaIsNamed() {
         site.configure(SiteConfiguration.of(
@@ -189,6 +208,21 @@
         assertThat(site.state().worker("worker-1").orElseThrow().isLive()).isTrue();
     }
 
+    @Test
+    void aWorkerThatComesBackWithAcceleratorsIsOfferedWithThem() {
+        addWorkers(1);
+        site.submit(Jobs.job("ordinary", "letters", 1_000));
+        site.steps(2);
+        site.offer("worker-1", Resources.of(8_000, 16_000, 2));
+        site.submit(new JobSpecification(
+                "accelerated", "team", "letters", "", "class", Resources.of(1_000, 1_000, 2), 10_000, 0, 0, false));
+
+        site.steps(3);
+
+        assertThat(site.phase("accelerated")).isEqualTo(TaskPhase.RUNNING);
+        assertThat(site.phase("ordinary")).isEqualTo(TaskPhase.RUNNING);
+    }
+
     @Test
     void everyDecisionOnAQuarantineIsExplained() {
         addWorkers(4);
--- a/domain/src/test/java/org/nettlering/domain/placement/SmallSite.java
+++ b/domain/src/test/java/org/nettlering/domain/placement/SmallSite.java
@@ -44,6 +44,11 @@
         report(worker);
     }
 
+    /** The worker offers something else from its next report on. */
+    public void offer(String workerId, Resources capacity) {
+        worker(workerId).capacity = capacity;
+    }
+
     public void failEverythingOn(String workerId) {
         worker(workerId).failsEverything = true;
     }
@@ -163,7 +168,7 @@
     private static final class FakeWorker {
         private final String id;
         private final String rack;
-        private final Resources capacity;
+        private Resources capacity;
         private final Map<String, WorkerReport.Running> running = new LinkedHashMap<>();
         private final List<WorkerReport.Ended> ended = new ArrayList<>();
         private final List<WorkerReport.Usage> usage = new ArrayList<>();
