Test the entry's promises as features over real sockets and a paused clock

Found on the way: a refused request whose body was not read kept its connection open; it is closed now after the answer.

--- a/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -400,13 +401,24 @@
         services.metrics()
                 .refused(serviceName(), answer.code().text(), answer.outcome().text());
         span.attribute("error", answer.code().text());
-        boolean bodyUnread = accepted == null || !accepted.body().isWhole();
         if (!response.closed() && !response.ended()) {
-            answer.write(response, bodyUnread && request.version() != io.vertx.core.http.HttpVersion.HTTP_2);
+            write(answer);
         }
         end(answer.outcome());
     }
 
+    /** Writes an error answer; a connection whose request was not read to its end cannot carry another one. */
+    private void write(ErrorAnswer answer) {
+        AcceptedRequest begun = accepted;
+        boolean unread = begun == null || !begun.body().isWhole();
+        boolean closes = unread && request.version() != HttpVersion.HTTP_2;
+        answer.write(response, closes).onComplete(written -> {
+            if (closes) {
+                request.connection().close();
+            }
+        });
+    }
+
     private void endAnswered(@Nullable KeptAnswer answer) {
         double seconds = (services.time().nanoTime() - startNanos) / 1e9;
         services.metrics().answered(serviceName(), seconds);
--- /dev/null
+++ b/entry/src/test/java/org/nettlering/entry/features/package-info.java
@@ -0,0 +1,5 @@
+/** The promises of the entry as Cucumber features, run against one or two entries with a paused clock. */
+@NullMarked
+package org.nettlering.entry.features;
+
+import org.jspecify.annotations.NullMarked;
--- a/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
+++ b/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
@@ -64,6 +64,9 @@
     /** Numbers the announcements. */
     private final AtomicLong sequence = new AtomicLong();
 
+    /** The announcement that was sent last. */
+    private String lastAnnouncement = "";
+
     private EntryFixture(String id, ManualTime time, FakeControl control, EntryLimits limits, Map<String, Peer> peers) {
         this.time = time;
         this.control = control;
@@ -130,7 +133,13 @@
                 + "\",\"incarnation\":1,\"sequence\":" + sequence.incrementAndGet() + "}");
     }
 
+    /** Returns the announcement that was sent last. */
+    public String lastAnnouncement() {
+        return lastAnnouncement;
+    }
+
     public HttpResponse<String> announce(String json) {
+        lastAnnouncement = json;
         HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + process.platformPort() + "/v1/announcements"))
                 .POST(HttpRequest.BodyPublishers.ofString(json))
@@ -187,7 +196,7 @@
 
     @Override
     public void close() {
-        client.close();
+        client.shutdownNow();
         await(vertx.close().toCompletionStage().toCompletableFuture());
     }
 }
--- a/entry/src/test/java/org/nettlering/entry/testing/ScriptedUpstream.java
+++ b/entry/src/test/java/org/nettlering/entry/testing/ScriptedUpstream.java
@@ -75,6 +75,11 @@
         script = newScript;
     }
 
+    /** Forgets the requests that were not taken. */
+    public void forget() {
+        received.clear();
+    }
+
     /** Waits for the next request. */
     public ReceivedRequest take() {
         try {
--- /dev/null
+++ b/entry/src/test/java/org/nettlering/entry/testing/SwitchablePeer.java
@@ -0,0 +1,54 @@
+package org.nettlering.entry.testing;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.transport.FrameHandler;
+import org.nettlering.wire.transport.Peer;
+
+/** A connection to another entry in memory that can go silent. */
+public final class SwitchablePeer implements Peer {
+    /** The clock. */
+    private final TimeSource time;
+
+    /** The other entry, null before it has started. */
+    private volatile @Nullable FrameHandler handler;
+
+    /** True while nothing is answered. */
+    private volatile boolean silent;
+
+    public SwitchablePeer(TimeSource time) {
+        this.time = time;
+    }
+
+    public void connect(FrameHandler other) {
+        handler = other;
+    }
+
+    public void setSilent(boolean isSilent) {
+        silent = isSilent;
+    }
+
+    @Override
+    public CompletionStage<Frame> call(Frame request, Duration timeout) {
+        FrameHandler other = handler;
+        if (silent || other == null) {
+            CompletableFuture<Frame> future = new CompletableFuture<>();
+            time.schedule(
+                    timeout,
+                    () -> future.completeExceptionally(new NettleringException(ErrorCode.OUTCOME_UNKNOWN, "silent")));
+            return future;
+        }
+        return other.handleRequest(request);
+    }
+
+    @Override
+    public void send(Frame message) {
+        throw new UnsupportedOperationException();
+    }
+}
