--- a/domain/src/test/java/org/nettlering/domain/worker/ReportReaderTest.java
+++ b/domain/src/test/java/org/nettlering/domain/worker/ReportReaderTest.java
@@ -29,9 +29,7 @@
 
     @Test
     void aTaskThatWasNotReportedIsStartedAgainAndAgain() {
-        assertThat(commands(report(1, List.of(), List.of())))
-                .singleElement()
-                .isInstanceOf(WorkerCommand.Start.class);
+        assertThat(commands(report(1, List.of(), List.of()))).singleElement().isInstanceOf(WorkerCommand.Start.class);
         assertThat(ReportReader.commandsToPropose(state, report(1, List.of(), List.of()), nowMillis))
                 .isEmpty();
     }
@@ -40,8 +38,7 @@
     void aTaskThatIsToStopBeforeItWasReportedGetsAStopNotAStart() {
         apply(new TaskCommand.Cancel(nowMillis, "cancel", "job"));
 
-        assertThat(commands(report(1, List.of(), List.of())))
-                .containsExactly(new WorkerCommand.Stop("job", 1));
+        assertThat(commands(report(1, List.of(), List.of()))).containsExactly(new WorkerCommand.Stop("job", 1));
     }
 
     @Test
@@ -79,8 +76,8 @@
 
     @Test
     void anEndIsProposedOnceAndAcknowledgedWhenItIsRecorded() {
-        WorkerReport report = report(
-                1, List.of(), List.of(new WorkerReport.Ended("job", 1, EndReason.COMPLETED, 0, "")));
+        WorkerReport report =
+                report(1, List.of(), List.of(new WorkerReport.Ended("job", 1, EndReason.COMPLETED, 0, "")));
         List<TaskCommand> proposals = ReportReader.commandsToPropose(state, report, nowMillis);
         assertThat(proposals).singleElement().isInstanceOf(TaskCommand.RecordEnd.class);
         assertThat(commands(report)).isEmpty();
@@ -114,7 +111,6 @@
 
     private static WorkerReport report(
             long incarnation, List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
-        return new WorkerReport(
-                "worker-1", incarnation, 1, CAPACITY, "rack", "domain", 0, running, ended, List.of());
+        return new WorkerReport("worker-1", incarnation, 1, CAPACITY, "rack", "domain", 0, running, ended, List.of());
     }
 }
