Follow the leader to members that the settings do not name

Cause: an entry knew the control members of its settings alone. After a member was replaced and the new one led, every entry would have been refused until its settings were edited and it was started again. The refusals of the task and configuration services did not even name the leader.

Ruled out: entries that fetch the membership on a timer: one more message an entry and second, and still late.

Conclusion: adding a member and handing the leadership to it needs no restart of the entries; with real processes it is not run yet.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -25,6 +25,7 @@
 import org.nettlering.control.metrics.ControlMetrics;
 import org.nettlering.control.metrics.MetricsServer;
 import org.nettlering.control.service.FrameDispatcher;
+import org.nettlering.control.service.LeaderHintHandler;
 import org.nettlering.control.settings.ControlSettings;
 import org.nettlering.control.state.SiteStateMachine;
 import org.nettlering.control.task.TaskListener;
@@ -136,7 +137,9 @@
                 LedgerService.of(log, ledgerPart, time),
                 MembershipService.of(node));
         node.start();
-        server = network.listen(settings.peersAddress(), TracingFrameHandler.of(dispatcher, telemetry));
+        server = network.listen(
+                settings.peersAddress(),
+                TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
         Metrics metrics = Metrics.create();
         ControlMetrics.register(metrics.registry(), node, configurationPart.state());
         metricsServer = MetricsServer.start(
@@ -175,6 +178,10 @@
                 .join();
     }
 
+    private Optional<Member> leader() {
+        return node.leader().flatMap(this::findMember);
+    }
+
     /** Looks in the current membership, then in the settings, which a member without a log has alone. */
     private Optional<Member> findMember(MemberId id) {
         return node.status()
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/service/LeaderHintHandler.java
@@ -0,0 +1,65 @@
+package org.nettlering.control.service;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.nettlering.consensus.Member;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.transport.FrameFailureException;
+import org.nettlering.wire.transport.FrameHandler;
+
+/**
+ * Adds who leads, and where, to every refusal for want of leadership.
+ *
+ * <p>With the address a caller also reaches a leader that was added after its settings were written. Immutable and
+ * thread-safe.
+ */
+public final class LeaderHintHandler implements FrameHandler {
+    /** Handles the frames. */
+    private final FrameHandler inner;
+
+    /** Returns the member that is believed to lead. */
+    private final Supplier<Optional<Member>> leader;
+
+    /**
+     * Wraps a handler.
+     *
+     * @param inner handles the frames, not null
+     * @param leader returns the member that is believed to lead, not null
+     * @return a new handler, never null
+     */
+    public static LeaderHintHandler of(FrameHandler inner, Supplier<Optional<Member>> leader) {
+        return new LeaderHintHandler(inner, leader);
+    }
+
+    private LeaderHintHandler(FrameHandler inner, Supplier<Optional<Member>> leader) {
+        this.inner = inner;
+        this.leader = leader;
+    }
+
+    @Override
+    public CompletionStage<Frame> handleRequest(Frame request) {
+        return inner.handleRequest(request).exceptionallyCompose(error -> {
+            Throwable cause =
+                    error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+            return java.util.concurrent.CompletableFuture.failedStage(withHint(cause));
+        });
+    }
+
+    @Override
+    public void handleMessage(Frame message) {
+        inner.handleMessage(message);
+    }
+
+    private Throwable withHint(Throwable cause) {
+        if (!(cause instanceof NettleringException exception) || exception.code() != ErrorCode.NOT_LEADER) {
+            return cause;
+        }
+        return leader.get()
+                .map(member -> FrameFailureException.notLeader(member.id().value(), member.address()))
+                .orElseGet(() -> FrameFailureException.notLeader(null));
+    }
+}
--- a/entry/src/main/java/org/nettlering/entry/EntryMain.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryMain.java
@@ -43,7 +43,7 @@
         Metrics metrics = Metrics.create();
         Telemetry telemetry = Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time);
         PeerNetwork network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
-        LeaderControlGateway gateway = LeaderControlGateway.of(peers(network, settings.control()), time);
+        LeaderControlGateway gateway = LeaderControlGateway.connecting(settings.control(), network::peer, time);
         Vertx vertx = Vertx.vertx();
         EntryConfiguration configuration = new EntryConfiguration(
                 settings.identity().processId(),
--- a/wire/src/main/java/org/nettlering/wire/proto/FrameProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/FrameProto.java
@@ -6636,6 +6636,26 @@
      * @return The retryAfterMillis.
      */
     int getRetryAfterMillis();
+
+    /**
+     * <pre>
+     * Where that member listens for peers, as IP:PORT; empty if unknown.
+     * </pre>
+     *
+     * <code>string leader_address = 6;</code>
+     * @return The leaderAddress.
+     */
+    java.lang.String getLeaderAddress();
+    /**
+     * <pre>
+     * Where that member listens for peers, as IP:PORT; empty if unknown.
+     * </pre>
+     *
+     * <code>string leader_address = 6;</code>
+     * @return The bytes for leaderAddress.
+     */
+    com.google.protobuf.ByteString
+        getLeaderAddressBytes();
   }
   /**
    * <pre>
@@ -6666,6 +6686,7 @@
       code_ = "";
       message_ = "";
       leaderId_ = "";
+      leaderAddress_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -6845,6 +6866,53 @@
       return retryAfterMillis_;
     }
 
+    public static final int LEADER_ADDRESS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object leaderAddress_ = "";
+    /**
+     * <pre>
+     * Where that member listens for peers, as IP:PORT; empty if unknown.
+     * </pre>
+     *
+     * <code>string leader_address = 6;</code>
+     * @return The leaderAddress.
+     */
+    @java.lang.Override
+    public java.lang.String getLeaderAddress() {
+      java.lang.Object ref = leaderAddress_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        leaderAddress_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Where that member listens for peers, as IP:PORT; empty if unknown.
+     * </pre>
+     *
+     * <code>string leader_address = 6;</code>
+     * @return The bytes for leaderAddress.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getLeaderAddressBytes() {
+      java.lang.Object ref = leaderAddress_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        leaderAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6874,6 +6942,9 @@
       if (retryAfterMillis_ != 0) {
         output.writeUInt32(5, retryAfterMillis_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaderAddress_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, leaderAddress_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -6895,6 +6966,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, retryAfterMillis_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaderAddress_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, leaderAddress_);
+      }
       return size;
     }
     @java.lang.Override
@@ -6929,6 +7003,8 @@
           != other.getNotRun()) return false;
       if (getRetryAfterMillis()
           != other.getRetryAfterMillis()) return false;
+      if (!getLeaderAddress()
+          .equals(other.getLeaderAddress())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6951,6 +7027,8 @@
           getNotRun());
       hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + getRetryAfterMillis();
+      hash = (37 * hash) + LEADER_ADDRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getLeaderAddress().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7091,6 +7169,7 @@
         leaderId_ = "";
         notRun_ = false;
         retryAfterMillis_ = 0;
+        leaderAddress_ = "";
         return this;
       }
 
@@ -7139,6 +7218,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.retryAfterMillis_ = retryAfterMillis_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.leaderAddress_ = leaderAddress_;
+        }
       }
 
       @java.lang.Override
@@ -7174,6 +7256,11 @@
         if (other.getRetryAfterMillis() != 0) {
           setRetryAfterMillis(other.getRetryAfterMillis());
         }
+        if (!other.getLeaderAddress().isEmpty()) {
+          leaderAddress_ = other.leaderAddress_;
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7223,6 +7310,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 50: {
+                leaderAddress_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7572,6 +7664,98 @@
         return this;
       }
 
+      private java.lang.Object leaderAddress_ = "";
+      /**
+       * <pre>
+       * Where that member listens for peers, as IP:PORT; empty if unknown.
+       * </pre>
+       *
+       * <code>string leader_address = 6;</code>
+       * @return The leaderAddress.
+       */
+      public java.lang.String getLeaderAddress() {
+        java.lang.Object ref = leaderAddress_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          leaderAddress_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Where that member listens for peers, as IP:PORT; empty if unknown.
+       * </pre>
+       *
+       * <code>string leader_address = 6;</code>
+       * @return The bytes for leaderAddress.
+       */
+      public com.google.protobuf.ByteString
+          getLeaderAddressBytes() {
+        java.lang.Object ref = leaderAddress_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          leaderAddress_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Where that member listens for peers, as IP:PORT; empty if unknown.
+       * </pre>
+       *
+       * <code>string leader_address = 6;</code>
+       * @param value The leaderAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaderAddress(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        leaderAddress_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Where that member listens for peers, as IP:PORT; empty if unknown.
+       * </pre>
+       *
+       * <code>string leader_address = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaderAddress() {
+        leaderAddress_ = getDefaultInstance().getLeaderAddress();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Where that member listens for peers, as IP:PORT; empty if unknown.
+       * </pre>
+       *
+       * <code>string leader_address = 6;</code>
+       * @param value The bytes for leaderAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaderAddressBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        leaderAddress_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.Failure)
     }
 
@@ -7691,10 +7875,11 @@
       " \001(\r\022\022\n\nprocess_id\030\003 \001(\t\022\026\n\016failure_doma" +
       "in\030\004 \001(\t\"8\n\nHelloReply\022\022\n\nprocess_id\030\001 \001" +
       "(\t\022\026\n\016failure_domain\030\002 \001(\t\"\006\n\004Ping\"\006\n\004Po" +
-      "ng\"h\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002" +
-      " \001(\t\022\021\n\tleader_id\030\003 \001(\t\022\017\n\007not_run\030\004 \001(\010" +
-      "\022\032\n\022retry_after_millis\030\005 \001(\rB\'\n\031org.nett" +
-      "lering.wire.protoB\nFrameProtob\006proto3"
+      "ng\"\200\001\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030" +
+      "\002 \001(\t\022\021\n\tleader_id\030\003 \001(\t\022\017\n\007not_run\030\004 \001(" +
+      "\010\022\032\n\022retry_after_millis\030\005 \001(\r\022\026\n\016leader_" +
+      "address\030\006 \001(\tB\'\n\031org.nettlering.wire.pro" +
+      "toB\nFrameProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -7740,7 +7925,7 @@
     internal_static_nettlering_Failure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_Failure_descriptor,
-        new java.lang.String[] { "Code", "Message", "LeaderId", "NotRun", "RetryAfterMillis", });
+        new java.lang.String[] { "Code", "Message", "LeaderId", "NotRun", "RetryAfterMillis", "LeaderAddress", });
     descriptor.resolveAllFeaturesImmutable();
     org.nettlering.wire.proto.ConfigurationProto.getDescriptor();
     org.nettlering.wire.proto.ConsensusProto.getDescriptor();
--- a/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
@@ -18,6 +18,9 @@
     /** The member that is believed to lead, empty if unknown. */
     private final String leaderId;
 
+    /** Where that member listens, empty if unknown. */
+    private final String leaderAddress;
+
     /** True only when the request certainly had no effect. */
     private final boolean notRun;
 
@@ -31,9 +34,20 @@
      * @return a new exception, never null
      */
     public static FrameFailureException notLeader(@Nullable String leaderId) {
+        return notLeader(leaderId, "");
+    }
+
+    /**
+     * Creates the exception that redirects to the leader at an address.
+     *
+     * @param leaderId the member that is believed to lead, or null if none is known
+     * @param leaderAddress where it listens for peers, as IP:PORT, empty if unknown, not null
+     * @return a new exception, never null
+     */
+    public static FrameFailureException notLeader(@Nullable String leaderId, String leaderAddress) {
         String leader = leaderId == null ? "" : leaderId;
         String message = leader.isEmpty() ? "no leader is known" : "member \"" + leader + "\" leads";
-        return new FrameFailureException(ErrorCode.NOT_LEADER, message, leader, true, 0);
+        return new FrameFailureException(ErrorCode.NOT_LEADER, message, leader, leaderAddress, true, 0);
     }
 
     /**
@@ -46,7 +60,7 @@
      * @return a new exception, never null
      */
     public static FrameFailureException of(ErrorCode code, String message, boolean notRun, int retryAfterMillis) {
-        return new FrameFailureException(code, message, "", notRun, retryAfterMillis);
+        return new FrameFailureException(code, message, "", "", notRun, retryAfterMillis);
     }
 
     /**
@@ -60,14 +74,21 @@
                 ErrorCode.fromText(failure.getCode()),
                 failure.getMessage(),
                 failure.getLeaderId(),
+                failure.getLeaderAddress(),
                 failure.getNotRun(),
                 failure.getRetryAfterMillis());
     }
 
     private FrameFailureException(
-            ErrorCode code, String message, String leaderId, boolean notRun, int retryAfterMillis) {
+            ErrorCode code,
+            String message,
+            String leaderId,
+            String leaderAddress,
+            boolean notRun,
+            int retryAfterMillis) {
         super(code, message);
         this.leaderId = leaderId;
+        this.leaderAddress = leaderAddress;
         this.notRun = notRun;
         this.retryAfterMillis = retryAfterMillis;
     }
@@ -81,6 +102,15 @@
         return leaderId.isEmpty() ? Optional.empty() : Optional.of(leaderId);
     }
 
+    /**
+     * Returns where the member that is believed to lead listens for peers.
+     *
+     * @return IP:PORT, empty if unknown, never null
+     */
+    public String leaderAddress() {
+        return leaderAddress;
+    }
+
     /**
      * Tells whether the request certainly had no effect.
      *
@@ -109,6 +139,7 @@
                 .setCode(code().text())
                 .setMessage(String.valueOf(getMessage()))
                 .setLeaderId(leaderId)
+                .setLeaderAddress(leaderAddress)
                 .setNotRun(notRun)
                 .setRetryAfterMillis(retryAfterMillis)
                 .build();
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -1,13 +1,14 @@
 package org.nettlering.wire.transport;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -26,11 +27,8 @@
 
     private static final Duration REPEATABLE_ATTEMPT_LIMIT = Duration.ofSeconds(3);
 
-    /** The members by id, in the order of the settings. */
-    private final Map<String, Peer> members;
-
-    /** The ids in order. */
-    private final List<String> order;
+    /** The members that are known. */
+    private final ControlMembers members;
 
     /** Sets the timers. */
     private final TimeSource time;
@@ -39,7 +37,7 @@
     private volatile String leader;
 
     /**
-     * Creates a gateway.
+     * Creates a gateway to fixed members.
      *
      * @param members the members by id, at least one, not null
      * @param time sets the timers, not null
@@ -47,17 +45,29 @@
      * @throws NettleringException with {@code INVALID_ARGUMENT} if there are no members
      */
     public static LeaderControlGateway of(Map<String, ? extends Peer> members, TimeSource time) {
-        if (members.isEmpty()) {
-            throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "there are no control members");
-        }
-        return new LeaderControlGateway(members, time);
+        return new LeaderControlGateway(ControlMembers.fixed(members), time);
     }
 
-    private LeaderControlGateway(Map<String, ? extends Peer> members, TimeSource time) {
-        this.members = new LinkedHashMap<>(members);
+    /**
+     * Creates a gateway that also follows the leader to members and addresses that the settings do not name.
+     *
+     * @param addresses where the members of the settings listen, by id, at least one, not null
+     * @param opener returns the peer with an id at an address, not null
+     * @param time sets the timers, not null
+     * @return a new gateway, never null
+     * @throws NettleringException with {@code INVALID_ARGUMENT} if there are no members
+     */
+    public static LeaderControlGateway connecting(
+            Map<String, InetSocketAddress> addresses,
+            BiFunction<String, InetSocketAddress, ? extends Peer> opener,
+            TimeSource time) {
+        return new LeaderControlGateway(ControlMembers.learning(addresses, opener), time);
+    }
+
+    private LeaderControlGateway(ControlMembers members, TimeSource time) {
+        this.members = members;
         this.time = time;
-        order = List.copyOf(members.keySet());
-        leader = order.get(0);
+        leader = members.first();
     }
 
     @Override
@@ -70,7 +80,7 @@
     @Override
     public List<CompletionStage<Frame>> callEveryMember(Frame request, Duration timeout) {
         List<CompletionStage<Frame>> responses = new ArrayList<>();
-        members.values().forEach(peer -> responses.add(peer.call(request, timeout)));
+        members.peers().forEach(peer -> responses.add(peer.call(request, timeout)));
         return List.copyOf(responses);
     }
 
@@ -115,11 +125,7 @@
                 giveUp(null);
                 return;
             }
-            Peer peer = members.get(member);
-            if (peer == null) {
-                attempt(order.get(0));
-                return;
-            }
+            Peer peer = members.peer(member);
             attemptsInRound++;
             Duration limit = repeatable && remaining.compareTo(REPEATABLE_ATTEMPT_LIMIT) > 0
                     ? REPEATABLE_ATTEMPT_LIMIT
@@ -148,7 +154,7 @@
                 return;
             }
             String next = next(member, error);
-            if (attemptsInRound < order.size() + 1) {
+            if (attemptsInRound < members.size() + 1) {
                 attempt(next);
                 return;
             }
@@ -161,12 +167,12 @@
         }
 
         private String next(String member, Throwable error) {
-            String named = error instanceof FrameFailureException failure
-                    ? failure.leaderId().orElse("")
-                    : "";
-            String next = members.containsKey(named) && !named.equals(member)
-                    ? named
-                    : order.get((order.indexOf(member) + 1) % order.size());
+            String named = "";
+            if (error instanceof FrameFailureException failure) {
+                named = failure.leaderId().orElse("");
+                members.learn(named, failure.leaderAddress());
+            }
+            String next = members.isKnown(named) && !named.equals(member) ? named : members.after(member);
             leader = next;
             return next;
         }
--- a/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.ManualTime;
+import org.nettlering.runtime.settings.Addresses;
 import org.nettlering.wire.proto.FrameProto.Frame;
 
 class LeaderControlGatewayTest {
@@ -94,6 +96,45 @@
         assertThat(asked).hasSizeLessThanOrEqualTo(3 * 41);
     }
 
+    @Test
+    void aLeaderThatTheSettingsDoNotNameIsReachedAtTheAddressOfTheRedirection() {
+        behave("c1", () -> failing(FrameFailureException.notLeader("c4", "127.0.0.1:7104")));
+        behave("c4", () -> CompletableFuture.completedFuture(REQUEST));
+        List<InetSocketAddress> opened = new ArrayList<>();
+        LeaderControlGateway gateway = LeaderControlGateway.connecting(
+                Map.of("c1", Addresses.parse("127.0.0.1:7101")),
+                (id, address) -> {
+                    opened.add(address);
+                    return new FakePeer(id);
+                },
+                time);
+
+        assertThat(call(gateway, false)).isCompletedWithValue(REQUEST);
+        assertThat(call(gateway, false)).isCompletedWithValue(REQUEST);
+        assertThat(asked).containsExactly("c1", "c4", "c4");
+        assertThat(opened).extracting(InetSocketAddress::getPort).containsExactly(7101, 7104);
+    }
+
+    @Test
+    void aMemberThatMovedIsReachedAtItsNewAddress() {
+        behave("c1", () -> failing(FrameFailureException.notLeader("c2", "127.0.0.1:7202")));
+        behave("c2", () -> CompletableFuture.completedFuture(REQUEST));
+        List<Integer> ports = new ArrayList<>();
+        Map<String, InetSocketAddress> settings = new LinkedHashMap<>();
+        settings.put("c1", Addresses.parse("127.0.0.1:7101"));
+        settings.put("c2", Addresses.parse("127.0.0.1:7102"));
+        LeaderControlGateway gateway = LeaderControlGateway.connecting(
+                settings,
+                (id, address) -> {
+                    ports.add(address.getPort());
+                    return new FakePeer(id);
+                },
+                time);
+
+        assertThat(call(gateway, false)).isCompletedWithValue(REQUEST);
+        assertThat(ports).containsExactly(7101, 7102, 7202);
+    }
+
     private LeaderControlGateway gateway() {
         Map<String, Peer> members = new LinkedHashMap<>();
         behaviours.keySet().forEach(id -> members.put(id, new FakePeer(id)));
