--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -4,6 +4,7 @@
 import org.nettlering.benchmarks.capacity.CapacityBenchmark;
 import org.nettlering.benchmarks.consensus.ConsensusBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
+import org.nettlering.benchmarks.placement.PlacementBenchmark;
 import org.nettlering.benchmarks.routing.RoutingBenchmark;
 
 /**
@@ -32,6 +33,7 @@
         String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return switch (arguments[0]) {
             case "routing" -> RoutingBenchmark.run(rest);
+            case "placement" -> PlacementBenchmark.run(rest);
             case "path" -> new PathBenchmark().run(rest);
             case "consensus" -> ConsensusBenchmark.run(rest);
             case "capacity" -> new CapacityBenchmark().run(rest);
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/CapacityBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/CapacityBenchmark.java
@@ -63,8 +63,6 @@
             String leader = leaderOf(site);
             RoleMeter meter = RoleMeter.of(site, leader);
             table.printHeader();
-            meter.measureIdle(WINDOW);
-            table.printCosts("idle second", meter.idleSecond());
             measureRequests(site, meter);
             measureAnnouncements(site, meter);
             measureChanges(site, meter);
@@ -94,8 +92,10 @@
     }
 
     private void measureRequests(LocalSite site, RoleMeter meter) {
-        load(site, "warm", 0);
+        load(site, "warm", 1);
+        Waiting.pause(WINDOW);
         meter.measureIdle(WINDOW);
+        table.printCosts("idle second", meter.idleSecond());
         meter.start();
         load(site, "plain", 0);
         table.printCosts("request without a key", meter.costOf(REQUESTS));
@@ -161,7 +161,7 @@
         meter.measureIdle(WINDOW);
         Map<String, Long> before = HeapMeter.liveBytesOf(meter.roles());
         meter.start();
-        changes.startJobs(JOBS);
+        changes.startJobs(JOBS, workers::started);
         table.printCosts("task submitted and started", meter.costOf(JOBS));
         Waiting.pause(SETTLING);
         long responses = workers.responses();
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SimulatedWorkers.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SimulatedWorkers.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.nettlering.standins.http.Addresses;
 import org.nettlering.standins.http.JsonClient;
+import org.nettlering.standins.journal.JournalLine;
 import org.nettlering.standins.site.EntryHost;
 import org.nettlering.standins.site.LocalSite;
 import org.nettlering.standins.worker.WorkerProfile;
@@ -33,6 +35,9 @@
     /** Sends all reports. */
     private final JsonClient client;
 
+    /** The tasks that the workers started. */
+    private final AtomicLong started = new AtomicLong();
+
     /** The workers that were started. */
     private final List<WorkerStandin> workers = new ArrayList<>();
 
@@ -60,13 +65,24 @@
                     "rack-" + number / WORKERS_PER_RACK,
                     "domain-" + number % FAILURE_DOMAINS,
                     0);
-            WorkerTasks tasks = WorkerTasks.create(site.time(), profile, line -> {});
+            WorkerTasks tasks = WorkerTasks.create(site.time(), profile, this::count);
             WorkerStandin worker = WorkerStandin.sharing(site.time(), client, entries, profile.id(), tasks);
             workers.add(worker);
             worker.start();
         }
     }
 
+    /** Returns the tasks that the workers started. */
+    long started() {
+        return started.get();
+    }
+
+    private void count(JournalLine line) {
+        if (line instanceof JournalLine.TaskStarted) {
+            started.incrementAndGet();
+        }
+    }
+
     /** Returns the responses that all workers got. */
     long responses() {
         return workers.stream().mapToLong(WorkerStandin::responses).sum();
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SiteChanges.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/capacity/SiteChanges.java
@@ -5,10 +5,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.nettlering.standins.http.Addresses;
 import org.nettlering.standins.http.JsonClient;
 import org.nettlering.standins.site.LocalSite;
-import org.nettlering.standins.site.SiteClient;
 import org.nettlering.standins.site.Waiting;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationChange;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationCommand;
@@ -43,9 +43,6 @@
     /** The operators' port of the entry. */
     private final SocketAddress entry;
 
-    /** Asks for the state. */
-    private final SiteClient state;
-
     /** The number of jobs that were submitted. */
     private int jobs;
 
@@ -56,11 +53,10 @@
     private SiteChanges(LocalSite site) {
         this.client = JsonClient.create(site.vertx(), TIMEOUT);
         this.entry = Addresses.parse(site.entries().getFirst().operators());
-        this.state = site.client();
     }
 
-    /** Submits long jobs and waits until all of them run. */
-    void startJobs(int count) {
+    /** Submits long jobs and waits until the workers have started them. */
+    void startJobs(int count, LongSupplier started) {
         int total = jobs + count;
         while (jobs < total) {
             List<Future<String>> batch = new ArrayList<>();
@@ -70,7 +66,7 @@
             }
             Waiting.forAnswer("submission of jobs", TIMEOUT, Future.all(batch));
         }
-        Waiting.until("the start of all jobs", RUNNING_LIMIT, () -> running() >= total);
+        Waiting.until("the start of all jobs", RUNNING_LIMIT, () -> started.getAsLong() >= total);
     }
 
     /** Makes changes one after the other. */
@@ -92,12 +88,6 @@
         }
     }
 
-    private long running() {
-        return state.jobs().stream()
-                .filter(job -> "running".equals(job.getState()))
-                .count();
-    }
-
     private long revision() {
         String json = Waiting.forAnswer("configuration", TIMEOUT, client.get(entry, "/v1/configuration"));
         return JsonClient.read(json, SiteConfiguration.newBuilder()).getRevision();
--- a/standins/src/main/java/org/nettlering/standins/journal/JournalCheck.java
+++ b/standins/src/main/java/org/nettlering/standins/journal/JournalCheck.java
@@ -142,6 +142,17 @@
         return completed;
     }
 
+    /**
+     * Returns how many tasks ended because their worker's lease ran out.
+     *
+     * @return zero or more
+     */
+    public int expiredTasks() {
+        return (int) linesOf(TaskEnded.class).stream()
+                .filter(line -> "LEASE_EXPIRED".equals(line.reason()))
+                .count();
+    }
+
     /**
      * Returns the most power that all workers together drew at one moment.
      *
--- a/standins/src/main/java/org/nettlering/standins/site/ControlHost.java
+++ b/standins/src/main/java/org/nettlering/standins/site/ControlHost.java
@@ -11,4 +11,9 @@
  * @param metrics the address for metrics
  * @param dataFolder its data folder
  */
-public record ControlHost(String id, String failureDomain, String peers, String metrics, Path dataFolder) {}
+public record ControlHost(String id, String failureDomain, String peers, String metrics, Path dataFolder) {
+    /** Returns a copy that is reached at another address. */
+    ControlHost withPeers(String newPeers) {
+        return new ControlHost(id, failureDomain, newPeers, metrics, dataFolder);
+    }
+}
--- a/standins/src/main/java/org/nettlering/standins/site/LocalSite.java
+++ b/standins/src/main/java/org/nettlering/standins/site/LocalSite.java
@@ -53,6 +53,9 @@
     /** Where the upstream stand-ins take requests, by instance. */
     private final Map<String, String> upstreamAddresses = new LinkedHashMap<>();
 
+    /** Where entries reach control members, if not at their own addresses. */
+    private final Map<String, String> controlAddresses = new LinkedHashMap<>();
+
     /** The journals of the stand-ins. */
     private final List<Path> journals = new ArrayList<>();
 
@@ -216,6 +219,15 @@
                 .toList();
     }
 
+    /**
+     * Lets entries reach control members at other addresses than their own, such as those of relays.
+     *
+     * @param addresses {@code IP:PORT} by member id, not null
+     */
+    public void useControlAddresses(Map<String, String> addresses) {
+        controlAddresses.putAll(addresses);
+    }
+
     /**
      * Starts a control process on its data folder.
      *
@@ -232,7 +244,7 @@
      * @param host one of {@link #entries()}, not null
      */
     public void startEntry(EntryHost host) {
-        Path settings = SettingsFiles.writeEntry(folder, host, controls, entries);
+        Path settings = SettingsFiles.writeEntry(folder, host, reachableControls(), entries);
         start(host.id(), Program.ENTRY, List.of("--settings", settings.toString()));
     }
 
@@ -277,10 +289,22 @@
      * @param failureDomain its failure domain, not null
      */
     public void startWorker(String id, String rack, String failureDomain) {
+        startWorker(id, rack, failureDomain, platformPorts());
+    }
+
+    /**
+     * Starts a worker stand-in that reaches the entries at other addresses than their own, such as a relay's.
+     *
+     * @param id its name, not null
+     * @param rack its rack, not null
+     * @param failureDomain its failure domain, not null
+     * @param platformPorts the addresses, separated by commas, not null
+     */
+    public void startWorker(String id, String rack, String failureDomain, String platformPorts) {
         List<String> arguments = List.of(
                 "worker",
                 "--entries",
-                platformPorts(),
+                platformPorts,
                 "--id",
                 id,
                 "--rack",
@@ -334,6 +358,12 @@
         vertx.close().await();
     }
 
+    private List<ControlHost> reachableControls() {
+        return controls.stream()
+                .map(host -> host.withPeers(controlAddresses.getOrDefault(host.id(), host.peers())))
+                .toList();
+    }
+
     private static <T> T known(Map<String, T> things, String name) {
         T thing = things.get(name);
         if (thing == null) {
--- a/standins/src/main/java/org/nettlering/standins/site/SiteClient.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SiteClient.java
@@ -8,6 +8,7 @@
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.standins.http.Addresses;
 import org.nettlering.standins.http.JsonClient;
+import org.nettlering.wire.proto.ConfigurationProto.SiteConfiguration;
 import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
 import org.nettlering.wire.proto.TaskProto.JobList;
 import org.nettlering.wire.proto.TaskProto.JobStatus;
@@ -83,6 +84,18 @@
                 .map(json -> JsonClient.read(json, PowerStatus.newBuilder()).build());
     }
 
+    /**
+     * Returns the revision of the configuration.
+     *
+     * @return the revision, or zero if no entry answers
+     */
+    public long revision() {
+        return ask("/v1/configuration")
+                .map(json ->
+                        JsonClient.read(json, SiteConfiguration.newBuilder()).getRevision())
+                .orElse(0L);
+    }
+
     private Optional<String> ask(String path) {
         for (SocketAddress entry : entries) {
             Optional<String> answer = fetch(entry, path);
