--- a/standins/src/main/java/org/nettlering/standins/site/Program.java
+++ b/standins/src/main/java/org/nettlering/standins/site/Program.java
@@ -17,6 +17,8 @@
 
     private static final List<String> COMMON_OPTIONS = List.of(
             "-XX:+UseSerialGC",
+            "-XX:MaxDirectMemorySize=40m",
+            "-XX:ReservedCodeCacheSize=40m",
             "-XX:+ExitOnOutOfMemoryError",
             "--enable-native-access=ALL-UNNAMED",
             "--sun-misc-unsafe-memory-access=allow");
