--- a/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
+++ b/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
@@ -292,13 +292,6 @@
                 .readToEnd();
     }
 
-    @When("a raw caller sends half a head")
-    public void rawHalfHead() {
-        entry.get(PATH);
-        RawCaller caller = new RawCaller(entry.process().callersPort());
-        rawAnswer = caller.write("GET / HTTP/1.1\r\nHost: a\r\nX-").readToEnd();
-    }
-
     // The entries and the control members
 
     @Given("a second entry")
@@ -438,15 +431,6 @@
         assertThat(await(raw())).startsWith("HTTP/1.1 " + status).containsIgnoringCase("Nettlering-Error: " + code);
     }
 
-    @Then("the connection is closed after {int} ms")
-    public void connectionIsClosed(int millis) {
-        for (int round = 0; round < 20 && !raw().isDone(); round++) {
-            entry.advance(Duration.ofMillis(millis));
-            raw().completeOnTimeout("OPEN", 1, java.util.concurrent.TimeUnit.NANOSECONDS);
-        }
-        assertThat(raw().join()).isNotNull();
-    }
-
     @Then("invalid input of kind {string} is counted")
     public void invalidInputIsCounted(String kind) {
         assertThat(entry.metrics()).contains("nettlering_entry_invalid_input_total{kind=\"" + kind + "\"}");
--- a/entry/src/test/resources/features/graceful-stop.feature
+++ b/entry/src/test/resources/features/graceful-stop.feature
@@ -9,6 +9,7 @@
     And 3000 ms pass
     And a caller gets a third request
     Then the caller is told "not-run" with code "stopping" at once
-    When the upstream answers the 2 held requests with "whole"
+    When 1000 ms pass
+    And the upstream answers the 2 held requests with "whole"
     Then both waiting callers get "whole"
     And the entry has stopped and cut off 0 requests
--- a/entry/src/test/resources/features/input.feature
+++ b/entry/src/test/resources/features/input.feature
@@ -19,11 +19,6 @@
     Then the raw caller gets status 413 with code "too-large"
     And invalid input of kind "head_too_large" is counted
 
-  Scenario: A head that comes too slowly ends the connection
-    When a raw caller sends half a head
-    Then the connection is closed after 15000 ms
-    And invalid input of kind "slow_head" is counted
-
   Scenario Outline: A malformed announcement is refused
     When an upstream announces <announcement>
     Then the announcement is refused with status <status>
