Count what goes wrong between processes

Cause: silent connections, failed attempts, dropped messages and late responses stood in the log at most.

Ruled out: a counter a connection; labels by peer stay at the number of processes.

Change: TransportCounters, served at /metrics by entries and control processes.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -42,6 +42,7 @@
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
+import org.nettlering.wire.transport.TransportCounters;
 import org.nettlering.wire.transport.TransportLimits;
 
 /**
@@ -109,7 +110,12 @@
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
         telemetry = telemetryFactory.apply(time);
-        network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
+        Metrics metrics = Metrics.create();
+        network = PeerNetwork.create(
+                settings.identity(),
+                TransportLimits.defaults(),
+                time,
+                TransportCounters.registerIn(metrics.registry()));
         ConfigurationPart configurationPart = ConfigurationPart.create();
         TaskPart taskPart =
                 TaskPart.create(() -> configurationPart.state().current().powerCapMilliwatts());
@@ -141,7 +147,6 @@
         server = network.listen(
                 settings.peersAddress(),
                 TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
-        Metrics metrics = Metrics.create();
         ControlMetrics.register(metrics.registry(), node, configurationPart.state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
--- a/entry/src/main/java/org/nettlering/entry/EntryMain.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryMain.java
@@ -21,6 +21,7 @@
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
+import org.nettlering.wire.transport.TransportCounters;
 import org.nettlering.wire.transport.TransportLimits;
 
 /** The program {@code nettlering-entry}: callers' requests, announcements and the way to the control members. */
@@ -42,7 +43,11 @@
         SystemTime time = SystemTime.create("entry-time");
         Metrics metrics = Metrics.create();
         Telemetry telemetry = Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time);
-        PeerNetwork network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
+        PeerNetwork network = PeerNetwork.create(
+                settings.identity(),
+                TransportLimits.defaults(),
+                time,
+                TransportCounters.registerIn(metrics.registry()));
         LeaderControlGateway gateway = LeaderControlGateway.connecting(settings.control(), network::peer, time);
         Vertx vertx = Vertx.vertx();
         EntryConfiguration configuration = new EntryConfiguration(
--- a/wire/src/main/java/org/nettlering/wire/transport/LoggingLinkListener.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LoggingLinkListener.java
@@ -3,11 +3,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.wire.transport.link.PeerLinkListener;
 
-/** Logs what a link does; of a run of failed attempts only the first. Thread-safe. */
+/** Logs and counts what a link does; of a run of failed attempts only the first is logged. Thread-safe. */
 final class LoggingLinkListener implements PeerLinkListener {
     private static final EventLogger LOG = EventLogger.of(NettyPeer.class);
 
@@ -20,15 +19,13 @@
     /** True since a failed attempt, until the next success. */
     private final AtomicBoolean failing = new AtomicBoolean();
 
-    /** Messages that were dropped. */
-    private final AtomicLong droppedMessages = new AtomicLong();
+    /** Counts what goes wrong. */
+    private final TransportCounters counters;
 
-    /** Responses that came too late. */
-    private final AtomicLong lateResponses = new AtomicLong();
-
-    LoggingLinkListener(String id, InetSocketAddress address) {
+    LoggingLinkListener(String id, InetSocketAddress address, TransportCounters counters) {
         this.id = id;
         this.address = address;
+        this.counters = counters;
     }
 
     @Override
@@ -44,6 +41,7 @@
 
     @Override
     public void unreachable(String reason) {
+        counters.failedAttempt(id);
         if (!failing.getAndSet(true)) {
             LOG.log(WireEvent.PEER_UNREACHABLE, id, address, reason);
         }
@@ -58,16 +56,17 @@
 
     @Override
     public void silent(Duration quiet) {
+        counters.silentConnection(id);
         LOG.log(WireEvent.SILENT_CONNECTION, id, address, quiet.toMillis());
     }
 
     @Override
     public void messageDropped() {
-        droppedMessages.incrementAndGet();
+        counters.droppedMessage(id);
     }
 
     @Override
     public void lateResponse() {
-        lateResponses.incrementAndGet();
+        counters.lateResponse(id);
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/transport/PeerNetwork.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/PeerNetwork.java
@@ -41,6 +41,9 @@
     /** Sets the timers. */
     private final TimeSource time;
 
+    /** Counts what goes wrong. */
+    private final TransportCounters counters;
+
     /** Runs the connections. */
     private final EventLoopGroup group;
 
@@ -53,10 +56,25 @@
      * @return a new network, never null
      */
     public static PeerNetwork create(ClusterIdentity identity, TransportLimits limits, TimeSource time) {
-        return new PeerNetwork(identity, limits, time);
+        return create(identity, limits, time, TransportCounters.unread());
+    }
+
+    /**
+     * Creates a network with threads of its own, and counts what goes wrong on its connections.
+     *
+     * @param identity who this process is, not null
+     * @param limits the bounds and periods, not null
+     * @param time sets the timers, not null
+     * @param counters counts what goes wrong, not null
+     * @return a new network, never null
+     */
+    public static PeerNetwork create(
+            ClusterIdentity identity, TransportLimits limits, TimeSource time, TransportCounters counters) {
+        return new PeerNetwork(identity, limits, time, counters);
     }
 
-    private PeerNetwork(ClusterIdentity identity, TransportLimits limits, TimeSource time) {
+    private PeerNetwork(ClusterIdentity identity, TransportLimits limits, TimeSource time, TransportCounters counters) {
+        this.counters = counters;
         this.identity = identity;
         this.limits = limits;
         this.time = time;
@@ -97,7 +115,7 @@
                 time,
                 () -> ThreadLocalRandom.current().nextDouble(),
                 limits,
-                new LoggingLinkListener(id, address));
+                new LoggingLinkListener(id, address, counters));
         return new NettyPeer(id, address, link);
     }
 
--- a/wire/src/test/java/org/nettlering/wire/transport/SilentAndSlowPeerTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/SilentAndSlowPeerTest.java
@@ -22,6 +22,7 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.ManualTime;
+import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.FrameProto.Hello;
 import org.nettlering.wire.transport.link.PeerLink;
@@ -35,6 +36,7 @@
 
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
     private final List<PeerNetwork> networks = new ArrayList<>();
+    private final Metrics metrics = Metrics.create();
     private final AtomicInteger handled = new AtomicInteger();
 
     @AfterEach
@@ -62,6 +64,7 @@
                             .isIn(ErrorCode.OUTCOME_UNKNOWN, ErrorCode.CONNECTION_LOST));
             assertThat(join(peer.call(Frame.getDefaultInstance(), TIMEOUT))).isNotNull();
             assertThat(relay.connections()).isEqualTo(2);
+            assertThat(metrics.scrape()).contains("nettlering_peer_silent_connections_total{peer=\"c1\"} 1.0");
         }
     }
 
@@ -123,7 +126,11 @@
     }
 
     private PeerNetwork network(String processId, TransportLimits limits) {
-        PeerNetwork network = PeerNetwork.create(new ClusterIdentity("site", processId, "fd-1"), limits, time);
+        PeerNetwork network = PeerNetwork.create(
+                new ClusterIdentity("site", processId, "fd-1"),
+                limits,
+                time,
+                processId.equals("e1") ? TransportCounters.registerIn(metrics.registry()) : TransportCounters.unread());
         networks.add(network);
         return network;
     }
