Confirm no read by a late answer, and no removal by an old one

Change: such an answer names no round; a removal first begins a round and waits for a majority of the remaining voters to answer it, and is refused after an election timeout. The test of a removal without an answering majority is replaced by one that also lets the others answer just before the request.

--- a/consensus/src/main/java/org/nettlering/consensus/protocol/Leadership.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Leadership.java
@@ -232,6 +232,13 @@
         advanceCommit();
     }
 
+    /** Begins a round that the members answer from now on, and returns its number. */
+    long beginRound() {
+        long round = reads.begin();
+        heartbeat();
+        return round;
+    }
+
     void read(CompletableFuture<Void> future) {
         if (reads.add(state.commitIndex, future)) {
             heartbeat();
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
@@ -34,6 +34,9 @@
 
 /** The protocol of one member, put together from its parts. Used under the lock of {@code ConsensusNode}. */
 public final class MemberProtocol implements RoleChanges {
+    /** Answers no round; an answer to a leader of an earlier term must not confirm the leader of the current one. */
+    private static final long NO_ROUND = 0L;
+
     /** What the member knows. */
     private final MemberState state;
 
@@ -134,9 +137,7 @@
 
     private void receive(MemberId from, AppendRequest request) {
         if (!followLeader(from, request.term())) {
-            state.outbox.sendWhenDurable(
-                    from,
-                    new AppendResponse(state.term, state.diskId, false, request.previousIndex(), 0L, request.round()));
+            state.outbox.sendWhenDurable(from, new AppendResponse(state.term, state.diskId, false, 0L, 0L, NO_ROUND));
             return;
         }
         follower.receive(from, request);
@@ -224,7 +225,7 @@
     }
 
     private void settle() {
-        changes.committed();
+        changes.settle();
         transfer.proceed();
     }
 
@@ -361,8 +362,7 @@
             Optional<Member> member = state.membership().find(replica.id);
             boolean sameDisk = member.isPresent() && (!member.get().voting() || replica.countsFor(member.get()));
             long silentNanos = now - replica.lastHeardNanos;
-            boolean live =
-                    sameDisk && silentNanos < state.settings.electionTimeout().toNanos();
+            boolean live = sameDisk && replica.isLive(now, state.settings.electionTimeout());
             progress.add(new ConsensusStatus.Progress(
                     replica.id, replica.matchIndex, silentNanos / 1_000_000, sameDisk, live));
         }
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MembershipChanges.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MembershipChanges.java
@@ -27,6 +27,9 @@
     /** What was committed at the previous tick; a learner that holds it has caught up. */
     private long committedAtTick;
 
+    /** The removal that waits for answers of the others. */
+    private @Nullable Removal removal;
+
     /** Who waits for the change that is under way. */
     private @Nullable Waiting waiting;
 
@@ -72,32 +75,50 @@
             refuse(future, "member " + id + " leads; transfer the leadership first");
             return;
         }
-        Membership changed = state.membership().without(id);
-        if (liveVoters(changed) < changed.quorum()) {
-            refuse(future, "without member " + id + " no majority of the voters would answer");
+        if (removal != null) {
+            refuse(future, "another removal is under way");
             return;
         }
-        change(changed, future);
+        long deadline = state.time.nanoTime() + state.settings.electionTimeout().toNanos();
+        removal = new Removal(id, leadership.beginRound(), deadline, future);
+        proceedWithRemoval();
     }
 
-    private long liveVoters(Membership membership) {
-        return membership.voters().stream().filter(this::isLive).count();
+    /** Removes the member once a majority of the others has answered a round that began after the request. */
+    private void proceedWithRemoval() {
+        Removal wanted = removal;
+        if (wanted == null) {
+            return;
+        }
+        Membership changed = state.membership().without(wanted.id());
+        long answered = changed.voters().stream()
+                .filter(voter -> hasAnswered(voter, wanted.round()))
+                .count();
+        if (answered >= changed.quorum()) {
+            removal = null;
+            change(changed, wanted.future());
+            return;
+        }
+        if (state.time.nanoTime() - wanted.deadlineNanos() >= 0) {
+            removal = null;
+            refuse(wanted.future(), "without member " + wanted.id() + " no majority of the voters answers");
+        }
     }
 
-    private boolean isLive(Member voter) {
-        if (voter.id().equals(state.self)) {
-            return true;
-        }
-        long now = state.time.nanoTime();
-        return leadership
-                .replica(voter.id())
-                .filter(replica -> replica.countsFor(voter))
-                .filter(replica -> now - replica.lastHeardNanos
-                        < state.settings.electionTimeout().toNanos())
-                .isPresent();
+    private boolean hasAnswered(Member voter, long round) {
+        boolean self = voter.id().equals(state.self);
+        return self
+                || leadership
+                        .replica(voter.id())
+                        .filter(replica -> replica.countsFor(voter) && replica.answeredRound >= round)
+                        .isPresent();
     }
 
     private void change(Membership changed, CompletableFuture<Void> future) {
+        if (isPending()) {
+            refuse(future, "another change of membership is under way");
+            return;
+        }
         if (!leadership.hasCommittedInTerm()) {
             refuse(future, "the leader has not committed an entry of its term yet");
             return;
@@ -117,8 +138,14 @@
         state.outbox.later(() -> future.completeExceptionally(refused));
     }
 
+    /** Goes on with what waits for answers or for a commit. */
+    void settle() {
+        proceedWithRemoval();
+        committed();
+    }
+
     /** Completes the change that somebody waits for, once it is committed. */
-    void committed() {
+    private void committed() {
         Waiting change = waiting;
         if (change != null && change.index() <= state.commitIndex) {
             waiting = null;
@@ -127,6 +154,11 @@
     }
 
     void stop() {
+        Removal wanted = removal;
+        removal = null;
+        if (wanted != null) {
+            refuse(wanted.future(), "the leadership was lost before the removal began");
+        }
         Waiting change = waiting;
         waiting = null;
         if (change != null) {
@@ -138,6 +170,7 @@
 
     /** Takes the vote from a voter whose disk was replaced, or gives it to a learner that has caught up. */
     void tick() {
+        proceedWithRemoval();
         long committedBefore = committedAtTick;
         committedAtTick = state.commitIndex;
         if (isPending() || !leadership.hasCommittedInTerm()) {
@@ -158,5 +191,7 @@
         }
     }
 
+    private record Removal(MemberId id, long round, long deadlineNanos, CompletableFuture<Void> future) {}
+
     private record Waiting(long index, CompletableFuture<Void> future) {}
 }
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/ReadRounds.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/ReadRounds.java
@@ -34,6 +34,12 @@
         return startedRound;
     }
 
+    /** Begins a round at once, whatever is under way, and returns its number. */
+    long begin() {
+        startedRound++;
+        return startedRound;
+    }
+
     /** Adds a read and tells whether a round began for it. */
     boolean add(long readIndex, CompletableFuture<Void> future) {
         unconfirmed.add(new Read(readIndex, startedRound + 1, future));
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/Replica.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Replica.java
@@ -1,5 +1,6 @@
 package org.nettlering.consensus.protocol;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
@@ -32,6 +33,9 @@
     /** How much of the snapshot the member has, in bytes. */
     long snapshotOffset;
 
+    /** True once the member has answered this leader. */
+    private boolean answered;
+
     /** When a part of the snapshot was sent last, by the monotonic clock. */
     long pieceSentNanos;
 
@@ -73,9 +77,15 @@
             probeFrom(nextIndex);
         }
         lastHeardNanos = nowNanos;
+        answered = true;
         return true;
     }
 
+    /** Tells whether the member has answered this leader, and not longer ago than a timeout. */
+    boolean isLive(long nowNanos, Duration timeout) {
+        return answered && nowNanos - lastHeardNanos < timeout.toNanos();
+    }
+
     /** Tells whether the answers of this member count for a voter of the membership. */
     boolean countsFor(Member member) {
         return member.voting() && member.diskId() == diskId;
--- a/consensus/src/test/java/org/nettlering/consensus/protocol/MemberProtocolTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/protocol/MemberProtocolTest.java
@@ -223,6 +223,16 @@
         assertThat(read).isCompleted();
     }
 
+    @Test
+    void anAnswerToALeaderOfAnEarlierTermConfirmsNoRound() {
+        ProtocolFixture member = new ProtocolFixture(3, Optional.empty(), founding());
+
+        member.receive(B, new AppendRequest(2, 1, 1, List.of(), 1, 40));
+        member.sync();
+
+        assertThat(member.last(AppendResponse.class)).isEqualTo(new AppendResponse(3, DISK_A, false, 0, 0, 0));
+    }
+
     @Test
     void aReadIsRefusedBeforeAnEntryOfTheTermIsCommitted() {
         ProtocolFixture member = leader();
@@ -260,18 +270,39 @@
         return future;
     }
 
+    private static CompletableFuture<Void> remove(ProtocolFixture member, MemberId id) {
+        CompletableFuture<Void> future = new CompletableFuture<>();
+        member.protocol.removeMember(id, future);
+        member.flush();
+        return future;
+    }
+
     @Test
-    void aRemovalIsRefusedWhenNoMajorityOfTheOthersAnswers() {
+    void aRemovalIsRefusedWhenTheOthersHaveAnsweredOnlyBeforeIt() {
         ProtocolFixture member = settledLeader();
+        member.acknowledge(C, DISK_C, 2);
+
+        CompletableFuture<Void> removal = remove(member, B);
         member.advance(SETTINGS.electionTimeout().minusMillis(100));
         member.acknowledge(B, DISK_B, 2);
         member.advance(Duration.ofMillis(200));
 
-        CompletableFuture<Void> removal = new CompletableFuture<>();
-        member.protocol.removeMember(B, removal);
-        member.flush();
-
         assertThat(codeOf(removal)).isEqualTo(ErrorCode.MEMBERSHIP_REFUSED);
+        assertThat(member.protocol.status().membership()).isEqualTo(MEMBERSHIP);
+    }
+
+    @Test
+    void aMemberIsRemovedOnceAMajorityOfTheOthersHasAnswered() {
+        ProtocolFixture member = settledLeader();
+
+        CompletableFuture<Void> removal = remove(member, B);
+        assertThat(member.protocol.status().membership()).isEqualTo(MEMBERSHIP);
+        member.acknowledge(C, DISK_C, 2);
+        assertThat(member.protocol.status().membership()).isEqualTo(MEMBERSHIP.without(B));
+        member.sync();
+        member.acknowledge(C, DISK_C, 3);
+
+        assertThat(removal).isCompleted();
     }
 
     @Test
--- a/consensus/src/test/java/org/nettlering/consensus/simulation/SimulationTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/simulation/SimulationTest.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SimulationTest {
     private static final long FIRST_SEED = 1;
@@ -23,6 +25,12 @@
         assertThat(failures).isEmpty();
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {495, 100_913, 102_549, 102_570, 105_363})
+    void aSeedThatOnceFailedPasses(long seed) {
+        assertThat(Simulation.ofSeed(seed).run().violation()).isEmpty();
+    }
+
     @Test
     void aSeedGivesTheSameRunEachTime() {
         assertThat(Simulation.ofSeed(FIRST_SEED).run())
