--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.nettlering.consensus.ConsensusExecutors;
 import org.nettlering.consensus.ConsensusNode;
@@ -24,16 +25,20 @@
 import org.nettlering.control.metrics.ControlMetrics;
 import org.nettlering.control.metrics.MetricsServer;
 import org.nettlering.control.service.FrameDispatcher;
+import org.nettlering.control.service.LeaderHintHandler;
 import org.nettlering.control.settings.ControlSettings;
 import org.nettlering.control.state.SiteStateMachine;
-import org.nettlering.control.task.TaskListener;
+import org.nettlering.control.task.TaskEvents;
 import org.nettlering.control.task.TaskPart;
 import org.nettlering.control.task.TaskService;
-import org.nettlering.domain.placement.FirstFitPlanner;
+import org.nettlering.control.trace.TracingFrameHandler;
+import org.nettlering.domain.placement.ScoredPlanner;
 import org.nettlering.domain.time.SystemTime;
+import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
 import org.nettlering.runtime.program.ExitCode;
+import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
@@ -45,6 +50,8 @@
  * <p>Stopping hands leadership over first, so that a planned stop costs no election timeout. Thread-safe.
  */
 public final class ControlProcess implements Daemon.Running {
+    private static final String PROGRAM = "nettlering-control";
+
     /** How long a planned stop waits for another member to take over, in seconds. */
     private static final long HAND_OVER_TIMEOUT_SECONDS = 3;
 
@@ -54,6 +61,9 @@
     /** The clock and the timers. */
     private final SystemTime time;
 
+    /** Starts the spans. */
+    private final Telemetry telemetry;
+
     /** The connections to other processes. */
     private final PeerNetwork network;
 
@@ -78,13 +88,27 @@
      *     address cannot be bound
      */
     public static ControlProcess start(ControlSettings settings) {
-        return new ControlProcess(settings);
+        return start(
+                settings,
+                time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time));
+    }
+
+    /**
+     * Starts a control process whose spans go elsewhere than its settings say.
+     *
+     * @param settings the checked settings, not null
+     * @param telemetry makes what starts the spans, not null
+     * @return the running process, never null
+     */
+    public static ControlProcess start(ControlSettings settings, Function<TimeSource, Telemetry> telemetry) {
+        return new ControlProcess(settings, telemetry);
     }
 
-    private ControlProcess(ControlSettings settings) {
+    private ControlProcess(ControlSettings settings, Function<TimeSource, Telemetry> telemetryFactory) {
         MemberId self = MemberId.of(settings.identity().processId());
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
+        telemetry = telemetryFactory.apply(time);
         network = PeerNetwork.create(settings.identity(), TransportLimits.defaults(), time);
         ConfigurationPart configurationPart = ConfigurationPart.create();
         TaskPart taskPart =
@@ -106,7 +130,7 @@
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = TaskService.start(
-                log, taskPart, time, configurationPart.state()::current, FirstFitPlanner::create, TaskListener.NONE);
+                log, taskPart, time, configurationPart.state()::current, ScoredPlanner::create, TaskEvents.logging());
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, configurationPart, time),
@@ -114,13 +138,24 @@
                 LedgerService.of(log, ledgerPart, time),
                 MembershipService.of(node));
         node.start();
-        server = network.listen(settings.peersAddress(), dispatcher);
+        server = network.listen(
+                settings.peersAddress(),
+                TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
         Metrics metrics = Metrics.create();
         ControlMetrics.register(metrics.registry(), node, configurationPart.state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
     }
 
+    /**
+     * Returns where the process listens for the others.
+     *
+     * @return the address with the port that was bound, never null
+     */
+    public InetSocketAddress peersAddress() {
+        return server.address();
+    }
+
     /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
     private static void endWithFailure() {
         Runtime.getRuntime().halt(ExitCode.FAILURE.number());
@@ -135,6 +170,7 @@
         tasks.close();
         node.close();
         network.close();
+        telemetry.close();
         time.close();
     }
 
@@ -148,6 +184,10 @@
                 .join();
     }
 
+    private Optional<Member> leader() {
+        return node.leader().flatMap(this::findMember);
+    }
+
     /** Looks in the current membership, then in the settings, which a member without a log has alone. */
     private Optional<Member> findMember(MemberId id) {
         return node.status()
--- a/control/src/main/java/org/nettlering/control/task/TaskResponses.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -1,8 +1,13 @@
 package org.nettlering.control.task;
 
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import org.nettlering.domain.configuration.Profile;
 import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.power.PowerOutlook;
+import org.nettlering.domain.profile.Profiles;
 import org.nettlering.domain.task.Task;
 import org.nettlering.domain.task.TaskState;
 import org.nettlering.domain.task.Worker;
@@ -33,13 +38,35 @@
     }
 
     static TaskResponse power(TaskState state, SiteConfiguration configuration, long nowMillis) {
-        return TaskResponse.newBuilder()
-                .setPower(TaskProto.PowerStatus.newBuilder()
-                        .setCapMilliwatts(configuration.powerCapMilliwatts())
-                        .setCommittedMilliwatts(state.committedMilliwatts())
-                        .setPeakCommittedMilliwatts(state.peakMilliwatts())
-                        .setAboveCap(state.committedMilliwatts() > configuration.powerCapMilliwatts()))
-                .build();
+        PowerOutlook outlook = PowerOutlook.of(state, configuration, nowMillis);
+        TaskProto.PowerStatus.Builder power = TaskProto.PowerStatus.newBuilder()
+                .setCapMilliwatts(configuration.powerCapMilliwatts())
+                .setCommittedMilliwatts(state.committedMilliwatts())
+                .setPeakCommittedMilliwatts(state.peakMilliwatts())
+                .setAboveCap(outlook.isAboveCap())
+                .setExpectedMetUnixMillis(outlook.expectedMetMillis())
+                .setExplanation(outlook.explanation());
+        long budget = Math.max(0, configuration.powerCapMilliwatts() - state.idleMilliwatts());
+        Map<String, Long> committed = committedByProfile(state, configuration);
+        for (Profile profile : configuration.profiles().values()) {
+            power.addProfiles(TaskProto.ProfilePower.newBuilder()
+                    .setProfile(profile.name())
+                    .setShareMilliwatts(budget * profile.powerSharePercent() / 100)
+                    .setCommittedMilliwatts(committed.getOrDefault(profile.name(), 0L)));
+        }
+        return TaskResponse.newBuilder().setPower(power).build();
+    }
+
+    private static Map<String, Long> committedByProfile(TaskState state, SiteConfiguration configuration) {
+        Map<String, Long> committed = new HashMap<>();
+        for (Worker worker : state.workers()) {
+            for (Task task : worker.tasks()) {
+                Profiles.of(configuration, task.job())
+                        .ifPresent(profile ->
+                                committed.merge(profile.name(), task.committedMilliwatts(), Long::sum));
+            }
+        }
+        return committed;
     }
 
     static ErrorCode errorCode(String text) {
--- a/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/placement/ScoredPlanner.java
@@ -13,6 +13,7 @@
 import org.nettlering.domain.interference.WorkerMeasurement;
 import org.nettlering.domain.interference.WorkerMeasurement.MeasuredTask;
 import org.nettlering.domain.power.PowerGovernor;
+import org.nettlering.domain.profile.Profiles;
 import org.nettlering.domain.quarantine.QuarantineRule;
 import org.nettlering.domain.task.JobSpecification;
 import org.nettlering.domain.task.Resources;
@@ -20,7 +21,6 @@
 import org.nettlering.domain.task.TaskCommand;
 import org.nettlering.domain.task.TaskPhase;
 import org.nettlering.domain.task.TaskState;
-import org.nettlering.domain.task.Worker;
 import org.nettlering.domain.worker.WorkerReport;
 import org.nettlering.domain.worker.WorkerReport.Usage;
 
@@ -35,26 +35,41 @@
     /** Starts in one round. */
     private static final int MAX_STARTS = 512;
 
+    /** How long a group whose first job found no place is left alone. */
+    private static final long RETRY_MILLIS = 500;
+
     /** How far a team that uses the whole site is moved back. */
     private static final long FAIR_SHARE_MILLIS = 600_000;
 
+    /** The urgency that is noted when nobody claims power. */
+    private static final int NOBODY = -1;
+
+    /** How long a worker may be silent before it gets no new task: three report intervals. */
+    private static final long SILENT_MILLIS = 3_000;
+
+    /** Workers that are scored for one job. */
+    private static final int CANDIDATES = 24;
+
+    /** How lately a worker must have reported to take a job, where workers pull. */
+    private static final long PULLING_MILLIS = 200;
+
     /** What is known of the site. */
-    private final Site site = new Site();
+    private final Site site;
 
     /** Starts jobs. */
-    private final StartRule startRule = new StartRule(site);
+    private final StartRule startRule;
 
     /** Makes room for jobs that cannot wait. */
-    private final Preemption preemption = new Preemption(site);
+    private final Preemption preemption;
 
     /** Corrects commitments. */
-    private final Corrections corrections = new Corrections(site);
+    private final Corrections corrections;
 
     /** Gives speed back. */
-    private final SpeedUps speedUps = new SpeedUps(site);
+    private final SpeedUps speedUps;
 
-    /** Whether a job within its profile's share found no power in the last round. */
-    private boolean isPowerClaimed;
+    /** The highest urgency of the jobs within their profile's share that found no power in the last round. */
+    private int claimingUrgency = NOBODY;
 
     /**
      * Returns a planner that has learned nothing yet.
@@ -62,10 +77,27 @@
      * @return a new planner, never null
      */
     public static ScoredPlanner create() {
-        return new ScoredPlanner();
+        return new ScoredPlanner(SILENT_MILLIS, CANDIDATES);
+    }
+
+    /**
+     * Returns a planner that gives the first waiting job that fits to a worker that just reported, without comparing workers.
+     *
+     * <p>The way in which workers pull, for the comparison in docs/design/placement.md; not for use.
+     *
+     * @return the planner, never null
+     */
+    public static ScoredPlanner pulling() {
+        return new ScoredPlanner(PULLING_MILLIS, 2);
     }
 
-    private ScoredPlanner() {}
+    private ScoredPlanner(long silentMillis, int candidates) {
+        site = new Site(silentMillis);
+        startRule = new StartRule(site, candidates);
+        preemption = new Preemption(site);
+        corrections = new Corrections(site);
+        speedUps = new SpeedUps(site);
+    }
 
     @Override
     public List<TaskCommand> plan(TaskState state, SiteConfiguration configuration, long nowMillis) {
@@ -147,16 +179,19 @@
     }
 
     private void quarantine(Round round) {
-        for (Worker worker : site.changedWorkers()) {
-            QuarantineRule.check(worker, round.state, round.nowMillis).ifPresent(round.commands::add);
-        }
+        round.commands.addAll(QuarantineRule.check(site.changedWorkers(), round.state, round.nowMillis));
     }
 
     private void checkRunnable(Round round) {
         for (Task task : site.unchecked) {
             JobSpecification job = task.job();
             Optional<String> reason = RunnableCheck.reason(
-                    job, startRule.size(job), site.estimates.milliwatts(job), round.state, round.configuration);
+                    job,
+                    startRule.size(job),
+                    site.estimates.milliwatts(job),
+                    site.capacities(),
+                    round.idleMilliwatts,
+                    round.configuration);
             if (task.phase().isWaiting()) {
                 reason.ifPresent(
                         text -> round.commands.add(new TaskCommand.MarkUnrunnable(round.nowMillis, job.jobId(), text)));
@@ -170,11 +205,13 @@
 
     private void start(Round round) {
         preemption.beginRound();
-        boolean claimed = isPowerClaimed;
-        isPowerClaimed = false;
+        int claimed = claimingUrgency;
+        claimingUrgency = NOBODY;
         PriorityQueue<Cursor> cursors = new PriorityQueue<>(Comparator.comparingLong(Cursor::rank));
         for (WaitingJobs.Group group : site.waiting.groups()) {
-            cursors.add(cursor(group.entries.first()));
+            if (group.blockedUntilMillis <= round.nowMillis) {
+                cursors.add(cursor(group.entries.first()));
+            }
         }
         int starts = 0;
         while (!cursors.isEmpty() && starts < MAX_STARTS) {
@@ -183,6 +220,7 @@
             StartRule.Blocked blocked = startRule.tryStart(task, round, claimed);
             if (blocked != StartRule.Blocked.NOT_BLOCKED) {
                 handleBlocked(task, blocked, round);
+                cursor.entry().group().blockedUntilMillis = blockedUntil(task, round);
                 continue;
             }
             starts++;
@@ -193,11 +231,19 @@
         }
     }
 
+    /** Urgent jobs are tried in every round, the others again after a while, so that a long queue costs little. */
+    private static long blockedUntil(Task task, Round round) {
+        boolean urgent = Profiles.urgency(round.configuration, task.job()) >= Preemption.URGENT;
+        return urgent ? 0 : round.nowMillis + RETRY_MILLIS;
+    }
+
     private void handleBlocked(Task task, StartRule.Blocked blocked, Round round) {
         Resources size = startRule.size(task.job());
         switch (blocked) {
             case POWER -> {
-                isPowerClaimed |= startRule.isWithinShare(task.job(), round);
+                if (startRule.isWithinShare(task.job(), round)) {
+                    claimingUrgency = Math.max(claimingUrgency, Profiles.urgency(round.configuration, task.job()));
+                }
                 preemption.makePower(task, site.estimates.milliwatts(task.job()), round);
             }
             case ROOM, SERVICES -> preemption.makeRoom(task, size, round);
