--- a/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/placement/PlacementBenchmark.java
@@ -27,6 +27,9 @@
     /** The starts a second that one core has to decide at the largest size: ten times the users' peak. */
     private static final int PLACEMENTS_PER_SECOND = 4_200;
 
+    /** How long an urgent job may wait until it runs: the users' bound. */
+    private static final long URGENT_START_MILLIS = 4_500;
+
     private PlacementBenchmark() {}
 
     /**
@@ -126,6 +129,10 @@
                 site + ": work lost to evictions is at most 2% of the work finished",
                 broken);
         require(chosen.aboveLoweredCapMillis() <= 30_000, site + ": the lowered cap is met within 30 s", broken);
+        require(
+                chosen.urgentStartP99Millis() <= URGENT_START_MILLIS,
+                site + ": urgent jobs run within " + URGENT_START_MILLIS + " ms at p99",
+                broken);
         require(chosen.aboveCapMillis() == 0, site + ": the unchanged cap is never exceeded", broken);
     }
 
--- a/benchmarks/src/test/java/org/nettlering/benchmarks/placement/PlacementInvariantsTest.java
+++ b/benchmarks/src/test/java/org/nettlering/benchmarks/placement/PlacementInvariantsTest.java
@@ -42,5 +42,6 @@
         assertThat(chosen.workLostToStops()).isLessThanOrEqualTo(0.02 * chosen.workFinished());
         assertThat(chosen.aboveCapMillis()).isZero();
         assertThat(chosen.aboveLoweredCapMillis()).isLessThanOrEqualTo(30_000);
+        assertThat(chosen.urgentStartP99Millis()).isLessThanOrEqualTo(4_500);
     }
 }
