--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -25,6 +25,7 @@
 import org.nettlering.control.metrics.ControlMetrics;
 import org.nettlering.control.metrics.MetricsServer;
 import org.nettlering.control.service.FrameDispatcher;
+import org.nettlering.control.service.LeaderHintHandler;
 import org.nettlering.control.settings.ControlSettings;
 import org.nettlering.control.state.SiteStateMachine;
 import org.nettlering.control.task.TaskEvents;
@@ -36,6 +37,7 @@
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
+import org.nettlering.runtime.program.ExitCode;
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
@@ -123,7 +125,7 @@
                         FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
                         transport,
                         SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
-                        ConsensusEvents.logging(),
+                        ConsensusEvents.logging(ControlProcess::endWithFailure),
                         ConsensusExecutors.create(self),
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
@@ -136,7 +138,9 @@
                 LedgerService.of(log, ledgerPart, time),
                 MembershipService.of(node));
         node.start();
-        server = network.listen(settings.peersAddress(), TracingFrameHandler.of(dispatcher, telemetry));
+        server = network.listen(
+                settings.peersAddress(),
+                TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
         Metrics metrics = Metrics.create();
         ControlMetrics.register(metrics.registry(), node, configurationPart.state());
         metricsServer = MetricsServer.start(
@@ -152,6 +156,11 @@
         return server.address();
     }
 
+    /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
+    private static void endWithFailure() {
+        Runtime.getRuntime().halt(ExitCode.FAILURE.number());
+    }
+
     /** Hands leadership over, then stops everything in the reverse order of its start. */
     @Override
     public void stop() {
@@ -175,6 +184,10 @@
                 .join();
     }
 
+    private Optional<Member> leader() {
+        return node.leader().flatMap(this::findMember);
+    }
+
     /** Looks in the current membership, then in the settings, which a member without a log has alone. */
     private Optional<Member> findMember(MemberId id) {
         return node.status()
