--- a/control/src/main/java/org/nettlering/control/task/TaskResponses.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskResponses.java
@@ -62,8 +62,7 @@
         for (Worker worker : state.workers()) {
             for (Task task : worker.tasks()) {
                 Profiles.of(configuration, task.job())
-                        .ifPresent(profile ->
-                                committed.merge(profile.name(), task.committedMilliwatts(), Long::sum));
+                        .ifPresent(profile -> committed.merge(profile.name(), task.committedMilliwatts(), Long::sum));
             }
         }
         return committed;
