--- a/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
+++ b/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
@@ -25,18 +25,23 @@
     /** The member of this process. */
     private final ConsensusNode node;
 
+    /** What the member saw of elections. */
+    private final LeadershipHistory history;
+
     /**
      * Creates a service.
      *
      * @param node the member of this process, not null
+     * @param history what the member saw of elections, not null
      * @return the service, never null
      */
-    public static MembershipService of(ConsensusNode node) {
-        return new MembershipService(node);
+    public static MembershipService of(ConsensusNode node, LeadershipHistory history) {
+        return new MembershipService(node, history);
     }
 
-    private MembershipService(ConsensusNode node) {
+    private MembershipService(ConsensusNode node, LeadershipHistory history) {
         this.node = node;
+        this.history = history;
     }
 
     @Override
@@ -74,10 +79,13 @@
 
     private MembershipResponse describe() {
         Optional<ConsensusStatus> known = node.status();
-        return known.map(MembershipService::describe).orElseGet(MembershipResponse::getDefaultInstance);
+        return known.map(MembershipService::describe)
+                .orElseGet(MembershipResponse::newBuilder)
+                .addAllLeaderChanges(history.changes())
+                .build();
     }
 
-    private static MembershipResponse describe(ConsensusStatus status) {
+    private static MembershipResponse.Builder describe(ConsensusStatus status) {
         Map<MemberId, ConsensusStatus.Progress> progress = new HashMap<>();
         status.progress().forEach(each -> progress.put(each.id(), each));
         List<MemberStatus> members = new ArrayList<>();
@@ -90,8 +98,7 @@
                 .setTerm(status.term())
                 .setCommitIndex(status.commitIndex())
                 .setSurvivableMembers(status.survivableMembers())
-                .addAllSurvivableFailureDomains(status.survivableFailureDomains())
-                .build();
+                .addAllSurvivableFailureDomains(status.survivableFailureDomains());
     }
 
     private static MemberStatus describe(
--- a/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
@@ -20,10 +20,10 @@
  * <pre>{@code
  * PeerConsensusTransport transport = PeerConsensusTransport.of(self, peers::find);
  * ConsensusPorts ports = new ConsensusPorts(time, FileLogStorage.open(DiskFolder.open(folder), self), transport,
- *         stateMachine, ConsensusEvents.logging(), ConsensusExecutors.create(self), new SecureRandom());
+ *         stateMachine, history, ConsensusExecutors.create(self), new SecureRandom());
  * ConsensusNode node = ConsensusNode.create(self, members, ConsensusSettings.DEFAULT, ports);
  * CommandLog log = ReplicatedCommandLog.of(node);
- * FrameService membership = MembershipService.of(node);
+ * FrameService membership = MembershipService.of(node, history);
  * node.start();
  * // FrameHandler.handleMessage, for a frame with the body consensus:
  * transport.deliver(frame, node);
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -17,6 +17,7 @@
 import org.nettlering.control.configuration.ConfigurationPart;
 import org.nettlering.control.configuration.ConfigurationService;
 import org.nettlering.control.consensus.ConsensusEvents;
+import org.nettlering.control.consensus.LeadershipHistory;
 import org.nettlering.control.consensus.MembershipService;
 import org.nettlering.control.consensus.PeerConsensusTransport;
 import org.nettlering.control.consensus.ReplicatedCommandLog;
@@ -122,6 +123,7 @@
         LedgerPart ledgerPart = LedgerPart.create();
         MemberPeers peers = MemberPeers.of(this::findMember, this::openPeer);
         PeerConsensusTransport transport = PeerConsensusTransport.of(self, peers);
+        LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
         node = ConsensusNode.create(
                 self,
                 settingsMembers,
@@ -131,7 +133,7 @@
                         FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
                         transport,
                         SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
-                        ConsensusEvents.logging(ControlProcess::endWithFailure),
+                        history,
                         ConsensusExecutors.create(self),
                         RandomGenerator.getDefault()));
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
@@ -142,7 +144,7 @@
                 ConfigurationService.of(log, configurationPart, time),
                 tasks,
                 LedgerService.of(log, ledgerPart, time),
-                MembershipService.of(node));
+                MembershipService.of(node, history));
         node.start();
         server = network.listen(
                 settings.peersAddress(),
--- a/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
@@ -2,18 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.nettlering.domain.time.ManualTime;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.MembershipProto.AddMember;
+import org.nettlering.wire.proto.MembershipProto.LeaderChange;
 import org.nettlering.wire.proto.MembershipProto.ListMembers;
 import org.nettlering.wire.proto.MembershipProto.MembershipRequest;
 import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
 import org.nettlering.wire.proto.MembershipProto.RemoveMember;
 
 class MembershipServiceTest {
-    private final SingleMember member = new SingleMember(happening -> {});
-    private final MembershipService service = MembershipService.of(member.node);
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+    private final LeadershipHistory history = LeadershipHistory.of(time, happening -> {});
+    private final SingleMember member = new SingleMember(history);
+    private final MembershipService service = MembershipService.of(member.node, history);
 
     private CompletableFuture<MembershipResponse> ask(MembershipRequest.Builder request) {
         Frame frame = Frame.newBuilder().setMembershipRequest(request).build();
@@ -45,6 +50,20 @@
         assertThat(listed.getSurvivableFailureDomainsList()).isEmpty();
     }
 
+    @Test
+    void aListExplainsHowTheLeaderCameToLead() {
+        member.lead();
+
+        MembershipResponse listed = ask(MembershipRequest.newBuilder().setList(ListMembers.getDefaultInstance()))
+                .join();
+
+        assertThat(listed.getLeaderChangesList())
+                .extracting(LeaderChange::getWhat)
+                .containsSubsequence("this member stood for election", "this member leads");
+        assertThat(listed.getLeaderChangesList())
+                .allSatisfy(change -> assertThat(change.getReason()).isNotEmpty());
+    }
+
     @Test
     void anAddedMemberIsALearner() {
         member.lead();
--- a/operator/src/main/java/org/nettlering/operator/command/ExplainCommands.java
+++ b/operator/src/main/java/org/nettlering/operator/command/ExplainCommands.java
@@ -90,14 +90,14 @@
         }
     }
 
-    /** Explains who leads the control members. */
+    /** Explains who leads the control members, and how that came about. */
     public static final class Leader extends OperatorCommand {
         @Override
         public void run(Session session) {
             session.show(
                     EntryRequest.get("/v1/members"),
                     MembershipResponse.newBuilder(),
-                    members -> Reports.members(members.build()));
+                    members -> Reports.leader(members.build()));
         }
     }
 }
--- a/operator/src/main/java/org/nettlering/operator/command/JobCommands.java
+++ b/operator/src/main/java/org/nettlering/operator/command/JobCommands.java
@@ -85,6 +85,13 @@
         @Option(name = "--service-task", usage = "the job runs until it is cancelled")
         private boolean serviceTask;
 
+        /** The service. */
+        @Option(
+                name = "--service",
+                metaVar = "NAME",
+                usage = "service whose profile the job follows, also when it moves")
+        private String service = "";
+
         /** The id of the operation. */
         @Option(name = "--operation-id", metaVar = "ID", usage = "id of the operation, to repeat a submission")
         private String operationId = "";
@@ -122,6 +129,7 @@
                     .setDeclaredRunTimeMillis(runTimeSeconds * MILLIS_PER_SECOND)
                     .setDeadlineUnixMillis(deadlineMillis())
                     .setServiceTask(serviceTask)
+                    .setService(service)
                     .build();
         }
 
--- a/operator/src/main/java/org/nettlering/operator/output/Reports.java
+++ b/operator/src/main/java/org/nettlering/operator/output/Reports.java
@@ -178,6 +178,25 @@
                 + String.join(", ", members.getSurvivableFailureDomainsList()) + System.lineSeparator();
     }
 
+    /**
+     * Writes who leads and how that came about.
+     *
+     * @param members the members, not null
+     * @return a line and a table, never null
+     */
+    public static String leader(MembershipResponse members) {
+        Table table = Table.of("TIME", "TERM", "WHAT", "LEADER", "REASON");
+        members.getLeaderChangesList()
+                .forEach(change -> table.row(
+                        instant(change.getTimeUnixMillis()),
+                        change.getTerm(),
+                        change.getWhat(),
+                        change.getLeaderId(),
+                        change.getReason()));
+        return "leader " + members.getLeaderId() + ", term " + members.getTerm() + ", as the leader saw it:"
+                + System.lineSeparator() + table;
+    }
+
     /**
      * Writes accepted revisions.
      *
--- a/wire/src/main/java/org/nettlering/wire/proto/MembershipProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/MembershipProto.java
@@ -3654,6 +3654,50 @@
      */
     com.google.protobuf.ByteString
         getSurvivableFailureDomainsBytes(int index);
+
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange> 
+        getLeaderChangesList();
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    org.nettlering.wire.proto.MembershipProto.LeaderChange getLeaderChanges(int index);
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    int getLeaderChangesCount();
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    java.util.List<? extends org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder> 
+        getLeaderChangesOrBuilderList();
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder getLeaderChangesOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code nettlering.MembershipResponse}
@@ -3681,6 +3725,7 @@
       leaderId_ = "";
       survivableFailureDomains_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      leaderChanges_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -3855,6 +3900,67 @@
       return survivableFailureDomains_.getByteString(index);
     }
 
+    public static final int LEADER_CHANGES_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange> leaderChanges_;
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange> getLeaderChangesList() {
+      return leaderChanges_;
+    }
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder> 
+        getLeaderChangesOrBuilderList() {
+      return leaderChanges_;
+    }
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    @java.lang.Override
+    public int getLeaderChangesCount() {
+      return leaderChanges_.size();
+    }
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.MembershipProto.LeaderChange getLeaderChanges(int index) {
+      return leaderChanges_.get(index);
+    }
+    /**
+     * <pre>
+     * What the answering member saw of elections, the oldest first.
+     * </pre>
+     *
+     * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder getLeaderChangesOrBuilder(
+        int index) {
+      return leaderChanges_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -3887,6 +3993,9 @@
       for (int i = 0; i < survivableFailureDomains_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 6, survivableFailureDomains_.getRaw(i));
       }
+      for (int i = 0; i < leaderChanges_.size(); i++) {
+        output.writeMessage(7, leaderChanges_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -3923,6 +4032,15 @@
         size += dataSize;
         size += 1 * getSurvivableFailureDomainsList().size();
       }
+
+          {
+            final int count = leaderChanges_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(leaderChanges_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -3959,6 +4077,8 @@
           != other.getSurvivableMembers()) return false;
       if (!getSurvivableFailureDomainsList()
           .equals(other.getSurvivableFailureDomainsList())) return false;
+      if (!getLeaderChangesList()
+          .equals(other.getLeaderChangesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3988,6 +4108,10 @@
         hash = (37 * hash) + SURVIVABLE_FAILURE_DOMAINS_FIELD_NUMBER;
         hash = (53 * hash) + getSurvivableFailureDomainsList().hashCode();
       }
+      if (getLeaderChangesCount() > 0) {
+        hash = (37 * hash) + LEADER_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getLeaderChangesList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4132,6 +4256,13 @@
         survivableMembers_ = 0;
         survivableFailureDomains_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        if (leaderChangesBuilder_ == null) {
+          leaderChanges_ = java.util.Collections.emptyList();
+        } else {
+          leaderChanges_ = null;
+          leaderChangesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
         return this;
       }
 
@@ -4174,6 +4305,15 @@
         } else {
           result.members_ = membersBuilder_.build();
         }
+        if (leaderChangesBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            leaderChanges_ = java.util.Collections.unmodifiableList(leaderChanges_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.leaderChanges_ = leaderChanges_;
+        } else {
+          result.leaderChanges_ = leaderChangesBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.nettlering.wire.proto.MembershipProto.MembershipResponse result) {
@@ -4258,6 +4398,32 @@
           }
           onChanged();
         }
+        if (leaderChangesBuilder_ == null) {
+          if (!other.leaderChanges_.isEmpty()) {
+            if (leaderChanges_.isEmpty()) {
+              leaderChanges_ = other.leaderChanges_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureLeaderChangesIsMutable();
+              leaderChanges_.addAll(other.leaderChanges_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.leaderChanges_.isEmpty()) {
+            if (leaderChangesBuilder_.isEmpty()) {
+              leaderChangesBuilder_.dispose();
+              leaderChangesBuilder_ = null;
+              leaderChanges_ = other.leaderChanges_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              leaderChangesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLeaderChangesFieldBuilder() : null;
+            } else {
+              leaderChangesBuilder_.addAllMessages(other.leaderChanges_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4320,6 +4486,19 @@
                 survivableFailureDomains_.add(input.readStringRequireUtf8());
                 break;
               } // case 50
+              case 58: {
+                org.nettlering.wire.proto.MembershipProto.LeaderChange m =
+                    input.readMessage(
+                        org.nettlering.wire.proto.MembershipProto.LeaderChange.parser(),
+                        extensionRegistry);
+                if (leaderChangesBuilder_ == null) {
+                  ensureLeaderChangesIsMutable();
+                  leaderChanges_.add(m);
+                } else {
+                  leaderChangesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4619,33 +4798,1269 @@
         return this;
       }
       /**
-       * <code>string leader_id = 2;</code>
+       * <code>string leader_id = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaderId() {
+        leaderId_ = getDefaultInstance().getLeaderId();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string leader_id = 2;</code>
+       * @param value The bytes for leaderId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaderIdBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        leaderId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private long term_ ;
+      /**
+       * <code>uint64 term = 3;</code>
+       * @return The term.
+       */
+      @java.lang.Override
+      public long getTerm() {
+        return term_;
+      }
+      /**
+       * <code>uint64 term = 3;</code>
+       * @param value The term to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTerm(long value) {
+
+        term_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 term = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTerm() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        term_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long commitIndex_ ;
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @return The commitIndex.
+       */
+      @java.lang.Override
+      public long getCommitIndex() {
+        return commitIndex_;
+      }
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @param value The commitIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCommitIndex(long value) {
+
+        commitIndex_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 commit_index = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCommitIndex() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        commitIndex_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int survivableMembers_ ;
+      /**
+       * <pre>
+       * Members that can be lost now without losing the quorum.
+       * </pre>
+       *
+       * <code>uint32 survivable_members = 5;</code>
+       * @return The survivableMembers.
+       */
+      @java.lang.Override
+      public int getSurvivableMembers() {
+        return survivableMembers_;
+      }
+      /**
+       * <pre>
+       * Members that can be lost now without losing the quorum.
+       * </pre>
+       *
+       * <code>uint32 survivable_members = 5;</code>
+       * @param value The survivableMembers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSurvivableMembers(int value) {
+
+        survivableMembers_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Members that can be lost now without losing the quorum.
+       * </pre>
+       *
+       * <code>uint32 survivable_members = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSurvivableMembers() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        survivableMembers_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList survivableFailureDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureSurvivableFailureDomainsIsMutable() {
+        if (!survivableFailureDomains_.isModifiable()) {
+          survivableFailureDomains_ = new com.google.protobuf.LazyStringArrayList(survivableFailureDomains_);
+        }
+        bitField0_ |= 0x00000020;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @return A list containing the survivableFailureDomains.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getSurvivableFailureDomainsList() {
+        survivableFailureDomains_.makeImmutable();
+        return survivableFailureDomains_;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @return The count of survivableFailureDomains.
+       */
+      public int getSurvivableFailureDomainsCount() {
+        return survivableFailureDomains_.size();
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param index The index of the element to return.
+       * @return The survivableFailureDomains at the given index.
+       */
+      public java.lang.String getSurvivableFailureDomains(int index) {
+        return survivableFailureDomains_.get(index);
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the survivableFailureDomains at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getSurvivableFailureDomainsBytes(int index) {
+        return survivableFailureDomains_.getByteString(index);
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The survivableFailureDomains to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSurvivableFailureDomains(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureSurvivableFailureDomainsIsMutable();
+        survivableFailureDomains_.set(index, value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param value The survivableFailureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addSurvivableFailureDomains(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureSurvivableFailureDomainsIsMutable();
+        survivableFailureDomains_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param values The survivableFailureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllSurvivableFailureDomains(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureSurvivableFailureDomainsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, survivableFailureDomains_);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSurvivableFailureDomains() {
+        survivableFailureDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string survivable_failure_domains = 6;</code>
+       * @param value The bytes of the survivableFailureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addSurvivableFailureDomainsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureSurvivableFailureDomainsIsMutable();
+        survivableFailureDomains_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange> leaderChanges_ =
+        java.util.Collections.emptyList();
+      private void ensureLeaderChangesIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          leaderChanges_ = new java.util.ArrayList<org.nettlering.wire.proto.MembershipProto.LeaderChange>(leaderChanges_);
+          bitField0_ |= 0x00000040;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.MembershipProto.LeaderChange, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder, org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder> leaderChangesBuilder_;
+
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange> getLeaderChangesList() {
+        if (leaderChangesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(leaderChanges_);
+        } else {
+          return leaderChangesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public int getLeaderChangesCount() {
+        if (leaderChangesBuilder_ == null) {
+          return leaderChanges_.size();
+        } else {
+          return leaderChangesBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange getLeaderChanges(int index) {
+        if (leaderChangesBuilder_ == null) {
+          return leaderChanges_.get(index);
+        } else {
+          return leaderChangesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder setLeaderChanges(
+          int index, org.nettlering.wire.proto.MembershipProto.LeaderChange value) {
+        if (leaderChangesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.set(index, value);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder setLeaderChanges(
+          int index, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder builderForValue) {
+        if (leaderChangesBuilder_ == null) {
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          leaderChangesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder addLeaderChanges(org.nettlering.wire.proto.MembershipProto.LeaderChange value) {
+        if (leaderChangesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.add(value);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder addLeaderChanges(
+          int index, org.nettlering.wire.proto.MembershipProto.LeaderChange value) {
+        if (leaderChangesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.add(index, value);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder addLeaderChanges(
+          org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder builderForValue) {
+        if (leaderChangesBuilder_ == null) {
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.add(builderForValue.build());
+          onChanged();
+        } else {
+          leaderChangesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder addLeaderChanges(
+          int index, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder builderForValue) {
+        if (leaderChangesBuilder_ == null) {
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          leaderChangesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder addAllLeaderChanges(
+          java.lang.Iterable<? extends org.nettlering.wire.proto.MembershipProto.LeaderChange> values) {
+        if (leaderChangesBuilder_ == null) {
+          ensureLeaderChangesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, leaderChanges_);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder clearLeaderChanges() {
+        if (leaderChangesBuilder_ == null) {
+          leaderChanges_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public Builder removeLeaderChanges(int index) {
+        if (leaderChangesBuilder_ == null) {
+          ensureLeaderChangesIsMutable();
+          leaderChanges_.remove(index);
+          onChanged();
+        } else {
+          leaderChangesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder getLeaderChangesBuilder(
+          int index) {
+        return internalGetLeaderChangesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder getLeaderChangesOrBuilder(
+          int index) {
+        if (leaderChangesBuilder_ == null) {
+          return leaderChanges_.get(index);  } else {
+          return leaderChangesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public java.util.List<? extends org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder> 
+           getLeaderChangesOrBuilderList() {
+        if (leaderChangesBuilder_ != null) {
+          return leaderChangesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(leaderChanges_);
+        }
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder addLeaderChangesBuilder() {
+        return internalGetLeaderChangesFieldBuilder().addBuilder(
+            org.nettlering.wire.proto.MembershipProto.LeaderChange.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder addLeaderChangesBuilder(
+          int index) {
+        return internalGetLeaderChangesFieldBuilder().addBuilder(
+            index, org.nettlering.wire.proto.MembershipProto.LeaderChange.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What the answering member saw of elections, the oldest first.
+       * </pre>
+       *
+       * <code>repeated .nettlering.LeaderChange leader_changes = 7;</code>
+       */
+      public java.util.List<org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder> 
+           getLeaderChangesBuilderList() {
+        return internalGetLeaderChangesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.nettlering.wire.proto.MembershipProto.LeaderChange, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder, org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder> 
+          internalGetLeaderChangesFieldBuilder() {
+        if (leaderChangesBuilder_ == null) {
+          leaderChangesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.nettlering.wire.proto.MembershipProto.LeaderChange, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder, org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder>(
+                  leaderChanges_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          leaderChanges_ = null;
+        }
+        return leaderChangesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.MembershipResponse)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.MembershipResponse)
+    private static final org.nettlering.wire.proto.MembershipProto.MembershipResponse DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.MembershipProto.MembershipResponse();
+    }
+
+    public static org.nettlering.wire.proto.MembershipProto.MembershipResponse getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MembershipResponse>
+        PARSER = new com.google.protobuf.AbstractParser<MembershipResponse>() {
+      @java.lang.Override
+      public MembershipResponse parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MembershipResponse> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MembershipResponse> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.MembershipProto.MembershipResponse getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface LeaderChangeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.LeaderChange)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 time_unix_millis = 1;</code>
+     * @return The timeUnixMillis.
+     */
+    long getTimeUnixMillis();
+
+    /**
+     * <code>uint64 term = 2;</code>
+     * @return The term.
+     */
+    long getTerm();
+
+    /**
+     * <code>string what = 3;</code>
+     * @return The what.
+     */
+    java.lang.String getWhat();
+    /**
+     * <code>string what = 3;</code>
+     * @return The bytes for what.
+     */
+    com.google.protobuf.ByteString
+        getWhatBytes();
+
+    /**
+     * <code>string leader_id = 4;</code>
+     * @return The leaderId.
+     */
+    java.lang.String getLeaderId();
+    /**
+     * <code>string leader_id = 4;</code>
+     * @return The bytes for leaderId.
+     */
+    com.google.protobuf.ByteString
+        getLeaderIdBytes();
+
+    /**
+     * <code>string reason = 5;</code>
+     * @return The reason.
+     */
+    java.lang.String getReason();
+    /**
+     * <code>string reason = 5;</code>
+     * @return The bytes for reason.
+     */
+    com.google.protobuf.ByteString
+        getReasonBytes();
+  }
+  /**
+   * Protobuf type {@code nettlering.LeaderChange}
+   */
+  public static final class LeaderChange extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.LeaderChange)
+      LeaderChangeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "LeaderChange");
+    }
+    // Use LeaderChange.newBuilder() to construct.
+    private LeaderChange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private LeaderChange() {
+      what_ = "";
+      leaderId_ = "";
+      reason_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.MembershipProto.LeaderChange.class, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder.class);
+    }
+
+    public static final int TIME_UNIX_MILLIS_FIELD_NUMBER = 1;
+    private long timeUnixMillis_ = 0L;
+    /**
+     * <code>uint64 time_unix_millis = 1;</code>
+     * @return The timeUnixMillis.
+     */
+    @java.lang.Override
+    public long getTimeUnixMillis() {
+      return timeUnixMillis_;
+    }
+
+    public static final int TERM_FIELD_NUMBER = 2;
+    private long term_ = 0L;
+    /**
+     * <code>uint64 term = 2;</code>
+     * @return The term.
+     */
+    @java.lang.Override
+    public long getTerm() {
+      return term_;
+    }
+
+    public static final int WHAT_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object what_ = "";
+    /**
+     * <code>string what = 3;</code>
+     * @return The what.
+     */
+    @java.lang.Override
+    public java.lang.String getWhat() {
+      java.lang.Object ref = what_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        what_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string what = 3;</code>
+     * @return The bytes for what.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWhatBytes() {
+      java.lang.Object ref = what_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        what_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int LEADER_ID_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object leaderId_ = "";
+    /**
+     * <code>string leader_id = 4;</code>
+     * @return The leaderId.
+     */
+    @java.lang.Override
+    public java.lang.String getLeaderId() {
+      java.lang.Object ref = leaderId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        leaderId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string leader_id = 4;</code>
+     * @return The bytes for leaderId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getLeaderIdBytes() {
+      java.lang.Object ref = leaderId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        leaderId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REASON_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object reason_ = "";
+    /**
+     * <code>string reason = 5;</code>
+     * @return The reason.
+     */
+    @java.lang.Override
+    public java.lang.String getReason() {
+      java.lang.Object ref = reason_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        reason_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string reason = 5;</code>
+     * @return The bytes for reason.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getReasonBytes() {
+      java.lang.Object ref = reason_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        reason_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (timeUnixMillis_ != 0L) {
+        output.writeUInt64(1, timeUnixMillis_);
+      }
+      if (term_ != 0L) {
+        output.writeUInt64(2, term_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(what_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, what_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaderId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, leaderId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, reason_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (timeUnixMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, timeUnixMillis_);
+      }
+      if (term_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, term_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(what_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, what_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(leaderId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, leaderId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, reason_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.MembershipProto.LeaderChange)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.MembershipProto.LeaderChange other = (org.nettlering.wire.proto.MembershipProto.LeaderChange) obj;
+
+      if (getTimeUnixMillis()
+          != other.getTimeUnixMillis()) return false;
+      if (getTerm()
+          != other.getTerm()) return false;
+      if (!getWhat()
+          .equals(other.getWhat())) return false;
+      if (!getLeaderId()
+          .equals(other.getLeaderId())) return false;
+      if (!getReason()
+          .equals(other.getReason())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TIME_UNIX_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTimeUnixMillis());
+      hash = (37 * hash) + TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTerm());
+      hash = (37 * hash) + WHAT_FIELD_NUMBER;
+      hash = (53 * hash) + getWhat().hashCode();
+      hash = (37 * hash) + LEADER_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getLeaderId().hashCode();
+      hash = (37 * hash) + REASON_FIELD_NUMBER;
+      hash = (53 * hash) + getReason().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.MembershipProto.LeaderChange prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.LeaderChange}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.LeaderChange)
+        org.nettlering.wire.proto.MembershipProto.LeaderChangeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.MembershipProto.LeaderChange.class, org.nettlering.wire.proto.MembershipProto.LeaderChange.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.MembershipProto.LeaderChange.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        timeUnixMillis_ = 0L;
+        term_ = 0L;
+        what_ = "";
+        leaderId_ = "";
+        reason_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.MembershipProto.internal_static_nettlering_LeaderChange_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.MembershipProto.LeaderChange.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange build() {
+        org.nettlering.wire.proto.MembershipProto.LeaderChange result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.MembershipProto.LeaderChange buildPartial() {
+        org.nettlering.wire.proto.MembershipProto.LeaderChange result = new org.nettlering.wire.proto.MembershipProto.LeaderChange(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.MembershipProto.LeaderChange result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.timeUnixMillis_ = timeUnixMillis_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.term_ = term_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.what_ = what_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.leaderId_ = leaderId_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.reason_ = reason_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.MembershipProto.LeaderChange) {
+          return mergeFrom((org.nettlering.wire.proto.MembershipProto.LeaderChange)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.MembershipProto.LeaderChange other) {
+        if (other == org.nettlering.wire.proto.MembershipProto.LeaderChange.getDefaultInstance()) return this;
+        if (other.getTimeUnixMillis() != 0L) {
+          setTimeUnixMillis(other.getTimeUnixMillis());
+        }
+        if (other.getTerm() != 0L) {
+          setTerm(other.getTerm());
+        }
+        if (!other.getWhat().isEmpty()) {
+          what_ = other.what_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (!other.getLeaderId().isEmpty()) {
+          leaderId_ = other.leaderId_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (!other.getReason().isEmpty()) {
+          reason_ = other.reason_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                timeUnixMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                term_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                what_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                leaderId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 42: {
+                reason_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long timeUnixMillis_ ;
+      /**
+       * <code>uint64 time_unix_millis = 1;</code>
+       * @return The timeUnixMillis.
+       */
+      @java.lang.Override
+      public long getTimeUnixMillis() {
+        return timeUnixMillis_;
+      }
+      /**
+       * <code>uint64 time_unix_millis = 1;</code>
+       * @param value The timeUnixMillis to set.
        * @return This builder for chaining.
        */
-      public Builder clearLeaderId() {
-        leaderId_ = getDefaultInstance().getLeaderId();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder setTimeUnixMillis(long value) {
+
+        timeUnixMillis_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string leader_id = 2;</code>
-       * @param value The bytes for leaderId to set.
+       * <code>uint64 time_unix_millis = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder setLeaderIdBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        leaderId_ = value;
-        bitField0_ |= 0x00000002;
+      public Builder clearTimeUnixMillis() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        timeUnixMillis_ = 0L;
         onChanged();
         return this;
       }
 
       private long term_ ;
       /**
-       * <code>uint64 term = 3;</code>
+       * <code>uint64 term = 2;</code>
        * @return The term.
        */
       @java.lang.Override
@@ -4653,232 +6068,261 @@
         return term_;
       }
       /**
-       * <code>uint64 term = 3;</code>
+       * <code>uint64 term = 2;</code>
        * @param value The term to set.
        * @return This builder for chaining.
        */
       public Builder setTerm(long value) {
 
         term_ = value;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 term = 3;</code>
+       * <code>uint64 term = 2;</code>
        * @return This builder for chaining.
        */
       public Builder clearTerm() {
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         term_ = 0L;
         onChanged();
         return this;
       }
 
-      private long commitIndex_ ;
+      private java.lang.Object what_ = "";
       /**
-       * <code>uint64 commit_index = 4;</code>
-       * @return The commitIndex.
+       * <code>string what = 3;</code>
+       * @return The what.
        */
-      @java.lang.Override
-      public long getCommitIndex() {
-        return commitIndex_;
+      public java.lang.String getWhat() {
+        java.lang.Object ref = what_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          what_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>uint64 commit_index = 4;</code>
-       * @param value The commitIndex to set.
-       * @return This builder for chaining.
+       * <code>string what = 3;</code>
+       * @return The bytes for what.
        */
-      public Builder setCommitIndex(long value) {
-
-        commitIndex_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      public com.google.protobuf.ByteString
+          getWhatBytes() {
+        java.lang.Object ref = what_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          what_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
       /**
-       * <code>uint64 commit_index = 4;</code>
+       * <code>string what = 3;</code>
+       * @param value The what to set.
        * @return This builder for chaining.
        */
-      public Builder clearCommitIndex() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        commitIndex_ = 0L;
+      public Builder setWhat(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        what_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
-
-      private int survivableMembers_ ;
-      /**
-       * <pre>
-       * Members that can be lost now without losing the quorum.
-       * </pre>
-       *
-       * <code>uint32 survivable_members = 5;</code>
-       * @return The survivableMembers.
-       */
-      @java.lang.Override
-      public int getSurvivableMembers() {
-        return survivableMembers_;
-      }
       /**
-       * <pre>
-       * Members that can be lost now without losing the quorum.
-       * </pre>
-       *
-       * <code>uint32 survivable_members = 5;</code>
-       * @param value The survivableMembers to set.
+       * <code>string what = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder setSurvivableMembers(int value) {
-
-        survivableMembers_ = value;
-        bitField0_ |= 0x00000010;
+      public Builder clearWhat() {
+        what_ = getDefaultInstance().getWhat();
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Members that can be lost now without losing the quorum.
-       * </pre>
-       *
-       * <code>uint32 survivable_members = 5;</code>
+       * <code>string what = 3;</code>
+       * @param value The bytes for what to set.
        * @return This builder for chaining.
        */
-      public Builder clearSurvivableMembers() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        survivableMembers_ = 0;
+      public Builder setWhatBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        what_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
 
-      private com.google.protobuf.LazyStringArrayList survivableFailureDomains_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureSurvivableFailureDomainsIsMutable() {
-        if (!survivableFailureDomains_.isModifiable()) {
-          survivableFailureDomains_ = new com.google.protobuf.LazyStringArrayList(survivableFailureDomains_);
-        }
-        bitField0_ |= 0x00000020;
-      }
-      /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @return A list containing the survivableFailureDomains.
-       */
-      public com.google.protobuf.ProtocolStringList
-          getSurvivableFailureDomainsList() {
-        survivableFailureDomains_.makeImmutable();
-        return survivableFailureDomains_;
-      }
+      private java.lang.Object leaderId_ = "";
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @return The count of survivableFailureDomains.
+       * <code>string leader_id = 4;</code>
+       * @return The leaderId.
        */
-      public int getSurvivableFailureDomainsCount() {
-        return survivableFailureDomains_.size();
+      public java.lang.String getLeaderId() {
+        java.lang.Object ref = leaderId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          leaderId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param index The index of the element to return.
-       * @return The survivableFailureDomains at the given index.
+       * <code>string leader_id = 4;</code>
+       * @return The bytes for leaderId.
        */
-      public java.lang.String getSurvivableFailureDomains(int index) {
-        return survivableFailureDomains_.get(index);
+      public com.google.protobuf.ByteString
+          getLeaderIdBytes() {
+        java.lang.Object ref = leaderId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          leaderId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the survivableFailureDomains at the given index.
+       * <code>string leader_id = 4;</code>
+       * @param value The leaderId to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ByteString
-          getSurvivableFailureDomainsBytes(int index) {
-        return survivableFailureDomains_.getByteString(index);
+      public Builder setLeaderId(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        leaderId_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param index The index to set the value at.
-       * @param value The survivableFailureDomains to set.
+       * <code>string leader_id = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder setSurvivableFailureDomains(
-          int index, java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        ensureSurvivableFailureDomainsIsMutable();
-        survivableFailureDomains_.set(index, value);
-        bitField0_ |= 0x00000020;
+      public Builder clearLeaderId() {
+        leaderId_ = getDefaultInstance().getLeaderId();
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param value The survivableFailureDomains to add.
+       * <code>string leader_id = 4;</code>
+       * @param value The bytes for leaderId to set.
        * @return This builder for chaining.
        */
-      public Builder addSurvivableFailureDomains(
-          java.lang.String value) {
+      public Builder setLeaderIdBytes(
+          com.google.protobuf.ByteString value) {
         java.util.Objects.requireNonNull(value);
-        ensureSurvivableFailureDomainsIsMutable();
-        survivableFailureDomains_.add(value);
-        bitField0_ |= 0x00000020;
+        checkByteStringIsUtf8(value);
+        leaderId_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
+
+      private java.lang.Object reason_ = "";
+      /**
+       * <code>string reason = 5;</code>
+       * @return The reason.
+       */
+      public java.lang.String getReason() {
+        java.lang.Object ref = reason_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          reason_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param values The survivableFailureDomains to add.
+       * <code>string reason = 5;</code>
+       * @return The bytes for reason.
+       */
+      public com.google.protobuf.ByteString
+          getReasonBytes() {
+        java.lang.Object ref = reason_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          reason_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string reason = 5;</code>
+       * @param value The reason to set.
        * @return This builder for chaining.
        */
-      public Builder addAllSurvivableFailureDomains(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureSurvivableFailureDomainsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, survivableFailureDomains_);
-        bitField0_ |= 0x00000020;
+      public Builder setReason(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        reason_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
+       * <code>string reason = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSurvivableFailureDomains() {
-        survivableFailureDomains_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000020);;
+      public Builder clearReason() {
+        reason_ = getDefaultInstance().getReason();
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
         return this;
       }
       /**
-       * <code>repeated string survivable_failure_domains = 6;</code>
-       * @param value The bytes of the survivableFailureDomains to add.
+       * <code>string reason = 5;</code>
+       * @param value The bytes for reason to set.
        * @return This builder for chaining.
        */
-      public Builder addSurvivableFailureDomainsBytes(
+      public Builder setReasonBytes(
           com.google.protobuf.ByteString value) {
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
-        ensureSurvivableFailureDomainsIsMutable();
-        survivableFailureDomains_.add(value);
-        bitField0_ |= 0x00000020;
+        reason_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.MembershipResponse)
+      // @@protoc_insertion_point(builder_scope:nettlering.LeaderChange)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.MembershipResponse)
-    private static final org.nettlering.wire.proto.MembershipProto.MembershipResponse DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.LeaderChange)
+    private static final org.nettlering.wire.proto.MembershipProto.LeaderChange DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.MembershipProto.MembershipResponse();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.MembershipProto.LeaderChange();
     }
 
-    public static org.nettlering.wire.proto.MembershipProto.MembershipResponse getDefaultInstance() {
+    public static org.nettlering.wire.proto.MembershipProto.LeaderChange getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<MembershipResponse>
-        PARSER = new com.google.protobuf.AbstractParser<MembershipResponse>() {
+    private static final com.google.protobuf.Parser<LeaderChange>
+        PARSER = new com.google.protobuf.AbstractParser<LeaderChange>() {
       @java.lang.Override
-      public MembershipResponse parsePartialFrom(
+      public LeaderChange parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4897,17 +6341,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<MembershipResponse> parser() {
+    public static com.google.protobuf.Parser<LeaderChange> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<MembershipResponse> getParserForType() {
+    public com.google.protobuf.Parser<LeaderChange> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.MembershipProto.MembershipResponse getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.MembershipProto.LeaderChange getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -5975,6 +7419,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_MembershipResponse_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_LeaderChange_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_LeaderChange_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_MemberStatus_descriptor;
   private static final 
@@ -5999,16 +7448,20 @@
       "\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\026\n\016failure_domain" +
       "\030\003 \001(\t\"!\n\014RemoveMember\022\021\n\tmember_id\030\001 \001(" +
       "\t\"\'\n\022TransferLeadership\022\021\n\tmember_id\030\001 \001" +
-      "(\t\"\266\001\n\022MembershipResponse\022)\n\007members\030\001 \003" +
+      "(\t\"\350\001\n\022MembershipResponse\022)\n\007members\030\001 \003" +
       "(\0132\030.nettlering.MemberStatus\022\021\n\tleader_i" +
       "d\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\024\n\014commit_index\030\004 " +
       "\001(\004\022\032\n\022survivable_members\030\005 \001(\r\022\"\n\032survi" +
-      "vable_failure_domains\030\006 \003(\t\"\212\001\n\014MemberSt" +
-      "atus\022\021\n\tmember_id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t" +
-      "\022\026\n\016failure_domain\030\003 \001(\t\022\016\n\006voting\030\004 \001(\010" +
-      "\022\023\n\013match_index\030\005 \001(\004\022\031\n\021last_heard_mill" +
-      "is\030\006 \001(\004B,\n\031org.nettlering.wire.protoB\017M" +
-      "embershipProtob\006proto3"
+      "vable_failure_domains\030\006 \003(\t\0220\n\016leader_ch" +
+      "anges\030\007 \003(\0132\030.nettlering.LeaderChange\"g\n" +
+      "\014LeaderChange\022\030\n\020time_unix_millis\030\001 \001(\004\022" +
+      "\014\n\004term\030\002 \001(\004\022\014\n\004what\030\003 \001(\t\022\021\n\tleader_id" +
+      "\030\004 \001(\t\022\016\n\006reason\030\005 \001(\t\"\212\001\n\014MemberStatus\022" +
+      "\021\n\tmember_id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\026\n\016f" +
+      "ailure_domain\030\003 \001(\t\022\016\n\006voting\030\004 \001(\010\022\023\n\013m" +
+      "atch_index\030\005 \001(\004\022\031\n\021last_heard_millis\030\006 " +
+      "\001(\004B,\n\031org.nettlering.wire.protoB\017Member" +
+      "shipProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -6049,9 +7502,15 @@
     internal_static_nettlering_MembershipResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_MembershipResponse_descriptor,
-        new java.lang.String[] { "Members", "LeaderId", "Term", "CommitIndex", "SurvivableMembers", "SurvivableFailureDomains", });
-    internal_static_nettlering_MemberStatus_descriptor =
+        new java.lang.String[] { "Members", "LeaderId", "Term", "CommitIndex", "SurvivableMembers", "SurvivableFailureDomains", "LeaderChanges", });
+    internal_static_nettlering_LeaderChange_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_nettlering_LeaderChange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_LeaderChange_descriptor,
+        new java.lang.String[] { "TimeUnixMillis", "Term", "What", "LeaderId", "Reason", });
+    internal_static_nettlering_MemberStatus_descriptor =
+      getDescriptor().getMessageType(7);
     internal_static_nettlering_MemberStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_MemberStatus_descriptor,
