Confirm no configuration without a leader over entries that are not applied

Cause: without a leader an entry took its revision for fresh when a majority of the members had applied no later one. A change that the last leader had committed and acknowledged could stand in a member's log, not yet applied, and was missed until the next election. Ruled out: asking for the committed index; a follower learns it only from a leader. Change: a member answers such a question only when it has applied its whole log, so that a majority of answers leaves out nothing that was acknowledged before the question. Cost: members with an unfinished entry answer only after the next election. Seen failing first with the check off: aMemberThatHoldsUnappliedEntriesRefusesLocalFetches.

--- a/benchmarks/src/test/java/org/nettlering/benchmarks/capacity/CountingLog.java
+++ b/benchmarks/src/test/java/org/nettlering/benchmarks/capacity/CountingLog.java
@@ -38,6 +38,11 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    @Override
+    public boolean hasAppliedWholeLog() {
+        return true;
+    }
+
     @Override
     public boolean isReadyLeader() {
         return true;
--- a/control/src/main/java/org/nettlering/control/configuration/ConfigurationService.java
+++ b/control/src/main/java/org/nettlering/control/configuration/ConfigurationService.java
@@ -23,7 +23,8 @@
 /**
  * Answers requests about the configuration.
  *
- * <p>A fetch and an explanation are linearizable unless the caller asks for the local state of this member. Thread-safe.
+ * <p>A fetch and an explanation are linearizable unless the caller asks for the local
+ * state of this member, which is refused while it leaves out entries of the member's own log. Thread-safe.
  */
 public final class ConfigurationService implements FrameService {
     /** The replicated log. */
@@ -69,12 +70,21 @@
     }
 
     private CompletionStage<ConfigurationResponse> fetch(FetchConfiguration fetch) {
-        CompletionStage<?> ready = fetch.getLocal() ? CompletableFuture.completedStage(null) : log.confirmLeadership();
+        CompletionStage<?> ready = fetch.getLocal() ? confirmWholeLogApplied() : log.confirmLeadership();
         return ready.thenApply(ignored -> ConfigurationResponse.newBuilder()
                 .setUpdate(updateSince(fetch.getKnownRevision()))
                 .build());
     }
 
+    /** Refuses while an entry of this member's log, which may be committed, is missing from its state. */
+    private CompletionStage<Void> confirmWholeLogApplied() {
+        if (log.hasAppliedWholeLog()) {
+            return CompletableFuture.completedStage(null);
+        }
+        return CompletableFuture.failedStage(new NettleringException(
+                ErrorCode.CONFIGURATION_STALE, "this member holds log entries that it has not applied"));
+    }
+
     private ConfigurationUpdate updateSince(long knownRevision) {
         ConfigurationUpdate.Builder update = ConfigurationUpdate.newBuilder();
         state.differencesSince(knownRevision)
--- a/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
@@ -70,6 +70,13 @@
         return node.isReadyLeader();
     }
 
+    @Override
+    public boolean hasAppliedWholeLog() {
+        return node.status()
+                .filter(status -> status.appliedIndex() == status.lastIndex())
+                .isPresent();
+    }
+
     @Override
     public long term() {
         return node.term();
--- a/control/src/main/java/org/nettlering/control/log/CommandLog.java
+++ b/control/src/main/java/org/nettlering/control/log/CommandLog.java
@@ -38,6 +38,16 @@
      */
     boolean isReadyLeader();
 
+    /**
+     * Tells whether this member has applied every entry of its own log, also those that it does not know to be committed.
+     *
+     * <p>A majority of members of which this holds have, together, applied everything that was acknowledged before they
+     * were asked.
+     *
+     * @return true when its state leaves out no entry that it holds
+     */
+    boolean hasAppliedWholeLog();
+
     /**
      * Returns the term of the log.
      *
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -14,23 +14,20 @@
 import org.nettlering.consensus.MemberId;
 import org.nettlering.consensus.storage.DiskFolder;
 import org.nettlering.consensus.storage.FileLogStorage;
-import org.nettlering.control.configuration.ConfigurationPart;
 import org.nettlering.control.configuration.ConfigurationService;
 import org.nettlering.control.consensus.ConsensusEvents;
 import org.nettlering.control.consensus.LeadershipHistory;
 import org.nettlering.control.consensus.MembershipService;
 import org.nettlering.control.consensus.PeerConsensusTransport;
 import org.nettlering.control.consensus.ReplicatedCommandLog;
-import org.nettlering.control.ledger.LedgerPart;
 import org.nettlering.control.ledger.LedgerService;
+import org.nettlering.control.log.CommandLog;
 import org.nettlering.control.metrics.ControlMetrics;
 import org.nettlering.control.metrics.MetricsServer;
 import org.nettlering.control.service.FrameDispatcher;
 import org.nettlering.control.service.LeaderHintHandler;
 import org.nettlering.control.settings.ControlSettings;
-import org.nettlering.control.state.SiteStateMachine;
 import org.nettlering.control.task.TaskEvents;
-import org.nettlering.control.task.TaskPart;
 import org.nettlering.control.task.TaskService;
 import org.nettlering.control.trace.TracingFrameHandler;
 import org.nettlering.domain.placement.ScoredPlanner;
@@ -117,43 +114,46 @@
                 TransportLimits.defaults(),
                 time,
                 TransportCounters.registerIn(metrics.registry()));
-        ConfigurationPart configurationPart = ConfigurationPart.create();
-        TaskPart taskPart =
-                TaskPart.create(() -> configurationPart.state().current().powerCapMilliwatts());
-        LedgerPart ledgerPart = LedgerPart.create();
-        MemberPeers peers = MemberPeers.of(this::findMember, this::openPeer);
-        PeerConsensusTransport transport = PeerConsensusTransport.of(self, peers);
+        SiteParts parts = SiteParts.create();
+        PeerConsensusTransport transport =
+                PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, this::openPeer));
         LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
-        node = ConsensusNode.create(
-                self,
-                settingsMembers,
-                ConsensusSettings.DEFAULT,
-                new ConsensusPorts(
-                        time,
-                        FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
-                        transport,
-                        SiteStateMachine.of(configurationPart, taskPart, ledgerPart),
-                        history,
-                        ConsensusExecutors.create(self),
-                        RandomGenerator.getDefault()));
+        ConsensusPorts ports = new ConsensusPorts(
+                time,
+                FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
+                transport,
+                parts.stateMachine(),
+                history,
+                ConsensusExecutors.create(self),
+                RandomGenerator.getDefault());
+        node = ConsensusNode.create(self, settingsMembers, ConsensusSettings.DEFAULT, ports);
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
-        tasks = TaskService.start(
-                log, taskPart, time, configurationPart.state()::current, ScoredPlanner::create, TaskEvents.logging());
+        tasks = startTasks(log, parts);
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
-                ConfigurationService.of(log, configurationPart, time),
+                ConfigurationService.of(log, parts.configuration(), time),
                 tasks,
-                LedgerService.of(log, ledgerPart, time),
+                LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history));
         node.start();
         server = network.listen(
                 settings.peersAddress(),
                 TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
-        ControlMetrics.register(metrics.registry(), node, configurationPart.state());
+        ControlMetrics.register(metrics.registry(), node, parts.configuration().state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
     }
 
+    private TaskService startTasks(CommandLog log, SiteParts parts) {
+        return TaskService.start(
+                log,
+                parts.tasks(),
+                time,
+                parts.configuration().state()::current,
+                ScoredPlanner::create,
+                TaskEvents.logging());
+    }
+
     /**
      * Returns where the process listens for the others.
      *
--- a/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
@@ -69,6 +69,17 @@
         assertThatThrownBy(() -> fetch(0, false)).hasRootCauseInstanceOf(NettleringException.class);
     }
 
+    @Test
+    void aMemberThatHoldsUnappliedEntriesRefusesLocalFetches() {
+        change("a", 0, 100);
+        log.loseLeadership();
+        log.holdAnUnappliedEntry();
+
+        assertThatThrownBy(() -> fetch(1, true))
+                .hasRootCauseInstanceOf(NettleringException.class)
+                .hasMessageContaining("not applied");
+    }
+
     @Test
     void aRevisionThatIsNotKeptIsNamedInTheError() {
         assertThatThrownBy(() -> call(ConfigurationRequest.newBuilder()
--- a/control/src/test/java/org/nettlering/control/task/DirectLog.java
+++ b/control/src/test/java/org/nettlering/control/task/DirectLog.java
@@ -41,6 +41,11 @@
                 : CompletableFuture.failedFuture(new NettleringException(ErrorCode.NOT_LEADER, "replaced"));
     }
 
+    @Override
+    public boolean hasAppliedWholeLog() {
+        return true;
+    }
+
     @Override
     public boolean isReadyLeader() {
         return leading;
--- a/control/src/test/java/org/nettlering/control/task/LeadershipConfirmationsTest.java
+++ b/control/src/test/java/org/nettlering/control/task/LeadershipConfirmationsTest.java
@@ -61,6 +61,11 @@
             return round;
         }
 
+        @Override
+        public boolean hasAppliedWholeLog() {
+            return true;
+        }
+
         @Override
         public boolean isReadyLeader() {
             return true;
--- a/control/src/test/java/org/nettlering/control/testing/SingleMemberLog.java
+++ b/control/src/test/java/org/nettlering/control/testing/SingleMemberLog.java
@@ -18,6 +18,7 @@
     private final ReplicatedStateMachine machine;
     private final List<byte[]> entries = new ArrayList<>();
     private boolean leading = true;
+    private boolean wholeLogApplied = true;
 
     public SingleMemberLog(ReplicatedStateMachine machine) {
         this.machine = machine;
@@ -34,6 +35,11 @@
         return entries.size();
     }
 
+    /** Receives an entry from a leader that dies before this member learns whether it was committed. */
+    public void holdAnUnappliedEntry() {
+        wholeLogApplied = false;
+    }
+
     public void loseLeadership() {
         leading = false;
     }
@@ -61,6 +67,11 @@
         return leading;
     }
 
+    @Override
+    public boolean hasAppliedWholeLog() {
+        return wholeLogApplied;
+    }
+
     @Override
     public long term() {
         return 1;
