--- a/entry/src/main/java/org/nettlering/entry/EntryEvent.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryEvent.java
@@ -11,8 +11,8 @@
     STOPPING(5002, Level.INFO, "Entry stops: {} requests in flight"),
     /** The process has stopped. */
     STOPPED(5003, Level.INFO, "Entry stopped: {} requests in flight were cut off"),
-    /** The entry became ready or unready. */
-    READINESS_CHANGED(5004, Level.INFO, "Readiness is now {}"),
+    /** The configuration is confirmed for the first time, or again. */
+    CONFIGURATION_FRESH(5004, Level.INFO, "Configuration revision {} is confirmed by the control members"),
     /** A new configuration is in force. */
     CONFIGURATION_APPLIED(5005, Level.INFO, "Configuration revision {} is in force"),
     /** A lower revision was offered. */
--- a/entry/src/main/java/org/nettlering/entry/callers/CallerServer.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerServer.java
@@ -78,7 +78,17 @@
             watch.requestBegins();
             request.response().endHandler(nothing -> watch.requestEnds());
         }
-        new CallerExchange(services, request, requestContext).start();
+        startExchange(request, requestContext);
+    }
+
+    /** Ends the caller's connection when the exchange cannot even begin, so that nobody waits for an answer. */
+    private void startExchange(HttpServerRequest request, Context requestContext) {
+        try {
+            new CallerExchange(services, request, requestContext).start();
+        } catch (RuntimeException fault) {
+            LOGGER.log(EntryEvent.INTERNAL_FAULT, fault);
+            var _ = request.connection().close();
+        }
     }
 
     private void watch(HttpConnection connection) {
--- a/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
+++ b/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -58,6 +59,9 @@
     /** When the question was sent that last confirmed the copy; null before the first one. */
     private volatile @Nullable Long confirmedNanos;
 
+    /** Whether the log says last that the copy is fresh. */
+    private final AtomicBoolean reportedFresh = new AtomicBoolean();
+
     /** True while the client polls. */
     private volatile boolean running;
 
@@ -147,7 +151,7 @@
     }
 
     private void scheduleNext() {
-        reportStaleness();
+        reportFreshness();
         time.schedule(POLL_INTERVAL, this::poll);
     }
 
@@ -205,8 +209,15 @@
         return merged;
     }
 
-    private void reportStaleness() {
-        if (confirmedNanos != null && !isFresh()) {
+    /** Logs once when the copy is no longer confirmed, and once when it is again. */
+    private void reportFreshness() {
+        boolean fresh = isFresh();
+        if (reportedFresh.getAndSet(fresh) == fresh) {
+            return;
+        }
+        if (fresh) {
+            LOGGER.log(EntryEvent.CONFIGURATION_FRESH, current.revision());
+        } else {
             LOGGER.log(EntryEvent.CONFIGURATION_STALE, current.revision(), "no leader and no majority answered");
         }
     }
