--- a/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
+++ b/entry/src/test/java/org/nettlering/entry/testing/EntryFixture.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.nettlering.entry.EntryConfiguration;
 import org.nettlering.entry.EntryProcess;
 import org.nettlering.entry.settings.EntryLimits;
+import org.nettlering.runtime.trace.FinishedSpan;
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.Peer;
 
@@ -57,6 +59,9 @@
     /** The entry. */
     private final EntryProcess process;
 
+    /** The spans that have ended. */
+    private final List<FinishedSpan> spans = new CopyOnWriteArrayList<>();
+
     /** Sends requests. */
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -77,7 +82,7 @@
                 control,
                 peers,
                 registry,
-                Telemetry.disabled(),
+                Telemetry.recordingTo("nettlering-entry", id, spans::add, time),
                 router -> {});
         await(process.start().toCompletableFuture());
     }
@@ -114,6 +119,11 @@
         return control;
     }
 
+    /** Returns the spans that have ended, in that order. */
+    public List<FinishedSpan> spans() {
+        return List.copyOf(spans);
+    }
+
     public EntryProcess process() {
         return process;
     }
