--- a/benchmarks/src/test/java/org/nettlering/project/EventCatalogueTest.java
+++ b/benchmarks/src/test/java/org/nettlering/project/EventCatalogueTest.java
@@ -34,7 +34,9 @@
             "operator",
             "NTL-6",
             "standins",
-            "NTL-7");
+            "NTL-7",
+            "platform",
+            "NTL-8");
 
     private final List<LogEvent> events =
             CompiledClass.all().stream().flatMap(EventCatalogueTest::eventsOf).toList();
--- a/benchmarks/src/test/java/org/nettlering/project/ModuleArrowsTest.java
+++ b/benchmarks/src/test/java/org/nettlering/project/ModuleArrowsTest.java
@@ -19,6 +19,7 @@
             "entry", Set.of("domain", "consensus", "runtime", "wire", "entry"),
             "control", Set.of("domain", "consensus", "runtime", "wire", "control"),
             "operator", Set.of("domain", "runtime", "wire", "operator"),
+            "platform", Set.of("domain", "runtime", "wire", "entry", "control", "platform"),
             "standins", Set.of("domain", "consensus", "runtime", "wire", "entry", "control", "operator", "standins"),
             "benchmarks",
                     Set.of(
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -23,7 +23,11 @@
     /** A snapshot was taken over from the leader. */
     SNAPSHOT_INSTALLED(4008, Level.INFO, "took over the leader's snapshot up to entry {} ({} bytes)"),
     /** The member stopped for good. */
-    MEMBER_FAILED(4009, Level.ERROR, "the member stopped: {}");
+    MEMBER_FAILED(4009, Level.ERROR, "the member stopped: {}"),
+    /** The group took the member in, or had before. */
+    JOIN_ACCEPTED(4010, Level.INFO, "the group takes member {} in"),
+    /** The group could not be asked to take the member in, or refused for now. */
+    JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}");
 
     /** The number of the event. */
     private final int number;
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
@@ -0,0 +1,113 @@
+package org.nettlering.control.consensus;
+
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.Member;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.MembershipProto.AddMember;
+import org.nettlering.wire.proto.MembershipProto.MembershipRequest;
+import org.nettlering.wire.transport.ControlGateway;
+
+/**
+ * Asks the group to take a member in that it does not list.
+ *
+ * <p>Goes on until the member finds itself in the membership: a learner first, which gets its vote when it has caught up. A
+ * member whose folder was emptied is still listed and is only found again. Thread-safe.
+ */
+public final class GroupJoin implements AutoCloseable {
+    /** How often the member asks. */
+    private static final Duration INTERVAL = Duration.ofMillis(500);
+
+    /** How long one request may take. */
+    private static final Duration TIMEOUT = Duration.ofMillis(1_500);
+
+    private static final EventLogger LOG = EventLogger.of(GroupJoin.class);
+
+    /** The member of this process. */
+    private final ConsensusNode node;
+
+    /** How the group is to list it. */
+    private final Member self;
+
+    /** The way to the leader. */
+    private final ControlGateway gateway;
+
+    /** Sets the timers. */
+    private final TimeSource time;
+
+    /** The next attempt. */
+    private volatile TimeSource.@Nullable Timer timer;
+
+    /** Whether the attempts have ended. */
+    private volatile boolean closed;
+
+    /**
+     * Starts asking.
+     *
+     * @param node the member of this process, not null
+     * @param self how the group is to list it, not null
+     * @param gateway the way to the leader, not null
+     * @param time sets the timers, not null
+     * @return the running attempts, never null
+     */
+    public static GroupJoin start(ConsensusNode node, Member self, ControlGateway gateway, TimeSource time) {
+        GroupJoin join = new GroupJoin(node, self, gateway, time);
+        join.scheduleNext();
+        return join;
+    }
+
+    private GroupJoin(ConsensusNode node, Member self, ControlGateway gateway, TimeSource time) {
+        this.node = node;
+        this.self = self;
+        this.gateway = gateway;
+        this.time = time;
+    }
+
+    private void scheduleNext() {
+        if (!closed) {
+            timer = time.schedule(INTERVAL, this::attempt);
+        }
+    }
+
+    private void attempt() {
+        if (isListed()) {
+            scheduleNext();
+            return;
+        }
+        AddMember add = AddMember.newBuilder()
+                .setMemberId(self.id().value())
+                .setAddress(self.address())
+                .setFailureDomain(self.failureDomain())
+                .build();
+        Frame request = Frame.newBuilder()
+                .setMembershipRequest(MembershipRequest.newBuilder().setAdd(add))
+                .build();
+        gateway.callLeader(request, true, TIMEOUT).whenComplete((response, failure) -> {
+            if (failure == null) {
+                LOG.log(ConsensusEvent.JOIN_ACCEPTED, self.id());
+            } else {
+                LOG.log(ConsensusEvent.JOIN_REFUSED, self.id(), String.valueOf(failure.getMessage()));
+            }
+            scheduleNext();
+        });
+    }
+
+    private boolean isListed() {
+        return node.status()
+                .filter(status -> status.membership().find(self.id()).isPresent())
+                .isPresent();
+    }
+
+    /** Ends the attempts. */
+    @Override
+    public void close() {
+        closed = true;
+        TimeSource.Timer pending = timer;
+        if (pending != null) {
+            pending.cancel();
+        }
+    }
+}
--- a/control/src/main/java/org/nettlering/control/task/LeadershipConfirmations.java
+++ b/control/src/main/java/org/nettlering/control/log/LeadershipConfirmations.java
@@ -1,10 +1,9 @@
-package org.nettlering.control.task;
+package org.nettlering.control.log;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
-import org.nettlering.control.log.CommandLog;
 
 /**
  * Confirms leadership for many callers at once.
@@ -12,7 +11,7 @@
  * <p>A confirmation that began before a caller asked proves nothing for it, so callers that come while one is under way
  * share the next one. Thread-safe.
  */
-final class LeadershipConfirmations {
+public final class LeadershipConfirmations {
     /** Confirms each round. */
     private final CommandLog log;
 
@@ -25,12 +24,26 @@
     /** The round that begins when the present one ends, or null if nobody waits. */
     private @Nullable CompletableFuture<Void> next;
 
-    LeadershipConfirmations(CommandLog log) {
+    /**
+     * Creates confirmations of the leadership of a log.
+     *
+     * @param log confirms each round, not null
+     * @return a new instance, never null
+     */
+    public static LeadershipConfirmations of(CommandLog log) {
+        return new LeadershipConfirmations(log);
+    }
+
+    private LeadershipConfirmations(CommandLog log) {
         this.log = log;
     }
 
-    /** Returns a stage that completes when a confirmation that began after this call succeeded. */
-    CompletionStage<Void> confirm() {
+    /**
+     * Confirms the leadership.
+     *
+     * @return completes when a confirmation that began after this call succeeded; fails with {@code NOT_LEADER}, never null
+     */
+    public CompletionStage<Void> confirm() {
         CompletableFuture<Void> round;
         lock.lock();
         try {
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -1,11 +1,15 @@
 package org.nettlering.control.process;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusExecutors;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.ConsensusPorts;
@@ -16,6 +20,7 @@
 import org.nettlering.consensus.storage.FileLogStorage;
 import org.nettlering.control.configuration.ConfigurationService;
 import org.nettlering.control.consensus.ConsensusEvents;
+import org.nettlering.control.consensus.GroupJoin;
 import org.nettlering.control.consensus.LeadershipHistory;
 import org.nettlering.control.consensus.MembershipService;
 import org.nettlering.control.consensus.PeerConsensusTransport;
@@ -30,6 +35,9 @@
 import org.nettlering.control.task.TaskEvents;
 import org.nettlering.control.task.TaskService;
 import org.nettlering.control.trace.TracingFrameHandler;
+import org.nettlering.control.workflow.HostOrders;
+import org.nettlering.control.workflow.WorkflowLoop;
+import org.nettlering.control.workflow.WorkflowService;
 import org.nettlering.domain.placement.ScoredPlanner;
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.domain.time.TimeSource;
@@ -37,6 +45,8 @@
 import org.nettlering.runtime.program.Daemon;
 import org.nettlering.runtime.program.ExitCode;
 import org.nettlering.runtime.trace.Telemetry;
+import org.nettlering.wire.transport.ControlGateway;
+import org.nettlering.wire.transport.LeaderControlGateway;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
@@ -54,6 +64,9 @@
     /** How long a planned stop waits for another member to take over, in seconds. */
     private static final long HAND_OVER_TIMEOUT_SECONDS = 3;
 
+    /** How long one attempt to reach the leader takes at most. */
+    private static final Duration ATTEMPT_LIMIT = Duration.ofMillis(700);
+
     /** The members that the settings name. */
     private final List<Member> settingsMembers;
 
@@ -72,6 +85,15 @@
     /** The scheduling loop. */
     private final TaskService tasks;
 
+    /** The loop that starts the tasks of jobs of steps. */
+    private final WorkflowLoop workflow;
+
+    /** The way to the leader, this process included. */
+    private final ControlGateway gateway;
+
+    /** Asks the group to take this member in, or null if only operators add members. */
+    private final @Nullable GroupJoin join;
+
     /** Accepts connections. */
     private final NettyPeerServer server;
 
@@ -89,7 +111,22 @@
     public static ControlProcess start(ControlSettings settings) {
         return start(
                 settings,
-                time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time));
+                time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time),
+                HostOrders.unreachable());
+    }
+
+    /**
+     * Starts a control process that sends orders to hosts.
+     *
+     * @param settings the checked settings, not null
+     * @param orders the way to the hosts, not null
+     * @return the running process, never null
+     */
+    public static ControlProcess startWithHosts(ControlSettings settings, HostOrders orders) {
+        return start(
+                settings,
+                time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time),
+                orders);
     }
 
     /**
@@ -100,10 +137,16 @@
      * @return the running process, never null
      */
     public static ControlProcess start(ControlSettings settings, Function<TimeSource, Telemetry> telemetry) {
-        return new ControlProcess(settings, telemetry);
+        return start(settings, telemetry, HostOrders.unreachable());
     }
 
-    private ControlProcess(ControlSettings settings, Function<TimeSource, Telemetry> telemetryFactory) {
+    private static ControlProcess start(
+            ControlSettings settings, Function<TimeSource, Telemetry> telemetry, HostOrders orders) {
+        return new ControlProcess(settings, telemetry, orders);
+    }
+
+    private ControlProcess(
+            ControlSettings settings, Function<TimeSource, Telemetry> telemetryFactory, HostOrders orders) {
         MemberId self = MemberId.of(settings.identity().processId());
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
@@ -126,15 +169,21 @@
                 history,
                 ConsensusExecutors.create(self),
                 RandomGenerator.getDefault());
-        node = ConsensusNode.create(self, settingsMembers, ConsensusSettings.DEFAULT, ports);
+        List<Member> founders = settings.groupStart().founds() ? settingsMembers : List.of();
+        node = ConsensusNode.create(self, founders, ConsensusSettings.DEFAULT, ports);
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = startTasks(log, parts);
+        workflow = WorkflowLoop.start(log, parts.workflow(), time, orders, settings.hostLimits());
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, parts.configuration(), time),
                 tasks,
                 LedgerService.of(log, parts.ledger(), time),
-                MembershipService.of(node, history));
+                MembershipService.of(node, history),
+                WorkflowService.of(log, parts.workflow(), workflow, time));
+        LeaderControlGateway others =
+                LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
+        gateway = new OwnOrLeaderGateway(log, dispatcher, others);
         node.start();
         server = network.listen(
                 settings.peersAddress(),
@@ -142,6 +191,21 @@
         ControlMetrics.register(metrics.registry(), node, parts.configuration().state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
+        join = settings.groupStart().joins() ? GroupJoin.start(node, self(self, settings), others, time) : null;
+    }
+
+    private static Member self(MemberId id, ControlSettings settings) {
+        InetSocketAddress address = settings.peersAddress();
+        return Member.learner(
+                id,
+                address.getHostString() + ":" + address.getPort(),
+                settings.identity().failureDomain());
+    }
+
+    private static Map<String, InetSocketAddress> addresses(ControlSettings settings) {
+        Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        settings.members().forEach((id, member) -> addresses.put(id, member.address()));
+        return addresses;
     }
 
     private TaskService startTasks(CommandLog log, SiteParts parts) {
@@ -163,6 +227,15 @@
         return server.address();
     }
 
+    /**
+     * Returns the way to the leader, which may be this process itself.
+     *
+     * @return the way to the leader, never null
+     */
+    public ControlGateway gateway() {
+        return gateway;
+    }
+
     /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
     private static void endWithFailure() {
         Runtime.getRuntime().halt(ExitCode.FAILURE.number());
@@ -171,10 +244,14 @@
     /** Hands leadership over, then stops everything in the reverse order of its start. */
     @Override
     public void stop() {
+        if (join != null) {
+            join.close();
+        }
         handLeadershipOver();
         metricsServer.close();
         server.close();
         tasks.close();
+        workflow.close();
         node.close();
         network.close();
         telemetry.close();
--- a/control/src/main/java/org/nettlering/control/service/FrameDispatcher.java
+++ b/control/src/main/java/org/nettlering/control/service/FrameDispatcher.java
@@ -30,6 +30,9 @@
     /** Answers requests about the control members. */
     private final FrameService membership;
 
+    /** Answers requests about queues and jobs of steps. */
+    private final FrameService workflow;
+
     /**
      * Creates a dispatcher.
      *
@@ -38,6 +41,7 @@
      * @param tasks answers requests about tasks and workers, not null
      * @param ledger answers requests about idempotency keys, not null
      * @param membership answers requests about the control members, not null
+     * @param workflow answers requests about queues and jobs of steps, not null
      * @return a new dispatcher, never null
      */
     public static FrameDispatcher of(
@@ -45,8 +49,9 @@
             FrameService configuration,
             FrameService tasks,
             FrameService ledger,
-            FrameService membership) {
-        return new FrameDispatcher(consensus, configuration, tasks, ledger, membership);
+            FrameService membership,
+            FrameService workflow) {
+        return new FrameDispatcher(consensus, configuration, tasks, ledger, membership, workflow);
     }
 
     private FrameDispatcher(
@@ -54,12 +59,14 @@
             FrameService configuration,
             FrameService tasks,
             FrameService ledger,
-            FrameService membership) {
+            FrameService membership,
+            FrameService workflow) {
         this.consensus = consensus;
         this.configuration = configuration;
         this.tasks = tasks;
         this.ledger = ledger;
         this.membership = membership;
+        this.workflow = workflow;
     }
 
     @Override
@@ -84,6 +91,7 @@
             case TASK_REQUEST -> tasks;
             case LEDGER_REQUEST -> ledger;
             case MEMBERSHIP_REQUEST -> membership;
+            case WORKFLOW_REQUEST -> workflow;
             default ->
                 throw new NettleringException(
                         ErrorCode.INVALID_ARGUMENT,
--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.runtime.settings.SettingsReader;
 import org.nettlering.runtime.settings.TelemetrySettings;
 import org.nettlering.wire.transport.ClusterIdentity;
@@ -18,7 +20,9 @@
  * @param peersAddress where it listens for the other processes, not null
  * @param metricsAddress where it serves metrics, not null
  * @param dataFolder the folder that holds everything that must last, not null
- * @param members the members with which the cluster starts, by id, not null
+ * @param members the members that are known at the start, by id, not null
+ * @param groupStart what the process may do when its data folder is empty, not null
+ * @param hostLimits the times that hosts keep to, not null
  * @param telemetry where spans go, not null
  */
 public record ControlSettings(
@@ -27,9 +31,18 @@
         InetSocketAddress metricsAddress,
         Path dataFolder,
         Map<String, ControlMember> members,
+        GroupStart groupStart,
+        HostLimits hostLimits,
         TelemetrySettings telemetry) {
     private static final String MEMBERS = "members";
 
+    private static final String GROUP = "group";
+
+    private static final String HOSTS = "hosts";
+
+    /** The failure domain of a member that the settings tell only the address of. */
+    private static final String UNTOLD_DOMAIN = "untold";
+
     private static final int MEMBER_PARTS = 2;
 
     /** Copies the members in their order. */
@@ -46,18 +59,52 @@
      */
     public static ControlSettings load(Path file) {
         SettingsReader reader = SettingsReader.open(file);
-        ControlSettings settings = new ControlSettings(
+        ControlSettings settings = read(reader);
+        reader.finish();
+        return settings;
+    }
+
+    /**
+     * Reads the settings from a file that holds others as well.
+     *
+     * @param reader the open file; the caller ends the reading, not null
+     * @return the settings, with placeholders where the reader noted a fault, never null
+     */
+    public static ControlSettings read(SettingsReader reader) {
+        InetSocketAddress peersAddress = reader.address("listen", "peers");
+        boolean seeded = reader.hasSection(GROUP);
+        return new ControlSettings(
                 new ClusterIdentity(
                         reader.text("cluster", "id"),
                         reader.text("process", "id"),
                         reader.text("process", "failure_domain")),
-                reader.address("listen", "peers"),
+                peersAddress,
                 reader.address("listen", "metrics"),
                 Path.of(reader.text("storage", "data_folder")),
-                members(reader),
+                seeded ? seeds(reader, peersAddress.getPort()) : members(reader),
+                seeded ? new GroupStart(reader.flag(GROUP, "found", false), true) : new GroupStart(true, false),
+                hostLimits(reader),
                 TelemetrySettings.read(reader));
-        reader.finish();
-        return settings;
+    }
+
+    /** Reads members of which only addresses are told: each is named after its IP and listens for peers on our port. */
+    private static Map<String, ControlMember> seeds(SettingsReader reader, int peersPort) {
+        Map<String, ControlMember> members = new LinkedHashMap<>();
+        for (String text : reader.text(GROUP, "seeds").split(",", -1)) {
+            InetSocketAddress seed = reader.parseAddress(GROUP, "seeds", text.strip());
+            String id = seed.getHostString();
+            members.put(id, new ControlMember(id, new InetSocketAddress(id, peersPort), UNTOLD_DOMAIN));
+        }
+        return members;
+    }
+
+    private static HostLimits hostLimits(SettingsReader reader) {
+        Duration longest = reader.millis(HOSTS, "longest_lease_millis", Duration.ofSeconds(6));
+        Duration lease = reader.millis(HOSTS, "lease_millis", Duration.ofSeconds(5));
+        return new HostLimits(
+                lease.compareTo(longest) > 0 ? longest : lease,
+                longest,
+                reader.millis(HOSTS, "stop_grace_millis", Duration.ofSeconds(1)));
     }
 
     private static Map<String, ControlMember> members(SettingsReader reader) {
--- a/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
+++ b/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
@@ -11,7 +11,7 @@
 import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
 
 /**
- * The whole replicated state: configuration, tasks and the ledger of non-idempotent requests.
+ * The whole replicated state: configuration, tasks, the ledger of non-idempotent requests, queues and their jobs.
  *
  * <p>Passes each committed command to the part that it belongs to. The log calls it from one thread; the parts may be read
  * from others.
@@ -29,22 +29,27 @@
     /** The ledger of non-idempotent requests. */
     private final StatePart ledger;
 
+    /** The queues and the jobs of steps. */
+    private final StatePart workflow;
+
     /**
      * Creates the state machine.
      *
      * @param configuration the part for configuration commands, not null
      * @param tasks the part for task commands, not null
      * @param ledger the part for ledger commands, not null
+     * @param workflow the part for commands about queues and jobs of steps, not null
      * @return a new state machine, never null
      */
-    public static SiteStateMachine of(StatePart configuration, StatePart tasks, StatePart ledger) {
-        return new SiteStateMachine(configuration, tasks, ledger);
+    public static SiteStateMachine of(StatePart configuration, StatePart tasks, StatePart ledger, StatePart workflow) {
+        return new SiteStateMachine(configuration, tasks, ledger, workflow);
     }
 
-    private SiteStateMachine(StatePart configuration, StatePart tasks, StatePart ledger) {
+    private SiteStateMachine(StatePart configuration, StatePart tasks, StatePart ledger, StatePart workflow) {
         this.configuration = configuration;
         this.tasks = tasks;
         this.ledger = ledger;
+        this.workflow = workflow;
     }
 
     @Override
@@ -54,6 +59,7 @@
             case CONFIGURATION -> configuration.apply(decoded);
             case TASK -> tasks.apply(decoded);
             case LEDGER -> ledger.apply(decoded);
+            case WORKFLOW, QUEUES -> workflow.apply(decoded);
             case COMMAND_NOT_SET ->
                 throw new NettleringException(
                         ErrorCode.STORAGE_TOO_NEW,
@@ -83,7 +89,7 @@
     }
 
     private List<StatePart> parts() {
-        return List.of(configuration, tasks, ledger);
+        return List.of(configuration, tasks, ledger, workflow);
     }
 
     private static SiteCommand decode(long index, byte[] command) {
--- a/control/src/main/java/org/nettlering/control/task/TaskService.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskService.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.control.log.CommandLog;
 import org.nettlering.control.log.FrameService;
+import org.nettlering.control.log.LeadershipConfirmations;
 import org.nettlering.domain.configuration.SiteConfiguration;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -114,7 +115,7 @@
         this.configuration = configuration;
         this.planners = planners;
         this.listener = listener;
-        this.confirmations = new LeadershipConfirmations(log);
+        this.confirmations = LeadershipConfirmations.of(log);
     }
 
     @Override
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/HostOrders.java
@@ -0,0 +1,27 @@
+package org.nettlering.control.workflow;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostOrder;
+
+/** The way to the hosts that run tasks. Implementations are thread-safe and do not block. */
+@FunctionalInterface
+public interface HostOrders {
+    /**
+     * Returns a way that reaches no host, for a process without any.
+     *
+     * @return orders that are never answered, never null
+     */
+    static HostOrders unreachable() {
+        return order -> CompletableFuture.completedFuture(new HostAnswer.Silent("this process reaches no hosts"));
+    }
+
+    /**
+     * Sends an order.
+     *
+     * @param order the order, not null
+     * @return what came of it, within a bounded time; never fails, never null
+     */
+    CompletionStage<HostAnswer> send(HostOrder order);
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -0,0 +1,60 @@
+package org.nettlering.control.workflow;
+
+import org.nettlering.runtime.log.LogEvent;
+import org.slf4j.event.Level;
+
+/** The numbered events of queues, jobs of steps and their hosts; docs/EVENTS.md explains each. */
+public enum WorkflowEvent implements LogEvent {
+    /** A job was accepted. */
+    JOB_ACCEPTED(3301, Level.INFO, "job {} accepted in queue {} (configuration {}): {} steps"),
+    /** A job was cancelled. */
+    JOB_CANCELLED(3302, Level.INFO, "job {} cancelled: {}"),
+    /** A run was started. */
+    RUN_STARTED(3303, Level.INFO, "run {} starts on host {} at {} in term {}"),
+    /** A run ended. */
+    RUN_ENDED(3304, Level.INFO, "run {} ended: {}; job is {}"),
+    /** The queues were replaced. */
+    QUEUES_REPLACED(3305, Level.INFO, "configuration of queues {} asked for, {} in force"),
+    /** A host reported for the first time in this term. */
+    HOST_SEEN(3306, Level.INFO, "host {} at {} reports to the leader of term {}: pool {}, rack {}, {}"),
+    /** A host says that it leaves. */
+    HOST_LEAVING(3307, Level.INFO, "host {} leaves"),
+    /** An order was not carried out as asked. */
+    ORDER_FAILED(3308, Level.WARN, "order {} to host {} was not carried out: {}"),
+    /** The leader's loop failed. */
+    LOOP_FAILED(3309, Level.ERROR, "the loop that starts tasks failed"),
+    /** A batch of changes did not get into the log. */
+    BATCH_FAILED(3310, Level.WARN, "a batch of {} changes of jobs was not logged: {}"),
+    /** A new leader takes over the hosts with runs. */
+    TAKEN_OVER(3311, Level.INFO, "the leader of term {} follows {} hosts with runs");
+
+    /** The number. */
+    private final int number;
+
+    /** The level. */
+    private final Level level;
+
+    /** The message. */
+    private final String pattern;
+
+    WorkflowEvent(int number, Level level, String pattern) {
+        this.number = number;
+        this.level = level;
+        this.pattern = pattern;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String pattern() {
+        return pattern;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -0,0 +1,286 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostCommitments;
+import org.nettlering.domain.workflow.Job;
+import org.nettlering.domain.workflow.RunEnd;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.Begin;
+import org.nettlering.domain.workflow.WorkflowCommand.End;
+import org.nettlering.domain.workflow.WorkflowCommand.Forget;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostLimits;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.domain.workflow.host.HostReport;
+import org.nettlering.domain.workflow.host.HostSession;
+import org.nettlering.domain.workflow.placement.HostDoubts;
+import org.nettlering.domain.workflow.placement.HostRoom;
+import org.nettlering.domain.workflow.placement.StartPlanner;
+
+/**
+ * What the leader of one term knows beside the replicated jobs: the hosts, and what waits to be logged.
+ *
+ * <p>Not thread-safe: used under the lock of {@link WorkflowPart}.
+ */
+final class WorkflowLeadership {
+    /** How long a job that has ended can be asked for. */
+    private static final Duration KEPT_AFTER_END = Duration.ofMinutes(5);
+
+    /** How often jobs that ended long ago are looked for. */
+    private static final Duration FORGET_INTERVAL = Duration.ofSeconds(5);
+
+    /** How much later than due an occurrence begins, so that clocks that differ a little begin none too early. */
+    private static final Duration DUE_MARGIN = Duration.ofMillis(50);
+
+    /** The term. */
+    private final long term;
+
+    /** The times that hosts keep to. */
+    private final HostLimits limits;
+
+    /** The hosts by the id of their life. */
+    private final Map<String, HostSession> sessions = new LinkedHashMap<>();
+
+    /** The hosts to avoid. */
+    private final HostDoubts doubts = HostDoubts.none();
+
+    /** The ends that wait to be logged. */
+    private final Map<RunName, End> openEnds = new LinkedHashMap<>();
+
+    /** When each job was first seen to have ended, by the monotonic clock. */
+    private final Map<String, Long> endedJobs = new HashMap<>();
+
+    /** When jobs that ended long ago are looked for next, by the monotonic clock. */
+    private long nextForgetNanos;
+
+    /** Whether a batch is on its way through the log. */
+    private boolean proposing;
+
+    static WorkflowLeadership begin(WorkflowState state, long term, HostLimits limits, long nowNanos) {
+        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, nowNanos);
+        for (HostCommitments host : state.hosts()) {
+            HostSession session = leadership.session(host, nowNanos);
+            for (ActiveRun run : host.runs()) {
+                session.inherit(run, nowNanos);
+                leadership.stopIfPointless(state, run);
+            }
+        }
+        return leadership;
+    }
+
+    private WorkflowLeadership(long term, HostLimits limits, long nowNanos) {
+        this.term = term;
+        this.limits = limits;
+        nextForgetNanos = nowNanos;
+    }
+
+    private HostSession session(HostCommitments host, long nowNanos) {
+        return sessions.computeIfAbsent(host.host().id(), id -> HostSession.begin(host.host(), limits, term, nowNanos));
+    }
+
+    long term() {
+        return term;
+    }
+
+    Collection<HostSession> sessions() {
+        return sessions.values();
+    }
+
+    /** Takes a report of a host; returns whether it is the first one of this life in this term. */
+    boolean receive(HostReport report, long nowNanos) {
+        HostSession session = sessions.get(report.host().id());
+        boolean first = session == null || session.report().isEmpty();
+        if (session == null) {
+            session = HostSession.begin(report.host(), limits, term, nowNanos);
+            sessions.put(report.host().id(), session);
+        }
+        session.receive(report, nowNanos);
+        return first;
+    }
+
+    void leave(String hostId, long nowNanos) {
+        HostSession session = sessions.get(hostId);
+        if (session != null) {
+            session.leave(nowNanos);
+        }
+    }
+
+    /** Takes what came of an order. */
+    void answered(HostOrder order, long sentNanos, HostAnswer answer, long nowNanos) {
+        HostSession session = sessions.get(order.host().id());
+        if (session != null) {
+            collect(session.answered(order, sentNanos, answer, nowNanos));
+        }
+    }
+
+    private void collect(List<End> ends) {
+        ends.forEach(end -> openEnds.put(end.run(), end));
+    }
+
+    /** Returns the next batch to log, or an empty list if one is on its way or there is nothing to do. */
+    List<WorkflowCommand> nextBatch(WorkflowState state, long nowNanos, long nowMillis) {
+        if (proposing) {
+            return List.of();
+        }
+        sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
+        List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
+        if (batch.isEmpty()) {
+            addDueOccurrences(state, nowMillis, batch);
+            addForgotten(state, nowNanos, batch);
+            batch.addAll(StartPlanner.plan(state, rooms(state, nowNanos), step -> true, nowMillis));
+        }
+        openEnds.clear();
+        proposing = !batch.isEmpty();
+        return batch;
+    }
+
+    private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
+        for (Job job : state.timedJobs()) {
+            job.nextOccurrence()
+                    .filter(next -> nowMillis >= job.definition().recurrence().dueMillis(next) + DUE_MARGIN.toMillis())
+                    .ifPresent(next -> batch.add(new Begin(job.id(), next)));
+        }
+    }
+
+    private void addForgotten(WorkflowState state, long nowNanos, List<WorkflowCommand> batch) {
+        if (nowNanos - nextForgetNanos < 0) {
+            return;
+        }
+        nextForgetNanos = nowNanos + FORGET_INTERVAL.toNanos();
+        for (Job job : state.jobs()) {
+            if (job.phase().isOpen()) {
+                continue;
+            }
+            long endedNanos = endedJobs.computeIfAbsent(job.id(), id -> nowNanos);
+            if (nowNanos - endedNanos > KEPT_AFTER_END.toNanos()) {
+                batch.add(new Forget(job.id()));
+            }
+        }
+        endedJobs.keySet().removeIf(id -> state.job(id).isEmpty());
+    }
+
+    private List<HostRoom> rooms(WorkflowState state, long nowNanos) {
+        List<HostRoom> rooms = new ArrayList<>();
+        for (HostSession session : sessions.values()) {
+            String id = session.host().id();
+            if (!session.takesWork(nowNanos) || doubts.isPaused(id, nowNanos)) {
+                continue;
+            }
+            HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
+            session.report().ifPresent(report -> rooms.add(HostRoom.of(report, commitments, doubts.doubtOf(id))));
+        }
+        return rooms;
+    }
+
+    /** Takes note that a batch is in the log and applied here. */
+    void committed(WorkflowState state, List<WorkflowCommand> batch, long nowNanos) {
+        proposing = false;
+        for (WorkflowCommand command : batch) {
+            switch (command) {
+                case Start start -> started(state, start.run(), nowNanos);
+                case End end -> ended(state, end, nowNanos);
+                default -> {}
+            }
+        }
+    }
+
+    /** Takes note that a batch did not get into the log, as far as is known. */
+    void notCommitted(List<WorkflowCommand> batch) {
+        proposing = false;
+        for (WorkflowCommand command : batch) {
+            if (command instanceof End end) {
+                openEnds.putIfAbsent(end.run(), end);
+            }
+        }
+    }
+
+    private void started(WorkflowState state, ActiveRun run, long nowNanos) {
+        HostSession session = sessions.get(run.host().id());
+        if (session == null || !state.isActive(run.run())) {
+            return;
+        }
+        Job job = state.job(run.run().task().jobId()).orElseThrow();
+        session.start(run, job.definition().taskSpecification(), "", nowNanos);
+        stopIfPointless(state, run);
+    }
+
+    private void ended(WorkflowState state, End end, long nowNanos) {
+        for (HostSession session : sessions.values()) {
+            if (session.ended(end.run())) {
+                doubts.ended(session.host().id(), end.how(), nowNanos);
+            }
+        }
+        state.job(end.run().task().jobId()).ifPresent(job -> {
+            if (!job.phase().isOpen()) {
+                stopRunsOf(job);
+            } else if (end.how() == RunEnd.DONE) {
+                job.step(end.run().task().step()).ifPresent(step -> stopCopies(state, step, end.run()));
+            }
+        });
+    }
+
+    /** Stops the other runs of a task that is done. */
+    private void stopCopies(WorkflowState state, StepProgress step, RunName done) {
+        if (step.task(done.task().index()).isDone()) {
+            step.task(done.task().index()).activeRuns().forEach(run -> stopIfPointless(state, run));
+        }
+    }
+
+    /** Stops every run of a job that has ended. */
+    void stopRunsOf(Job job) {
+        for (StepProgress step : job.steps()) {
+            if (step.activeCount() == 0) {
+                continue;
+            }
+            for (int index = 0; index < step.specification().count(); index++) {
+                step.task(index).activeRuns().forEach(this::stop);
+            }
+        }
+    }
+
+    private void stopIfPointless(WorkflowState state, ActiveRun run) {
+        boolean wanted = state.job(run.run().task().jobId())
+                .filter(job -> job.phase().isOpen())
+                .flatMap(job -> job.step(run.run().task().step()))
+                .filter(step -> !step.task(run.run().task().index()).isDone())
+                .isPresent();
+        if (!wanted) {
+            stop(run);
+        }
+    }
+
+    private void stop(ActiveRun run) {
+        HostSession session = sessions.get(run.host().id());
+        if (session != null) {
+            session.stop(run.run());
+        }
+    }
+
+    /** Returns the orders that are due, and takes them as sent. */
+    List<HostOrder> dueOrders(long nowNanos) {
+        List<HostOrder> due = new ArrayList<>();
+        Iterator<HostSession> all = sessions.values().iterator();
+        while (all.hasNext()) {
+            HostSession session = all.next();
+            if (session.isOver(nowNanos)) {
+                doubts.forget(session.host().id());
+                all.remove();
+                continue;
+            }
+            due.addAll(session.dueOrders(nowNanos));
+        }
+        return due;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -0,0 +1,261 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.control.log.CommandLog;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.domain.workflow.JobPhase;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.End;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostLimits;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.wire.codec.WorkflowCommandCodec;
+import org.nettlering.wire.proto.CommandProto.SiteCommand;
+
+/**
+ * The leader's loop: logs the ends that hosts prove, plans starts, logs them, and only then sends the orders.
+ *
+ * <p>Runs whenever something happened and at regular intervals; one batch of changes is on its way through the log at a
+ * time. Thread-safe; orders are sent without a lock held.
+ */
+public final class WorkflowLoop implements AutoCloseable {
+    /** How often the loop runs when nothing happens. */
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    private static final EventLogger LOG = EventLogger.of(WorkflowLoop.class);
+
+    /** The replicated log. */
+    private final CommandLog log;
+
+    /** The replicated queues and jobs, whose lock also guards {@link #leadership}. */
+    private final WorkflowPart part;
+
+    /** Clocks and timers. */
+    private final TimeSource time;
+
+    /** The way to the hosts. */
+    private final HostOrders orders;
+
+    /** The times that hosts keep to. */
+    private final HostLimits limits;
+
+    /** What is known while this member leads. */
+    private @Nullable WorkflowLeadership leadership;
+
+    /** The next run of the loop. */
+    private volatile TimeSource.@Nullable Timer timer;
+
+    /** Whether the loop was closed. */
+    private volatile boolean closed;
+
+    /**
+     * Starts the loop.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop start(
+            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits);
+        loop.scheduleTick();
+        return loop;
+    }
+
+    private WorkflowLoop(CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
+        this.log = log;
+        this.part = part;
+        this.time = time;
+        this.orders = orders;
+        this.limits = limits;
+    }
+
+    private void scheduleTick() {
+        if (!closed) {
+            timer = time.schedule(TICK, this::tick);
+        }
+    }
+
+    private void tick() {
+        try {
+            run();
+        } catch (RuntimeException exception) {
+            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
+        } finally {
+            scheduleTick();
+        }
+    }
+
+    /**
+     * Changes what the leader knows beside the replicated jobs, then runs the loop.
+     *
+     * @param change what to change, under the lock; it does not block, not null
+     * @param <T> what the change returns
+     * @return what the change returned
+     * @throws NettleringException with {@code NOT_LEADER} if this member does not lead
+     */
+    <T> T change(Function<WorkflowLeadership, T> change) {
+        T result = part.read((state, queues) -> change.apply(leadership(state)));
+        run();
+        return result;
+    }
+
+    /** Changes what the leader knows, with a look at the replicated jobs, then runs the loop; not without leadership. */
+    void changeWithState(BiConsumer<WorkflowState, WorkflowLeadership> change) {
+        part.read((state, queues) -> {
+            WorkflowLeadership current = leadership(state);
+            change.accept(state, current);
+            return current;
+        });
+        run();
+    }
+
+    /** Runs the loop once, if this member leads. */
+    void run() {
+        if (closed || !log.isReadyLeader()) {
+            return;
+        }
+        try {
+            propose();
+            sendDueOrders();
+        } catch (NettleringException exception) {
+            if (exception.code() != ErrorCode.NOT_LEADER) {
+                throw exception;
+            }
+        }
+    }
+
+    /** Changes the state of the present leadership; what an earlier one was told is dropped. */
+    private void withLeadership(WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
+        part.read((state, queues) -> {
+            if (leadership == expected) {
+                change.accept(state, expected);
+            }
+            return expected;
+        });
+    }
+
+    private void propose() {
+        List<WorkflowCommand> batch = new ArrayList<>();
+        WorkflowLeadership proposer = part.read((state, queues) -> {
+            WorkflowLeadership current = leadership(state);
+            batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
+            return current;
+        });
+        if (batch.isEmpty()) {
+            return;
+        }
+        SiteCommand command = SiteCommand.newBuilder()
+                .setWorkflow(WorkflowCommandCodec.encode(new WorkflowCommand.Batch(batch)))
+                .build();
+        log.propose(command).whenComplete((result, failure) -> finish(proposer, batch, failure));
+    }
+
+    private void finish(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
+        if (failure != null) {
+            LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
+            withLeadership(proposer, (state, current) -> current.notCommitted(batch));
+            return;
+        }
+        withLeadership(proposer, (state, current) -> {
+            current.committed(state, batch, time.nanoTime());
+            batch.forEach(command -> report(state, command, current.term()));
+        });
+        tickNow();
+    }
+
+    private void tickNow() {
+        try {
+            run();
+        } catch (RuntimeException exception) {
+            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
+        }
+    }
+
+    private static void report(WorkflowState state, WorkflowCommand command, long term) {
+        switch (command) {
+            case Start start ->
+                LOG.log(
+                        WorkflowEvent.RUN_STARTED,
+                        start.run().run(),
+                        start.run().host().id(),
+                        start.run().host().address(),
+                        term);
+            case End end ->
+                LOG.log(
+                        WorkflowEvent.RUN_ENDED,
+                        end.run(),
+                        end.how(),
+                        state.job(end.run().task().jobId())
+                                .map(job -> job.phase())
+                                .orElse(JobPhase.CANCELLED));
+            default -> {}
+        }
+    }
+
+    private void sendDueOrders() {
+        List<HostOrder> due = new ArrayList<>();
+        WorkflowLeadership sender = part.read((state, queues) -> {
+            WorkflowLeadership current = leadership(state);
+            due.addAll(current.dueOrders(time.nanoTime()));
+            return current;
+        });
+        for (HostOrder order : due) {
+            long sentNanos = time.nanoTime();
+            orders.send(order)
+                    .whenComplete((answer, failure) -> answered(sender, order, sentNanos, answerOf(answer, failure)));
+        }
+    }
+
+    private static HostAnswer answerOf(@Nullable HostAnswer answer, @Nullable Throwable failure) {
+        return answer == null ? new HostAnswer.Silent(String.valueOf(failure)) : answer;
+    }
+
+    private void answered(WorkflowLeadership sender, HostOrder order, long sentNanos, HostAnswer answer) {
+        boolean carriedOut = answer instanceof HostAnswer.Accepted || answer instanceof HostAnswer.Listing;
+        if (!carriedOut) {
+            LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
+        }
+        withLeadership(sender, (state, current) -> current.answered(order, sentNanos, answer, time.nanoTime()));
+        tickNow();
+    }
+
+    /** Returns the soft state of the present term; called under the lock of the part. */
+    private WorkflowLeadership leadership(WorkflowState state) {
+        long term = log.term();
+        if (!log.isReadyLeader() || log.term() != term) {
+            String leader = log.leaderId().orElse("");
+            throw new NettleringException(ErrorCode.NOT_LEADER, "the leader is \"" + leader + "\"");
+        }
+        WorkflowLeadership current = leadership;
+        if (current == null || current.term() != term) {
+            current = WorkflowLeadership.begin(state, term, limits, time.nanoTime());
+            LOG.log(WorkflowEvent.TAKEN_OVER, term, current.sessions().size());
+            leadership = current;
+        }
+        return current;
+    }
+
+    /** Stops the loop. */
+    @Override
+    public void close() {
+        closed = true;
+        TimeSource.Timer pending = timer;
+        if (pending != null) {
+            pending.cancel();
+        }
+    }
+}
--- a/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/configuration/ConfigurationServiceTest.java
@@ -25,7 +25,7 @@
 class ConfigurationServiceTest {
     private final ConfigurationPart part = ConfigurationPart.create();
     private final SingleMemberLog log =
-            new SingleMemberLog(SiteStateMachine.of(part, new EmptyPart(), new EmptyPart()));
+            new SingleMemberLog(SiteStateMachine.of(part, new EmptyPart(), new EmptyPart(), new EmptyPart()));
     private final ConfigurationService service =
             ConfigurationService.of(log, part, ManualTime.startingAt(Instant.ofEpochMilli(50)));
 
--- a/control/src/test/java/org/nettlering/control/features/OperatorSteps.java
+++ b/control/src/test/java/org/nettlering/control/features/OperatorSteps.java
@@ -148,7 +148,8 @@
     /** One control member with a state of its own. */
     private final class Member {
         private final ConfigurationPart configuration = ConfigurationPart.create();
-        private final SiteStateMachine machine = SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart());
+        private final SiteStateMachine machine =
+                SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart(), new EmptyPart());
         private final SingleMemberLog log = new SingleMemberLog(machine);
         private final ConfigurationService service = ConfigurationService.of(log, configuration, time);
     }
--- a/control/src/test/java/org/nettlering/control/task/LeadershipConfirmationsTest.java
+++ b/control/src/test/java/org/nettlering/control/log/LeadershipConfirmationsTest.java
@@ -1,4 +1,4 @@
-package org.nettlering.control.task;
+package org.nettlering.control.log;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,13 +8,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
-import org.nettlering.control.log.CommandLog;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 import org.nettlering.wire.proto.CommandProto.SiteResult;
 
 class LeadershipConfirmationsTest {
     private final SlowLog log = new SlowLog();
-    private final LeadershipConfirmations confirmations = new LeadershipConfirmations(log);
+    private final LeadershipConfirmations confirmations = LeadershipConfirmations.of(log);
 
     @Test
     void callersWhoComeDuringARoundShareTheNextOne() {
--- a/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
+++ b/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
@@ -17,7 +17,8 @@
 
 class SiteStateMachineTest {
     private final ConfigurationPart configuration = ConfigurationPart.create();
-    private final SiteStateMachine machine = SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart());
+    private final SiteStateMachine machine =
+            SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart(), new EmptyPart());
 
     @Test
     void aCommandReachesThePartThatItBelongsTo() throws InvalidProtocolBufferException {
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobTerms.java
@@ -0,0 +1,14 @@
+package org.nettlering.domain.workflow;
+
+import org.nettlering.domain.queue.QueueTerms;
+
+/**
+ * The terms of one job, as its queue had them when the job was accepted.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param queue the name of the queue, not null
+ * @param pool the pool whose hosts run the tasks, not null
+ * @param terms the terms of the queue, not null
+ */
+public record JobTerms(String queue, String pool, QueueTerms terms) {}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TaskName.java
@@ -0,0 +1,38 @@
+package org.nettlering.domain.workflow;
+
+/**
+ * The name of one task.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param step the step that the task belongs to, not null
+ * @param index the number of the task within its step, from zero
+ */
+public record TaskName(StepName step, int index) {
+    /**
+     * Returns the name of a task.
+     *
+     * @param jobId the job, not null
+     * @param occurrence the occurrence of the job, from zero
+     * @param step the step, from zero
+     * @param index the task within the step, from zero
+     * @return the name, never null
+     */
+    public static TaskName of(String jobId, int occurrence, int step, int index) {
+        return new TaskName(new StepName(jobId, occurrence, step), index);
+    }
+
+    /**
+     * Returns the job.
+     *
+     * @return the id of the job, never null
+     */
+    public String jobId() {
+        return step.jobId();
+    }
+
+    @Override
+    public String toString() {
+        return step + "." + index;
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowImage.java
@@ -0,0 +1,82 @@
+package org.nettlering.domain.workflow;
+
+import java.util.List;
+
+/**
+ * The whole of a {@link WorkflowState}, for snapshots.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param jobs the jobs, in the order of their acceptance, not null
+ */
+public record WorkflowImage(List<JobImage> jobs) {
+    /** Copies the jobs. */
+    public WorkflowImage {
+        jobs = List.copyOf(jobs);
+    }
+
+    /**
+     * One job.
+     *
+     * @param id the id, not null
+     * @param terms the terms, not null
+     * @param definition what to run, not null
+     * @param acceptedMillis when it was accepted, in milliseconds since 1970
+     * @param phase how far it is, not null
+     * @param occurrences the occurrences that have begun, not null
+     */
+    public record JobImage(
+            String id,
+            JobTerms terms,
+            JobDefinition definition,
+            long acceptedMillis,
+            JobPhase phase,
+            List<OccurrenceImage> occurrences) {
+        /** Copies the occurrences. */
+        public JobImage {
+            occurrences = List.copyOf(occurrences);
+        }
+    }
+
+    /**
+     * One occurrence.
+     *
+     * @param number the number, from zero
+     * @param steps the steps by number, not null
+     */
+    public record OccurrenceImage(int number, List<StepImage> steps) {
+        /** Copies the steps. */
+        public OccurrenceImage {
+            steps = List.copyOf(steps);
+        }
+    }
+
+    /**
+     * One step.
+     *
+     * @param lastGangFailure the last run of a gang that counted as a failure
+     * @param tasks the tasks by index, not null
+     */
+    public record StepImage(int lastGangFailure, List<TaskImage> tasks) {
+        /** Copies the tasks. */
+        public StepImage {
+            tasks = List.copyOf(tasks);
+        }
+    }
+
+    /**
+     * One task.
+     *
+     * @param lastRun the highest number of a run
+     * @param failures how many runs failed
+     * @param done whether the work is done
+     * @param checkpoint the newest saved progress, empty if none, not null
+     * @param activeRuns the runs whose end is not known, not null
+     */
+    public record TaskImage(int lastRun, int failures, boolean done, String checkpoint, List<ActiveRun> activeRuns) {
+        /** Copies the runs. */
+        public TaskImage {
+            activeRuns = List.copyOf(activeRuns);
+        }
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostClock.java
@@ -0,0 +1,50 @@
+package org.nettlering.domain.workflow.host;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What is known of a host's own steady clock, which leases are measured on.
+ *
+ * <p>A reading that arrived is a time that the host's clock has reached; since then it has moved on, at worst a little
+ * slower than ours. Not thread-safe.
+ */
+final class HostClock {
+    /** The share of our speed that a host's clock has at least, in thousandths. */
+    private static final long SLOWEST_PER_MILLE = 980;
+
+    /** Whether there is a reading. */
+    private boolean known;
+
+    /** The reading that tells most. */
+    private long readingMillis;
+
+    /** When it arrived, by our monotonic clock. */
+    private long arrivedNanos;
+
+    boolean isKnown() {
+        return known;
+    }
+
+    /** Takes a reading if it tells more than the one before. */
+    void read(long millis, long nowNanos) {
+        if (!known || millis >= atLeastMillis(nowNanos)) {
+            known = true;
+            readingMillis = millis;
+            arrivedNanos = nowNanos;
+        }
+    }
+
+    /** Returns what the host's clock shows about now. */
+    long aboutMillis(long nowNanos) {
+        return readingMillis + elapsedMillis(nowNanos);
+    }
+
+    /** Returns what the host's clock shows at least. */
+    long atLeastMillis(long nowNanos) {
+        return readingMillis + elapsedMillis(nowNanos) * SLOWEST_PER_MILLE / 1_000;
+    }
+
+    private long elapsedMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -0,0 +1,548 @@
+package org.nettlering.domain.workflow.host;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.RunEnd;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.WorkflowCommand.End;
+import org.nettlering.domain.workflow.host.HostAnswer.Accepted;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedEnd;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedRun;
+import org.nettlering.domain.workflow.host.HostAnswer.Listing;
+import org.nettlering.domain.workflow.host.HostAnswer.OtherLife;
+import org.nettlering.domain.workflow.host.HostAnswer.Refused;
+import org.nettlering.domain.workflow.host.HostAnswer.Silent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unwell;
+import org.nettlering.domain.workflow.host.TrackedRun.Stage;
+
+/**
+ * One life of a host as the leader of one term follows it: which runs may be at work there, which orders it is owed, and
+ * what its answers prove.
+ *
+ * <p>Guarantees that an end is reported only on proof that the run is over: the host listed the end; the host answered
+ * a later look without the run, after a stop of it was answered or after the first order of this term had cut off those of
+ * earlier leaders; another life of the host answers at its address; or the lease has certainly ended by the host's own
+ * clock. Takes answers in any order. Not thread-safe.
+ */
+public final class HostSession {
+    /** How long a look waits for an end at most. */
+    private static final Duration LOOK_WAIT = Duration.ofSeconds(1);
+
+    /** How long to leave a host alone that did not answer or is not well. */
+    private static final Duration SILENT_PAUSE = Duration.ofMillis(300);
+
+    /** The least time from one look to the next; one that waits for an end usually takes longer by itself. */
+    private static final Duration LOOK_PAUSE = Duration.ofMillis(25);
+
+    /** The least time from a look that does not wait to the next. */
+    private static final Duration QUICK_LOOK_PAUSE = Duration.ofMillis(100);
+
+    /** How long to wait for the effect of a stop before it is sent again. */
+    private static final Duration STOP_PAUSE = Duration.ofMillis(400);
+
+    /** How long after the last report a host gets no new work: three reports of the slowest kind. */
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(4_500);
+
+    /** How much longer than its lease a run is taken to last, for what is rounded or ends slowly. */
+    private static final Duration LAPSE_MARGIN = Duration.ofMillis(300);
+
+    /** How long after a leader was replaced, unknown to itself, its orders may still go out. */
+    private static final Duration REPLACED_LEADER_MARGIN = Duration.ofMillis(1_500);
+
+    /** How long a host goes on after it said that it leaves. */
+    private static final Duration LEAVE_MARGIN = Duration.ofMillis(500);
+
+    /** The host. */
+    private final HostAddress host;
+
+    /** The times that it keeps to. */
+    private final HostLimits limits;
+
+    /** The fencing token of this term. */
+    private final long token;
+
+    /** When the session began, by the monotonic clock. */
+    private final long beganNanos;
+
+    /** The runs that may be at work. */
+    private final Map<RunName, TrackedRun> runs = new LinkedHashMap<>();
+
+    /** Runs at work there that should not be, and when a stop may be sent again. */
+    private final Map<RunName, Long> strays = new HashMap<>();
+
+    /** The ends that the host listed. */
+    private final EndLedger ends = new EndLedger();
+
+    /** The host's clock. */
+    private final HostClock clock = new HostClock();
+
+    /** The latest report, or null if none came in this term. */
+    private @Nullable HostReport report;
+
+    /** When it came, by the monotonic clock. */
+    private long reportNanos;
+
+    /** The latest end of a lease that the host may have been given, by its own clock. */
+    private long leaseUntilMillis;
+
+    /** Whether an order of an earlier leader may have renewed the lease; ends with the first answer. */
+    private boolean inheritsLease;
+
+    /** Whether the host answered a look in this term. */
+    private boolean looked;
+
+    /** Whether a look is on its way. */
+    private boolean lookInFlight;
+
+    /** When the next look may be sent, by the monotonic clock. */
+    private long nextLookNanos;
+
+    /** Whether the last order got no answer. */
+    private boolean silent;
+
+    /** When this life ends for good, by the monotonic clock, or null while it goes on. */
+    private @Nullable Long goneNanos;
+
+    /**
+     * Begins to follow a host.
+     *
+     * @param host this life of the host, not null
+     * @param limits the times that it keeps to, not null
+     * @param token the fencing token of this term
+     * @param nowNanos the monotonic time
+     * @return a new session, never null
+     */
+    public static HostSession begin(HostAddress host, HostLimits limits, long token, long nowNanos) {
+        return new HostSession(host, limits, token, nowNanos);
+    }
+
+    private HostSession(HostAddress host, HostLimits limits, long token, long nowNanos) {
+        this.host = host;
+        this.limits = limits;
+        this.token = token;
+        beganNanos = nowNanos;
+        nextLookNanos = nowNanos;
+    }
+
+    /**
+     * Returns the host.
+     *
+     * @return this life of the host, never null
+     */
+    public HostAddress host() {
+        return host;
+    }
+
+    /**
+     * Returns the latest report of this term.
+     *
+     * @return the report, or empty if none came, never null
+     */
+    public Optional<HostReport> report() {
+        return Optional.ofNullable(report);
+    }
+
+    /**
+     * Tells whether new work may be given to the host.
+     *
+     * @param nowNanos the monotonic time
+     * @return true if it reports, does not drain, has answered in this term and did not leave the last order unanswered
+     */
+    public boolean takesWork(long nowNanos) {
+        HostReport latest = report;
+        return latest != null
+                && !latest.draining()
+                && goneNanos == null
+                && looked
+                && !silent
+                && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
+    }
+
+    /**
+     * Tells whether the session has no purpose any more.
+     *
+     * @param nowNanos the monotonic time
+     * @return true if no run may be at work and the host is gone, or was not heard of for long
+     */
+    public boolean isOver(long nowNanos) {
+        boolean unheard = nowNanos - Math.max(reportNanos, beganNanos) > 4 * REPORT_TIMEOUT.toNanos();
+        return runs.isEmpty() && (isGone(nowNanos) || unheard);
+    }
+
+    private boolean isGone(long nowNanos) {
+        Long gone = goneNanos;
+        return gone != null && nowNanos - gone >= 0;
+    }
+
+    /**
+     * Returns the newest saved progress of a run.
+     *
+     * @param run the run, not null
+     * @return the checkpoint, empty if none is known, never null
+     */
+    public String checkpointOf(RunName run) {
+        TrackedRun tracked = runs.get(run);
+        return tracked == null ? "" : tracked.checkpoint;
+    }
+
+    /**
+     * Takes a report of the host.
+     *
+     * @param latest the report, not null
+     * @param nowNanos the monotonic time
+     * @return false if it is older than one that was taken
+     */
+    public boolean receive(HostReport latest, long nowNanos) {
+        HostReport known = report;
+        if (known != null && latest.sequence() <= known.sequence()) {
+            return false;
+        }
+        report = latest;
+        reportNanos = nowNanos;
+        readClock(latest.clockMillis(), nowNanos);
+        return true;
+    }
+
+    /**
+     * Notes that the host has said that it leaves.
+     *
+     * @param nowNanos the monotonic time
+     */
+    public void leave(long nowNanos) {
+        if (goneNanos == null) {
+            goneNanos = nowNanos + LEAVE_MARGIN.toNanos();
+        }
+    }
+
+    /**
+     * Follows a run that an earlier leader started.
+     *
+     * @param run the run, not null
+     * @param nowNanos the monotonic time
+     */
+    public void inherit(ActiveRun run, long nowNanos) {
+        runs.put(run.run(), new TrackedRun(run, "", "", Stage.INHERITED, nowNanos));
+        inheritsLease = true;
+    }
+
+    /**
+     * Follows a run whose start was logged, and sends its order next.
+     *
+     * @param run the run, not null
+     * @param taskSpecification what the task is to do, not null
+     * @param ticket the permission of the queue's policy, empty if none is needed, not null
+     * @param nowNanos the monotonic time
+     */
+    public void start(ActiveRun run, String taskSpecification, String ticket, long nowNanos) {
+        runs.put(run.run(), new TrackedRun(run, taskSpecification, ticket, Stage.TO_SEND, nowNanos));
+    }
+
+    /**
+     * Has a run stopped.
+     *
+     * @param run the run; one that is not followed is ignored, not null
+     */
+    public void stop(RunName run) {
+        TrackedRun tracked = runs.get(run);
+        if (tracked != null) {
+            tracked.stopWanted = true;
+        }
+    }
+
+    /**
+     * Stops following a run: its end is in the log.
+     *
+     * @param run the run, not null
+     * @return true if the run was followed here
+     */
+    public boolean ended(RunName run) {
+        ends.close(run);
+        return runs.remove(run) != null;
+    }
+
+    /**
+     * Returns the orders that are due, and takes them as sent.
+     *
+     * @param nowNanos the monotonic time
+     * @return the orders in the order in which to send them, never null
+     */
+    public List<HostOrder> dueOrders(long nowNanos) {
+        List<HostOrder> due = new ArrayList<>();
+        if (isGone(nowNanos)) {
+            return due;
+        }
+        for (TrackedRun tracked : runs.values()) {
+            addDue(tracked, due, nowNanos);
+        }
+        strays.replaceAll((run, next) -> {
+            if (nowNanos - next < 0) {
+                return next;
+            }
+            due.add(new HostOrder.Stop(host, token, run));
+            return nowNanos + STOP_PAUSE.toNanos();
+        });
+        if (wantsLook(nowNanos)) {
+            due.add(look(nowNanos));
+        }
+        return due;
+    }
+
+    private void addDue(TrackedRun tracked, List<HostOrder> due, long nowNanos) {
+        if (tracked.endFound) {
+            return;
+        }
+        if (tracked.stage == Stage.TO_SEND && clock.isKnown() && !tracked.stopWanted) {
+            tracked.stage = Stage.SENT;
+            due.add(new HostOrder.Start(
+                    token, tracked.run, tracked.taskSpecification, renewedLease(nowNanos), tracked.ticket));
+            return;
+        }
+        boolean stopDue = tracked.stopWanted
+                && tracked.stage != Stage.TO_SEND
+                && !tracked.stopInFlight
+                && !tracked.stopAnswered
+                && nowNanos - tracked.nextStopNanos >= 0;
+        if (stopDue) {
+            tracked.stopInFlight = true;
+            due.add(new HostOrder.Stop(host, token, tracked.run.run()));
+        }
+    }
+
+    private boolean wantsLook(long nowNanos) {
+        boolean needed = !looked || silent || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
+        boolean mayWaitForLog = ends.isWaiting() && !silent;
+        return needed && !mayWaitForLog && !lookInFlight && nowNanos - nextLookNanos >= 0;
+    }
+
+    private HostOrder look(long nowNanos) {
+        lookInFlight = true;
+        boolean quick = !looked || silent || runs.isEmpty() || !strays.isEmpty() || hasDoubt();
+        long wait = quick ? 0 : LOOK_WAIT.toMillis();
+        boolean renews = !runs.isEmpty() && !silent;
+        return new HostOrder.Hold(host, token, renews ? renewedLease(nowNanos) : 0, ends.noted(), wait);
+    }
+
+    /** Tells whether a run's fate hangs on the next look. */
+    private boolean hasDoubt() {
+        return runs.values().stream().anyMatch(tracked -> tracked.stage == Stage.UNANSWERED);
+    }
+
+    private long renewedLease(long nowNanos) {
+        if (!clock.isKnown()) {
+            return 0;
+        }
+        long until = clock.aboutMillis(nowNanos) + limits.lease().toMillis();
+        leaseUntilMillis = Math.max(leaseUntilMillis, until);
+        return until;
+    }
+
+    /**
+     * Takes what came of an order.
+     *
+     * @param order the order, not null
+     * @param sentNanos when it was sent, by the monotonic clock
+     * @param answer what came of it, not null
+     * @param nowNanos the monotonic time
+     * @return the ends that the answer proves, to be logged, never null
+     */
+    public List<End> answered(HostOrder order, long sentNanos, HostAnswer answer, long nowNanos) {
+        noteContact(answer, nowNanos);
+        if (answer instanceof OtherLife) {
+            goneNanos = nowNanos;
+        }
+        return switch (order) {
+            case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
+            case HostOrder.Stop stop -> stopAnswered(stop, answer, nowNanos);
+            case HostOrder.Hold hold -> lookAnswered(hold, sentNanos, answer, nowNanos);
+            case HostOrder.Pace pace -> List.of();
+        };
+    }
+
+    private void noteContact(HostAnswer answer, long nowNanos) {
+        silent = answer instanceof Silent || answer instanceof Unwell;
+        switch (answer) {
+            case Accepted accepted -> readClock(accepted.clockMillis(), nowNanos);
+            case Listing listing -> readClock(listing.clockMillis(), nowNanos);
+            default -> {}
+        }
+    }
+
+    private void readClock(long millis, long nowNanos) {
+        clock.read(millis, nowNanos);
+        if (inheritsLease && leaseUntilMillis == 0) {
+            leaseUntilMillis = millis + limits.longestLease().toMillis();
+        }
+    }
+
+    private List<End> startAnswered(HostOrder.Start start, HostAnswer answer, long nowNanos) {
+        TrackedRun tracked = runs.get(start.run().run());
+        if (tracked == null || tracked.stage != Stage.SENT) {
+            return List.of();
+        }
+        switch (answer) {
+            case Accepted accepted -> tracked.confirm(nowNanos);
+            case Silent nothing -> {
+                tracked.stage = Stage.UNANSWERED;
+                tracked.stopWanted = true;
+                nextLookNanos = nowNanos;
+            }
+            case Refused refused -> {
+                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+            }
+            case Unwell unwell -> {
+                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+            }
+            default -> {}
+        }
+        return List.of();
+    }
+
+    private List<End> stopAnswered(HostOrder.Stop stop, HostAnswer answer, long nowNanos) {
+        TrackedRun tracked = runs.get(stop.run());
+        boolean done = answer instanceof Accepted || answer instanceof Refused;
+        if (tracked == null) {
+            if (done) {
+                strays.remove(stop.run());
+            }
+            return List.of();
+        }
+        tracked.stopInFlight = false;
+        tracked.nextStopNanos = nowNanos + STOP_PAUSE.toNanos();
+        if (answer instanceof Accepted) {
+            tracked.stopAnswered = true;
+            tracked.stopAnsweredNanos = nowNanos;
+        }
+        return List.of();
+    }
+
+    private List<End> lookAnswered(HostOrder.Hold hold, long sentNanos, HostAnswer answer, long nowNanos) {
+        lookInFlight = false;
+        if (!(answer instanceof Listing listing)) {
+            nextLookNanos = nowNanos + SILENT_PAUSE.toNanos();
+            return List.of();
+        }
+        looked = true;
+        Duration pause = hold.waitMillis() > 0 ? LOOK_PAUSE : QUICK_LOOK_PAUSE;
+        nextLookNanos = Math.max(nowNanos, sentNanos + pause.toNanos());
+        ends.tell(hold.noted());
+        Set<RunName> listed = new HashSet<>();
+        List<End> found = new ArrayList<>();
+        for (ListedRun each : listing.running()) {
+            listed.add(each.run());
+            takeRunning(each, nowNanos);
+        }
+        strays.keySet().retainAll(listed);
+        for (ListedEnd each : listing.ended()) {
+            listed.add(each.run());
+            takeEnd(each, found);
+        }
+        for (TrackedRun tracked : runs.values()) {
+            if (!tracked.endFound && !listed.contains(tracked.run.run())) {
+                judgeAbsence(tracked, sentNanos, found);
+            }
+        }
+        return found;
+    }
+
+    private void takeEnd(ListedEnd listed, List<End> found) {
+        ends.list(listed.number());
+        TrackedRun tracked = runs.get(listed.run());
+        if (tracked == null) {
+            return;
+        }
+        ends.open(listed.number(), listed.run());
+        if (tracked.endFound) {
+            return;
+        }
+        tracked.endFound = true;
+        String checkpoint = listed.checkpoint().isEmpty() ? tracked.checkpoint : listed.checkpoint();
+        found.add(new End(listed.run(), listed.how(), checkpoint));
+    }
+
+    private void takeRunning(ListedRun listed, long nowNanos) {
+        TrackedRun tracked = runs.get(listed.run());
+        if (tracked == null) {
+            strays.putIfAbsent(listed.run(), nowNanos);
+            return;
+        }
+        tracked.list(listed, nowNanos);
+        long stopDueNanos = limits.stopGrace().plus(STOP_PAUSE).toNanos();
+        if (tracked.stopAnswered && nowNanos - tracked.stopAnsweredNanos > stopDueNanos) {
+            tracked.stopAnswered = false;
+        }
+    }
+
+    /** Decides what it means that a look shows a run neither at work nor ended. */
+    private void judgeAbsence(TrackedRun tracked, long sentNanos, List<End> found) {
+        boolean stoppedBefore = tracked.stopAnswered
+                && sentNanos - tracked.stopAnsweredNanos >= limits.stopGrace().toNanos();
+        switch (tracked.stage) {
+            case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN));
+            case TO_SEND, SENT -> {}
+            case UNANSWERED -> {
+                if (stoppedBefore) {
+                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                }
+            }
+            case CONFIRMED -> {
+                tracked.stopWanted |= sentNanos - tracked.confirmedNanos >= 0;
+                if (stoppedBefore) {
+                    found.add(end(tracked, RunEnd.HOST_LOST));
+                }
+            }
+        }
+    }
+
+    private static End end(TrackedRun tracked, RunEnd how) {
+        tracked.endFound = true;
+        return new End(tracked.run.run(), how, tracked.checkpoint);
+    }
+
+    /**
+     * Returns the ends of runs that certainly are over although the host did not say so.
+     *
+     * @param nowNanos the monotonic time
+     * @return the ends, to be logged, never null
+     */
+    public List<End> overdueEnds(long nowNanos) {
+        List<End> found = new ArrayList<>();
+        boolean over = isGone(nowNanos) || hasLapsed(nowNanos);
+        for (TrackedRun tracked : runs.values()) {
+            boolean unsent = tracked.stage == Stage.TO_SEND && (tracked.stopWanted || over || silent);
+            if (!tracked.endFound && unsent) {
+                found.add(end(tracked, RunEnd.NOT_BEGUN));
+            } else if (!tracked.endFound && over) {
+                found.add(end(tracked, RunEnd.HOST_LOST));
+            }
+        }
+        return found;
+    }
+
+    /** Tells whether every lease that the host may have been given has certainly ended. */
+    private boolean hasLapsed(long nowNanos) {
+        if (runs.isEmpty()) {
+            return false;
+        }
+        long marginMillis = LAPSE_MARGIN.toMillis() + limits.stopGrace().toMillis();
+        if (!clock.isKnown()) {
+            Duration longest =
+                    limits.longestLease().plus(REPLACED_LEADER_MARGIN).plusMillis(marginMillis);
+            return nowNanos - beganNanos > longest.toNanos() * 51 / 50;
+        }
+        if (leaseUntilMillis == 0) {
+            return false;
+        }
+        long replacedMillis = inheritsLease && !looked ? REPLACED_LEADER_MARGIN.toMillis() : 0;
+        return clock.atLeastMillis(nowNanos) > leaseUntilMillis + marginMillis + replacedMillis;
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -0,0 +1,94 @@
+package org.nettlering.domain.workflow.host;
+
+import org.nettlering.domain.workflow.ActiveRun;
+
+/** A run that may be at work on a host, as the leader follows it. Belongs to a {@link HostSession}. Not thread-safe. */
+final class TrackedRun {
+    /** How much is known of the run. */
+    enum Stage {
+        /** An earlier leader logged the start; whether the host got the order is not known. */
+        INHERITED,
+        /** The start was logged; the order is not sent yet. */
+        TO_SEND,
+        /** The order is on its way. */
+        SENT,
+        /** The order got no answer: it may have been carried out, or may be later. */
+        UNANSWERED,
+        /** The host has confirmed the run. */
+        CONFIRMED
+    }
+
+    /** The run. */
+    final ActiveRun run;
+
+    /** What the task is to do; empty for an inherited run, which is never sent again. */
+    final String taskSpecification;
+
+    /** The permission of the queue's policy, empty if none is needed. */
+    final String ticket;
+
+    /** How much is known. */
+    Stage stage;
+
+    /** When the host confirmed the run, by the monotonic clock. */
+    long confirmedNanos;
+
+    /** Whether the run has to stop. */
+    boolean stopWanted;
+
+    /** Whether a stop is on its way. */
+    boolean stopInFlight;
+
+    /** When the next stop may be sent, by the monotonic clock. */
+    long nextStopNanos;
+
+    /** Whether the host answered a stop. */
+    boolean stopAnswered;
+
+    /** When it did, by the monotonic clock. */
+    long stopAnsweredNanos;
+
+    /** Whether an end was found and waits to be logged. */
+    boolean endFound;
+
+    /** The newest saved progress, empty if none. */
+    String checkpoint;
+
+    /** How far the run is, as listed last. */
+    int percent;
+
+    /** When the percent last rose, by the monotonic clock. */
+    long progressNanos;
+
+    /** The load as listed last: milliseconds of tail, or millicores. */
+    long load;
+
+    TrackedRun(ActiveRun run, String taskSpecification, String ticket, Stage stage, long nowNanos) {
+        this.run = run;
+        this.taskSpecification = taskSpecification;
+        this.ticket = ticket;
+        this.stage = stage;
+        this.checkpoint = run.checkpoint();
+        this.nextStopNanos = nowNanos;
+        this.progressNanos = nowNanos;
+    }
+
+    void confirm(long nowNanos) {
+        if (stage != Stage.CONFIRMED) {
+            stage = Stage.CONFIRMED;
+            confirmedNanos = nowNanos;
+        }
+    }
+
+    void list(HostAnswer.ListedRun listed, long nowNanos) {
+        confirm(nowNanos);
+        if (!listed.checkpoint().isEmpty()) {
+            checkpoint = listed.checkpoint();
+        }
+        if (listed.percent() > percent) {
+            progressNanos = nowNanos;
+        }
+        percent = listed.percent();
+        load = listed.load();
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
@@ -0,0 +1,87 @@
+package org.nettlering.domain.workflow.placement;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.StepName;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
+
+/**
+ * Chooses the host for one task.
+ *
+ * <p>Answers loads of three kinds on the same hosts: tasks that serve users are packed onto few hosts, tasks that only fill
+ * go where nobody is served, with the most idle processors first, and the rest goes beside those that serve, as it
+ * disturbs nobody. Hosts in doubt come last, the rack of the data first. Immutable and thread-safe.
+ */
+final class HostChoice {
+    private HostChoice() {}
+
+    /** Returns the best host with room, or empty if there is none. */
+    static Optional<HostRoom> choose(StepName name, StepSpecification step, String rack, Collection<HostRoom> rooms) {
+        HostRoom best = null;
+        for (HostRoom room : rooms) {
+            if (isAllowed(name, step, room) && (best == null || compare(step, rack, room, best) < 0)) {
+                best = room;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean isAllowed(StepName name, StepSpecification step, HostRoom room) {
+        boolean wouldDisturb = step.has(StepTrait.FILLS) && room.hasServing();
+        return !wouldDisturb && room.fits(name, step);
+    }
+
+    /** Compares two hosts that have room; the better one is the smaller one. */
+    private static int compare(StepSpecification step, String rack, HostRoom left, HostRoom right) {
+        int doubt = Integer.compare(left.doubt(), right.doubt());
+        if (doubt != 0) {
+            return doubt;
+        }
+        int near = Boolean.compare(isFar(rack, left), isFar(rack, right));
+        if (near != 0) {
+            return near;
+        }
+        if (step.has(StepTrait.FILLS)) {
+            return Long.compare(right.idleMillicores(), left.idleMillicores());
+        }
+        int quiet = step.serves()
+                ? Boolean.compare(left.hasFilling(), right.hasFilling())
+                : Boolean.compare(right.hasServing(), left.hasServing());
+        if (quiet != 0) {
+            return quiet;
+        }
+        return Long.compare(left.idleMillicores(), right.idleMillicores());
+    }
+
+    private static boolean isFar(String rack, HostRoom room) {
+        return !rack.isEmpty() && !rack.equals(room.rack());
+    }
+
+    /** Returns the rack with the most idle processors of those on which a number of tasks fit, or null if there is none. */
+    static @Nullable String rackFor(StepName name, StepSpecification step, int tasks, Collection<HostRoom> rooms) {
+        Map<String, Integer> places = new HashMap<>();
+        Map<String, Long> idle = new HashMap<>();
+        for (HostRoom room : rooms) {
+            int taken = 0;
+            while (taken < tasks && isAllowed(name, step, room)) {
+                room.take(name, step);
+                taken++;
+            }
+            for (int back = 0; back < taken; back++) {
+                room.giveBack(name, step);
+            }
+            places.merge(room.rack(), taken, Integer::sum);
+            idle.merge(room.rack(), room.idleMillicores(), Long::sum);
+        }
+        return places.entrySet().stream()
+                .filter(entry -> entry.getValue() >= tasks)
+                .map(Map.Entry::getKey)
+                .max(Comparator.comparingLong(idle::get))
+                .orElse(null);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -0,0 +1,145 @@
+package org.nettlering.domain.workflow.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepName;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.TaskName;
+import org.nettlering.domain.workflow.TaskProgress;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowState;
+
+/**
+ * Plans which waiting tasks start now, and where.
+ *
+ * <p>Reads the state and the rooms that it is given and changes nothing else; the starts take effect once they are logged.
+ * No plan goes beyond a host's capacity, and a gang starts as a whole or not at all. Immutable and thread-safe.
+ */
+public final class StartPlanner {
+    /** The most starts of one plan, so that one entry of the log stays small. */
+    private static final int MAX_STARTS = 400;
+
+    /** The time, in milliseconds since 1970. */
+    private final long nowMillis;
+
+    /** Tells which steps may start. */
+    private final Predicate<StepProgress> permitted;
+
+    /** The rooms; planned starts are taken off. */
+    private final Collection<HostRoom> rooms;
+
+    /** The starts that were planned. */
+    private final List<Start> starts = new ArrayList<>();
+
+    /**
+     * Plans starts.
+     *
+     * @param state the jobs, not null
+     * @param rooms the room on each host that takes work; planned starts are taken off, not null
+     * @param permitted tells which steps may start, not null
+     * @param nowMillis the time, in milliseconds since 1970
+     * @return the starts in the order of their urgency, never null
+     */
+    public static List<Start> plan(
+            WorkflowState state, Collection<HostRoom> rooms, Predicate<StepProgress> permitted, long nowMillis) {
+        StartPlanner planner = new StartPlanner(rooms, permitted, nowMillis);
+        planner.planAll(state.waitingSteps());
+        return planner.starts;
+    }
+
+    private StartPlanner(Collection<HostRoom> rooms, Predicate<StepProgress> permitted, long nowMillis) {
+        this.rooms = rooms;
+        this.permitted = permitted;
+        this.nowMillis = nowMillis;
+    }
+
+    private void planAll(Collection<StepProgress> waiting) {
+        if (rooms.isEmpty()) {
+            return;
+        }
+        List<StepProgress> ordered = new ArrayList<>(waiting);
+        ordered.sort(new WaitingOrder(nowMillis).comparator());
+        for (StepProgress step : ordered) {
+            if (starts.size() >= MAX_STARTS) {
+                return;
+            }
+            if (permitted.test(step)) {
+                planStep(step);
+            }
+        }
+    }
+
+    private void planStep(StepProgress step) {
+        List<HostRoom> candidates = rooms.stream()
+                .filter(room -> room.pool().equals(step.job().terms().pool()))
+                .toList();
+        StepSpecification specification = step.specification();
+        int[] tasks = step.waitingTasks();
+        String rack = specification.locality().dataRack();
+        if (specification.has(StepTrait.RACK_LOCAL)) {
+            String common = HostChoice.rackFor(step.name(), specification, tasks.length, candidates);
+            rack = common == null ? rack : common;
+        }
+        if (specification.has(StepTrait.GANG)) {
+            planGang(step, tasks, rack, candidates);
+            return;
+        }
+        for (int index : tasks) {
+            Optional<HostRoom> room = HostChoice.choose(step.name(), specification, rack, candidates);
+            if (room.isEmpty()) {
+                return;
+            }
+            room.get().take(step.name(), specification);
+            int run = step.task(index).lastRun() + 1;
+            starts.add(start(step, index, run, step.task(index).checkpoint(), room.get()));
+        }
+    }
+
+    private void planGang(StepProgress step, int[] tasks, String rack, List<HostRoom> candidates) {
+        if (tasks.length < step.specification().count()) {
+            return;
+        }
+        int run = step.nextGangRun();
+        String checkpoint = newestCheckpoint(step);
+        List<Start> members = new ArrayList<>();
+        List<HostRoom> taken = new ArrayList<>();
+        StepName name = step.name();
+        for (int index : tasks) {
+            Optional<HostRoom> room = HostChoice.choose(name, step.specification(), rack, candidates);
+            if (room.isEmpty()) {
+                taken.forEach(each -> each.giveBack(name, step.specification()));
+                return;
+            }
+            room.get().take(name, step.specification());
+            taken.add(room.get());
+            members.add(start(step, index, run, checkpoint, room.get()));
+        }
+        starts.addAll(members);
+    }
+
+    /** Returns the checkpoint of the member that started last: the members of a gang all carry the same one. */
+    private static String newestCheckpoint(StepProgress step) {
+        String newest = "";
+        int newestRun = 0;
+        for (int index = 0; index < step.specification().count(); index++) {
+            TaskProgress task = step.task(index);
+            if (!task.checkpoint().isEmpty() && task.lastRun() > newestRun) {
+                newest = task.checkpoint();
+                newestRun = task.lastRun();
+            }
+        }
+        return newest;
+    }
+
+    private static Start start(StepProgress step, int index, int run, String checkpoint, HostRoom room) {
+        RunName name = new RunName(new TaskName(step.name(), index), run);
+        return new Start(new ActiveRun(name, room.host(), checkpoint));
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/WaitingOrder.java
@@ -0,0 +1,45 @@
+package org.nettlering.domain.workflow.placement;
+
+import java.util.Comparator;
+import org.nettlering.domain.workflow.Job;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepTrait;
+
+/**
+ * The order in which steps with tasks to start are served.
+ *
+ * <p>Answers a load that outgrows the room for a while: tasks that last come first, as each second without them counts;
+ * then, by priority, what can still end in time, the earliest objective first; then what is late but still worth
+ * something; last, what is past three times its allowance, which is finished when there is room. Immutable and
+ * thread-safe.
+ */
+final class WaitingOrder {
+    /** A job that takes more than this many times what it is allowed is worth nothing more. */
+    private static final int WORTHLESS_FACTOR = 3;
+
+    /** The time, in milliseconds since 1970. */
+    private final long nowMillis;
+
+    WaitingOrder(long nowMillis) {
+        this.nowMillis = nowMillis;
+    }
+
+    Comparator<StepProgress> comparator() {
+        return Comparator.comparingInt(this::rank)
+                .thenComparingInt(step -> step.job().terms().terms().priority())
+                .thenComparingLong(
+                        step -> step.job().objectiveMillis(step.name().occurrence()));
+    }
+
+    private int rank(StepProgress step) {
+        if (step.specification().has(StepTrait.LONG_RUNNING)) {
+            return 0;
+        }
+        Job job = step.job();
+        long passed = nowMillis - job.beginMillis(step.name().occurrence());
+        if (passed > WORTHLESS_FACTOR * job.allowedMillis()) {
+            return 3;
+        }
+        return passed > job.allowedMillis() ? 2 : 1;
+    }
+}
--- a/entry/src/main/java/org/nettlering/entry/platform/AnnouncementRoutes.java
+++ b/entry/src/main/java/org/nettlering/entry/announcements/AnnouncementRoutes.java
@@ -1,4 +1,4 @@
-package org.nettlering.entry.platform;
+package org.nettlering.entry.announcements;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.util.JsonFormat;
--- a/entry/src/main/java/org/nettlering/entry/platform/package-info.java
+++ b/entry/src/main/java/org/nettlering/entry/announcements/package-info.java
@@ -1,5 +1,5 @@
 /** The HTTP server for the platform, where upstreams announce themselves and workers report. */
 @NullMarked
-package org.nettlering.entry.platform;
+package org.nettlering.entry.announcements;
 
 import org.jspecify.annotations.NullMarked;
--- a/runtime/src/main/java/org/nettlering/runtime/settings/SettingsReader.java
+++ b/runtime/src/main/java/org/nettlering/runtime/settings/SettingsReader.java
@@ -194,6 +194,37 @@
         return Duration.ofMillis(size(section, key, fallback.toMillis()));
     }
 
+    /**
+     * Reads a switch that may be absent.
+     *
+     * @param section the section, not null
+     * @param key the key, not null
+     * @param fallback the value when it is absent
+     * @return true for {@code true}, false for {@code false}, the fallback if it is neither
+     */
+    public boolean flag(String section, String key, boolean fallback) {
+        String value = single(section, key);
+        if (value == null) {
+            return fallback;
+        }
+        String text = value.strip();
+        if (!text.equals("true") && !text.equals("false")) {
+            fault(section, key, "\"" + value + "\" is neither true nor false");
+            return fallback;
+        }
+        return text.equals("true");
+    }
+
+    /**
+     * Tells whether the file has a section.
+     *
+     * @param section the section, not null
+     * @return true if it has
+     */
+    public boolean hasSection(String section) {
+        return sections.containsKey(section);
+    }
+
     /**
      * Reads a section whose keys are ids.
      *
--- a/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
+++ b/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
@@ -15,6 +15,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,8 @@
 import org.nettlering.control.process.ControlProcess;
 import org.nettlering.control.settings.ControlMember;
 import org.nettlering.control.settings.ControlSettings;
+import org.nettlering.control.settings.GroupStart;
+import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.entry.operators.OperatorServer;
 import org.nettlering.entry.operators.OperatorServices;
@@ -59,6 +62,8 @@
                 ANY_PORT,
                 folder.resolve("data"),
                 Map.of("c1", new ControlMember("c1", new InetSocketAddress(ANY_PORT.getAddress(), 1), "fd-1")),
+                new GroupStart(true, false),
+                new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofSeconds(1)),
                 TelemetrySettings.NONE);
         control = ControlProcess.start(
                 settings, clock -> Telemetry.recordingTo("nettlering-control", "c1", spans::add, clock));
--- /dev/null
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -0,0 +1,209 @@
+package org.nettlering.wire.codec;
+
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.RunEnd;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.TaskName;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.Batch;
+import org.nettlering.domain.workflow.WorkflowCommand.Begin;
+import org.nettlering.domain.workflow.WorkflowCommand.Cancel;
+import org.nettlering.domain.workflow.WorkflowCommand.End;
+import org.nettlering.domain.workflow.WorkflowCommand.Forget;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowCommand.Submit;
+import org.nettlering.domain.workflow.WorkflowOutcome;
+import org.nettlering.wire.proto.WorkflowProto.ActiveRunMessage;
+import org.nettlering.wire.proto.WorkflowProto.BeginOccurrence;
+import org.nettlering.wire.proto.WorkflowProto.CancelWorkflow;
+import org.nettlering.wire.proto.WorkflowProto.EndRun;
+import org.nettlering.wire.proto.WorkflowProto.ForgetWorkflow;
+import org.nettlering.wire.proto.WorkflowProto.RunEndMessage;
+import org.nettlering.wire.proto.WorkflowProto.RunMessage;
+import org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowBatch;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowOutcomeMessage;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowResult;
+
+/** Encodes and decodes the changes of jobs that the log carries. */
+public final class WorkflowCommandCodec {
+    private WorkflowCommandCodec() {}
+
+    /**
+     * Encodes a command.
+     *
+     * @param command the command, not null
+     * @return the message, never null
+     */
+    public static WorkflowCommandMessage encode(WorkflowCommand command) {
+        WorkflowCommandMessage.Builder message = WorkflowCommandMessage.newBuilder();
+        switch (command) {
+            case Submit submit -> message.setSubmit(encodeSubmit(submit));
+            case Cancel cancel -> message.setCancel(CancelWorkflow.newBuilder().setJobId(cancel.jobId()));
+            case Begin begin ->
+                message.setBegin(
+                        BeginOccurrence.newBuilder().setJobId(begin.jobId()).setOccurrence(begin.occurrence()));
+            case Start start -> message.setStart(encode(start.run()));
+            case End end -> message.setEnd(encodeEnd(end));
+            case Forget forget -> message.setForget(ForgetWorkflow.newBuilder().setJobId(forget.jobId()));
+            case Batch batch -> message.setBatch(encodeBatch(batch));
+        }
+        return message.build();
+    }
+
+    /**
+     * Decodes a command.
+     *
+     * @param message the message, not null
+     * @return the command, never null
+     * @throws NettleringException with {@code STORAGE_TOO_NEW} if this program does not know the command
+     */
+    public static WorkflowCommand decode(WorkflowCommandMessage message) {
+        return switch (message.getCommandCase()) {
+            case SUBMIT -> decodeSubmit(message.getSubmit());
+            case CANCEL -> new Cancel(message.getCancel().getJobId());
+            case BEGIN ->
+                new Begin(message.getBegin().getJobId(), message.getBegin().getOccurrence());
+            case START -> new Start(decode(message.getStart()));
+            case END -> decodeEnd(message.getEnd());
+            case FORGET -> new Forget(message.getForget().getJobId());
+            case BATCH ->
+                new Batch(message.getBatch().getCommandsList().stream()
+                        .map(WorkflowCommandCodec::decode)
+                        .toList());
+            case COMMAND_NOT_SET ->
+                throw new NettleringException(ErrorCode.STORAGE_TOO_NEW, "a change of jobs is of an unknown kind");
+        };
+    }
+
+    private static SubmitWorkflow encodeSubmit(Submit submit) {
+        return SubmitWorkflow.newBuilder()
+                .setJobId(submit.jobId())
+                .setTerms(JobDefinitionCodec.encode(submit.terms()))
+                .setDefinition(JobDefinitionCodec.encode(submit.definition()))
+                .setAcceptedMillis(submit.acceptedMillis())
+                .build();
+    }
+
+    private static Submit decodeSubmit(SubmitWorkflow message) {
+        return new Submit(
+                message.getJobId(),
+                JobDefinitionCodec.decode(message.getTerms()),
+                JobDefinitionCodec.decode(message.getDefinition()),
+                message.getAcceptedMillis());
+    }
+
+    private static WorkflowBatch encodeBatch(Batch batch) {
+        WorkflowBatch.Builder message = WorkflowBatch.newBuilder();
+        batch.commands().forEach(each -> message.addCommands(encode(each)));
+        return message.build();
+    }
+
+    private static EndRun encodeEnd(End end) {
+        return EndRun.newBuilder()
+                .setRun(encode(end.run()))
+                .setHow(encode(end.how()))
+                .setCheckpoint(end.checkpoint())
+                .build();
+    }
+
+    private static End decodeEnd(EndRun message) {
+        return new End(decode(message.getRun()), decode(message.getHow()), message.getCheckpoint());
+    }
+
+    static ActiveRunMessage encode(ActiveRun run) {
+        return ActiveRunMessage.newBuilder()
+                .setRun(encode(run.run()))
+                .setHostId(run.host().id())
+                .setHostAddress(run.host().address())
+                .setCheckpoint(run.checkpoint())
+                .build();
+    }
+
+    static ActiveRun decode(ActiveRunMessage message) {
+        return new ActiveRun(
+                decode(message.getRun()),
+                new HostAddress(message.getHostId(), message.getHostAddress()),
+                message.getCheckpoint());
+    }
+
+    private static RunMessage encode(RunName run) {
+        TaskName task = run.task();
+        return RunMessage.newBuilder()
+                .setJobId(task.jobId())
+                .setOccurrence(task.step().occurrence())
+                .setStep(task.step().number())
+                .setIndex(task.index())
+                .setNumber(run.number())
+                .build();
+    }
+
+    private static RunName decode(RunMessage message) {
+        TaskName task = TaskName.of(message.getJobId(), message.getOccurrence(), message.getStep(), message.getIndex());
+        return new RunName(task, message.getNumber());
+    }
+
+    private static RunEndMessage encode(RunEnd how) {
+        return switch (how) {
+            case DONE -> RunEndMessage.RUN_DONE;
+            case FAILED -> RunEndMessage.RUN_FAILED;
+            case STOPPED -> RunEndMessage.RUN_STOPPED;
+            case LAPSED -> RunEndMessage.RUN_LAPSED;
+            case BROKEN -> RunEndMessage.RUN_BROKEN;
+            case ALONE -> RunEndMessage.RUN_ALONE;
+            case NOT_BEGUN -> RunEndMessage.RUN_NOT_BEGUN;
+            case HOST_LOST -> RunEndMessage.RUN_HOST_LOST;
+        };
+    }
+
+    private static RunEnd decode(RunEndMessage message) {
+        return switch (message) {
+            case RUN_DONE -> RunEnd.DONE;
+            case RUN_FAILED -> RunEnd.FAILED;
+            case RUN_STOPPED -> RunEnd.STOPPED;
+            case RUN_LAPSED -> RunEnd.LAPSED;
+            case RUN_BROKEN -> RunEnd.BROKEN;
+            case RUN_ALONE -> RunEnd.ALONE;
+            case RUN_NOT_BEGUN -> RunEnd.NOT_BEGUN;
+            case RUN_HOST_LOST -> RunEnd.HOST_LOST;
+            case RUN_END_UNSPECIFIED, UNRECOGNIZED ->
+                throw new NettleringException(ErrorCode.STORAGE_TOO_NEW, "a run ended in an unknown way");
+        };
+    }
+
+    /**
+     * Encodes what a command did.
+     *
+     * @param outcome the outcome, not null
+     * @return the message, never null
+     */
+    public static WorkflowResult encode(WorkflowOutcome outcome) {
+        WorkflowOutcomeMessage message = switch (outcome) {
+            case APPLIED -> WorkflowOutcomeMessage.WORKFLOW_APPLIED;
+            case UNCHANGED -> WorkflowOutcomeMessage.WORKFLOW_UNCHANGED;
+            case UNKNOWN_JOB -> WorkflowOutcomeMessage.WORKFLOW_UNKNOWN_JOB;
+        };
+        return WorkflowResult.newBuilder().setOutcome(message).build();
+    }
+
+    /**
+     * Decodes what a command did.
+     *
+     * @param result the message, not null
+     * @return the outcome, never null
+     * @throws NettleringException with {@code INTERNAL} if the message is unknown
+     */
+    public static WorkflowOutcome decode(WorkflowResult result) {
+        return switch (result.getOutcome()) {
+            case WORKFLOW_APPLIED -> WorkflowOutcome.APPLIED;
+            case WORKFLOW_UNCHANGED -> WorkflowOutcome.UNCHANGED;
+            case WORKFLOW_UNKNOWN_JOB -> WorkflowOutcome.UNKNOWN_JOB;
+            case WORKFLOW_OUTCOME_UNSPECIFIED, UNRECOGNIZED ->
+                throw new NettleringException(ErrorCode.INTERNAL, "a change of jobs had an unknown outcome");
+        };
+    }
+}
--- a/wire/src/main/java/org/nettlering/wire/proto/CommandProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/CommandProto.java
@@ -75,6 +75,36 @@
      */
     org.nettlering.wire.proto.RequestProto.LedgerCommandOrBuilder getLedgerOrBuilder();
 
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     * @return Whether the workflow field is set.
+     */
+    boolean hasWorkflow();
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     * @return The workflow.
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage getWorkflow();
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder getWorkflowOrBuilder();
+
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     * @return Whether the queues field is set.
+     */
+    boolean hasQueues();
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     * @return The queues.
+     */
+    org.nettlering.wire.proto.WorkflowProto.QueueCommand getQueues();
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder getQueuesOrBuilder();
+
     org.nettlering.wire.proto.CommandProto.SiteCommand.CommandCase getCommandCase();
   }
   /**
@@ -132,6 +162,8 @@
       CONFIGURATION(1),
       TASK(2),
       LEDGER(3),
+      WORKFLOW(4),
+      QUEUES(5),
       COMMAND_NOT_SET(0);
       private final int value;
       private CommandCase(int value) {
@@ -152,6 +184,8 @@
           case 1: return CONFIGURATION;
           case 2: return TASK;
           case 3: return LEDGER;
+          case 4: return WORKFLOW;
+          case 5: return QUEUES;
           case 0: return COMMAND_NOT_SET;
           default: return null;
         }
@@ -260,6 +294,68 @@
       return org.nettlering.wire.proto.RequestProto.LedgerCommand.getDefaultInstance();
     }
 
+    public static final int WORKFLOW_FIELD_NUMBER = 4;
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     * @return Whether the workflow field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflow() {
+      return commandCase_ == 4;
+    }
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     * @return The workflow.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage getWorkflow() {
+      if (commandCase_ == 4) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder getWorkflowOrBuilder() {
+      if (commandCase_ == 4) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+    }
+
+    public static final int QUEUES_FIELD_NUMBER = 5;
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     * @return Whether the queues field is set.
+     */
+    @java.lang.Override
+    public boolean hasQueues() {
+      return commandCase_ == 5;
+    }
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     * @return The queues.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.QueueCommand getQueues() {
+      if (commandCase_ == 5) {
+         return (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.QueueCommand queues = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder getQueuesOrBuilder() {
+      if (commandCase_ == 5) {
+         return (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -283,6 +379,12 @@
       if (commandCase_ == 3) {
         output.writeMessage(3, (org.nettlering.wire.proto.RequestProto.LedgerCommand) command_);
       }
+      if (commandCase_ == 4) {
+        output.writeMessage(4, (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_);
+      }
+      if (commandCase_ == 5) {
+        output.writeMessage(5, (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -299,6 +401,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (org.nettlering.wire.proto.RequestProto.LedgerCommand) command_);
       }
+      if (commandCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_);
+      }
+      if (commandCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_);
+      }
       return size;
     }
     @java.lang.Override
@@ -337,6 +447,14 @@
           if (!getLedger()
               .equals(other.getLedger())) return false;
           break;
+        case 4:
+          if (!getWorkflow()
+              .equals(other.getWorkflow())) return false;
+          break;
+        case 5:
+          if (!getQueues()
+              .equals(other.getQueues())) return false;
+          break;
         case 0:
         default:
       }
@@ -364,6 +482,14 @@
           hash = (37 * hash) + LEDGER_FIELD_NUMBER;
           hash = (53 * hash) + getLedger().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + WORKFLOW_FIELD_NUMBER;
+          hash = (53 * hash) + getWorkflow().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + QUEUES_FIELD_NUMBER;
+          hash = (53 * hash) + getQueues().hashCode();
+          break;
         case 0:
         default:
       }
@@ -511,6 +637,12 @@
         if (ledgerBuilder_ != null) {
           ledgerBuilder_.clear();
         }
+        if (workflowBuilder_ != null) {
+          workflowBuilder_.clear();
+        }
+        if (queuesBuilder_ != null) {
+          queuesBuilder_.clear();
+        }
         commandCase_ = 0;
         command_ = null;
         return this;
@@ -564,6 +696,14 @@
             ledgerBuilder_ != null) {
           result.command_ = ledgerBuilder_.build();
         }
+        if (commandCase_ == 4 &&
+            workflowBuilder_ != null) {
+          result.command_ = workflowBuilder_.build();
+        }
+        if (commandCase_ == 5 &&
+            queuesBuilder_ != null) {
+          result.command_ = queuesBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -591,6 +731,14 @@
             mergeLedger(other.getLedger());
             break;
           }
+          case WORKFLOW: {
+            mergeWorkflow(other.getWorkflow());
+            break;
+          }
+          case QUEUES: {
+            mergeQueues(other.getQueues());
+            break;
+          }
           case COMMAND_NOT_SET: {
             break;
           }
@@ -640,6 +788,20 @@
                 commandCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetWorkflowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                commandCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetQueuesFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                commandCase_ = 5;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1092,6 +1254,286 @@
         return ledgerBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder> workflowBuilder_;
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       * @return Whether the workflow field is set.
+       */
+      @java.lang.Override
+      public boolean hasWorkflow() {
+        return commandCase_ == 4;
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       * @return The workflow.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage getWorkflow() {
+        if (workflowBuilder_ == null) {
+          if (commandCase_ == 4) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+        } else {
+          if (commandCase_ == 4) {
+            return workflowBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      public Builder setWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage value) {
+        if (workflowBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          command_ = value;
+          onChanged();
+        } else {
+          workflowBuilder_.setMessage(value);
+        }
+        commandCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      public Builder setWorkflow(
+          org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.Builder builderForValue) {
+        if (workflowBuilder_ == null) {
+          command_ = builderForValue.build();
+          onChanged();
+        } else {
+          workflowBuilder_.setMessage(builderForValue.build());
+        }
+        commandCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      public Builder mergeWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage value) {
+        if (workflowBuilder_ == null) {
+          if (commandCase_ == 4 &&
+              command_ != org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance()) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.newBuilder((org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            command_ = value;
+          }
+          onChanged();
+        } else {
+          if (commandCase_ == 4) {
+            workflowBuilder_.mergeFrom(value);
+          } else {
+            workflowBuilder_.setMessage(value);
+          }
+        }
+        commandCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      public Builder clearWorkflow() {
+        if (workflowBuilder_ == null) {
+          if (commandCase_ == 4) {
+            commandCase_ = 0;
+            command_ = null;
+            onChanged();
+          }
+        } else {
+          if (commandCase_ == 4) {
+            commandCase_ = 0;
+            command_ = null;
+          }
+          workflowBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.Builder getWorkflowBuilder() {
+        return internalGetWorkflowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder getWorkflowOrBuilder() {
+        if ((commandCase_ == 4) && (workflowBuilder_ != null)) {
+          return workflowBuilder_.getMessageOrBuilder();
+        } else {
+          if (commandCase_ == 4) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowCommandMessage workflow = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder> 
+          internalGetWorkflowFieldBuilder() {
+        if (workflowBuilder_ == null) {
+          if (!(commandCase_ == 4)) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.getDefaultInstance();
+          }
+          workflowBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage) command_,
+                  getParentForChildren(),
+                  isClean());
+          command_ = null;
+        }
+        commandCase_ = 4;
+        onChanged();
+        return workflowBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.QueueCommand, org.nettlering.wire.proto.WorkflowProto.QueueCommand.Builder, org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder> queuesBuilder_;
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       * @return Whether the queues field is set.
+       */
+      @java.lang.Override
+      public boolean hasQueues() {
+        return commandCase_ == 5;
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       * @return The queues.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.QueueCommand getQueues() {
+        if (queuesBuilder_ == null) {
+          if (commandCase_ == 5) {
+            return (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+        } else {
+          if (commandCase_ == 5) {
+            return queuesBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      public Builder setQueues(org.nettlering.wire.proto.WorkflowProto.QueueCommand value) {
+        if (queuesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          command_ = value;
+          onChanged();
+        } else {
+          queuesBuilder_.setMessage(value);
+        }
+        commandCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      public Builder setQueues(
+          org.nettlering.wire.proto.WorkflowProto.QueueCommand.Builder builderForValue) {
+        if (queuesBuilder_ == null) {
+          command_ = builderForValue.build();
+          onChanged();
+        } else {
+          queuesBuilder_.setMessage(builderForValue.build());
+        }
+        commandCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      public Builder mergeQueues(org.nettlering.wire.proto.WorkflowProto.QueueCommand value) {
+        if (queuesBuilder_ == null) {
+          if (commandCase_ == 5 &&
+              command_ != org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance()) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.QueueCommand.newBuilder((org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            command_ = value;
+          }
+          onChanged();
+        } else {
+          if (commandCase_ == 5) {
+            queuesBuilder_.mergeFrom(value);
+          } else {
+            queuesBuilder_.setMessage(value);
+          }
+        }
+        commandCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      public Builder clearQueues() {
+        if (queuesBuilder_ == null) {
+          if (commandCase_ == 5) {
+            commandCase_ = 0;
+            command_ = null;
+            onChanged();
+          }
+        } else {
+          if (commandCase_ == 5) {
+            commandCase_ = 0;
+            command_ = null;
+          }
+          queuesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.QueueCommand.Builder getQueuesBuilder() {
+        return internalGetQueuesFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder getQueuesOrBuilder() {
+        if ((commandCase_ == 5) && (queuesBuilder_ != null)) {
+          return queuesBuilder_.getMessageOrBuilder();
+        } else {
+          if (commandCase_ == 5) {
+            return (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.QueueCommand queues = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.QueueCommand, org.nettlering.wire.proto.WorkflowProto.QueueCommand.Builder, org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder> 
+          internalGetQueuesFieldBuilder() {
+        if (queuesBuilder_ == null) {
+          if (!(commandCase_ == 5)) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.QueueCommand.getDefaultInstance();
+          }
+          queuesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.QueueCommand, org.nettlering.wire.proto.WorkflowProto.QueueCommand.Builder, org.nettlering.wire.proto.WorkflowProto.QueueCommandOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.QueueCommand) command_,
+                  getParentForChildren(),
+                  isClean());
+          command_ = null;
+        }
+        commandCase_ = 5;
+        onChanged();
+        return queuesBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.SiteCommand)
     }
 
@@ -1192,6 +1634,36 @@
      */
     org.nettlering.wire.proto.RequestProto.LedgerResponseOrBuilder getLedgerOrBuilder();
 
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     * @return Whether the workflow field is set.
+     */
+    boolean hasWorkflow();
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     * @return The workflow.
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowResult getWorkflow();
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder getWorkflowOrBuilder();
+
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     * @return Whether the queues field is set.
+     */
+    boolean hasQueues();
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     * @return The queues.
+     */
+    org.nettlering.wire.proto.WorkflowProto.QueueResult getQueues();
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder getQueuesOrBuilder();
+
     org.nettlering.wire.proto.CommandProto.SiteResult.ResultCase getResultCase();
   }
   /**
@@ -1249,6 +1721,8 @@
       CONFIGURATION(1),
       TASK(2),
       LEDGER(3),
+      WORKFLOW(4),
+      QUEUES(5),
       RESULT_NOT_SET(0);
       private final int value;
       private ResultCase(int value) {
@@ -1269,6 +1743,8 @@
           case 1: return CONFIGURATION;
           case 2: return TASK;
           case 3: return LEDGER;
+          case 4: return WORKFLOW;
+          case 5: return QUEUES;
           case 0: return RESULT_NOT_SET;
           default: return null;
         }
@@ -1377,6 +1853,68 @@
       return org.nettlering.wire.proto.RequestProto.LedgerResponse.getDefaultInstance();
     }
 
+    public static final int WORKFLOW_FIELD_NUMBER = 4;
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     * @return Whether the workflow field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflow() {
+      return resultCase_ == 4;
+    }
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     * @return The workflow.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowResult getWorkflow() {
+      if (resultCase_ == 4) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.WorkflowResult workflow = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder getWorkflowOrBuilder() {
+      if (resultCase_ == 4) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+    }
+
+    public static final int QUEUES_FIELD_NUMBER = 5;
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     * @return Whether the queues field is set.
+     */
+    @java.lang.Override
+    public boolean hasQueues() {
+      return resultCase_ == 5;
+    }
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     * @return The queues.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.QueueResult getQueues() {
+      if (resultCase_ == 5) {
+         return (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.QueueResult queues = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder getQueuesOrBuilder() {
+      if (resultCase_ == 5) {
+         return (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1400,6 +1938,12 @@
       if (resultCase_ == 3) {
         output.writeMessage(3, (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_);
       }
+      if (resultCase_ == 4) {
+        output.writeMessage(4, (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_);
+      }
+      if (resultCase_ == 5) {
+        output.writeMessage(5, (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1416,6 +1960,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (org.nettlering.wire.proto.RequestProto.LedgerResponse) result_);
       }
+      if (resultCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_);
+      }
+      if (resultCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1454,6 +2006,14 @@
           if (!getLedger()
               .equals(other.getLedger())) return false;
           break;
+        case 4:
+          if (!getWorkflow()
+              .equals(other.getWorkflow())) return false;
+          break;
+        case 5:
+          if (!getQueues()
+              .equals(other.getQueues())) return false;
+          break;
         case 0:
         default:
       }
@@ -1481,6 +2041,14 @@
           hash = (37 * hash) + LEDGER_FIELD_NUMBER;
           hash = (53 * hash) + getLedger().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + WORKFLOW_FIELD_NUMBER;
+          hash = (53 * hash) + getWorkflow().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + QUEUES_FIELD_NUMBER;
+          hash = (53 * hash) + getQueues().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1628,6 +2196,12 @@
         if (ledgerBuilder_ != null) {
           ledgerBuilder_.clear();
         }
+        if (workflowBuilder_ != null) {
+          workflowBuilder_.clear();
+        }
+        if (queuesBuilder_ != null) {
+          queuesBuilder_.clear();
+        }
         resultCase_ = 0;
         result_ = null;
         return this;
@@ -1681,6 +2255,14 @@
             ledgerBuilder_ != null) {
           result.result_ = ledgerBuilder_.build();
         }
+        if (resultCase_ == 4 &&
+            workflowBuilder_ != null) {
+          result.result_ = workflowBuilder_.build();
+        }
+        if (resultCase_ == 5 &&
+            queuesBuilder_ != null) {
+          result.result_ = queuesBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1708,6 +2290,14 @@
             mergeLedger(other.getLedger());
             break;
           }
+          case WORKFLOW: {
+            mergeWorkflow(other.getWorkflow());
+            break;
+          }
+          case QUEUES: {
+            mergeQueues(other.getQueues());
+            break;
+          }
           case RESULT_NOT_SET: {
             break;
           }
@@ -1757,6 +2347,20 @@
                 resultCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetWorkflowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                resultCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetQueuesFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                resultCase_ = 5;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2209,6 +2813,286 @@
         return ledgerBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResult, org.nettlering.wire.proto.WorkflowProto.WorkflowResult.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder> workflowBuilder_;
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       * @return Whether the workflow field is set.
+       */
+      @java.lang.Override
+      public boolean hasWorkflow() {
+        return resultCase_ == 4;
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       * @return The workflow.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResult getWorkflow() {
+        if (workflowBuilder_ == null) {
+          if (resultCase_ == 4) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+        } else {
+          if (resultCase_ == 4) {
+            return workflowBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      public Builder setWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowResult value) {
+        if (workflowBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          result_ = value;
+          onChanged();
+        } else {
+          workflowBuilder_.setMessage(value);
+        }
+        resultCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      public Builder setWorkflow(
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResult.Builder builderForValue) {
+        if (workflowBuilder_ == null) {
+          result_ = builderForValue.build();
+          onChanged();
+        } else {
+          workflowBuilder_.setMessage(builderForValue.build());
+        }
+        resultCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      public Builder mergeWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowResult value) {
+        if (workflowBuilder_ == null) {
+          if (resultCase_ == 4 &&
+              result_ != org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance()) {
+            result_ = org.nettlering.wire.proto.WorkflowProto.WorkflowResult.newBuilder((org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            result_ = value;
+          }
+          onChanged();
+        } else {
+          if (resultCase_ == 4) {
+            workflowBuilder_.mergeFrom(value);
+          } else {
+            workflowBuilder_.setMessage(value);
+          }
+        }
+        resultCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      public Builder clearWorkflow() {
+        if (workflowBuilder_ == null) {
+          if (resultCase_ == 4) {
+            resultCase_ = 0;
+            result_ = null;
+            onChanged();
+          }
+        } else {
+          if (resultCase_ == 4) {
+            resultCase_ = 0;
+            result_ = null;
+          }
+          workflowBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResult.Builder getWorkflowBuilder() {
+        return internalGetWorkflowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder getWorkflowOrBuilder() {
+        if ((resultCase_ == 4) && (workflowBuilder_ != null)) {
+          return workflowBuilder_.getMessageOrBuilder();
+        } else {
+          if (resultCase_ == 4) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowResult workflow = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResult, org.nettlering.wire.proto.WorkflowProto.WorkflowResult.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder> 
+          internalGetWorkflowFieldBuilder() {
+        if (workflowBuilder_ == null) {
+          if (!(resultCase_ == 4)) {
+            result_ = org.nettlering.wire.proto.WorkflowProto.WorkflowResult.getDefaultInstance();
+          }
+          workflowBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.WorkflowResult, org.nettlering.wire.proto.WorkflowProto.WorkflowResult.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResultOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.WorkflowResult) result_,
+                  getParentForChildren(),
+                  isClean());
+          result_ = null;
+        }
+        resultCase_ = 4;
+        onChanged();
+        return workflowBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.QueueResult, org.nettlering.wire.proto.WorkflowProto.QueueResult.Builder, org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder> queuesBuilder_;
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       * @return Whether the queues field is set.
+       */
+      @java.lang.Override
+      public boolean hasQueues() {
+        return resultCase_ == 5;
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       * @return The queues.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.QueueResult getQueues() {
+        if (queuesBuilder_ == null) {
+          if (resultCase_ == 5) {
+            return (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+        } else {
+          if (resultCase_ == 5) {
+            return queuesBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      public Builder setQueues(org.nettlering.wire.proto.WorkflowProto.QueueResult value) {
+        if (queuesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          result_ = value;
+          onChanged();
+        } else {
+          queuesBuilder_.setMessage(value);
+        }
+        resultCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      public Builder setQueues(
+          org.nettlering.wire.proto.WorkflowProto.QueueResult.Builder builderForValue) {
+        if (queuesBuilder_ == null) {
+          result_ = builderForValue.build();
+          onChanged();
+        } else {
+          queuesBuilder_.setMessage(builderForValue.build());
+        }
+        resultCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      public Builder mergeQueues(org.nettlering.wire.proto.WorkflowProto.QueueResult value) {
+        if (queuesBuilder_ == null) {
+          if (resultCase_ == 5 &&
+              result_ != org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance()) {
+            result_ = org.nettlering.wire.proto.WorkflowProto.QueueResult.newBuilder((org.nettlering.wire.proto.WorkflowProto.QueueResult) result_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            result_ = value;
+          }
+          onChanged();
+        } else {
+          if (resultCase_ == 5) {
+            queuesBuilder_.mergeFrom(value);
+          } else {
+            queuesBuilder_.setMessage(value);
+          }
+        }
+        resultCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      public Builder clearQueues() {
+        if (queuesBuilder_ == null) {
+          if (resultCase_ == 5) {
+            resultCase_ = 0;
+            result_ = null;
+            onChanged();
+          }
+        } else {
+          if (resultCase_ == 5) {
+            resultCase_ = 0;
+            result_ = null;
+          }
+          queuesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.QueueResult.Builder getQueuesBuilder() {
+        return internalGetQueuesFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder getQueuesOrBuilder() {
+        if ((resultCase_ == 5) && (queuesBuilder_ != null)) {
+          return queuesBuilder_.getMessageOrBuilder();
+        } else {
+          if (resultCase_ == 5) {
+            return (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.QueueResult queues = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.QueueResult, org.nettlering.wire.proto.WorkflowProto.QueueResult.Builder, org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder> 
+          internalGetQueuesFieldBuilder() {
+        if (queuesBuilder_ == null) {
+          if (!(resultCase_ == 5)) {
+            result_ = org.nettlering.wire.proto.WorkflowProto.QueueResult.getDefaultInstance();
+          }
+          queuesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.QueueResult, org.nettlering.wire.proto.WorkflowProto.QueueResult.Builder, org.nettlering.wire.proto.WorkflowProto.QueueResultOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.QueueResult) result_,
+                  getParentForChildren(),
+                  isClean());
+          result_ = null;
+        }
+        resultCase_ = 5;
+        onChanged();
+        return queuesBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.SiteResult)
     }
 
@@ -2314,6 +3198,21 @@
      * <code>.nettlering.LedgerSnapshot ledger = 4;</code>
      */
     org.nettlering.wire.proto.RequestProto.LedgerSnapshotOrBuilder getLedgerOrBuilder();
+
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     * @return Whether the workflow field is set.
+     */
+    boolean hasWorkflow();
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     * @return The workflow.
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot getWorkflow();
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder getWorkflowOrBuilder();
   }
   /**
    * <pre>
@@ -2451,6 +3350,32 @@
       return ledger_ == null ? org.nettlering.wire.proto.RequestProto.LedgerSnapshot.getDefaultInstance() : ledger_;
     }
 
+    public static final int WORKFLOW_FIELD_NUMBER = 5;
+    private org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot workflow_;
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     * @return Whether the workflow field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflow() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     * @return The workflow.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot getWorkflow() {
+      return workflow_ == null ? org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.getDefaultInstance() : workflow_;
+    }
+    /**
+     * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder getWorkflowOrBuilder() {
+      return workflow_ == null ? org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.getDefaultInstance() : workflow_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2477,6 +3402,9 @@
       if (((bitField0_ & 0x00000004) != 0)) {
         output.writeMessage(4, getLedger());
       }
+      if (((bitField0_ & 0x00000008) != 0)) {
+        output.writeMessage(5, getWorkflow());
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -2497,6 +3425,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(4, getLedger());
       }
+      if (((bitField0_ & 0x00000008) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, getWorkflow());
+      }
       return size;
     }
     @java.lang.Override
@@ -2538,6 +3470,11 @@
         if (!getLedger()
             .equals(other.getLedger())) return false;
       }
+      if (hasWorkflow() != other.hasWorkflow()) return false;
+      if (hasWorkflow()) {
+        if (!getWorkflow()
+            .equals(other.getWorkflow())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2563,6 +3500,10 @@
         hash = (37 * hash) + LEDGER_FIELD_NUMBER;
         hash = (53 * hash) + getLedger().hashCode();
       }
+      if (hasWorkflow()) {
+        hash = (37 * hash) + WORKFLOW_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkflow().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2700,6 +3641,7 @@
           internalGetConfigurationFieldBuilder();
           internalGetTaskFieldBuilder();
           internalGetLedgerFieldBuilder();
+          internalGetWorkflowFieldBuilder();
         }
       }
       @java.lang.Override
@@ -2722,6 +3664,11 @@
           ledgerBuilder_.dispose();
           ledgerBuilder_ = null;
         }
+        workflow_ = null;
+        if (workflowBuilder_ != null) {
+          workflowBuilder_.dispose();
+          workflowBuilder_ = null;
+        }
         return this;
       }
 
@@ -2777,6 +3724,12 @@
               : ledgerBuilder_.build();
           to_bitField0_ |= 0x00000004;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.workflow_ = workflowBuilder_ == null
+              ? workflow_
+              : workflowBuilder_.build();
+          to_bitField0_ |= 0x00000008;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -2804,6 +3757,9 @@
         if (other.hasLedger()) {
           mergeLedger(other.getLedger());
         }
+        if (other.hasWorkflow()) {
+          mergeWorkflow(other.getWorkflow());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -2854,6 +3810,13 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetWorkflowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3260,6 +4223,125 @@
         return ledgerBuilder_;
       }
 
+      private org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot workflow_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder> workflowBuilder_;
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       * @return Whether the workflow field is set.
+       */
+      public boolean hasWorkflow() {
+        return ((bitField0_ & 0x00000010) != 0);
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       * @return The workflow.
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot getWorkflow() {
+        if (workflowBuilder_ == null) {
+          return workflow_ == null ? org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.getDefaultInstance() : workflow_;
+        } else {
+          return workflowBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public Builder setWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot value) {
+        if (workflowBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          workflow_ = value;
+        } else {
+          workflowBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public Builder setWorkflow(
+          org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.Builder builderForValue) {
+        if (workflowBuilder_ == null) {
+          workflow_ = builderForValue.build();
+        } else {
+          workflowBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public Builder mergeWorkflow(org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot value) {
+        if (workflowBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0) &&
+            workflow_ != null &&
+            workflow_ != org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.getDefaultInstance()) {
+            getWorkflowBuilder().mergeFrom(value);
+          } else {
+            workflow_ = value;
+          }
+        } else {
+          workflowBuilder_.mergeFrom(value);
+        }
+        if (workflow_ != null) {
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public Builder clearWorkflow() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        workflow_ = null;
+        if (workflowBuilder_ != null) {
+          workflowBuilder_.dispose();
+          workflowBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.Builder getWorkflowBuilder() {
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return internalGetWorkflowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder getWorkflowOrBuilder() {
+        if (workflowBuilder_ != null) {
+          return workflowBuilder_.getMessageOrBuilder();
+        } else {
+          return workflow_ == null ?
+              org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.getDefaultInstance() : workflow_;
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowSnapshot workflow = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder> 
+          internalGetWorkflowFieldBuilder() {
+        if (workflowBuilder_ == null) {
+          workflowBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshotOrBuilder>(
+                  getWorkflow(),
+                  getParentForChildren(),
+                  isClean());
+          workflow_ = null;
+        }
+        return workflowBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.SiteSnapshot)
     }
 
@@ -3336,22 +4418,28 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\rcommand.proto\022\nnettlering\032\023configurati" +
-      "on.proto\032\rrequest.proto\032\ntask.proto\"\251\001\n\013" +
-      "SiteCommand\0229\n\rconfiguration\030\001 \001(\0132 .net" +
-      "tlering.ConfigurationCommandH\000\022\'\n\004task\030\002" +
-      " \001(\0132\027.nettlering.TaskCommandH\000\022+\n\006ledge" +
-      "r\030\003 \001(\0132\031.nettlering.LedgerCommandH\000B\t\n\007" +
-      "command\"\246\001\n\nSiteResult\0228\n\rconfiguration\030" +
-      "\001 \001(\0132\037.nettlering.ConfigurationResultH\000" +
-      "\022&\n\004task\030\002 \001(\0132\026.nettlering.TaskResultH\000" +
-      "\022,\n\006ledger\030\003 \001(\0132\032.nettlering.LedgerResp" +
-      "onseH\000B\010\n\006result\"\264\001\n\014SiteSnapshot\022\026\n\016for" +
-      "mat_version\030\001 \001(\r\0228\n\rconfiguration\030\002 \001(\013" +
-      "2!.nettlering.ConfigurationSnapshot\022&\n\004t" +
-      "ask\030\003 \001(\0132\030.nettlering.TaskSnapshot\022*\n\006l" +
-      "edger\030\004 \001(\0132\032.nettlering.LedgerSnapshotB" +
-      ")\n\031org.nettlering.wire.protoB\014CommandPro" +
-      "tob\006proto3"
+      "on.proto\032\rrequest.proto\032\ntask.proto\032\016wor" +
+      "kflow.proto\"\215\002\n\013SiteCommand\0229\n\rconfigura" +
+      "tion\030\001 \001(\0132 .nettlering.ConfigurationCom" +
+      "mandH\000\022\'\n\004task\030\002 \001(\0132\027.nettlering.TaskCo" +
+      "mmandH\000\022+\n\006ledger\030\003 \001(\0132\031.nettlering.Led" +
+      "gerCommandH\000\0226\n\010workflow\030\004 \001(\0132\".nettler" +
+      "ing.WorkflowCommandMessageH\000\022*\n\006queues\030\005" +
+      " \001(\0132\030.nettlering.QueueCommandH\000B\t\n\007comm" +
+      "and\"\201\002\n\nSiteResult\0228\n\rconfiguration\030\001 \001(" +
+      "\0132\037.nettlering.ConfigurationResultH\000\022&\n\004" +
+      "task\030\002 \001(\0132\026.nettlering.TaskResultH\000\022,\n\006" +
+      "ledger\030\003 \001(\0132\032.nettlering.LedgerResponse" +
+      "H\000\022.\n\010workflow\030\004 \001(\0132\032.nettlering.Workfl" +
+      "owResultH\000\022)\n\006queues\030\005 \001(\0132\027.nettlering." +
+      "QueueResultH\000B\010\n\006result\"\344\001\n\014SiteSnapshot" +
+      "\022\026\n\016format_version\030\001 \001(\r\0228\n\rconfiguratio" +
+      "n\030\002 \001(\0132!.nettlering.ConfigurationSnapsh" +
+      "ot\022&\n\004task\030\003 \001(\0132\030.nettlering.TaskSnapsh" +
+      "ot\022*\n\006ledger\030\004 \001(\0132\032.nettlering.LedgerSn" +
+      "apshot\022.\n\010workflow\030\005 \001(\0132\034.nettlering.Wo" +
+      "rkflowSnapshotB)\n\031org.nettlering.wire.pr" +
+      "otoB\014CommandProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -3359,29 +4447,31 @@
           org.nettlering.wire.proto.ConfigurationProto.getDescriptor(),
           org.nettlering.wire.proto.RequestProto.getDescriptor(),
           org.nettlering.wire.proto.TaskProto.getDescriptor(),
+          org.nettlering.wire.proto.WorkflowProto.getDescriptor(),
         });
     internal_static_nettlering_SiteCommand_descriptor =
       getDescriptor().getMessageType(0);
     internal_static_nettlering_SiteCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SiteCommand_descriptor,
-        new java.lang.String[] { "Configuration", "Task", "Ledger", "Command", });
+        new java.lang.String[] { "Configuration", "Task", "Ledger", "Workflow", "Queues", "Command", });
     internal_static_nettlering_SiteResult_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_nettlering_SiteResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SiteResult_descriptor,
-        new java.lang.String[] { "Configuration", "Task", "Ledger", "Result", });
+        new java.lang.String[] { "Configuration", "Task", "Ledger", "Workflow", "Queues", "Result", });
     internal_static_nettlering_SiteSnapshot_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_nettlering_SiteSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SiteSnapshot_descriptor,
-        new java.lang.String[] { "FormatVersion", "Configuration", "Task", "Ledger", });
+        new java.lang.String[] { "FormatVersion", "Configuration", "Task", "Ledger", "Workflow", });
     descriptor.resolveAllFeaturesImmutable();
     org.nettlering.wire.proto.ConfigurationProto.getDescriptor();
     org.nettlering.wire.proto.RequestProto.getDescriptor();
     org.nettlering.wire.proto.TaskProto.getDescriptor();
+    org.nettlering.wire.proto.WorkflowProto.getDescriptor();
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/wire/src/main/java/org/nettlering/wire/proto/FrameProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/FrameProto.java
@@ -300,6 +300,36 @@
      */
     org.nettlering.wire.proto.MembershipProto.MembershipResponseOrBuilder getMembershipResponseOrBuilder();
 
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     * @return Whether the workflowRequest field is set.
+     */
+    boolean hasWorkflowRequest();
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     * @return The workflowRequest.
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowRequest getWorkflowRequest();
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder getWorkflowRequestOrBuilder();
+
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     * @return Whether the workflowResponse field is set.
+     */
+    boolean hasWorkflowResponse();
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     * @return The workflowResponse.
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowResponse getWorkflowResponse();
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder getWorkflowResponseOrBuilder();
+
     org.nettlering.wire.proto.FrameProto.Frame.BodyCase getBodyCase();
   }
   /**
@@ -371,6 +401,8 @@
       GOSSIP_RESPONSE(16),
       MEMBERSHIP_REQUEST(17),
       MEMBERSHIP_RESPONSE(18),
+      WORKFLOW_REQUEST(19),
+      WORKFLOW_RESPONSE(20),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -404,6 +436,8 @@
           case 16: return GOSSIP_RESPONSE;
           case 17: return MEMBERSHIP_REQUEST;
           case 18: return MEMBERSHIP_RESPONSE;
+          case 19: return WORKFLOW_REQUEST;
+          case 20: return WORKFLOW_RESPONSE;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -977,6 +1011,68 @@
       return org.nettlering.wire.proto.MembershipProto.MembershipResponse.getDefaultInstance();
     }
 
+    public static final int WORKFLOW_REQUEST_FIELD_NUMBER = 19;
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     * @return Whether the workflowRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowRequest() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     * @return The workflowRequest.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowRequest getWorkflowRequest() {
+      if (bodyCase_ == 19) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder getWorkflowRequestOrBuilder() {
+      if (bodyCase_ == 19) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+    }
+
+    public static final int WORKFLOW_RESPONSE_FIELD_NUMBER = 20;
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     * @return Whether the workflowResponse field is set.
+     */
+    @java.lang.Override
+    public boolean hasWorkflowResponse() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     * @return The workflowResponse.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowResponse getWorkflowResponse() {
+      if (bodyCase_ == 20) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder getWorkflowResponseOrBuilder() {
+      if (bodyCase_ == 20) {
+         return (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1045,6 +1141,12 @@
       if (bodyCase_ == 18) {
         output.writeMessage(18, (org.nettlering.wire.proto.MembershipProto.MembershipResponse) body_);
       }
+      if (bodyCase_ == 19) {
+        output.writeMessage(19, (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_);
+      }
+      if (bodyCase_ == 20) {
+        output.writeMessage(20, (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1120,6 +1222,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(18, (org.nettlering.wire.proto.MembershipProto.MembershipResponse) body_);
       }
+      if (bodyCase_ == 19) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(19, (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_);
+      }
+      if (bodyCase_ == 20) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(20, (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1214,6 +1324,14 @@
           if (!getMembershipResponse()
               .equals(other.getMembershipResponse())) return false;
           break;
+        case 19:
+          if (!getWorkflowRequest()
+              .equals(other.getWorkflowRequest())) return false;
+          break;
+        case 20:
+          if (!getWorkflowResponse()
+              .equals(other.getWorkflowResponse())) return false;
+          break;
         case 0:
         default:
       }
@@ -1298,6 +1416,14 @@
           hash = (37 * hash) + MEMBERSHIP_RESPONSE_FIELD_NUMBER;
           hash = (53 * hash) + getMembershipResponse().hashCode();
           break;
+        case 19:
+          hash = (37 * hash) + WORKFLOW_REQUEST_FIELD_NUMBER;
+          hash = (53 * hash) + getWorkflowRequest().hashCode();
+          break;
+        case 20:
+          hash = (37 * hash) + WORKFLOW_RESPONSE_FIELD_NUMBER;
+          hash = (53 * hash) + getWorkflowResponse().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1486,6 +1612,12 @@
         if (membershipResponseBuilder_ != null) {
           membershipResponseBuilder_.clear();
         }
+        if (workflowRequestBuilder_ != null) {
+          workflowRequestBuilder_.clear();
+        }
+        if (workflowResponseBuilder_ != null) {
+          workflowResponseBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1597,6 +1729,14 @@
             membershipResponseBuilder_ != null) {
           result.body_ = membershipResponseBuilder_.build();
         }
+        if (bodyCase_ == 19 &&
+            workflowRequestBuilder_ != null) {
+          result.body_ = workflowRequestBuilder_.build();
+        }
+        if (bodyCase_ == 20 &&
+            workflowResponseBuilder_ != null) {
+          result.body_ = workflowResponseBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1684,6 +1824,14 @@
             mergeMembershipResponse(other.getMembershipResponse());
             break;
           }
+          case WORKFLOW_REQUEST: {
+            mergeWorkflowRequest(other.getWorkflowRequest());
+            break;
+          }
+          case WORKFLOW_RESPONSE: {
+            mergeWorkflowResponse(other.getWorkflowResponse());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1834,6 +1982,20 @@
                 bodyCase_ = 18;
                 break;
               } // case 146
+              case 154: {
+                input.readMessage(
+                    internalGetWorkflowRequestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 19;
+                break;
+              } // case 154
+              case 162: {
+                input.readMessage(
+                    internalGetWorkflowResponseFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 20;
+                break;
+              } // case 162
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4242,6 +4404,286 @@
         return membershipResponseBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowRequest, org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder> workflowRequestBuilder_;
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       * @return Whether the workflowRequest field is set.
+       */
+      @java.lang.Override
+      public boolean hasWorkflowRequest() {
+        return bodyCase_ == 19;
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       * @return The workflowRequest.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowRequest getWorkflowRequest() {
+        if (workflowRequestBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 19) {
+            return workflowRequestBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      public Builder setWorkflowRequest(org.nettlering.wire.proto.WorkflowProto.WorkflowRequest value) {
+        if (workflowRequestBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          workflowRequestBuilder_.setMessage(value);
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      public Builder setWorkflowRequest(
+          org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.Builder builderForValue) {
+        if (workflowRequestBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          workflowRequestBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      public Builder mergeWorkflowRequest(org.nettlering.wire.proto.WorkflowProto.WorkflowRequest value) {
+        if (workflowRequestBuilder_ == null) {
+          if (bodyCase_ == 19 &&
+              body_ != org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance()) {
+            body_ = org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.newBuilder((org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 19) {
+            workflowRequestBuilder_.mergeFrom(value);
+          } else {
+            workflowRequestBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      public Builder clearWorkflowRequest() {
+        if (workflowRequestBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          workflowRequestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.Builder getWorkflowRequestBuilder() {
+        return internalGetWorkflowRequestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder getWorkflowRequestOrBuilder() {
+        if ((bodyCase_ == 19) && (workflowRequestBuilder_ != null)) {
+          return workflowRequestBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 19) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowRequest workflow_request = 19;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowRequest, org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder> 
+          internalGetWorkflowRequestFieldBuilder() {
+        if (workflowRequestBuilder_ == null) {
+          if (!(bodyCase_ == 19)) {
+            body_ = org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.getDefaultInstance();
+          }
+          workflowRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.WorkflowRequest, org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowRequestOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.WorkflowRequest) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 19;
+        onChanged();
+        return workflowRequestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResponse, org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder> workflowResponseBuilder_;
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       * @return Whether the workflowResponse field is set.
+       */
+      @java.lang.Override
+      public boolean hasWorkflowResponse() {
+        return bodyCase_ == 20;
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       * @return The workflowResponse.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResponse getWorkflowResponse() {
+        if (workflowResponseBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 20) {
+            return workflowResponseBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      public Builder setWorkflowResponse(org.nettlering.wire.proto.WorkflowProto.WorkflowResponse value) {
+        if (workflowResponseBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          workflowResponseBuilder_.setMessage(value);
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      public Builder setWorkflowResponse(
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.Builder builderForValue) {
+        if (workflowResponseBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          workflowResponseBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      public Builder mergeWorkflowResponse(org.nettlering.wire.proto.WorkflowProto.WorkflowResponse value) {
+        if (workflowResponseBuilder_ == null) {
+          if (bodyCase_ == 20 &&
+              body_ != org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance()) {
+            body_ = org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.newBuilder((org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 20) {
+            workflowResponseBuilder_.mergeFrom(value);
+          } else {
+            workflowResponseBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      public Builder clearWorkflowResponse() {
+        if (workflowResponseBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          workflowResponseBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.Builder getWorkflowResponseBuilder() {
+        return internalGetWorkflowResponseFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder getWorkflowResponseOrBuilder() {
+        if ((bodyCase_ == 20) && (workflowResponseBuilder_ != null)) {
+          return workflowResponseBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 20) {
+            return (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.WorkflowResponse workflow_response = 20;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.WorkflowResponse, org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder> 
+          internalGetWorkflowResponseFieldBuilder() {
+        if (workflowResponseBuilder_ == null) {
+          if (!(bodyCase_ == 20)) {
+            body_ = org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.getDefaultInstance();
+          }
+          workflowResponseBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.WorkflowResponse, org.nettlering.wire.proto.WorkflowProto.WorkflowResponse.Builder, org.nettlering.wire.proto.WorkflowProto.WorkflowResponseOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.WorkflowResponse) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 20;
+        onChanged();
+        return workflowResponseBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.Frame)
     }
 
@@ -7848,38 +8290,41 @@
     java.lang.String[] descriptorData = {
       "\n\013frame.proto\022\nnettlering\032\023configuration" +
       ".proto\032\017consensus.proto\032\020membership.prot" +
-      "o\032\rrequest.proto\032\ntask.proto\"\356\006\n\005Frame\022\026" +
-      "\n\016correlation_id\030\001 \001(\004\022\023\n\013traceparent\030\002 " +
-      "\001(\t\022\"\n\005hello\030\003 \001(\0132\021.nettlering.HelloH\000\022" +
-      "-\n\013hello_reply\030\004 \001(\0132\026.nettlering.HelloR" +
-      "eplyH\000\022 \n\004ping\030\005 \001(\0132\020.nettlering.PingH\000" +
-      "\022 \n\004pong\030\006 \001(\0132\020.nettlering.PongH\000\022&\n\007fa" +
-      "ilure\030\007 \001(\0132\023.nettlering.FailureH\000\0221\n\tco" +
-      "nsensus\030\010 \001(\0132\034.nettlering.ConsensusMess" +
-      "ageH\000\022A\n\025configuration_request\030\t \001(\0132 .n" +
-      "ettlering.ConfigurationRequestH\000\022C\n\026conf" +
-      "iguration_response\030\n \001(\0132!.nettlering.Co" +
-      "nfigurationResponseH\000\022/\n\014task_request\030\013 " +
-      "\001(\0132\027.nettlering.TaskRequestH\000\0221\n\rtask_r" +
-      "esponse\030\014 \001(\0132\030.nettlering.TaskResponseH" +
-      "\000\0223\n\016ledger_request\030\r \001(\0132\031.nettlering.L" +
-      "edgerRequestH\000\0225\n\017ledger_response\030\016 \001(\0132" +
-      "\032.nettlering.LedgerResponseH\000\0223\n\016gossip_" +
-      "request\030\017 \001(\0132\031.nettlering.GossipRequest" +
-      "H\000\0225\n\017gossip_response\030\020 \001(\0132\032.nettlering" +
-      ".GossipResponseH\000\022;\n\022membership_request\030" +
-      "\021 \001(\0132\035.nettlering.MembershipRequestH\000\022=" +
-      "\n\023membership_response\030\022 \001(\0132\036.nettlering" +
-      ".MembershipResponseH\000B\006\n\004body\"a\n\005Hello\022\022" +
-      "\n\ncluster_id\030\001 \001(\t\022\030\n\020protocol_version\030\002" +
-      " \001(\r\022\022\n\nprocess_id\030\003 \001(\t\022\026\n\016failure_doma" +
-      "in\030\004 \001(\t\"8\n\nHelloReply\022\022\n\nprocess_id\030\001 \001" +
-      "(\t\022\026\n\016failure_domain\030\002 \001(\t\"\006\n\004Ping\"\006\n\004Po" +
-      "ng\"\200\001\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030" +
-      "\002 \001(\t\022\021\n\tleader_id\030\003 \001(\t\022\017\n\007not_run\030\004 \001(" +
-      "\010\022\032\n\022retry_after_millis\030\005 \001(\r\022\026\n\016leader_" +
-      "address\030\006 \001(\tB\'\n\031org.nettlering.wire.pro" +
-      "toB\nFrameProtob\006proto3"
+      "o\032\rrequest.proto\032\ntask.proto\032\016workflow.p" +
+      "roto\"\342\007\n\005Frame\022\026\n\016correlation_id\030\001 \001(\004\022\023" +
+      "\n\013traceparent\030\002 \001(\t\022\"\n\005hello\030\003 \001(\0132\021.net" +
+      "tlering.HelloH\000\022-\n\013hello_reply\030\004 \001(\0132\026.n" +
+      "ettlering.HelloReplyH\000\022 \n\004ping\030\005 \001(\0132\020.n" +
+      "ettlering.PingH\000\022 \n\004pong\030\006 \001(\0132\020.nettler" +
+      "ing.PongH\000\022&\n\007failure\030\007 \001(\0132\023.nettlering" +
+      ".FailureH\000\0221\n\tconsensus\030\010 \001(\0132\034.nettleri" +
+      "ng.ConsensusMessageH\000\022A\n\025configuration_r" +
+      "equest\030\t \001(\0132 .nettlering.ConfigurationR" +
+      "equestH\000\022C\n\026configuration_response\030\n \001(\013" +
+      "2!.nettlering.ConfigurationResponseH\000\022/\n" +
+      "\014task_request\030\013 \001(\0132\027.nettlering.TaskReq" +
+      "uestH\000\0221\n\rtask_response\030\014 \001(\0132\030.nettleri" +
+      "ng.TaskResponseH\000\0223\n\016ledger_request\030\r \001(" +
+      "\0132\031.nettlering.LedgerRequestH\000\0225\n\017ledger" +
+      "_response\030\016 \001(\0132\032.nettlering.LedgerRespo" +
+      "nseH\000\0223\n\016gossip_request\030\017 \001(\0132\031.nettleri" +
+      "ng.GossipRequestH\000\0225\n\017gossip_response\030\020 " +
+      "\001(\0132\032.nettlering.GossipResponseH\000\022;\n\022mem" +
+      "bership_request\030\021 \001(\0132\035.nettlering.Membe" +
+      "rshipRequestH\000\022=\n\023membership_response\030\022 " +
+      "\001(\0132\036.nettlering.MembershipResponseH\000\0227\n" +
+      "\020workflow_request\030\023 \001(\0132\033.nettlering.Wor" +
+      "kflowRequestH\000\0229\n\021workflow_response\030\024 \001(" +
+      "\0132\034.nettlering.WorkflowResponseH\000B\006\n\004bod" +
+      "y\"a\n\005Hello\022\022\n\ncluster_id\030\001 \001(\t\022\030\n\020protoc" +
+      "ol_version\030\002 \001(\r\022\022\n\nprocess_id\030\003 \001(\t\022\026\n\016" +
+      "failure_domain\030\004 \001(\t\"8\n\nHelloReply\022\022\n\npr" +
+      "ocess_id\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\"\006" +
+      "\n\004Ping\"\006\n\004Pong\"\200\001\n\007Failure\022\014\n\004code\030\001 \001(\t" +
+      "\022\017\n\007message\030\002 \001(\t\022\021\n\tleader_id\030\003 \001(\t\022\017\n\007" +
+      "not_run\030\004 \001(\010\022\032\n\022retry_after_millis\030\005 \001(" +
+      "\r\022\026\n\016leader_address\030\006 \001(\tB\'\n\031org.nettler" +
+      "ing.wire.protoB\nFrameProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -7889,13 +8334,14 @@
           org.nettlering.wire.proto.MembershipProto.getDescriptor(),
           org.nettlering.wire.proto.RequestProto.getDescriptor(),
           org.nettlering.wire.proto.TaskProto.getDescriptor(),
+          org.nettlering.wire.proto.WorkflowProto.getDescriptor(),
         });
     internal_static_nettlering_Frame_descriptor =
       getDescriptor().getMessageType(0);
     internal_static_nettlering_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_Frame_descriptor,
-        new java.lang.String[] { "CorrelationId", "Traceparent", "Hello", "HelloReply", "Ping", "Pong", "Failure", "Consensus", "ConfigurationRequest", "ConfigurationResponse", "TaskRequest", "TaskResponse", "LedgerRequest", "LedgerResponse", "GossipRequest", "GossipResponse", "MembershipRequest", "MembershipResponse", "Body", });
+        new java.lang.String[] { "CorrelationId", "Traceparent", "Hello", "HelloReply", "Ping", "Pong", "Failure", "Consensus", "ConfigurationRequest", "ConfigurationResponse", "TaskRequest", "TaskResponse", "LedgerRequest", "LedgerResponse", "GossipRequest", "GossipResponse", "MembershipRequest", "MembershipResponse", "WorkflowRequest", "WorkflowResponse", "Body", });
     internal_static_nettlering_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_nettlering_Hello_fieldAccessorTable = new
@@ -7932,6 +8378,7 @@
     org.nettlering.wire.proto.MembershipProto.getDescriptor();
     org.nettlering.wire.proto.RequestProto.getDescriptor();
     org.nettlering.wire.proto.TaskProto.getDescriptor();
+    org.nettlering.wire.proto.WorkflowProto.getDescriptor();
   }
 
   // @@protoc_insertion_point(outer_class_scope)
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -25,7 +25,8 @@
 public final class LeaderControlGateway implements ControlGateway {
     private static final Duration ROUND_WAIT = Duration.ofMillis(50);
 
-    private static final Duration REPEATABLE_ATTEMPT_LIMIT = Duration.ofSeconds(3);
+    /** How long one attempt of a request that may be repeated takes at most, unless told otherwise. */
+    private static final Duration DEFAULT_ATTEMPT_LIMIT = Duration.ofSeconds(3);
 
     /** The members that are known. */
     private final ControlMembers members;
@@ -33,6 +34,9 @@
     /** Sets the timers. */
     private final TimeSource time;
 
+    /** How long one attempt of a request that may be repeated takes at most. */
+    private final Duration attemptLimit;
+
     /** The member that is believed to lead. */
     private volatile String leader;
 
@@ -45,7 +49,7 @@
      * @throws NettleringException with {@code INVALID_ARGUMENT} if there are no members
      */
     public static LeaderControlGateway of(Map<String, ? extends Peer> members, TimeSource time) {
-        return new LeaderControlGateway(ControlMembers.fixed(members), time);
+        return new LeaderControlGateway(ControlMembers.fixed(members), time, DEFAULT_ATTEMPT_LIMIT);
     }
 
     /**
@@ -61,12 +65,31 @@
             Map<String, InetSocketAddress> addresses,
             BiFunction<String, InetSocketAddress, ? extends Peer> opener,
             TimeSource time) {
-        return new LeaderControlGateway(ControlMembers.learning(addresses, opener), time);
+        return connecting(addresses, opener, time, DEFAULT_ATTEMPT_LIMIT);
+    }
+
+    /**
+     * Creates a gateway that follows the leader and asks another member when one does not answer for a while.
+     *
+     * @param addresses where the members of the settings listen, by id, at least one, not null
+     * @param opener returns the peer with an id at an address, not null
+     * @param time sets the timers, not null
+     * @param attemptLimit how long one attempt of a request that may be repeated takes at most, not null
+     * @return a new gateway, never null
+     * @throws NettleringException with {@code INVALID_ARGUMENT} if there are no members
+     */
+    public static LeaderControlGateway connecting(
+            Map<String, InetSocketAddress> addresses,
+            BiFunction<String, InetSocketAddress, ? extends Peer> opener,
+            TimeSource time,
+            Duration attemptLimit) {
+        return new LeaderControlGateway(ControlMembers.learning(addresses, opener), time, attemptLimit);
     }
 
-    private LeaderControlGateway(ControlMembers members, TimeSource time) {
+    private LeaderControlGateway(ControlMembers members, TimeSource time, Duration attemptLimit) {
         this.members = members;
         this.time = time;
+        this.attemptLimit = attemptLimit;
         leader = members.first();
     }
 
@@ -127,9 +150,7 @@
             }
             Peer peer = members.peer(member);
             attemptsInRound++;
-            Duration limit = repeatable && remaining.compareTo(REPEATABLE_ATTEMPT_LIMIT) > 0
-                    ? REPEATABLE_ATTEMPT_LIMIT
-                    : remaining;
+            Duration limit = repeatable && remaining.compareTo(attemptLimit) > 0 ? attemptLimit : remaining;
             peer.call(request, limit).whenComplete((response, error) -> {
                 if (error == null) {
                     leader = member;
