--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
@@ -54,6 +54,12 @@
         operationsBeforeFailure = operations;
     }
 
+    /** Works again and keeps everything that was written, as when only the process was killed. */
+    public void survive() {
+        failed = false;
+        operationsBeforeFailure = -1;
+    }
+
     /** Loses what was not synced, as when the machine loses its power, and works again. */
     public void crash() {
         failed = false;
--- a/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
@@ -142,11 +142,21 @@
             byte[] file = folder.read(name);
             FileHeader.check(name, file);
             long lastIndex = readFrames(name, file, last, replay);
+            if (last) {
+                makeDurable(name);
+            }
             closedSegments.add(new ClosedSegment(name, lastIndex));
         }
         return replay;
     }
 
+    /** Syncs what was read: a process that was killed may have left bytes that it had written but not synced. */
+    private void makeDurable(String name) {
+        try (AppendFile file = folder.open(name)) {
+            file.sync();
+        }
+    }
+
     /** Replays the frames of a segment and returns the highest index of an entry in it. */
     private long readFrames(String name, byte[] file, boolean last, LogReplay replay) {
         long lastIndex = 0;
--- a/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
@@ -70,6 +70,28 @@
         folder.overwrite(file, bytes);
     }
 
+    /** A process killed between a write and its sync leaves bytes that the next process reads, then the power fails. */
+    @Test
+    void whatWasReadAfterAKillIsStillThereAfterALossOfPower() {
+        for (int seed = 0; seed < 50; seed++) {
+            SimulatedFolder disk = new SimulatedFolder(new SplittableRandom(seed));
+            FileLogStorage killed = FileLogStorage.open(disk, SELF);
+            killed.load();
+            killed.append(List.of(entry(1, 1)));
+            killed.sync();
+            killed.append(List.of(entry(2, 1)));
+            disk.failAfter(1);
+            fails(ErrorCode.STORAGE_FAILED, killed::sync);
+            disk.survive();
+            StoredState read = FileLogStorage.open(disk, SELF).load();
+            assertThat(read.entries()).hasSize(2);
+            disk.crash();
+            assertThat(FileLogStorage.open(disk, SELF).load().entries())
+                    .as("seed " + seed)
+                    .hasSize(2);
+        }
+    }
+
     @Test
     void whatWasSyncedIsReadAgain() {
         FileLogStorage storage = open();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -26,7 +26,9 @@
     /** A batch of changes did not get into the log. */
     BATCH_FAILED(3310, Level.WARN, "a batch of {} changes of jobs was not logged: {}"),
     /** A new leader takes over the hosts with runs. */
-    TAKEN_OVER(3311, Level.INFO, "the leader of term {} follows {} hosts with runs");
+    TAKEN_OVER(3311, Level.INFO, "the leader of term {} follows {} hosts with runs"),
+    /** A job was rejected and never runs. */
+    JOB_REJECTED(3312, Level.INFO, "job {} rejected in queue {}: come back in {} ms");
 
     /** The number. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -8,26 +8,35 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostCommitments;
 import org.nettlering.domain.workflow.Job;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.RunEnd;
 import org.nettlering.domain.workflow.RunName;
 import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.Begin;
 import org.nettlering.domain.workflow.WorkflowCommand.End;
 import org.nettlering.domain.workflow.WorkflowCommand.Forget;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
 import org.nettlering.domain.workflow.host.HostReport;
 import org.nettlering.domain.workflow.host.HostSession;
+import org.nettlering.domain.workflow.host.RunLoad;
 import org.nettlering.domain.workflow.placement.HostDoubts;
 import org.nettlering.domain.workflow.placement.HostRoom;
 import org.nettlering.domain.workflow.placement.StartPlanner;
+import org.nettlering.domain.workflow.sharing.FillingRun;
+import org.nettlering.domain.workflow.sharing.ServingRun;
+import org.nettlering.domain.workflow.sharing.SharingGuard;
 
 /**
  * What the leader of one term knows beside the replicated jobs: the hosts, and what waits to be logged.
@@ -44,6 +53,9 @@
     /** How much later than due an occurrence begins, so that clocks that differ a little begin none too early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
+    /** The percent of a task that lasts and is at work. */
+    private static final int WHOLE_PERCENT = 100;
+
     /** The term. */
     private final long term;
 
@@ -56,6 +68,9 @@
     /** The hosts to avoid. */
     private final HostDoubts doubts = HostDoubts.none();
 
+    /** What was learned of the images that share hosts. */
+    private final SharingGuard sharing = SharingGuard.create();
+
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
 
@@ -118,17 +133,75 @@
     }
 
     /** Takes what came of an order. */
-    void answered(HostOrder order, long sentNanos, HostAnswer answer, long nowNanos) {
+    void answered(WorkflowState state, HostOrder order, long sentNanos, HostAnswer answer, long nowNanos) {
         HostSession session = sessions.get(order.host().id());
-        if (session != null) {
-            collect(session.answered(order, sentNanos, answer, nowNanos));
+        if (session == null) {
+            return;
+        }
+        collect(session.answered(order, sentNanos, answer, nowNanos));
+        if (answer instanceof HostAnswer.Listing) {
+            share(state, session, nowNanos);
+        }
+    }
+
+    /** Learns how the runs on a host bear each other, and sets the pace of those that fill. */
+    private void share(WorkflowState state, HostSession session, long nowNanos) {
+        List<ServingRun> serving = servingRuns(state, session);
+        List<FillingRun> filling = fillingRuns(state, session);
+        session.watch(!serving.isEmpty() && !filling.isEmpty());
+        sharing.paces(session.host().id(), serving, filling, nowNanos).forEach(session::pace);
+    }
+
+    private static List<ServingRun> servingRuns(WorkflowState state, HostSession session) {
+        List<ServingRun> serving = new ArrayList<>();
+        for (RunLoad load : session.loads()) {
+            state.step(load.run().task().step())
+                    .map(StepProgress::specification)
+                    .filter(step -> step.serves() && load.percent() == WHOLE_PERCENT)
+                    .ifPresent(step -> serving.add(new ServingRun(
+                            step.sharing().image(), step.sharing().targetMillis(), load.load())));
         }
+        return serving;
+    }
+
+    private static List<FillingRun> fillingRuns(WorkflowState state, HostSession session) {
+        List<FillingRun> filling = new ArrayList<>();
+        for (RunLoad load : session.loads()) {
+            state.step(load.run().task().step())
+                    .map(StepProgress::specification)
+                    .filter(step -> step.has(StepTrait.FILLS))
+                    .ifPresent(step -> filling.add(new FillingRun(
+                            load.run(),
+                            step.sharing().image(),
+                            step.demand().millicores(),
+                            load.load(),
+                            load.pacePercent())));
+        }
+        return filling;
     }
 
     private void collect(List<End> ends) {
         ends.forEach(end -> openEnds.put(end.run(), end));
     }
 
+    /** Decides whether a job is accepted; returns when its caller should come back if it is not. */
+    Optional<Duration> rejection(WorkflowState state, JobTerms terms, JobDefinition definition) {
+        long pool = 0;
+        for (HostSession session : sessions.values()) {
+            pool += session.report()
+                    .filter(report -> report.pool().equals(terms.pool()) && !report.draining())
+                    .map(report -> report.capacity().millicores())
+                    .orElse(0L);
+        }
+        long lasting = 0;
+        for (Job job : state.jobs()) {
+            if (job.phase().isOpen() && job.terms().pool().equals(terms.pool())) {
+                lasting += AcceptanceRule.lastingMillicores(job.definition());
+            }
+        }
+        return AcceptanceRule.rejection(definition, pool, lasting);
+    }
+
     /** Returns the next batch to log, or an empty list if one is on its way or there is nothing to do. */
     List<WorkflowCommand> nextBatch(WorkflowState state, long nowNanos, long nowMillis) {
         if (proposing) {
@@ -139,7 +212,7 @@
         if (batch.isEmpty()) {
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
-            batch.addAll(StartPlanner.plan(state, rooms(state, nowNanos), step -> true, nowMillis));
+            batch.addAll(StartPlanner.plan(state, rooms(state, nowNanos), step -> true, sharing, nowMillis));
         }
         openEnds.clear();
         proposing = !batch.isEmpty();
@@ -179,7 +252,9 @@
                 continue;
             }
             HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
-            session.report().ifPresent(report -> rooms.add(HostRoom.of(report, commitments, doubts.doubtOf(id))));
+            session.report()
+                    .ifPresent(report -> rooms.add(
+                            HostRoom.of(report, commitments, doubts.doubtOf(id), servingRuns(state, session))));
         }
         return rooms;
     }
@@ -276,6 +351,7 @@
             HostSession session = all.next();
             if (session.isOver(nowNanos)) {
                 doubts.forget(session.host().id());
+                sharing.forget(session.host().id());
                 all.remove();
                 continue;
             }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.control.log.CommandLog;
@@ -113,6 +114,11 @@
         return result;
     }
 
+    /** Decides on what the leader knows and the replicated jobs; not without leadership. */
+    <T> T decide(BiFunction<WorkflowState, WorkflowLeadership, T> decision) {
+        return part.read((state, queues) -> decision.apply(state, leadership(state)));
+    }
+
     /** Changes what the leader knows, with a look at the replicated jobs, then runs the loop; not without leadership. */
     void changeWithState(BiConsumer<WorkflowState, WorkflowLeadership> change) {
         part.read((state, queues) -> {
@@ -229,7 +235,7 @@
         if (!carriedOut) {
             LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
         }
-        withLeadership(sender, (state, current) -> current.answered(order, sentNanos, answer, time.nanoTime()));
+        withLeadership(sender, (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
         tickNow();
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.workflow;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -129,6 +130,12 @@
         JobDefinition definition = JobDefinitionCodec.decode(request.getDefinition());
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
+        Optional<Duration> rejection = loop.decide((state, leadership) ->
+                state.job(jobId).isPresent() ? Optional.empty() : leadership.rejection(state, terms, definition));
+        if (rejection.isPresent()) {
+            LOG.log(WorkflowEvent.JOB_REJECTED, jobId, terms.queue(), rejection.get().toMillis());
+            return read((state, current) -> rejected(rejection.get()));
+        }
         return propose(new WorkflowCommand.Submit(jobId, terms, definition, time.millis()))
                 .thenApply(outcome -> {
                     LOG.log(
@@ -251,6 +258,13 @@
         return answer(queues.isPresent() ? WorkflowAnswer.ANSWER_NO_QUEUE : WorkflowAnswer.ANSWER_NO_CONFIGURATION);
     }
 
+    private static WorkflowResponse rejected(Duration retryAfter) {
+        return WorkflowResponse.newBuilder()
+                .setAnswer(WorkflowAnswer.ANSWER_REJECTED)
+                .setRetryAfterMillis((int) retryAfter.toMillis())
+                .build();
+    }
+
     private static WorkflowResponse answer(WorkflowAnswer answer) {
         return WorkflowResponse.newBuilder().setAnswer(answer).build();
     }
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -0,0 +1,167 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.RunEnd;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.TaskName;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedEnd;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedRun;
+import org.nettlering.domain.workflow.host.HostAnswer.RefusalReason;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.domain.workflow.host.HostReport;
+
+/**
+ * One life of a host in memory, which keeps to the rules of orders: fencing, leases by its own clock, ends that are listed
+ * until they may be forgotten, and stops that keep a run from starting later.
+ */
+final class FakeHost {
+    private static final Duration LONGEST_LEASE = Duration.ofSeconds(6);
+
+    private final TimeSource time;
+    private final long clockOffsetMillis;
+    private final Map<RunName, Long> running = new LinkedHashMap<>();
+    private final Map<TaskName, Integer> highestOver = new HashMap<>();
+    private final List<ListedEnd> ends = new ArrayList<>();
+    private final HostAddress address;
+    private final Watch watch;
+    private long token;
+    private long leaseUntilMillis;
+    private long endNumber;
+    private long sequence;
+    private boolean up = true;
+
+    /** Hears what really happens on hosts. */
+    interface Watch {
+        void started(FakeHost host, RunName run);
+
+        void ended(FakeHost host, RunName run, RunEnd how);
+
+        void noted(FakeHost host, RunName run, RunEnd how, boolean leaseHeld);
+    }
+
+    FakeHost(String id, String address, TimeSource time, Watch watch) {
+        this.address = new HostAddress(id, address);
+        this.time = time;
+        this.watch = watch;
+        clockOffsetMillis = 1_000L * Math.abs(id.hashCode() % 1_000);
+    }
+
+    HostAddress address() {
+        return address;
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    HostReport report(boolean draining) {
+        sequence++;
+        Resources capacity = Resources.of(4_000, 4_000, 0);
+        return new HostReport(address, "pool", "fd", capacity, "a", "r1", draining, clockMillis(), sequence);
+    }
+
+    private long clockMillis() {
+        return clockOffsetMillis + time.nanoTime() / 1_000_000 * 99 / 100;
+    }
+
+    /** Ends this life: everything that runs is gone, and nothing is remembered. */
+    void crash() {
+        up = false;
+        running.keySet().forEach(run -> watch.ended(this, run, RunEnd.HOST_LOST));
+        running.clear();
+    }
+
+    /** Ends what has run for long enough, and everything when the lease is over. */
+    void tick(RunEnd how, long runMillis) {
+        long now = time.nanoTime();
+        if (!running.isEmpty() && clockMillis() > leaseUntilMillis) {
+            List.copyOf(running.keySet()).forEach(run -> finish(run, RunEnd.LAPSED));
+        }
+        for (Map.Entry<RunName, Long> each : Map.copyOf(running).entrySet()) {
+            if (now - each.getValue() >= runMillis * 1_000_000) {
+                finish(each.getKey(), how);
+            }
+        }
+    }
+
+    int runningCount() {
+        return running.size();
+    }
+
+    private void finish(RunName run, RunEnd how) {
+        running.remove(run);
+        highestOver.merge(run.task(), run.number(), Math::max);
+        endNumber++;
+        ends.add(new ListedEnd(endNumber, run, how, ""));
+        watch.ended(this, run, how);
+    }
+
+    HostAnswer carryOut(HostOrder order) {
+        if (!up) {
+            return new HostAnswer.Silent("down");
+        }
+        if (order.token() < token) {
+            return new HostAnswer.Refused(RefusalReason.FENCED);
+        }
+        token = order.token();
+        return switch (order) {
+            case HostOrder.Start start -> start(start);
+            case HostOrder.Stop stop -> stop(stop.run());
+            case HostOrder.Hold hold -> hold(hold);
+            case HostOrder.Pace pace -> new HostAnswer.Accepted(clockMillis());
+        };
+    }
+
+    private HostAnswer start(HostOrder.Start start) {
+        RunName run = start.run().run();
+        if (start.leaseUntilMillis() <= clockMillis()) {
+            return new HostAnswer.Refused(RefusalReason.LATE);
+        }
+        extend(start.leaseUntilMillis());
+        if (running.containsKey(run)) {
+            return new HostAnswer.Accepted(clockMillis());
+        }
+        if (highestOver.getOrDefault(run.task(), 0) >= run.number()) {
+            return new HostAnswer.Refused(RefusalReason.OLD);
+        }
+        running.put(run, time.nanoTime());
+        watch.started(this, run);
+        return new HostAnswer.Accepted(clockMillis());
+    }
+
+    private HostAnswer stop(RunName run) {
+        if (running.containsKey(run)) {
+            finish(run, RunEnd.STOPPED);
+        }
+        highestOver.merge(run.task(), run.number(), Math::max);
+        return new HostAnswer.Accepted(clockMillis());
+    }
+
+    private HostAnswer hold(HostOrder.Hold hold) {
+        extend(hold.leaseUntilMillis());
+        for (ListedEnd end : List.copyOf(ends)) {
+            if (end.number() <= hold.noted()) {
+                ends.remove(end);
+                watch.noted(this, end.run(), end.how(), clockMillis() <= leaseUntilMillis);
+            }
+        }
+        List<ListedRun> listed = running.keySet().stream()
+                .map(run -> new ListedRun(run, "", 50, 0))
+                .toList();
+        return new HostAnswer.Listing(clockMillis(), listed, ends);
+    }
+
+    private void extend(long untilMillis) {
+        long bounded = Math.min(untilMillis, clockMillis() + LONGEST_LEASE.toMillis());
+        leaseUntilMillis = Math.max(leaseUntilMillis, bounded);
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/WorkflowPathTest.java
@@ -0,0 +1,302 @@
+package org.nettlering.control.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.queue.PoolSettings;
+import org.nettlering.domain.queue.QueueConfiguration;
+import org.nettlering.domain.queue.QueueSettings;
+import org.nettlering.domain.queue.QueueTerms;
+import org.nettlering.domain.queue.RequestLimits;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobPhase;
+import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.RunEnd;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepLocality;
+import org.nettlering.domain.workflow.StepSharing;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.host.HostLimits;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.transport.ControlGateway;
+import org.nettlering.wire.workflow.JobAnswer;
+import org.nettlering.wire.workflow.WorkflowClient;
+
+/** The whole path over hosts in memory: submit, start, end, completed; cancel; a change of leader; configurations. */
+class WorkflowPathTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private static final HostLimits LIMITS =
+            new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
+
+    private final ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
+    private final SharedLog log = new SharedLog();
+    private final List<RunName> started = new ArrayList<>();
+    private final FakeHost host = new FakeHost("h1", "10.0.0.1:80", time, new StartWatch());
+    private final Process first = new Process();
+    private final Process second = new Process();
+
+    private Process leader = first;
+
+    @BeforeEach
+    void configure() {
+        leader.client.replaceQueues(configuration(7), TIMEOUT).toCompletableFuture().join();
+    }
+
+    @Test
+    void aJobIsAcceptedRunStepByStepAndCompleted() {
+        reportHost();
+        assertThat(submit("/q/1", step(2, List.of()), step(1, List.of(0)))).isEqualTo(new JobAnswer.Done());
+        pass(300);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.RUNNING);
+        assertThat(host.runningCount()).isEqualTo(2);
+        finishAll(RunEnd.DONE);
+        pass(300);
+        assertThat(host.runningCount()).isEqualTo(1);
+        finishAll(RunEnd.DONE);
+        pass(300);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void aTaskThatFailsTooOftenFailsItsJobAndStopsTheRest() {
+        reportHost();
+        submit("/q/1", step(1, List.of()));
+        pass(300);
+        finishAll(RunEnd.FAILED);
+        pass(300);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.RUNNING);
+        finishAll(RunEnd.FAILED);
+        pass(300);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.FAILED);
+        assertThat(host.runningCount()).isZero();
+    }
+
+    @Test
+    void aCancelledJobIsStoppedOnItsHost() {
+        reportHost();
+        submit("/q/1", step(2, List.of(), StepTrait.LONG_RUNNING));
+        pass(300);
+        assertThat(host.runningCount()).isEqualTo(2);
+        assertThat(answer(leader.client.cancel("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobAnswer.Done());
+        pass(300);
+        assertThat(host.runningCount()).isZero();
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.CANCELLED);
+    }
+
+    @Test
+    void aNewLeaderTakesOverWhatRunsAndStartsNothingTwice() {
+        reportHost();
+        submit("/q/1", step(3, List.of()));
+        pass(300);
+        second.lead();
+        reportHost();
+        pass(500);
+        assertThat(host.runningCount()).isEqualTo(3);
+        assertThat(started).hasSize(3);
+        finishAll(RunEnd.DONE);
+        pass(300);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(started).hasSize(3);
+    }
+
+    @Test
+    void anEndThatTheOldLeaderDidNotLogIsTakenByTheNewOne() {
+        reportHost();
+        submit("/q/1", step(1, List.of()));
+        pass(300);
+        second.lead();
+        finishAll(RunEnd.DONE);
+        pass(500);
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(started).hasSize(1);
+    }
+
+    @Test
+    void theRunsOfACrashedHostStartAgainOnAnother() {
+        reportHost();
+        submit("/q/1", step(1, List.of()));
+        pass(300);
+        host.crash();
+        FakeHost other = new FakeHost("h2", "10.0.0.2:80", time, new StartWatch());
+        hosts.add(other);
+        passReporting(12_000, other);
+        assertThat(other.runningCount()).isEqualTo(1);
+        assertThat(started.getLast().number()).isEqualTo(2);
+    }
+
+    @Test
+    void aDrainingHostGetsNothingMore() {
+        reportHost();
+        leader.client.report(host.report(true), TIMEOUT).toCompletableFuture().join();
+        submit("/q/1", step(1, List.of()));
+        pass(1_000);
+        assertThat(started).isEmpty();
+        assertThat(answer(leader.client.show("site.example", "/q/", TIMEOUT))).isEqualTo(new JobAnswer.Pending(1));
+    }
+
+    @Test
+    void anUnknownQueueAndAnUnknownJobAreToldApart() {
+        assertThat(answer(leader.client.show("site.example", "/none/1", TIMEOUT)))
+                .isEqualTo(new JobAnswer.NoQueue());
+        assertThat(answer(leader.client.show("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobAnswer.NoJob());
+        assertThat(answer(leader.client.cancel("site.example", "/q/1", TIMEOUT)))
+                .isEqualTo(new JobAnswer.NoJob());
+    }
+
+    @Test
+    void theHighestVersionOfTheQueuesStaysInForce() {
+        leader.client.replaceQueues(configuration(5), TIMEOUT).toCompletableFuture().join();
+        assertThat(version()).isEqualTo(7);
+        leader.client.replaceQueues(configuration(9), TIMEOUT).toCompletableFuture().join();
+        assertThat(version()).isEqualTo(9);
+        second.lead();
+        assertThat(version()).isEqualTo(9);
+    }
+
+    @Test
+    void anOccurrenceOfATimedJobStartsWhenItIsDue() {
+        reportHost();
+        long due = time.millis() + 2_000;
+        JobDefinition timed = new JobDefinition("work", List.of(step(1, List.of())), new Recurrence(1, due, 1_000));
+        answer(leader.client.submit("site.example", "/q/1", timed, TIMEOUT));
+        pass(1_900);
+        assertThat(started).isEmpty();
+        pass(400);
+        assertThat(started).hasSize(1);
+    }
+
+    private long version() {
+        return leader.client
+                .readQueues(TIMEOUT)
+                .toCompletableFuture()
+                .join()
+                .orElseThrow()
+                .version();
+    }
+
+    private static QueueConfiguration configuration(long version) {
+        QueueTerms terms = new QueueTerms(0, 2, 1.5, 250, false);
+        return QueueConfiguration.of(
+                version,
+                List.of(new QueueSettings("q", "site.example", "/q/", "pool", 3_000, terms)),
+                List.of(new PoolSettings("pool", false, false)),
+                RequestLimits.DEFAULT,
+                "{\"version\":" + version + "}");
+    }
+
+    private static StepSpecification step(int count, List<Integer> dependsOn, StepTrait... traits) {
+        return new StepSpecification(
+                count,
+                Resources.of(1_000, 100, 0),
+                1_000,
+                dependsOn,
+                Set.of(traits),
+                StepLocality.ANYWHERE,
+                StepSharing.UNTOLD);
+    }
+
+    private JobAnswer submit(String path, StepSpecification... steps) {
+        JobDefinition definition = new JobDefinition("work", List.of(steps), Recurrence.ONCE);
+        return answer(leader.client.submit("site.example", path, definition, TIMEOUT));
+    }
+
+    private JobPhase phase(String path) {
+        JobAnswer answer = answer(leader.client.show("site.example", path, TIMEOUT));
+        assertThat(answer).isInstanceOf(JobAnswer.Phase.class);
+        return ((JobAnswer.Phase) answer).phase();
+    }
+
+    private static JobAnswer answer(CompletionStage<JobAnswer> stage) {
+        return stage.toCompletableFuture().join();
+    }
+
+    private final List<FakeHost> hosts = new ArrayList<>(List.of(host));
+
+    private void reportHost() {
+        leader.client.report(host.report(false), TIMEOUT).toCompletableFuture().join();
+        pass(200);
+    }
+
+    private void finishAll(RunEnd how) {
+        hosts.forEach(each -> each.tick(how, 0));
+    }
+
+    private void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += 10) {
+            time.advance(Duration.ofMillis(10));
+        }
+    }
+
+    private void passReporting(long millis, FakeHost reporting) {
+        for (long passed = 0; passed < millis; passed += 1_000) {
+            leader.client
+                    .report(reporting.report(false), TIMEOUT)
+                    .toCompletableFuture()
+                    .join();
+            pass(1_000);
+        }
+    }
+
+    /** One control process without the network. */
+    private final class Process {
+        private final WorkflowPart part = WorkflowPart.create();
+        private final SharedLog.Member member = log.join(part);
+        private final WorkflowLoop loop = WorkflowLoop.start(
+                member,
+                part,
+                time,
+                order -> CompletableFuture.completedFuture(hosts.stream()
+                        .filter(each -> each.address().equals(order.host()))
+                        .findFirst()
+                        .orElseThrow()
+                        .carryOut(order)),
+                LIMITS);
+        private final WorkflowClient client =
+                WorkflowClient.of(new DirectGateway(WorkflowService.of(member, part, loop, time)));
+
+        void lead() {
+            log.elect(member);
+            leader = this;
+        }
+    }
+
+    /** Calls a service in this process. */
+    private record DirectGateway(WorkflowService service) implements ControlGateway {
+        @Override
+        public CompletionStage<Frame> callLeader(
+                Frame request, boolean repeatable, Duration timeout) {
+            return service.handle(request);
+        }
+
+        @Override
+        public List<CompletionStage<Frame>> callEveryMember(
+                Frame request, Duration timeout) {
+            return List.of(service.handle(request));
+        }
+    }
+
+    private final class StartWatch implements FakeHost.Watch {
+        @Override
+        public void started(FakeHost on, RunName run) {
+            started.add(run);
+        }
+
+        @Override
+        public void ended(FakeHost on, RunName run, RunEnd how) {}
+
+        @Override
+        public void noted(FakeHost on, RunName run, RunEnd how, boolean leaseHeld) {}
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
@@ -27,6 +27,9 @@
     /** How many runs serve users within a target. */
     private int serving;
 
+    /** The processors that these runs commit, in millicores. */
+    private long servingMillicores;
+
     /**
      * Returns commitments without any run.
      *
@@ -89,6 +92,15 @@
         return serving;
     }
 
+    /**
+     * Returns the processors that the runs that serve users commit.
+     *
+     * @return the sum in millicores
+     */
+    public long servingMillicores() {
+        return servingMillicores;
+    }
+
     /**
      * Returns how many runs of a step are here.
      *
@@ -127,6 +139,7 @@
         }
         if (step.serves()) {
             serving += sign;
+            servingMillicores += sign * step.demand().millicores();
         }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -120,6 +120,15 @@
         return waiting.cardinality();
     }
 
+    /**
+     * Returns how many tasks are not done.
+     *
+     * @return the number
+     */
+    public int undoneCount() {
+        return undone;
+    }
+
     /**
      * Returns how many runs of the step are active.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -38,6 +38,9 @@
     /** How long a look waits for an end at most. */
     private static final Duration LOOK_WAIT = Duration.ofSeconds(1);
 
+    /** How long a look waits for an end at most where the load is watched. */
+    private static final Duration WATCH_WAIT = Duration.ofMillis(450);
+
     /** How long to leave a host alone that did not answer or is not well. */
     private static final Duration SILENT_PAUSE = Duration.ofMillis(300);
 
@@ -110,6 +113,9 @@
     /** Whether the last order got no answer. */
     private boolean silent;
 
+    /** Whether the load of the runs is watched. */
+    private boolean watched;
+
     /** When this life ends for good, by the monotonic clock, or null while it goes on. */
     private @Nullable Long goneNanos;
 
@@ -259,6 +265,41 @@
         }
     }
 
+    /**
+     * Sets the pace of a run.
+     *
+     * @param run the run; one that is not followed is ignored, not null
+     * @param percent the share of its speed, 0 to 100
+     */
+    public void pace(RunName run, int percent) {
+        TrackedRun tracked = runs.get(run);
+        if (tracked != null) {
+            tracked.paceWanted = percent;
+        }
+    }
+
+    /**
+     * Has the load of the runs watched more closely, or no longer.
+     *
+     * @param wanted true where runs that fill share the host with runs that serve
+     */
+    public void watch(boolean wanted) {
+        watched = wanted;
+    }
+
+    /**
+     * Returns what the last look told of the runs at work.
+     *
+     * @return the runs that were listed and whose end is not known, never null
+     */
+    public List<RunLoad> loads() {
+        return runs.values().stream()
+                .filter(tracked -> tracked.listed && !tracked.endFound && !tracked.stopWanted)
+                .map(tracked -> new RunLoad(
+                        tracked.run.run(), tracked.load, tracked.paceTold, tracked.percent, tracked.progressNanos))
+                .toList();
+    }
+
     /**
      * Stops following a run: its end is in the log.
      *
@@ -315,6 +356,16 @@
         if (stopDue) {
             tracked.stopInFlight = true;
             due.add(new HostOrder.Stop(host, token, tracked.run.run()));
+            return;
+        }
+        boolean paceDue = tracked.stage == Stage.CONFIRMED
+                && !tracked.stopWanted
+                && !tracked.paceInFlight
+                && !silent
+                && tracked.paceWanted != tracked.paceTold;
+        if (paceDue) {
+            tracked.paceInFlight = true;
+            due.add(new HostOrder.Pace(host, token, tracked.run.run(), tracked.paceWanted));
         }
     }
 
@@ -327,7 +378,7 @@
     private HostOrder look(long nowNanos) {
         lookInFlight = true;
         boolean quick = !looked || silent || runs.isEmpty() || !strays.isEmpty() || hasDoubt();
-        long wait = quick ? 0 : LOOK_WAIT.toMillis();
+        long wait = quick ? 0 : (watched ? WATCH_WAIT : LOOK_WAIT).toMillis();
         boolean renews = !runs.isEmpty() && !silent;
         return new HostOrder.Hold(host, token, renews ? renewedLease(nowNanos) : 0, ends.noted(), wait);
     }
@@ -364,10 +415,19 @@
             case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
             case HostOrder.Stop stop -> stopAnswered(stop, answer, nowNanos);
             case HostOrder.Hold hold -> lookAnswered(hold, sentNanos, answer, nowNanos);
-            case HostOrder.Pace pace -> List.of();
+            case HostOrder.Pace pace -> paceAnswered(pace, answer);
         };
     }
 
+    private List<End> paceAnswered(HostOrder.Pace pace, HostAnswer answer) {
+        TrackedRun tracked = runs.get(pace.run());
+        if (tracked != null) {
+            tracked.paceInFlight = false;
+            tracked.paceTold = answer instanceof Accepted ? pace.percent() : tracked.paceTold;
+        }
+        return List.of();
+    }
+
     private void noteContact(HostAnswer answer, long nowNanos) {
         silent = answer instanceof Silent || answer instanceof Unwell;
         switch (answer) {
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/RunLoad.java
@@ -0,0 +1,16 @@
+package org.nettlering.domain.workflow.host;
+
+import org.nettlering.domain.workflow.RunName;
+
+/**
+ * What a look told of one run at work.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param run the run, not null
+ * @param load the tail of its response times in milliseconds if it serves, else the millicores in use
+ * @param pacePercent the share of its speed that its host was told last
+ * @param percent how far it is
+ * @param progressNanos when the percent last rose, by the monotonic clock
+ */
+public record RunLoad(RunName run, long load, int pacePercent, int percent, long progressNanos) {}
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -18,6 +18,9 @@
         CONFIRMED
     }
 
+    /** The pace of a run that was told nothing, in percent. */
+    static final int FULL_PACE = 100;
+
     /** The run. */
     final ActiveRun run;
 
@@ -63,6 +66,18 @@
     /** The load as listed last: milliseconds of tail, or millicores. */
     long load;
 
+    /** The pace that is wanted, in percent. */
+    int paceWanted = FULL_PACE;
+
+    /** The pace that the host was told last, in percent. */
+    int paceTold = FULL_PACE;
+
+    /** Whether an order of pace is on its way. */
+    boolean paceInFlight;
+
+    /** Whether the run was listed at work. */
+    boolean listed;
+
     TrackedRun(ActiveRun run, String taskSpecification, String ticket, Stage stage, long nowNanos) {
         this.run = run;
         this.taskSpecification = taskSpecification;
@@ -80,15 +95,16 @@
         }
     }
 
-    void list(HostAnswer.ListedRun listed, long nowNanos) {
+    void list(HostAnswer.ListedRun row, long nowNanos) {
         confirm(nowNanos);
-        if (!listed.checkpoint().isEmpty()) {
-            checkpoint = listed.checkpoint();
+        listed = true;
+        if (!row.checkpoint().isEmpty()) {
+            checkpoint = row.checkpoint();
         }
-        if (listed.percent() > percent) {
+        if (row.percent() > percent) {
             progressNanos = nowNanos;
         }
-        percent = listed.percent();
-        load = listed.load();
+        percent = row.percent();
+        load = row.load();
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
@@ -9,19 +9,32 @@
 import org.nettlering.domain.workflow.StepName;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.sharing.ServingRun;
+import org.nettlering.domain.workflow.sharing.SharingGuard;
 
 /**
  * Chooses the host for one task.
  *
- * <p>Answers loads of three kinds on the same hosts: tasks that serve users are packed onto few hosts, tasks that only fill
- * go where nobody is served, with the most idle processors first, and the rest goes beside those that serve, as it
- * disturbs nobody. Hosts in doubt come last, the rack of the data first. Immutable and thread-safe.
+ * <p>Answers loads of three kinds on the same hosts: tasks that serve users are packed onto few hosts; tasks that only fill
+ * go where nobody is served or else where the targets bear them best, by what was learned of the images; the rest goes
+ * beside those that serve, as it disturbs nobody. Hosts in doubt come last, the rack of the data first. Not thread-safe.
  */
 final class HostChoice {
-    private HostChoice() {}
+    /** The strain, in thousandths, that a run that serves is taken to be under until it was measured. */
+    private static final long UNMEASURED_STRAIN = 500;
+
+    /** Strains, in thousandths, that differ by less than this count as alike. */
+    private static final long STRAIN_STEP = 100;
+
+    /** What was learned of the images that share hosts. */
+    private final SharingGuard sharing;
+
+    HostChoice(SharingGuard sharing) {
+        this.sharing = sharing;
+    }
 
     /** Returns the best host with room, or empty if there is none. */
-    static Optional<HostRoom> choose(StepName name, StepSpecification step, String rack, Collection<HostRoom> rooms) {
+    Optional<HostRoom> choose(StepName name, StepSpecification step, String rack, Collection<HostRoom> rooms) {
         HostRoom best = null;
         for (HostRoom room : rooms) {
             if (isAllowed(name, step, room) && (best == null || compare(step, rack, room, best) < 0)) {
@@ -31,13 +44,23 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean isAllowed(StepName name, StepSpecification step, HostRoom room) {
-        boolean wouldDisturb = step.has(StepTrait.FILLS) && room.hasServing();
-        return !wouldDisturb && room.fits(name, step);
+    private boolean isAllowed(StepName name, StepSpecification step, HostRoom room) {
+        return room.fits(name, step) && (!step.has(StepTrait.FILLS) || SharingGuard.isBearable(strain(step, room)));
+    }
+
+    /** Returns the largest strain, in thousandths, of a run on the host with one more that fills. */
+    private long strain(StepSpecification step, HostRoom room) {
+        long largest = room.hasUnmeasuredServing() ? UNMEASURED_STRAIN : 0;
+        for (ServingRun serving : room.servingRuns()) {
+            long predicted = sharing.predictedStrain(
+                    serving, step.sharing().image(), step.demand().millicores());
+            largest = Math.max(largest, predicted);
+        }
+        return largest;
     }
 
     /** Compares two hosts that have room; the better one is the smaller one. */
-    private static int compare(StepSpecification step, String rack, HostRoom left, HostRoom right) {
+    private int compare(StepSpecification step, String rack, HostRoom left, HostRoom right) {
         int doubt = Integer.compare(left.doubt(), right.doubt());
         if (doubt != 0) {
             return doubt;
@@ -47,7 +70,7 @@
             return near;
         }
         if (step.has(StepTrait.FILLS)) {
-            return Long.compare(right.idleMillicores(), left.idleMillicores());
+            return compareForFilling(step, left, right);
         }
         int quiet = step.serves()
                 ? Boolean.compare(left.hasFilling(), right.hasFilling())
@@ -58,12 +81,22 @@
         return Long.compare(left.idleMillicores(), right.idleMillicores());
     }
 
+    private int compareForFilling(StepSpecification step, HostRoom left, HostRoom right) {
+        int strain = Long.compare(strain(step, left) / STRAIN_STEP, strain(step, right) / STRAIN_STEP);
+        if (strain != 0) {
+            return strain;
+        }
+        int quiet = Boolean.compare(left.hasServing(), right.hasServing());
+        return quiet != 0 ? quiet : Long.compare(right.idleMillicores(), left.idleMillicores());
+    }
+
     private static boolean isFar(String rack, HostRoom room) {
         return !rack.isEmpty() && !rack.equals(room.rack());
     }
 
     /** Returns the rack with the most idle processors of those on which a number of tasks fit, or null if there is none. */
-    static @Nullable String rackFor(StepName name, StepSpecification step, int tasks, Collection<HostRoom> rooms) {
+    @Nullable
+    String rackFor(StepName name, StepSpecification step, int tasks, Collection<HostRoom> rooms) {
         Map<String, Integer> places = new HashMap<>();
         Map<String, Long> idle = new HashMap<>();
         for (HostRoom room : rooms) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.HostAddress;
@@ -9,6 +10,7 @@
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.host.HostReport;
+import org.nettlering.domain.workflow.sharing.ServingRun;
 
 /**
  * The room on one host while starts are planned.
@@ -16,6 +18,9 @@
  * <p>Begins with what the log commits and takes in each start that is planned. Not thread-safe.
  */
 public final class HostRoom {
+    /** The part of their processors that runs which serve leave unused on average, in percent. */
+    private static final int SERVING_IDLE_PERCENT = 50;
+
     /** What the host told of itself. */
     private final HostReport report;
 
@@ -28,6 +33,9 @@
     /** How many tasks of each step were planned here. */
     private final Map<StepName, Integer> planned = new HashMap<>();
 
+    /** The runs that serve here, as measured last. */
+    private final List<ServingRun> servingRuns;
+
     /** What is not committed. */
     private Resources free;
 
@@ -37,25 +45,31 @@
     /** How many runs serve users. */
     private int serving;
 
+    /** The processors that they commit, in millicores. */
+    private long servingMillicores;
+
     /**
      * Measures the room on a host.
      *
      * @param report what the host told of itself, not null
      * @param commitments what the log commits there, not null
      * @param doubt how much the host is to be avoided, zero for a sound one
+     * @param servingRuns the runs that serve here, as measured last, not null
      * @return the room, never null
      */
-    public static HostRoom of(HostReport report, HostCommitments commitments, int doubt) {
-        return new HostRoom(report, commitments, doubt);
+    public static HostRoom of(HostReport report, HostCommitments commitments, int doubt, List<ServingRun> servingRuns) {
+        return new HostRoom(report, commitments, doubt, servingRuns);
     }
 
-    private HostRoom(HostReport report, HostCommitments commitments, int doubt) {
+    private HostRoom(HostReport report, HostCommitments commitments, int doubt, List<ServingRun> servingRuns) {
+        this.servingRuns = List.copyOf(servingRuns);
         this.report = report;
         this.doubt = doubt;
         this.commitments = commitments;
         free = report.capacity().minus(commitments.committed());
         fillingMillicores = commitments.fillingMillicores();
         serving = commitments.serving();
+        servingMillicores = commitments.servingMillicores();
     }
 
     HostAddress host() {
@@ -75,16 +89,29 @@
     }
 
     boolean hasServing() {
-        return serving > 0;
+        return serving > 0 || !servingRuns.isEmpty();
     }
 
     boolean hasFilling() {
         return fillingMillicores > 0;
     }
 
-    /** Returns the processors that neither commitments nor runs that fill would use, in millicores. */
+    /** Returns the runs that serve here, as measured last. */
+    List<ServingRun> servingRuns() {
+        return servingRuns;
+    }
+
+    /** Tells whether one of the runs that serve here has not been measured yet. */
+    boolean hasUnmeasuredServing() {
+        return serving > servingRuns.size();
+    }
+
+    /**
+     * Returns the processors that runs which fill may still use, in millicores: what is not committed, and what the runs
+     * that serve leave of their commitment, less what others that fill would use.
+     */
     long idleMillicores() {
-        return free.millicores() - fillingMillicores;
+        return free.millicores() + servingMillicores * SERVING_IDLE_PERCENT / 100 - fillingMillicores;
     }
 
     /** Tells whether one more task of a step fits and is allowed. */
@@ -113,6 +140,7 @@
         }
         if (step.serves()) {
             serving += sign;
+            servingMillicores += sign * step.demand().millicores();
         }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -15,6 +15,7 @@
 import org.nettlering.domain.workflow.TaskProgress;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.sharing.SharingGuard;
 
 /**
  * Plans which waiting tasks start now, and where.
@@ -32,6 +33,9 @@
     /** Tells which steps may start. */
     private final Predicate<StepProgress> permitted;
 
+    /** Chooses hosts. */
+    private final HostChoice choice;
+
     /** The rooms; planned starts are taken off. */
     private final Collection<HostRoom> rooms;
 
@@ -44,17 +48,24 @@
      * @param state the jobs, not null
      * @param rooms the room on each host that takes work; planned starts are taken off, not null
      * @param permitted tells which steps may start, not null
+     * @param sharing what was learned of the images that share hosts, not null
      * @param nowMillis the time, in milliseconds since 1970
      * @return the starts in the order of their urgency, never null
      */
     public static List<Start> plan(
-            WorkflowState state, Collection<HostRoom> rooms, Predicate<StepProgress> permitted, long nowMillis) {
-        StartPlanner planner = new StartPlanner(rooms, permitted, nowMillis);
+            WorkflowState state,
+            Collection<HostRoom> rooms,
+            Predicate<StepProgress> permitted,
+            SharingGuard sharing,
+            long nowMillis) {
+        StartPlanner planner = new StartPlanner(rooms, permitted, sharing, nowMillis);
         planner.planAll(state.waitingSteps());
         return planner.starts;
     }
 
-    private StartPlanner(Collection<HostRoom> rooms, Predicate<StepProgress> permitted, long nowMillis) {
+    private StartPlanner(
+            Collection<HostRoom> rooms, Predicate<StepProgress> permitted, SharingGuard sharing, long nowMillis) {
+        choice = new HostChoice(sharing);
         this.rooms = rooms;
         this.permitted = permitted;
         this.nowMillis = nowMillis;
@@ -84,7 +95,7 @@
         int[] tasks = step.waitingTasks();
         String rack = specification.locality().dataRack();
         if (specification.has(StepTrait.RACK_LOCAL)) {
-            String common = HostChoice.rackFor(step.name(), specification, tasks.length, candidates);
+            String common = choice.rackFor(step.name(), specification, tasks.length, candidates);
             rack = common == null ? rack : common;
         }
         if (specification.has(StepTrait.GANG)) {
@@ -92,7 +103,7 @@
             return;
         }
         for (int index : tasks) {
-            Optional<HostRoom> room = HostChoice.choose(step.name(), specification, rack, candidates);
+            Optional<HostRoom> room = choice.choose(step.name(), specification, rack, candidates);
             if (room.isEmpty()) {
                 return;
             }
@@ -112,7 +123,7 @@
         List<HostRoom> taken = new ArrayList<>();
         StepName name = step.name();
         for (int index : tasks) {
-            Optional<HostRoom> room = HostChoice.choose(name, step.specification(), rack, candidates);
+            Optional<HostRoom> room = choice.choose(name, step.specification(), rack, candidates);
             if (room.isEmpty()) {
                 taken.forEach(each -> each.giveBack(name, step.specification()));
                 return;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/WaitingOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/WaitingOrder.java
@@ -1,6 +1,8 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
 import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
@@ -9,17 +11,23 @@
  * The order in which steps with tasks to start are served.
  *
  * <p>Answers a load that outgrows the room for a while: tasks that last come first, as each second without them counts;
- * then, by priority, what can still end in time, the earliest objective first; then what is late but still worth
- * something; last, what is past three times its allowance, which is finished when there is room. Immutable and
- * thread-safe.
+ * then, by priority, what can still end in time, the job with the least work left first, so that as many as possible do;
+ * then what is late but still worth something; last, what is past three times its allowance, which is finished when there
+ * is room. Not thread-safe.
  */
 final class WaitingOrder {
     /** A job that takes more than this many times what it is allowed is worth nothing more. */
     private static final int WORTHLESS_FACTOR = 3;
 
+    /** The part of the estimates that the rest of a job is taken to need at least, in percent: they are often far off. */
+    private static final int LEAST_ESTIMATE_PERCENT = 60;
+
     /** The time, in milliseconds since 1970. */
     private final long nowMillis;
 
+    /** The work that each job has left. */
+    private final Map<Job, RemainingWork> remaining = new HashMap<>();
+
     WaitingOrder(long nowMillis) {
         this.nowMillis = nowMillis;
     }
@@ -27,6 +35,7 @@
     Comparator<StepProgress> comparator() {
         return Comparator.comparingInt(this::rank)
                 .thenComparingInt(step -> step.job().terms().terms().priority())
+                .thenComparingLong(step -> remaining(step).coreMillis())
                 .thenComparingLong(
                         step -> step.job().objectiveMillis(step.name().occurrence()));
     }
@@ -40,6 +49,12 @@
         if (passed > WORTHLESS_FACTOR * job.allowedMillis()) {
             return 3;
         }
-        return passed > job.allowedMillis() ? 2 : 1;
+        long least = remaining(step).chainMillis() * LEAST_ESTIMATE_PERCENT / 100;
+        return passed + least > job.allowedMillis() ? 2 : 1;
+    }
+
+    private RemainingWork remaining(StepProgress step) {
+        return remaining.computeIfAbsent(
+                step.job(), job -> RemainingWork.of(job, step.name().occurrence()));
     }
 }
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/FillingRun.java
@@ -0,0 +1,31 @@
+package org.nettlering.domain.workflow.sharing;
+
+import org.nettlering.domain.interference.InterferenceModel.Neighbor;
+import org.nettlering.domain.workflow.RunName;
+
+/**
+ * A run that only fills, beside runs that serve.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param run the run, not null
+ * @param image what it runs, not null
+ * @param millicores the processors that it asks for
+ * @param usedMillicores the processors that it used when it was measured last, zero if it was not yet
+ * @param pacePercent the share of its speed at which it works
+ */
+public record FillingRun(RunName run, String image, long millicores, long usedMillicores, int pacePercent) {
+    private static final double MILLICORES = 1_000.0;
+
+    private static final double PERCENT = 100.0;
+
+    /** Returns what it is beside others now. */
+    Neighbor now() {
+        return usedMillicores > 0 ? new Neighbor(image, usedMillicores / MILLICORES) : at(pacePercent);
+    }
+
+    /** Returns what it is beside others at a pace. */
+    Neighbor at(int percent) {
+        return new Neighbor(image, millicores / MILLICORES * percent / PERCENT);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/ServingRun.java
@@ -0,0 +1,27 @@
+package org.nettlering.domain.workflow.sharing;
+
+/**
+ * A run that serves users, as its host measured it last.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param image what it runs, not null
+ * @param targetMillis the bound on the tail of its response times, in milliseconds, positive
+ * @param tailMillis the tail as measured, in milliseconds
+ */
+public record ServingRun(String image, long targetMillis, long tailMillis) {
+    /**
+     * Returns how much of the way from undisturbed to its target the run has gone.
+     *
+     * <p>A tail grows without bound as its host comes near its limits. What others take of a run adds up in the part of its
+     * tail that is waiting, so that part is what is compared with the part at the target.
+     *
+     * @param quietTailMillis the tail of the image at its quietest, in milliseconds, positive and below the target
+     * @return thousandths: 0 at the quietest, 1000 at the target, more beyond it
+     */
+    long strainThousandths(double quietTailMillis) {
+        double waiting = 1 - quietTailMillis / Math.max(quietTailMillis, (double) tailMillis);
+        double waitingAtTarget = 1 - quietTailMillis / targetMillis;
+        return Math.round(1_000 * waiting / waitingAtTarget);
+    }
+}
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/package-info.java
@@ -0,0 +1,5 @@
+/** How runs that only fill share hosts with runs that serve users within a target. */
+@NullMarked
+package org.nettlering.domain.workflow.sharing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -0,0 +1,153 @@
+package org.nettlering.domain.workflow.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.nettlering.domain.workflow.WorkflowSamples.job;
+import static org.nettlering.domain.workflow.WorkflowSamples.step;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.HostCommitments;
+import org.nettlering.domain.workflow.StepLocality;
+import org.nettlering.domain.workflow.StepSharing;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostReport;
+import org.nettlering.domain.workflow.sharing.ServingRun;
+import org.nettlering.domain.workflow.sharing.SharingGuard;
+
+class StartPlannerTest {
+    private final WorkflowState state = WorkflowState.empty();
+
+    private final List<HostRoom> rooms = new ArrayList<>();
+
+    @Test
+    void noHostIsFilledBeyondItsCapacity() {
+        host("h1", "r1", 3_000, 0);
+        host("h2", "r1", 2_500, 0);
+        state.apply(job("a", step(10, List.of())));
+        assertThat(startsByHost()).containsOnly(Map.entry("h1", 3L), Map.entry("h2", 2L));
+    }
+
+    @Test
+    void memoryBoundsAHostAsProcessorsDo() {
+        rooms.add(room("h1", "r1", Resources.of(32_000, 250, 0), 0, List.of()));
+        state.apply(job("a", step(10, List.of())));
+        assertThat(plan()).hasSize(2);
+    }
+
+    @Test
+    void aGangStartsAsAWholeOrNotAtAll() {
+        host("h1", "r1", 3_000, 0);
+        state.apply(job("a", step(4, List.of(), StepTrait.GANG)));
+        state.apply(job("b", step(3, List.of(), StepTrait.GANG)));
+        assertThat(plan())
+                .hasSize(3)
+                .allSatisfy(
+                        start -> assertThat(start.run().run().task().jobId()).isEqualTo("b"));
+    }
+
+    @Test
+    void theMembersOfAGangShareTheNumberOfTheirRun() {
+        host("h1", "r1", 8_000, 0);
+        state.apply(job("a", step(4, List.of(), StepTrait.GANG)));
+        assertThat(plan().stream().map(start -> start.run().run().number()).distinct())
+                .containsExactly(1);
+    }
+
+    @Test
+    void aHostThatFailedLastComesAfterSoundOnes() {
+        host("bad", "r1", 32_000, 1);
+        host("good", "r1", 4_000, 0);
+        state.apply(job("a", step(3, List.of())));
+        assertThat(startsByHost()).containsOnlyKeys("good");
+    }
+
+    @Test
+    void noMoreTasksOfAStepThanAllowedShareAHost() {
+        host("h1", "r1", 32_000, 0);
+        host("h2", "r1", 32_000, 0);
+        state.apply(job("a", located(6, new StepLocality("", "", 2))));
+        assertThat(startsByHost()).containsOnly(Map.entry("h1", 2L), Map.entry("h2", 2L));
+    }
+
+    @Test
+    void aRequiredLabelIsKeptTo() {
+        host("h1", "r1", 32_000, 0);
+        state.apply(job("a", located(1, new StepLocality("", "r9", 0))));
+        assertThat(plan()).isEmpty();
+    }
+
+    @Test
+    void tasksGoToTheRackOfTheirDataFirst() {
+        host("h1", "r1", 32_000, 0);
+        host("h2", "r2", 32_000, 0);
+        state.apply(job("a", located(3, new StepLocality("r2", "", 0))));
+        assertThat(startsByHost()).containsOnlyKeys("h2");
+    }
+
+    @Test
+    void tasksThatBelongTogetherGoToOneRackThatHoldsAllOfThem() {
+        host("h1", "r1", 3_000, 0);
+        host("h2", "r2", 2_000, 0);
+        host("h3", "r2", 2_000, 0);
+        state.apply(job("a", step(4, List.of(), StepTrait.RACK_LOCAL)));
+        assertThat(startsByHost()).containsOnlyKeys("h2", "h3");
+    }
+
+    @Test
+    void tasksThatFillGoWhereNobodyIsServed() {
+        rooms.add(room("busy", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(new ServingRun("s", 20, 5))));
+        host("idle", "r1", 8_000, 0);
+        state.apply(job("a", step(3, List.of(), StepTrait.FILLS)));
+        assertThat(startsByHost()).containsOnlyKeys("idle");
+    }
+
+    @Test
+    void tasksThatFillStayAwayFromAServiceThatIsNearItsTarget() {
+        rooms.add(room("busy", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(new ServingRun("s", 20, 19))));
+        state.apply(job("a", step(3, List.of(), StepTrait.FILLS)));
+        assertThat(plan()).isEmpty();
+    }
+
+    @Test
+    void theJobWithLeastWorkComesFirstWhenThereIsNotRoomForAll() {
+        host("h1", "r1", 2_000, 0);
+        state.apply(job("long", step(8, List.of())));
+        state.apply(job("short", step(2, List.of())));
+        assertThat(plan())
+                .allSatisfy(
+                        start -> assertThat(start.run().run().task().jobId()).isEqualTo("short"));
+    }
+
+    private static StepSpecification located(int count, StepLocality locality) {
+        return new StepSpecification(
+                count, Resources.of(1_000, 100, 0), 1_000, List.of(), Set.of(), locality, StepSharing.UNTOLD);
+    }
+
+    private void host(String id, String rack, long millicores, int doubt) {
+        rooms.add(room(id, rack, Resources.of(millicores, 128_000, 0), doubt, List.of()));
+    }
+
+    private static HostRoom room(String id, String rack, Resources capacity, int doubt, List<ServingRun> serving) {
+        HostAddress address = new HostAddress(id, "10.0.0.1:80");
+        HostReport report = new HostReport(address, "pool", "fd", capacity, "a", rack, false, 0, 1);
+        return HostRoom.of(report, HostCommitments.none(address), doubt, serving);
+    }
+
+    private List<Start> plan() {
+        return StartPlanner.plan(state, rooms, step -> true, SharingGuard.create(), 0);
+    }
+
+    private Map<String, Long> startsByHost() {
+        return plan().stream()
+                .collect(Collectors.groupingBy(start -> start.run().host().id(), Collectors.counting()));
+    }
+}
