--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -58,7 +58,7 @@
  *
  * <p>Stopping hands leadership over first, so that a planned stop costs no election timeout. Thread-safe.
  */
-public final class ControlProcess implements Daemon.Running {
+public final class ControlProcess implements Daemon.Running<ControlSettings> {
     private static final String PROGRAM = "nettlering-control";
 
     /** How long a planned stop waits for another member to take over, in seconds. */
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -106,7 +106,8 @@
             case HOST_LEAVING -> hostLeaves(request.getHostLeaving().getHostId());
             case REPLACE_QUEUES -> replaceQueues(request.getReplaceQueues());
             case READ_QUEUES -> read((state, queues) -> describe(queues));
-            case CHECK -> read((state, queues) -> answer(WorkflowAnswer.ANSWER_DONE));
+            // Whoever only wants to know whether there is a leader needs no round of messages for it.
+            case CHECK -> CompletableFuture.completedFuture(answer(WorkflowAnswer.ANSWER_DONE));
             case REQUEST_NOT_SET ->
                 throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "the request about jobs is empty");
         };
@@ -133,7 +134,11 @@
         Optional<Duration> rejection = loop.decide((state, leadership) ->
                 state.job(jobId).isPresent() ? Optional.empty() : leadership.rejection(state, terms, definition));
         if (rejection.isPresent()) {
-            LOG.log(WorkflowEvent.JOB_REJECTED, jobId, terms.queue(), rejection.get().toMillis());
+            LOG.log(
+                    WorkflowEvent.JOB_REJECTED,
+                    jobId,
+                    terms.queue(),
+                    rejection.get().toMillis());
             return read((state, current) -> rejected(rejection.get()));
         }
         return propose(new WorkflowCommand.Submit(jobId, terms, definition, time.millis()))
--- a/entry/src/main/java/org/nettlering/entry/EntryMain.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryMain.java
@@ -39,7 +39,7 @@
         Daemon.of(PROGRAM, EntrySettings::load, EntryMain::start).main(arguments);
     }
 
-    private static Daemon.Running start(EntrySettings settings) {
+    private static Daemon.Running<EntrySettings> start(EntrySettings settings) {
         SystemTime time = SystemTime.create("entry-time");
         Metrics metrics = Metrics.create();
         Telemetry telemetry = Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time);
--- a/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
@@ -15,7 +15,13 @@
     /** A stop did not end cleanly. */
     STOP_FAILED(1005, Level.ERROR, "{} did not stop cleanly"),
     /** A span ended. */
-    SPAN(1006, Level.INFO, "span {} trace {} id {} parent {} took {} us {}");
+    SPAN(1006, Level.INFO, "span {} trace {} id {} parent {} took {} us {}"),
+    /** The settings were read again. */
+    RELOADED(1007, Level.INFO, "{} read its settings again"),
+    /** The settings could not be read again. */
+    RELOAD_FAILED(1008, Level.WARN, "{} keeps its settings: {}"),
+    /** The signal to read the settings again is not taken. */
+    NO_RELOAD(1009, Level.WARN, "SIGHUP is not handled here");
 
     /** The number of the event. */
     private final int number;
--- a/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
+++ b/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
@@ -35,7 +35,7 @@
     private final Function<Path, S> load;
 
     /** Starts the program. */
-    private final Function<S, Running> start;
+    private final Function<S, Running<S>> start;
 
     /**
      * Describes a program.
@@ -46,11 +46,11 @@
      * @param <S> the type of the settings
      * @return a new instance, never null
      */
-    public static <S> Daemon<S> of(String name, Function<Path, S> load, Function<S, Running> start) {
+    public static <S> Daemon<S> of(String name, Function<Path, S> load, Function<S, Running<S>> start) {
         return new Daemon<>(name, load, start);
     }
 
-    private Daemon(String name, Function<Path, S> load, Function<S, Running> start) {
+    private Daemon(String name, Function<Path, S> load, Function<S, Running<S>> start) {
         this.name = name;
         this.load = load;
         this.start = start;
@@ -78,7 +78,7 @@
      * @param started receives the running program, not null
      * @return {@code SUCCESS} when the program runs or help was asked for, never null
      */
-    ExitCode run(String[] arguments, PrintStream out, PrintStream err, Started started) {
+    ExitCode run(String[] arguments, PrintStream out, PrintStream err, Started<S> started) {
         DaemonOptions options = new DaemonOptions();
         CmdLineParser parser = new CmdLineParser(options);
         try {
@@ -98,13 +98,15 @@
         return start(options, err, started);
     }
 
-    private ExitCode start(DaemonOptions options, PrintStream err, Started started) {
+    private ExitCode start(DaemonOptions options, PrintStream err, Started<S> started) {
         try {
-            S settings = load.apply(Path.of(String.valueOf(options.settings())));
+            Path file = Path.of(String.valueOf(options.settings()));
+            S settings = load.apply(file);
             if (options.isCheck()) {
                 return ExitCode.SUCCESS;
             }
-            Running running = start.apply(settings);
+            Running<S> running = start.apply(settings);
+            HangUpSignal.handle(() -> reload(file, running));
             LOG.log(
                     RuntimeEvent.STARTED,
                     name,
@@ -121,18 +123,30 @@
         }
     }
 
+    /** Reads the settings again; with faults in them, the program keeps those that it has. */
+    private void reload(Path file, Running<S> running) {
+        try {
+            running.reload(load.apply(file));
+            LOG.log(RuntimeEvent.RELOADED, name);
+        } catch (SettingsException exception) {
+            LOG.log(RuntimeEvent.RELOAD_FAILED, name, exception.faults());
+        } catch (RuntimeException exception) {
+            LOG.log(RuntimeEvent.RELOAD_FAILED, name, exception);
+        }
+    }
+
     private void printHelp(CmdLineParser parser, PrintStream out) {
         out.println("usage: " + name + " --settings FILE");
         parser.printUsage(out);
         out.println("exit codes: 0 stopped gracefully, 1 failed, 2 wrong command line or settings");
     }
 
-    private void stopOnShutdown(Running running) {
+    private void stopOnShutdown(Running<S> running) {
         Thread hook = Thread.ofPlatform().name("stop").unstarted(() -> stop(running));
         Runtime.getRuntime().addShutdownHook(hook);
     }
 
-    private void stop(Running running) {
+    private void stop(Running<S> running) {
         LOG.log(RuntimeEvent.STOPPING, name);
         ExitCode code = ExitCode.SUCCESS;
         try {
@@ -145,21 +159,36 @@
         Runtime.getRuntime().halt(code.number());
     }
 
-    /** A program that runs. */
+    /**
+     * A program that runs.
+     *
+     * @param <S> the type of the settings
+     */
     @FunctionalInterface
-    public interface Running {
+    public interface Running<S> {
         /** Stops gracefully and returns when everything has ended. */
         void stop();
+
+        /**
+         * Takes settings that were read again; what cannot change while the program runs is ignored.
+         *
+         * @param settings the checked settings, not null
+         */
+        default void reload(S settings) {}
     }
 
-    /** Receives a program that runs. */
+    /**
+     * Receives a program that runs.
+     *
+     * @param <S> the type of the settings
+     */
     @FunctionalInterface
-    interface Started {
+    interface Started<S> {
         /**
          * The program runs.
          *
          * @param running the program, not null
          */
-        void accept(Running running);
+        void accept(Running<S> running);
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -107,6 +107,15 @@
         return List.copyOf(responses);
     }
 
+    /**
+     * Takes note of members that settings name, beside those that are known.
+     *
+     * @param addresses where the members listen, by id, not null
+     */
+    public void learn(Map<String, InetSocketAddress> addresses) {
+        addresses.forEach((id, address) -> members.learn(id, address.getHostString() + ":" + address.getPort()));
+    }
+
     /**
      * Returns the member that is believed to lead.
      *
--- a/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
+++ b/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
@@ -143,10 +143,10 @@
     }
 
     /**
-     * Checks that a leader can be reached and that a majority follows it.
+     * Checks that a member can be reached that believes to lead; within an election timeout it may be mistaken.
      *
      * @param timeout the limit for all attempts together, not null
-     * @return completes when the leader has confirmed that it leads, never null
+     * @return completes when the member has answered, never null
      */
     public CompletionStage<Void> check(Duration timeout) {
         return call(WorkflowRequest.newBuilder().setCheck(LeaderCheck.getDefaultInstance()), timeout)
