Found the group without the first founder, plan only when something changed, stop runs that stand still

Ruled out: lost messages (all members answered). Change: the next initial member that may found the group does.

--- a/benchmarks/src/test/java/org/nettlering/project/CompiledClass.java
+++ b/benchmarks/src/test/java/org/nettlering/project/CompiledClass.java
@@ -20,8 +20,8 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** A class of the project as the compiler left it: its name, and the types and members that it names. */
-record CompiledClass(String name, TreeSet<String> types, TreeSet<String> members) {
+/** A class of the project as the compiler left it: its name, the types and members that it names, and all of its texts. */
+record CompiledClass(String name, TreeSet<String> types, TreeSet<String> members, TreeSet<String> texts) {
     private static final Pattern TYPE = Pattern.compile("\\bL?((?:[a-z0-9_]+/)+[A-Za-z0-9_$]+)");
 
     private static final Pattern MODULE_JAR = Pattern.compile(".*nettlering-[a-z]+-[^/]*\\.jar");
@@ -80,6 +80,7 @@
             ClassModel model = ClassFile.of().parse(Files.readAllBytes(file));
             TreeSet<String> types = new TreeSet<>();
             TreeSet<String> members = new TreeSet<>();
+            TreeSet<String> texts = new TreeSet<>();
             for (PoolEntry entry : model.constantPool()) {
                 if (entry instanceof MemberRefEntry member) {
                     members.add(member.owner().asInternalName() + "."
@@ -87,9 +88,10 @@
                 }
                 if (entry instanceof Utf8Entry text) {
                     addTypes(text.stringValue(), types);
+                    texts.add(text.stringValue());
                 }
             }
-            return new CompiledClass(model.thisClass().asInternalName(), types, members);
+            return new CompiledClass(model.thisClass().asInternalName(), types, members, texts);
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
--- a/benchmarks/src/test/java/org/nettlering/project/ModuleArrowsTest.java
+++ b/benchmarks/src/test/java/org/nettlering/project/ModuleArrowsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -72,6 +73,20 @@
     private static final List<String> UNUSED_PARTS =
             List.of("io/vertx/core/spi/cluster/", "io/vertx/servicediscovery/", "io/vertx/httpproxy/");
 
+    /** Words of the users' platform, in lower case, which only its adapter knows. */
+    private static final List<String> PLATFORM_WORDS = List.of(
+            "minion",
+            "fencing_token",
+            "last_seen",
+            "task_spec",
+            "run_id",
+            "wait_ms",
+            "clock_ms",
+            "slo_target_ms",
+            "instances.heartbeat",
+            "config.replace",
+            "expected-instance");
+
     private final List<CompiledClass> classes = CompiledClass.all();
 
     @Test
@@ -134,6 +149,16 @@
         assertThat(found).isEmpty();
     }
 
+    @Test
+    void onlyTheAdapterKnowsTheWordsOfThePlatform() {
+        Stream<String> found = classes.stream()
+                .filter(of -> !isIn(of, "platform"))
+                .flatMap(of -> of.texts().stream()
+                        .filter(text -> PLATFORM_WORDS.stream().anyMatch(text.toLowerCase(Locale.ROOT)::contains))
+                        .map(text -> of.name() + " holds " + text));
+        assertThat(found).isEmpty();
+    }
+
     private Stream<String> faults(Predicate<CompiledClass> subjects, Rule forbidden) {
         return classes.stream()
                 .filter(of -> !of.isGenerated())
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/Bootstrap.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Bootstrap.java
@@ -14,9 +14,10 @@
 /**
  * The first start of a group.
  *
- * <p>The initial member with the lowest id creates the first entry, and only after every other initial member has answered
- * that its disk is empty as well. So members that lost their disks found no second group, as long as any initial member
- * has ever heard of the first one.
+ * <p>Of the initial members that may found the group, the one with the lowest id creates the first entry, and only after
+ * every other initial member has answered that its disk is empty as well. So members that lost their disks found no second
+ * group, as long as any initial member has ever heard of the first one; and a member that ended before it could found the
+ * group, and may not do so after its restart, leaves that to the next one.
  */
 final class Bootstrap {
     /** What the member knows. */
@@ -37,21 +38,18 @@
         nextRequestNanos = state.time.nanoTime();
     }
 
-    private boolean isFounder() {
-        List<Member> members = initialMembers.members();
-        return !state.isInitialised()
-                && !members.isEmpty()
-                && members.getFirst().id().equals(state.self);
+    private boolean mayFound() {
+        return !state.isInitialised() && initialMembers.find(state.self).isPresent();
     }
 
     /** Asks the others, and founds the group when it has no others; tells whether it was founded. */
     boolean tick() {
-        if (!isFounder() || state.time.nanoTime() - nextRequestNanos < 0) {
+        if (!mayFound() || state.time.nanoTime() - nextRequestNanos < 0) {
             return false;
         }
         nextRequestNanos =
                 state.time.nanoTime() + state.settings.heartbeatInterval().toNanos();
-        if (isEveryOtherEmpty()) {
+        if (isFoundersTurn()) {
             found();
             return true;
         }
@@ -65,12 +63,14 @@
 
     void receive(MemberId from, DiscoveryRequest request) {
         state.outbox.sendWhenDurable(
-                from, new DiscoveryResponse(state.term, state.diskId, request.requestingDisk(), state.isInitialised()));
+                from,
+                new DiscoveryResponse(
+                        state.term, state.diskId, request.requestingDisk(), state.isInitialised(), mayFound()));
     }
 
     /** Takes an answer and tells whether the group was founded. */
     boolean receive(MemberId from, DiscoveryResponse response) {
-        if (!isFounder() || response.requestingDisk() != state.diskId) {
+        if (!mayFound() || response.requestingDisk() != state.diskId) {
             return false;
         }
         if (response.initialised()) {
@@ -78,17 +78,24 @@
             return false;
         }
         empty.put(from, response);
-        if (!isEveryOtherEmpty()) {
+        if (!isFoundersTurn()) {
             return false;
         }
         found();
         return true;
     }
 
-    private boolean isEveryOtherEmpty() {
-        return initialMembers.members().stream()
-                .map(Member::id)
-                .allMatch(id -> id.equals(state.self) || empty.containsKey(id));
+    /** Tells whether every other member is empty and none with a lower id may found the group. */
+    private boolean isFoundersTurn() {
+        for (Member member : initialMembers.members()) {
+            DiscoveryResponse response = empty.get(member.id());
+            boolean self = member.id().equals(state.self);
+            boolean goesFirst = member.id().compareTo(state.self) < 0;
+            if (!self && (response == null || (goesFirst && response.founds()))) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private void found() {
--- /dev/null
+++ b/consensus/src/test/java/org/nettlering/consensus/protocol/BootstrapTest.java
@@ -0,0 +1,58 @@
+package org.nettlering.consensus.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.nettlering.consensus.protocol.ProtocolFixture.C;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_A;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_B;
+import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_C;
+import static org.nettlering.consensus.protocol.ProtocolFixture.SELF;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.nettlering.consensus.ConsensusMessage.DiscoveryResponse;
+import org.nettlering.consensus.LogStorage.StoredState;
+import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
+
+class BootstrapTest {
+    /** A member whose id comes before that of the member under test. */
+    private static final MemberId EARLIER = MemberId.of("0");
+
+    private final ProtocolFixture member = new ProtocolFixture(
+            new StoredState(0, Optional.empty(), Optional.empty(), List.of()),
+            List.of(
+                    Member.learner(EARLIER, "0:1", "zero"),
+                    Member.learner(SELF, "a:1", "one"),
+                    Member.learner(C, "c:1", "three")));
+
+    @Test
+    void theGroupWaitsForTheMemberThatComesFirst() {
+        member.receive(C, answer(DISK_C, false, true));
+        member.receive(EARLIER, answer(DISK_B, false, true));
+        assertThat(isFounded()).isFalse();
+    }
+
+    /** A member that ended before it had founded the group comes back as one that may not do so any more. */
+    @Test
+    void theNextMemberFoundsTheGroupWhenTheFirstMayNotAnyMore() {
+        member.receive(C, answer(DISK_C, false, true));
+        member.receive(EARLIER, answer(DISK_B, false, false));
+        assertThat(isFounded()).isTrue();
+    }
+
+    @Test
+    void noSecondGroupIsFoundedWhereAnyMemberKnowsOne() {
+        member.receive(C, answer(DISK_C, true, false));
+        member.receive(EARLIER, answer(DISK_B, false, false));
+        assertThat(isFounded()).isFalse();
+    }
+
+    private boolean isFounded() {
+        return member.protocol.status().membership().find(EARLIER).isPresent();
+    }
+
+    private static DiscoveryResponse answer(long disk, boolean initialised, boolean founds) {
+        return new DiscoveryResponse(0, disk, DISK_A, initialised, founds);
+    }
+}
--- a/consensus/src/test/java/org/nettlering/consensus/protocol/ProtocolFixture.java
+++ b/consensus/src/test/java/org/nettlering/consensus/protocol/ProtocolFixture.java
@@ -49,9 +49,13 @@
     }
 
     ProtocolFixture(StoredState stored) {
+        this(stored, List.of());
+    }
+
+    ProtocolFixture(StoredState stored, List<Member> initialMembers) {
         protocol = new MemberProtocol(
                 new MemberProtocol.Identity(SELF, DISK_A),
-                List.of(),
+                initialMembers,
                 SETTINGS,
                 time,
                 new SplittableRandom(1),
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -31,6 +31,7 @@
 import org.nettlering.domain.workflow.host.HostReport;
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunLoad;
+import org.nettlering.domain.workflow.host.StallRule;
 import org.nettlering.domain.workflow.placement.HostDoubts;
 import org.nettlering.domain.workflow.placement.HostRoom;
 import org.nettlering.domain.workflow.placement.StartPlanner;
@@ -83,6 +84,9 @@
     /** Whether a batch is on its way through the log. */
     private boolean proposing;
 
+    /** Whether something changed since the last plan that may let a task start. */
+    private boolean planWanted = true;
+
     static WorkflowLeadership begin(WorkflowState state, long term, HostLimits limits, long nowNanos) {
         WorkflowLeadership leadership = new WorkflowLeadership(term, limits, nowNanos);
         for (HostCommitments host : state.hosts()) {
@@ -141,6 +145,21 @@
         collect(session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             share(state, session, nowNanos);
+            stopStalled(state, session, nowNanos);
+        }
+    }
+
+    /** Stops the runs on a host that stand still, so that they start elsewhere, and holds that against the host. */
+    private void stopStalled(WorkflowState state, HostSession session, long nowNanos) {
+        for (RunLoad load : session.loads()) {
+            boolean stalled = state.step(load.run().task().step())
+                    .map(StepProgress::specification)
+                    .filter(step -> StallRule.isStalled(step, load, nowNanos))
+                    .isPresent();
+            if (stalled) {
+                session.stop(load.run());
+                doubts.ended(session.host().id(), RunEnd.FAILED, nowNanos);
+            }
         }
     }
 
@@ -209,7 +228,8 @@
         }
         sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
-        if (batch.isEmpty()) {
+        if (batch.isEmpty() && planWanted) {
+            planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
             batch.addAll(StartPlanner.plan(state, rooms(state, nowNanos), step -> true, sharing, nowMillis));
@@ -259,9 +279,15 @@
         return rooms;
     }
 
+    /** Has starts planned the next time: a job, a host or the time of day has changed. */
+    void wantPlan() {
+        planWanted = true;
+    }
+
     /** Takes note that a batch is in the log and applied here. */
     void committed(WorkflowState state, List<WorkflowCommand> batch, long nowNanos) {
         proposing = false;
+        planWanted = true;
         for (WorkflowCommand command : batch) {
             switch (command) {
                 case Start start -> started(state, start.run(), nowNanos);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -31,7 +31,7 @@
  */
 public final class WorkflowLoop implements AutoCloseable {
     /** How often the loop runs when nothing happens. */
-    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration TICK = Duration.ofMillis(100);
 
     private static final EventLogger LOG = EventLogger.of(WorkflowLoop.class);
 
@@ -51,7 +51,7 @@
     private final HostLimits limits;
 
     /** What is known while this member leads. */
-    private @Nullable WorkflowLeadership leadership;
+    private volatile @Nullable WorkflowLeadership leadership;
 
     /** The next run of the loop. */
     private volatile TimeSource.@Nullable Timer timer;
@@ -92,7 +92,7 @@
 
     private void tick() {
         try {
-            run();
+            runWithPlan();
         } catch (RuntimeException exception) {
             LOG.log(WorkflowEvent.LOOP_FAILED, exception);
         } finally {
@@ -129,6 +129,15 @@
         run();
     }
 
+    /** Runs the loop once and has starts planned, if this member leads. */
+    void runWithPlan() {
+        WorkflowLeadership current = leadership;
+        if (current != null) {
+            withLeadership(current, (state, present) -> present.wantPlan());
+        }
+        run();
+    }
+
     /** Runs the loop once, if this member leads. */
     void run() {
         if (closed || !log.isReadyLeader()) {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -149,7 +149,7 @@
                             terms.queue(),
                             queues.version(),
                             definition.steps().size());
-                    loop.run();
+                    loop.runWithPlan();
                     return answer(WorkflowAnswer.ANSWER_DONE);
                 });
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
@@ -29,6 +29,9 @@
     /** What was learned of the images that share hosts. */
     private final SharingGuard sharing;
 
+    /** The strains that were predicted for this plan, by host, image and processors. */
+    private final Map<StrainKey, Long> strains = new HashMap<>();
+
     HostChoice(SharingGuard sharing) {
         this.sharing = sharing;
     }
@@ -50,6 +53,28 @@
 
     /** Returns the largest strain, in thousandths, of a run on the host with one more that fills. */
     private long strain(StepSpecification step, HostRoom room) {
+        StrainKey key = new StrainKey(
+                room.host().id(), step.sharing().image(), step.demand().millicores());
+        return strains.computeIfAbsent(key, missing -> predictStrain(step, room)) + room.plannedStrain();
+    }
+
+    /** Takes the room of one more task; what it adds to the strain counts for the next ones of this plan. */
+    void take(StepName name, StepSpecification step, HostRoom room) {
+        if (step.has(StepTrait.FILLS)) {
+            room.addStrain(predictStrain(step, room) - currentStrain(room));
+        }
+        room.take(name, step);
+    }
+
+    private long currentStrain(HostRoom room) {
+        long largest = room.hasUnmeasuredServing() ? UNMEASURED_STRAIN : 0;
+        for (ServingRun serving : room.servingRuns()) {
+            largest = Math.max(largest, sharing.strain(serving));
+        }
+        return largest;
+    }
+
+    private long predictStrain(StepSpecification step, HostRoom room) {
         long largest = room.hasUnmeasuredServing() ? UNMEASURED_STRAIN : 0;
         for (ServingRun serving : room.servingRuns()) {
             long predicted = sharing.predictedStrain(
@@ -117,4 +142,7 @@
                 .max(Comparator.comparingLong(idle::get))
                 .orElse(null);
     }
+
+    /** What a predicted strain depends on within one plan. */
+    private record StrainKey(String hostId, String image, long millicores) {}
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
@@ -45,6 +45,9 @@
     /** How many runs serve users. */
     private int serving;
 
+    /** The strain that starts of this plan add for the runs that serve, in thousandths. */
+    private long plannedStrain;
+
     /** The processors that they commit, in millicores. */
     private long servingMillicores;
 
@@ -123,6 +126,14 @@
                 && (!step.has(StepTrait.FILLS) || step.demand().millicores() <= idleMillicores());
     }
 
+    long plannedStrain() {
+        return plannedStrain;
+    }
+
+    void addStrain(long thousandths) {
+        plannedStrain += thousandths;
+    }
+
     void take(StepName name, StepSpecification step) {
         free = free.minus(step.commitment());
         account(name, step, 1);
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepLocality;
 import org.nettlering.domain.workflow.StepName;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepSpecification;
@@ -39,6 +40,9 @@
     /** The rooms; planned starts are taken off. */
     private final Collection<HostRoom> rooms;
 
+    /** The demands for which there was no room in this plan. */
+    private final List<StepSpecification> withoutRoom = new ArrayList<>();
+
     /** The starts that were planned. */
     private final List<Start> starts = new ArrayList<>();
 
@@ -92,6 +96,9 @@
                 .filter(room -> room.pool().equals(step.job().terms().pool()))
                 .toList();
         StepSpecification specification = step.specification();
+        if (withoutRoom.stream().anyMatch(failed -> needsNoLess(specification, failed))) {
+            return;
+        }
         int[] tasks = step.waitingTasks();
         String rack = specification.locality().dataRack();
         if (specification.has(StepTrait.RACK_LOCAL)) {
@@ -105,14 +112,29 @@
         for (int index : tasks) {
             Optional<HostRoom> room = choice.choose(step.name(), specification, rack, candidates);
             if (room.isEmpty()) {
+                noteWithoutRoom(specification);
                 return;
             }
-            room.get().take(step.name(), specification);
+            choice.take(step.name(), specification, room.get());
             int run = step.task(index).lastRun() + 1;
             starts.add(start(step, index, run, step.task(index).checkpoint(), room.get()));
         }
     }
 
+    /** Keeps a demand without room, unless it is its locality that may have left it without. */
+    private void noteWithoutRoom(StepSpecification specification) {
+        if (specification.locality().equals(StepLocality.ANYWHERE)) {
+            withoutRoom.add(specification);
+        }
+    }
+
+    /** Tells whether tasks need no less of a host than others, for which there was no room. */
+    private static boolean needsNoLess(StepSpecification wanted, StepSpecification failed) {
+        return wanted.has(StepTrait.FILLS) == failed.has(StepTrait.FILLS)
+                && wanted.sharing().image().equals(failed.sharing().image())
+                && failed.demand().fitsIn(wanted.demand());
+    }
+
     private void planGang(StepProgress step, int[] tasks, String rack, List<HostRoom> candidates) {
         if (tasks.length < step.specification().count()) {
             return;
@@ -128,7 +150,7 @@
                 taken.forEach(each -> each.giveBack(name, step.specification()));
                 return;
             }
-            room.get().take(name, step.specification());
+            choice.take(name, step.specification(), room.get());
             taken.add(room.get());
             members.add(start(step, index, run, checkpoint, room.get()));
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/sharing/SharingGuard.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/SharingGuard.java
@@ -133,7 +133,13 @@
         }
     }
 
-    private long strain(ServingRun run) {
+    /**
+     * Returns the strain of a run that serves.
+     *
+     * @param run the run, not null
+     * @return thousandths: 0 at its quietest, 1000 at the target
+     */
+    public long strain(ServingRun run) {
         double unmeasured = run.targetMillis() * UNMEASURED_QUIET;
         double quiet = Math.min(quietTails.getOrDefault(run.image(), unmeasured), run.targetMillis() / 2.0);
         return run.strainThousandths(quiet);
--- a/entry/src/main/java/org/nettlering/entry/callers/CallerServer.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerServer.java
@@ -60,7 +60,7 @@
                 .setPort(address.getPort() == 0 ? SHARED_RANDOM_PORT : address.getPort())
                 .setMaxHeaderSize(services.limits().headBytes())
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-                .setHttp2ClearTextEnabled(true)
+                .setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true);
         HttpServer server = vertx.createHttpServer(options)
--- a/wire/src/main/java/org/nettlering/wire/codec/ConsensusMessageCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/ConsensusMessageCodec.java
@@ -146,6 +146,7 @@
                 .setDiskId(response.diskId())
                 .setRequestingDisk(response.requestingDisk())
                 .setInitialised(response.initialised())
+                .setFounds(response.founds())
                 .build();
     }
 
@@ -261,7 +262,11 @@
 
     private static ConsensusMessage decode(long term, ConsensusProto.DiscoveryResponse response) {
         return new ConsensusMessage.DiscoveryResponse(
-                term, response.getDiskId(), response.getRequestingDisk(), response.getInitialised());
+                term,
+                response.getDiskId(),
+                response.getRequestingDisk(),
+                response.getInitialised(),
+                response.getFounds());
     }
 
     private static NettleringException unknown(String what) {
--- a/wire/src/main/java/org/nettlering/wire/proto/ConsensusProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/ConsensusProto.java
@@ -10650,6 +10650,16 @@
      * @return The initialised.
      */
     boolean getInitialised();
+
+    /**
+     * <pre>
+     * True if the sender may found the group itself.
+     * </pre>
+     *
+     * <code>bool founds = 4;</code>
+     * @return The founds.
+     */
+    boolean getFounds();
   }
   /**
    * Protobuf type {@code nettlering.DiscoveryResponse}
@@ -10726,6 +10736,21 @@
       return initialised_;
     }
 
+    public static final int FOUNDS_FIELD_NUMBER = 4;
+    private boolean founds_ = false;
+    /**
+     * <pre>
+     * True if the sender may found the group itself.
+     * </pre>
+     *
+     * <code>bool founds = 4;</code>
+     * @return The founds.
+     */
+    @java.lang.Override
+    public boolean getFounds() {
+      return founds_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -10749,6 +10774,9 @@
       if (initialised_ != false) {
         output.writeBool(3, initialised_);
       }
+      if (founds_ != false) {
+        output.writeBool(4, founds_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -10765,6 +10793,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(3, initialised_);
       }
+      if (founds_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, founds_);
+      }
       return size;
     }
     @java.lang.Override
@@ -10795,6 +10827,8 @@
           != other.getRequestingDisk()) return false;
       if (getInitialised()
           != other.getInitialised()) return false;
+      if (getFounds()
+          != other.getFounds()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -10815,6 +10849,9 @@
       hash = (37 * hash) + INITIALISED_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getInitialised());
+      hash = (37 * hash) + FOUNDS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getFounds());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -10949,6 +10986,7 @@
         diskId_ = 0L;
         requestingDisk_ = 0L;
         initialised_ = false;
+        founds_ = false;
         return this;
       }
 
@@ -10991,6 +11029,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.initialised_ = initialised_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.founds_ = founds_;
+        }
       }
 
       @java.lang.Override
@@ -11014,6 +11055,9 @@
         if (other.getInitialised() != false) {
           setInitialised(other.getInitialised());
         }
+        if (other.getFounds() != false) {
+          setFounds(other.getFounds());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -11053,6 +11097,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                founds_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11166,6 +11215,50 @@
         return this;
       }
 
+      private boolean founds_ ;
+      /**
+       * <pre>
+       * True if the sender may found the group itself.
+       * </pre>
+       *
+       * <code>bool founds = 4;</code>
+       * @return The founds.
+       */
+      @java.lang.Override
+      public boolean getFounds() {
+        return founds_;
+      }
+      /**
+       * <pre>
+       * True if the sender may found the group itself.
+       * </pre>
+       *
+       * <code>bool founds = 4;</code>
+       * @param value The founds to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFounds(boolean value) {
+
+        founds_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * True if the sender may found the group itself.
+       * </pre>
+       *
+       * <code>bool founds = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFounds() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        founds_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.DiscoveryResponse)
     }
 
@@ -11332,13 +11425,14 @@
       "\006\022\026\n\016snapshot_index\030\002 \001(\004\022\026\n\016received_by" +
       "tes\030\003 \001(\004\022\021\n\tinstalled\030\004 \001(\010\"\014\n\nTimeoutN" +
       "ow\"+\n\020DiscoveryRequest\022\027\n\017requesting_dis" +
-      "k\030\001 \001(\006\"R\n\021DiscoveryResponse\022\017\n\007disk_id\030" +
+      "k\030\001 \001(\006\"b\n\021DiscoveryResponse\022\017\n\007disk_id\030" +
       "\001 \001(\006\022\027\n\017requesting_disk\030\002 \001(\006\022\023\n\013initia" +
-      "lised\030\003 \001(\010*\203\001\n\014LogEntryKind\022\036\n\032LOG_ENTR" +
-      "Y_KIND_UNSPECIFIED\020\000\022\030\n\024LOG_ENTRY_KIND_N" +
-      "O_OP\020\001\022\032\n\026LOG_ENTRY_KIND_COMMAND\020\002\022\035\n\031LO" +
-      "G_ENTRY_KIND_MEMBERSHIP\020\003B+\n\031org.nettler" +
-      "ing.wire.protoB\016ConsensusProtob\006proto3"
+      "lised\030\003 \001(\010\022\016\n\006founds\030\004 \001(\010*\203\001\n\014LogEntry" +
+      "Kind\022\036\n\032LOG_ENTRY_KIND_UNSPECIFIED\020\000\022\030\n\024" +
+      "LOG_ENTRY_KIND_NO_OP\020\001\022\032\n\026LOG_ENTRY_KIND" +
+      "_COMMAND\020\002\022\035\n\031LOG_ENTRY_KIND_MEMBERSHIP\020" +
+      "\003B+\n\031org.nettlering.wire.protoB\016Consensu" +
+      "sProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -11421,7 +11515,7 @@
     internal_static_nettlering_DiscoveryResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_DiscoveryResponse_descriptor,
-        new java.lang.String[] { "DiskId", "RequestingDisk", "Initialised", });
+        new java.lang.String[] { "DiskId", "RequestingDisk", "Initialised", "Founds", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/test/java/org/nettlering/wire/codec/ConsensusMessageCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/ConsensusMessageCodecTest.java
@@ -43,7 +43,7 @@
                 new ConsensusMessage.SnapshotPieceResponse(4, 9, 7, 3, true),
                 new ConsensusMessage.TimeoutNow(4),
                 new ConsensusMessage.DiscoveryRequest(0, 9),
-                new ConsensusMessage.DiscoveryResponse(0, 9, 8, true));
+                new ConsensusMessage.DiscoveryResponse(0, 9, 8, true, true));
     }
 
     @ParameterizedTest
