--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -155,11 +155,17 @@
             }
         }
         List<ListedRun> listed = running.keySet().stream()
-                .map(run -> new ListedRun(run, "", 50, 0))
+                .map(run -> new ListedRun(run, "", percent(run), 0))
                 .toList();
         return new HostAnswer.Listing(clockMillis(), listed, ends);
     }
 
+    /** Returns how far a run is: one percent for each quarter of a second. */
+    private int percent(RunName run) {
+        long sinceMillis = (time.nanoTime() - running.getOrDefault(run, time.nanoTime())) / 1_000_000;
+        return (int) Math.min(99, sinceMillis / 250);
+    }
+
     private void extend(long untilMillis) {
         long bounded = Math.min(untilMillis, clockMillis() + LONGEST_LEASE.toMillis());
         leaseUntilMillis = Math.max(leaseUntilMillis, bounded);
