--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -31,11 +31,14 @@
     private final Map<RunName, Long> running = new LinkedHashMap<>();
     private final Map<TaskName, Integer> highestOver = new HashMap<>();
     private final List<ListedEnd> ends = new ArrayList<>();
+    private final Map<Long, Integer> lapsesAtEnd = new HashMap<>();
     private final HostAddress address;
     private final Watch watch;
     private long token;
     private long leaseUntilMillis;
     private long endNumber;
+    private int lapses;
+    private boolean lapsed = true;
     private long sequence;
     private boolean up = true;
 
@@ -83,9 +86,7 @@
     /** Ends what has run for long enough, and everything when the lease is over. */
     void tick(RunEnd how, long runMillis) {
         long now = time.nanoTime();
-        if (!running.isEmpty() && clockMillis() > leaseUntilMillis) {
-            List.copyOf(running.keySet()).forEach(run -> finish(run, RunEnd.LAPSED));
-        }
+        lapse();
         for (Map.Entry<RunName, Long> each : Map.copyOf(running).entrySet()) {
             if (now - each.getValue() >= runMillis * 1_000_000) {
                 finish(each.getKey(), how);
@@ -93,6 +94,26 @@
         }
     }
 
+    /** Ends everything when the lease is over. */
+    void lapse() {
+        if (!lapsed && clockMillis() > leaseUntilMillis) {
+            lapsed = true;
+            lapses++;
+            List.copyOf(running.keySet()).forEach(run -> finish(run, RunEnd.LAPSED));
+        }
+    }
+
+    /** Ends one run in a way, if it is at work. */
+    void end(RunName run, RunEnd how) {
+        if (running.containsKey(run)) {
+            finish(run, how);
+        }
+    }
+
+    List<RunName> runs() {
+        return List.copyOf(running.keySet());
+    }
+
     int runningCount() {
         return running.size();
     }
@@ -102,6 +123,7 @@
         highestOver.merge(run.task(), run.number(), Math::max);
         endNumber++;
         ends.add(new ListedEnd(endNumber, run, how, ""));
+        lapsesAtEnd.put(endNumber, lapses);
         watch.ended(this, run, how);
     }
 
@@ -113,6 +135,7 @@
             return new HostAnswer.Refused(RefusalReason.FENCED);
         }
         token = order.token();
+        lapse();
         return switch (order) {
             case HostOrder.Start start -> start(start);
             case HostOrder.Stop stop -> stop(stop.run());
@@ -151,7 +174,7 @@
         for (ListedEnd end : List.copyOf(ends)) {
             if (end.number() <= hold.noted()) {
                 ends.remove(end);
-                watch.noted(this, end.run(), end.how(), clockMillis() <= leaseUntilMillis);
+                watch.noted(this, end.run(), end.how(), lapsesAtEnd.getOrDefault(end.number(), 0) == lapses);
             }
         }
         List<ListedRun> listed = running.keySet().stream()
@@ -169,5 +192,6 @@
     private void extend(long untilMillis) {
         long bounded = Math.min(untilMillis, clockMillis() + LONGEST_LEASE.toMillis());
         leaseUntilMillis = Math.max(leaseUntilMillis, bounded);
+        lapsed &= clockMillis() > leaseUntilMillis;
     }
 }
--- a/control/src/test/java/org/nettlering/control/workflow/SharedLog.java
+++ b/control/src/test/java/org/nettlering/control/workflow/SharedLog.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
 import org.nettlering.control.log.CommandLog;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -17,6 +18,12 @@
     private long term = 1;
     private int members;
     private int leader;
+    private Predicate<SiteCommand> replicated = command -> true;
+
+    /** Plants a fault: members that take over do not get the entries that the predicate refuses. */
+    void replicateOnly(Predicate<SiteCommand> kept) {
+        replicated = kept;
+    }
 
     /** Adds a member; the first one leads. */
     Member join(WorkflowPart part) {
@@ -56,7 +63,9 @@
 
         private void catchUp() {
             while (applied < entries.size()) {
-                part.apply(entries.get(applied));
+                if (replicated.test(entries.get(applied))) {
+                    part.apply(entries.get(applied));
+                }
                 applied++;
             }
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -44,6 +44,9 @@
     /** How long to leave a host alone that did not answer or is not well. */
     private static final Duration SILENT_PAUSE = Duration.ofMillis(300);
 
+    /** How long a host gets no new work after it refused some: what it has ends, or it is told of, by then. */
+    private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
+
     /** The least time from one look to the next; one that waits for an end usually takes longer by itself. */
     private static final Duration LOOK_PAUSE = Duration.ofMillis(25);
 
@@ -113,6 +116,9 @@
     /** Whether the last order got no answer. */
     private boolean silent;
 
+    /** Until when the host gets no new work because it refused some, by the monotonic clock. */
+    private long refusedUntilNanos;
+
     /** Whether the load of the runs is watched. */
     private boolean watched;
 
@@ -138,6 +144,7 @@
         this.token = token;
         beganNanos = nowNanos;
         nextLookNanos = nowNanos;
+        refusedUntilNanos = nowNanos;
     }
 
     /**
@@ -162,7 +169,8 @@
      * Tells whether new work may be given to the host.
      *
      * @param nowNanos the monotonic time
-     * @return true if it reports, does not drain, has answered in this term and did not leave the last order unanswered
+     * @return true if it reports, does not drain, has answered in this term, did not leave the last order unanswered and did
+     *     not refuse work just now
      */
     public boolean takesWork(long nowNanos) {
         HostReport latest = report;
@@ -171,6 +179,7 @@
                 && goneNanos == null
                 && looked
                 && !silent
+                && nowNanos - refusedUntilNanos >= 0
                 && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
     }
 
@@ -457,6 +466,7 @@
                 nextLookNanos = nowNanos;
             }
             case Refused refused -> {
+                refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
                 return List.of(end(tracked, RunEnd.NOT_BEGUN));
             }
             case Unwell unwell -> {
@@ -576,12 +586,18 @@
      */
     public List<End> overdueEnds(long nowNanos) {
         List<End> found = new ArrayList<>();
-        boolean over = isGone(nowNanos) || hasLapsed(nowNanos);
+        boolean gone = isGone(nowNanos);
+        boolean lapsed = hasLapsed(nowNanos);
         for (TrackedRun tracked : runs.values()) {
-            boolean unsent = tracked.stage == Stage.TO_SEND && (tracked.stopWanted || over || silent);
-            if (!tracked.endFound && unsent) {
-                found.add(end(tracked, RunEnd.NOT_BEGUN));
-            } else if (!tracked.endFound && over) {
+            if (tracked.endFound) {
+                continue;
+            }
+            if (tracked.stage == Stage.TO_SEND) {
+                // The lease of earlier runs says nothing of a run whose order has not gone out.
+                if (tracked.stopWanted || gone || silent) {
+                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                }
+            } else if (gone || lapsed) {
                 found.add(end(tracked, RunEnd.HOST_LOST));
             }
         }
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -197,6 +197,30 @@
         assertThat(orders().stream().filter(HostOrder.Start.class::isInstance)).isEmpty();
     }
 
+    /** Found by the check of the task protocol, seed 7: an idle host never got work again. */
+    @Test
+    void aHostWhoseOldLeaseIsOverTakesNewRuns() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        answerLook(List.of(), List.of(new ListedEnd(1, RUN, RunEnd.DONE, "")));
+        session.ended(RUN);
+        pass(20_000);
+        report(false, 2);
+        RunName next = run("b", 0, 0, 1);
+        session.start(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
+        assertThat(session.overdueEnds(nowNanos)).isEmpty();
+        assertThat(order(HostOrder.Start.class).run().run()).isEqualTo(next);
+    }
+
+    @Test
+    void aHostThatRefusedWorkIsLeftAloneForAMoment() {
+        answeredOnce();
+        answer(startOrder(), new Refused(RefusalReason.NO_ROOM));
+        assertThat(session.takesWork(nowNanos)).isFalse();
+        pass(600);
+        assertThat(session.takesWork(nowNanos)).isTrue();
+    }
+
     @Test
     void everyOrderCarriesTheTokenOfTheTerm() {
         answeredOnce();
