Start the patience of an attempt before its first byte; split the lease from the session of a host

On a pooled connection the request reaches the upstream before the timer of the attempt is set; when the test moves the paused clock in between, the timer counts from the later time and never fires. An attempt that failed at once also had its successor's timer replaced by its own. Ruled out: the pool and the upstream, which had the request. Change: the timer is set first.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -59,12 +59,6 @@
     /** How long after the last report a host gets no new work: three reports of the slowest kind. */
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(4_500);
 
-    /** How much longer than its lease a run is taken to last, for what is rounded or ends slowly. */
-    private static final Duration LAPSE_MARGIN = Duration.ofMillis(300);
-
-    /** How long after a leader was replaced, unknown to itself, its orders may still go out. */
-    private static final Duration REPLACED_LEADER_MARGIN = Duration.ofMillis(1_500);
-
     /** How long a host goes on after it said that it leaves. */
     private static final Duration LEAVE_MARGIN = Duration.ofMillis(500);
 
@@ -89,8 +83,8 @@
     /** The ends that the host listed. */
     private final EndLedger ends = new EndLedger();
 
-    /** The host's clock. */
-    private final HostClock clock = new HostClock();
+    /** The lease of what runs there. */
+    private final HostLease lease;
 
     /** The latest report, or null if none came in this term. */
     private @Nullable HostReport report;
@@ -98,12 +92,6 @@
     /** When it came, by the monotonic clock. */
     private long reportNanos;
 
-    /** The latest end of a lease that the host may have been given, by its own clock. */
-    private long leaseUntilMillis;
-
-    /** Whether an order of an earlier leader may have renewed the lease; ends with the first answer. */
-    private boolean inheritsLease;
-
     /** Whether the host answered a look in this term. */
     private boolean looked;
 
@@ -143,6 +131,7 @@
         this.limits = limits;
         this.token = token;
         beganNanos = nowNanos;
+        lease = new HostLease(limits, nowNanos);
         nextLookNanos = nowNanos;
         refusedUntilNanos = nowNanos;
     }
@@ -224,7 +213,7 @@
         }
         report = latest;
         reportNanos = nowNanos;
-        readClock(latest.clockMillis(), nowNanos);
+        lease.readClock(latest.clockMillis(), nowNanos);
         return true;
     }
 
@@ -247,7 +236,7 @@
      */
     public void inherit(ActiveRun run, long nowNanos) {
         runs.put(run.run(), new TrackedRun(run, "", "", Stage.INHERITED, nowNanos));
-        inheritsLease = true;
+        lease.inherit();
     }
 
     /**
@@ -351,10 +340,10 @@
         if (tracked.endFound) {
             return;
         }
-        if (tracked.stage == Stage.TO_SEND && clock.isKnown() && !tracked.stopWanted) {
+        if (tracked.stage == Stage.TO_SEND && lease.canBeRenewed() && !tracked.stopWanted) {
             tracked.stage = Stage.SENT;
             due.add(new HostOrder.Start(
-                    token, tracked.run, tracked.taskSpecification, renewedLease(nowNanos), tracked.ticket));
+                    token, tracked.run, tracked.taskSpecification, lease.renewed(nowNanos), tracked.ticket));
             return;
         }
         boolean stopDue = tracked.stopWanted
@@ -389,7 +378,7 @@
         boolean quick = !looked || silent || runs.isEmpty() || !strays.isEmpty() || hasDoubt();
         long wait = quick ? 0 : (watched ? WATCH_WAIT : LOOK_WAIT).toMillis();
         boolean renews = !runs.isEmpty() && !silent;
-        return new HostOrder.Hold(host, token, renews ? renewedLease(nowNanos) : 0, ends.noted(), wait);
+        return new HostOrder.Hold(host, token, renews ? lease.renewed(nowNanos) : 0, ends.noted(), wait);
     }
 
     /** Tells whether a run's fate hangs on the next look. */
@@ -397,15 +386,6 @@
         return runs.values().stream().anyMatch(tracked -> tracked.stage == Stage.UNANSWERED);
     }
 
-    private long renewedLease(long nowNanos) {
-        if (!clock.isKnown()) {
-            return 0;
-        }
-        long until = clock.aboutMillis(nowNanos) + limits.lease().toMillis();
-        leaseUntilMillis = Math.max(leaseUntilMillis, until);
-        return until;
-    }
-
     /**
      * Takes what came of an order.
      *
@@ -440,19 +420,12 @@
     private void noteContact(HostAnswer answer, long nowNanos) {
         silent = answer instanceof Silent || answer instanceof Unwell;
         switch (answer) {
-            case Accepted accepted -> readClock(accepted.clockMillis(), nowNanos);
-            case Listing listing -> readClock(listing.clockMillis(), nowNanos);
+            case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
+            case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
             default -> {}
         }
     }
 
-    private void readClock(long millis, long nowNanos) {
-        clock.read(millis, nowNanos);
-        if (inheritsLease && leaseUntilMillis == 0) {
-            leaseUntilMillis = millis + limits.longestLease().toMillis();
-        }
-    }
-
     private List<End> startAnswered(HostOrder.Start start, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(start.run().run());
         if (tracked == null || tracked.stage != Stage.SENT) {
@@ -587,7 +560,7 @@
     public List<End> overdueEnds(long nowNanos) {
         List<End> found = new ArrayList<>();
         boolean gone = isGone(nowNanos);
-        boolean lapsed = hasLapsed(nowNanos);
+        boolean lapsed = !runs.isEmpty() && lease.hasLapsed(looked, nowNanos);
         for (TrackedRun tracked : runs.values()) {
             if (tracked.endFound) {
                 continue;
@@ -603,22 +576,4 @@
         }
         return found;
     }
-
-    /** Tells whether every lease that the host may have been given has certainly ended. */
-    private boolean hasLapsed(long nowNanos) {
-        if (runs.isEmpty()) {
-            return false;
-        }
-        long marginMillis = LAPSE_MARGIN.toMillis() + limits.stopGrace().toMillis();
-        if (!clock.isKnown()) {
-            Duration longest =
-                    limits.longestLease().plus(REPLACED_LEADER_MARGIN).plusMillis(marginMillis);
-            return nowNanos - beganNanos > longest.toNanos() * 51 / 50;
-        }
-        if (leaseUntilMillis == 0) {
-            return false;
-        }
-        long replacedMillis = inheritsLease && !looked ? REPLACED_LEADER_MARGIN.toMillis() : 0;
-        return clock.atLeastMillis(nowNanos) > leaseUntilMillis + marginMillis + replacedMillis;
-    }
 }
--- a/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
@@ -284,8 +284,10 @@
         UpstreamAttempt attempt = new UpstreamAttempt(
                 services.pools().pool(upstream), services.time().nanoTime(), attemptSpan, this);
         live.add(attempt);
-        attempt.start(requestOptions(attemptSpan), this::sendBody);
+        // Before the attempt, so that the time counts from before its first byte, and a failure at once sets the next
+        // one's.
         startPatience(attempt);
+        attempt.start(requestOptions(attemptSpan), this::sendBody);
     }
 
     private RequestOptions requestOptions(TraceSpan attemptSpan) {
