Pack services by image, learn the cost of each pair, move what is held back

Samples of every look showed why: few pairs of images disturb each other (20 to 77 thousandths of a service's load for each processor, the rest under 10), but services of all images shared every host, so each host was bad for most of what fills; the costs were learned against an average of the service's load, which itself swings by as much; and a run that was placed before its cost was known stayed, slowed down to 5 percent, for tens of seconds. Ruled out: processors (about 200 of 650 idle ones were used), memory, the order of waiting work. Change: services prefer hosts that serve their own image alone; StrainModel estimates each run's own strain and the cost of each pair together, so that what changes with a start is put down to the pair; placement prefers the least added strain; a run that was held back for 0.9 s and loses little is stopped and goes on at a host that bears it (MovePlanner); runs that cost nothing are no longer slowed down at a peak of the service's own load; a new leader tells paces anew, as it can't know those of the earlier one.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -28,7 +28,13 @@
     /** A new leader takes over the hosts with runs. */
     TAKEN_OVER(3311, Level.INFO, "the leader of term {} follows {} hosts with runs"),
     /** A job was rejected and never runs. */
-    JOB_REJECTED(3312, Level.INFO, "job {} rejected in queue {}: come back in {} ms");
+    JOB_REJECTED(3312, Level.INFO, "job {} rejected in queue {}: come back in {} ms"),
+    /** The paces of runs that fill beside runs that serve were changed. */
+    PACES_CHANGED(3313, Level.INFO, "host {} with serving runs {} and filling runs {}: paces become {}"),
+    /** What is at work and what waits. */
+    LOAD(3314, Level.INFO, "the leader of term {} has at work and waiting: {}"),
+    /** A run that was held back is stopped, so that its task goes on elsewhere. */
+    RUN_MOVED(3315, Level.INFO, "run {} is held back on host {} and is stopped to go on elsewhere");
 
     /** The number. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -25,6 +25,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
+import org.nettlering.domain.workflow.host.HoldBackRule;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -32,12 +33,15 @@
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunLoad;
 import org.nettlering.domain.workflow.host.StallRule;
+import org.nettlering.domain.workflow.placement.HeldBackRun;
 import org.nettlering.domain.workflow.placement.HostDoubts;
 import org.nettlering.domain.workflow.placement.HostRoom;
+import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
 import org.nettlering.domain.workflow.sharing.FillingRun;
 import org.nettlering.domain.workflow.sharing.ServingRun;
 import org.nettlering.domain.workflow.sharing.SharingGuard;
+import org.nettlering.runtime.log.EventLogger;
 
 /**
  * What the leader of one term knows beside the replicated jobs: the hosts, and what waits to be logged.
@@ -57,6 +61,8 @@
     /** The percent of a task that lasts and is at work. */
     private static final int WHOLE_PERCENT = 100;
 
+    private static final EventLogger LOG = EventLogger.of(WorkflowLeadership.class);
+
     /** The term. */
     private final long term;
 
@@ -92,13 +98,19 @@
         for (HostCommitments host : state.hosts()) {
             HostSession session = leadership.session(host, nowNanos);
             for (ActiveRun run : host.runs()) {
-                session.inherit(run, nowNanos);
+                session.inherit(run, fills(state, run), nowNanos);
                 leadership.stopIfPointless(state, run);
             }
         }
         return leadership;
     }
 
+    private static boolean fills(WorkflowState state, ActiveRun run) {
+        return state.step(run.run().task().step())
+                .filter(step -> step.specification().has(StepTrait.FILLS))
+                .isPresent();
+    }
+
     private WorkflowLeadership(long term, HostLimits limits, long nowNanos) {
         this.term = term;
         this.limits = limits;
@@ -168,7 +180,11 @@
         List<ServingRun> serving = servingRuns(state, session);
         List<FillingRun> filling = fillingRuns(state, session);
         session.watch(!serving.isEmpty() && !filling.isEmpty());
-        sharing.paces(session.host().id(), serving, filling, nowNanos).forEach(session::pace);
+        Map<RunName, Integer> paces = sharing.paces(session.host().id(), serving, filling, nowNanos);
+        if (!paces.isEmpty()) {
+            LOG.log(WorkflowEvent.PACES_CHANGED, session.host().id(), serving, filling, paces);
+            paces.forEach(session::pace);
+        }
     }
 
     private static List<ServingRun> servingRuns(WorkflowState state, HostSession session) {
@@ -178,7 +194,7 @@
                     .map(StepProgress::specification)
                     .filter(step -> step.serves() && load.percent() == WHOLE_PERCENT)
                     .ifPresent(step -> serving.add(new ServingRun(
-                            step.sharing().image(), step.sharing().targetMillis(), load.load())));
+                            load.run(), step.sharing().image(), step.sharing().targetMillis(), load.load())));
         }
         return serving;
     }
@@ -232,13 +248,35 @@
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
-            batch.addAll(StartPlanner.plan(state, rooms(state, nowNanos), step -> true, sharing, nowMillis));
+            StartPlan plan = StartPlanner.plan(
+                    state, rooms(state, nowNanos), step -> true, sharing, heldBackRuns(state, nowNanos), nowMillis);
+            batch.addAll(plan.starts());
+            plan.moves().forEach(this::move);
         }
         openEnds.clear();
         proposing = !batch.isEmpty();
         return batch;
     }
 
+    /** Returns the runs that are held back for the sake of others and that lose little when they are moved. */
+    private List<HeldBackRun> heldBackRuns(WorkflowState state, long nowNanos) {
+        List<HeldBackRun> heldBack = new ArrayList<>();
+        for (HostSession session : sessions.values()) {
+            for (RunLoad load : session.loads()) {
+                state.step(load.run().task().step())
+                        .filter(step -> HoldBackRule.isHeldBack(step.specification(), load, nowNanos))
+                        .ifPresent(step ->
+                                heldBack.add(new HeldBackRun(new ActiveRun(load.run(), session.host(), ""), step)));
+            }
+        }
+        return heldBack;
+    }
+
+    private void move(ActiveRun run) {
+        LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
+        stop(run);
+    }
+
     private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
         for (Job job : state.timedJobs()) {
             job.nextOccurrence()
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -33,6 +33,9 @@
     /** How often the loop runs when nothing happens. */
     private static final Duration TICK = Duration.ofMillis(100);
 
+    /** How often the leader logs what is at work and what waits, in runs of the timer. */
+    private static final int TICKS_PER_SUMMARY = 10;
+
     private static final EventLogger LOG = EventLogger.of(WorkflowLoop.class);
 
     /** The replicated log. */
@@ -53,6 +56,9 @@
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
+    /** How often the timer has run; used by the timer alone. */
+    private int ticks;
+
     /** The next run of the loop. */
     private volatile TimeSource.@Nullable Timer timer;
 
@@ -93,6 +99,10 @@
     private void tick() {
         try {
             runWithPlan();
+            ticks++;
+            if (ticks % TICKS_PER_SUMMARY == 0) {
+                reportLoad();
+            }
         } catch (RuntimeException exception) {
             LOG.log(WorkflowEvent.LOOP_FAILED, exception);
         } finally {
@@ -153,6 +163,16 @@
         }
     }
 
+    private void reportLoad() {
+        WorkflowLeadership current = leadership;
+        if (current != null && log.isReadyLeader()) {
+            withLeadership(
+                    current,
+                    (state, present) ->
+                            LOG.log(WorkflowEvent.LOAD, present.term(), LoadSummary.of(state, present.sessions())));
+        }
+    }
+
     /** Changes the state of the present leadership; what an earlier one was told is dropped. */
     private void withLeadership(WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
         part.read((state, queues) -> {
--- a/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
@@ -65,6 +65,17 @@
         return List.copyOf(runs.values().stream().map(Placed::run).toList());
     }
 
+    /**
+     * Returns what the runs are, one entry for each run.
+     *
+     * @return the specifications of their steps, never null
+     */
+    public List<StepSpecification> specifications() {
+        return runs.values().stream()
+                .map(placed -> placed.step().specification())
+                .toList();
+    }
+
     /**
      * Returns what the runs commit.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -232,10 +232,15 @@
      * Follows a run that an earlier leader started.
      *
      * @param run the run, not null
+     * @param paced whether that leader may have told the host a pace for it, which is told anew then
      * @param nowNanos the monotonic time
      */
-    public void inherit(ActiveRun run, long nowNanos) {
-        runs.put(run.run(), new TrackedRun(run, "", "", Stage.INHERITED, nowNanos));
+    public void inherit(ActiveRun run, boolean paced, long nowNanos) {
+        TrackedRun tracked = new TrackedRun(run, "", "", Stage.INHERITED, nowNanos);
+        if (paced) {
+            tracked.forgetPace(nowNanos);
+        }
+        runs.put(run.run(), tracked);
         lease.inherit();
     }
 
@@ -294,7 +299,12 @@
         return runs.values().stream()
                 .filter(tracked -> tracked.listed && !tracked.endFound && !tracked.stopWanted)
                 .map(tracked -> new RunLoad(
-                        tracked.run.run(), tracked.load, tracked.paceTold, tracked.percent, tracked.progressNanos))
+                        tracked.run.run(),
+                        tracked.load,
+                        tracked.pacePercent(),
+                        tracked.percent,
+                        tracked.progressNanos,
+                        tracked.slowSinceNanos))
                 .toList();
     }
 
@@ -360,7 +370,7 @@
                 && !tracked.stopWanted
                 && !tracked.paceInFlight
                 && !silent
-                && tracked.paceWanted != tracked.paceTold;
+                && tracked.wantsPace();
         if (paceDue) {
             tracked.paceInFlight = true;
             due.add(new HostOrder.Pace(host, token, tracked.run.run(), tracked.paceWanted));
@@ -404,15 +414,17 @@
             case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
             case HostOrder.Stop stop -> stopAnswered(stop, answer, nowNanos);
             case HostOrder.Hold hold -> lookAnswered(hold, sentNanos, answer, nowNanos);
-            case HostOrder.Pace pace -> paceAnswered(pace, answer);
+            case HostOrder.Pace pace -> paceAnswered(pace, answer, nowNanos);
         };
     }
 
-    private List<End> paceAnswered(HostOrder.Pace pace, HostAnswer answer) {
+    private List<End> paceAnswered(HostOrder.Pace pace, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(pace.run());
         if (tracked != null) {
             tracked.paceInFlight = false;
-            tracked.paceTold = answer instanceof Accepted ? pace.percent() : tracked.paceTold;
+            if (answer instanceof Accepted) {
+                tracked.takePace(pace.percent(), nowNanos);
+            }
         }
         return List.of();
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/RunLoad.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/RunLoad.java
@@ -12,5 +12,7 @@
  * @param pacePercent the share of its speed that its host was told last
  * @param percent how far it is
  * @param progressNanos when the percent last rose, by the monotonic clock
+ * @param slowSinceNanos when the host took the first order to work at less than its full speed, by the monotonic clock;
+ *     of no meaning at full speed
  */
-public record RunLoad(RunName run, long load, int pacePercent, int percent, long progressNanos) {}
+public record RunLoad(RunName run, long load, int pacePercent, int percent, long progressNanos, long slowSinceNanos) {}
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -21,6 +21,9 @@
     /** The pace of a run that was told nothing, in percent. */
     static final int FULL_PACE = 100;
 
+    /** Stands for the pace of a run to which an earlier leader may have told one. */
+    private static final int UNKNOWN_PACE = -1;
+
     /** The run. */
     final ActiveRun run;
 
@@ -69,8 +72,11 @@
     /** The pace that is wanted, in percent. */
     int paceWanted = FULL_PACE;
 
-    /** The pace that the host was told last, in percent. */
-    int paceTold = FULL_PACE;
+    /** The pace that the host was told last, in percent, or {@link #UNKNOWN_PACE}. */
+    private int paceTold = FULL_PACE;
+
+    /** When the host took the first order to work at less than its full speed, by the monotonic clock. */
+    long slowSinceNanos;
 
     /** Whether an order of pace is on its way. */
     boolean paceInFlight;
@@ -88,6 +94,30 @@
         this.progressNanos = nowNanos;
     }
 
+    /** Takes note that an earlier leader may have told the host a pace. */
+    void forgetPace(long nowNanos) {
+        paceTold = UNKNOWN_PACE;
+        slowSinceNanos = nowNanos;
+    }
+
+    /** Tells whether the host has to be told a pace. */
+    boolean wantsPace() {
+        return paceWanted != paceTold;
+    }
+
+    /** Returns the pace at which the run works as far as is known, in percent. */
+    int pacePercent() {
+        return Math.max(0, paceTold);
+    }
+
+    /** Takes note that the host has taken a pace. */
+    void takePace(int percent, long nowNanos) {
+        if (paceTold == FULL_PACE) {
+            slowSinceNanos = nowNanos;
+        }
+        paceTold = percent;
+    }
+
     void confirm(long nowNanos) {
         if (stage != Stage.CONFIRMED) {
             stage = Stage.CONFIRMED;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostChoice.java
@@ -9,28 +9,25 @@
 import org.nettlering.domain.workflow.StepName;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
-import org.nettlering.domain.workflow.sharing.ServingRun;
 import org.nettlering.domain.workflow.sharing.SharingGuard;
 
 /**
  * Chooses the host for one task.
  *
- * <p>Answers loads of three kinds on the same hosts: tasks that serve users are packed onto few hosts; tasks that only fill
- * go where nobody is served or else where the targets bear them best, by what was learned of the images; the rest goes
- * beside those that serve, as it disturbs nobody. Hosts in doubt come last, the rack of the data first. Not thread-safe.
+ * <p>Answers loads of three kinds on the same hosts: tasks that serve users are packed onto few hosts, those of one image
+ * together, so that whatever fills finds hosts whose services it does not disturb; tasks that only fill go where nobody is
+ * served or else where they add least strain, by what was learned of the images; the rest goes beside those that serve, as
+ * it disturbs nobody. Hosts in doubt come last, the rack of the data first. Not thread-safe.
  */
 final class HostChoice {
-    /** The strain, in thousandths, that a run that serves is taken to be under until it was measured. */
-    private static final long UNMEASURED_STRAIN = 500;
-
     /** Strains, in thousandths, that differ by less than this count as alike. */
-    private static final long STRAIN_STEP = 100;
+    private static final long STRAIN_STEP = 50;
 
     /** What was learned of the images that share hosts. */
     private final SharingGuard sharing;
 
-    /** The strains that were predicted for this plan, by host, image and processors. */
-    private final Map<StrainKey, Long> strains = new HashMap<>();
+    /** The strains of the hosts that were looked at, by the id of the host's life. */
+    private final Map<String, HostStrain> strains = new HashMap<>();
 
     HostChoice(SharingGuard sharing) {
         this.sharing = sharing;
@@ -48,42 +45,27 @@
     }
 
     private boolean isAllowed(StepName name, StepSpecification step, HostRoom room) {
-        return room.fits(name, step) && (!step.has(StepTrait.FILLS) || SharingGuard.isBearable(strain(step, room)));
+        return room.fits(name, step)
+                && (!step.has(StepTrait.FILLS) || effect(step, room).bearable());
+    }
+
+    /** Returns what one more task that fills would do on a host. */
+    HostStrain.Effect effect(StepSpecification step, HostRoom room) {
+        return strainOf(room).effectOf(step);
     }
 
-    /** Returns the largest strain, in thousandths, of a run on the host with one more that fills. */
-    private long strain(StepSpecification step, HostRoom room) {
-        StrainKey key = new StrainKey(
-                room.host().id(), step.sharing().image(), step.demand().millicores());
-        return strains.computeIfAbsent(key, missing -> predictStrain(step, room)) + room.plannedStrain();
+    private HostStrain strainOf(HostRoom room) {
+        return strains.computeIfAbsent(room.host().id(), id -> new HostStrain(sharing, room));
     }
 
     /** Takes the room of one more task; what it adds to the strain counts for the next ones of this plan. */
     void take(StepName name, StepSpecification step, HostRoom room) {
         if (step.has(StepTrait.FILLS)) {
-            room.addStrain(predictStrain(step, room) - currentStrain(room));
+            strainOf(room).add(step);
         }
         room.take(name, step);
     }
 
-    private long currentStrain(HostRoom room) {
-        long largest = room.hasUnmeasuredServing() ? UNMEASURED_STRAIN : 0;
-        for (ServingRun serving : room.servingRuns()) {
-            largest = Math.max(largest, sharing.strain(serving));
-        }
-        return largest;
-    }
-
-    private long predictStrain(StepSpecification step, HostRoom room) {
-        long largest = room.hasUnmeasuredServing() ? UNMEASURED_STRAIN : 0;
-        for (ServingRun serving : room.servingRuns()) {
-            long predicted = sharing.predictedStrain(
-                    serving, step.sharing().image(), step.demand().millicores());
-            largest = Math.max(largest, predicted);
-        }
-        return largest;
-    }
-
     /** Compares two hosts that have room; the better one is the smaller one. */
     private int compare(StepSpecification step, String rack, HostRoom left, HostRoom right) {
         int doubt = Integer.compare(left.doubt(), right.doubt());
@@ -97,19 +79,32 @@
         if (step.has(StepTrait.FILLS)) {
             return compareForFilling(step, left, right);
         }
-        int quiet = step.serves()
-                ? Boolean.compare(left.hasFilling(), right.hasFilling())
+        int company = step.serves()
+                ? Integer.compare(unlike(step, left), unlike(step, right))
                 : Boolean.compare(right.hasServing(), left.hasServing());
-        if (quiet != 0) {
-            return quiet;
+        if (company != 0) {
+            return company;
         }
         return Long.compare(left.idleMillicores(), right.idleMillicores());
     }
 
+    /** Returns how unlike a step that serves is what serves on a host already: alone with its image is best. */
+    private static int unlike(StepSpecification step, HostRoom room) {
+        boolean alike = room.servingImages().contains(step.sharing().image());
+        int others = room.servingImages().size() - (alike ? 1 : 0);
+        return alike ? 2 * others : 2 * others + 1;
+    }
+
     private int compareForFilling(StepSpecification step, HostRoom left, HostRoom right) {
-        int strain = Long.compare(strain(step, left) / STRAIN_STEP, strain(step, right) / STRAIN_STEP);
-        if (strain != 0) {
-            return strain;
+        HostStrain.Effect leftEffect = effect(step, left);
+        HostStrain.Effect rightEffect = effect(step, right);
+        int added = Long.compare(leftEffect.added() / STRAIN_STEP, rightEffect.added() / STRAIN_STEP);
+        if (added != 0) {
+            return added;
+        }
+        int resulting = Long.compare(leftEffect.resulting() / STRAIN_STEP, rightEffect.resulting() / STRAIN_STEP);
+        if (resulting != 0) {
+            return resulting;
         }
         int quiet = Boolean.compare(left.hasServing(), right.hasServing());
         return quiet != 0 ? quiet : Long.compare(right.idleMillicores(), left.idleMillicores());
@@ -142,7 +137,4 @@
                 .max(Comparator.comparingLong(idle::get))
                 .orElse(null);
     }
-
-    /** What a predicted strain depends on within one plan. */
-    private record StrainKey(String hostId, String image, long millicores) {}
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
@@ -1,8 +1,10 @@
 package org.nettlering.domain.workflow.placement;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.HostAddress;
 import org.nettlering.domain.workflow.HostCommitments;
@@ -45,12 +47,12 @@
     /** How many runs serve users. */
     private int serving;
 
-    /** The strain that starts of this plan add for the runs that serve, in thousandths. */
-    private long plannedStrain;
-
     /** The processors that they commit, in millicores. */
     private long servingMillicores;
 
+    /** How many runs of each image serve users. */
+    private final Map<String, Integer> servingImages = new HashMap<>();
+
     /**
      * Measures the room on a host.
      *
@@ -73,6 +75,11 @@
         fillingMillicores = commitments.fillingMillicores();
         serving = commitments.serving();
         servingMillicores = commitments.servingMillicores();
+        for (StepSpecification each : commitments.specifications()) {
+            if (each.serves()) {
+                servingImages.merge(each.sharing().image(), 1, Integer::sum);
+            }
+        }
     }
 
     HostAddress host() {
@@ -109,6 +116,18 @@
         return serving > servingRuns.size();
     }
 
+    /** Returns the images of the runs that serve here, measured or not. */
+    Set<String> servingImages() {
+        return Collections.unmodifiableSet(servingImages.keySet());
+    }
+
+    /** Returns what the runs are that fill here and are in the log. */
+    List<StepSpecification> fillingSteps() {
+        return commitments.specifications().stream()
+                .filter(each -> each.has(StepTrait.FILLS))
+                .toList();
+    }
+
     /**
      * Returns the processors that runs which fill may still use, in millicores: what is not committed, and what the runs
      * that serve leave of their commitment, less what others that fill would use.
@@ -126,14 +145,6 @@
                 && (!step.has(StepTrait.FILLS) || step.demand().millicores() <= idleMillicores());
     }
 
-    long plannedStrain() {
-        return plannedStrain;
-    }
-
-    void addStrain(long thousandths) {
-        plannedStrain += thousandths;
-    }
-
     void take(StepName name, StepSpecification step) {
         free = free.minus(step.commitment());
         account(name, step, 1);
@@ -152,6 +163,10 @@
         if (step.serves()) {
             serving += sign;
             servingMillicores += sign * step.demand().millicores();
+            int images = servingImages.merge(step.sharing().image(), sign, Integer::sum);
+            if (images == 0) {
+                servingImages.remove(step.sharing().image());
+            }
         }
     }
 }
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlan.java
@@ -0,0 +1,21 @@
+package org.nettlering.domain.workflow.placement;
+
+import java.util.List;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+
+/**
+ * What a {@link StartPlanner} has decided.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param starts the starts in the order of their urgency, not null
+ * @param moves the runs to stop so that their tasks go on at better hosts, not null
+ */
+public record StartPlan(List<Start> starts, List<ActiveRun> moves) {
+    /** Copies the parts. */
+    public StartPlan {
+        starts = List.copyOf(starts);
+        moves = List.copyOf(moves);
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -53,18 +53,21 @@
      * @param rooms the room on each host that takes work; planned starts are taken off, not null
      * @param permitted tells which steps may start, not null
      * @param sharing what was learned of the images that share hosts, not null
+     * @param heldBack the runs that were slowed down where they are, not null
      * @param nowMillis the time, in milliseconds since 1970
-     * @return the starts in the order of their urgency, never null
+     * @return the plan, never null
      */
-    public static List<Start> plan(
+    public static StartPlan plan(
             WorkflowState state,
             Collection<HostRoom> rooms,
             Predicate<StepProgress> permitted,
             SharingGuard sharing,
+            Collection<HeldBackRun> heldBack,
             long nowMillis) {
         StartPlanner planner = new StartPlanner(rooms, permitted, sharing, nowMillis);
         planner.planAll(state.waitingSteps());
-        return planner.starts;
+        List<ActiveRun> moves = new MovePlanner(planner.choice, rooms).plan(heldBack);
+        return new StartPlan(planner.starts, moves);
     }
 
     private StartPlanner(
--- a/domain/src/main/java/org/nettlering/domain/workflow/sharing/ServingRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/ServingRun.java
@@ -1,15 +1,18 @@
 package org.nettlering.domain.workflow.sharing;
 
+import org.nettlering.domain.workflow.RunName;
+
 /**
  * A run that serves users, as its host measured it last.
  *
  * <p>Immutable and thread-safe.
  *
+ * @param run the run, not null
  * @param image what it runs, not null
  * @param targetMillis the bound on the tail of its response times, in milliseconds, positive
  * @param tailMillis the tail as measured, in milliseconds
  */
-public record ServingRun(String image, long targetMillis, long tailMillis) {
+public record ServingRun(RunName run, String image, long targetMillis, long tailMillis) {
     /**
      * Returns how much of the way from undisturbed to its target the run has gone.
      *
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -116,20 +116,32 @@
 
     @Test
     void anInheritedRunThatTheFirstLookDoesNotShowNeverBegan() {
-        session.inherit(ACTIVE, nowNanos);
+        session.inherit(ACTIVE, false, nowNanos);
         report(false, 1);
         assertThat(answerLook(List.of(), List.of())).containsExactly(new End(RUN, RunEnd.NOT_BEGUN, ""));
     }
 
     @Test
     void anInheritedRunThatTheFirstLookShowsGoesOn() {
-        session.inherit(ACTIVE, nowNanos);
+        session.inherit(ACTIVE, false, nowNanos);
         report(false, 1);
         assertThat(answerLook(List.of(new ListedRun(RUN, "", 10, 0)), List.of()))
                 .isEmpty();
         assertThat(orders().stream().filter(HostOrder.Stop.class::isInstance)).isEmpty();
     }
 
+    @Test
+    void anInheritedRunToWhichAPaceMayHaveBeenToldIsToldOneAnew() {
+        session.inherit(ACTIVE, true, nowNanos);
+        report(false, 1);
+        answerLook(List.of(new ListedRun(RUN, "", 10, 0)), List.of());
+        assertThat(session.loads().getFirst().pacePercent()).isZero();
+        HostOrder.Pace pace = order(HostOrder.Pace.class);
+        assertThat(pace.percent()).isEqualTo(100);
+        answer(pace, new Accepted(hostClockMillis));
+        assertThat(session.loads().getFirst().pacePercent()).isEqualTo(100);
+    }
+
     @Test
     void aSilentHostsRunsEndWhenTheLeaseIsOverByItsOwnSlowClock() {
         answeredOnce();
@@ -152,7 +164,7 @@
 
     @Test
     void theRunsOfAnInheritedSilentHostEndOnlyAfterTheLongestLeaseOfAnEarlierLeader() {
-        session.inherit(ACTIVE, nowNanos);
+        session.inherit(ACTIVE, false, nowNanos);
         passSilently(7_500);
         assertThat(session.overdueEnds(nowNanos)).isEmpty();
         passSilently(1_500);
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/StallRuleTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/StallRuleTest.java
@@ -31,7 +31,7 @@
     }
 
     private static RunLoad load(int pace) {
-        return new RunLoad(run("a", 0, 0, 1), 0, pace, 40, 0);
+        return new RunLoad(run("a", 0, 0, 1), 0, pace, 40, 0, 0);
     }
 
     private static long millis(long millis) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.nettlering.domain.workflow.WorkflowSamples.job;
+import static org.nettlering.domain.workflow.WorkflowSamples.run;
 import static org.nettlering.domain.workflow.WorkflowSamples.step;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -11,8 +13,10 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
 import org.nettlering.domain.workflow.HostCommitments;
+import org.nettlering.domain.workflow.RunName;
 import org.nettlering.domain.workflow.StepLocality;
 import org.nettlering.domain.workflow.StepSharing;
 import org.nettlering.domain.workflow.StepSpecification;
@@ -20,6 +24,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.host.HostReport;
+import org.nettlering.domain.workflow.sharing.FillingRun;
 import org.nettlering.domain.workflow.sharing.ServingRun;
 import org.nettlering.domain.workflow.sharing.SharingGuard;
 
@@ -104,7 +109,12 @@
 
     @Test
     void tasksThatFillGoWhereNobodyIsServed() {
-        rooms.add(room("busy", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(new ServingRun("s", 20, 5))));
+        rooms.add(room(
+                "busy",
+                "r1",
+                Resources.of(32_000, 64_000, 0),
+                0,
+                List.of(new ServingRun(run("served", 0, 0, 1), "s", 20, 5))));
         host("idle", "r1", 8_000, 0);
         state.apply(job("a", step(3, List.of(), StepTrait.FILLS)));
         assertThat(startsByHost()).containsOnlyKeys("idle");
@@ -112,11 +122,108 @@
 
     @Test
     void tasksThatFillStayAwayFromAServiceThatIsNearItsTarget() {
-        rooms.add(room("busy", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(new ServingRun("s", 20, 19))));
+        rooms.add(room(
+                "busy",
+                "r1",
+                Resources.of(32_000, 64_000, 0),
+                0,
+                List.of(new ServingRun(run("served", 0, 0, 1), "s", 20, 19))));
         state.apply(job("a", step(3, List.of(), StepTrait.FILLS)));
         assertThat(plan()).isEmpty();
     }
 
+    @Test
+    void tasksThatServeShareHostsWithTheirOwnImage() {
+        host("h1", "r1", 4_000, 0);
+        host("h2", "r1", 4_000, 0);
+        host("h3", "r1", 4_000, 0);
+        state.apply(job("a", serving(2, "first")));
+        state.apply(job("b", serving(2, "second")));
+        state.apply(job("c", serving(2, "first")));
+        Map<String, Set<String>> jobsByHost = plan().stream()
+                .collect(Collectors.groupingBy(
+                        start -> start.run().host().id(),
+                        Collectors.mapping(start -> start.run().run().task().jobId(), Collectors.toSet())));
+        assertThat(jobsByHost.values()).containsExactlyInAnyOrder(Set.of("a", "c"), Set.of("b"));
+    }
+
+    @Test
+    void tasksThatFillGoBesideTheServiceThatTheyDisturbLeast() {
+        SharingGuard learned = learned();
+        rooms.add(room("tender", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("tender", 6))));
+        rooms.add(room("robust", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("robust", 6))));
+        state.apply(job("a", filling(4)));
+        assertThat(plan(learned, List.of()).starts())
+                .hasSize(4)
+                .allSatisfy(start -> assertThat(start.run().host().id()).isEqualTo("robust"));
+    }
+
+    @Test
+    void aRunThatIsHeldBackIsMovedToAHostWhoseServiceBearsIt() {
+        SharingGuard learned = learned();
+        rooms.add(room("tender", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("tender", 6))));
+        rooms.add(room("robust", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("robust", 6))));
+        HeldBackRun heldBack = heldBack("tender");
+        assertThat(plan(learned, List.of(heldBack)).moves()).containsExactly(heldBack.run());
+    }
+
+    @Test
+    void aRunThatIsHeldBackStaysWhereNoOtherHostIsBetter() {
+        SharingGuard learned = learned();
+        rooms.add(room("tender", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("tender", 6))));
+        rooms.add(room("other", "r1", Resources.of(32_000, 64_000, 0), 0, List.of(served("tender", 6))));
+        assertThat(plan(learned, List.of(heldBack("tender"))).moves()).isEmpty();
+    }
+
+    /** A run that fills and is slowed down on a host. */
+    private HeldBackRun heldBack(String hostId) {
+        state.apply(job("slow", filling(1)));
+        HostAddress host = new HostAddress(hostId, "10.0.0.1:80");
+        ActiveRun run = new ActiveRun(run("slow", 0, 0, 1), host, "");
+        state.apply(new Start(run));
+        return new HeldBackRun(run, state.step(run.run().task().step()).orElseThrow());
+    }
+
+    /** What is learned where one service is disturbed by what fills and another one is not. */
+    private static SharingGuard learned() {
+        SharingGuard guard = SharingGuard.create();
+        RunName run = run("filling", 0, 0, 1);
+        for (int look = 0; look < 100; look++) {
+            long nowNanos = Duration.ofMillis(500L * look).toNanos();
+            boolean beside = look % 4 < 2;
+            List<FillingRun> filling = beside ? List.of(new FillingRun(run, "filling", 4_000, 4_000, 100)) : List.of();
+            guard.paces("tender", List.of(served("tender", beside ? 9 : 6)), filling, nowNanos);
+            guard.paces("robust", List.of(served("robust", 6)), filling, nowNanos);
+        }
+        return guard;
+    }
+
+    private static ServingRun served(String image, long tailMillis) {
+        return new ServingRun(run(image, 0, 0, 1), image, 20, tailMillis);
+    }
+
+    private static StepSpecification serving(int count, String image) {
+        return new StepSpecification(
+                count,
+                Resources.of(1_000, 100, 0),
+                1_000,
+                List.of(),
+                Set.of(StepTrait.LONG_RUNNING),
+                StepLocality.ANYWHERE,
+                new StepSharing(image, 20, 0));
+    }
+
+    private static StepSpecification filling(int count) {
+        return new StepSpecification(
+                count,
+                Resources.of(4_000, 100, 0),
+                1_000,
+                List.of(),
+                Set.of(StepTrait.FILLS),
+                StepLocality.ANYWHERE,
+                new StepSharing("filling", 0, -1));
+    }
+
     @Test
     void theJobWithLeastWorkComesFirstWhenThereIsNotRoomForAll() {
         host("h1", "r1", 2_000, 0);
@@ -143,7 +250,11 @@
     }
 
     private List<Start> plan() {
-        return StartPlanner.plan(state, rooms, step -> true, SharingGuard.create(), 0);
+        return plan(SharingGuard.create(), List.of()).starts();
+    }
+
+    private StartPlan plan(SharingGuard sharing, List<HeldBackRun> heldBack) {
+        return StartPlanner.plan(state, rooms, step -> true, sharing, heldBack, 0);
     }
 
     private Map<String, Long> startsByHost() {
--- a/domain/src/test/java/org/nettlering/domain/workflow/sharing/SharingGuardTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/sharing/SharingGuardTest.java
@@ -14,6 +14,8 @@
 
     private static final RunName LIGHT = run("light", 0, 0, 1);
 
+    private static final RunName SERVED = run("served", 0, 0, 1);
+
     private final SharingGuard guard = SharingGuard.create();
 
     private long nowNanos;
@@ -37,6 +39,35 @@
         assertThat(paces.get(HEAVY)).isLessThan(90);
     }
 
+    @Test
+    void anImageThatCostsNothingIsLeftAloneAtThePeakOfTheServicesOwnLoad() {
+        learnThat(HEAVY, "h", 10);
+        learnThat(LIGHT, "l", 5);
+        assertThat(paces(List.of(serving(16)), List.of(filling(LIGHT, "l", 100))))
+                .isEmpty();
+    }
+
+    @Test
+    void everythingThatFillsIsSlowedDownWhenATargetIsMissedForLongWhateverItIsThoughtToCost() {
+        learnThat(LIGHT, "l", 5);
+        for (int look = 0; look < 2; look++) {
+            assertThat(paces(List.of(serving(21)), List.of(filling(LIGHT, "l", 100))))
+                    .as("missed for %s s", look)
+                    .isEmpty();
+        }
+        assertThat(paces(List.of(serving(21)), List.of(filling(LIGHT, "l", 100))))
+                .containsEntry(LIGHT, 5);
+    }
+
+    /** Has a run beside the service on and off, with a tail of 5 ms without it. */
+    private void learnThat(RunName run, String image, long tailMillis) {
+        for (int measurement = 0; measurement < 30; measurement++) {
+            paces(List.of(serving(5)), List.of());
+            paces(List.of(serving(tailMillis)), List.of(filling(run, image, 100)));
+            paces(List.of(serving(tailMillis)), List.of(filling(run, image, 100)));
+        }
+    }
+
     @Test
     void whatWasSlowedDownGoesOnWhenThereIsRoomAgain() {
         paces(List.of(serving(5)), List.of());
@@ -62,7 +93,7 @@
     }
 
     private static ServingRun serving(long tailMillis) {
-        return new ServingRun("s", 20, tailMillis);
+        return new ServingRun(SERVED, "s", 20, tailMillis);
     }
 
     private static FillingRun filling(RunName run, String image, int pace) {
