Leave the trend of a service's load out of the paces

Cause: the trend, from differences of estimates half a second apart, was mostly noise; it slowed down what fills at each rise. Change: the trend is gone. Tried and left out: adding processors up by image before the costs are learned; the replay in StrainModelTest then puts more of the swing down to a harmless pair.

--- a/domain/src/main/java/org/nettlering/domain/workflow/sharing/SharingGuard.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/SharingGuard.java
@@ -168,9 +168,8 @@
             return changes;
         }
         strains.forEach((run, strain) -> {
-            long soon = strain + Math.round(Math.max(0, model.outlook(hostId, run.run())));
-            if (soon > SLOW_DOWN_ABOVE) {
-                slowDown(run, excess(hostId, run, soon, filling), filling, changes);
+            if (strain > SLOW_DOWN_ABOVE) {
+                slowDown(run, excess(hostId, run, strain, filling), filling, changes);
             }
         });
         if (changes.isEmpty()) {
@@ -235,7 +234,7 @@
 
     /** Returns the strain to expect once the paces that were told have taken effect. */
     private double expected(String hostId, ServingRun serving, long measured, List<FillingRun> filling) {
-        double sum = model.base(hostId, serving.run(), measured) + model.outlook(hostId, serving.run());
+        double sum = model.base(hostId, serving.run(), measured);
         for (FillingRun run : filling) {
             sum += cost(serving, run, run.pacePercent());
         }
@@ -269,14 +268,14 @@
     }
 
     /**
-     * Returns the strain that a run is about to be under by its own load, without what fills beside it.
+     * Returns the strain that a run is under by its own load, without what fills beside it.
      *
      * @param hostId the life of its host, not null
      * @param run the run as measured last, not null
      * @return thousandths: 1000 at the target
      */
     public long ownStrain(String hostId, ServingRun run) {
-        return Math.round(model.base(hostId, run.run(), strain(run)) + model.outlook(hostId, run.run()));
+        return Math.round(model.base(hostId, run.run(), strain(run)));
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/workflow/sharing/StrainModel.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/sharing/StrainModel.java
@@ -41,18 +41,6 @@
     /** The part of the deviation that is added to the cost of a pair where a run would be added. */
     private static final double CAUTION = 0.5;
 
-    /** The weight of the latest rise or fall in the trend of a run's own strain. */
-    private static final double TREND_WEIGHT = 0.35;
-
-    /** How far ahead the trend is followed, in seconds: about as long as a change of pace takes to show. */
-    private static final double OUTLOOK_SECONDS = 0.9;
-
-    /** The most, in thousandths, that a trend counts for: no load rises for ever. */
-    private static final double LARGEST_OUTLOOK = 150;
-
-    /** The shortest time between two measurements whose difference tells of a trend, in seconds. */
-    private static final double SHORTEST_GAP_SECONDS = 0.2;
-
     /** The longest time between two measurements that counts, in seconds. */
     private static final double LONGEST_GAP_SECONDS = 5;
 
@@ -62,7 +50,7 @@
     private final Map<Pair, Estimate> costs = new HashMap<>();
 
     /** The own strain of each run that serves, by host. */
-    private final Map<String, Map<RunName, OwnStrain>> bases = new HashMap<>();
+    private final Map<String, Map<RunName, Estimate>> bases = new HashMap<>();
 
     StrainModel() {}
 
@@ -97,36 +85,6 @@
         }
     }
 
-    /** The own strain of a run and how fast it rises, in thousandths a second. */
-    private static final class OwnStrain {
-        private final Estimate base;
-
-        private double trend;
-
-        private double trendFrom;
-
-        private long trendNanos;
-
-        OwnStrain(long nowNanos) {
-            base = new Estimate(UNKNOWN_BASE, UNKNOWN_BASE_DEVIATION, nowNanos);
-            trendFrom = Double.NaN;
-            trendNanos = nowNanos;
-        }
-
-        /** Takes note of how the base has moved since the last time. */
-        private void noteTrend(long nowNanos) {
-            double seconds = (nowNanos - trendNanos) / NANOS_PER_SECOND;
-            if (!Double.isNaN(trendFrom) && seconds < SHORTEST_GAP_SECONDS) {
-                return;
-            }
-            if (!Double.isNaN(trendFrom) && seconds < LONGEST_GAP_SECONDS) {
-                trend += TREND_WEIGHT * ((base.value - trendFrom) / seconds - trend);
-            }
-            trendFrom = base.value;
-            trendNanos = nowNanos;
-        }
-    }
-
     /**
      * Learns from one measurement of the runs that serve on a host; runs that are not among them are forgotten.
      *
@@ -136,17 +94,16 @@
      * @param nowNanos the monotonic time
      */
     void learn(String hostId, Map<ServingRun, Long> strains, List<Neighbor> beside, long nowNanos) {
-        Map<RunName, OwnStrain> known = bases.computeIfAbsent(hostId, id -> new HashMap<>());
-        Map<RunName, OwnStrain> present = new HashMap<>();
+        Map<RunName, Estimate> known = bases.computeIfAbsent(hostId, id -> new HashMap<>());
+        Map<RunName, Estimate> present = new HashMap<>();
         Map<String, Integer> alike = new HashMap<>();
         strains.keySet().forEach(run -> alike.merge(run.image(), 1, Integer::sum));
         strains.forEach((run, strain) -> {
-            OwnStrain own = known.getOrDefault(run.run(), new OwnStrain(nowNanos));
+            Estimate base = known.getOrDefault(run.run(), new Estimate(UNKNOWN_BASE, UNKNOWN_BASE_DEVIATION, nowNanos));
             // Runs of one image on one host are disturbed alike: together they say little more than one of them.
             double noise = MEASUREMENT_VARIANCE * alike.getOrDefault(run.image(), 1);
-            learn(run.image(), own.base, strain, beside, noise, nowNanos);
-            own.noteTrend(nowNanos);
-            present.put(run.run(), own);
+            learn(run.image(), base, strain, beside, noise, nowNanos);
+            present.put(run.run(), base);
         });
         bases.put(hostId, present);
     }
@@ -177,15 +134,8 @@
 
     /** Returns the strain that a run is under by its own load, in thousandths, or another value if it was never measured. */
     double base(String hostId, RunName run, long unmeasured) {
-        OwnStrain own = bases.getOrDefault(hostId, Map.of()).get(run);
-        return own == null ? (double) unmeasured : own.base.value;
-    }
-
-    /** Returns by how much a run's own strain is about to change, in thousandths. */
-    double outlook(String hostId, RunName run) {
-        OwnStrain own = bases.getOrDefault(hostId, Map.of()).get(run);
-        double change = own == null ? 0 : own.trend * OUTLOOK_SECONDS;
-        return Math.clamp(change, -LARGEST_OUTLOOK, LARGEST_OUTLOOK);
+        Estimate base = bases.getOrDefault(hostId, Map.of()).get(run);
+        return base == null ? (double) unmeasured : base.value;
     }
 
     /** Returns what an image adds to the strain of another, in thousandths. */
