Tell callers the address at which they reach the leader

Change: [advertised] in a control process's settings names such addresses, and LeaderHintHandler tells them; the demonstration writes its relays there.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -187,7 +187,8 @@
         node.start();
         server = network.listen(
                 settings.peersAddress(),
-                TracingFrameHandler.of(LeaderHintHandler.of(dispatcher, this::leader), telemetry));
+                TracingFrameHandler.of(
+                        LeaderHintHandler.of(dispatcher, this::leader, settings.advertised()), telemetry));
         ControlMetrics.register(metrics.registry(), node, parts.configuration().state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
--- a/control/src/main/java/org/nettlering/control/service/LeaderHintHandler.java
+++ b/control/src/main/java/org/nettlering/control/service/LeaderHintHandler.java
@@ -1,5 +1,7 @@
 package org.nettlering.control.service;
 
+import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -24,20 +26,27 @@
     /** Returns the member that is believed to lead. */
     private final Supplier<Optional<Member>> leader;
 
+    /** Where callers reach members that they don't reach at their own addresses, by id. */
+    private final Map<String, InetSocketAddress> advertised;
+
     /**
      * Wraps a handler.
      *
      * @param inner handles the frames, not null
      * @param leader returns the member that is believed to lead, not null
+     * @param advertised where callers reach members that they don't reach at their own addresses, by id, not null
      * @return a new handler, never null
      */
-    public static LeaderHintHandler of(FrameHandler inner, Supplier<Optional<Member>> leader) {
-        return new LeaderHintHandler(inner, leader);
+    public static LeaderHintHandler of(
+            FrameHandler inner, Supplier<Optional<Member>> leader, Map<String, InetSocketAddress> advertised) {
+        return new LeaderHintHandler(inner, leader, advertised);
     }
 
-    private LeaderHintHandler(FrameHandler inner, Supplier<Optional<Member>> leader) {
+    private LeaderHintHandler(
+            FrameHandler inner, Supplier<Optional<Member>> leader, Map<String, InetSocketAddress> advertised) {
         this.inner = inner;
         this.leader = leader;
+        this.advertised = Map.copyOf(advertised);
     }
 
     @Override
@@ -59,7 +68,12 @@
             return cause;
         }
         return leader.get()
-                .map(member -> FrameFailureException.notLeader(member.id().value(), member.address()))
+                .map(member -> FrameFailureException.notLeader(member.id().value(), addressOf(member)))
                 .orElseGet(() -> FrameFailureException.notLeader(null));
     }
+
+    private String addressOf(Member member) {
+        InetSocketAddress address = advertised.get(member.id().value());
+        return address == null ? member.address() : address.getHostString() + ":" + address.getPort();
+    }
 }
--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -21,6 +21,8 @@
  * @param metricsAddress where it serves metrics, not null
  * @param dataFolder the folder that holds everything that must last, not null
  * @param members the members that are known at the start, by id, not null
+ * @param advertised where entries and other processes reach members that they don't reach at their own addresses, by id, not
+ *     null
  * @param groupStart what the process may do when its data folder is empty, not null
  * @param hostLimits the times that hosts keep to, not null
  * @param telemetry where spans go, not null
@@ -31,11 +33,14 @@
         InetSocketAddress metricsAddress,
         Path dataFolder,
         Map<String, ControlMember> members,
+        Map<String, InetSocketAddress> advertised,
         GroupStart groupStart,
         HostLimits hostLimits,
         TelemetrySettings telemetry) {
     private static final String MEMBERS = "members";
 
+    private static final String ADVERTISED = "advertised";
+
     private static final String GROUP = "group";
 
     private static final String HOSTS = "hosts";
@@ -48,6 +53,7 @@
     /** Copies the members in their order. */
     public ControlSettings {
         members = Collections.unmodifiableMap(new LinkedHashMap<>(members));
+        advertised = Map.copyOf(advertised);
     }
 
     /**
@@ -82,6 +88,7 @@
                 reader.address("listen", "metrics"),
                 Path.of(reader.text("storage", "data_folder")),
                 seeded ? seeds(reader, peersAddress.getPort()) : members(reader),
+                advertised(reader),
                 seeded ? new GroupStart(reader.flag(GROUP, "found", false), true) : new GroupStart(true, false),
                 hostLimits(reader),
                 TelemetrySettings.read(reader));
@@ -98,6 +105,16 @@
         return members;
     }
 
+    /** Reads where members are reached through a relay or a translated address. */
+    private static Map<String, InetSocketAddress> advertised(SettingsReader reader) {
+        Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        if (reader.hasSection(ADVERTISED)) {
+            reader.entries(ADVERTISED)
+                    .forEach((id, text) -> addresses.put(id, reader.parseAddress(ADVERTISED, id, text)));
+        }
+        return addresses;
+    }
+
     private static HostLimits hostLimits(SettingsReader reader) {
         Duration longest = reader.millis(HOSTS, "longest_lease_millis", Duration.ofSeconds(6));
         Duration lease = reader.millis(HOSTS, "lease_millis", Duration.ofSeconds(5));
--- a/control/src/test/java/org/nettlering/control/settings/ControlSettingsTest.java
+++ b/control/src/test/java/org/nettlering/control/settings/ControlSettingsTest.java
@@ -29,6 +29,16 @@
                 .doesNotHaveDuplicates();
     }
 
+    @Test
+    void membersBehindARelayAreAdvertisedAtItsAddress() throws IOException {
+        Path sample = SAMPLES.resolve("ankara-control-1.ini");
+        Path file = folder.resolve("relay.ini");
+        Files.writeString(file, Files.readString(sample) + "\n[advertised]\ncontrol-2 = 192.0.2.7:9100\n");
+
+        assertThat(ControlSettings.load(sample).advertised()).isEmpty();
+        assertThat(ControlSettings.load(file).advertised()).containsOnlyKeys("control-2");
+    }
+
     @Test
     void everyFaultOfABadFileIsNamed() throws IOException {
         Path file = folder.resolve("bad.ini");
--- a/standins/src/main/java/org/nettlering/standins/site/LocalSite.java
+++ b/standins/src/main/java/org/nettlering/standins/site/LocalSite.java
@@ -220,7 +220,7 @@
     }
 
     /**
-     * Lets entries reach control members at other addresses than their own, such as those of relays.
+     * Lets entries reach control members at other addresses than their own, such as those of relays; members advertise them.
      *
      * @param addresses {@code IP:PORT} by member id, not null
      */
@@ -234,7 +234,7 @@
      * @param host one of {@link #controls()}, not null
      */
     public void startControl(ControlHost host) {
-        Path settings = SettingsFiles.writeControl(folder, host, controls);
+        Path settings = SettingsFiles.writeControl(folder, host, controls, controlAddresses);
         start(host.id(), Program.CONTROL, List.of("--settings", settings.toString()));
     }
 
--- a/standins/src/main/java/org/nettlering/standins/site/SettingsFiles.java
+++ b/standins/src/main/java/org/nettlering/standins/site/SettingsFiles.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 /** Writes the settings files of a demonstration's processes. */
 final class SettingsFiles {
@@ -12,7 +13,7 @@
 
     private SettingsFiles() {}
 
-    static Path writeControl(Path folder, ControlHost host, List<ControlHost> members) {
+    static Path writeControl(Path folder, ControlHost host, List<ControlHost> members, Map<String, String> advertised) {
         StringBuilder text = new StringBuilder(process(host.id(), host.failureDomain()));
         text.append("\n[listen]\npeers = ").append(host.peers());
         text.append("\nmetrics = ").append(host.metrics());
@@ -22,6 +23,11 @@
             text.append(member.id()).append(" = ").append(member.peers());
             text.append(' ').append(member.failureDomain()).append('\n');
         }
+        if (!advertised.isEmpty()) {
+            text.append("\n[advertised]\n");
+            advertised.forEach((id, address) ->
+                    text.append(id).append(" = ").append(address).append('\n'));
+        }
         return write(folder.resolve(host.id() + ".ini"), text.toString());
     }
 
--- a/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
+++ b/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
@@ -62,6 +62,7 @@
                 ANY_PORT,
                 folder.resolve("data"),
                 Map.of("c1", new ControlMember("c1", new InetSocketAddress(ANY_PORT.getAddress(), 1), "fd-1")),
+                Map.of(),
                 new GroupStart(true, false),
                 new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofSeconds(1)),
                 TelemetrySettings.NONE);
