--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -53,9 +53,6 @@
     /** The least time from a look that does not wait to the next. */
     private static final Duration QUICK_LOOK_PAUSE = Duration.ofMillis(100);
 
-    /** How long to wait for the effect of a stop before it is sent again. */
-    private static final Duration STOP_PAUSE = Duration.ofMillis(400);
-
     /** How long after the last report a host gets no new work: three reports of the slowest kind. */
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(4_500);
 
@@ -277,7 +274,7 @@
     public void pace(RunName run, int percent) {
         TrackedRun tracked = runs.get(run);
         if (tracked != null) {
-            tracked.paceWanted = percent;
+            tracked.wantPace(percent);
         }
     }
 
@@ -298,13 +295,7 @@
     public List<RunLoad> loads() {
         return runs.values().stream()
                 .filter(tracked -> tracked.listed && !tracked.endFound && !tracked.stopWanted)
-                .map(tracked -> new RunLoad(
-                        tracked.run.run(),
-                        tracked.load,
-                        tracked.pacePercent(),
-                        tracked.percent,
-                        tracked.progressNanos,
-                        tracked.slowSinceNanos))
+                .map(TrackedRun::toLoad)
                 .toList();
     }
 
@@ -331,14 +322,14 @@
             return due;
         }
         for (TrackedRun tracked : runs.values()) {
-            addDue(tracked, due, nowNanos);
+            tracked.dueOrder(token, lease, silent, nowNanos).ifPresent(due::add);
         }
         strays.replaceAll((run, next) -> {
             if (nowNanos - next < 0) {
                 return next;
             }
             due.add(new HostOrder.Stop(host, token, run));
-            return nowNanos + STOP_PAUSE.toNanos();
+            return nowNanos + TrackedRun.STOP_PAUSE.toNanos();
         });
         if (wantsLook(nowNanos)) {
             due.add(look(nowNanos));
@@ -346,37 +337,6 @@
         return due;
     }
 
-    private void addDue(TrackedRun tracked, List<HostOrder> due, long nowNanos) {
-        if (tracked.endFound) {
-            return;
-        }
-        if (tracked.stage == Stage.TO_SEND && lease.canBeRenewed() && !tracked.stopWanted) {
-            tracked.stage = Stage.SENT;
-            due.add(new HostOrder.Start(
-                    token, tracked.run, tracked.taskSpecification, lease.renewed(nowNanos), tracked.ticket));
-            return;
-        }
-        boolean stopDue = tracked.stopWanted
-                && tracked.stage != Stage.TO_SEND
-                && !tracked.stopInFlight
-                && !tracked.stopAnswered
-                && nowNanos - tracked.nextStopNanos >= 0;
-        if (stopDue) {
-            tracked.stopInFlight = true;
-            due.add(new HostOrder.Stop(host, token, tracked.run.run()));
-            return;
-        }
-        boolean paceDue = tracked.stage == Stage.CONFIRMED
-                && !tracked.stopWanted
-                && !tracked.paceInFlight
-                && !silent
-                && tracked.wantsPace();
-        if (paceDue) {
-            tracked.paceInFlight = true;
-            due.add(new HostOrder.Pace(host, token, tracked.run.run(), tracked.paceWanted));
-        }
-    }
-
     private boolean wantsLook(long nowNanos) {
         boolean needed = !looked || silent || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
         boolean mayWaitForLog = ends.isWaiting() && !silent;
@@ -421,10 +381,7 @@
     private List<End> paceAnswered(HostOrder.Pace pace, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(pace.run());
         if (tracked != null) {
-            tracked.paceInFlight = false;
-            if (answer instanceof Accepted) {
-                tracked.takePace(pace.percent(), nowNanos);
-            }
+            tracked.paceAnswered(pace.percent(), answer instanceof Accepted, nowNanos);
         }
         return List.of();
     }
@@ -471,12 +428,7 @@
             }
             return List.of();
         }
-        tracked.stopInFlight = false;
-        tracked.nextStopNanos = nowNanos + STOP_PAUSE.toNanos();
-        if (answer instanceof Accepted) {
-            tracked.stopAnswered = true;
-            tracked.stopAnsweredNanos = nowNanos;
-        }
+        tracked.stopAnswered(answer instanceof Accepted, nowNanos);
         return List.of();
     }
 
@@ -531,16 +483,12 @@
             return;
         }
         tracked.list(listed, nowNanos);
-        long stopDueNanos = limits.stopGrace().plus(STOP_PAUSE).toNanos();
-        if (tracked.stopAnswered && nowNanos - tracked.stopAnsweredNanos > stopDueNanos) {
-            tracked.stopAnswered = false;
-        }
+        tracked.repeatStopAfter(limits.stopGrace(), nowNanos);
     }
 
     /** Decides what it means that a look shows a run neither at work nor ended. */
     private void judgeAbsence(TrackedRun tracked, long sentNanos, List<End> found) {
-        boolean stoppedBefore = tracked.stopAnswered
-                && sentNanos - tracked.stopAnsweredNanos >= limits.stopGrace().toNanos();
+        boolean stoppedBefore = tracked.wasStoppedBefore(limits.stopGrace(), sentNanos);
         switch (tracked.stage) {
             case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN));
             case TO_SEND, SENT -> {}
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -1,5 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
+import java.time.Duration;
+import java.util.Optional;
 import org.nettlering.domain.workflow.ActiveRun;
 
 /** A run that may be at work on a host, as the leader follows it. Belongs to a {@link HostSession}. Not thread-safe. */
@@ -18,8 +20,11 @@
         CONFIRMED
     }
 
+    /** How long to wait for the effect of a stop before it is sent again. */
+    static final Duration STOP_PAUSE = Duration.ofMillis(400);
+
     /** The pace of a run that was told nothing, in percent. */
-    static final int FULL_PACE = 100;
+    private static final int FULL_PACE = 100;
 
     /** Stands for the pace of a run to which an earlier leader may have told one. */
     private static final int UNKNOWN_PACE = -1;
@@ -43,16 +48,16 @@
     boolean stopWanted;
 
     /** Whether a stop is on its way. */
-    boolean stopInFlight;
+    private boolean stopInFlight;
 
     /** When the next stop may be sent, by the monotonic clock. */
-    long nextStopNanos;
+    private long nextStopNanos;
 
     /** Whether the host answered a stop. */
-    boolean stopAnswered;
+    private boolean stopAnswered;
 
     /** When it did, by the monotonic clock. */
-    long stopAnsweredNanos;
+    private long stopAnsweredNanos;
 
     /** Whether an end was found and waits to be logged. */
     boolean endFound;
@@ -61,25 +66,25 @@
     String checkpoint;
 
     /** How far the run is, as listed last. */
-    int percent;
+    private int percent;
 
     /** When the percent last rose, by the monotonic clock. */
-    long progressNanos;
+    private long progressNanos;
 
     /** The load as listed last: milliseconds of tail, or millicores. */
-    long load;
+    private long load;
 
     /** The pace that is wanted, in percent. */
-    int paceWanted = FULL_PACE;
+    private int paceWanted = FULL_PACE;
 
     /** The pace that the host was told last, in percent, or {@link #UNKNOWN_PACE}. */
     private int paceTold = FULL_PACE;
 
     /** When the host took the first order to work at less than its full speed, by the monotonic clock. */
-    long slowSinceNanos;
+    private long slowSinceNanos;
 
     /** Whether an order of pace is on its way. */
-    boolean paceInFlight;
+    private boolean paceInFlight;
 
     /** Whether the run was listed at work. */
     boolean listed;
@@ -100,22 +105,87 @@
         slowSinceNanos = nowNanos;
     }
 
-    /** Tells whether the host has to be told a pace. */
-    boolean wantsPace() {
-        return paceWanted != paceTold;
+    void wantPace(int percent) {
+        paceWanted = percent;
     }
 
-    /** Returns the pace at which the run works as far as is known, in percent. */
-    int pacePercent() {
-        return Math.max(0, paceTold);
+    /** Returns the order that the host is owed for this run, and takes it as sent. */
+    Optional<HostOrder> dueOrder(long token, HostLease lease, boolean silent, long nowNanos) {
+        if (endFound) {
+            return Optional.empty();
+        }
+        if (stage == Stage.TO_SEND) {
+            return lease.canBeRenewed() && !stopWanted
+                    ? Optional.of(startOrder(token, lease.renewed(nowNanos)))
+                    : Optional.empty();
+        }
+        if (stopWanted) {
+            return isStopDue(nowNanos) ? Optional.of(stopOrder(token)) : Optional.empty();
+        }
+        return isPaceDue(silent) ? Optional.of(paceOrder(token)) : Optional.empty();
     }
 
-    /** Takes note that the host has taken a pace. */
-    void takePace(int percent, long nowNanos) {
+    private HostOrder startOrder(long token, long leaseUntilMillis) {
+        stage = Stage.SENT;
+        return new HostOrder.Start(token, run, taskSpecification, leaseUntilMillis, ticket);
+    }
+
+    private boolean isStopDue(long nowNanos) {
+        return !stopInFlight && !stopAnswered && nowNanos - nextStopNanos >= 0;
+    }
+
+    private HostOrder stopOrder(long token) {
+        stopInFlight = true;
+        return new HostOrder.Stop(run.host(), token, run.run());
+    }
+
+    private boolean isPaceDue(boolean silent) {
+        return stage == Stage.CONFIRMED && !paceInFlight && !silent && paceWanted != paceTold;
+    }
+
+    private HostOrder paceOrder(long token) {
+        paceInFlight = true;
+        return new HostOrder.Pace(run.host(), token, run.run(), paceWanted);
+    }
+
+    /** Takes what came of a stop. */
+    void stopAnswered(boolean accepted, long nowNanos) {
+        stopInFlight = false;
+        nextStopNanos = nowNanos + STOP_PAUSE.toNanos();
+        if (accepted) {
+            stopAnswered = true;
+            stopAnsweredNanos = nowNanos;
+        }
+    }
+
+    /** Has the stop sent again if the run is still listed long after the host answered it. */
+    void repeatStopAfter(Duration grace, long nowNanos) {
+        if (stopAnswered
+                && nowNanos - stopAnsweredNanos > grace.plus(STOP_PAUSE).toNanos()) {
+            stopAnswered = false;
+        }
+    }
+
+    /** Tells whether the grace of an answered stop was over when a look was sent. */
+    boolean wasStoppedBefore(Duration grace, long sentNanos) {
+        return stopAnswered && sentNanos - stopAnsweredNanos >= grace.toNanos();
+    }
+
+    /** Takes what came of an order of pace. */
+    void paceAnswered(int percentTold, boolean accepted, long nowNanos) {
+        paceInFlight = false;
+        if (!accepted) {
+            return;
+        }
         if (paceTold == FULL_PACE) {
             slowSinceNanos = nowNanos;
         }
-        paceTold = percent;
+        paceTold = percentTold;
+    }
+
+    /** Returns what the last look told of the run. */
+    RunLoad toLoad() {
+        return new RunLoad(run.run(), load, Math.max(0, paceTold), percent, progressNanos, slowSinceNanos);
     }
 
     void confirm(long nowNanos) {
