--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/HostSharing.java
@@ -0,0 +1,100 @@
+package org.nettlering.control.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HoldBackRule;
+import org.nettlering.domain.workflow.host.HostSession;
+import org.nettlering.domain.workflow.host.RunLoad;
+import org.nettlering.domain.workflow.placement.HeldBackRun;
+import org.nettlering.domain.workflow.sharing.FillingRun;
+import org.nettlering.domain.workflow.sharing.ServingRun;
+import org.nettlering.domain.workflow.sharing.SharingGuard;
+import org.nettlering.runtime.log.EventLogger;
+
+/**
+ * How the runs on the hosts of one leadership share them: what the looks tell goes to the guard, and its paces to the hosts.
+ *
+ * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
+ */
+final class HostSharing {
+    /** The percent of a task that lasts and is at work. */
+    private static final int WHOLE_PERCENT = 100;
+
+    private static final EventLogger LOG = EventLogger.of(HostSharing.class);
+
+    /** What was learned of the images that share hosts. */
+    private final SharingGuard guard = SharingGuard.create();
+
+    HostSharing() {}
+
+    /** Returns what was learned of the images that share hosts. */
+    SharingGuard guard() {
+        return guard;
+    }
+
+    /** Forgets a host. */
+    void forget(String hostId) {
+        guard.forget(hostId);
+    }
+
+    /** Learns how the runs on a host bear each other, and sets the pace of those that fill. */
+    void share(WorkflowState state, HostSession session, long nowNanos) {
+        List<ServingRun> serving = servingRuns(state, session);
+        List<FillingRun> filling = fillingRuns(state, session);
+        session.watch(!serving.isEmpty() && !filling.isEmpty());
+        Map<RunName, Integer> paces = guard.paces(session.host().id(), serving, filling, nowNanos);
+        if (!paces.isEmpty()) {
+            LOG.log(WorkflowEvent.PACES_CHANGED, session.host().id(), serving, filling, paces);
+            paces.forEach(session::pace);
+        }
+    }
+
+    static List<ServingRun> servingRuns(WorkflowState state, HostSession session) {
+        List<ServingRun> serving = new ArrayList<>();
+        for (RunLoad load : session.loads()) {
+            state.step(load.run().task().step())
+                    .map(StepProgress::specification)
+                    .filter(step -> step.serves() && load.percent() == WHOLE_PERCENT)
+                    .ifPresent(step -> serving.add(new ServingRun(
+                            load.run(), step.sharing().image(), step.sharing().targetMillis(), load.load())));
+        }
+        return serving;
+    }
+
+    private static List<FillingRun> fillingRuns(WorkflowState state, HostSession session) {
+        List<FillingRun> filling = new ArrayList<>();
+        for (RunLoad load : session.loads()) {
+            state.step(load.run().task().step())
+                    .map(StepProgress::specification)
+                    .filter(step -> step.has(StepTrait.FILLS))
+                    .ifPresent(step -> filling.add(new FillingRun(
+                            load.run(),
+                            step.sharing().image(),
+                            step.demand().millicores(),
+                            load.load(),
+                            load.pacePercent())));
+        }
+        return filling;
+    }
+
+    /** Returns the runs that are held back for the sake of others and that lose little when they are moved. */
+    List<HeldBackRun> heldBackRuns(WorkflowState state, Collection<HostSession> sessions, long nowNanos) {
+        List<HeldBackRun> heldBack = new ArrayList<>();
+        for (HostSession session : sessions) {
+            for (RunLoad load : session.loads()) {
+                state.step(load.run().task().step())
+                        .filter(step -> HoldBackRule.isHeldBack(step.specification(), load, nowNanos))
+                        .ifPresent(step ->
+                                heldBack.add(new HeldBackRun(new ActiveRun(load.run(), session.host(), ""), step)));
+            }
+        }
+        return heldBack;
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -25,7 +25,6 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
-import org.nettlering.domain.workflow.host.HoldBackRule;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -33,14 +32,10 @@
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunLoad;
 import org.nettlering.domain.workflow.host.StallRule;
-import org.nettlering.domain.workflow.placement.HeldBackRun;
 import org.nettlering.domain.workflow.placement.HostDoubts;
 import org.nettlering.domain.workflow.placement.HostRoom;
 import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
-import org.nettlering.domain.workflow.sharing.FillingRun;
-import org.nettlering.domain.workflow.sharing.ServingRun;
-import org.nettlering.domain.workflow.sharing.SharingGuard;
 import org.nettlering.runtime.log.EventLogger;
 
 /**
@@ -58,9 +53,6 @@
     /** How much later than due an occurrence begins, so that clocks that differ a little begin none too early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
-    /** The percent of a task that lasts and is at work. */
-    private static final int WHOLE_PERCENT = 100;
-
     private static final EventLogger LOG = EventLogger.of(WorkflowLeadership.class);
 
     /** The term. */
@@ -75,8 +67,8 @@
     /** The hosts to avoid. */
     private final HostDoubts doubts = HostDoubts.none();
 
-    /** What was learned of the images that share hosts. */
-    private final SharingGuard sharing = SharingGuard.create();
+    /** How the runs on each host share it. */
+    private final HostSharing sharing = new HostSharing();
 
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
@@ -156,7 +148,7 @@
         }
         collect(session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
-            share(state, session, nowNanos);
+            sharing.share(state, session, nowNanos);
             stopStalled(state, session, nowNanos);
         }
     }
@@ -175,46 +167,6 @@
         }
     }
 
-    /** Learns how the runs on a host bear each other, and sets the pace of those that fill. */
-    private void share(WorkflowState state, HostSession session, long nowNanos) {
-        List<ServingRun> serving = servingRuns(state, session);
-        List<FillingRun> filling = fillingRuns(state, session);
-        session.watch(!serving.isEmpty() && !filling.isEmpty());
-        Map<RunName, Integer> paces = sharing.paces(session.host().id(), serving, filling, nowNanos);
-        if (!paces.isEmpty()) {
-            LOG.log(WorkflowEvent.PACES_CHANGED, session.host().id(), serving, filling, paces);
-            paces.forEach(session::pace);
-        }
-    }
-
-    private static List<ServingRun> servingRuns(WorkflowState state, HostSession session) {
-        List<ServingRun> serving = new ArrayList<>();
-        for (RunLoad load : session.loads()) {
-            state.step(load.run().task().step())
-                    .map(StepProgress::specification)
-                    .filter(step -> step.serves() && load.percent() == WHOLE_PERCENT)
-                    .ifPresent(step -> serving.add(new ServingRun(
-                            load.run(), step.sharing().image(), step.sharing().targetMillis(), load.load())));
-        }
-        return serving;
-    }
-
-    private static List<FillingRun> fillingRuns(WorkflowState state, HostSession session) {
-        List<FillingRun> filling = new ArrayList<>();
-        for (RunLoad load : session.loads()) {
-            state.step(load.run().task().step())
-                    .map(StepProgress::specification)
-                    .filter(step -> step.has(StepTrait.FILLS))
-                    .ifPresent(step -> filling.add(new FillingRun(
-                            load.run(),
-                            step.sharing().image(),
-                            step.demand().millicores(),
-                            load.load(),
-                            load.pacePercent())));
-        }
-        return filling;
-    }
-
     private void collect(List<End> ends) {
         ends.forEach(end -> openEnds.put(end.run(), end));
     }
@@ -249,7 +201,12 @@
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
             StartPlan plan = StartPlanner.plan(
-                    state, rooms(state, nowNanos), step -> true, sharing, heldBackRuns(state, nowNanos), nowMillis);
+                    state,
+                    rooms(state, nowNanos),
+                    step -> true,
+                    sharing.guard(),
+                    sharing.heldBackRuns(state, sessions.values(), nowNanos),
+                    nowMillis);
             batch.addAll(plan.starts());
             plan.moves().forEach(this::move);
         }
@@ -258,20 +215,6 @@
         return batch;
     }
 
-    /** Returns the runs that are held back for the sake of others and that lose little when they are moved. */
-    private List<HeldBackRun> heldBackRuns(WorkflowState state, long nowNanos) {
-        List<HeldBackRun> heldBack = new ArrayList<>();
-        for (HostSession session : sessions.values()) {
-            for (RunLoad load : session.loads()) {
-                state.step(load.run().task().step())
-                        .filter(step -> HoldBackRule.isHeldBack(step.specification(), load, nowNanos))
-                        .ifPresent(step ->
-                                heldBack.add(new HeldBackRun(new ActiveRun(load.run(), session.host(), ""), step)));
-            }
-        }
-        return heldBack;
-    }
-
     private void move(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
         stop(run);
@@ -311,8 +254,8 @@
             }
             HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
             session.report()
-                    .ifPresent(report -> rooms.add(
-                            HostRoom.of(report, commitments, doubts.doubtOf(id), servingRuns(state, session))));
+                    .ifPresent(report -> rooms.add(HostRoom.of(
+                            report, commitments, doubts.doubtOf(id), HostSharing.servingRuns(state, session))));
         }
         return rooms;
     }
