Turn requests away at once while no leader answers

Change: WatchedGateway turns requests away as not run once no leader has answered for 1.5 s, while the watch asks every 150 ms, so that they pass again soon after one is there.

--- a/entry/src/main/java/org/nettlering/entry/workflow/LeaderWatch.java
+++ b/entry/src/main/java/org/nettlering/entry/workflow/LeaderWatch.java
@@ -23,6 +23,12 @@
     /** How old the last success may be: two checks may fail. */
     private static final Duration FRESH = Duration.ofSeconds(3);
 
+    /** How long no leader has answered before requests are turned away at once: two checks have failed by then. */
+    static final Duration LEADERLESS_AFTER = Duration.ofMillis(1_500);
+
+    /** How often the leader is asked while none answers: requests are turned away until one does. */
+    private static final Duration LEADERLESS_INTERVAL = Duration.ofMillis(150);
+
     private static final EventLogger LOG = EventLogger.of(LeaderWatch.class);
 
     /** The way to the leader. */
@@ -68,11 +74,11 @@
         }
         client.check(TIMEOUT).whenComplete((done, failure) -> {
             if (failure == null) {
-                succeeded();
+                answered();
             } else {
                 noteFailure(failure);
             }
-            timer = time.schedule(INTERVAL, this::check);
+            timer = time.schedule(isLeaderless() ? LEADERLESS_INTERVAL : INTERVAL, this::check);
         });
     }
 
@@ -83,7 +89,8 @@
         }
     }
 
-    private void succeeded() {
+    /** Takes note that a leader has just answered, a check or another request. */
+    void answered() {
         lastSuccessNanos.set(time.nanoTime());
         if (!reached) {
             reached = true;
@@ -91,8 +98,17 @@
         }
     }
 
+    /** Tells whether no leader has answered for so long that a request would wait in vain. */
+    boolean isLeaderless() {
+        return !isYoungerThan(LEADERLESS_AFTER);
+    }
+
     private boolean isFresh() {
-        return time.nanoTime() - lastSuccessNanos.get() <= FRESH.toNanos();
+        return isYoungerThan(FRESH);
+    }
+
+    private boolean isYoungerThan(Duration age) {
+        return time.nanoTime() - lastSuccessNanos.get() <= age.toNanos();
     }
 
     @Override
--- /dev/null
+++ b/entry/src/test/java/org/nettlering/entry/workflow/WatchedGatewayTest.java
@@ -0,0 +1,91 @@
+package org.nettlering.entry.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowAnswer;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowResponse;
+import org.nettlering.wire.transport.ControlGateway;
+import org.nettlering.wire.workflow.WorkflowClient;
+
+class WatchedGatewayTest {
+    private static final Frame REQUEST = Frame.getDefaultInstance();
+
+    private static final Duration TIMEOUT = Duration.ofMillis(900);
+
+    private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
+
+    private final Leader leader = new Leader();
+
+    private final LeaderWatch watch = LeaderWatch.start(WorkflowClient.of(leader), time);
+
+    private final WatchedGateway gateway = WatchedGateway.of(leader, watch);
+
+    @Test
+    void aRequestReachesALeaderThatAnswers() {
+        assertThat(call()).isCompletedWithValue(leader.answer);
+    }
+
+    @Test
+    void requestsAreTurnedAwayAtOnceOnceNoLeaderHasAnsweredForAWhile() {
+        leader.isThere = false;
+        time.advance(Duration.ofMillis(1_400));
+        int before = leader.calls.size();
+        assertThat(call()).as("a short gap is waited out").isNotNull();
+        assertThat(leader.calls).hasSizeGreaterThan(before);
+        time.advance(Duration.ofMillis(200));
+        int reached = leader.calls.size();
+        assertThat(call().exceptionNow())
+                .isInstanceOfSatisfying(
+                        NettleringException.class,
+                        refusal -> assertThat(refusal.code()).isEqualTo(ErrorCode.NO_LEADER));
+        assertThat(leader.calls).as("what is turned away reaches nobody").hasSize(reached);
+    }
+
+    @Test
+    void requestsPassAgainSoonAfterALeaderIsThere() {
+        leader.isThere = false;
+        time.advance(Duration.ofSeconds(4));
+        leader.isThere = true;
+        time.advance(Duration.ofMillis(150));
+        assertThat(call()).isCompletedWithValue(leader.answer);
+    }
+
+    private CompletableFuture<Frame> call() {
+        return gateway.callLeader(REQUEST, true, TIMEOUT).toCompletableFuture();
+    }
+
+    /** A leader that is there or not. */
+    private static final class Leader implements ControlGateway {
+        private final Frame answer = Frame.newBuilder()
+                .setWorkflowResponse(WorkflowResponse.newBuilder().setAnswer(WorkflowAnswer.ANSWER_DONE))
+                .build();
+
+        private final List<Frame> calls = new ArrayList<>();
+
+        private boolean isThere = true;
+
+        @Override
+        public CompletionStage<Frame> callLeader(Frame request, boolean repeatable, Duration timeout) {
+            calls.add(request);
+            return isThere
+                    ? CompletableFuture.completedFuture(answer)
+                    : CompletableFuture.failedFuture(new NettleringException(ErrorCode.NO_LEADER, "none is elected"));
+        }
+
+        @Override
+        public List<CompletionStage<Frame>> callEveryMember(Frame request, Duration timeout) {
+            return List.of();
+        }
+    }
+}
