Let the resend's check wait until the resend waits

Its lookup in the ledger is repeated on the paused clock; when the entry's thread was told that the first attempt is in flight only before, and set its timer only after, the step had moved the clock by 100 ms, the timer never came due. Ruled out: the product, whose clock does not stand still. Change: the step gives the entry 5 s of real time and then moves the clock by 100 ms once more; what both callers get and how often the upstream is asked is checked as before.

--- a/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
+++ b/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
@@ -20,6 +20,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.ledger.LedgerKey;
@@ -35,6 +38,9 @@
     private static final String SERVICE = "previews";
     private static final String PATH = "/previews/1";
 
+    /** How long, in real time, a thread of the entry may take to set a timer on a busy machine. */
+    private static final Duration RESEND_PATIENCE = Duration.ofSeconds(5);
+
     private final EntryFixture entry = EntryFixture.start();
     private final Map<String, ScriptedUpstream> upstreams = new LinkedHashMap<>();
     private final Map<String, String> firstAnnouncements = new LinkedHashMap<>();
@@ -319,6 +325,22 @@
         entry.advance(Duration.ofMillis(millis));
     }
 
+    /**
+     * Lets time pass after the resend has begun to wait.
+     *
+     * <p>The entry asks the ledger for the resend on a thread of its own. If it has been told that the first attempt is in flight
+     * but has not set its timer when the clock moves, the timer counts from the later time, and the clock has to move again.
+     */
+    @When("{int} ms pass after the resend has begun to wait")
+    public void passAfterResend(int millis) throws InterruptedException, ExecutionException {
+        entry.advance(Duration.ofMillis(millis));
+        try {
+            sent.getLast().get(RESEND_PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException timerWasSetLater) {
+            entry.advance(Duration.ofMillis(millis));
+        }
+    }
+
     @When("{int} ms pass after it reached the upstream")
     public void passAfterReaching(int millis) {
         entry.advance(Duration.ofMillis(millis));
--- a/entry/src/test/resources/features/at-most-once.feature
+++ b/entry/src/test/resources/features/at-most-once.feature
@@ -21,7 +21,7 @@
     When a caller posts a request with key "k1" and does not wait
     And the caller posts it again with key "k1" and does not wait
     And the upstream answers the held request with "invoice 7"
-    And 100 ms pass
+    And 100 ms pass after the resend has begun to wait
     Then both callers got "invoice 7"
     And the upstreams got 1 request altogether
 
