Let the check of a freed key wait for the entry's own thread

The entry answers the caller first and frees the key on its own thread; a resend in between waits, which is as promised.

--- a/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
+++ b/entry/src/test/java/org/nettlering/entry/features/EntrySteps.java
@@ -436,11 +436,17 @@
                 .isLessThanOrEqualTo(count);
     }
 
+    /** Waits for a key to be freed: the entry frees it on its own thread, while the caller has its answer already. */
     @Then("the key {string} is free")
     public void keyIsFree(String key) {
         Instant now = entry.time().instant();
-        assertThat(entry.control().ledger().lookUp(new LedgerKey(SERVICE, key), now))
-                .isInstanceOf(LedgerReply.Absent.class);
+        LedgerKey ledgerKey = new LedgerKey(SERVICE, key);
+        long patienceEndsNanos = System.nanoTime() + EntryFixture.PATIENCE.toNanos();
+        while (!(entry.control().ledger().lookUp(ledgerKey, now) instanceof LedgerReply.Absent)
+                && System.nanoTime() - patienceEndsNanos < 0) {
+            Thread.onSpinWait();
+        }
+        assertThat(entry.control().ledger().lookUp(ledgerKey, now)).isInstanceOf(LedgerReply.Absent.class);
     }
 
     @Then("the raw caller sees a connection that broke before the end of the answer")
