Reproduce done work that is started again: failing tests, listed as red

What the tests show on this code: a run is taken for lost when the lease is over by the host's clock; the true end in the host's list then finds no run that is followed and is dropped, and the next look lets the host forget it.

--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -94,6 +94,40 @@
         assertThat(state.waitingSteps()).hasSize(1);
     }
 
+    /** Guards against done work being started again: the true end of a run that was taken for lost was dropped. */
+    @Test
+    void aRunThatWasTakenForLostAndTurnsOutDoneEndsItsTask() {
+        state.apply(job("a", step(1, List.of())));
+        state.apply(start("a", 0, 0, 1));
+        state.apply(end("a", 0, 0, 1, RunEnd.HOST_LOST));
+        assertThat(state.apply(end("a", 0, 0, 1, RunEnd.DONE))).isEqualTo(WorkflowOutcome.APPLIED);
+        assertThat(phase("a")).isEqualTo(JobPhase.COMPLETED);
+        assertThat(state.apply(start("a", 0, 0, 2))).isEqualTo(WorkflowOutcome.UNCHANGED);
+        assertThat(state.apply(end("a", 0, 0, 1, RunEnd.DONE))).isEqualTo(WorkflowOutcome.UNCHANGED);
+    }
+
+    @Test
+    void theFailureOfARunThatWasTakenForLostCountsOnce() {
+        state.apply(job("a", step(1, List.of())));
+        state.apply(start("a", 0, 0, 1));
+        state.apply(end("a", 0, 0, 1, RunEnd.HOST_LOST));
+        state.apply(end("a", 0, 0, 1, RunEnd.FAILED));
+        state.apply(end("a", 0, 0, 1, RunEnd.FAILED));
+        assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+        state.apply(start("a", 0, 0, 2));
+        state.apply(end("a", 0, 0, 2, RunEnd.FAILED));
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void theOpenFateOfALostRunIsKeptInASnapshot() {
+        state.apply(job("a", step(1, List.of())));
+        state.apply(start("a", 0, 0, 1));
+        state.apply(end("a", 0, 0, 1, RunEnd.HOST_LOST));
+        WorkflowState restored = WorkflowState.from(state.image());
+        assertThat(restored.apply(end("a", 0, 0, 1, RunEnd.DONE))).isEqualTo(WorkflowOutcome.APPLIED);
+    }
+
     @Test
     void aTaskThatLastsIsStartedAgainHoweverItEnds() {
         state.apply(job("a", step(1, List.of(), StepTrait.LONG_RUNNING)));
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -153,6 +153,58 @@
         assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
     }
 
+    /** Guards against done work being started again: a run was taken for lost while its host was alive and knew better. */
+    @Test
+    void aRunOnAHostThatStillReportsIsNotTakenForLostWhenItsLeaseIsOver() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        for (long sequence = 2; sequence < 7; sequence++) {
+            passSilently(1_500);
+            report(false, sequence);
+        }
+        assertThat(session.overdueEnds(nowNanos)).isEmpty();
+        ListedEnd done = new ListedEnd(1, RUN, RunEnd.DONE, "");
+        assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
+    }
+
+    @Test
+    void aRunOnAHostThatReportsButNeverAnswersIsTakenForLostInTheEnd() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        for (long sequence = 2; sequence < 12; sequence++) {
+            passSilently(1_500);
+            report(false, sequence);
+        }
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+    }
+
+    /** Guards against done work being started again: the host was told to forget an end that nobody had logged. */
+    @Test
+    void anEndThatIsListedAfterTheRunWasTakenForLostIsLoggedBeforeTheHostMayForgetIt() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        passSilently(7_000);
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+        session.ended(RUN);
+        report(false, 2);
+        ListedEnd done = new ListedEnd(4, RUN, RunEnd.DONE, "");
+        assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
+        pass(200);
+        assertThat(orders()).as("no look before the end is logged").isEmpty();
+        session.ended(RUN);
+        assertThat(look().noted()).isEqualTo(4);
+    }
+
+    @Test
+    void anEndThatIsListedWhileTheLossWaitsToBeLoggedTakesItsPlace() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        passSilently(7_000);
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+        ListedEnd done = new ListedEnd(4, RUN, RunEnd.DONE, "");
+        assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
+    }
+
     @Test
     void aHostThatIsSilentIsNotGivenALongerLease() {
         answeredOnce();
