Tell in an end's line what showed it

Ruled out: a field in the replicated End, which would change what is logged for the sake of a line. Change: each TrackedRun keeps an EndProof beside the end that was found. A lapsed lease names the host's clock, the end of the lease, and the ages of the reading, of the last report and of the last answer. No decision changes. Ends that the host listed read as before. Before: no line names a proof. After: of the lines of TaskProtocolCheckTest and WorkflowPathTest every end that the host did not list names one. EndProofTest, HostSessionTest, TaskProtocolCheckTest and WorkflowPathTest passed; the other tests were not run for this commit.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -25,6 +25,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
+import org.nettlering.domain.workflow.host.EndProof;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -73,6 +74,9 @@
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
 
+    /** What showed the ends that are not reported yet. */
+    private final Map<RunName, EndProof> proofs = new HashMap<>();
+
     /** When each job was first seen to have ended, by the monotonic clock. */
     private final Map<String, Long> endedJobs = new HashMap<>();
 
@@ -146,7 +150,7 @@
         if (session == null) {
             return;
         }
-        collect(session.answered(order, sentNanos, answer, nowNanos));
+        collect(session, session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             sharing.share(state, session, nowNanos);
             stopStalled(state, session, nowNanos);
@@ -167,8 +171,17 @@
         }
     }
 
-    private void collect(List<End> ends) {
-        ends.forEach(end -> openEnds.put(end.run(), end));
+    private void collect(HostSession session, List<End> ends) {
+        for (End end : ends) {
+            openEnds.put(end.run(), end);
+            session.proofOf(end.run()).ifPresent(proof -> proofs.put(end.run(), proof));
+        }
+    }
+
+    /** Returns what showed an end that is in the log now, and forgets it. */
+    EndProof takeProof(RunName run) {
+        EndProof proof = proofs.remove(run);
+        return proof == null ? new EndProof.Listed() : proof;
     }
 
     /** Decides whether a job is accepted; returns when its caller should come back if it is not. */
@@ -194,7 +207,7 @@
         if (proposing) {
             return List.of();
         }
-        sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
+        sessions.values().forEach(session -> collect(session, session.overdueEnds(nowNanos)));
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
         if (batch.isEmpty() && planWanted) {
             planWanted = false;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -16,6 +16,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.End;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.EndProof;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -207,7 +208,7 @@
         }
         withLeadership(proposer, (state, current) -> {
             current.committed(state, batch, time.nanoTime());
-            batch.forEach(command -> report(state, command, current.term()));
+            batch.forEach(command -> report(state, command, current));
         });
         tickNow();
     }
@@ -220,7 +221,7 @@
         }
     }
 
-    private static void report(WorkflowState state, WorkflowCommand command, long term) {
+    private static void report(WorkflowState state, WorkflowCommand command, WorkflowLeadership current) {
         switch (command) {
             case Start start ->
                 LOG.log(
@@ -228,12 +229,12 @@
                         start.run().run(),
                         start.run().host().id(),
                         start.run().host().address(),
-                        term);
+                        current.term());
             case End end ->
                 LOG.log(
                         WorkflowEvent.RUN_ENDED,
                         end.run(),
-                        end.how(),
+                        described(end, current.takeProof(end.run())),
                         state.job(end.run().task().jobId())
                                 .map(job -> job.phase())
                                 .orElse(JobPhase.CANCELLED));
@@ -241,6 +242,11 @@
         }
     }
 
+    /** An end that the host listed needs no word on what showed it. */
+    private static String described(End end, EndProof proof) {
+        return proof instanceof EndProof.Listed ? end.how().name() : end.how() + " by " + proof;
+    }
+
     private void sendDueOrders() {
         List<HostOrder> due = new ArrayList<>();
         WorkflowLeadership sender = part.read((state, queues) -> {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostClock.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostClock.java
@@ -44,6 +44,11 @@
         return readingMillis + elapsedMillis(nowNanos) * SLOWEST_PER_MILLE / 1_000;
     }
 
+    /** Returns how long ago the reading that tells most arrived, in milliseconds. */
+    long ageMillis(long nowNanos) {
+        return elapsedMillis(nowNanos);
+    }
+
     private long elapsedMillis(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos);
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The lease of all that runs on a host, by the host's own clock.
@@ -63,6 +64,19 @@
         return until;
     }
 
+    /** Describes what shows that the lease has lapsed, once it has. */
+    EndProof lapseProof(long reportAgeMillis, long answerAgeMillis, long nowNanos) {
+        if (!clock.isKnown()) {
+            return new EndProof.NeverHeardOf(TimeUnit.NANOSECONDS.toMillis(nowNanos - beganNanos));
+        }
+        return new EndProof.LeaseLapsed(
+                clock.atLeastMillis(nowNanos),
+                untilMillis,
+                clock.ageMillis(nowNanos),
+                reportAgeMillis,
+                answerAgeMillis);
+    }
+
     /** Tells whether every lease that the host may have been given has certainly ended. */
     boolean hasLapsed(boolean earlierLeadersCutOff, long nowNanos) {
         long marginMillis = LAPSE_MARGIN.toMillis() + limits.stopGrace().toMillis();
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
@@ -110,6 +111,12 @@
     /** When this life ends for good, by the monotonic clock, or null while it goes on. */
     private @Nullable Long goneNanos;
 
+    /** What shows that this life ends. */
+    private EndProof goneProof = new EndProof.HostLeft();
+
+    /** When the host answered an order last, by the monotonic clock, or null if it never did. */
+    private @Nullable Long answeredNanos;
+
     /**
      * Begins to follow a host.
      *
@@ -369,6 +376,7 @@
         noteContact(answer, nowNanos);
         if (answer instanceof OtherLife) {
             goneNanos = nowNanos;
+            goneProof = new EndProof.OtherLife();
         }
         return switch (order) {
             case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
@@ -388,6 +396,9 @@
 
     private void noteContact(HostAnswer answer, long nowNanos) {
         silent = answer instanceof Silent || answer instanceof Unwell;
+        if (!(answer instanceof Silent || answer instanceof OtherLife)) {
+            answeredNanos = nowNanos;
+        }
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
@@ -409,10 +420,10 @@
             }
             case Refused refused -> {
                 refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
-                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StartRefused(refused.reason())));
             }
             case Unwell unwell -> {
-                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.HostUnwell()));
             }
             default -> {}
         }
@@ -471,7 +482,7 @@
         if (tracked.endFound) {
             return;
         }
-        tracked.endFound = true;
+        tracked.foundEnd(new EndProof.Listed());
         String checkpoint = listed.checkpoint().isEmpty() ? tracked.checkpoint : listed.checkpoint();
         found.add(new End(listed.run(), listed.how(), checkpoint));
     }
@@ -490,24 +501,24 @@
     private void judgeAbsence(TrackedRun tracked, long sentNanos, List<End> found) {
         boolean stoppedBefore = tracked.wasStoppedBefore(limits.stopGrace(), sentNanos);
         switch (tracked.stage) {
-            case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN));
+            case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN, new EndProof.NeverListed()));
             case TO_SEND, SENT -> {}
             case UNANSWERED -> {
                 if (stoppedBefore) {
-                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                    found.add(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StoppedAndGone()));
                 }
             }
             case CONFIRMED -> {
                 tracked.stopWanted |= sentNanos - tracked.confirmedNanos >= 0;
                 if (stoppedBefore) {
-                    found.add(end(tracked, RunEnd.HOST_LOST));
+                    found.add(end(tracked, RunEnd.HOST_LOST, new EndProof.StoppedAndGone()));
                 }
             }
         }
     }
 
-    private static End end(TrackedRun tracked, RunEnd how) {
-        tracked.endFound = true;
+    private static End end(TrackedRun tracked, RunEnd how, EndProof proof) {
+        tracked.foundEnd(proof);
         return new End(tracked.run.run(), how, tracked.checkpoint);
     }
 
@@ -528,12 +539,32 @@
             if (tracked.stage == Stage.TO_SEND) {
                 // The lease of earlier runs says nothing of a run whose order has not gone out.
                 if (tracked.stopWanted || gone || silent) {
-                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                    EndProof unsent = new EndProof.NotSent(tracked.stopWanted, silent);
+                    found.add(end(tracked, RunEnd.NOT_BEGUN, gone ? goneProof : unsent));
                 }
             } else if (gone || lapsed) {
-                found.add(end(tracked, RunEnd.HOST_LOST));
+                found.add(end(tracked, RunEnd.HOST_LOST, gone ? goneProof : lapseProof(nowNanos)));
             }
         }
         return found;
     }
+
+    private EndProof lapseProof(long nowNanos) {
+        Long answered = answeredNanos;
+        return lease.lapseProof(
+                report == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - reportNanos),
+                answered == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - answered),
+                nowNanos);
+    }
+
+    /**
+     * Returns what showed the end of a run.
+     *
+     * @param run the run, not null
+     * @return the proof, or empty if no end was found or the run is not followed any more, never null
+     */
+    public Optional<EndProof> proofOf(RunName run) {
+        TrackedRun tracked = runs.get(run);
+        return tracked == null ? Optional.empty() : Optional.ofNullable(tracked.proof);
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
 
 /** A run that may be at work on a host, as the leader follows it. Belongs to a {@link HostSession}. Not thread-safe. */
@@ -62,6 +63,10 @@
     /** Whether an end was found and waits to be logged. */
     boolean endFound;
 
+    /** What showed the end that was found, or null while none was. */
+    @Nullable
+    EndProof proof;
+
     /** The newest saved progress, empty if none. */
     String checkpoint;
 
@@ -109,6 +114,12 @@
         paceWanted = percent;
     }
 
+    /** Takes note that an end was found, and of what showed it. */
+    void foundEnd(EndProof shownBy) {
+        endFound = true;
+        proof = shownBy;
+    }
+
     /** Returns the order that the host is owed for this run, and takes it as sent. */
     Optional<HostOrder> dueOrder(long token, HostLease lease, boolean silent, long nowNanos) {
         if (endFound) {
