Measure the way of orders to hosts

Change: ./build bench orders sends orders by the real HttpHostOrders to stand-ins on loopback (real sockets, 342 addresses) and prints the processor time of an order's two threads, the share of coding and what comes of orders in nine troubles. No logic is changed.

--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/orders/HostField.java
@@ -0,0 +1,114 @@
+package org.nettlering.benchmarks.orders;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.concurrent.atomic.AtomicLong;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.platform.PlatformVertx;
+
+/**
+ * Many stand-ins of hosts on loopback addresses, served by threads of their own over real sockets.
+ *
+ * <p>A look without a wait and every other order are answered after the delay that is set, a look with a wait after
+ * that wait. Thread-safe.
+ */
+final class HostField implements AutoCloseable {
+    /** How many hosts one byte of the address tells apart. */
+    private static final int HOSTS_PER_BLOCK = 250;
+
+    /** The field of a look's body that tells its wait. */
+    private static final String WAIT = "wait_ms";
+
+    /** The engine of the hosts. */
+    private final Vertx vertx;
+
+    /** The server of all hosts. */
+    private final HttpServer server;
+
+    /** The body that answers a look. */
+    private final Buffer listing;
+
+    /** The connections that were opened. */
+    private final AtomicLong opened = new AtomicLong();
+
+    /** The requests that came. */
+    private final AtomicLong received = new AtomicLong();
+
+    /** How long an answer takes, in milliseconds. */
+    private volatile long delayMillis;
+
+    /** Whether nothing is answered. */
+    private volatile boolean silent;
+
+    /** Starts the hosts, whose looks list so many runs. */
+    static HostField start(int runsPerHost) {
+        return new HostField(runsPerHost);
+    }
+
+    private HostField(int runsPerHost) {
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        listing = Buffer.buffer(SampleOrders.listing(runsPerHost));
+        server = vertx.createHttpServer()
+                .connectionHandler(connection -> opened.incrementAndGet())
+                .requestHandler(this::receive);
+        PlatformVertx.await("starting the hosts", server.listen(0, "0.0.0.0"));
+    }
+
+    /** Returns the address of a host by its number. */
+    HostAddress host(int number) {
+        String address = "127.1." + number / HOSTS_PER_BLOCK + "." + (number % HOSTS_PER_BLOCK + 1);
+        return new HostAddress("i-" + number, address + ":" + server.actualPort());
+    }
+
+    long opened() {
+        return opened.get();
+    }
+
+    long received() {
+        return received.get();
+    }
+
+    /** Counts the requests that come from now on. */
+    void forgetReceived() {
+        received.set(0);
+    }
+
+    /** Sets how long answers take from now on, in milliseconds. */
+    void setDelay(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Sets whether requests are left without an answer from now on. */
+    void setSilent(boolean wanted) {
+        silent = wanted;
+    }
+
+    private void receive(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            received.incrementAndGet();
+            if (silent) {
+                return;
+            }
+            long wait = request.path().equals("/hold") ? body.toJsonObject().getLong(WAIT, 0L) : 0;
+            long pause = wait > 0 ? wait : delayMillis;
+            if (pause > 0) {
+                vertx.setTimer(pause, timer -> answer(request));
+            } else {
+                answer(request);
+            }
+        });
+    }
+
+    private void answer(HttpServerRequest request) {
+        Buffer body = request.path().equals("/hold") ? listing : Buffer.buffer("{\"clock_ms\":482113}");
+        request.response().end(body);
+    }
+
+    @Override
+    public void close() {
+        PlatformVertx.await("stopping the hosts", vertx.close());
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/orders/OrderSender.java
@@ -0,0 +1,89 @@
+package org.nettlering.benchmarks.orders;
+
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import org.nettlering.control.workflow.HostOrders;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.platform.PlatformVertx;
+import org.nettlering.platform.control.HttpHostOrders;
+
+/**
+ * The way to the hosts as a control process has it, with a count of what came of the orders.
+ *
+ * <p>Its event loop is its own. Thread-safe.
+ */
+final class OrderSender implements AutoCloseable {
+    /** What differs from host to host in a problem's text. */
+    private static final Pattern ADDRESS = Pattern.compile("/?127\\.[0-9.]+(:[0-9]+)?");
+
+    /** The engine. */
+    private final Vertx vertx = PlatformVertx.create();
+
+    /** The way to the hosts. */
+    private final HostOrders orders = HttpHostOrders.create(vertx);
+
+    /** How many orders had which outcome. */
+    private final Map<String, Integer> outcomes = new TreeMap<>();
+
+    /** Sends an order and counts what comes of it. */
+    CompletableFuture<HostAnswer> send(HostOrder order) {
+        return orders.send(order).toCompletableFuture().whenComplete((answer, failure) -> count(order, answer));
+    }
+
+    /** Sends an order, counts what comes of it and then goes on with something else. */
+    void sendThen(HostOrder order, Runnable next) {
+        orders.send(order).whenComplete((answer, failure) -> {
+            count(order, answer);
+            next.run();
+        });
+    }
+
+    private synchronized void count(HostOrder order, HostAnswer answer) {
+        String problem = answer instanceof HostAnswer.Silent silent ? ": " + silent.problem() : "";
+        String name = order.getClass().getSimpleName() + " " + answer.getClass().getSimpleName()
+                + ADDRESS.matcher(problem).replaceAll("HOST");
+        outcomes.merge(name, 1, Integer::sum);
+    }
+
+    /** Returns how many orders had which outcome since the last call. */
+    synchronized Map<String, Integer> takeOutcomes() {
+        Map<String, Integer> taken = new TreeMap<>(outcomes);
+        outcomes.clear();
+        return taken;
+    }
+
+    /** Holds the event loop up for a while; returns once it is held up. */
+    void holdUp(long millis) {
+        CountDownLatch begun = new CountDownLatch(1);
+        vertx.runOnContext(nothing -> {
+            begun.countDown();
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+            while (System.nanoTime() - end < 0) {
+                Thread.onSpinWait();
+            }
+        });
+        try {
+            begun.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns the event loop's thread. */
+    Thread eventLoop() {
+        CompletableFuture<Thread> thread = new CompletableFuture<>();
+        vertx.runOnContext(nothing -> thread.complete(Thread.currentThread()));
+        return thread.join();
+    }
+
+    @Override
+    public void close() {
+        PlatformVertx.await("stopping the engine", vertx.close());
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/orders/SampleOrders.java
@@ -0,0 +1,51 @@
+package org.nettlering.benchmarks.orders;
+
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.TaskName;
+import org.nettlering.domain.workflow.host.HostOrder;
+
+/** Orders and answers of the usual size. */
+final class SampleOrders {
+    private static final long TOKEN = 7;
+    private static final long LEASE_UNTIL_MILLIS = 486_000;
+    private static final String JOB = "5c0e7a21d94b36f8";
+    private static final String SPECIFICATION = "x".repeat(200);
+    private static final int PACE_PERCENT = 40;
+
+    private SampleOrders() {}
+
+    static HostOrder start(HostAddress host, int index) {
+        ActiveRun run = new ActiveRun(run(index), host, "00000bb87a21d94b");
+        return new HostOrder.Start(TOKEN, run, SPECIFICATION, LEASE_UNTIL_MILLIS, "");
+    }
+
+    static HostOrder stop(HostAddress host, int index) {
+        return new HostOrder.Stop(host, TOKEN, run(index));
+    }
+
+    static HostOrder pace(HostAddress host, int index) {
+        return new HostOrder.Pace(host, TOKEN, run(index), PACE_PERCENT);
+    }
+
+    /** A look that waits so many milliseconds for an end. */
+    static HostOrder look(HostAddress host, long waitMillis) {
+        return new HostOrder.Hold(host, TOKEN, LEASE_UNTIL_MILLIS, 57, waitMillis);
+    }
+
+    /** The answer of a look that lists so many runs and one end. */
+    static String listing(int runs) {
+        StringBuilder rows = new StringBuilder();
+        for (int index = 0; index < runs; index++) {
+            rows.append(index == 0 ? "" : ",")
+                    .append("[\"" + JOB + ".0.1." + index + "\",2,\"00000bb87a21d94b\",41,250]");
+        }
+        return "{\"clock_ms\":482113,\"running\":[" + rows + "],\"finished\":[[58,\"" + JOB
+                + ".0.1.9\",1,\"done\",\"\"]]}";
+    }
+
+    private static RunName run(int index) {
+        return new RunName(TaskName.of(JOB, 0, 1, index), 2);
+    }
+}
