Settle the fate of a run by its host's own list, also after it was taken for lost

Cause: a run was taken for lost as soon as the lease on its host was over by the host's clock. A lapsed lease shows that nothing works any more; it does not show how it ended. The host's list then told 'done' of a run that nobody followed any more: dropped, and the next look let the host forget it. The class: an inference taken for knowledge, and knowledge that came later thrown away. Change: a run on a host that is heard of is not taken for lost before the host went unreached for another lease. An end that was inferred leaves the run unsettled in the replicated state; what the host lists of it later counts, once: done ends the task and stops the newer run, failed counts as an attempt. The host may forget such an end only when it is in the log.

--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -94,11 +94,11 @@
         }
     }
 
-    /** Ends everything when the lease is over; where nothing runs, no lease lapses. */
+    /** Ends everything when the lease is over. */
     void lapse() {
         if (!lapsed && clockMillis() > leaseUntilMillis) {
             lapsed = true;
-            lapses += running.isEmpty() ? 0 : 1;
+            lapses++;
             List.copyOf(running.keySet()).forEach(run -> finish(run, RunEnd.LAPSED));
         }
     }
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolPlay.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolPlay.java
@@ -221,9 +221,9 @@
 
     @Override
     public void noted(FakeHost host, RunName run, RunEnd how, boolean leaseHeld) {
-        if (how == RunEnd.DONE && leaseHeld) {
+        if (how == RunEnd.DONE) {
             doneNoted.add(run.task());
-            if (followedByAStart.contains(run)) {
+            if (leaseHeld && followedByAStart.contains(run)) {
                 broken.add("an end as done was noted after another start: " + run);
             }
         }
@@ -244,6 +244,9 @@
             return new Silent("lost");
         }
         if (draw < 8) {
+            if (order instanceof HostOrder.Start && random.nextInt(4) == 0) {
+                loseTheLeaderBeforeItsStop(host);
+            }
             time.schedule(Duration.ofMillis(200 + random.nextInt(9_000)), () -> carryOut(host, order));
             return new Silent("late");
         }
@@ -251,6 +254,12 @@
         return draw < 12 ? new Silent("answer lost") : answer;
     }
 
+    /** Replaces the leader while the host of an order that is carried out late cannot be told to leave it. */
+    private void loseTheLeaderBeforeItsStop(int host) {
+        cutUntilNanos[host] = time.nanoTime() + Duration.ofMillis(300).toNanos();
+        time.schedule(Duration.ofMillis(50), this::replaceLeader);
+    }
+
     private static int hostOf(HostOrder order) {
         return order.host().address().charAt("10.0.0.".length()) - '0';
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/RunEnd.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/RunEnd.java
@@ -17,5 +17,14 @@
     /** The run never began, and never will. */
     NOT_BEGUN,
     /** The host is gone, or the lease has certainly ended there, and the run with it. */
-    HOST_LOST
+    HOST_LOST;
+
+    /**
+     * Tells whether the end was inferred, so that the host may still list another one for the same run.
+     *
+     * @return false if only a host's own list tells such an end
+     */
+    public boolean isInferred() {
+        return this == NOT_BEGUN || this == HOST_LOST;
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -179,6 +179,23 @@
         task.remove(run);
         active--;
         task.save(checkpoint);
+        if (how.isInferred()) {
+            task.leaveUnsettled(run);
+        }
+        take(index, run, how);
+    }
+
+    /** Notes what the host lists of a run whose end was inferred; returns false if the run's end is known already. */
+    boolean settle(int index, RunName run, RunEnd how) {
+        if (how.isInferred() || !tasks.get(index).settle(run)) {
+            return false;
+        }
+        take(index, run, how);
+        return true;
+    }
+
+    private void take(int index, RunName run, RunEnd how) {
+        TaskProgress task = tasks.get(index);
         boolean gang = specification.has(StepTrait.GANG);
         if (how == RunEnd.DONE && !specification.has(StepTrait.LONG_RUNNING)) {
             finish(gang ? allIndexes() : new int[] {index});
--- a/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * How far one task is.
@@ -12,6 +14,9 @@
     /** The runs whose end is not known; several only for copies. */
     private final List<ActiveRun> activeRuns = new ArrayList<>(1);
 
+    /** The numbers of the runs whose end was inferred and not listed by their host since. */
+    private final Set<Integer> unsettledRuns = new TreeSet<>();
+
     /** The highest number of a run. */
     private int lastRun;
 
@@ -33,11 +38,12 @@
         task.done = image.done();
         task.checkpoint = image.checkpoint();
         task.activeRuns.addAll(image.activeRuns());
+        task.unsettledRuns.addAll(image.unsettledRuns());
         return task;
     }
 
     WorkflowImage.TaskImage image() {
-        return new WorkflowImage.TaskImage(lastRun, failures, done, checkpoint, activeRuns);
+        return new WorkflowImage.TaskImage(lastRun, failures, done, checkpoint, activeRuns, List.copyOf(unsettledRuns));
     }
 
     /**
@@ -98,6 +104,16 @@
         activeRuns.removeIf(active -> active.run().equals(run));
     }
 
+    /** Takes note that the end of a run was inferred. */
+    void leaveUnsettled(RunName run) {
+        unsettledRuns.add(run.number());
+    }
+
+    /** Takes note that the end of a run is known for certain; returns whether it was only inferred before. */
+    boolean settle(RunName run) {
+        return unsettledRuns.remove(run.number());
+    }
+
     void save(String saved) {
         if (!saved.isEmpty()) {
             checkpoint = saved;
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowImage.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowImage.java
@@ -72,11 +72,19 @@
      * @param done whether the work is done
      * @param checkpoint the newest saved progress, empty if none, not null
      * @param activeRuns the runs whose end is not known, not null
+     * @param unsettledRuns the numbers of the runs whose end was inferred and not listed by their host since, not null
      */
-    public record TaskImage(int lastRun, int failures, boolean done, String checkpoint, List<ActiveRun> activeRuns) {
+    public record TaskImage(
+            int lastRun,
+            int failures,
+            boolean done,
+            String checkpoint,
+            List<ActiveRun> activeRuns,
+            List<Integer> unsettledRuns) {
         /** Copies the runs. */
         public TaskImage {
             activeRuns = List.copyOf(activeRuns);
+            unsettledRuns = List.copyOf(unsettledRuns);
         }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -284,15 +284,19 @@
     }
 
     private WorkflowOutcome end(End end) {
+        TaskName name = end.run().task();
+        StepProgress step = step(name.step()).orElse(null);
+        if (step == null || name.index() >= step.specification().count()) {
+            return WorkflowOutcome.UNCHANGED;
+        }
         ActiveRun active = activeRun(end.run());
-        if (active == null) {
+        if (active != null) {
+            release(active);
+            step.end(name.index(), end.run(), end.how(), end.checkpoint());
+        } else if (!step.settle(name.index(), end.run(), end.how())) {
             return WorkflowOutcome.UNCHANGED;
         }
-        release(active);
-        TaskName name = end.run().task();
-        StepProgress step = step(name.step()).orElseThrow();
         Job job = step.job();
-        step.end(name.index(), end.run(), end.how(), end.checkpoint());
         boolean bounded = !step.specification().has(StepTrait.LONG_RUNNING);
         if (job.phase().isOpen() && job.isWholeDone()) {
             close(job, JobPhase.COMPLETED);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -77,9 +77,9 @@
                 answerAgeMillis);
     }
 
-    /** Tells whether every lease that the host may have been given has certainly ended. */
-    boolean hasLapsed(boolean earlierLeadersCutOff, long nowNanos) {
-        long marginMillis = LAPSE_MARGIN.toMillis() + limits.stopGrace().toMillis();
+    /** Tells whether every lease that the host may have been given has certainly been over for a while. */
+    boolean hasLapsed(boolean earlierLeadersCutOff, Duration longer, long nowNanos) {
+        long marginMillis = LAPSE_MARGIN.plus(limits.stopGrace()).plus(longer).toMillis();
         if (!clock.isKnown()) {
             Duration longest =
                     limits.longestLease().plus(REPLACED_LEADER_MARGIN).plusMillis(marginMillis);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -33,7 +33,8 @@
  * <p>Guarantees that an end is reported only on proof that the run is over: the host listed the end; the host answered
  * a later look without the run, after a stop of it was answered or after the first order of this term had cut off those of
  * earlier leaders; another life of the host answers at its address; or the lease has certainly ended by the host's own
- * clock. Takes answers in any order. Not thread-safe.
+ * clock and the host is not heard of, or was not reached for another lease. An end that the host lists after another one was
+ * inferred is reported too, and the host may not forget it before it is logged. Takes answers in any order. Not thread-safe.
  */
 public final class HostSession {
     /** How long a look waits for an end at most. */
@@ -476,10 +477,11 @@
         ends.list(listed.number());
         TrackedRun tracked = runs.get(listed.run());
         if (tracked == null) {
+            takeEndOfUnfollowed(listed, found);
             return;
         }
         ends.open(listed.number(), listed.run());
-        if (tracked.endFound) {
+        if (tracked.isEndListed()) {
             return;
         }
         tracked.foundEnd(new EndProof.Listed());
@@ -487,6 +489,14 @@
         found.add(new End(listed.run(), listed.how(), checkpoint));
     }
 
+    /** Has an end logged that may contradict what was inferred of the run; until then the host must not forget it. */
+    private void takeEndOfUnfollowed(ListedEnd listed, List<End> found) {
+        if (listed.how() == RunEnd.DONE || listed.how() == RunEnd.FAILED) {
+            ends.open(listed.number(), listed.run());
+            found.add(new End(listed.run(), listed.how(), listed.checkpoint()));
+        }
+    }
+
     private void takeRunning(ListedRun listed, long nowNanos) {
         TrackedRun tracked = runs.get(listed.run());
         if (tracked == null) {
@@ -531,7 +541,7 @@
     public List<End> overdueEnds(long nowNanos) {
         List<End> found = new ArrayList<>();
         boolean gone = isGone(nowNanos);
-        boolean lapsed = !runs.isEmpty() && lease.hasLapsed(looked, nowNanos);
+        boolean lapsed = hasLapsedUnheard(nowNanos);
         for (TrackedRun tracked : runs.values()) {
             if (tracked.endFound) {
                 continue;
@@ -549,6 +559,20 @@
         return found;
     }
 
+    /**
+     * Tells whether the lease is over and the host's own list is not to be waited for any longer.
+     *
+     * <p>A lapsed lease shows that nothing works any more, not how it ended: a host that is heard of still has the ends.
+     */
+    private boolean hasLapsedUnheard(long nowNanos) {
+        if (runs.isEmpty()) {
+            return false;
+        }
+        boolean heardOf = report != null && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
+        Duration patience = heardOf ? limits.lease() : Duration.ZERO;
+        return lease.hasLapsed(looked, patience, nowNanos);
+    }
+
     private EndProof lapseProof(long nowNanos) {
         Long answered = answeredNanos;
         return lease.lapseProof(
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -120,6 +120,11 @@
         proof = shownBy;
     }
 
+    /** Tells whether the host itself listed the end that was found. */
+    boolean isEndListed() {
+        return proof instanceof EndProof.Listed;
+    }
+
     /** Returns the order that the host is owed for this run, and takes it as sent. */
     Optional<HostOrder> dueOrder(long token, HostLease lease, boolean silent, long nowNanos) {
         if (endFound) {
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -98,6 +98,7 @@
                 .setDone(task.done())
                 .setCheckpoint(task.checkpoint());
         task.activeRuns().forEach(run -> message.addActiveRuns(WorkflowCommandCodec.encode(run)));
+        message.addAllUnsettledRuns(task.unsettledRuns());
         return message.build();
     }
 
@@ -109,6 +110,7 @@
                 message.getCheckpoint(),
                 message.getActiveRunsList().stream()
                         .map(WorkflowCommandCodec::decode)
-                        .toList());
+                        .toList(),
+                message.getUnsettledRunsList());
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -23214,6 +23214,35 @@
      */
     org.nettlering.wire.proto.WorkflowProto.ActiveRunMessageOrBuilder getActiveRunsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @return A list containing the unsettledRuns.
+     */
+    java.util.List<java.lang.Integer> getUnsettledRunsList();
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @return The count of unsettledRuns.
+     */
+    int getUnsettledRunsCount();
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @param index The index of the element to return.
+     * @return The unsettledRuns at the given index.
+     */
+    int getUnsettledRuns(int index);
   }
   /**
    * Protobuf type {@code nettlering.TaskImageMessage}
@@ -23239,6 +23268,7 @@
     private TaskImageMessage() {
       checkpoint_ = "";
       activeRuns_ = java.util.Collections.emptyList();
+      unsettledRuns_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -23372,6 +23402,48 @@
       return activeRuns_.get(index);
     }
 
+    public static final int UNSETTLED_RUNS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList unsettledRuns_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @return A list containing the unsettledRuns.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getUnsettledRunsList() {
+      return unsettledRuns_;
+    }
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @return The count of unsettledRuns.
+     */
+    public int getUnsettledRunsCount() {
+      return unsettledRuns_.size();
+    }
+    /**
+     * <pre>
+     * The numbers of the runs whose end was inferred and not listed by their host since.
+     * </pre>
+     *
+     * <code>repeated uint32 unsettled_runs = 6;</code>
+     * @param index The index of the element to return.
+     * @return The unsettledRuns at the given index.
+     */
+    public int getUnsettledRuns(int index) {
+      return unsettledRuns_.getInt(index);
+    }
+    private int unsettledRunsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -23386,6 +23458,7 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
       if (lastRun_ != 0) {
         output.writeUInt32(1, lastRun_);
       }
@@ -23401,6 +23474,13 @@
       for (int i = 0; i < activeRuns_.size(); i++) {
         output.writeMessage(5, activeRuns_.get(i));
       }
+      if (getUnsettledRunsList().size() > 0) {
+        output.writeUInt32NoTag(50);
+        output.writeUInt32NoTag(unsettledRunsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < unsettledRuns_.size(); i++) {
+        output.writeUInt32NoTag(unsettledRuns_.getInt(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -23429,6 +23509,20 @@
             }
             size += 1 * count;
           }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < unsettledRuns_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(unsettledRuns_.getInt(i));
+        }
+        size += dataSize;
+        if (!getUnsettledRunsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        unsettledRunsMemoizedSerializedSize = dataSize;
+      }
       return size;
     }
     @java.lang.Override
@@ -23463,6 +23557,8 @@
           .equals(other.getCheckpoint())) return false;
       if (!getActiveRunsList()
           .equals(other.getActiveRunsList())) return false;
+      if (!getUnsettledRunsList()
+          .equals(other.getUnsettledRunsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23487,6 +23583,10 @@
         hash = (37 * hash) + ACTIVE_RUNS_FIELD_NUMBER;
         hash = (53 * hash) + getActiveRunsList().hashCode();
       }
+      if (getUnsettledRunsCount() > 0) {
+        hash = (37 * hash) + UNSETTLED_RUNS_FIELD_NUMBER;
+        hash = (53 * hash) + getUnsettledRunsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -23629,6 +23729,7 @@
           activeRunsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000010);
+        unsettledRuns_ = emptyIntList();
         return this;
       }
 
@@ -23687,6 +23788,10 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.checkpoint_ = checkpoint_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          unsettledRuns_.makeImmutable();
+          result.unsettledRuns_ = unsettledRuns_;
+        }
       }
 
       @java.lang.Override
@@ -23741,6 +23846,17 @@
             }
           }
         }
+        if (!other.unsettledRuns_.isEmpty()) {
+          if (unsettledRuns_.isEmpty()) {
+            unsettledRuns_ = other.unsettledRuns_;
+            unsettledRuns_.makeImmutable();
+            bitField0_ |= 0x00000020;
+          } else {
+            ensureUnsettledRunsIsMutable();
+            unsettledRuns_.addAll(other.unsettledRuns_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -23798,6 +23914,22 @@
                 }
                 break;
               } // case 42
+              case 48: {
+                int v = input.readUInt32();
+                ensureUnsettledRunsIsMutable();
+                unsettledRuns_.addInt(v);
+                break;
+              } // case 48
+              case 50: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureUnsettledRunsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  unsettledRuns_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24217,6 +24349,118 @@
         return activeRunsBuilder_;
       }
 
+      private com.google.protobuf.Internal.IntList unsettledRuns_ = emptyIntList();
+      private void ensureUnsettledRunsIsMutable() {
+        if (!unsettledRuns_.isModifiable()) {
+          unsettledRuns_ = makeMutableCopy(unsettledRuns_);
+        }
+        bitField0_ |= 0x00000020;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @return A list containing the unsettledRuns.
+       */
+      public java.util.List<java.lang.Integer>
+          getUnsettledRunsList() {
+        unsettledRuns_.makeImmutable();
+        return unsettledRuns_;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @return The count of unsettledRuns.
+       */
+      public int getUnsettledRunsCount() {
+        return unsettledRuns_.size();
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @param index The index of the element to return.
+       * @return The unsettledRuns at the given index.
+       */
+      public int getUnsettledRuns(int index) {
+        return unsettledRuns_.getInt(index);
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The unsettledRuns to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUnsettledRuns(
+          int index, int value) {
+
+        ensureUnsettledRunsIsMutable();
+        unsettledRuns_.setInt(index, value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @param value The unsettledRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addUnsettledRuns(int value) {
+
+        ensureUnsettledRunsIsMutable();
+        unsettledRuns_.addInt(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @param values The unsettledRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllUnsettledRuns(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureUnsettledRunsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, unsettledRuns_);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs whose end was inferred and not listed by their host since.
+       * </pre>
+       *
+       * <code>repeated uint32 unsettled_runs = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUnsettledRuns() {
+        unsettledRuns_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.TaskImageMessage)
     }
 
@@ -32183,58 +32427,59 @@
       "\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.nettler" +
       "ing.StepImageMessage\"Z\n\020StepImageMessage" +
       "\022\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks\030\002 \003" +
-      "(\0132\034.nettlering.TaskImageMessage\"\213\001\n\020Tas" +
+      "(\0132\034.nettlering.TaskImageMessage\"\243\001\n\020Tas" +
       "kImageMessage\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failu" +
       "res\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 " +
       "\001(\t\0221\n\013active_runs\030\005 \003(\0132\034.nettlering.Ac" +
-      "tiveRunMessage\"\237\003\n\017WorkflowRequest\022.\n\006su" +
-      "bmit\030\001 \001(\0132\034.nettlering.SubmitJobRequest" +
-      "H\000\022&\n\004show\030\002 \001(\0132\026.nettlering.JobRequest" +
-      "H\000\022(\n\006cancel\030\003 \001(\0132\026.nettlering.JobReque" +
-      "stH\000\0224\n\013host_report\030\004 \001(\0132\035.nettlering.H" +
-      "ostReportMessageH\000\022/\n\014host_leaving\030\005 \001(\013" +
-      "2\027.nettlering.HostLeavingH\000\022?\n\016replace_q" +
-      "ueues\030\006 \001(\0132%.nettlering.QueueConfigurat" +
-      "ionMessageH\000\022-\n\013read_queues\030\007 \001(\0132\026.nett" +
-      "lering.ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027.net" +
-      "tlering.LeaderCheckH\000B\t\n\007request\"i\n\020Subm" +
-      "itJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030" +
-      "\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nettlering.J" +
-      "obDefinitionMessage\"-\n\nJobRequest\022\021\n\taut" +
-      "hority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\372\001\n\021HostRepor" +
-      "tMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_addres" +
-      "s\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030" +
-      "\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_mebi" +
-      "bytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kin" +
-      "d\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022" +
-      "\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\"" +
-      "\036\n\013HostLeaving\022\017\n\007host_id\030\001 \001(\t\"\014\n\nReadQ" +
-      "ueues\"\r\n\013LeaderCheck\"\323\001\n\020WorkflowRespons" +
-      "e\022*\n\006answer\030\001 \001(\0162\032.nettlering.WorkflowA" +
-      "nswer\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPha" +
-      "seMessage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry" +
-      "_after_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.ne" +
-      "ttlering.QueueConfigurationMessage*\211\001\n\020S" +
-      "tepTraitMessage\022\032\n\026STEP_TRAIT_UNSPECIFIE" +
-      "D\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECULA" +
-      "TIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTIN" +
-      "G\020\005\022\t\n\005FILLS\020\006*\254\001\n\rRunEndMessage\022\027\n\023RUN_" +
-      "END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_F" +
-      "AILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nRUN_LAPSED\020\004" +
-      "\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE\020\006\022\021\n\rRUN_N" +
-      "OT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010*\202\001\n\026Workfl" +
-      "owOutcomeMessage\022 \n\034WORKFLOW_OUTCOME_UNS" +
-      "PECIFIED\020\000\022\024\n\020WORKFLOW_APPLIED\020\001\022\026\n\022WORK" +
-      "FLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_UNKNOWN_JOB" +
-      "\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_PHASE_UNSP" +
-      "ECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNING" +
-      "\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022\021\n" +
-      "\rJOB_CANCELLED\020\005*\234\001\n\016WorkflowAnswer\022\037\n\033W" +
-      "ORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017\n\013ANSWER_D" +
-      "ONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\rANSWER_NO_" +
-      "JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027ANSWER_NO_" +
-      "CONFIGURATION\020\005B*\n\031org.nettlering.wire.p" +
-      "rotoB\rWorkflowProtob\006proto3"
+      "tiveRunMessage\022\026\n\016unsettled_runs\030\006 \003(\r\"\237" +
+      "\003\n\017WorkflowRequest\022.\n\006submit\030\001 \001(\0132\034.net" +
+      "tlering.SubmitJobRequestH\000\022&\n\004show\030\002 \001(\013" +
+      "2\026.nettlering.JobRequestH\000\022(\n\006cancel\030\003 \001" +
+      "(\0132\026.nettlering.JobRequestH\000\0224\n\013host_rep" +
+      "ort\030\004 \001(\0132\035.nettlering.HostReportMessage" +
+      "H\000\022/\n\014host_leaving\030\005 \001(\0132\027.nettlering.Ho" +
+      "stLeavingH\000\022?\n\016replace_queues\030\006 \001(\0132%.ne" +
+      "ttlering.QueueConfigurationMessageH\000\022-\n\013" +
+      "read_queues\030\007 \001(\0132\026.nettlering.ReadQueue" +
+      "sH\000\022(\n\005check\030\010 \001(\0132\027.nettlering.LeaderCh" +
+      "eckH\000B\t\n\007request\"i\n\020SubmitJobRequest\022\021\n\t" +
+      "authority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0224\n\ndefinit" +
+      "ion\030\003 \001(\0132 .nettlering.JobDefinitionMess" +
+      "age\"-\n\nJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004" +
+      "path\030\002 \001(\t\"\372\001\n\021HostReportMessage\022\017\n\007host" +
+      "_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(\t\022\014\n\004pool\030" +
+      "\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\022\n\nmillico" +
+      "res\030\005 \001(\004\022\030\n\020memory_mebibytes\030\006 \001(\004\022\024\n\014a" +
+      "ccelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030" +
+      "\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clock_millis\030" +
+      "\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\"\036\n\013HostLeaving\022\017" +
+      "\n\007host_id\030\001 \001(\t\"\014\n\nReadQueues\"\r\n\013LeaderC" +
+      "heck\"\323\001\n\020WorkflowResponse\022*\n\006answer\030\001 \001(" +
+      "\0162\032.nettlering.WorkflowAnswer\022*\n\005phase\030\002" +
+      " \001(\0162\033.nettlering.JobPhaseMessage\022\024\n\014pen" +
+      "ding_jobs\030\003 \001(\r\022\032\n\022retry_after_millis\030\004 " +
+      "\001(\r\0225\n\006queues\030\005 \001(\0132%.nettlering.QueueCo" +
+      "nfigurationMessage*\211\001\n\020StepTraitMessage\022" +
+      "\032\n\026STEP_TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n" +
+      "\nRACK_LOCAL\020\002\022\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_R" +
+      "UNNING\020\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005FILLS\020\006*\254" +
+      "\001\n\rRunEndMessage\022\027\n\023RUN_END_UNSPECIFIED\020" +
+      "\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_S" +
+      "TOPPED\020\003\022\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005" +
+      "\022\r\n\tRUN_ALONE\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRU" +
+      "N_HOST_LOST\020\010*\202\001\n\026WorkflowOutcomeMessage" +
+      "\022 \n\034WORKFLOW_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WO" +
+      "RKFLOW_APPLIED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002" +
+      "\022\030\n\024WORKFLOW_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseM" +
+      "essage\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB" +
+      "_QUEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLE" +
+      "TED\020\003\022\016\n\nJOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005" +
+      "*\234\001\n\016WorkflowAnswer\022\037\n\033WORKFLOW_ANSWER_U" +
+      "NSPECIFIED\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_" +
+      "NO_QUEUE\020\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_" +
+      "REJECTED\020\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005B" +
+      "*\n\031org.nettlering.wire.protoB\rWorkflowPr" +
+      "otob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32389,7 +32634,7 @@
     internal_static_nettlering_TaskImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskImageMessage_descriptor,
-        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", });
+        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", });
     internal_static_nettlering_WorkflowRequest_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_nettlering_WorkflowRequest_fieldAccessorTable = new
