Measure where the leader's time goes

Cause: at the grown site orders failed with "the timeout of 500 ms has been exceeded when getting a connection". Whether the timer thread, the loop, its lock, the log, the connections or the hosts held them up could not be told. Ruled out: traces of single requests, which cost more the busier the leader is; spans stay as they are. Change: LoopMeasures takes the delay of the loop's timer, runs, plans, contended waits for the lock of the jobs, the log, acceptance to first start, logged start to order, order to answer by kind, orders in flight, and outcomes by kind with the reason of a refusal and the kind of silence. The hooks in WorkflowLoop and WorkflowLeadership are single lines; WorkflowPart reads the clock only when its lock is taken. No decision changes. The kind of silence is read from the text that the way to the host gives; an unknown text is "other". Before: none of these figures. LoopMeasuresTest, WorkflowPathTest, TaskProtocolCheckTest, SiteStateMachineTest, EventCatalogueTest and ModuleArrowsTest passed; the other tests were not run for this commit.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -36,7 +36,9 @@
 import org.nettlering.control.task.TaskService;
 import org.nettlering.control.trace.TracingFrameHandler;
 import org.nettlering.control.workflow.HostOrders;
+import org.nettlering.control.workflow.LoopMeasures;
 import org.nettlering.control.workflow.WorkflowLoop;
+import org.nettlering.control.workflow.WorkflowPart;
 import org.nettlering.control.workflow.WorkflowService;
 import org.nettlering.domain.placement.ScoredPlanner;
 import org.nettlering.domain.time.SystemTime;
@@ -157,7 +159,8 @@
                 TransportLimits.defaults(),
                 time,
                 TransportCounters.registerIn(metrics.registry()));
-        SiteParts parts = SiteParts.create();
+        LoopMeasures measures = LoopMeasures.registerIn(metrics.registry(), time);
+        SiteParts parts = SiteParts.create(WorkflowPart.timed(time::nanoTime, measures::waitedForLock));
         PeerConsensusTransport transport =
                 PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, this::openPeer));
         LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
@@ -173,7 +176,7 @@
         node = ConsensusNode.create(self, founders, ConsensusSettings.DEFAULT, ports);
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = startTasks(log, parts);
-        workflow = WorkflowLoop.start(log, parts.workflow(), time, orders, settings.hostLimits());
+        workflow = WorkflowLoop.start(log, parts.workflow(), time, orders, settings.hostLimits(), measures);
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, parts.configuration(), time),
--- a/control/src/main/java/org/nettlering/control/process/SiteParts.java
+++ b/control/src/main/java/org/nettlering/control/process/SiteParts.java
@@ -16,10 +16,10 @@
  */
 record SiteParts(ConfigurationPart configuration, TaskPart tasks, LedgerPart ledger, WorkflowPart workflow) {
     /** Returns the parts before the first command; the tasks read the power cap from the configuration. */
-    static SiteParts create() {
+    static SiteParts create(WorkflowPart workflow) {
         ConfigurationPart configuration = ConfigurationPart.create();
         TaskPart tasks = TaskPart.create(() -> configuration.state().current().powerCapMilliwatts());
-        return new SiteParts(configuration, tasks, LedgerPart.create(), WorkflowPart.create());
+        return new SiteParts(configuration, tasks, LedgerPart.create(), workflow);
     }
 
     /** Returns the state machine over the parts. */
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/MeasuredTime.java
@@ -0,0 +1,66 @@
+package org.nettlering.control.workflow;
+
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAccumulator;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * The times that one kind of work took: as a histogram since the start, and as a spread since the spread was taken last.
+ *
+ * <p>Thread-safe; a time that is added while the spread is taken counts in this one or the next.
+ */
+final class MeasuredTime {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** The histogram, in seconds. */
+    private final DistributionDataPoint histogram;
+
+    /** How many times were added since the last spread. */
+    private final LongAdder count = new LongAdder();
+
+    /** Their sum, in nanoseconds. */
+    private final LongAdder totalNanos = new LongAdder();
+
+    /** The longest of them, in nanoseconds. */
+    private final LongAccumulator longestNanos = new LongAccumulator(Math::max, 0);
+
+    static MeasuredTime of(DistributionDataPoint histogram) {
+        return new MeasuredTime(histogram);
+    }
+
+    private MeasuredTime(DistributionDataPoint histogram) {
+        this.histogram = histogram;
+    }
+
+    /** Adds a time; a negative one counts as none. */
+    void add(long nanos) {
+        long taken = Math.max(0, nanos);
+        histogram.observe(taken / NANOS_PER_SECOND);
+        count.increment();
+        totalNanos.add(taken);
+        longestNanos.accumulate(taken);
+    }
+
+    /** Returns the spread of the times that were added since the last call. */
+    Spread takeSpread() {
+        long taken = count.sumThenReset();
+        long mean = taken == 0 ? 0 : totalNanos.sumThenReset() / taken;
+        return new Spread(
+                taken, TimeUnit.NANOSECONDS.toMicros(mean), TimeUnit.NANOSECONDS.toMicros(longestNanos.getThenReset()));
+    }
+
+    /**
+     * The spread of some times.
+     *
+     * @param count how many
+     * @param meanMicros their mean, in microseconds, 0 without any
+     * @param longestMicros the longest, in microseconds, 0 without any
+     */
+    record Spread(long count, long meanMicros, long longestMicros) {
+        @Override
+        public String toString() {
+            return count + " of mean " + meanMicros + " longest " + longestMicros + " us";
+        }
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -34,7 +34,9 @@
     /** What is at work and what waits. */
     LOAD(3314, Level.INFO, "the leader of term {} has at work and waiting: {}"),
     /** A run that was held back is stopped, so that its task goes on elsewhere. */
-    RUN_MOVED(3315, Level.INFO, "run {} is held back on host {} and is stopped to go on elsewhere");
+    RUN_MOVED(3315, Level.INFO, "run {} is held back on host {} and is stopped to go on elsewhere"),
+    /** How the loop did in the last second. */
+    LOOP_SUMMARY(3316, Level.INFO, "the loop of the leader of term {} in the last second: {}");
 
     /** The number. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -62,6 +62,9 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Measures the plans. */
+    private final LoopMeasures measures;
+
     /** The hosts by the id of their life. */
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
 
@@ -89,8 +92,9 @@
     /** Whether something changed since the last plan that may let a task start. */
     private boolean planWanted = true;
 
-    static WorkflowLeadership begin(WorkflowState state, long term, HostLimits limits, long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, nowNanos);
+    static WorkflowLeadership begin(
+            WorkflowState state, long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
+        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, measures, nowNanos);
         for (HostCommitments host : state.hosts()) {
             HostSession session = leadership.session(host, nowNanos);
             for (ActiveRun run : host.runs()) {
@@ -107,9 +111,10 @@
                 .isPresent();
     }
 
-    private WorkflowLeadership(long term, HostLimits limits, long nowNanos) {
+    private WorkflowLeadership(long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
         this.term = term;
         this.limits = limits;
+        this.measures = measures;
         nextForgetNanos = nowNanos;
     }
 
@@ -213,6 +218,7 @@
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
+            long planBegunNanos = measures.planBegins();
             StartPlan plan = StartPlanner.plan(
                     state,
                     rooms(state, nowNanos),
@@ -220,6 +226,7 @@
                     sharing.guard(),
                     sharing.heldBackRuns(state, sessions.values(), nowNanos),
                     nowMillis);
+            measures.planned(planBegunNanos);
             batch.addAll(plan.starts());
             plan.moves().forEach(this::move);
         }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -54,6 +54,9 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Measures where the time goes. */
+    private final LoopMeasures measures;
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -78,31 +81,62 @@
      */
     public static WorkflowLoop start(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits);
+        return start(log, part, time, orders, limits, LoopMeasures.unread(time));
+    }
+
+    /**
+     * Starts the loop with measures that others read.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param measures measures where the time goes, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop start(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures);
         loop.scheduleTick();
         return loop;
     }
 
-    private WorkflowLoop(CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
+    private WorkflowLoop(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures) {
         this.log = log;
         this.part = part;
         this.time = time;
         this.orders = orders;
         this.limits = limits;
+        this.measures = measures;
     }
 
     private void scheduleTick() {
         if (!closed) {
+            measures.timerSet(TICK);
             timer = time.schedule(TICK, this::tick);
         }
     }
 
     private void tick() {
+        measures.timerRan();
         try {
             runWithPlan();
             ticks++;
             if (ticks % TICKS_PER_SUMMARY == 0) {
                 reportLoad();
+                measures.report(log.isReadyLeader(), log.term());
             }
         } catch (RuntimeException exception) {
             LOG.log(WorkflowEvent.LOOP_FAILED, exception);
@@ -154,6 +188,7 @@
         if (closed || !log.isReadyLeader()) {
             return;
         }
+        long begunNanos = time.nanoTime();
         try {
             propose();
             sendDueOrders();
@@ -161,6 +196,8 @@
             if (exception.code() != ErrorCode.NOT_LEADER) {
                 throw exception;
             }
+        } finally {
+            measures.ran(begunNanos);
         }
     }
 
@@ -189,6 +226,7 @@
         WorkflowLeadership proposer = part.read((state, queues) -> {
             WorkflowLeadership current = leadership(state);
             batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
+            measures.proposed(state, batch);
             return current;
         });
         if (batch.isEmpty()) {
@@ -207,6 +245,7 @@
             return;
         }
         withLeadership(proposer, (state, current) -> {
+            measures.logged(batch);
             current.committed(state, batch, time.nanoTime());
             batch.forEach(command -> report(state, command, current));
         });
@@ -256,6 +295,7 @@
         });
         for (HostOrder order : due) {
             long sentNanos = time.nanoTime();
+            measures.sent(order);
             orders.send(order)
                     .whenComplete((answer, failure) -> answered(sender, order, sentNanos, answerOf(answer, failure)));
         }
@@ -266,6 +306,7 @@
     }
 
     private void answered(WorkflowLeadership sender, HostOrder order, long sentNanos, HostAnswer answer) {
+        measures.answered(order, sentNanos, answer);
         boolean carriedOut = answer instanceof HostAnswer.Accepted || answer instanceof HostAnswer.Listing;
         if (!carriedOut) {
             LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
@@ -283,7 +324,8 @@
         }
         WorkflowLeadership current = leadership;
         if (current == null || current.term() != term) {
-            current = WorkflowLeadership.begin(state, term, limits, time.nanoTime());
+            current = WorkflowLeadership.begin(state, term, limits, measures, time.nanoTime());
+            measures.leadershipBegins();
             LOG.log(WorkflowEvent.TAKEN_OVER, term, current.sessions().size());
             leadership = current;
         }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowPart.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowPart.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.BiFunction;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.nettlering.control.log.StatePart;
 import org.nettlering.domain.queue.QueueConfiguration;
 import org.nettlering.domain.workflow.WorkflowImage;
@@ -24,6 +26,12 @@
  * derived from it are read and changed under the lock of this part.
  */
 public final class WorkflowPart implements StatePart {
+    /** The clock that waits for the lock are measured with. */
+    private final LongSupplier nanoTime;
+
+    /** Told the nanoseconds of each wait for the lock. */
+    private final LongConsumer lockWaits;
+
     /** Guards the fields below. */
     private final ReentrantLock lock = new ReentrantLock();
 
@@ -39,10 +47,34 @@
      * @return a new part, never null
      */
     public static WorkflowPart create() {
-        return new WorkflowPart();
+        return timed(() -> 0L, waited -> {});
     }
 
-    private WorkflowPart() {}
+    /**
+     * Returns a part without queues and jobs that tells how long others wait for its lock.
+     *
+     * @param nanoTime the monotonic clock, not null
+     * @param lockWaits told the nanoseconds of each wait, while the lock is held; does not block, not null
+     * @return a new part, never null
+     */
+    public static WorkflowPart timed(LongSupplier nanoTime, LongConsumer lockWaits) {
+        return new WorkflowPart(nanoTime, lockWaits);
+    }
+
+    private WorkflowPart(LongSupplier nanoTime, LongConsumer lockWaits) {
+        this.nanoTime = nanoTime;
+        this.lockWaits = lockWaits;
+    }
+
+    /** Takes the lock; reads the clock only if it has to wait. */
+    private void acquire() {
+        if (lock.tryLock()) {
+            return;
+        }
+        long begunNanos = nanoTime.getAsLong();
+        lock.lock();
+        lockWaits.accept(nanoTime.getAsLong() - begunNanos);
+    }
 
     /**
      * Reads the state under its lock.
@@ -52,7 +84,7 @@
      * @return what the reader returned
      */
     public <T> T read(BiFunction<WorkflowState, QueueConfiguration, T> reader) {
-        lock.lock();
+        acquire();
         try {
             return reader.apply(jobs, queues);
         } finally {
@@ -67,7 +99,7 @@
 
     private SiteResult replaceQueues(QueueCommand command) {
         QueueConfiguration replacement = QueueCodec.decode(command.getReplace());
-        lock.lock();
+        acquire();
         try {
             if (replacement.version() > queues.version()) {
                 queues = replacement;
@@ -90,7 +122,7 @@
 
     @Override
     public void save(SiteSnapshot.Builder snapshot) {
-        lock.lock();
+        acquire();
         try {
             WorkflowImage image = jobs.image();
             snapshot.setWorkflow(WorkflowSnapshotCodec.encode(image).setQueues(QueueCodec.encode(queues)));
@@ -104,7 +136,7 @@
         WorkflowSnapshot saved = snapshot.getWorkflow();
         WorkflowState restored = WorkflowState.from(WorkflowSnapshotCodec.decode(saved));
         QueueConfiguration restoredQueues = QueueCodec.decode(saved.getQueues());
-        lock.lock();
+        acquire();
         try {
             jobs = restored;
             queues = restoredQueues;
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopMeasuresTest.java
@@ -0,0 +1,154 @@
+package org.nettlering.control.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.queue.QueueTerms;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobTerms;
+import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepLocality;
+import org.nettlering.domain.workflow.StepName;
+import org.nettlering.domain.workflow.StepSharing;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.TaskName;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.runtime.metrics.Metrics;
+
+class LoopMeasuresTest {
+    private static final HostAddress HOST = new HostAddress("h1", "10.0.0.1:80");
+
+    private final ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
+    private final LoopMeasures measures = LoopMeasures.unread(time);
+    private final WorkflowState state = WorkflowState.empty();
+
+    @Test
+    void aTimerThatRunsLateIsMeasuredByItsDelay() {
+        measures.timerSet(Duration.ofMillis(100));
+        pass(350);
+        measures.timerRan();
+        assertThat(measures.takeSummary().timerDelay()).isEqualTo(new MeasuredTime.Spread(1, 250_000, 250_000));
+    }
+
+    @Test
+    void aSummaryBeginsAnewAfterEach() {
+        measures.waitedForLock(Duration.ofMillis(3).toNanos());
+        measures.waitedForLock(Duration.ofMillis(1).toNanos());
+        assertThat(measures.takeSummary().lockWait()).isEqualTo(new MeasuredTime.Spread(2, 2_000, 3_000));
+        assertThat(measures.takeSummary().lockWait()).isEqualTo(new MeasuredTime.Spread(0, 0, 0));
+    }
+
+    @Test
+    void eachPartOfTheWayFromAcceptanceToAnAnswerIsMeasuredByItself() {
+        submit("a");
+        pass(40);
+        List<WorkflowCommand> batch = List.of(new WorkflowCommand.Start(active("a", 0)));
+        measures.proposed(state, batch);
+        pass(20);
+        measures.logged(batch);
+        pass(10);
+        measures.sent(start("a", 0));
+        long sentNanos = time.nanoTime();
+        pass(700);
+        LoopSummary before = measures.takeSummary();
+        assertThat(before.log()).isEqualTo(new MeasuredTime.Spread(1, 20_000, 20_000));
+        assertThat(before.startToOrder()).isEqualTo(new MeasuredTime.Spread(1, 10_000, 10_000));
+        assertThat(before.inFlight()).containsEntry("start", 1);
+        measures.answered(start("a", 0), sentNanos, new HostAnswer.Accepted(0));
+        LoopSummary summary = measures.takeSummary();
+        assertThat(summary.startAnswer().longestMicros()).isEqualTo(700_000);
+        assertThat(summary.inFlight()).containsEntry("start", 0);
+        assertThat(summary.outcomes()).containsExactly(Map.entry("start.accepted", 1L));
+    }
+
+    @Test
+    void onlyTheFirstStartOfAJobCountsAgainstItsAcceptance() {
+        submit("a");
+        pass(40);
+        List<WorkflowCommand> batch =
+                List.of(new WorkflowCommand.Start(active("a", 0)), new WorkflowCommand.Start(active("a", 1)));
+        measures.proposed(state, batch);
+        state.apply(new WorkflowCommand.Batch(batch));
+        pass(20);
+        measures.logged(batch);
+        assertThat(measures.takeSummary().firstStart()).isEqualTo(new MeasuredTime.Spread(1, 60_000, 60_000));
+        List<WorkflowCommand> later = List.of(new WorkflowCommand.Start(active("a", 2)));
+        measures.proposed(state, later);
+        measures.logged(later);
+        assertThat(measures.takeSummary().firstStart().count()).isZero();
+    }
+
+    @Test
+    void aStartThatWasNeverSentIsNotMeasuredAsSent() {
+        List<WorkflowCommand> batch = List.of(new WorkflowCommand.Start(active("a", 0)));
+        measures.proposed(state, batch);
+        measures.logged(batch);
+        pass(5);
+        measures.leadershipBegins();
+        measures.sent(start("a", 0));
+        assertThat(measures.takeSummary().startToOrder().count()).isZero();
+    }
+
+    @Test
+    void silenceIsToldApartByItsCause() {
+        assertThat(OrderOutcome.of(new HostAnswer.Silent(
+                        "The timeout of 500 ms has been exceeded when getting a connection to 10.0.0.1:80")))
+                .isEqualTo("unanswered_no_connection_in_time");
+        assertThat(OrderOutcome.of(new HostAnswer.Silent("connection timed out after 500 ms: /10.0.0.1:80")))
+                .isEqualTo("unanswered_connect_timeout");
+        assertThat(OrderOutcome.of(new HostAnswer.Silent("Connection refused: /10.0.0.1:80")))
+                .isEqualTo("unanswered_connect_refused");
+        assertThat(OrderOutcome.of(new HostAnswer.Silent("The timeout period of 800ms has been exceeded")))
+                .isEqualTo("unanswered_no_answer_in_time");
+        assertThat(OrderOutcome.of(new HostAnswer.Silent("Connection was closed")))
+                .isEqualTo("unanswered_closed");
+        assertThat(OrderOutcome.of(new HostAnswer.Silent("null"))).isEqualTo("unanswered_other");
+        assertThat(OrderOutcome.of(new HostAnswer.Refused(HostAnswer.RefusalReason.NO_ROOM)))
+                .isEqualTo("refused_no_room");
+    }
+
+    @Test
+    void theMetricsOfAProcessShowTheOrders() {
+        PrometheusRegistry registry = Metrics.create().registry();
+        LoopMeasures registered = LoopMeasures.registerIn(registry, time);
+        registered.sent(start("a", 0));
+        registered.answered(start("a", 0), time.nanoTime(), new HostAnswer.Unwell());
+        assertThat(registry.scrape().stream().map(each -> each.getMetadata().getPrometheusName()))
+                .contains(
+                        "nettlering_leader_orders", "nettlering_leader_order_seconds", "nettlering_leader_run_seconds");
+    }
+
+    private void submit(String jobId) {
+        StepSpecification step = new StepSpecification(
+                3, Resources.of(1_000, 100, 0), 1_000, List.of(), Set.of(), StepLocality.ANYWHERE, StepSharing.UNTOLD);
+        JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
+        JobDefinition definition = new JobDefinition("work", List.of(step), Recurrence.ONCE);
+        state.apply(new WorkflowCommand.Submit(jobId, terms, definition, time.millis()));
+    }
+
+    private static ActiveRun active(String jobId, int index) {
+        return new ActiveRun(new RunName(new TaskName(new StepName(jobId, 0, 0), index), 1), HOST, "");
+    }
+
+    private static HostOrder.Start start(String jobId, int index) {
+        return new HostOrder.Start(1, active(jobId, index), "work", 0, "");
+    }
+
+    private void pass(long millis) {
+        time.advance(Duration.ofMillis(millis));
+    }
+}
