Tell an order that was not sent from one without an answer

Cause: an order that never got a connection was reported as HostAnswer.Silent, which says that it may have been carried out.

HostSession treats it like Silent for now, and a test holds that.

Ruled out: to treat a failed write as unsent; part of it may have gone out.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostAnswer.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostAnswer.java
@@ -48,6 +48,13 @@
      */
     record Silent(String problem) implements HostAnswer {}
 
+    /**
+     * The order certainly was not sent: no connection could be had.
+     *
+     * @param problem what stood in the way, for the log, not null
+     */
+    record Unsent(String problem) implements HostAnswer {}
+
     /** Why a host refused an order. */
     enum RefusalReason {
         /** A higher fencing token was seen. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -22,6 +22,7 @@
 import org.nettlering.domain.workflow.host.HostAnswer.OtherLife;
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unwell;
 import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
@@ -387,7 +388,7 @@
     }
 
     private void noteContact(HostAnswer answer, long nowNanos) {
-        silent = answer instanceof Silent || answer instanceof Unwell;
+        silent = answer instanceof Silent || answer instanceof Unsent || answer instanceof Unwell;
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
@@ -402,11 +403,8 @@
         }
         switch (answer) {
             case Accepted accepted -> tracked.confirm(nowNanos);
-            case Silent nothing -> {
-                tracked.stage = Stage.UNANSWERED;
-                tracked.stopWanted = true;
-                nextLookNanos = nowNanos;
-            }
+            case Silent nothing -> doubt(tracked, nowNanos);
+            case Unsent nothing -> doubt(tracked, nowNanos);
             case Refused refused -> {
                 refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
                 return List.of(end(tracked, RunEnd.NOT_BEGUN));
@@ -419,6 +417,13 @@
         return List.of();
     }
 
+    /** Treats a run as one that may have begun, until the host shows what became of it. */
+    private void doubt(TrackedRun tracked, long nowNanos) {
+        tracked.stage = Stage.UNANSWERED;
+        tracked.stopWanted = true;
+        nextLookNanos = nowNanos;
+    }
+
     private List<End> stopAnswered(HostOrder.Stop stop, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(stop.run());
         boolean done = answer instanceof Accepted || answer instanceof Refused;
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -21,6 +21,7 @@
 import org.nettlering.domain.workflow.host.HostAnswer.RefusalReason;
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 
 class HostSessionTest {
     private static final HostLimits LIMITS =
@@ -70,6 +71,14 @@
         assertThat(session.takesWork(nowNanos)).isTrue();
     }
 
+    @Test
+    void anOrderThatWasNotSentIsTreatedLikeOneWithoutAnAnswer() {
+        answeredOnce();
+        assertThat(answer(startOrder(), new Unsent("no connection"))).isEmpty();
+        assertThat(session.takesWork(nowNanos)).isFalse();
+        assertThat(order(HostOrder.Stop.class).run()).isEqualTo(RUN);
+    }
+
     @Test
     void aRefusedStartEndsAsNotBegun() {
         answeredOnce();
