--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -23,6 +23,7 @@
 import org.nettlering.domain.workflow.host.HostAnswer.OtherLife;
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unwell;
 import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
@@ -396,8 +397,9 @@
     }
 
     private void noteContact(HostAnswer answer, long nowNanos) {
-        silent = answer instanceof Silent || answer instanceof Unwell;
-        if (!(answer instanceof Silent || answer instanceof OtherLife)) {
+        boolean unreached = answer instanceof Silent || answer instanceof Unsent;
+        silent = unreached || answer instanceof Unwell;
+        if (!unreached && !(answer instanceof OtherLife)) {
             answeredNanos = nowNanos;
         }
         switch (answer) {
@@ -414,11 +416,8 @@
         }
         switch (answer) {
             case Accepted accepted -> tracked.confirm(nowNanos);
-            case Silent nothing -> {
-                tracked.stage = Stage.UNANSWERED;
-                tracked.stopWanted = true;
-                nextLookNanos = nowNanos;
-            }
+            case Silent nothing -> doubt(tracked, nowNanos);
+            case Unsent nothing -> doubt(tracked, nowNanos);
             case Refused refused -> {
                 refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
                 return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StartRefused(refused.reason())));
@@ -431,6 +430,13 @@
         return List.of();
     }
 
+    /** Treats a run as one that may have begun, until the host shows what became of it. */
+    private void doubt(TrackedRun tracked, long nowNanos) {
+        tracked.stage = Stage.UNANSWERED;
+        tracked.stopWanted = true;
+        nextLookNanos = nowNanos;
+    }
+
     private List<End> stopAnswered(HostOrder.Stop stop, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(stop.run());
         boolean done = answer instanceof Accepted || answer instanceof Refused;
