Measure what the leader's loop costs, by stage

Cause: at a site of 342 to 490 hosts half of the jobs waited 2.6 s from handing in to the first start, although there was room; it is to be found out whether the loop of the leader costs too much. Nothing measured that.

The loop tells a meter when it enters and leaves what it does under the lock; no decision changed.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -53,6 +53,9 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Hears what the loop does under the lock. */
+    private final LoopMeter meter;
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -77,17 +80,35 @@
      */
     public static WorkflowLoop start(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits);
+        return startMetered(log, part, time, orders, limits, LoopMeter.NONE);
+    }
+
+    /**
+     * Starts a loop that tells what it does.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param meter hears what the loop does under the lock, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop startMetered(
+            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, meter);
         loop.scheduleTick();
         return loop;
     }
 
-    private WorkflowLoop(CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
+    private WorkflowLoop(
+            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
         this.log = log;
         this.part = part;
         this.time = time;
         this.orders = orders;
         this.limits = limits;
+        this.meter = meter;
     }
 
     private void scheduleTick() {
@@ -119,19 +140,31 @@
      * @throws NettleringException with {@code NOT_LEADER} if this member does not lead
      */
     <T> T change(Function<WorkflowLeadership, T> change) {
-        T result = part.read((state, queues) -> change.apply(leadership(state)));
+        T result = hold(LoopStage.REQUEST, state -> change.apply(leadership(state)));
         run();
         return result;
     }
 
     /** Decides on what the leader knows and the replicated jobs; not without leadership. */
     <T> T decide(BiFunction<WorkflowState, WorkflowLeadership, T> decision) {
-        return part.read((state, queues) -> decision.apply(state, leadership(state)));
+        return hold(LoopStage.REQUEST, state -> decision.apply(state, leadership(state)));
+    }
+
+    /** Does something under the lock of the jobs. */
+    private <T> T hold(LoopStage stage, Function<WorkflowState, T> work) {
+        return part.read((state, queues) -> {
+            meter.begin(stage);
+            try {
+                return work.apply(state);
+            } finally {
+                meter.end(stage);
+            }
+        });
     }
 
     /** Changes what the leader knows, with a look at the replicated jobs, then runs the loop; not without leadership. */
     void changeWithState(BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+        hold(LoopStage.REQUEST, state -> {
             WorkflowLeadership current = leadership(state);
             change.accept(state, current);
             return current;
@@ -143,7 +176,7 @@
     void runWithPlan() {
         WorkflowLeadership current = leadership;
         if (current != null) {
-            withLeadership(current, (state, present) -> present.wantPlan());
+            withLeadership(LoopStage.REQUEST, current, (state, present) -> present.wantPlan());
         }
         run();
     }
@@ -167,6 +200,7 @@
         WorkflowLeadership current = leadership;
         if (current != null && log.isReadyLeader()) {
             withLeadership(
+                    LoopStage.REQUEST,
                     current,
                     (state, present) ->
                             LOG.log(WorkflowEvent.LOAD, present.term(), LoadSummary.of(state, present.sessions())));
@@ -174,8 +208,9 @@
     }
 
     /** Changes the state of the present leadership; what an earlier one was told is dropped. */
-    private void withLeadership(WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+    private void withLeadership(
+            LoopStage stage, WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
+        hold(stage, state -> {
             if (leadership == expected) {
                 change.accept(state, expected);
             }
@@ -185,7 +220,7 @@
 
     private void propose() {
         List<WorkflowCommand> batch = new ArrayList<>();
-        WorkflowLeadership proposer = part.read((state, queues) -> {
+        WorkflowLeadership proposer = hold(LoopStage.PLAN, state -> {
             WorkflowLeadership current = leadership(state);
             batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
             return current;
@@ -202,10 +237,10 @@
     private void finish(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
         if (failure != null) {
             LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
-            withLeadership(proposer, (state, current) -> current.notCommitted(batch));
+            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.notCommitted(batch));
             return;
         }
-        withLeadership(proposer, (state, current) -> {
+        withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
             current.committed(state, batch, time.nanoTime());
             batch.forEach(command -> report(state, command, current.term()));
         });
@@ -243,7 +278,7 @@
 
     private void sendDueOrders() {
         List<HostOrder> due = new ArrayList<>();
-        WorkflowLeadership sender = part.read((state, queues) -> {
+        WorkflowLeadership sender = hold(LoopStage.DUE_ORDERS, state -> {
             WorkflowLeadership current = leadership(state);
             due.addAll(current.dueOrders(time.nanoTime()));
             return current;
@@ -264,7 +299,10 @@
         if (!carriedOut) {
             LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
         }
-        withLeadership(sender, (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
+        withLeadership(
+                LoopStage.ANSWER,
+                sender,
+                (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
         tickNow();
     }
 
