Let a host's session say when it is next due

Cause: every event at the leader looks at all hosts, since nothing says which of them time alone makes due.

Change: HostSession tells the earliest time at which an order falls due or its life ends; nothing is decided otherwise. Leases that lapse and hosts not heard of are left to the loop's timer.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
@@ -337,10 +339,38 @@
         return due;
     }
 
+    /**
+     * Returns when the host is next to be looked at although nothing came from it and nothing was wanted of it until then.
+     *
+     * <p>Leases that lapse and hosts that are not heard of are left out: they are found soon enough at regular intervals.
+     *
+     * @param nowNanos the monotonic time
+     * @return the earliest time at which an order falls due or this life ends, empty if neither will, never null
+     */
+    public OptionalLong nextDueNanos(long nowNanos) {
+        LongStream.Builder waits = LongStream.builder();
+        if (goneNanos != null && !isGone(nowNanos)) {
+            waits.add(goneNanos - nowNanos);
+        }
+        if (wantsLookInTime()) {
+            waits.add(nextLookNanos - nowNanos);
+        }
+        strays.values().forEach(next -> waits.add(next - nowNanos));
+        runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> waits.add(next - nowNanos)));
+        OptionalLong least = waits.build().min();
+        return least.isEmpty() || isGone(nowNanos)
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowNanos + least.getAsLong());
+    }
+
     private boolean wantsLook(long nowNanos) {
+        return wantsLookInTime() && nowNanos - nextLookNanos >= 0;
+    }
+
+    private boolean wantsLookInTime() {
         boolean needed = !looked || silent || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
         boolean mayWaitForLog = ends.isWaiting() && !silent;
-        return needed && !mayWaitForLog && !lookInFlight && nowNanos - nextLookNanos >= 0;
+        return needed && !mayWaitForLog && !lookInFlight;
     }
 
     private HostOrder look(long nowNanos) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.nettlering.domain.workflow.ActiveRun;
 
 /** A run that may be at work on a host, as the leader follows it. Belongs to a {@link HostSession}. Not thread-safe. */
@@ -134,6 +135,12 @@
         return !stopInFlight && !stopAnswered && nowNanos - nextStopNanos >= 0;
     }
 
+    /** Returns when a stop that nothing else holds up falls due, or empty. */
+    OptionalLong nextStopNanos() {
+        boolean pending = !endFound && stage != Stage.TO_SEND && stopWanted && !stopInFlight && !stopAnswered;
+        return pending ? OptionalLong.of(nextStopNanos) : OptionalLong.empty();
+    }
+
     private HostOrder stopOrder(long token) {
         stopInFlight = true;
         return new HostOrder.Stop(run.host(), token, run.run());
