Look at those hosts alone at which something may be due

Change: a host is looked at when something came from it or was wanted of it, when the time that its session named has come, and at each run of the timer (100 ms) for leases that lapse. The run's host is kept, so that an end goes to it alone.

LeaderWorkTest counts looks at hosts: with 100 hosts an answer led to more than 2, now to at most 2 (failed before). It also holds that a look which has to pause goes out although nothing else happens.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,6 +69,12 @@
     /** How the runs on each host share it. */
     private final HostSharing sharing = new HostSharing();
 
+    /** The hosts at which something may be due. */
+    private final DueHosts dueHosts = new DueHosts();
+
+    /** The lives of the hosts that are followed for each run. */
+    private final Map<RunName, String> hostsOfRuns = new HashMap<>();
+
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
 
@@ -79,6 +84,9 @@
     /** When jobs that ended long ago are looked for next, by the monotonic clock. */
     private long nextForgetNanos;
 
+    /** How much was done. */
+    private final LoopWork work = new LoopWork();
+
     /** Whether a batch is on its way through the log. */
     private boolean proposing;
 
@@ -91,9 +99,11 @@
             HostSession session = leadership.session(host, nowNanos);
             for (ActiveRun run : host.runs()) {
                 session.inherit(run, fills(state, run), nowNanos);
+                leadership.hostsOfRuns.put(run.run(), host.host().id());
                 leadership.stopIfPointless(state, run);
             }
         }
+        leadership.visitAll();
         return leadership;
     }
 
@@ -117,6 +127,10 @@
         return term;
     }
 
+    LoopWork work() {
+        return work;
+    }
+
     Collection<HostSession> sessions() {
         return sessions.values();
     }
@@ -130,6 +144,7 @@
             sessions.put(report.host().id(), session);
         }
         session.receive(report, nowNanos);
+        dueHosts.touch(report.host().id());
         return first;
     }
 
@@ -137,6 +152,7 @@
         HostSession session = sessions.get(hostId);
         if (session != null) {
             session.leave(nowNanos);
+            dueHosts.touch(hostId);
         }
     }
 
@@ -146,6 +162,7 @@
         if (session == null) {
             return;
         }
+        dueHosts.touch(order.host().id());
         collect(session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             sharing.share(state, session, nowNanos);
@@ -194,7 +211,7 @@
         if (proposing) {
             return List.of();
         }
-        sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
+        collectOverdueEnds(nowNanos);
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
         if (batch.isEmpty() && planWanted) {
             planWanted = false;
@@ -215,6 +232,16 @@
         return batch;
     }
 
+    private void collectOverdueEnds(long nowNanos) {
+        for (String hostId : dueHosts.takeForEnds(nowNanos)) {
+            HostSession session = sessions.get(hostId);
+            if (session != null) {
+                work.noteVisit();
+                collect(session.overdueEnds(nowNanos));
+            }
+        }
+    }
+
     private void move(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
         stop(run);
@@ -252,6 +279,7 @@
             if (!session.takesWork(nowNanos) || doubts.isPaused(id, nowNanos)) {
                 continue;
             }
+            work.noteRoom();
             HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
             session.report()
                     .ifPresent(report -> rooms.add(HostRoom.of(
@@ -260,6 +288,11 @@
         return rooms;
     }
 
+    /** Has every host looked at the next time, for whatever becomes due by the passing of time alone. */
+    void visitAll() {
+        dueHosts.touchAll(sessions.keySet());
+    }
+
     /** Has starts planned the next time: a job, a host or the time of day has changed. */
     void wantPlan() {
         planWanted = true;
@@ -295,14 +328,15 @@
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.start(run, job.definition().taskSpecification(), "", nowNanos);
+        hostsOfRuns.put(run.run(), run.host().id());
+        dueHosts.touch(run.host().id());
         stopIfPointless(state, run);
     }
 
     private void ended(WorkflowState state, End end, long nowNanos) {
-        for (HostSession session : sessions.values()) {
-            if (session.ended(end.run())) {
-                doubts.ended(session.host().id(), end.how(), nowNanos);
-            }
+        String hostId = hostsOfRuns.remove(end.run());
+        if (hostId != null) {
+            endedOn(hostId, end, nowNanos);
         }
         state.job(end.run().task().jobId()).ifPresent(job -> {
             if (!job.phase().isOpen()) {
@@ -313,6 +347,14 @@
         });
     }
 
+    private void endedOn(String hostId, End end, long nowNanos) {
+        HostSession session = sessions.get(hostId);
+        if (session != null && session.ended(end.run())) {
+            doubts.ended(hostId, end.how(), nowNanos);
+            dueHosts.touch(hostId);
+        }
+    }
+
     /** Stops the other runs of a task that is done. */
     private void stopCopies(WorkflowState state, StepProgress step, RunName done) {
         if (step.task(done.task().index()).isDone()) {
@@ -347,22 +389,27 @@
         HostSession session = sessions.get(run.host().id());
         if (session != null) {
             session.stop(run.run());
+            dueHosts.touch(run.host().id());
         }
     }
 
     /** Returns the orders that are due, and takes them as sent. */
     List<HostOrder> dueOrders(long nowNanos) {
         List<HostOrder> due = new ArrayList<>();
-        Iterator<HostSession> all = sessions.values().iterator();
-        while (all.hasNext()) {
-            HostSession session = all.next();
+        for (String hostId : dueHosts.takeForOrders(nowNanos)) {
+            HostSession session = sessions.get(hostId);
+            if (session == null) {
+                continue;
+            }
+            work.noteVisit();
             if (session.isOver(nowNanos)) {
-                doubts.forget(session.host().id());
-                sharing.forget(session.host().id());
-                all.remove();
+                doubts.forget(hostId);
+                sharing.forget(hostId);
+                sessions.remove(hostId);
                 continue;
             }
             due.addAll(session.dueOrders(nowNanos));
+            session.nextDueNanos(nowNanos).ifPresent(next -> dueHosts.touchAt(hostId, next));
         }
         return due;
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -119,6 +119,10 @@
 
     private void tick() {
         try {
+            WorkflowLeadership current = leadership;
+            if (current != null) {
+                withLeadership(LoopStage.REQUEST, current, (state, present) -> present.visitAll());
+            }
             runWithPlan();
             ticks++;
             if (ticks % TICKS_PER_SUMMARY == 0) {
