--- a/control/src/main/java/org/nettlering/control/workflow/OrderOutcome.java
+++ b/control/src/main/java/org/nettlering/control/workflow/OrderOutcome.java
@@ -33,6 +33,7 @@
             case HostAnswer.Unwell unwell -> "unwell";
             case HostAnswer.OtherLife other -> "other_life";
             case HostAnswer.Silent silent -> "unanswered_" + cause(silent.problem());
+            case HostAnswer.Unsent unsent -> "unsent_" + cause(unsent.problem());
         };
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -57,6 +57,9 @@
     /** Measures where the time goes. */
     private final LoopMeasures measures;
 
+    /** Hears what the loop does under the lock. */
+    private final LoopMeter meter;
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -102,7 +105,34 @@
             HostOrders orders,
             HostLimits limits,
             LoopMeasures measures) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures);
+        return start(log, part, time, orders, limits, measures, LoopMeter.NONE);
+    }
+
+    /**
+     * Starts a loop that tells what it does.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param meter hears what the loop does under the lock, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop startMetered(
+            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
+        return start(log, part, time, orders, limits, LoopMeasures.unread(time), meter);
+    }
+
+    private static WorkflowLoop start(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures,
+            LoopMeter meter) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures, meter);
         loop.scheduleTick();
         return loop;
     }
@@ -113,13 +143,15 @@
             TimeSource time,
             HostOrders orders,
             HostLimits limits,
-            LoopMeasures measures) {
+            LoopMeasures measures,
+            LoopMeter meter) {
         this.log = log;
         this.part = part;
         this.time = time;
         this.orders = orders;
         this.limits = limits;
         this.measures = measures;
+        this.meter = meter;
     }
 
     private void scheduleTick() {
@@ -132,6 +164,10 @@
     private void tick() {
         measures.timerRan();
         try {
+            WorkflowLeadership current = leadership;
+            if (current != null) {
+                withLeadership(LoopStage.REQUEST, current, (state, present) -> present.visitAll());
+            }
             runWithPlan();
             ticks++;
             if (ticks % TICKS_PER_SUMMARY == 0) {
@@ -154,19 +190,31 @@
      * @throws NettleringException with {@code NOT_LEADER} if this member does not lead
      */
     <T> T change(Function<WorkflowLeadership, T> change) {
-        T result = part.read((state, queues) -> change.apply(leadership(state)));
+        T result = hold(LoopStage.REQUEST, state -> change.apply(leadership(state)));
         run();
         return result;
     }
 
     /** Decides on what the leader knows and the replicated jobs; not without leadership. */
     <T> T decide(BiFunction<WorkflowState, WorkflowLeadership, T> decision) {
-        return part.read((state, queues) -> decision.apply(state, leadership(state)));
+        return hold(LoopStage.REQUEST, state -> decision.apply(state, leadership(state)));
+    }
+
+    /** Does something under the lock of the jobs. */
+    private <T> T hold(LoopStage stage, Function<WorkflowState, T> work) {
+        return part.read((state, queues) -> {
+            meter.begin(stage);
+            try {
+                return work.apply(state);
+            } finally {
+                meter.end(stage);
+            }
+        });
     }
 
     /** Changes what the leader knows, with a look at the replicated jobs, then runs the loop; not without leadership. */
     void changeWithState(BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+        hold(LoopStage.REQUEST, state -> {
             WorkflowLeadership current = leadership(state);
             change.accept(state, current);
             return current;
@@ -178,7 +226,7 @@
     void runWithPlan() {
         WorkflowLeadership current = leadership;
         if (current != null) {
-            withLeadership(current, (state, present) -> present.wantPlan());
+            withLeadership(LoopStage.REQUEST, current, (state, present) -> present.wantPlan());
         }
         run();
     }
@@ -205,6 +253,7 @@
         WorkflowLeadership current = leadership;
         if (current != null && log.isReadyLeader()) {
             withLeadership(
+                    LoopStage.REQUEST,
                     current,
                     (state, present) ->
                             LOG.log(WorkflowEvent.LOAD, present.term(), LoadSummary.of(state, present.sessions())));
@@ -212,8 +261,9 @@
     }
 
     /** Changes the state of the present leadership; what an earlier one was told is dropped. */
-    private void withLeadership(WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+    private void withLeadership(
+            LoopStage stage, WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
+        hold(stage, state -> {
             if (leadership == expected) {
                 change.accept(state, expected);
             }
@@ -223,7 +273,7 @@
 
     private void propose() {
         List<WorkflowCommand> batch = new ArrayList<>();
-        WorkflowLeadership proposer = part.read((state, queues) -> {
+        WorkflowLeadership proposer = hold(LoopStage.PLAN, state -> {
             WorkflowLeadership current = leadership(state);
             batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
             measures.proposed(state, batch);
@@ -241,10 +291,10 @@
     private void finish(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
         if (failure != null) {
             LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
-            withLeadership(proposer, (state, current) -> current.notCommitted(batch));
+            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.notCommitted(batch));
             return;
         }
-        withLeadership(proposer, (state, current) -> {
+        withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
             measures.logged(batch);
             current.committed(state, batch, time.nanoTime());
             batch.forEach(command -> report(state, command, current));
@@ -288,7 +338,7 @@
 
     private void sendDueOrders() {
         List<HostOrder> due = new ArrayList<>();
-        WorkflowLeadership sender = part.read((state, queues) -> {
+        WorkflowLeadership sender = hold(LoopStage.DUE_ORDERS, state -> {
             WorkflowLeadership current = leadership(state);
             due.addAll(current.dueOrders(time.nanoTime()));
             return current;
@@ -311,7 +361,10 @@
         if (!carriedOut) {
             LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
         }
-        withLeadership(sender, (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
+        withLeadership(
+                LoopStage.ANSWER,
+                sender,
+                (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
         tickNow();
     }
 
