Keep our own delay from failing an order

Cause: the library's one limit of 500 ms covered the wait behind other orders, the opening of a connection and the time for which our event loop served nothing. A look could stand behind starts.

Change: each address has a lane: one look and three other orders on their way, the others wait in turn for at most 2 s, so a look never waits behind starts. All limits begin on the event loop: the wait, the opening (500 ms, by Netty) and the answer (800 ms from when the order is handed over, beyond its own wait). OrderWatch judges them every 50 ms while orders are out; when the event loop came to that more than 100 ms late it judges once later, so that answers that wait unread are read first. What waits behind an order that could not be sent or got no answer ends as unsent: it certainly did not go out. A lane is freed in the task after the answer, as the library would open another connection else (a test showed 4 in place of 3).

The wait of 2 s and the other limits are reasoned, not tried on the site.

--- a/benchmarks/src/main/java/org/nettlering/benchmarks/orders/OrderSender.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/orders/OrderSender.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import org.nettlering.control.workflow.HostOrders;
+import org.nettlering.domain.time.SystemTime;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostOrder;
 import org.nettlering.platform.PlatformVertx;
@@ -25,8 +26,11 @@
     /** The engine. */
     private final Vertx vertx = PlatformVertx.create();
 
+    /** The clock. */
+    private final SystemTime time = SystemTime.create("order-timers");
+
     /** The way to the hosts. */
-    private final HostOrders orders = HttpHostOrders.create(vertx);
+    private final HostOrders orders = HttpHostOrders.create(vertx, time);
 
     /** How many orders had which outcome. */
     private final Map<String, Integer> outcomes = new TreeMap<>();
@@ -45,7 +49,11 @@
     }
 
     private synchronized void count(HostOrder order, HostAnswer answer) {
-        String problem = answer instanceof HostAnswer.Silent silent ? ": " + silent.problem() : "";
+        String problem = switch (answer) {
+            case HostAnswer.Silent silent -> ": " + silent.problem();
+            case HostAnswer.Unsent unsent -> ": " + unsent.problem();
+            default -> "";
+        };
         String name = order.getClass().getSimpleName() + " " + answer.getClass().getSimpleName()
                 + ADDRESS.matcher(problem).replaceAll("HOST");
         outcomes.merge(name, 1, Integer::sum);
@@ -85,5 +93,6 @@
     @Override
     public void close() {
         PlatformVertx.await("stopping the engine", vertx.close());
+        time.close();
     }
 }
