End a start that was not sent at once

Change: what the way to the hosts reports as unsent ends as not begun at once. The host gets no new work before it answers a look, as before. The test that held the old meaning of an unsent order (added with it, for the time being) is replaced by one that asks for more: the end at once, no stop, and work again only after an answer. It failed before.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -447,7 +447,9 @@
         switch (answer) {
             case Accepted accepted -> tracked.confirm(nowNanos);
             case Silent nothing -> doubt(tracked, nowNanos);
-            case Unsent nothing -> doubt(tracked, nowNanos);
+            case Unsent unsent -> {
+                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.NotSent(tracked.stopWanted, silent)));
+            }
             case Refused refused -> {
                 refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
                 return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StartRefused(refused.reason())));
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -22,6 +22,7 @@
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 
 class HostSessionTest {
     private static final HostLimits LIMITS =
@@ -71,14 +72,6 @@
         assertThat(session.takesWork(nowNanos)).isTrue();
     }
 
-    @Test
-    void anOrderThatWasNotSentIsTreatedLikeOneWithoutAnAnswer() {
-        answeredOnce();
-        assertThat(answer(startOrder(), new Unsent("no connection"))).isEmpty();
-        assertThat(session.takesWork(nowNanos)).isFalse();
-        assertThat(order(HostOrder.Stop.class).run()).isEqualTo(RUN);
-    }
-
     @Test
     void aRefusedStartEndsAsNotBegun() {
         answeredOnce();
@@ -98,6 +91,20 @@
         assertThat(look().noted()).isEqualTo(3);
     }
 
+    /** Guards against too little served: a start that never left this process waited for a stop, a grace and a look. */
+    @Test
+    void aStartThatWasNotSentIsOverAtOnceAndTheHostTakesNoWorkBeforeItAnswers() {
+        answeredOnce();
+        assertThat(answer(startOrder(), new Unsent("no connection")))
+                .containsExactly(new End(RUN, RunEnd.NOT_BEGUN, ""));
+        assertThat(orders().stream().filter(HostOrder.Stop.class::isInstance)).isEmpty();
+        assertThat(session.takesWork(nowNanos)).isFalse();
+        session.ended(RUN);
+        pass(400);
+        answerLook(List.of(), List.of());
+        assertThat(session.takesWork(nowNanos)).isTrue();
+    }
+
     @Test
     void aStartWithoutAnAnswerIsOverOnlyAfterAStopWasAnsweredAndALaterLookShowsNothing() {
         answeredOnce();
