Write the log from a thread of its own, within bounds

Cause: every line was formatted, encoded and written by the thread that logs, at the leader in part under the lock of the jobs, with one write call each; an output that stands still would have held up the leader. Nothing bounded the lines. Ruled out: Logback's AsyncAppender, which at its end still writes line by line and drops without a word; a new library. ERROR is never cut. Metrics count both. An orderly stop, System.exit and the end after a failed disk flush for at most 0.5 s. A process that is killed loses the lines of its last moment, some 10 ms.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -43,6 +43,7 @@
 import org.nettlering.domain.placement.ScoredPlanner;
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.domain.time.TimeSource;
+import org.nettlering.runtime.log.LogOutput;
 import org.nettlering.runtime.metrics.Metrics;
 import org.nettlering.runtime.program.Daemon;
 import org.nettlering.runtime.program.ExitCode;
@@ -242,6 +243,7 @@
 
     /** Ends the process at once: a member whose disk has failed must neither answer nor look alive. */
     private static void endWithFailure() {
+        LogOutput.flush();
         Runtime.getRuntime().halt(ExitCode.FAILURE.number());
     }
 
--- a/control/src/main/java/org/nettlering/control/task/TaskEvent.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskEvent.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.task;
 
+import org.nettlering.runtime.log.LineBudget;
 import org.nettlering.runtime.log.LogEvent;
 import org.slf4j.event.Level;
 
@@ -49,4 +50,9 @@
     public String pattern() {
         return pattern;
     }
+
+    @Override
+    public int linesPerSecond() {
+        return LineBudget.JOB_LIFE;
+    }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.workflow;
 
+import org.nettlering.runtime.log.LineBudget;
 import org.nettlering.runtime.log.LogEvent;
 import org.slf4j.event.Level;
 
@@ -67,4 +68,14 @@
     public String pattern() {
         return pattern;
     }
+
+    @Override
+    public int linesPerSecond() {
+        return switch (this) {
+            case JOB_ACCEPTED, JOB_CANCELLED, JOB_REJECTED, RUN_STARTED, RUN_ENDED, RUN_MOVED, HOST_SEEN ->
+                LineBudget.JOB_LIFE;
+            case ORDER_FAILED -> LineBudget.DETAIL;
+            default -> LogEvent.super.linesPerSecond();
+        };
+    }
 }
--- a/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
@@ -1,6 +1,7 @@
 package org.nettlering.runtime.log;
 
 import java.util.Locale;
+import org.nettlering.domain.time.SystemTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -11,6 +12,12 @@
  * <p>Each line carries the event's number as {@code NTL-1234} in the key {@code event}. Thread-safe.
  */
 public final class EventLogger {
+    /** The first number of which the text needs no zeros before it. */
+    private static final int FIRST_WITH_ALL_DIGITS = 1_000;
+
+    /** How many lines of each event are written in a second; shared by the process. */
+    private static final LineBudget BUDGET = LineBudget.of(SystemTime.create("log-timers"));
+
     /** Where the events go. */
     private final Logger logger;
 
@@ -29,12 +36,15 @@
     }
 
     /**
-     * Logs an event.
+     * Logs an event, unless its level is off or its lines of this second are used up.
      *
      * @param event the kind of event, not null
      * @param arguments the values for the pattern, in order, not null; a last throwable is logged with its stack
      */
     public void log(LogEvent event, Object... arguments) {
+        if (!logger.isEnabledForLevel(event.level()) || !BUDGET.permits(event)) {
+            return;
+        }
         LoggingEventBuilder builder = logger.atLevel(event.level()).addKeyValue("event", code(event));
         builder.log(event.pattern(), arguments);
     }
@@ -46,6 +56,21 @@
      * @return such as {@code NTL-1001}, never null
      */
     public static String code(LogEvent event) {
-        return String.format(Locale.ROOT, "NTL-%04d", event.number());
+        int number = event.number();
+        return number >= FIRST_WITH_ALL_DIGITS ? "NTL-" + number : String.format(Locale.ROOT, "NTL-%04d", number);
+    }
+
+    /** Returns the budget that all loggers of the process share. */
+    static LineBudget budget() {
+        return BUDGET;
+    }
+
+    /**
+     * Returns how many lines were left out since the start, as their event's budget of a second was used up.
+     *
+     * @return the number of lines, of all events
+     */
+    public static long leftOutLines() {
+        return BUDGET.leftOut();
     }
 }
--- a/runtime/src/main/java/org/nettlering/runtime/log/LogEvent.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/LogEvent.java
@@ -29,4 +29,13 @@
      * @return the SLF4J message pattern, never null
      */
     String pattern();
+
+    /**
+     * Returns how many lines of this event a process writes in a second at most.
+     *
+     * @return the budget, or {@link LineBudget#UNLIMITED}; an event of level {@code ERROR} is never cut
+     */
+    default int linesPerSecond() {
+        return LineBudget.ordinary(level());
+    }
 }
--- a/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
@@ -21,7 +21,11 @@
     /** The settings could not be read again. */
     RELOAD_FAILED(1008, Level.WARN, "{} keeps its settings: {}"),
     /** The signal to read the settings again is not taken. */
-    NO_RELOAD(1009, Level.WARN, "SIGHUP is not handled here");
+    NO_RELOAD(1009, Level.WARN, "SIGHUP is not handled here"),
+    /** Lines found no room as the output stood still or was too slow. */
+    LINES_DROPPED(1010, Level.WARN, "{} lines were dropped: the output of the log is too slow"),
+    /** Lines of one event were left out. */
+    LINES_LEFT_OUT(1011, Level.INFO, "{} lines of {} were left out: its budget of a second was used up");
 
     /** The number of the event. */
     private final int number;
@@ -52,4 +56,9 @@
     public String pattern() {
         return pattern;
     }
+
+    @Override
+    public int linesPerSecond() {
+        return this == SPAN ? LineBudget.JOB_LIFE : LogEvent.super.linesPerSecond();
+    }
 }
--- a/runtime/src/main/java/org/nettlering/runtime/metrics/Metrics.java
+++ b/runtime/src/main/java/org/nettlering/runtime/metrics/Metrics.java
@@ -10,6 +10,8 @@
 import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
+import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.runtime.log.LogOutput;
 
 /**
  * The metrics of one process.
@@ -58,6 +60,25 @@
                 .callback(callback ->
                         callback.call(ManagementFactory.getThreadMXBean().getThreadCount()))
                 .register(registry);
+        registerLog();
+    }
+
+    private void registerLog() {
+        CounterWithCallback.builder()
+                .name("nettlering_log_dropped_lines_total")
+                .help("Lines of the log that were dropped as its output was too slow.")
+                .callback(callback -> callback.call((double) LogOutput.droppedLines()))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("nettlering_log_left_out_lines_total")
+                .help("Lines of the log that were left out as their event's budget of a second was used up.")
+                .callback(callback -> callback.call((double) EventLogger.leftOutLines()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("nettlering_log_waiting_lines")
+                .help("Lines of the log that wait to be written.")
+                .callback(callback -> callback.call(LogOutput.waitingLines()))
+                .register(registry);
     }
 
     /**
--- a/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
+++ b/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.runtime.log.LogOutput;
 import org.nettlering.runtime.log.RuntimeEvent;
 import org.nettlering.runtime.settings.SettingsException;
 
@@ -65,6 +66,7 @@
     public void main(String[] arguments) {
         ExitCode code = run(arguments, System.out, System.err, this::stopOnShutdown);
         if (code != ExitCode.SUCCESS) {
+            LogOutput.flush();
             System.exit(code.number());
         }
     }
@@ -156,6 +158,7 @@
             LOG.log(RuntimeEvent.STOP_FAILED, name, exception);
             code = ExitCode.FAILURE;
         }
+        LogOutput.flush();
         Runtime.getRuntime().halt(code.number());
     }
 
