Keep the rooms on hosts from one plan to the next

Cause: every plan measured the room of each host anew, with a look-up for each run there, and looked through all runs for those that are held back, also when nothing waited.

Ruled out: keeping rooms until someone says that they changed; commitments also change by commands of which the leader was told that their outcome is unknown. So a room is used only with the commitments, unchanged, with which it was measured.

Change: HostRooms keeps the rooms; an answer, a report, a start or an end forgets that of its host, and so does a plan that took room there. Runs that are held back are looked for on hosts with slowed runs alone. Nothing is measured when nothing waits and nothing is held back. The choices are the same.

LeaderWorkTest counts rooms: with 100 hosts a second plan measured more than 2, and one without anything to place 100; now at most 2 and none (both failed before).

--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/HostRooms.java
@@ -0,0 +1,52 @@
+package org.nettlering.control.workflow;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.HostCommitments;
+import org.nettlering.domain.workflow.placement.HostRoom;
+
+/**
+ * The rooms on hosts from one plan to the next.
+ *
+ * <p>Guarantees that a room is given out only as long as the host's commitments in the replicated state are those with which
+ * it was measured; whoever changes anything else of a host has to say so. Not thread-safe.
+ */
+final class HostRooms {
+    /** The rooms by the id of the host's life. */
+    private final Map<String, Measured> rooms = new HashMap<>();
+
+    HostRooms() {}
+
+    /**
+     * A room and the commitments with which it was measured.
+     *
+     * @param room the room
+     * @param commitments the commitments, or null if there were none
+     * @param changes how often they had changed
+     */
+    private record Measured(HostRoom room, @Nullable HostCommitments commitments, long changes) {
+        // The same commitments: another object with the same runs may have changed in between.
+        @SuppressWarnings("ReferenceEquality")
+        boolean isOf(@Nullable HostCommitments present) {
+            return commitments == present && (present == null || present.changes() == changes);
+        }
+    }
+
+    /** Returns the room on a host, measured anew only if it may have changed. */
+    HostRoom room(String hostId, @Nullable HostCommitments commitments, Supplier<HostRoom> measure) {
+        Measured known = rooms.get(hostId);
+        if (known != null && known.isOf(commitments) && !known.room().isPlannedOn()) {
+            return known.room();
+        }
+        HostRoom room = measure.get();
+        rooms.put(hostId, new Measured(room, commitments, commitments == null ? 0 : commitments.changes()));
+        return room;
+    }
+
+    /** Takes note that something else of a host has changed, or that it is gone. */
+    void forget(String hostId) {
+        rooms.remove(hostId);
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/HostSharing.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostSharing.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.RunName;
 import org.nettlering.domain.workflow.StepProgress;
@@ -32,6 +34,9 @@
     /** What was learned of the images that share hosts. */
     private final SharingGuard guard = SharingGuard.create();
 
+    /** The hosts with runs that were slowed down, by the id of their life. */
+    private final Set<String> slowed = new HashSet<>();
+
     HostSharing() {}
 
     /** Returns what was learned of the images that share hosts. */
@@ -42,6 +47,17 @@
     /** Forgets a host. */
     void forget(String hostId) {
         guard.forget(hostId);
+        slowed.remove(hostId);
+    }
+
+    /** Takes note whether runs on a host work at less than their full speed; called after each of its answers. */
+    void noteSlowed(HostSession session) {
+        boolean anySlow = session.loads().stream().anyMatch(load -> load.pacePercent() < WHOLE_PERCENT);
+        if (anySlow) {
+            slowed.add(session.host().id());
+        } else {
+            slowed.remove(session.host().id());
+        }
     }
 
     /** Learns how the runs on a host bear each other, and sets the pace of those that fill. */
@@ -87,7 +103,13 @@
     /** Returns the runs that are held back for the sake of others and that lose little when they are moved. */
     List<HeldBackRun> heldBackRuns(WorkflowState state, Collection<HostSession> sessions, long nowNanos) {
         List<HeldBackRun> heldBack = new ArrayList<>();
+        if (slowed.isEmpty()) {
+            return heldBack;
+        }
         for (HostSession session : sessions) {
+            if (!slowed.contains(session.host().id())) {
+                continue;
+            }
             for (RunLoad load : session.loads()) {
                 state.step(load.run().task().step())
                         .filter(step -> HoldBackRule.isHeldBack(step.specification(), load, nowNanos))
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -31,6 +31,7 @@
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunLoad;
 import org.nettlering.domain.workflow.host.StallRule;
+import org.nettlering.domain.workflow.placement.HeldBackRun;
 import org.nettlering.domain.workflow.placement.HostDoubts;
 import org.nettlering.domain.workflow.placement.HostRoom;
 import org.nettlering.domain.workflow.placement.StartPlan;
@@ -72,6 +73,9 @@
     /** The hosts at which something may be due. */
     private final DueHosts dueHosts = new DueHosts();
 
+    /** The rooms on the hosts. */
+    private final HostRooms rooms = new HostRooms();
+
     /** The lives of the hosts that are followed for each run. */
     private final Map<RunName, String> hostsOfRuns = new HashMap<>();
 
@@ -144,7 +148,7 @@
             sessions.put(report.host().id(), session);
         }
         session.receive(report, nowNanos);
-        dueHosts.touch(report.host().id());
+        changed(report.host().id());
         return first;
     }
 
@@ -152,7 +156,7 @@
         HostSession session = sessions.get(hostId);
         if (session != null) {
             session.leave(nowNanos);
-            dueHosts.touch(hostId);
+            changed(hostId);
         }
     }
 
@@ -162,12 +166,13 @@
         if (session == null) {
             return;
         }
-        dueHosts.touch(order.host().id());
+        changed(order.host().id());
         collect(session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             sharing.share(state, session, nowNanos);
             stopStalled(state, session, nowNanos);
         }
+        sharing.noteSlowed(session);
     }
 
     /** Stops the runs on a host that stand still, so that they start elsewhere, and holds that against the host. */
@@ -217,27 +222,40 @@
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
-            StartPlan plan = StartPlanner.plan(
-                    state,
-                    rooms(state, nowNanos),
-                    step -> true,
-                    sharing.guard(),
-                    sharing.heldBackRuns(state, sessions.values(), nowNanos),
-                    nowMillis);
-            batch.addAll(plan.starts());
-            plan.moves().forEach(this::move);
+            addStarts(state, nowNanos, nowMillis, batch);
         }
         openEnds.clear();
         proposing = !batch.isEmpty();
         return batch;
     }
 
+    private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
+        List<HeldBackRun> heldBack = sharing.heldBackRuns(state, sessions.values(), nowNanos);
+        if (state.waitingSteps().isEmpty() && heldBack.isEmpty()) {
+            return;
+        }
+        StartPlan plan =
+                StartPlanner.plan(state, rooms(state, nowNanos), step -> true, sharing.guard(), heldBack, nowMillis);
+        batch.addAll(plan.starts());
+        plan.moves().forEach(this::move);
+    }
+
+    /** Has a host looked at, and its room measured anew. */
+    private void changed(String hostId) {
+        dueHosts.touch(hostId);
+        rooms.forget(hostId);
+    }
+
     private void collectOverdueEnds(long nowNanos) {
         for (String hostId : dueHosts.takeForEnds(nowNanos)) {
             HostSession session = sessions.get(hostId);
             if (session != null) {
                 work.noteVisit();
-                collect(session.overdueEnds(nowNanos));
+                List<End> overdue = session.overdueEnds(nowNanos);
+                collect(overdue);
+                if (!overdue.isEmpty()) {
+                    changed(hostId);
+                }
             }
         }
     }
@@ -273,19 +291,27 @@
     }
 
     private List<HostRoom> rooms(WorkflowState state, long nowNanos) {
-        List<HostRoom> rooms = new ArrayList<>();
+        List<HostRoom> present = new ArrayList<>();
         for (HostSession session : sessions.values()) {
             String id = session.host().id();
-            if (!session.takesWork(nowNanos) || doubts.isPaused(id, nowNanos)) {
-                continue;
+            if (session.takesWork(nowNanos) && !doubts.isPaused(id, nowNanos)) {
+                session.report().ifPresent(report -> present.add(room(state, session, report)));
             }
-            work.noteRoom();
-            HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
-            session.report()
-                    .ifPresent(report -> rooms.add(HostRoom.of(
-                            report, commitments, doubts.doubtOf(id), HostSharing.servingRuns(state, session))));
         }
-        return rooms;
+        return present;
+    }
+
+    private HostRoom room(WorkflowState state, HostSession session, HostReport report) {
+        String id = session.host().id();
+        HostCommitments commitments = state.host(id).orElse(null);
+        return rooms.room(id, commitments, () -> {
+            work.noteRoom();
+            return HostRoom.of(
+                    report,
+                    commitments == null ? HostCommitments.none(session.host()) : commitments,
+                    doubts.doubtOf(id),
+                    HostSharing.servingRuns(state, session));
+        });
     }
 
     /** Has every host looked at the next time, for whatever becomes due by the passing of time alone. */
@@ -329,7 +355,7 @@
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.start(run, job.definition().taskSpecification(), "", nowNanos);
         hostsOfRuns.put(run.run(), run.host().id());
-        dueHosts.touch(run.host().id());
+        changed(run.host().id());
         stopIfPointless(state, run);
     }
 
@@ -351,7 +377,7 @@
         HostSession session = sessions.get(hostId);
         if (session != null && session.ended(end.run())) {
             doubts.ended(hostId, end.how(), nowNanos);
-            dueHosts.touch(hostId);
+            changed(hostId);
         }
     }
 
@@ -389,7 +415,7 @@
         HostSession session = sessions.get(run.host().id());
         if (session != null) {
             session.stop(run.run());
-            dueHosts.touch(run.host().id());
+            changed(run.host().id());
         }
     }
 
@@ -406,6 +432,7 @@
                 doubts.forget(hostId);
                 sharing.forget(hostId);
                 sessions.remove(hostId);
+                rooms.forget(hostId);
                 continue;
             }
             due.addAll(session.dueOrders(nowNanos));
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -78,6 +78,22 @@
         assertThat(leadership.dueOrders(nowNanos + LOOK_PAUSE_MILLIS * MILLI)).hasSize(1);
     }
 
+    @Test
+    void aPlanMeasuresTheRoomOfThoseHostsAloneThatChanged() {
+        startOne("a");
+        long before = leadership.work().rooms();
+        startOne("b");
+        assertThat(leadership.work().rooms() - before).isLessThanOrEqualTo(2);
+    }
+
+    @Test
+    void aPlanWithNothingToPlaceMeasuresNoRoom() {
+        long before = leadership.work().rooms();
+        leadership.wantPlan();
+        leadership.nextBatch(state, nowNanos, 0);
+        assertThat(leadership.work().rooms()).isEqualTo(before);
+    }
+
     /** Has the host confirm the start of the only run, and returns the look that follows. */
     private HostOrder startedAndLookedAt() {
         List<HostOrder> starts = leadership.dueOrders(nowNanos);
--- a/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/HostCommitments.java
@@ -30,6 +30,9 @@
     /** The processors that these runs commit, in millicores. */
     private long servingMillicores;
 
+    /** How often the runs have changed. */
+    private long changes;
+
     /**
      * Returns commitments without any run.
      *
@@ -112,6 +115,15 @@
         return servingMillicores;
     }
 
+    /**
+     * Returns how often the runs have changed, by which a copy of what they commit is known to be out of date.
+     *
+     * @return a number that rises with each change
+     */
+    public long changes() {
+        return changes;
+    }
+
     /**
      * Returns how many runs of a step are here.
      *
@@ -144,6 +156,7 @@
     }
 
     private void account(StepSpecification step, int sign) {
+        changes++;
         committed = sign > 0 ? committed.plus(step.commitment()) : committed.minus(step.commitment());
         if (step.has(StepTrait.FILLS)) {
             fillingMillicores += sign * step.demand().millicores();
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRoom.java
@@ -82,6 +82,15 @@
         }
     }
 
+    /**
+     * Tells whether starts were planned here, so that this is not the room on the host unless they take effect.
+     *
+     * @return true if room was taken, also if it was given back
+     */
+    public boolean isPlannedOn() {
+        return !planned.isEmpty();
+    }
+
     HostAddress host() {
         return report.host();
     }
