Plan starts also while ends come

Cause: starts were planned only when no end waited to be logged.

Ruled out: starts by turns with ends (each then waits for one commit more). A plan on the state as if the ends had been applied: the room would be there only once they are.

Change: a batch holds the ends and then the starts of a plan, which is made on the state as it is, without these ends, so that no host is promised room that is not free. A start whose job ends by an end of the same batch changes nothing when it is applied, and is neither ordered nor logged as a start. Which host a task gets changes, as plans are made at other moments.

LeaderWorkTest: a start is in the batch of an end (failed before); a start of a job that ends in the same batch is not ordered.

It costs more, as plans are made more often and are smaller.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -211,14 +211,19 @@
         return AcceptanceRule.rejection(definition, pool, lasting);
     }
 
-    /** Returns the next batch to log, or an empty list if one is on its way or there is nothing to do. */
+    /**
+     * Returns the next batch to log, or an empty list if one is on its way or there is nothing to do.
+     *
+     * <p>Ends come before starts. These are planned on the state without those ends, so that a host has no less room than a
+     * plan takes; a start whose job ends by one of them changes nothing when it is applied.
+     */
     List<WorkflowCommand> nextBatch(WorkflowState state, long nowNanos, long nowMillis) {
         if (proposing) {
             return List.of();
         }
         collectOverdueEnds(nowNanos);
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
-        if (batch.isEmpty() && planWanted) {
+        if (planWanted) {
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -261,13 +261,17 @@
 
     private static void report(WorkflowState state, WorkflowCommand command, long term) {
         switch (command) {
-            case Start start ->
-                LOG.log(
-                        WorkflowEvent.RUN_STARTED,
-                        start.run().run(),
-                        start.run().host().id(),
-                        start.run().host().address(),
-                        term);
+            case Start start -> {
+                // The job may have ended by an earlier command of the same batch.
+                if (state.isActive(start.run().run())) {
+                    LOG.log(
+                            WorkflowEvent.RUN_STARTED,
+                            start.run().run(),
+                            start.run().host().id(),
+                            start.run().host().address(),
+                            term);
+                }
+            }
             case End end ->
                 LOG.log(
                         WorkflowEvent.RUN_ENDED,
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -9,18 +9,23 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
 import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobPhase;
 import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.RunEnd;
 import org.nettlering.domain.workflow.RunName;
 import org.nettlering.domain.workflow.StepLocality;
 import org.nettlering.domain.workflow.StepSharing;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.End;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedEnd;
 import org.nettlering.domain.workflow.host.HostAnswer.ListedRun;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -78,6 +83,32 @@
         assertThat(leadership.dueOrders(nowNanos + LOOK_PAUSE_MILLIS * MILLI)).hasSize(1);
     }
 
+    @Test
+    void startsDoNotWaitUntilNoMoreEndsCome() {
+        RunName run = startOne("a");
+        HostOrder look = startedAndLookedAt();
+        ListedEnd end = new ListedEnd(1, run, RunEnd.DONE, "");
+        HostAnswer listing = new HostAnswer.Listing(1_002, List.of(), List.of(end));
+        leadership.answered(state, look, nowNanos, listing, nowNanos);
+        submit("b");
+        List<WorkflowCommand> batch = leadership.nextBatch(state, nowNanos, 0);
+        assertThat(batch).hasSize(2);
+        assertThat(batch.getFirst()).isInstanceOf(End.class);
+        assertThat(batch.getLast()).isInstanceOf(Start.class);
+    }
+
+    @Test
+    void aStartOfAJobThatEndsInTheSameBatchIsNotOrdered() {
+        RunName run = startOne("a");
+        startedAndLookedAt();
+        ActiveRun next = new ActiveRun(new RunName(run.task(), 2), report(1).host(), "");
+        List<WorkflowCommand> batch = List.of(new End(run, RunEnd.DONE, ""), new Start(next));
+        batch.forEach(state::apply);
+        leadership.committed(state, batch, nowNanos);
+        assertThat(state.job("a").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+        assertThat(leadership.dueOrders(nowNanos)).noneMatch(HostOrder.Start.class::isInstance);
+    }
+
     @Test
     void aPlanMeasuresTheRoomOfThoseHostsAloneThatChanged() {
         startOne("a");
