--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -22,7 +22,6 @@
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
-import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 
 class HostSessionTest {
     private static final HostLimits LIMITS =
