--- a/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/BenchmarkMain.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import org.nettlering.benchmarks.capacity.CapacityBenchmark;
 import org.nettlering.benchmarks.consensus.ConsensusBenchmark;
-import org.nettlering.benchmarks.orders.OrdersBenchmark;
 import org.nettlering.benchmarks.path.PathBenchmark;
 import org.nettlering.benchmarks.placement.PlacementBenchmark;
 import org.nettlering.benchmarks.routing.RoutingBenchmark;
@@ -38,19 +37,18 @@
             case "path" -> new PathBenchmark().run(rest);
             case "consensus" -> ConsensusBenchmark.run(rest);
             case "capacity" -> new CapacityBenchmark().run(rest);
-            case "orders" -> OrdersBenchmark.run(rest);
             case "--help" -> help();
             default -> usage();
         };
     }
 
     private static int help() {
-        System.out.println("usage: bench routing|placement|consensus|capacity|path|orders OPTIONS");
+        System.out.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
         return 0;
     }
 
     private static int usage() {
-        System.err.println("usage: bench routing|placement|consensus|capacity|path|orders OPTIONS");
+        System.err.println("usage: bench routing|placement|consensus|capacity|path OPTIONS");
         return EXIT_USAGE;
     }
 }
