Show the delay of the orders' event loop and the wait for a connection

Cause: whether the leader's own delay or the hosts held orders up could not be told from outside.

ControlProcess.startWithHosts takes what makes the way to the hosts from the process's registry.

Ruled out: another endpoint or registry; a periodic task in processes that send no orders.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.process;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -112,17 +113,18 @@
         return start(
                 settings,
                 time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time),
-                HostOrders.unreachable());
+                registry -> HostOrders.unreachable());
     }
 
     /**
      * Starts a control process that sends orders to hosts.
      *
      * @param settings the checked settings, not null
-     * @param orders the way to the hosts, not null
+     * @param orders makes the way to the hosts, which shows its metrics in the registry, not null
      * @return the running process, never null
      */
-    public static ControlProcess startWithHosts(ControlSettings settings, HostOrders orders) {
+    public static ControlProcess startWithHosts(
+            ControlSettings settings, Function<PrometheusRegistry, HostOrders> orders) {
         return start(
                 settings,
                 time -> Telemetry.create(PROGRAM, settings.identity().processId(), settings.telemetry(), time),
@@ -137,16 +139,20 @@
      * @return the running process, never null
      */
     public static ControlProcess start(ControlSettings settings, Function<TimeSource, Telemetry> telemetry) {
-        return start(settings, telemetry, HostOrders.unreachable());
+        return start(settings, telemetry, registry -> HostOrders.unreachable());
     }
 
     private static ControlProcess start(
-            ControlSettings settings, Function<TimeSource, Telemetry> telemetry, HostOrders orders) {
+            ControlSettings settings,
+            Function<TimeSource, Telemetry> telemetry,
+            Function<PrometheusRegistry, HostOrders> orders) {
         return new ControlProcess(settings, telemetry, orders);
     }
 
     private ControlProcess(
-            ControlSettings settings, Function<TimeSource, Telemetry> telemetryFactory, HostOrders orders) {
+            ControlSettings settings,
+            Function<TimeSource, Telemetry> telemetryFactory,
+            Function<PrometheusRegistry, HostOrders> orders) {
         MemberId self = MemberId.of(settings.identity().processId());
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
@@ -173,7 +179,8 @@
         node = ConsensusNode.create(self, founders, ConsensusSettings.DEFAULT, ports);
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = startTasks(log, parts);
-        workflow = WorkflowLoop.start(log, parts.workflow(), time, orders, settings.hostLimits());
+        workflow = WorkflowLoop.start(
+                log, parts.workflow(), time, orders.apply(metrics.registry()), settings.hostLimits());
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, parts.configuration(), time),
