Accept jobs whose tasks all end without a look at the others

Cause: each submission summed up the tasks that last of all jobs, also of the 7,500 that had ended in the last five minutes, while the rule asks for that sum only if the new job has tasks that last.

Change: a job without tasks that last is accepted at once, as the rule has it. Jobs with tasks that last still cost a look at all jobs.

--- a/control/src/main/java/org/nettlering/control/workflow/LoopWork.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopWork.java
@@ -12,6 +12,9 @@
     /** How often the room of a host was measured. */
     private long rooms;
 
+    /** How often a job was looked at to decide on another one. */
+    private long jobs;
+
     LoopWork() {}
 
     long visits() {
@@ -22,6 +25,14 @@
         return rooms;
     }
 
+    long jobs() {
+        return jobs;
+    }
+
+    void noteJob() {
+        jobs++;
+    }
+
     void noteVisit() {
         visits++;
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -195,6 +195,10 @@
 
     /** Decides whether a job is accepted; returns when its caller should come back if it is not. */
     Optional<Duration> rejection(WorkflowState state, JobTerms terms, JobDefinition definition) {
+        if (AcceptanceRule.lastingMillicores(definition) == 0) {
+            // What ends is never rejected, whatever the hosts and the other jobs are.
+            return Optional.empty();
+        }
         long pool = 0;
         for (HostSession session : sessions.values()) {
             pool += session.report()
@@ -204,6 +208,7 @@
         }
         long lasting = 0;
         for (Job job : state.jobs()) {
+            work.noteJob();
             if (job.phase().isOpen() && job.terms().pool().equals(terms.pool())) {
                 lasting += AcceptanceRule.lastingMillicores(job.definition());
             }
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -125,6 +125,16 @@
         assertThat(leadership.work().rooms()).isEqualTo(before);
     }
 
+    @Test
+    void aJobWhoseTasksAllEndIsAcceptedWithoutALookAtTheOthers() {
+        submit("a");
+        submit("b");
+        JobDefinition definition = state.job("a").orElseThrow().definition();
+        JobTerms terms = state.job("a").orElseThrow().terms();
+        assertThat(leadership.rejection(state, terms, definition)).isEmpty();
+        assertThat(leadership.work().jobs()).isZero();
+    }
+
     /** Has the host confirm the start of the only run, and returns the look that follows. */
     private HostOrder startedAndLookedAt() {
         List<HostOrder> starts = leadership.dueOrders(nowNanos);
