Write the lines of starts and ends without the lock of the jobs

Cause: each start and end that was committed had its line of the log formed and written under the lock that every request and answer needs.

Change: what a line says is read under the lock; it is written afterwards, and after the loop has run again, so that orders do not wait for it. Lines of other kinds that are written under the lock (paces, moves, load, takeover) stay there.

LoopRunsTest: no line about a run is written under the lock (three were; failed before). WorkflowPathTest 10, TaskProtocolCheckTest 6, LeaderWorkTest 7 passed.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -244,11 +245,13 @@
             withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.notCommitted(batch));
             return;
         }
+        List<Runnable> lines = new ArrayList<>();
         withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
             current.committed(state, batch, time.nanoTime());
-            batch.forEach(command -> report(state, command, current.term()));
+            batch.forEach(command -> lineOf(state, command, current.term()).ifPresent(lines::add));
         });
         tickNow();
+        lines.forEach(Runnable::run);
     }
 
     private void tickNow() {
@@ -259,29 +262,26 @@
         }
     }
 
-    private static void report(WorkflowState state, WorkflowCommand command, long term) {
-        switch (command) {
-            case Start start -> {
-                // The job may have ended by an earlier command of the same batch.
-                if (state.isActive(start.run().run())) {
-                    LOG.log(
-                            WorkflowEvent.RUN_STARTED,
-                            start.run().run(),
-                            start.run().host().id(),
-                            start.run().host().address(),
-                            term);
-                }
+    /** Returns what writes the line of the log for a command that was applied, to be run without the lock. */
+    private static Optional<Runnable> lineOf(WorkflowState state, WorkflowCommand command, long term) {
+        return switch (command) {
+            // The job may have ended by an earlier command of the same batch.
+            case Start start
+            when state.isActive(start.run().run()) ->
+                Optional.of(() -> LOG.log(
+                        WorkflowEvent.RUN_STARTED,
+                        start.run().run(),
+                        start.run().host().id(),
+                        start.run().host().address(),
+                        term));
+            case End end -> {
+                JobPhase phase = state.job(end.run().task().jobId())
+                        .map(job -> job.phase())
+                        .orElse(JobPhase.CANCELLED);
+                yield Optional.of(() -> LOG.log(WorkflowEvent.RUN_ENDED, end.run(), end.how(), phase));
             }
-            case End end ->
-                LOG.log(
-                        WorkflowEvent.RUN_ENDED,
-                        end.run(),
-                        end.how(),
-                        state.job(end.run().task().jobId())
-                                .map(job -> job.phase())
-                                .orElse(JobPhase.CANCELLED));
-            default -> {}
-        }
+            default -> Optional.empty();
+        };
     }
 
     private void sendDueOrders() {
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopRunsTest.java
@@ -0,0 +1,100 @@
+package org.nettlering.control.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.AppenderBase;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.queue.QueueTerms;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobTerms;
+import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.StepLocality;
+import org.nettlering.domain.workflow.StepSharing;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostLimits;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.domain.workflow.host.HostReport;
+import org.slf4j.LoggerFactory;
+
+/** When and how often the leader's loop runs, and what it does under the lock. */
+class LoopRunsTest {
+    private static final HostLimits LIMITS =
+            new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
+
+    private final ManualTime time = ManualTime.startingAt(Instant.parse("2026-01-01T00:00:00Z"));
+    private final WorkflowPart part = WorkflowPart.create();
+    private final SharedLog.Member member = new SharedLog().join(part);
+    private final Stages stages = new Stages();
+
+    @Test
+    void theLinesOfStartsAndEndsAreWrittenWithoutTheLock() {
+        List<Integer> depths = new ArrayList<>();
+        AppenderBase<ILoggingEvent> appender = new AppenderBase<>() {
+            @Override
+            protected void append(ILoggingEvent event) {
+                if (event.getFormattedMessage().startsWith("run a")) {
+                    depths.add(stages.depth);
+                }
+            }
+        };
+        Logger logger = (Logger) LoggerFactory.getLogger(WorkflowLoop.class);
+        appender.start();
+        logger.addAppender(appender);
+        try (WorkflowLoop loop = WorkflowLoop.startMetered(member, part, time, this::accept, LIMITS, stages)) {
+            loop.change(leadership -> leadership.receive(report(), time.nanoTime()));
+            part.read((state, queues) -> state.apply(submission()));
+            time.advance(Duration.ofMillis(300));
+        } finally {
+            logger.detachAppender(appender);
+        }
+        assertThat(depths).isNotEmpty().containsOnly(0);
+    }
+
+    private CompletionStage<HostAnswer> accept(HostOrder order) {
+        return CompletableFuture.completedStage(
+                order instanceof HostOrder.Hold
+                        ? new HostAnswer.Listing(1_000, List.of(), List.of())
+                        : new HostAnswer.Accepted(1_000));
+    }
+
+    private static HostReport report() {
+        HostAddress address = new HostAddress("h1", "10.0.0.1:80");
+        return new HostReport(address, "pool", "fd", Resources.of(4_000, 4_000, 0), "a", "r1", false, 1_000, 1);
+    }
+
+    private static WorkflowCommand submission() {
+        StepSpecification step = new StepSpecification(
+                1, Resources.of(1_000, 100, 0), 1_000, List.of(), Set.of(), StepLocality.ANYWHERE, StepSharing.UNTOLD);
+        JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
+        return new WorkflowCommand.Submit("a", terms, new JobDefinition("work", List.of(step), Recurrence.ONCE), 0);
+    }
+
+    /** Knows whether the lock is held. */
+    private static final class Stages implements LoopMeter {
+        private int depth;
+
+        @Override
+        public void begin(LoopStage stage) {
+            depth++;
+        }
+
+        @Override
+        public void end(LoopStage stage) {
+            depth--;
+        }
+    }
+}
