--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -85,6 +88,16 @@
     /** The scheduling loop. */
     private final TaskService tasks;
 
+    /** Runs the loop that starts the tasks of jobs; what is asked for after its end is dropped. */
+    private final ExecutorService workflowThread = new ThreadPoolExecutor(
+            1,
+            1,
+            0,
+            TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(),
+            Thread.ofPlatform().daemon(true).name("workflow-loop").factory(),
+            new ThreadPoolExecutor.DiscardPolicy());
+
     /** The loop that starts the tasks of jobs of steps. */
     private final WorkflowLoop workflow;
 
@@ -173,7 +186,7 @@
         node = ConsensusNode.create(self, founders, ConsensusSettings.DEFAULT, ports);
         ReplicatedCommandLog log = ReplicatedCommandLog.of(node);
         tasks = startTasks(log, parts);
-        workflow = WorkflowLoop.start(log, parts.workflow(), time, orders, settings.hostLimits());
+        workflow = WorkflowLoop.startOn(log, parts.workflow(), time, orders, settings.hostLimits(), workflowThread);
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, parts.configuration(), time),
@@ -253,6 +266,7 @@
         server.close();
         tasks.close();
         workflow.close();
+        workflowThread.shutdown();
         node.close();
         network.close();
         telemetry.close();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -27,8 +29,9 @@
 /**
  * The leader's loop: logs the ends that hosts prove, plans starts, logs them, and only then sends the orders.
  *
- * <p>Runs whenever something happened and at regular intervals; one batch of changes is on its way through the log at a
- * time. Thread-safe; orders are sent without a lock held.
+ * <p>Runs whenever something happened and at regular intervals, on threads of its executor, one run at a time; whatever
+ * happens during a run has one more follow. One batch of changes is on its way through the log at a time. Thread-safe;
+ * orders are sent without a lock held.
  */
 public final class WorkflowLoop implements AutoCloseable {
     /** How often the loop runs when nothing happens. */
@@ -57,6 +60,12 @@
     /** Hears what the loop does under the lock. */
     private final LoopMeter meter;
 
+    /** Runs the loop. */
+    private final Executor executor;
+
+    /** How often a run was asked for since the last one began; above zero, one is under way or handed over. */
+    private final AtomicInteger requests = new AtomicInteger();
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -70,7 +79,7 @@
     private volatile boolean closed;
 
     /**
-     * Starts the loop.
+     * Starts the loop on the threads that bring it something.
      *
      * @param log the replicated log, not null
      * @param part the replicated queues and jobs, not null
@@ -84,6 +93,29 @@
         return startMetered(log, part, time, orders, limits, LoopMeter.NONE);
     }
 
+    /**
+     * Starts the loop on threads of its own, so that a plan holds up neither timers nor connections.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param executor runs the loop, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop startOn(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            Executor executor) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, LoopMeter.NONE, executor);
+        loop.scheduleTick();
+        return loop;
+    }
+
     /**
      * Starts a loop that tells what it does.
      *
@@ -97,19 +129,26 @@
      */
     public static WorkflowLoop startMetered(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, meter);
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, meter, Runnable::run);
         loop.scheduleTick();
         return loop;
     }
 
     private WorkflowLoop(
-            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeter meter,
+            Executor executor) {
         this.log = log;
         this.part = part;
         this.time = time;
         this.orders = orders;
         this.limits = limits;
         this.meter = meter;
+        this.executor = executor;
     }
 
     private void scheduleTick() {
@@ -186,8 +225,30 @@
         run();
     }
 
-    /** Runs the loop once, if this member leads. */
+    /** Has the loop run once more, if this member leads. */
     void run() {
+        if (!closed && log.isReadyLeader() && requests.getAndIncrement() == 0) {
+            executor.execute(this::runWhileAsked);
+        }
+    }
+
+    private void runWhileAsked() {
+        boolean whole = false;
+        try {
+            int seen;
+            do {
+                seen = requests.get();
+                runOnce();
+            } while (requests.addAndGet(-seen) > 0);
+            whole = true;
+        } finally {
+            if (!whole) {
+                requests.set(0);
+            }
+        }
+    }
+
+    private void runOnce() {
         if (closed || !log.isReadyLeader()) {
             return;
         }
@@ -196,8 +257,10 @@
             sendDueOrders();
         } catch (NettleringException exception) {
             if (exception.code() != ErrorCode.NOT_LEADER) {
-                throw exception;
+                LOG.log(WorkflowEvent.LOOP_FAILED, exception);
             }
+        } catch (RuntimeException exception) {
+            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
         }
     }
 
@@ -250,18 +313,10 @@
             current.committed(state, batch, time.nanoTime());
             batch.forEach(command -> lineOf(state, command, current.term()).ifPresent(lines::add));
         });
-        tickNow();
+        run();
         lines.forEach(Runnable::run);
     }
 
-    private void tickNow() {
-        try {
-            run();
-        } catch (RuntimeException exception) {
-            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
-        }
-    }
-
     /** Returns what writes the line of the log for a command that was applied, to be run without the lock. */
     private static Optional<Runnable> lineOf(WorkflowState state, WorkflowCommand command, long term) {
         return switch (command) {
@@ -311,7 +366,7 @@
                 LoopStage.ANSWER,
                 sender,
                 (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
-        tickNow();
+        run();
     }
 
     /** Returns the soft state of the present term; called under the lock of the part. */
--- a/control/src/test/java/org/nettlering/control/workflow/LoopRunsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopRunsTest.java
@@ -32,6 +32,7 @@
 
 /** When and how often the leader's loop runs, and what it does under the lock. */
 class LoopRunsTest {
+    private static final int EVENTS = 10;
     private static final HostLimits LIMITS =
             new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
 
@@ -64,6 +65,45 @@
         assertThat(depths).isNotEmpty().containsOnly(0);
     }
 
+    @Test
+    void whatHappensWhileTheLoopRunsHasItRunOnceMore() {
+        WorkflowLoop[] loops = new WorkflowLoop[1];
+        try (WorkflowLoop loop = WorkflowLoop.startMetered(
+                member,
+                part,
+                time,
+                order -> {
+                    for (int event = 0; event < EVENTS; event++) {
+                        loops[0].runWithPlan();
+                    }
+                    return new CompletableFuture<>();
+                },
+                LIMITS,
+                stages)) {
+            loops[0] = loop;
+            loop.change(leadership -> leadership.receive(report(), time.nanoTime()));
+            assertThat(stages.plans).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void theTimerHasTheLoopRunOnItsOwnThread() {
+        List<Runnable> handedOver = new ArrayList<>();
+        List<HostOrder> sent = new ArrayList<>();
+        HostOrders orders = order -> {
+            sent.add(order);
+            return new CompletableFuture<>();
+        };
+        try (WorkflowLoop loop = WorkflowLoop.startOn(member, part, time, orders, LIMITS, handedOver::add)) {
+            loop.change(leadership -> leadership.receive(report(), time.nanoTime()));
+            time.advance(Duration.ofSeconds(1));
+            assertThat(sent).isEmpty();
+            assertThat(handedOver).hasSize(1);
+            handedOver.getFirst().run();
+            assertThat(sent).hasSize(1);
+        }
+    }
+
     private CompletionStage<HostAnswer> accept(HostOrder order) {
         return CompletableFuture.completedStage(
                 order instanceof HostOrder.Hold
@@ -83,13 +123,15 @@
         return new WorkflowCommand.Submit("a", terms, new JobDefinition("work", List.of(step), Recurrence.ONCE), 0);
     }
 
-    /** Knows whether the lock is held. */
+    /** Counts plans, and knows whether the lock is held. */
     private static final class Stages implements LoopMeter {
         private int depth;
+        private int plans;
 
         @Override
         public void begin(LoopStage stage) {
             depth++;
+            plans += stage == LoopStage.PLAN ? 1 : 0;
         }
 
         @Override
