--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import java.util.function.Function;
@@ -27,8 +30,9 @@
 /**
  * The leader's loop: logs the ends that hosts prove, plans starts, logs them, and only then sends the orders.
  *
- * <p>Runs whenever something happened and at regular intervals; one batch of changes is on its way through the log at a
- * time. Thread-safe; orders are sent without a lock held.
+ * <p>Runs whenever something happened and at regular intervals, on threads of its executor, one run at a time; whatever
+ * happens during a run has one more follow. One batch of changes is on its way through the log at a time. Thread-safe;
+ * orders are sent without a lock held.
  */
 public final class WorkflowLoop implements AutoCloseable {
     /** How often the loop runs when nothing happens. */
@@ -60,6 +64,12 @@
     /** Hears what the loop does under the lock. */
     private final LoopMeter meter;
 
+    /** Runs the loop. */
+    private final Executor executor;
+
+    /** How often a run was asked for since the last one began; above zero, one is under way or handed over. */
+    private final AtomicInteger requests = new AtomicInteger();
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -73,7 +83,7 @@
     private volatile boolean closed;
 
     /**
-     * Starts the loop.
+     * Starts the loop on the threads that bring it something.
      *
      * @param log the replicated log, not null
      * @param part the replicated queues and jobs, not null
@@ -84,12 +94,13 @@
      */
     public static WorkflowLoop start(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
-        return start(log, part, time, orders, limits, LoopMeasures.unread(time));
+        return startMetered(log, part, time, orders, limits, LoopMeter.NONE);
     }
 
     /**
-     * Starts the loop with measures that others read.
+     * Starts the loop on a thread of its own, so that a plan holds up neither timers nor connections.
      *
+     * @param executor runs the loop, not null
      * @param log the replicated log, not null
      * @param part the replicated queues and jobs, not null
      * @param time clocks and timers, not null
@@ -98,14 +109,15 @@
      * @param measures measures where the time goes, not null
      * @return the running loop, never null
      */
-    public static WorkflowLoop start(
+    public static WorkflowLoop startOn(
+            Executor executor,
             CommandLog log,
             WorkflowPart part,
             TimeSource time,
             HostOrders orders,
             HostLimits limits,
             LoopMeasures measures) {
-        return start(log, part, time, orders, limits, measures, LoopMeter.NONE);
+        return start(log, part, time, orders, limits, measures, LoopMeter.NONE, executor);
     }
 
     /**
@@ -121,7 +133,7 @@
      */
     public static WorkflowLoop startMetered(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
-        return start(log, part, time, orders, limits, LoopMeasures.unread(time), meter);
+        return start(log, part, time, orders, limits, LoopMeasures.unread(time), meter, Runnable::run);
     }
 
     private static WorkflowLoop start(
@@ -131,8 +143,9 @@
             HostOrders orders,
             HostLimits limits,
             LoopMeasures measures,
-            LoopMeter meter) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures, meter);
+            LoopMeter meter,
+            Executor executor) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures, meter, executor);
         loop.scheduleTick();
         return loop;
     }
@@ -144,7 +157,8 @@
             HostOrders orders,
             HostLimits limits,
             LoopMeasures measures,
-            LoopMeter meter) {
+            LoopMeter meter,
+            Executor executor) {
         this.log = log;
         this.part = part;
         this.time = time;
@@ -152,6 +166,7 @@
         this.limits = limits;
         this.measures = measures;
         this.meter = meter;
+        this.executor = executor;
     }
 
     private void scheduleTick() {
@@ -231,8 +246,30 @@
         run();
     }
 
-    /** Runs the loop once, if this member leads. */
+    /** Has the loop run once more, if this member leads. */
     void run() {
+        if (!closed && log.isReadyLeader() && requests.getAndIncrement() == 0) {
+            executor.execute(this::runWhileAsked);
+        }
+    }
+
+    private void runWhileAsked() {
+        boolean whole = false;
+        try {
+            int seen;
+            do {
+                seen = requests.get();
+                runOnce();
+            } while (requests.addAndGet(-seen) > 0);
+            whole = true;
+        } finally {
+            if (!whole) {
+                requests.set(0);
+            }
+        }
+    }
+
+    private void runOnce() {
         if (closed || !log.isReadyLeader()) {
             return;
         }
@@ -242,8 +279,10 @@
             sendDueOrders();
         } catch (NettleringException exception) {
             if (exception.code() != ErrorCode.NOT_LEADER) {
-                throw exception;
+                LOG.log(WorkflowEvent.LOOP_FAILED, exception);
             }
+        } catch (RuntimeException exception) {
+            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
         } finally {
             measures.ran(begunNanos);
         }
@@ -294,45 +333,38 @@
             withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.notCommitted(batch));
             return;
         }
+        List<Runnable> lines = new ArrayList<>();
         withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
             measures.logged(batch);
             current.committed(state, batch, time.nanoTime());
-            batch.forEach(command -> report(state, command, current));
+            batch.forEach(command -> lineOf(state, command, current).ifPresent(lines::add));
         });
-        tickNow();
-    }
-
-    private void tickNow() {
-        try {
-            run();
-        } catch (RuntimeException exception) {
-            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
-        }
+        run();
+        lines.forEach(Runnable::run);
     }
 
-    private static void report(WorkflowState state, WorkflowCommand command, WorkflowLeadership current) {
-        switch (command) {
-            case Start start -> {
-                // The job may have ended by an earlier command of the same batch.
-                if (state.isActive(start.run().run())) {
-                    LOG.log(
-                            WorkflowEvent.RUN_STARTED,
-                            start.run().run(),
-                            start.run().host().id(),
-                            start.run().host().address(),
-                            current.term());
-                }
+    /** Returns what writes the line of the log for a command that was applied, to be run without the lock. */
+    private static Optional<Runnable> lineOf(WorkflowState state, WorkflowCommand command, WorkflowLeadership current) {
+        long term = current.term();
+        return switch (command) {
+            // The job may have ended by an earlier command of the same batch.
+            case Start start
+            when state.isActive(start.run().run()) ->
+                Optional.of(() -> LOG.log(
+                        WorkflowEvent.RUN_STARTED,
+                        start.run().run(),
+                        start.run().host().id(),
+                        start.run().host().address(),
+                        term));
+            case End end -> {
+                JobPhase phase = state.job(end.run().task().jobId())
+                        .map(job -> job.phase())
+                        .orElse(JobPhase.CANCELLED);
+                EndProof proof = current.takeProof(end.run());
+                yield Optional.of(() -> LOG.log(WorkflowEvent.RUN_ENDED, end.run(), described(end, proof), phase));
             }
-            case End end ->
-                LOG.log(
-                        WorkflowEvent.RUN_ENDED,
-                        end.run(),
-                        described(end, current.takeProof(end.run())),
-                        state.job(end.run().task().jobId())
-                                .map(job -> job.phase())
-                                .orElse(JobPhase.CANCELLED));
-            default -> {}
-        }
+            default -> Optional.empty();
+        };
     }
 
     /** An end that the host listed needs no word on what showed it. */
@@ -369,7 +401,7 @@
                 LoopStage.ANSWER,
                 sender,
                 (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
-        tickNow();
+        run();
     }
 
     /** Returns the soft state of the present term; called under the lock of the part. */
