--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -25,6 +25,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
+import org.nettlering.domain.workflow.host.EndProof;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -61,6 +62,9 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Measures the plans. */
+    private final LoopMeasures measures;
+
     /** The hosts by the id of their life. */
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
 
@@ -73,6 +77,9 @@
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
 
+    /** What showed the ends that are not reported yet. */
+    private final Map<RunName, EndProof> proofs = new HashMap<>();
+
     /** When each job was first seen to have ended, by the monotonic clock. */
     private final Map<String, Long> endedJobs = new HashMap<>();
 
@@ -85,8 +92,9 @@
     /** Whether something changed since the last plan that may let a task start. */
     private boolean planWanted = true;
 
-    static WorkflowLeadership begin(WorkflowState state, long term, HostLimits limits, long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, nowNanos);
+    static WorkflowLeadership begin(
+            WorkflowState state, long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
+        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, measures, nowNanos);
         for (HostCommitments host : state.hosts()) {
             HostSession session = leadership.session(host, nowNanos);
             for (ActiveRun run : host.runs()) {
@@ -103,9 +111,10 @@
                 .isPresent();
     }
 
-    private WorkflowLeadership(long term, HostLimits limits, long nowNanos) {
+    private WorkflowLeadership(long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
         this.term = term;
         this.limits = limits;
+        this.measures = measures;
         nextForgetNanos = nowNanos;
     }
 
@@ -146,7 +155,7 @@
         if (session == null) {
             return;
         }
-        collect(session.answered(order, sentNanos, answer, nowNanos));
+        collect(session, session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             sharing.share(state, session, nowNanos);
             stopStalled(state, session, nowNanos);
@@ -167,8 +176,17 @@
         }
     }
 
-    private void collect(List<End> ends) {
-        ends.forEach(end -> openEnds.put(end.run(), end));
+    private void collect(HostSession session, List<End> ends) {
+        for (End end : ends) {
+            openEnds.put(end.run(), end);
+            session.proofOf(end.run()).ifPresent(proof -> proofs.put(end.run(), proof));
+        }
+    }
+
+    /** Returns what showed an end that is in the log now, and forgets it. */
+    EndProof takeProof(RunName run) {
+        EndProof proof = proofs.remove(run);
+        return proof == null ? new EndProof.Listed() : proof;
     }
 
     /** Decides whether a job is accepted; returns when its caller should come back if it is not. */
@@ -194,12 +212,13 @@
         if (proposing) {
             return List.of();
         }
-        sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
+        sessions.values().forEach(session -> collect(session, session.overdueEnds(nowNanos)));
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
         if (batch.isEmpty() && planWanted) {
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
+            long planBegunNanos = measures.planBegins();
             StartPlan plan = StartPlanner.plan(
                     state,
                     rooms(state, nowNanos),
@@ -207,6 +226,7 @@
                     sharing.guard(),
                     sharing.heldBackRuns(state, sessions.values(), nowNanos),
                     nowMillis);
+            measures.planned(planBegunNanos);
             batch.addAll(plan.starts());
             plan.moves().forEach(this::move);
         }
