--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +24,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
+import org.nettlering.domain.workflow.host.EndProof;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -61,6 +61,9 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Measures the plans. */
+    private final LoopMeasures measures;
+
     /** The hosts by the id of their life. */
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
 
@@ -70,30 +73,45 @@
     /** How the runs on each host share it. */
     private final HostSharing sharing = new HostSharing();
 
+    /** The hosts at which something may be due. */
+    private final DueHosts dueHosts = new DueHosts();
+
+    /** The lives of the hosts that are followed for each run. */
+    private final Map<RunName, String> hostsOfRuns = new HashMap<>();
+
     /** The ends that wait to be logged. */
     private final Map<RunName, End> openEnds = new LinkedHashMap<>();
 
+    /** What showed the ends that are not reported yet. */
+    private final Map<RunName, EndProof> proofs = new HashMap<>();
+
     /** When each job was first seen to have ended, by the monotonic clock. */
     private final Map<String, Long> endedJobs = new HashMap<>();
 
     /** When jobs that ended long ago are looked for next, by the monotonic clock. */
     private long nextForgetNanos;
 
+    /** How much was done. */
+    private final LoopWork work = new LoopWork();
+
     /** Whether a batch is on its way through the log. */
     private boolean proposing;
 
     /** Whether something changed since the last plan that may let a task start. */
     private boolean planWanted = true;
 
-    static WorkflowLeadership begin(WorkflowState state, long term, HostLimits limits, long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, nowNanos);
+    static WorkflowLeadership begin(
+            WorkflowState state, long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
+        WorkflowLeadership leadership = new WorkflowLeadership(term, limits, measures, nowNanos);
         for (HostCommitments host : state.hosts()) {
             HostSession session = leadership.session(host, nowNanos);
             for (ActiveRun run : host.runs()) {
                 session.inherit(run, fills(state, run), nowNanos);
+                leadership.hostsOfRuns.put(run.run(), host.host().id());
                 leadership.stopIfPointless(state, run);
             }
         }
+        leadership.visitAll();
         return leadership;
     }
 
@@ -103,9 +121,10 @@
                 .isPresent();
     }
 
-    private WorkflowLeadership(long term, HostLimits limits, long nowNanos) {
+    private WorkflowLeadership(long term, HostLimits limits, LoopMeasures measures, long nowNanos) {
         this.term = term;
         this.limits = limits;
+        this.measures = measures;
         nextForgetNanos = nowNanos;
     }
 
@@ -117,6 +136,10 @@
         return term;
     }
 
+    LoopWork work() {
+        return work;
+    }
+
     Collection<HostSession> sessions() {
         return sessions.values();
     }
@@ -130,6 +153,7 @@
             sessions.put(report.host().id(), session);
         }
         session.receive(report, nowNanos);
+        dueHosts.touch(report.host().id());
         return first;
     }
 
@@ -137,6 +161,7 @@
         HostSession session = sessions.get(hostId);
         if (session != null) {
             session.leave(nowNanos);
+            dueHosts.touch(hostId);
         }
     }
 
@@ -146,7 +171,8 @@
         if (session == null) {
             return;
         }
-        collect(session.answered(order, sentNanos, answer, nowNanos));
+        dueHosts.touch(order.host().id());
+        collect(session, session.answered(order, sentNanos, answer, nowNanos));
         if (answer instanceof HostAnswer.Listing) {
             sharing.share(state, session, nowNanos);
             stopStalled(state, session, nowNanos);
@@ -167,8 +193,18 @@
         }
     }
 
-    private void collect(List<End> ends) {
-        ends.forEach(end -> openEnds.put(end.run(), end));
+    private void collect(HostSession session, List<End> ends) {
+        for (End end : ends) {
+            openEnds.put(end.run(), end);
+            hostsOfRuns.put(end.run(), session.host().id());
+            session.proofOf(end.run()).ifPresent(proof -> proofs.put(end.run(), proof));
+        }
+    }
+
+    /** Returns what showed an end that is in the log now, and forgets it. */
+    EndProof takeProof(RunName run) {
+        EndProof proof = proofs.remove(run);
+        return proof == null ? new EndProof.Listed() : proof;
     }
 
     /** Decides whether a job is accepted; returns when its caller should come back if it is not. */
@@ -194,12 +230,13 @@
         if (proposing) {
             return List.of();
         }
-        sessions.values().forEach(session -> collect(session.overdueEnds(nowNanos)));
+        collectOverdueEnds(nowNanos);
         List<WorkflowCommand> batch = new ArrayList<>(openEnds.values());
         if (batch.isEmpty() && planWanted) {
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
             addForgotten(state, nowNanos, batch);
+            long planBegunNanos = measures.planBegins();
             StartPlan plan = StartPlanner.plan(
                     state,
                     rooms(state, nowNanos),
@@ -207,6 +244,7 @@
                     sharing.guard(),
                     sharing.heldBackRuns(state, sessions.values(), nowNanos),
                     nowMillis);
+            measures.planned(planBegunNanos);
             batch.addAll(plan.starts());
             plan.moves().forEach(this::move);
         }
@@ -215,6 +253,16 @@
         return batch;
     }
 
+    private void collectOverdueEnds(long nowNanos) {
+        for (String hostId : dueHosts.takeForEnds(nowNanos)) {
+            HostSession session = sessions.get(hostId);
+            if (session != null) {
+                work.noteVisit();
+                collect(session, session.overdueEnds(nowNanos));
+            }
+        }
+    }
+
     private void move(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
         stop(run);
@@ -252,6 +300,7 @@
             if (!session.takesWork(nowNanos) || doubts.isPaused(id, nowNanos)) {
                 continue;
             }
+            work.noteRoom();
             HostCommitments commitments = state.host(id).orElseGet(() -> HostCommitments.none(session.host()));
             session.report()
                     .ifPresent(report -> rooms.add(HostRoom.of(
@@ -260,6 +309,11 @@
         return rooms;
     }
 
+    /** Has every host looked at the next time, for whatever becomes due by the passing of time alone. */
+    void visitAll() {
+        dueHosts.touchAll(sessions.keySet());
+    }
+
     /** Has starts planned the next time: a job, a host or the time of day has changed. */
     void wantPlan() {
         planWanted = true;
@@ -295,14 +349,15 @@
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.start(run, job.definition().taskSpecification(), "", nowNanos);
+        hostsOfRuns.put(run.run(), run.host().id());
+        dueHosts.touch(run.host().id());
         stopIfPointless(state, run);
     }
 
     private void ended(WorkflowState state, End end, long nowNanos) {
-        for (HostSession session : sessions.values()) {
-            if (session.ended(end.run())) {
-                doubts.ended(session.host().id(), end.how(), nowNanos);
-            }
+        String hostId = hostsOfRuns.remove(end.run());
+        if (hostId != null) {
+            endedOn(hostId, end, nowNanos);
         }
         state.job(end.run().task().jobId()).ifPresent(job -> {
             if (!job.phase().isOpen()) {
@@ -313,6 +368,17 @@
         });
     }
 
+    private void endedOn(String hostId, End end, long nowNanos) {
+        HostSession session = sessions.get(hostId);
+        if (session == null) {
+            return;
+        }
+        dueHosts.touch(hostId);
+        if (session.ended(end.run())) {
+            doubts.ended(hostId, end.how(), nowNanos);
+        }
+    }
+
     /** Stops the other runs of a task that is done. */
     private void stopCopies(WorkflowState state, StepProgress step, RunName done) {
         if (step.task(done.task().index()).isDone()) {
@@ -347,22 +413,27 @@
         HostSession session = sessions.get(run.host().id());
         if (session != null) {
             session.stop(run.run());
+            dueHosts.touch(run.host().id());
         }
     }
 
     /** Returns the orders that are due, and takes them as sent. */
     List<HostOrder> dueOrders(long nowNanos) {
         List<HostOrder> due = new ArrayList<>();
-        Iterator<HostSession> all = sessions.values().iterator();
-        while (all.hasNext()) {
-            HostSession session = all.next();
+        for (String hostId : dueHosts.takeForOrders(nowNanos)) {
+            HostSession session = sessions.get(hostId);
+            if (session == null) {
+                continue;
+            }
+            work.noteVisit();
             if (session.isOver(nowNanos)) {
-                doubts.forget(session.host().id());
-                sharing.forget(session.host().id());
-                all.remove();
+                doubts.forget(hostId);
+                sharing.forget(hostId);
+                sessions.remove(hostId);
                 continue;
             }
             due.addAll(session.dueOrders(nowNanos));
+            session.nextDueNanos(nowNanos).ifPresent(next -> dueHosts.touchAt(hostId, next));
         }
         return due;
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -16,6 +16,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.End;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.EndProof;
 import org.nettlering.domain.workflow.host.HostAnswer;
 import org.nettlering.domain.workflow.host.HostLimits;
 import org.nettlering.domain.workflow.host.HostOrder;
@@ -53,6 +54,12 @@
     /** The times that hosts keep to. */
     private final HostLimits limits;
 
+    /** Measures where the time goes. */
+    private final LoopMeasures measures;
+
+    /** Hears what the loop does under the lock. */
+    private final LoopMeter meter;
+
     /** What is known while this member leads. */
     private volatile @Nullable WorkflowLeadership leadership;
 
@@ -77,31 +84,95 @@
      */
     public static WorkflowLoop start(
             CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
-        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits);
+        return start(log, part, time, orders, limits, LoopMeasures.unread(time));
+    }
+
+    /**
+     * Starts the loop with measures that others read.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param measures measures where the time goes, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop start(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures) {
+        return start(log, part, time, orders, limits, measures, LoopMeter.NONE);
+    }
+
+    /**
+     * Starts a loop that tells what it does.
+     *
+     * @param log the replicated log, not null
+     * @param part the replicated queues and jobs, not null
+     * @param time clocks and timers, not null
+     * @param orders the way to the hosts, not null
+     * @param limits the times that hosts keep to, not null
+     * @param meter hears what the loop does under the lock, not null
+     * @return the running loop, never null
+     */
+    public static WorkflowLoop startMetered(
+            CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits, LoopMeter meter) {
+        return start(log, part, time, orders, limits, LoopMeasures.unread(time), meter);
+    }
+
+    private static WorkflowLoop start(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures,
+            LoopMeter meter) {
+        WorkflowLoop loop = new WorkflowLoop(log, part, time, orders, limits, measures, meter);
         loop.scheduleTick();
         return loop;
     }
 
-    private WorkflowLoop(CommandLog log, WorkflowPart part, TimeSource time, HostOrders orders, HostLimits limits) {
+    private WorkflowLoop(
+            CommandLog log,
+            WorkflowPart part,
+            TimeSource time,
+            HostOrders orders,
+            HostLimits limits,
+            LoopMeasures measures,
+            LoopMeter meter) {
         this.log = log;
         this.part = part;
         this.time = time;
         this.orders = orders;
         this.limits = limits;
+        this.measures = measures;
+        this.meter = meter;
     }
 
     private void scheduleTick() {
         if (!closed) {
+            measures.timerSet(TICK);
             timer = time.schedule(TICK, this::tick);
         }
     }
 
     private void tick() {
+        measures.timerRan();
         try {
+            WorkflowLeadership current = leadership;
+            if (current != null) {
+                withLeadership(LoopStage.REQUEST, current, (state, present) -> present.visitAll());
+            }
             runWithPlan();
             ticks++;
             if (ticks % TICKS_PER_SUMMARY == 0) {
                 reportLoad();
+                measures.report(log.isReadyLeader(), log.term());
             }
         } catch (RuntimeException exception) {
             LOG.log(WorkflowEvent.LOOP_FAILED, exception);
@@ -119,19 +190,31 @@
      * @throws NettleringException with {@code NOT_LEADER} if this member does not lead
      */
     <T> T change(Function<WorkflowLeadership, T> change) {
-        T result = part.read((state, queues) -> change.apply(leadership(state)));
+        T result = hold(LoopStage.REQUEST, state -> change.apply(leadership(state)));
         run();
         return result;
     }
 
     /** Decides on what the leader knows and the replicated jobs; not without leadership. */
     <T> T decide(BiFunction<WorkflowState, WorkflowLeadership, T> decision) {
-        return part.read((state, queues) -> decision.apply(state, leadership(state)));
+        return hold(LoopStage.REQUEST, state -> decision.apply(state, leadership(state)));
+    }
+
+    /** Does something under the lock of the jobs. */
+    private <T> T hold(LoopStage stage, Function<WorkflowState, T> work) {
+        return part.read((state, queues) -> {
+            meter.begin(stage);
+            try {
+                return work.apply(state);
+            } finally {
+                meter.end(stage);
+            }
+        });
     }
 
     /** Changes what the leader knows, with a look at the replicated jobs, then runs the loop; not without leadership. */
     void changeWithState(BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+        hold(LoopStage.REQUEST, state -> {
             WorkflowLeadership current = leadership(state);
             change.accept(state, current);
             return current;
@@ -143,7 +226,7 @@
     void runWithPlan() {
         WorkflowLeadership current = leadership;
         if (current != null) {
-            withLeadership(current, (state, present) -> present.wantPlan());
+            withLeadership(LoopStage.REQUEST, current, (state, present) -> present.wantPlan());
         }
         run();
     }
@@ -153,6 +236,7 @@
         if (closed || !log.isReadyLeader()) {
             return;
         }
+        long begunNanos = time.nanoTime();
         try {
             propose();
             sendDueOrders();
@@ -160,6 +244,8 @@
             if (exception.code() != ErrorCode.NOT_LEADER) {
                 throw exception;
             }
+        } finally {
+            measures.ran(begunNanos);
         }
     }
 
@@ -167,6 +253,7 @@
         WorkflowLeadership current = leadership;
         if (current != null && log.isReadyLeader()) {
             withLeadership(
+                    LoopStage.REQUEST,
                     current,
                     (state, present) ->
                             LOG.log(WorkflowEvent.LOAD, present.term(), LoadSummary.of(state, present.sessions())));
@@ -174,8 +261,9 @@
     }
 
     /** Changes the state of the present leadership; what an earlier one was told is dropped. */
-    private void withLeadership(WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
-        part.read((state, queues) -> {
+    private void withLeadership(
+            LoopStage stage, WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> change) {
+        hold(stage, state -> {
             if (leadership == expected) {
                 change.accept(state, expected);
             }
@@ -185,9 +273,10 @@
 
     private void propose() {
         List<WorkflowCommand> batch = new ArrayList<>();
-        WorkflowLeadership proposer = part.read((state, queues) -> {
+        WorkflowLeadership proposer = hold(LoopStage.PLAN, state -> {
             WorkflowLeadership current = leadership(state);
             batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
+            measures.proposed(state, batch);
             return current;
         });
         if (batch.isEmpty()) {
@@ -202,12 +291,13 @@
     private void finish(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
         if (failure != null) {
             LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
-            withLeadership(proposer, (state, current) -> current.notCommitted(batch));
+            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.notCommitted(batch));
             return;
         }
-        withLeadership(proposer, (state, current) -> {
+        withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
+            measures.logged(batch);
             current.committed(state, batch, time.nanoTime());
-            batch.forEach(command -> report(state, command, current.term()));
+            batch.forEach(command -> report(state, command, current));
         });
         tickNow();
     }
@@ -220,7 +310,7 @@
         }
     }
 
-    private static void report(WorkflowState state, WorkflowCommand command, long term) {
+    private static void report(WorkflowState state, WorkflowCommand command, WorkflowLeadership current) {
         switch (command) {
             case Start start ->
                 LOG.log(
@@ -228,12 +318,12 @@
                         start.run().run(),
                         start.run().host().id(),
                         start.run().host().address(),
-                        term);
+                        current.term());
             case End end ->
                 LOG.log(
                         WorkflowEvent.RUN_ENDED,
                         end.run(),
-                        end.how(),
+                        described(end, current.takeProof(end.run())),
                         state.job(end.run().task().jobId())
                                 .map(job -> job.phase())
                                 .orElse(JobPhase.CANCELLED));
@@ -241,15 +331,21 @@
         }
     }
 
+    /** An end that the host listed needs no word on what showed it. */
+    private static String described(End end, EndProof proof) {
+        return proof instanceof EndProof.Listed ? end.how().name() : end.how() + " by " + proof;
+    }
+
     private void sendDueOrders() {
         List<HostOrder> due = new ArrayList<>();
-        WorkflowLeadership sender = part.read((state, queues) -> {
+        WorkflowLeadership sender = hold(LoopStage.DUE_ORDERS, state -> {
             WorkflowLeadership current = leadership(state);
             due.addAll(current.dueOrders(time.nanoTime()));
             return current;
         });
         for (HostOrder order : due) {
             long sentNanos = time.nanoTime();
+            measures.sent(order);
             orders.send(order)
                     .whenComplete((answer, failure) -> answered(sender, order, sentNanos, answerOf(answer, failure)));
         }
@@ -260,11 +356,15 @@
     }
 
     private void answered(WorkflowLeadership sender, HostOrder order, long sentNanos, HostAnswer answer) {
+        measures.answered(order, sentNanos, answer);
         boolean carriedOut = answer instanceof HostAnswer.Accepted || answer instanceof HostAnswer.Listing;
         if (!carriedOut) {
             LOG.log(WorkflowEvent.ORDER_FAILED, order, order.host().id(), answer);
         }
-        withLeadership(sender, (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
+        withLeadership(
+                LoopStage.ANSWER,
+                sender,
+                (state, current) -> current.answered(state, order, sentNanos, answer, time.nanoTime()));
         tickNow();
     }
 
@@ -277,7 +377,8 @@
         }
         WorkflowLeadership current = leadership;
         if (current == null || current.term() != term) {
-            current = WorkflowLeadership.begin(state, term, limits, time.nanoTime());
+            current = WorkflowLeadership.begin(state, term, limits, measures, time.nanoTime());
+            measures.leadershipBegins();
             LOG.log(WorkflowEvent.TAKEN_OVER, term, current.sessions().size());
             leadership = current;
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -8,7 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
@@ -22,6 +25,7 @@
 import org.nettlering.domain.workflow.host.HostAnswer.OtherLife;
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
+import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unwell;
 import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
@@ -32,7 +36,8 @@
  * <p>Guarantees that an end is reported only on proof that the run is over: the host listed the end; the host answered
  * a later look without the run, after a stop of it was answered or after the first order of this term had cut off those of
  * earlier leaders; another life of the host answers at its address; or the lease has certainly ended by the host's own
- * clock. Takes answers in any order. Not thread-safe.
+ * clock and the host is not heard of, or was not reached for another lease. An end that the host lists after another one was
+ * inferred is reported too, and the host may not forget it before it is logged. Takes answers in any order. Not thread-safe.
  */
 public final class HostSession {
     /** How long a look waits for an end at most. */
@@ -110,6 +115,12 @@
     /** When this life ends for good, by the monotonic clock, or null while it goes on. */
     private @Nullable Long goneNanos;
 
+    /** What shows that this life ends. */
+    private EndProof goneProof = new EndProof.HostLeft();
+
+    /** When the host answered an order last, by the monotonic clock, or null if it never did. */
+    private @Nullable Long answeredNanos;
+
     /**
      * Begins to follow a host.
      *
@@ -337,10 +348,38 @@
         return due;
     }
 
+    /**
+     * Returns when the host is next to be looked at although nothing came from it and nothing was wanted of it until then.
+     *
+     * <p>Leases that lapse and hosts that are not heard of are left out: they are found soon enough at regular intervals.
+     *
+     * @param nowNanos the monotonic time
+     * @return the earliest time at which an order falls due or this life ends, empty if neither will, never null
+     */
+    public OptionalLong nextDueNanos(long nowNanos) {
+        LongStream.Builder waits = LongStream.builder();
+        if (goneNanos != null && !isGone(nowNanos)) {
+            waits.add(goneNanos - nowNanos);
+        }
+        if (wantsLookInTime()) {
+            waits.add(nextLookNanos - nowNanos);
+        }
+        strays.values().forEach(next -> waits.add(next - nowNanos));
+        runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> waits.add(next - nowNanos)));
+        OptionalLong least = waits.build().min();
+        return least.isEmpty() || isGone(nowNanos)
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowNanos + least.getAsLong());
+    }
+
     private boolean wantsLook(long nowNanos) {
+        return wantsLookInTime() && nowNanos - nextLookNanos >= 0;
+    }
+
+    private boolean wantsLookInTime() {
         boolean needed = !looked || silent || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
         boolean mayWaitForLog = ends.isWaiting() && !silent;
-        return needed && !mayWaitForLog && !lookInFlight && nowNanos - nextLookNanos >= 0;
+        return needed && !mayWaitForLog && !lookInFlight;
     }
 
     private HostOrder look(long nowNanos) {
@@ -369,6 +408,7 @@
         noteContact(answer, nowNanos);
         if (answer instanceof OtherLife) {
             goneNanos = nowNanos;
+            goneProof = new EndProof.OtherLife();
         }
         return switch (order) {
             case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
@@ -387,7 +427,11 @@
     }
 
     private void noteContact(HostAnswer answer, long nowNanos) {
-        silent = answer instanceof Silent || answer instanceof Unwell;
+        boolean unreached = answer instanceof Silent || answer instanceof Unsent;
+        silent = unreached || answer instanceof Unwell;
+        if (!unreached && !(answer instanceof OtherLife)) {
+            answeredNanos = nowNanos;
+        }
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
@@ -402,23 +446,27 @@
         }
         switch (answer) {
             case Accepted accepted -> tracked.confirm(nowNanos);
-            case Silent nothing -> {
-                tracked.stage = Stage.UNANSWERED;
-                tracked.stopWanted = true;
-                nextLookNanos = nowNanos;
-            }
+            case Silent nothing -> doubt(tracked, nowNanos);
+            case Unsent nothing -> doubt(tracked, nowNanos);
             case Refused refused -> {
                 refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
-                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StartRefused(refused.reason())));
             }
             case Unwell unwell -> {
-                return List.of(end(tracked, RunEnd.NOT_BEGUN));
+                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.HostUnwell()));
             }
             default -> {}
         }
         return List.of();
     }
 
+    /** Treats a run as one that may have begun, until the host shows what became of it. */
+    private void doubt(TrackedRun tracked, long nowNanos) {
+        tracked.stage = Stage.UNANSWERED;
+        tracked.stopWanted = true;
+        nextLookNanos = nowNanos;
+    }
+
     private List<End> stopAnswered(HostOrder.Stop stop, HostAnswer answer, long nowNanos) {
         TrackedRun tracked = runs.get(stop.run());
         boolean done = answer instanceof Accepted || answer instanceof Refused;
@@ -465,17 +513,26 @@
         ends.list(listed.number());
         TrackedRun tracked = runs.get(listed.run());
         if (tracked == null) {
+            takeEndOfUnfollowed(listed, found);
             return;
         }
         ends.open(listed.number(), listed.run());
-        if (tracked.endFound) {
+        if (tracked.isEndListed()) {
             return;
         }
-        tracked.endFound = true;
+        tracked.foundEnd(new EndProof.Listed());
         String checkpoint = listed.checkpoint().isEmpty() ? tracked.checkpoint : listed.checkpoint();
         found.add(new End(listed.run(), listed.how(), checkpoint));
     }
 
+    /** Has an end logged that may contradict what was inferred of the run; until then the host must not forget it. */
+    private void takeEndOfUnfollowed(ListedEnd listed, List<End> found) {
+        if (listed.how() == RunEnd.DONE || listed.how() == RunEnd.FAILED) {
+            ends.open(listed.number(), listed.run());
+            found.add(new End(listed.run(), listed.how(), listed.checkpoint()));
+        }
+    }
+
     private void takeRunning(ListedRun listed, long nowNanos) {
         TrackedRun tracked = runs.get(listed.run());
         if (tracked == null) {
@@ -490,24 +547,24 @@
     private void judgeAbsence(TrackedRun tracked, long sentNanos, List<End> found) {
         boolean stoppedBefore = tracked.wasStoppedBefore(limits.stopGrace(), sentNanos);
         switch (tracked.stage) {
-            case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN));
+            case INHERITED -> found.add(end(tracked, RunEnd.NOT_BEGUN, new EndProof.NeverListed()));
             case TO_SEND, SENT -> {}
             case UNANSWERED -> {
                 if (stoppedBefore) {
-                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                    found.add(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StoppedAndGone()));
                 }
             }
             case CONFIRMED -> {
                 tracked.stopWanted |= sentNanos - tracked.confirmedNanos >= 0;
                 if (stoppedBefore) {
-                    found.add(end(tracked, RunEnd.HOST_LOST));
+                    found.add(end(tracked, RunEnd.HOST_LOST, new EndProof.StoppedAndGone()));
                 }
             }
         }
     }
 
-    private static End end(TrackedRun tracked, RunEnd how) {
-        tracked.endFound = true;
+    private static End end(TrackedRun tracked, RunEnd how, EndProof proof) {
+        tracked.foundEnd(proof);
         return new End(tracked.run.run(), how, tracked.checkpoint);
     }
 
@@ -520,7 +577,7 @@
     public List<End> overdueEnds(long nowNanos) {
         List<End> found = new ArrayList<>();
         boolean gone = isGone(nowNanos);
-        boolean lapsed = !runs.isEmpty() && lease.hasLapsed(looked, nowNanos);
+        boolean lapsed = hasLapsedUnheard(nowNanos);
         for (TrackedRun tracked : runs.values()) {
             if (tracked.endFound) {
                 continue;
@@ -528,12 +585,46 @@
             if (tracked.stage == Stage.TO_SEND) {
                 // The lease of earlier runs says nothing of a run whose order has not gone out.
                 if (tracked.stopWanted || gone || silent) {
-                    found.add(end(tracked, RunEnd.NOT_BEGUN));
+                    EndProof unsent = new EndProof.NotSent(tracked.stopWanted, silent);
+                    found.add(end(tracked, RunEnd.NOT_BEGUN, gone ? goneProof : unsent));
                 }
             } else if (gone || lapsed) {
-                found.add(end(tracked, RunEnd.HOST_LOST));
+                found.add(end(tracked, RunEnd.HOST_LOST, gone ? goneProof : lapseProof(nowNanos)));
             }
         }
         return found;
     }
+
+    /**
+     * Tells whether the lease is over and the host's own list is not to be waited for any longer.
+     *
+     * <p>A lapsed lease shows that nothing works any more, not how it ended: a host that is heard of still has the ends.
+     */
+    private boolean hasLapsedUnheard(long nowNanos) {
+        if (runs.isEmpty()) {
+            return false;
+        }
+        boolean heardOf = report != null && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
+        Duration patience = heardOf ? limits.lease() : Duration.ZERO;
+        return lease.hasLapsed(looked, patience, nowNanos);
+    }
+
+    private EndProof lapseProof(long nowNanos) {
+        Long answered = answeredNanos;
+        return lease.lapseProof(
+                report == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - reportNanos),
+                answered == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - answered),
+                nowNanos);
+    }
+
+    /**
+     * Returns what showed the end of a run.
+     *
+     * @param run the run, not null
+     * @return the proof, or empty if no end was found or the run is not followed any more, never null
+     */
+    public Optional<EndProof> proofOf(RunName run) {
+        TrackedRun tracked = runs.get(run);
+        return tracked == null ? Optional.empty() : Optional.ofNullable(tracked.proof);
+    }
 }
