Count the lease of an earlier leader from the newest reading of the host's clock

Cause: the latest end of a lease that an earlier leader may have asked for was worked out once, from the first reading of the host's clock in this term. A report that was held up for seconds gives an old reading; with a newer one the clock moved on and the end of the lease did not, so the lease counted as over while it could hold. Change: each reading until the host has answered an order of this term, from when on it heeds no earlier leader, moves that end. Test: theLeaseOfAnEarlierLeaderIsCountedFromTheNewestReadingOfTheClock failed before (HOST_LOST 2 s too early), passes now; HostSessionTest and EndProofTest pass.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -31,6 +31,9 @@
     /** Whether an earlier leader may have renewed the lease. */
     private boolean inherited;
 
+    /** Whether the host certainly heeds no earlier leader any more. */
+    private boolean earlierLeadersCutOff;
+
     HostLease(HostLimits limits, long beganNanos) {
         this.limits = limits;
         this.beganNanos = beganNanos;
@@ -41,11 +44,16 @@
         inherited = true;
     }
 
+    /** Notes that the host has carried out an order of this term and heeds no earlier leader any more. */
+    void cutOffEarlierLeaders() {
+        earlierLeadersCutOff = true;
+    }
+
     /** Takes a reading of the host's clock. */
     void readClock(long millis, long nowNanos) {
         clock.read(millis, nowNanos);
-        if (inherited && untilMillis == 0) {
-            untilMillis = millis + limits.longestLease().toMillis();
+        if (inherited && !earlierLeadersCutOff) {
+            untilMillis = Math.max(untilMillis, millis + limits.longestLease().toMillis());
         }
     }
 
@@ -78,7 +86,7 @@
     }
 
     /** Tells whether every lease that the host may have been given has certainly been over for a while. */
-    boolean hasLapsed(boolean earlierLeadersCutOff, Duration longer, long nowNanos) {
+    boolean hasLapsed(Duration longer, long nowNanos) {
         long marginMillis = LAPSE_MARGIN.plus(limits.stopGrace()).plus(longer).toMillis();
         if (!clock.isKnown()) {
             Duration longest =
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -489,6 +489,7 @@
             return List.of();
         }
         looked = true;
+        lease.cutOffEarlierLeaders();
         Duration pause = hold.waitMillis() > 0 ? LOOK_PAUSE : QUICK_LOOK_PAUSE;
         nextLookNanos = Math.max(nowNanos, sentNanos + pause.toNanos());
         ends.tell(hold.noted());
@@ -608,7 +609,7 @@
         }
         boolean heardOf = report != null && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
         Duration patience = heardOf ? limits.lease() : Duration.ZERO;
-        return lease.hasLapsed(looked, patience, nowNanos);
+        return lease.hasLapsed(patience, nowNanos);
     }
 
     private EndProof lapseProof(long nowNanos) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -238,6 +238,22 @@
         assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
     }
 
+    /** Guards against a second run beside the first: the first reading of the host's clock may be seconds old. */
+    @Test
+    void theLeaseOfAnEarlierLeaderIsCountedFromTheNewestReadingOfTheClock() {
+        session.inherit(ACTIVE, false, nowNanos);
+        passSilently(200);
+        hostClockMillis -= 4_000;
+        report(false, 1);
+        hostClockMillis += 4_000;
+        pass(1_000);
+        report(false, 2);
+        passSilently(5_900);
+        assertThat(session.overdueEnds(nowNanos)).isEmpty();
+        passSilently(3_000);
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+    }
+
     @Test
     void anotherLifeAtTheAddressProvesThatTheRunsAreOver() {
         answeredOnce();
