--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/EndedJobs.java
@@ -0,0 +1,54 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.nettlering.domain.workflow.Job;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.Forget;
+import org.nettlering.domain.workflow.WorkflowState;
+
+/**
+ * Which jobs ended so long ago, as the leader of one term saw it, that they may be forgotten.
+ *
+ * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
+ */
+final class EndedJobs {
+    /** How long a job that has ended can be asked for. */
+    private static final Duration KEPT_AFTER_END = Duration.ofMinutes(5);
+
+    /** How often jobs that ended long ago are looked for. */
+    private static final Duration FORGET_INTERVAL = Duration.ofSeconds(5);
+
+    /** When each job was first seen to have ended, by the monotonic clock. */
+    private final Map<String, Long> endedNanos = new HashMap<>();
+
+    /** When jobs that ended long ago are looked for next, by the monotonic clock. */
+    private long nextForgetNanos;
+
+    EndedJobs(long nowNanos) {
+        nextForgetNanos = nowNanos;
+    }
+
+    /** Returns what has the jobs forgotten that ended long ago; empty until it is time to look for them again. */
+    List<WorkflowCommand> toForget(WorkflowState state, long nowNanos) {
+        List<WorkflowCommand> commands = new ArrayList<>();
+        if (nowNanos - nextForgetNanos < 0) {
+            return commands;
+        }
+        nextForgetNanos = nowNanos + FORGET_INTERVAL.toNanos();
+        for (Job job : state.jobs()) {
+            if (job.phase().isOpen()) {
+                continue;
+            }
+            long seenNanos = endedNanos.computeIfAbsent(job.id(), id -> nowNanos);
+            if (nowNanos - seenNanos > KEPT_AFTER_END.toNanos()) {
+                commands.add(new Forget(job.id()));
+            }
+        }
+        endedNanos.keySet().removeIf(id -> state.job(id).isEmpty());
+        return commands;
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -20,7 +20,6 @@
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.Begin;
 import org.nettlering.domain.workflow.WorkflowCommand.End;
-import org.nettlering.domain.workflow.WorkflowCommand.Forget;
 import org.nettlering.domain.workflow.WorkflowCommand.Start;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.acceptance.AcceptanceRule;
@@ -45,12 +44,6 @@
  * <p>Not thread-safe: used under the lock of {@link WorkflowPart}.
  */
 final class WorkflowLeadership {
-    /** How long a job that has ended can be asked for. */
-    private static final Duration KEPT_AFTER_END = Duration.ofMinutes(5);
-
-    /** How often jobs that ended long ago are looked for. */
-    private static final Duration FORGET_INTERVAL = Duration.ofSeconds(5);
-
     /** How much later than due an occurrence begins, so that clocks that differ a little begin none too early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
@@ -89,11 +82,8 @@
     /** What showed the ends that are not reported yet. */
     private final Map<RunName, EndProof> proofs = new HashMap<>();
 
-    /** When each job was first seen to have ended, by the monotonic clock. */
-    private final Map<String, Long> endedJobs = new HashMap<>();
-
-    /** When jobs that ended long ago are looked for next, by the monotonic clock. */
-    private long nextForgetNanos;
+    /** The jobs that have ended. */
+    private final EndedJobs endedJobs;
 
     /** How much was done. */
     private final LoopWork work = new LoopWork();
@@ -129,7 +119,7 @@
         this.term = term;
         this.limits = limits;
         this.measures = measures;
-        nextForgetNanos = nowNanos;
+        endedJobs = new EndedJobs(nowNanos);
     }
 
     private HostSession session(HostCommitments host, long nowNanos) {
@@ -250,7 +240,7 @@
         if (planWanted) {
             planWanted = false;
             addDueOccurrences(state, nowMillis, batch);
-            addForgotten(state, nowNanos, batch);
+            batch.addAll(endedJobs.toForget(state, nowNanos));
             long planBegunNanos = measures.planBegins();
             addStarts(state, nowNanos, nowMillis, batch);
             measures.planned(planBegunNanos);
@@ -304,23 +294,6 @@
         }
     }
 
-    private void addForgotten(WorkflowState state, long nowNanos, List<WorkflowCommand> batch) {
-        if (nowNanos - nextForgetNanos < 0) {
-            return;
-        }
-        nextForgetNanos = nowNanos + FORGET_INTERVAL.toNanos();
-        for (Job job : state.jobs()) {
-            if (job.phase().isOpen()) {
-                continue;
-            }
-            long endedNanos = endedJobs.computeIfAbsent(job.id(), id -> nowNanos);
-            if (nowNanos - endedNanos > KEPT_AFTER_END.toNanos()) {
-                batch.add(new Forget(job.id()));
-            }
-        }
-        endedJobs.keySet().removeIf(id -> state.job(id).isEmpty());
-    }
-
     private List<HostRoom> rooms(WorkflowState state, long nowNanos) {
         List<HostRoom> present = new ArrayList<>();
         for (HostSession session : sessions.values()) {
