Keep a listed end from being forgotten when only the loss is logged

Cause: a run's loss was on its way through the log when the host listed its true end. The commit of the loss released the entry of the listed end, as both name the same run, so the next look could let the host forget an end that was not in the log yet; with the leader gone before the next commit it would be lost, and done work started again. And the end's way back to its host's session was dropped with the loss, so that after its own commit the host would not have been looked at again. Change: an entry is released by the end that it stands for, and the host of a run is kept while an end of it waits.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -352,8 +352,11 @@
     }
 
     private void started(WorkflowState state, ActiveRun run, long nowNanos) {
+        if (!state.isActive(run.run())) {
+            return;
+        }
         HostSession session = sessions.get(run.host().id());
-        if (session == null || !state.isActive(run.run())) {
+        if (session == null) {
             return;
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
@@ -364,10 +367,14 @@
     }
 
     private void ended(WorkflowState state, End end, long nowNanos) {
-        String hostId = hostsOfRuns.remove(end.run());
+        String hostId = hostsOfRuns.get(end.run());
         if (hostId != null) {
             endedOn(hostId, end, nowNanos);
         }
+        // An end that the host has listed meanwhile in place of an inferred one is still to be logged.
+        if (!openEnds.containsKey(end.run())) {
+            hostsOfRuns.remove(end.run());
+        }
         state.job(end.run().task().jobId()).ifPresent(job -> {
             if (!job.phase().isOpen()) {
                 stopRunsOf(job);
@@ -383,7 +390,7 @@
             return;
         }
         changed(hostId);
-        if (session.ended(end.run())) {
+        if (session.ended(end.run(), end.how())) {
             doubts.ended(hostId, end.how(), nowNanos);
         }
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/EndLedger.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/EndLedger.java
@@ -1,7 +1,9 @@
 package org.nettlering.domain.workflow.host;
 
 import java.util.TreeMap;
+import org.nettlering.domain.workflow.RunEnd;
 import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.host.HostAnswer.ListedEnd;
 
 /**
  * Which of a host's ends are in the log, so that the host may forget them.
@@ -10,7 +12,7 @@
  */
 final class EndLedger {
     /** The ends that are not in the log yet, by their number. */
-    private final TreeMap<Long, RunName> open = new TreeMap<>();
+    private final TreeMap<Long, ListedEnd> open = new TreeMap<>();
 
     /** The highest number that was listed. */
     private long highest;
@@ -22,12 +24,13 @@
         highest = Math.max(highest, number);
     }
 
-    void open(long number, RunName run) {
-        open.put(number, run);
+    void open(ListedEnd end) {
+        open.put(end.number(), end);
     }
 
-    void close(RunName run) {
-        open.values().removeIf(run::equals);
+    /** Notes that an end is in the log; one of another kind for the same run stays open. */
+    void close(RunName run, RunEnd how) {
+        open.values().removeIf(end -> end.run().equals(run) && end.how() == how);
     }
 
     /** Returns the number up to which every end is in the log. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -311,13 +311,14 @@
     }
 
     /**
-     * Stops following a run: its end is in the log.
+     * Stops following a run: an end of it is in the log.
      *
      * @param run the run, not null
+     * @param how the end that is in the log, not null
      * @return true if the run was followed here
      */
-    public boolean ended(RunName run) {
-        ends.close(run);
+    public boolean ended(RunName run, RunEnd how) {
+        ends.close(run, how);
         return runs.remove(run) != null;
     }
 
@@ -431,7 +432,7 @@
         silent = unreached || answer instanceof Unwell;
         if (!unreached && !(answer instanceof OtherLife)) {
             answeredNanos = nowNanos;
-        }
+            }
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
@@ -519,7 +520,7 @@
             takeEndOfUnfollowed(listed, found);
             return;
         }
-        ends.open(listed.number(), listed.run());
+        ends.open(listed);
         if (tracked.isEndListed()) {
             return;
         }
@@ -531,7 +532,7 @@
     /** Has an end logged that may contradict what was inferred of the run; until then the host must not forget it. */
     private void takeEndOfUnfollowed(ListedEnd listed, List<End> found) {
         if (listed.how() == RunEnd.DONE || listed.how() == RunEnd.FAILED) {
-            ends.open(listed.number(), listed.run());
+            ends.open(listed);
             found.add(new End(listed.run(), listed.how(), listed.checkpoint()));
         }
     }
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -119,6 +119,19 @@
         assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
     }
 
+    @Test
+    void theLateFailureOfALostRunOfAGangCountsBesideALaterOne() {
+        state.apply(job("a", step(2, List.of(), StepTrait.GANG)));
+        for (int number = 1; number <= 2; number++) {
+            state.apply(start("a", 0, 0, number));
+            state.apply(start("a", 0, 1, number));
+            state.apply(end("a", 0, 0, number, number == 1 ? RunEnd.HOST_LOST : RunEnd.FAILED));
+            state.apply(end("a", 0, 1, number, number == 1 ? RunEnd.HOST_LOST : RunEnd.BROKEN));
+        }
+        state.apply(end("a", 0, 0, 1, RunEnd.FAILED));
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
     @Test
     void theOpenFateOfALostRunIsKeptInASnapshot() {
         state.apply(job("a", step(1, List.of())));
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -86,7 +86,7 @@
         assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
         pass(200);
         assertThat(orders()).as("no look before the end is logged").isEmpty();
-        assertThat(session.ended(RUN)).isTrue();
+        assertThat(session.ended(RUN, RunEnd.DONE)).isTrue();
         assertThat(look().noted()).isEqualTo(3);
     }
 
@@ -98,7 +98,7 @@
                 .containsExactly(new End(RUN, RunEnd.NOT_BEGUN, ""));
         assertThat(orders().stream().filter(HostOrder.Stop.class::isInstance)).isEmpty();
         assertThat(session.takesWork(nowNanos)).isFalse();
-        session.ended(RUN);
+        session.ended(RUN, RunEnd.NOT_BEGUN);
         pass(400);
         answerLook(List.of(), List.of());
         assertThat(session.takesWork(nowNanos)).isTrue();
@@ -200,13 +200,13 @@
         answer(startOrder(), new Accepted(hostClockMillis));
         passSilently(7_000);
         assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
-        session.ended(RUN);
+        session.ended(RUN, RunEnd.HOST_LOST);
         report(false, 2);
         ListedEnd done = new ListedEnd(4, RUN, RunEnd.DONE, "");
         assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
         pass(200);
         assertThat(orders()).as("no look before the end is logged").isEmpty();
-        session.ended(RUN);
+        session.ended(RUN, RunEnd.DONE);
         assertThat(look().noted()).isEqualTo(4);
     }
 
@@ -220,6 +220,23 @@
         assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
     }
 
+    /** Guards against done work being started again: the logged loss released the end that was listed meanwhile. */
+    @Test
+    void anEndThatIsListedWhileTheLossIsOnItsWayThroughTheLogIsNotForgottenWhenTheLossIsLogged() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        passSilently(7_000);
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+        report(false, 2);
+        ListedEnd done = new ListedEnd(4, RUN, RunEnd.DONE, "");
+        assertThat(answerLook(List.of(), List.of(done))).containsExactly(new End(RUN, RunEnd.DONE, ""));
+        session.ended(RUN, RunEnd.HOST_LOST);
+        pass(200);
+        assertThat(orders()).as("no look before the end is logged").isEmpty();
+        session.ended(RUN, RunEnd.DONE);
+        assertThat(look().noted()).isEqualTo(4);
+    }
+
     @Test
     void aHostThatIsSilentIsNotGivenALongerLease() {
         answeredOnce();
@@ -298,7 +315,7 @@
         answeredOnce();
         answer(startOrder(), new Accepted(hostClockMillis));
         answerLook(List.of(), List.of(new ListedEnd(1, RUN, RunEnd.DONE, "")));
-        session.ended(RUN);
+        session.ended(RUN, RunEnd.DONE);
         pass(20_000);
         report(false, 2);
         RunName next = run("b", 0, 0, 1);
