End a start whose host went while it was being logged

Class: a fact (the host is gone) that came at the wrong moment was dropped. Cause: a start was logged for an idle host; a look found another life at its address before the commit, and the session was dropped. The committed start then found no session and was followed by nobody: its task never ran until the leader changed. Change: such a start ends as not begun, since no order of it was sent.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -357,6 +357,9 @@
         }
         HostSession session = sessions.get(run.host().id());
         if (session == null) {
+            // The host went while the start was being logged: no order of it was ever sent.
+            openEnds.put(run.run(), new End(run.run(), RunEnd.NOT_BEGUN, ""));
+            proofs.put(run.run(), new EndProof.NotSent(false, false));
             return;
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
--- a/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
@@ -67,6 +67,29 @@
         }
     }
 
+    @Test
+    void aStartWhoseHostTurnsOutGoneWhileItIsLoggedEnds() {
+        submit("a");
+        List<WorkflowCommand> batch = leadership.nextBatch(state, nowNanos, 0);
+        assertThat(batch).hasSize(1);
+        ActiveRun run = ((Start) batch.getFirst()).run();
+        HostOrder look = new HostOrder.Hold(run.host(), 1, 0, 0, 0);
+        leadership.answered(state, look, nowNanos, new HostAnswer.OtherLife(), nowNanos);
+        leadership.dueOrders(nowNanos);
+        batch.forEach(state::apply);
+        leadership.committed(state, batch, nowNanos);
+        for (int tick = 0; tick < 600; tick++) {
+            nowNanos += 100 * MILLI;
+            leadership.visitAll();
+            leadership.wantPlan();
+            commitNext();
+            leadership.dueOrders(nowNanos);
+        }
+        assertThat(state.isActive(run.run()))
+                .as("still at work on a host that is gone, after a minute")
+                .isFalse();
+    }
+
     @Test
     void doneIsNotForgottenByItsHostBeforeItIsLoggedWhenTheLossIsLoggedFirst() {
         RunName run = startOne("a");
