Take a host that leaves for gone only when it shows no life

Cause: 500 ms after a host had said that it leaves, its runs were taken for lost and started elsewhere. A host whose word is not answered within a second says it again to another process and works on for seconds: two runs at a time. A look that was out and brought the last ends found no session any more. Change: the host is gone 1.5 s after its last sign of life (its word again, a report, an answer), and not while a look is out.

--- a/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
@@ -67,6 +67,19 @@
         }
     }
 
+    @Test
+    void whatALookThatIsOutBringsAfterTheHostLeftIsWaitedFor() {
+        RunName run = startOne("a");
+        HostOrder look = startedAndLookedAt();
+        leadership.leave(look.host().id(), nowNanos);
+        nowNanos += 1_600 * MILLI;
+        leadership.visitAll();
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
+        HostAnswer listing = new HostAnswer.Listing(2_600, List.of(), List.of(new ListedEnd(1, run, RunEnd.DONE, "")));
+        leadership.answered(state, look, nowNanos - 1_600 * MILLI, listing, nowNanos);
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).containsExactly(new End(run, RunEnd.DONE, ""));
+    }
+
     @Test
     void aStartWhoseHostTurnsOutGoneWhileItIsLoggedEnds() {
         submit("a");
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -61,8 +61,8 @@
     /** How long after the last report a host gets no new work: three reports of the slowest kind. */
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(4_500);
 
-    /** How long a host goes on after it said that it leaves. */
-    private static final Duration LEAVE_MARGIN = Duration.ofMillis(500);
+    /** How long after its last sign of life a host that leaves is gone: it says so again if it got no answer in a second. */
+    private static final Duration LEAVE_MARGIN = Duration.ofMillis(1_500);
 
     /** The host. */
     private final HostAddress host;
@@ -193,7 +193,16 @@
 
     private boolean isGone(long nowNanos) {
         Long gone = goneNanos;
-        return gone != null && nowNanos - gone >= 0;
+        // What a look that is out brings may still show how the runs of a host that left have ended.
+        boolean mayStillTell = lookInFlight && goneProof instanceof EndProof.HostLeft;
+        return gone != null && nowNanos - gone >= 0 && !mayStillTell;
+    }
+
+    /** Takes a sign of life of a host that has said that it leaves: it has not gone yet. */
+    private void putOffLeaving(long nowNanos) {
+        if (goneNanos != null && goneProof instanceof EndProof.HostLeft) {
+            goneNanos = nowNanos + LEAVE_MARGIN.toNanos();
+        }
     }
 
     /**
@@ -221,6 +230,7 @@
         }
         report = latest;
         reportNanos = nowNanos;
+        putOffLeaving(nowNanos);
         lease.readClock(latest.clockMillis(), nowNanos);
         return true;
     }
@@ -234,6 +244,7 @@
         if (goneNanos == null) {
             goneNanos = nowNanos + LEAVE_MARGIN.toNanos();
         }
+        putOffLeaving(nowNanos);
     }
 
     /**
@@ -432,7 +443,8 @@
         silent = unreached || answer instanceof Unwell;
         if (!unreached && !(answer instanceof OtherLife)) {
             answeredNanos = nowNanos;
-            }
+            putOffLeaving(nowNanos);
+        }
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -237,6 +237,22 @@
         assertThat(look().noted()).isEqualTo(4);
     }
 
+    /** Guards against two runs at a time: a host whose word that it leaves got no answer works on for seconds. */
+    @Test
+    void aHostThatShowsALifeSignAfterItSaidThatItLeavesHasNotGoneYet() {
+        answeredOnce();
+        answer(startOrder(), new Accepted(hostClockMillis));
+        session.leave(nowNanos);
+        pass(1_400);
+        session.leave(nowNanos);
+        pass(1_400);
+        answerLook(List.of(new ListedRun(RUN, "", 10, 0)), List.of());
+        passSilently(1_400);
+        assertThat(session.overdueEnds(nowNanos)).isEmpty();
+        passSilently(300);
+        assertThat(session.overdueEnds(nowNanos)).containsExactly(new End(RUN, RunEnd.HOST_LOST, ""));
+    }
+
     @Test
     void aHostThatIsSilentIsNotGivenALongerLease() {
         answeredOnce();
