--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -10,9 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
-import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAddress;
 import org.nettlering.domain.workflow.RunEnd;
@@ -22,7 +20,6 @@
 import org.nettlering.domain.workflow.host.HostAnswer.ListedEnd;
 import org.nettlering.domain.workflow.host.HostAnswer.ListedRun;
 import org.nettlering.domain.workflow.host.HostAnswer.Listing;
-import org.nettlering.domain.workflow.host.HostAnswer.OtherLife;
 import org.nettlering.domain.workflow.host.HostAnswer.Refused;
 import org.nettlering.domain.workflow.host.HostAnswer.Silent;
 import org.nettlering.domain.workflow.host.HostAnswer.Unsent;
@@ -49,21 +46,12 @@
     /** How long to leave a host alone that did not answer or is not well. */
     private static final Duration SILENT_PAUSE = Duration.ofMillis(300);
 
-    /** How long a host gets no new work after it refused some: what it has ends, or it is told of, by then. */
-    private static final Duration REFUSED_PAUSE = Duration.ofMillis(500);
-
     /** The least time from one look to the next; one that waits for an end usually takes longer by itself. */
     private static final Duration LOOK_PAUSE = Duration.ofMillis(25);
 
     /** The least time from a look that does not wait to the next. */
     private static final Duration QUICK_LOOK_PAUSE = Duration.ofMillis(100);
 
-    /** How long after the last report a host gets no new work: three reports of the slowest kind. */
-    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(4_500);
-
-    /** How long after its last sign of life a host that leaves is gone: it says so again if it got no answer in a second. */
-    private static final Duration LEAVE_MARGIN = Duration.ofMillis(1_500);
-
     /** The host. */
     private final HostAddress host;
 
@@ -73,8 +61,8 @@
     /** The fencing token of this term. */
     private final long token;
 
-    /** When the session began, by the monotonic clock. */
-    private final long beganNanos;
+    /** How the host is in touch. */
+    private final HostContact contact;
 
     /** The runs that may be at work. */
     private final Map<RunName, TrackedRun> runs = new LinkedHashMap<>();
@@ -88,12 +76,6 @@
     /** The lease of what runs there. */
     private final HostLease lease;
 
-    /** The latest report, or null if none came in this term. */
-    private @Nullable HostReport report;
-
-    /** When it came, by the monotonic clock. */
-    private long reportNanos;
-
     /** Whether the host answered a look in this term. */
     private boolean looked;
 
@@ -103,24 +85,9 @@
     /** When the next look may be sent, by the monotonic clock. */
     private long nextLookNanos;
 
-    /** Whether the last order got no answer. */
-    private boolean silent;
-
-    /** Until when the host gets no new work because it refused some, by the monotonic clock. */
-    private long refusedUntilNanos;
-
     /** Whether the load of the runs is watched. */
     private boolean watched;
 
-    /** When this life ends for good, by the monotonic clock, or null while it goes on. */
-    private @Nullable Long goneNanos;
-
-    /** What shows that this life ends. */
-    private EndProof goneProof = new EndProof.HostLeft();
-
-    /** When the host answered an order last, by the monotonic clock, or null if it never did. */
-    private @Nullable Long answeredNanos;
-
     /**
      * Begins to follow a host.
      *
@@ -138,10 +105,9 @@
         this.host = host;
         this.limits = limits;
         this.token = token;
-        beganNanos = nowNanos;
+        contact = new HostContact(nowNanos);
         lease = new HostLease(limits, nowNanos);
         nextLookNanos = nowNanos;
-        refusedUntilNanos = nowNanos;
     }
 
     /**
@@ -159,7 +125,7 @@
      * @return the report, or empty if none came, never null
      */
     public Optional<HostReport> report() {
-        return Optional.ofNullable(report);
+        return contact.report();
     }
 
     /**
@@ -170,14 +136,7 @@
      *     not refuse work just now
      */
     public boolean takesWork(long nowNanos) {
-        HostReport latest = report;
-        return latest != null
-                && !latest.draining()
-                && goneNanos == null
-                && looked
-                && !silent
-                && nowNanos - refusedUntilNanos >= 0
-                && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
+        return looked && contact.takesWork(nowNanos);
     }
 
     /**
@@ -187,22 +146,11 @@
      * @return true if no run may be at work and the host is gone, or was not heard of for long
      */
     public boolean isOver(long nowNanos) {
-        boolean unheard = nowNanos - Math.max(reportNanos, beganNanos) > 4 * REPORT_TIMEOUT.toNanos();
-        return runs.isEmpty() && (isGone(nowNanos) || unheard);
+        return runs.isEmpty() && (isGone(nowNanos) || contact.isUnheardForLong(nowNanos));
     }
 
     private boolean isGone(long nowNanos) {
-        Long gone = goneNanos;
-        // What a look that is out brings may still show how the runs of a host that left have ended.
-        boolean mayStillTell = lookInFlight && goneProof instanceof EndProof.HostLeft;
-        return gone != null && nowNanos - gone >= 0 && !mayStillTell;
-    }
-
-    /** Takes a sign of life of a host that has said that it leaves: it has not gone yet. */
-    private void putOffLeaving(long nowNanos) {
-        if (goneNanos != null && goneProof instanceof EndProof.HostLeft) {
-            goneNanos = nowNanos + LEAVE_MARGIN.toNanos();
-        }
+        return contact.isGone(lookInFlight, nowNanos);
     }
 
     /**
@@ -224,13 +172,9 @@
      * @return false if it is older than one that was taken
      */
     public boolean receive(HostReport latest, long nowNanos) {
-        HostReport known = report;
-        if (known != null && latest.sequence() <= known.sequence()) {
+        if (!contact.receive(latest, nowNanos)) {
             return false;
         }
-        report = latest;
-        reportNanos = nowNanos;
-        putOffLeaving(nowNanos);
         lease.readClock(latest.clockMillis(), nowNanos);
         return true;
     }
@@ -241,10 +185,7 @@
      * @param nowNanos the monotonic time
      */
     public void leave(long nowNanos) {
-        if (goneNanos == null) {
-            goneNanos = nowNanos + LEAVE_MARGIN.toNanos();
-        }
-        putOffLeaving(nowNanos);
+        contact.leave(nowNanos);
     }
 
     /**
@@ -345,7 +286,7 @@
             return due;
         }
         for (TrackedRun tracked : runs.values()) {
-            tracked.dueOrder(token, lease, silent, nowNanos).ifPresent(due::add);
+            tracked.dueOrder(token, lease, contact.isSilent(), nowNanos).ifPresent(due::add);
         }
         strays.replaceAll((run, next) -> {
             if (nowNanos - next < 0) {
@@ -370,8 +311,8 @@
      */
     public OptionalLong nextDueNanos(long nowNanos) {
         LongStream.Builder waits = LongStream.builder();
-        if (goneNanos != null && !isGone(nowNanos)) {
-            waits.add(goneNanos - nowNanos);
+        if (!isGone(nowNanos)) {
+            contact.goneNanos().ifPresent(gone -> waits.add(gone - nowNanos));
         }
         if (wantsLookInTime()) {
             waits.add(nextLookNanos - nowNanos);
@@ -389,16 +330,16 @@
     }
 
     private boolean wantsLookInTime() {
-        boolean needed = !looked || silent || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
-        boolean mayWaitForLog = ends.isWaiting() && !silent;
+        boolean needed = !looked || contact.isSilent() || !runs.isEmpty() || ends.hasNews() || !strays.isEmpty();
+        boolean mayWaitForLog = ends.isWaiting() && !contact.isSilent();
         return needed && !mayWaitForLog && !lookInFlight;
     }
 
     private HostOrder look(long nowNanos) {
         lookInFlight = true;
-        boolean quick = !looked || silent || runs.isEmpty() || !strays.isEmpty() || hasDoubt();
+        boolean quick = !looked || contact.isSilent() || runs.isEmpty() || !strays.isEmpty() || hasDoubt();
         long wait = quick ? 0 : (watched ? WATCH_WAIT : LOOK_WAIT).toMillis();
-        boolean renews = !runs.isEmpty() && !silent;
+        boolean renews = !runs.isEmpty() && !contact.isSilent();
         return new HostOrder.Hold(host, token, renews ? lease.renewed(nowNanos) : 0, ends.noted(), wait);
     }
 
@@ -418,10 +359,6 @@
      */
     public List<End> answered(HostOrder order, long sentNanos, HostAnswer answer, long nowNanos) {
         noteContact(answer, nowNanos);
-        if (answer instanceof OtherLife) {
-            goneNanos = nowNanos;
-            goneProof = new EndProof.OtherLife();
-        }
         return switch (order) {
             case HostOrder.Start start -> startAnswered(start, answer, nowNanos);
             case HostOrder.Stop stop -> stopAnswered(stop, answer, nowNanos);
@@ -439,12 +376,7 @@
     }
 
     private void noteContact(HostAnswer answer, long nowNanos) {
-        boolean unreached = answer instanceof Silent || answer instanceof Unsent;
-        silent = unreached || answer instanceof Unwell;
-        if (!unreached && !(answer instanceof OtherLife)) {
-            answeredNanos = nowNanos;
-            putOffLeaving(nowNanos);
-        }
+        contact.answered(answer, nowNanos);
         switch (answer) {
             case Accepted accepted -> lease.readClock(accepted.clockMillis(), nowNanos);
             case Listing listing -> lease.readClock(listing.clockMillis(), nowNanos);
@@ -461,10 +393,11 @@
             case Accepted accepted -> tracked.confirm(nowNanos);
             case Silent nothing -> doubt(tracked, nowNanos);
             case Unsent unsent -> {
-                return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.NotSent(tracked.stopWanted, silent)));
+                return List.of(
+                        end(tracked, RunEnd.NOT_BEGUN, new EndProof.NotSent(tracked.stopWanted, contact.isSilent())));
             }
             case Refused refused -> {
-                refusedUntilNanos = nowNanos + REFUSED_PAUSE.toNanos();
+                contact.refused(nowNanos);
                 return List.of(end(tracked, RunEnd.NOT_BEGUN, new EndProof.StartRefused(refused.reason())));
             }
             case Unwell unwell -> {
@@ -600,12 +533,12 @@
             }
             if (tracked.stage == Stage.TO_SEND) {
                 // The lease of earlier runs says nothing of a run whose order has not gone out.
-                if (tracked.stopWanted || gone || silent) {
-                    EndProof unsent = new EndProof.NotSent(tracked.stopWanted, silent);
-                    found.add(end(tracked, RunEnd.NOT_BEGUN, gone ? goneProof : unsent));
+                if (tracked.stopWanted || gone || contact.isSilent()) {
+                    EndProof unsent = new EndProof.NotSent(tracked.stopWanted, contact.isSilent());
+                    found.add(end(tracked, RunEnd.NOT_BEGUN, gone ? contact.goneProof() : unsent));
                 }
             } else if (gone || lapsed) {
-                found.add(end(tracked, RunEnd.HOST_LOST, gone ? goneProof : lapseProof(nowNanos)));
+                found.add(end(tracked, RunEnd.HOST_LOST, gone ? contact.goneProof() : lapseProof(nowNanos)));
             }
         }
         return found;
@@ -620,17 +553,12 @@
         if (runs.isEmpty()) {
             return false;
         }
-        boolean heardOf = report != null && nowNanos - reportNanos < REPORT_TIMEOUT.toNanos();
-        Duration patience = heardOf ? limits.lease() : Duration.ZERO;
+        Duration patience = contact.isReporting(nowNanos) ? limits.lease() : Duration.ZERO;
         return lease.hasLapsed(patience, nowNanos);
     }
 
     private EndProof lapseProof(long nowNanos) {
-        Long answered = answeredNanos;
-        return lease.lapseProof(
-                report == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - reportNanos),
-                answered == null ? EndProof.NEVER : TimeUnit.NANOSECONDS.toMillis(nowNanos - answered),
-                nowNanos);
+        return lease.lapseProof(contact.reportAgeMillis(nowNanos), contact.answerAgeMillis(nowNanos), nowNanos);
     }
 
     /**
