--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderScene.java
@@ -0,0 +1,97 @@
+package org.nettlering.control.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.nettlering.domain.queue.QueueTerms;
+import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.ManualTime;
+import org.nettlering.domain.workflow.HostAddress;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobTerms;
+import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.RunName;
+import org.nettlering.domain.workflow.StepLocality;
+import org.nettlering.domain.workflow.StepSharing;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.Start;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostAnswer;
+import org.nettlering.domain.workflow.host.HostLimits;
+import org.nettlering.domain.workflow.host.HostOrder;
+import org.nettlering.domain.workflow.host.HostReport;
+
+/** A leader whose hosts have all reported and answered, for tests of what it makes of events. */
+abstract class LeaderScene {
+    static final long MILLI = 1_000_000;
+    private static final long QUICK_LOOK_PAUSE_MILLIS = 101;
+    private static final HostLimits LIMITS =
+            new HostLimits(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
+    private static final HostAnswer.Listing NOTHING = new HostAnswer.Listing(1_000, List.of(), List.of());
+
+    final WorkflowState state = WorkflowState.empty();
+    final WorkflowLeadership leadership =
+            WorkflowLeadership.begin(state, 1, LIMITS, LoopMeasures.unread(ManualTime.startingAt(Instant.EPOCH)), 0);
+    private final int hosts;
+
+    long nowNanos = MILLI;
+
+    LeaderScene(int hosts) {
+        this.hosts = hosts;
+    }
+
+    @BeforeEach
+    void everyHostHasReportedAndAnswered() {
+        for (int number = 0; number < hosts; number++) {
+            leadership.receive(report(number), nowNanos);
+        }
+        List<HostOrder> looks = leadership.dueOrders(nowNanos);
+        assertThat(looks).hasSize(hosts);
+        nowNanos += MILLI;
+        looks.forEach(look -> leadership.answered(state, look, nowNanos - MILLI, NOTHING, nowNanos));
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
+        assertThat(leadership.dueOrders(nowNanos)).isEmpty();
+        nowNanos += MILLI;
+    }
+
+    /** Has the host confirm the start of the only run, and returns the look that follows. */
+    final HostOrder startedAndLookedAt() {
+        List<HostOrder> starts = leadership.dueOrders(nowNanos);
+        assertThat(starts).hasSize(1);
+        leadership.answered(state, starts.getFirst(), nowNanos, new HostAnswer.Accepted(1_001), nowNanos);
+        nowNanos += QUICK_LOOK_PAUSE_MILLIS * MILLI;
+        List<HostOrder> looks = leadership.dueOrders(nowNanos);
+        assertThat(looks).hasSize(1);
+        nowNanos += MILLI;
+        return looks.getFirst();
+    }
+
+    /** Has one task started up to the point where its order is due. */
+    final RunName startOne(String jobId) {
+        submit(jobId);
+        List<WorkflowCommand> batch = leadership.nextBatch(state, nowNanos, 0);
+        assertThat(batch).hasSize(1);
+        batch.forEach(state::apply);
+        leadership.committed(state, batch, nowNanos);
+        return ((Start) batch.getFirst()).run().run();
+    }
+
+    final void submit(String jobId) {
+        StepSpecification step = new StepSpecification(
+                1, Resources.of(1_000, 100, 0), 1_000, List.of(), Set.of(), StepLocality.ANYWHERE, StepSharing.UNTOLD);
+        JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
+        state.apply(
+                new WorkflowCommand.Submit(jobId, terms, new JobDefinition("work", List.of(step), Recurrence.ONCE), 0));
+        leadership.wantPlan();
+    }
+
+    static HostReport report(int number) {
+        HostAddress address = new HostAddress("h" + number, "10.0.0." + number + ":80");
+        return new HostReport(address, "pool", "fd", Resources.of(4_000, 4_000, 0), "a", "r1", false, 1_000, 1);
+    }
+}
