Write the log in pieces that a pipe takes whole

The new appender wrote up to 256 lines, some 70 KB, in one call, which is more than a pipe takes as a whole. Not shown: at which end of the pipe the rest was lost. Change: one write holds whole lines of at most 4,096 bytes together, which a pipe takes whole or not at all. Test: QueuedAppenderTest, red before, green now.

--- a/runtime/src/main/java/org/nettlering/runtime/log/QueuedAppender.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/QueuedAppender.java
@@ -34,6 +34,9 @@
     /** The most lines that are written in one call. */
     private static final int MOST_IN_BLOCK = 256;
 
+    /** The most of several lines that are written at once, in bytes: a pipe takes a write of this size whole or not at all. */
+    private static final int MOST_BYTES_IN_BLOCK = 4_096;
+
     /** How long lines wait for others to be written with. */
     private static final Duration GATHER = Duration.ofMillis(10);
 
@@ -49,6 +52,9 @@
     /** Where the lines go. */
     private final OutputStream output;
 
+    /** How many lines stand in the block that is written next; used by the writing thread alone. */
+    private int linesInBlock;
+
     /** What was left out before it came here. */
     private final LineBudget budget;
 
@@ -129,6 +135,10 @@
         }
         leftOut.forEach(lost ->
                 encode(block, report(RuntimeEvent.LINES_LEFT_OUT, lost.lines(), EventLogger.code(lost.event()))));
+        writeOut(block);
+    }
+
+    private void writeOut(ByteArrayOutputStream block) {
         if (block.size() == 0) {
             return;
         }
@@ -137,12 +147,21 @@
             output.flush();
         } catch (IOException exception) {
             // Whoever read the output is gone: there is nowhere to tell it but the metrics.
-            lines.forEach(line -> LogOutput.dropped());
+            for (int line = 0; line < linesInBlock; line++) {
+                LogOutput.dropped();
+            }
         }
+        block.reset();
+        linesInBlock = 0;
     }
 
     private void encode(ByteArrayOutputStream block, ILoggingEvent line) {
-        block.writeBytes(Objects.requireNonNull(encoder).encode(line));
+        byte[] text = Objects.requireNonNull(encoder).encode(line);
+        if (block.size() + text.length > MOST_BYTES_IN_BLOCK) {
+            writeOut(block);
+        }
+        block.writeBytes(text);
+        linesInBlock++;
     }
 
     private LoggingEvent report(RuntimeEvent event, Object... arguments) {
--- a/runtime/src/test/java/org/nettlering/runtime/log/QueuedAppenderTest.java
+++ b/runtime/src/test/java/org/nettlering/runtime/log/QueuedAppenderTest.java
@@ -14,6 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -85,6 +87,34 @@
         appender.stop();
     }
 
+    /** Guards against torn lines, which a play with blocks of some 70 KB showed. */
+    @Test
+    void everyWriteHoldsWholeLinesAndNoMoreThanAPipeTakesAtOnce() {
+        List<byte[]> writes = new ArrayList<>();
+        OutputStream recording = new OutputStream() {
+            @Override
+            public void write(int one) {
+                throw new AssertionError("one byte alone");
+            }
+
+            @Override
+            public void write(byte[] bytes, int offset, int length) {
+                writes.add(Arrays.copyOfRange(bytes, offset, offset + length));
+            }
+        };
+        LineQueue queue = LineQueue.of(1_000, 1_000_000);
+        QueuedAppender appender = appender(queue, recording);
+        for (int number = 0; number < 200; number++) {
+            appender.doAppend(line(Level.INFO, "x".repeat(250)));
+        }
+        assertThat(queue.flush(LONG)).isTrue();
+        appender.stop();
+        assertThat(writes).isNotEmpty().allSatisfy(write -> {
+            assertThat(write).hasSizeLessThanOrEqualTo(4_096);
+            assertThat(write[write.length - 1]).isEqualTo((byte) '\n');
+        });
+    }
+
     @Test
     void aStopWritesWhatWaits() {
         output.move();
