Count each failed run of a gang once, also if an earlier one is confirmed late

Cause: a step kept the number of the last run of its gang that had counted as a failure and ignored any failure of a lower run. A run that was taken for lost (HOST_LOST) and whose host listed it as failed after a later run had failed was therefore not counted, so that a gang could start once more often than its attempts allow. Ruled out: counting each member's failure, which would count one run several times. Long-running gangs have no limit of attempts and keep no numbers.

While members of both versions run, they may count such a run differently; a rolling upgrade is over in minutes.

--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /**
  * The progress of one step of one occurrence of a job.
@@ -25,8 +27,8 @@
 
     private int activeRunCount;
 
-    /** The number of the last run of a gang that counted as a failure, zero if none. */
-    private int lastFailedGangRun;
+    /** The numbers of the runs of a gang that counted as failures; empty for other steps and for long-running ones. */
+    private final SortedSet<Integer> failedGangRuns = new TreeSet<>();
 
     StepProgress(Job job, StepId id, StepSpecification specification) {
         this.job = job;
@@ -46,7 +48,7 @@
         this.specification = specification;
         tasks = new ArrayList<>(
                 snapshot.tasks().stream().map(TaskProgress::from).toList());
-        lastFailedGangRun = snapshot.lastFailedGangRun();
+        failedGangRuns.addAll(snapshot.failedGangRuns());
         for (int index = 0; index < tasks.size(); index++) {
             TaskProgress task = tasks.get(index);
             unfinishedCount += task.isDone() ? 0 : 1;
@@ -57,7 +59,8 @@
 
     WorkflowStateSnapshot.StepSnapshot snapshot() {
         return new WorkflowStateSnapshot.StepSnapshot(
-                lastFailedGangRun, tasks.stream().map(TaskProgress::snapshot).toList());
+                List.copyOf(failedGangRuns),
+                tasks.stream().map(TaskProgress::snapshot).toList());
     }
 
     /**
@@ -200,13 +203,21 @@
         if (status == TerminalStatus.DONE && !specification.has(StepTrait.LONG_RUNNING)) {
             markDone(isGang ? allTaskIndexes() : new int[] {index});
         }
-        if (status == TerminalStatus.FAILED && (!isGang || run.number() > lastFailedGangRun)) {
+        if (status == TerminalStatus.FAILED && countsAsFailure(run)) {
             task.recordFailure();
-            lastFailedGangRun = isGang ? run.number() : 0;
         }
         pending.set(index, !task.isDone() && task.hasNoActiveRun());
     }
 
+    /** Returns whether a failed run is a further failure of its task, or the first one of its gang's run. */
+    private boolean countsAsFailure(RunId run) {
+        if (!specification.has(StepTrait.GANG) || specification.has(StepTrait.LONG_RUNNING)) {
+            // Long-running tasks have no limit of failures, so their runs need not be told apart.
+            return true;
+        }
+        return failedGangRuns.add(run.number());
+    }
+
     private int[] allTaskIndexes() {
         int[] indexes = new int[tasks.size()];
         for (int index = 0; index < indexes.length; index++) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
@@ -54,12 +54,13 @@
     /**
      * The snapshot of one step.
      *
-     * @param lastFailedGangRun the number of the last run of a gang that counted as a failure, zero if none
+     * @param failedGangRuns the numbers of the runs of a gang that counted as failures, ascending, not null
      * @param tasks the tasks by index, not null
      */
-    public record StepSnapshot(int lastFailedGangRun, List<TaskSnapshot> tasks) {
-        /** Copies the list of tasks. */
+    public record StepSnapshot(List<Integer> failedGangRuns, List<TaskSnapshot> tasks) {
+        /** Copies the lists. */
         public StepSnapshot {
+            failedGangRuns = List.copyOf(failedGangRuns);
             tasks = List.copyOf(tasks);
         }
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -42,8 +42,8 @@
     /** Caches the free capacities of the hosts in each pool. */
     private final Map<String, List<FreeCapacity>> capacitiesByPool = new HashMap<>();
 
-    /** The steps without placement constraints for which no host was feasible in this plan. */
-    private final List<StepSpecification> unschedulable = new ArrayList<>();
+    /** The steps without placement constraints for which no host of their pool was feasible in this plan, by pool. */
+    private final Map<String, List<StepSpecification>> unschedulableByPool = new HashMap<>();
 
     private final List<StartRun> starts = new ArrayList<>();
 
@@ -100,10 +100,12 @@
 
     private void planStep(StepProgress step) {
         StepSpecification specification = step.specification();
+        String pool = step.job().terms().pool();
+        List<StepSpecification> unschedulable = unschedulableByPool.computeIfAbsent(pool, name -> new ArrayList<>());
         if (unschedulable.stream().anyMatch(other -> requiresAtLeast(specification, other))) {
             return;
         }
-        List<FreeCapacity> candidates = candidatesIn(step.job().terms().pool());
+        List<FreeCapacity> candidates = candidatesIn(pool);
         int[] taskIndexes = step.pendingTasks();
         String rack = specification.placementConstraints().dataRack();
         if (specification.has(StepTrait.RACK_LOCAL)) {
@@ -118,7 +120,9 @@
         for (int index : taskIndexes) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
-                recordUnschedulable(specification);
+                if (specification.placementConstraints().equals(PlacementConstraints.NONE)) {
+                    unschedulable.add(specification);
+                }
                 return;
             }
             int runNumber = step.task(index).lastRunNumber() + 1;
@@ -134,13 +138,6 @@
                         .toList());
     }
 
-    /** Records a step without a feasible host, unless its placement constraints may be the reason. */
-    private void recordUnschedulable(StepSpecification specification) {
-        if (specification.placementConstraints().equals(PlacementConstraints.NONE)) {
-            unschedulable.add(specification);
-        }
-    }
-
     /** Returns whether a step requires at least the capacity of another step that was found unschedulable. */
     private static boolean requiresAtLeast(StepSpecification step, StepSpecification other) {
         return step.has(StepTrait.BEST_EFFORT) == other.has(StepTrait.BEST_EFFORT)
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -12,16 +12,21 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.HostIncarnation;
+import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.PlacementConstraints;
+import org.nettlering.domain.workflow.Recurrence;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.StepServiceLevel;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
+import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.colocation.BestEffortRun;
 import org.nettlering.domain.workflow.colocation.ColocationController;
@@ -90,6 +95,16 @@
         assertThat(plan()).isEmpty();
     }
 
+    @Test
+    void stepThatWaitsForPoolWithoutHostsDoesNotDelayOtherPools() {
+        addHost("h1", "r1", 4_000, 0);
+        JobTerms elsewhere = new JobTerms("queue", "pool without hosts", new QueueTerms(0, 2, 1.5, 250, false));
+        state.apply(new SubmitJob(
+                "waits", elsewhere, new JobDefinition("work", List.of(step(1, List.of())), Recurrence.ONCE), 0));
+        state.apply(job("a", step(3, List.of())));
+        assertThat(plan()).hasSize(3);
+    }
+
     @Test
     void hostsInDataRackArePreferred() {
         addHost("h1", "r1", 32_000, 0);
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -1,5 +1,7 @@
 package org.nettlering.wire.codec;
 
+import java.util.List;
+import java.util.stream.IntStream;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.JobSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.OccurrenceSnapshot;
@@ -78,19 +80,29 @@
     }
 
     private static StepImageMessage encode(StepSnapshot step) {
-        StepImageMessage.Builder message = StepImageMessage.newBuilder().setLastGangFailure(step.lastFailedGangRun());
+        StepImageMessage.Builder message = StepImageMessage.newBuilder().addAllFailedGangRuns(step.failedGangRuns());
+        if (!step.failedGangRuns().isEmpty()) {
+            message.setLastGangFailure(step.failedGangRuns().getLast());
+        }
         step.tasks().forEach(task -> message.addTasks(encode(task)));
         return message.build();
     }
 
     private static StepSnapshot decode(StepImageMessage message) {
         return new StepSnapshot(
-                message.getLastGangFailure(),
+                failedGangRuns(message),
                 message.getTasksList().stream()
                         .map(WorkflowSnapshotCodec::decode)
                         .toList());
     }
 
+    /** Returns the counted failures; a snapshot without their numbers has counted all runs up to the last failure. */
+    private static List<Integer> failedGangRuns(StepImageMessage message) {
+        return message.getFailedGangRunsCount() > 0
+                ? message.getFailedGangRunsList()
+                : IntStream.rangeClosed(1, message.getLastGangFailure()).boxed().toList();
+    }
+
     private static TaskImageMessage encode(TaskSnapshot task) {
         TaskImageMessage.Builder message = TaskImageMessage.newBuilder()
                 .setLastRun(task.lastRunNumber())
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -22344,6 +22344,10 @@
       com.google.protobuf.MessageOrBuilder {
 
     /**
+     * <pre>
+     * The highest of failed_gang_runs, for members that do not know that field.
+     * </pre>
+     *
      * <code>uint32 last_gang_failure = 1;</code>
      * @return The lastGangFailure.
      */
@@ -22372,6 +22376,35 @@
      */
     org.nettlering.wire.proto.WorkflowProto.TaskImageMessageOrBuilder getTasksOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @return A list containing the failedGangRuns.
+     */
+    java.util.List<java.lang.Integer> getFailedGangRunsList();
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @return The count of failedGangRuns.
+     */
+    int getFailedGangRunsCount();
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @param index The index of the element to return.
+     * @return The failedGangRuns at the given index.
+     */
+    int getFailedGangRuns(int index);
   }
   /**
    * Protobuf type {@code nettlering.StepImageMessage}
@@ -22396,6 +22429,7 @@
     }
     private StepImageMessage() {
       tasks_ = java.util.Collections.emptyList();
+      failedGangRuns_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -22419,6 +22453,10 @@
     public static final int LAST_GANG_FAILURE_FIELD_NUMBER = 1;
     private int lastGangFailure_ = 0;
     /**
+     * <pre>
+     * The highest of failed_gang_runs, for members that do not know that field.
+     * </pre>
+     *
      * <code>uint32 last_gang_failure = 1;</code>
      * @return The lastGangFailure.
      */
@@ -22468,6 +22506,48 @@
       return tasks_.get(index);
     }
 
+    public static final int FAILED_GANG_RUNS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList failedGangRuns_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @return A list containing the failedGangRuns.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getFailedGangRunsList() {
+      return failedGangRuns_;
+    }
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @return The count of failedGangRuns.
+     */
+    public int getFailedGangRunsCount() {
+      return failedGangRuns_.size();
+    }
+    /**
+     * <pre>
+     * The numbers of the runs of a gang that counted as failures.
+     * </pre>
+     *
+     * <code>repeated uint32 failed_gang_runs = 3;</code>
+     * @param index The index of the element to return.
+     * @return The failedGangRuns at the given index.
+     */
+    public int getFailedGangRuns(int index) {
+      return failedGangRuns_.getInt(index);
+    }
+    private int failedGangRunsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -22482,12 +22562,20 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
       if (lastGangFailure_ != 0) {
         output.writeUInt32(1, lastGangFailure_);
       }
       for (int i = 0; i < tasks_.size(); i++) {
         output.writeMessage(2, tasks_.get(i));
       }
+      if (getFailedGangRunsList().size() > 0) {
+        output.writeUInt32NoTag(26);
+        output.writeUInt32NoTag(failedGangRunsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < failedGangRuns_.size(); i++) {
+        output.writeUInt32NoTag(failedGangRuns_.getInt(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -22505,6 +22593,20 @@
             }
             size += 1 * count;
           }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < failedGangRuns_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(failedGangRuns_.getInt(i));
+        }
+        size += dataSize;
+        if (!getFailedGangRunsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        failedGangRunsMemoizedSerializedSize = dataSize;
+      }
       return size;
     }
     @java.lang.Override
@@ -22533,6 +22635,8 @@
           != other.getLastGangFailure()) return false;
       if (!getTasksList()
           .equals(other.getTasksList())) return false;
+      if (!getFailedGangRunsList()
+          .equals(other.getFailedGangRunsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -22550,6 +22654,10 @@
         hash = (37 * hash) + TASKS_FIELD_NUMBER;
         hash = (53 * hash) + getTasksList().hashCode();
       }
+      if (getFailedGangRunsCount() > 0) {
+        hash = (37 * hash) + FAILED_GANG_RUNS_FIELD_NUMBER;
+        hash = (53 * hash) + getFailedGangRunsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -22689,6 +22797,7 @@
           tasksBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000002);
+        failedGangRuns_ = emptyIntList();
         return this;
       }
 
@@ -22738,6 +22847,10 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.lastGangFailure_ = lastGangFailure_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          failedGangRuns_.makeImmutable();
+          result.failedGangRuns_ = failedGangRuns_;
+        }
       }
 
       @java.lang.Override
@@ -22781,6 +22894,17 @@
             }
           }
         }
+        if (!other.failedGangRuns_.isEmpty()) {
+          if (failedGangRuns_.isEmpty()) {
+            failedGangRuns_ = other.failedGangRuns_;
+            failedGangRuns_.makeImmutable();
+            bitField0_ |= 0x00000004;
+          } else {
+            ensureFailedGangRunsIsMutable();
+            failedGangRuns_.addAll(other.failedGangRuns_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -22823,6 +22947,22 @@
                 }
                 break;
               } // case 18
+              case 24: {
+                int v = input.readUInt32();
+                ensureFailedGangRunsIsMutable();
+                failedGangRuns_.addInt(v);
+                break;
+              } // case 24
+              case 26: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureFailedGangRunsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  failedGangRuns_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 26
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22842,6 +22982,10 @@
 
       private int lastGangFailure_ ;
       /**
+       * <pre>
+       * The highest of failed_gang_runs, for members that do not know that field.
+       * </pre>
+       *
        * <code>uint32 last_gang_failure = 1;</code>
        * @return The lastGangFailure.
        */
@@ -22850,6 +22994,10 @@
         return lastGangFailure_;
       }
       /**
+       * <pre>
+       * The highest of failed_gang_runs, for members that do not know that field.
+       * </pre>
+       *
        * <code>uint32 last_gang_failure = 1;</code>
        * @param value The lastGangFailure to set.
        * @return This builder for chaining.
@@ -22862,6 +23010,10 @@
         return this;
       }
       /**
+       * <pre>
+       * The highest of failed_gang_runs, for members that do not know that field.
+       * </pre>
+       *
        * <code>uint32 last_gang_failure = 1;</code>
        * @return This builder for chaining.
        */
@@ -23106,6 +23258,118 @@
         return tasksBuilder_;
       }
 
+      private com.google.protobuf.Internal.IntList failedGangRuns_ = emptyIntList();
+      private void ensureFailedGangRunsIsMutable() {
+        if (!failedGangRuns_.isModifiable()) {
+          failedGangRuns_ = makeMutableCopy(failedGangRuns_);
+        }
+        bitField0_ |= 0x00000004;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @return A list containing the failedGangRuns.
+       */
+      public java.util.List<java.lang.Integer>
+          getFailedGangRunsList() {
+        failedGangRuns_.makeImmutable();
+        return failedGangRuns_;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @return The count of failedGangRuns.
+       */
+      public int getFailedGangRunsCount() {
+        return failedGangRuns_.size();
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @param index The index of the element to return.
+       * @return The failedGangRuns at the given index.
+       */
+      public int getFailedGangRuns(int index) {
+        return failedGangRuns_.getInt(index);
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @param index The index to set the value at.
+       * @param value The failedGangRuns to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFailedGangRuns(
+          int index, int value) {
+
+        ensureFailedGangRunsIsMutable();
+        failedGangRuns_.setInt(index, value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @param value The failedGangRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFailedGangRuns(int value) {
+
+        ensureFailedGangRunsIsMutable();
+        failedGangRuns_.addInt(value);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @param values The failedGangRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllFailedGangRuns(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureFailedGangRunsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, failedGangRuns_);
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs of a gang that counted as failures.
+       * </pre>
+       *
+       * <code>repeated uint32 failed_gang_runs = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFailedGangRuns() {
+        failedGangRuns_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.StepImageMessage)
     }
 
@@ -32425,61 +32689,61 @@
       "occurrences\030\006 \003(\0132\".nettlering.Occurrenc" +
       "eImageMessage\"U\n\026OccurrenceImageMessage\022" +
       "\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.nettler" +
-      "ing.StepImageMessage\"Z\n\020StepImageMessage" +
+      "ing.StepImageMessage\"t\n\020StepImageMessage" +
       "\022\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks\030\002 \003" +
-      "(\0132\034.nettlering.TaskImageMessage\"\243\001\n\020Tas" +
-      "kImageMessage\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failu" +
-      "res\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 " +
-      "\001(\t\0221\n\013active_runs\030\005 \003(\0132\034.nettlering.Ac" +
-      "tiveRunMessage\022\026\n\016unsettled_runs\030\006 \003(\r\"\237" +
-      "\003\n\017WorkflowRequest\022.\n\006submit\030\001 \001(\0132\034.net" +
-      "tlering.SubmitJobRequestH\000\022&\n\004show\030\002 \001(\013" +
-      "2\026.nettlering.JobRequestH\000\022(\n\006cancel\030\003 \001" +
-      "(\0132\026.nettlering.JobRequestH\000\0224\n\013host_rep" +
-      "ort\030\004 \001(\0132\035.nettlering.HostReportMessage" +
-      "H\000\022/\n\014host_leaving\030\005 \001(\0132\027.nettlering.Ho" +
-      "stLeavingH\000\022?\n\016replace_queues\030\006 \001(\0132%.ne" +
-      "ttlering.QueueConfigurationMessageH\000\022-\n\013" +
-      "read_queues\030\007 \001(\0132\026.nettlering.ReadQueue" +
-      "sH\000\022(\n\005check\030\010 \001(\0132\027.nettlering.LeaderCh" +
-      "eckH\000B\t\n\007request\"i\n\020SubmitJobRequest\022\021\n\t" +
-      "authority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0224\n\ndefinit" +
-      "ion\030\003 \001(\0132 .nettlering.JobDefinitionMess" +
-      "age\"-\n\nJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004" +
-      "path\030\002 \001(\t\"\372\001\n\021HostReportMessage\022\017\n\007host" +
-      "_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(\t\022\014\n\004pool\030" +
-      "\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\022\n\nmillico" +
-      "res\030\005 \001(\004\022\030\n\020memory_mebibytes\030\006 \001(\004\022\024\n\014a" +
-      "ccelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030" +
-      "\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clock_millis\030" +
-      "\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\"\036\n\013HostLeaving\022\017" +
-      "\n\007host_id\030\001 \001(\t\"\014\n\nReadQueues\"\r\n\013LeaderC" +
-      "heck\"\323\001\n\020WorkflowResponse\022*\n\006answer\030\001 \001(" +
-      "\0162\032.nettlering.WorkflowAnswer\022*\n\005phase\030\002" +
-      " \001(\0162\033.nettlering.JobPhaseMessage\022\024\n\014pen" +
-      "ding_jobs\030\003 \001(\r\022\032\n\022retry_after_millis\030\004 " +
-      "\001(\r\0225\n\006queues\030\005 \001(\0132%.nettlering.QueueCo" +
-      "nfigurationMessage*\211\001\n\020StepTraitMessage\022" +
-      "\032\n\026STEP_TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n" +
-      "\nRACK_LOCAL\020\002\022\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_R" +
-      "UNNING\020\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005FILLS\020\006*\254" +
-      "\001\n\rRunEndMessage\022\027\n\023RUN_END_UNSPECIFIED\020" +
-      "\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_S" +
-      "TOPPED\020\003\022\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005" +
-      "\022\r\n\tRUN_ALONE\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRU" +
-      "N_HOST_LOST\020\010*\202\001\n\026WorkflowOutcomeMessage" +
-      "\022 \n\034WORKFLOW_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WO" +
-      "RKFLOW_APPLIED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002" +
-      "\022\030\n\024WORKFLOW_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseM" +
-      "essage\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB" +
-      "_QUEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLE" +
-      "TED\020\003\022\016\n\nJOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005" +
-      "*\234\001\n\016WorkflowAnswer\022\037\n\033WORKFLOW_ANSWER_U" +
-      "NSPECIFIED\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_" +
-      "NO_QUEUE\020\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_" +
-      "REJECTED\020\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005B" +
-      "*\n\031org.nettlering.wire.protoB\rWorkflowPr" +
-      "otob\006proto3"
+      "(\0132\034.nettlering.TaskImageMessage\022\030\n\020fail" +
+      "ed_gang_runs\030\003 \003(\r\"\243\001\n\020TaskImageMessage\022" +
+      "\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004d" +
+      "one\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013active_" +
+      "runs\030\005 \003(\0132\034.nettlering.ActiveRunMessage" +
+      "\022\026\n\016unsettled_runs\030\006 \003(\r\"\237\003\n\017WorkflowReq" +
+      "uest\022.\n\006submit\030\001 \001(\0132\034.nettlering.Submit" +
+      "JobRequestH\000\022&\n\004show\030\002 \001(\0132\026.nettlering." +
+      "JobRequestH\000\022(\n\006cancel\030\003 \001(\0132\026.nettlerin" +
+      "g.JobRequestH\000\0224\n\013host_report\030\004 \001(\0132\035.ne" +
+      "ttlering.HostReportMessageH\000\022/\n\014host_lea" +
+      "ving\030\005 \001(\0132\027.nettlering.HostLeavingH\000\022?\n" +
+      "\016replace_queues\030\006 \001(\0132%.nettlering.Queue" +
+      "ConfigurationMessageH\000\022-\n\013read_queues\030\007 " +
+      "\001(\0132\026.nettlering.ReadQueuesH\000\022(\n\005check\030\010" +
+      " \001(\0132\027.nettlering.LeaderCheckH\000B\t\n\007reque" +
+      "st\"i\n\020SubmitJobRequest\022\021\n\tauthority\030\001 \001(" +
+      "\t\022\014\n\004path\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .ne" +
+      "ttlering.JobDefinitionMessage\"-\n\nJobRequ" +
+      "est\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\372\001\n" +
+      "\021HostReportMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014h" +
+      "ost_address\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failu" +
+      "re_domain\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020m" +
+      "emory_mebibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 " +
+      "\001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010drain" +
+      "ing\030\n \001(\010\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010seque" +
+      "nce\030\014 \001(\004\"\036\n\013HostLeaving\022\017\n\007host_id\030\001 \001(" +
+      "\t\"\014\n\nReadQueues\"\r\n\013LeaderCheck\"\323\001\n\020Workf" +
+      "lowResponse\022*\n\006answer\030\001 \001(\0162\032.nettlering" +
+      ".WorkflowAnswer\022*\n\005phase\030\002 \001(\0162\033.nettler" +
+      "ing.JobPhaseMessage\022\024\n\014pending_jobs\030\003 \001(" +
+      "\r\022\032\n\022retry_after_millis\030\004 \001(\r\0225\n\006queues\030" +
+      "\005 \001(\0132%.nettlering.QueueConfigurationMes" +
+      "sage*\211\001\n\020StepTraitMessage\022\032\n\026STEP_TRAIT_" +
+      "UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022" +
+      "\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCH" +
+      "ECKPOINTING\020\005\022\t\n\005FILLS\020\006*\254\001\n\rRunEndMessa" +
+      "ge\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020" +
+      "\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nRU" +
+      "N_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE\020" +
+      "\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010*" +
+      "\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_O" +
+      "UTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIED" +
+      "\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_U" +
+      "NKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_" +
+      "PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013J" +
+      "OB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_F" +
+      "AILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016WorkflowA" +
+      "nswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017" +
+      "\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\r" +
+      "ANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027" +
+      "ANSWER_NO_CONFIGURATION\020\005B*\n\031org.nettler" +
+      "ing.wire.protoB\rWorkflowProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32628,7 +32892,7 @@
     internal_static_nettlering_StepImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_StepImageMessage_descriptor,
-        new java.lang.String[] { "LastGangFailure", "Tasks", });
+        new java.lang.String[] { "LastGangFailure", "Tasks", "FailedGangRuns", });
     internal_static_nettlering_TaskImageMessage_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_nettlering_TaskImageMessage_fieldAccessorTable = new
