Index hosts by free capacity and score each host once in a plan

A profile of ./build bench leader puts most of it into HostSelector.impactOf: the latency pressure of every host was computed anew for each plan and twice in each comparison of two hosts. Beside that, each pending step visited every host, full or not; the waiting steps were ranked again in each comparison of their sort; each throttled run looked through all hosts twice. Ruled out: the list of hosts itself (below a tenth), log and codec (below a tenth). Change: PoolCapacities, a tree over the hosts of a pool by free processors and memory, finds the hosts with room; HostRanking scores a host once (HostScore); the pressure of a host is kept with its free capacity until that changes, which a response or heartbeat of the host brings about at least; PendingStepOrder computes ranks once and RemainingWork is kept by occurrence; UnschedulableDemands keeps the smallest demands by pool and image; the demand of long-running tasks for admission is a sum kept by the state instead of a walk through all jobs; migrations look at throttled hosts only and ask the cheap condition first. A step that waits for a pool without hosts no longer keeps steps of other pools waiting: the demands that found no host are kept by pool. Tests: PoolCapacitiesTest and HostRankingTest compare with a check of every host; WorkflowStateTest compares the sum with a walk through the jobs.

--- a/benchmarks/src/main/java/org/nettlering/benchmarks/leader/LeaderBenchmark.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/leader/LeaderBenchmark.java
@@ -18,7 +18,8 @@
             Load.ankara(490),
             Load.inProportion(50),
             Load.inProportion(1_000),
-            Load.stuck(342, 5_000));
+            Load.stuck(342, 5_000),
+            Load.overloaded(342));
 
     private LeaderBenchmark() {}
 
--- a/benchmarks/src/main/java/org/nettlering/benchmarks/leader/Load.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/leader/Load.java
@@ -25,6 +25,9 @@
     /** Watches at work, of 14 tasks each. */
     private static final double WATCHES = 39;
 
+    /** The load that exceeds the capacity of the hosts, as a multiple of the usual one. */
+    private static final double OVERLOAD = 5;
+
     /** Jobs that ended in the last five minutes and can still be asked for. */
     private static final double ENDED = 7_500;
 
@@ -43,6 +46,11 @@
         return new Load(tasks + " stuck", hosts, 1, tasks);
     }
 
+    /** Returns more load than the hosts can run, so that steps wait for capacity. */
+    static Load overloaded(int hosts) {
+        return new Load("overloaded", hosts, OVERLOAD * hosts / SITE_HOSTS, 0);
+    }
+
     double reviewsPerSecond() {
         return REVIEWS_PER_SECOND * share;
     }
--- a/control/src/main/java/org/nettlering/control/workflow/HostColocation.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostColocation.java
@@ -1,8 +1,7 @@
 package org.nettlering.control.workflow;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,7 +34,7 @@
     private final ColocationController controller = ColocationController.create();
 
     /** The incarnation ids of the hosts with throttled runs. */
-    private final Set<String> throttledHostIds = new HashSet<>();
+    private final Set<String> throttledHostIds = new LinkedHashSet<>();
 
     HostColocation() {}
 
@@ -102,14 +101,12 @@
         return bestEffort;
     }
 
-    /** Returns the runs that are throttled in favour of others and should be migrated. */
-    List<ThrottledRun> throttledRuns(WorkflowState state, Collection<HostSession> sessions, long nowNanos) {
+    /** Returns the runs that are throttled in favour of others and should be migrated; sessions are by host id. */
+    List<ThrottledRun> throttledRuns(WorkflowState state, Map<String, HostSession> sessions, long nowNanos) {
         List<ThrottledRun> throttled = new ArrayList<>();
-        if (throttledHostIds.isEmpty()) {
-            return throttled;
-        }
-        for (HostSession session : sessions) {
-            if (!throttledHostIds.contains(session.host().id())) {
+        for (String hostId : throttledHostIds) {
+            HostSession session = sessions.get(hostId);
+            if (session == null) {
                 continue;
             }
             for (RunUsage usage : session.runUsages()) {
--- a/control/src/main/java/org/nettlering/control/workflow/LoopCounters.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopCounters.java
@@ -12,9 +12,6 @@
     /** The number of times the free capacity of a host was computed. */
     private long capacityComputations;
 
-    /** The number of jobs examined to decide on the admission of another job. */
-    private long jobsExamined;
-
     LoopCounters() {}
 
     long hostVisits() {
@@ -25,14 +22,6 @@
         return capacityComputations;
     }
 
-    long jobsExamined() {
-        return jobsExamined;
-    }
-
-    void countJobExamined() {
-        jobsExamined++;
-    }
-
     void countHostVisit() {
         hostVisits++;
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -198,7 +198,7 @@
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
     Optional<Duration> retryAfterIfRejected(WorkflowState state, JobTerms terms, JobDefinition definition) {
-        if (JobAdmissionPolicy.longRunningMillicores(definition) == 0) {
+        if (definition.longRunningMillicores() == 0) {
             // Jobs without long-running tasks are always accepted, regardless of the hosts and the other jobs.
             return Optional.empty();
         }
@@ -209,14 +209,8 @@
                     .map(heartbeat -> heartbeat.capacity().millicores())
                     .orElse(0L);
         }
-        long longRunningMillicores = 0;
-        for (Job job : state.jobs()) {
-            counters.countJobExamined();
-            if (job.phase().isOpen() && job.terms().pool().equals(terms.pool())) {
-                longRunningMillicores += JobAdmissionPolicy.longRunningMillicores(job.definition());
-            }
-        }
-        return JobAdmissionPolicy.rejectionRetryDelay(definition, poolMillicores, longRunningMillicores);
+        return JobAdmissionPolicy.rejectionRetryDelay(
+                definition, poolMillicores, state.longRunningMillicores(terms.pool()));
     }
 
     /**
@@ -246,7 +240,7 @@
     }
 
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
-        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions.values(), nowNanos);
+        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
         if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
             return;
         }
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -100,12 +100,11 @@
     }
 
     @Test
-    void aJobWithoutLongRunningTasksIsAdmittedWithoutExaminingOtherJobs() {
+    void aJobWithoutLongRunningTasksIsAdmitted() {
         submit("a");
         submit("b");
         JobDefinition definition = state.job("a").orElseThrow().definition();
         JobTerms terms = state.job("a").orElseThrow().terms();
         assertThat(leadership.retryAfterIfRejected(state, terms, definition)).isEmpty();
-        assertThat(leadership.counters().jobsExamined()).isZero();
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
@@ -57,4 +57,19 @@
         }
         return longest;
     }
+
+    /**
+     * Returns the processors that the long-running tasks hold while they run.
+     *
+     * @return the sum in millicores, zero if there are no long-running tasks
+     */
+    public long longRunningMillicores() {
+        long sum = 0;
+        for (StepSpecification step : steps) {
+            if (step.has(StepTrait.LONG_RUNNING)) {
+                sum += step.taskCount() * step.allocation().millicores();
+            }
+        }
+        return sum;
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/Occurrence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Occurrence.java
@@ -2,11 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /** The steps of one occurrence of a job. Owned by a {@link WorkflowState}, which alone modifies it. Not thread-safe. */
 final class Occurrence {
     private final List<StepProgress> steps = new ArrayList<>();
 
+    /** The remaining work when {@link #unfinishedThen} tasks were unfinished, or null if it was not needed yet. */
+    private @Nullable RemainingWork remainingWork;
+
+    private int unfinishedThen;
+
     Occurrence(Job job, int number) {
         List<StepSpecification> specifications = job.definition().steps();
         for (int index = 0; index < specifications.size(); index++) {
@@ -46,6 +52,21 @@
         return true;
     }
 
+    /** Returns the remaining work; computes it only if a task has been done since, as unfinished tasks only get fewer. */
+    RemainingWork remainingWork() {
+        int unfinished = 0;
+        for (StepProgress step : steps) {
+            unfinished += step.unfinishedCount();
+        }
+        RemainingWork known = remainingWork;
+        if (known == null || unfinished != unfinishedThen) {
+            known = RemainingWork.of(steps);
+            remainingWork = known;
+            unfinishedThen = unfinished;
+        }
+        return known;
+    }
+
     boolean isDone() {
         return steps.stream().allMatch(StepProgress::isDone);
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -127,6 +127,16 @@
         return unfinishedCount;
     }
 
+    /**
+     * Returns the estimated remaining work of all steps of the occurrence.
+     *
+     * @return the remaining work, never null
+     */
+    public RemainingWork remainingWorkOfOccurrence() {
+        Occurrence occurrence = job.occurrence(id.occurrence());
+        return occurrence == null ? RemainingWork.of(List.of()) : occurrence.remainingWork();
+    }
+
     /**
      * Returns the number of active runs.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -47,6 +47,9 @@
     /** The number of queued jobs by queue, without periodic jobs. */
     private final Map<String, Integer> queuedJobs = new HashMap<>();
 
+    /** The processor demand of the long-running tasks of all unfinished jobs by pool, in millicores. */
+    private final Map<String, Long> longRunningMillicores = new HashMap<>();
+
     /**
      * Returns a state without jobs.
      *
@@ -74,6 +77,7 @@
     private void add(Job job) {
         jobs.put(job.id(), job);
         adjustQueuedJobs(job, job.phase() == JobPhase.QUEUED ? 1 : 0);
+        adjustLongRunning(job, job.phase().isOpen() ? 1 : 0);
         if (job.phase().isOpen() && job.nextOccurrence().isPresent()) {
             periodicJobs.add(job);
         }
@@ -144,6 +148,16 @@
         return queuedJobs.getOrDefault(queue, 0);
     }
 
+    /**
+     * Returns the processor demand of the long-running tasks of all unfinished jobs of a pool.
+     *
+     * @param pool the name of the pool, not null
+     * @return the sum in millicores
+     */
+    public long longRunningMillicores(String pool) {
+        return longRunningMillicores.getOrDefault(pool, 0L);
+    }
+
     /**
      * Returns the allocations of all host incarnations that have active runs.
      *
@@ -230,6 +244,7 @@
         Job job = new Job(command);
         jobs.put(job.id(), job);
         adjustQueuedJobs(job, 1);
+        adjustLongRunning(job, 1);
         if (job.definition().recurrence().isPeriodic()) {
             periodicJobs.add(job);
         } else {
@@ -343,6 +358,7 @@
 
     private void finishJob(Job job, JobPhase phase) {
         adjustQueuedJobs(job, job.phase() == JobPhase.QUEUED ? -1 : 0);
+        adjustLongRunning(job, -1);
         job.setPhase(phase);
         periodicJobs.remove(job);
         pendingSteps.removeAll(job.steps());
@@ -375,6 +391,13 @@
         }
     }
 
+    private void adjustLongRunning(Job job, int sign) {
+        long millicores = job.definition().longRunningMillicores();
+        if (millicores != 0 && sign != 0) {
+            longRunningMillicores.merge(job.terms().pool(), sign * millicores, Long::sum);
+        }
+    }
+
     private HostAllocations getOrCreateAllocations(HostIncarnation host) {
         return allocations.computeIfAbsent(host.id(), id -> new HostAllocations(host));
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.nettlering.domain.workflow.JobDefinition;
-import org.nettlering.domain.workflow.StepSpecification;
-import org.nettlering.domain.workflow.StepTrait;
 
 /**
  * Decides whether a submitted job is admitted.
@@ -36,25 +34,9 @@
      */
     public static Optional<Duration> rejectionRetryDelay(
             JobDefinition definition, long poolMillicores, long longRunningMillicores) {
-        long requestedMillicores = longRunningMillicores(definition);
+        long requestedMillicores = definition.longRunningMillicores();
         boolean exceedsShare = requestedMillicores > 0
                 && longRunningMillicores + requestedMillicores > poolMillicores * MAX_LONG_RUNNING_PERCENT / 100;
         return exceedsShare && poolMillicores > 0 ? Optional.of(RETRY_AFTER) : Optional.empty();
     }
-
-    /**
-     * Returns the processors that the long-running tasks of a job hold while they run.
-     *
-     * @param definition the job, not null
-     * @return the sum in millicores, zero if the job has no long-running tasks
-     */
-    public static long longRunningMillicores(JobDefinition definition) {
-        long sum = 0;
-        for (StepSpecification step : definition.steps()) {
-            if (step.has(StepTrait.LONG_RUNNING)) {
-                sum += step.taskCount() * step.allocation().millicores();
-            }
-        }
-        return sum;
-    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.colocation.LatencyCriticalRun;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 
@@ -37,6 +39,9 @@
 
     private Resources free;
 
+    /** The latency pressure with the planned starts, null until it is needed. */
+    private @Nullable HostLatencyPressure latencyPressure;
+
     /** The processors that best-effort runs demand; they are not allocated. */
     private long bestEffortMillicores;
 
@@ -95,6 +100,25 @@
         return !plannedTasks.isEmpty();
     }
 
+    /** Returns what is neither allocated in the log nor planned. */
+    Resources free() {
+        return free;
+    }
+
+    /**
+     * Returns the latency pressure on this host, as it was learned when this method was called first.
+     *
+     * <p>What has been learned since on other hosts is not in it.
+     */
+    HostLatencyPressure latencyPressure(ColocationController colocation) {
+        HostLatencyPressure pressure = latencyPressure;
+        if (pressure == null) {
+            pressure = new HostLatencyPressure(colocation, this);
+            latencyPressure = pressure;
+        }
+        return pressure;
+    }
+
     HostIncarnation host() {
         return heartbeat.host();
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
@@ -33,9 +33,6 @@
 
     private final ColocationController colocation;
 
-    /** The latency pressure of each host evaluated so far, by incarnation id. */
-    private final Map<String, HostLatencyPressure> pressures = new HashMap<>();
-
     private long feasibilityChecks;
 
     HostSelector(ColocationController colocation) {
@@ -50,13 +47,9 @@
     /** Returns the best feasible host, or empty if there is none. */
     Optional<FreeCapacity> select(
             StepId stepId, StepSpecification step, String rack, Collection<FreeCapacity> candidates) {
-        FreeCapacity best = null;
-        for (FreeCapacity candidate : candidates) {
-            if (isFeasible(stepId, step, candidate) && (best == null || compare(step, rack, candidate, best) < 0)) {
-                best = candidate;
-            }
-        }
-        return Optional.ofNullable(best);
+        return candidates.stream()
+                .filter(candidate -> isFeasible(stepId, step, candidate))
+                .min(Comparator.comparing(candidate -> score(step, rack, candidate)));
     }
 
     /** Returns whether one more task fits on a host and keeps its latency pressure acceptable. */
@@ -69,41 +62,34 @@
 
     /** Returns the impact of one more best-effort task on a host. */
     HostLatencyPressure.Impact impactOf(StepSpecification step, FreeCapacity candidate) {
-        return pressureOf(candidate).impactOf(step);
-    }
-
-    private HostLatencyPressure pressureOf(FreeCapacity candidate) {
-        return pressures.computeIfAbsent(candidate.host().id(), id -> new HostLatencyPressure(colocation, candidate));
+        return candidate.latencyPressure(colocation).impactOf(step);
     }
 
     /** Allocates capacity for one more task; the pressure that it adds counts for later tasks of the same plan. */
     void allocate(StepId stepId, StepSpecification step, FreeCapacity candidate) {
         if (step.has(StepTrait.BEST_EFFORT)) {
-            pressureOf(candidate).add(step);
+            candidate.latencyPressure(colocation).add(step);
         }
         candidate.allocate(stepId, step);
     }
 
-    /** Compares two feasible hosts; the better one is the smaller one. */
-    int compare(StepSpecification step, String rack, FreeCapacity left, FreeCapacity right) {
-        int failureOrder = Integer.compare(left.consecutiveFailures(), right.consecutiveFailures());
-        if (failureOrder != 0) {
-            return failureOrder;
-        }
-        int rackOrder = Boolean.compare(isOutsideRack(rack, left), isOutsideRack(rack, right));
-        if (rackOrder != 0) {
-            return rackOrder;
-        }
+    /** Returns how well a feasible host suits one more task. */
+    HostScore score(StepSpecification step, String rack, FreeCapacity candidate) {
+        int failures = candidate.consecutiveFailures();
+        int outsideRack = isOutsideRack(rack, candidate) ? 1 : 0;
         if (step.has(StepTrait.BEST_EFFORT)) {
-            return compareForBestEffort(step, left, right);
-        }
-        int colocationOrder = step.isLatencyCritical()
-                ? Integer.compare(imageMixPenalty(step, left), imageMixPenalty(step, right))
-                : Boolean.compare(right.hasLatencyCritical(), left.hasLatencyCritical());
-        if (colocationOrder != 0) {
-            return colocationOrder;
+            HostLatencyPressure.Impact impact = impactOf(step, candidate);
+            return new HostScore(
+                    failures,
+                    outsideRack,
+                    impact.added() / PRESSURE_BUCKET_THOUSANDTHS,
+                    impact.resulting() / PRESSURE_BUCKET_THOUSANDTHS,
+                    candidate.hasLatencyCritical() ? 1 : 0,
+                    -candidate.idleMillicores());
         }
-        return Long.compare(left.idleMillicores(), right.idleMillicores());
+        int colocation =
+                step.isLatencyCritical() ? imageMixPenalty(step, candidate) : candidate.hasLatencyCritical() ? 0 : 1;
+        return new HostScore(failures, outsideRack, 0, 0, colocation, candidate.idleMillicores());
     }
 
     /** Returns 0 if the step's image is the only latency-critical one on the host, 1 if there is none, else more. */
@@ -114,24 +100,6 @@
         return sameImage ? 2 * otherImages : 2 * otherImages + 1;
     }
 
-    private int compareForBestEffort(StepSpecification step, FreeCapacity left, FreeCapacity right) {
-        HostLatencyPressure.Impact leftImpact = impactOf(step, left);
-        HostLatencyPressure.Impact rightImpact = impactOf(step, right);
-        int addedOrder = Long.compare(
-                leftImpact.added() / PRESSURE_BUCKET_THOUSANDTHS, rightImpact.added() / PRESSURE_BUCKET_THOUSANDTHS);
-        if (addedOrder != 0) {
-            return addedOrder;
-        }
-        int resultingOrder = Long.compare(
-                leftImpact.resulting() / PRESSURE_BUCKET_THOUSANDTHS,
-                rightImpact.resulting() / PRESSURE_BUCKET_THOUSANDTHS);
-        if (resultingOrder != 0) {
-            return resultingOrder;
-        }
-        int occupancyOrder = Boolean.compare(left.hasLatencyCritical(), right.hasLatencyCritical());
-        return occupancyOrder != 0 ? occupancyOrder : Long.compare(right.idleMillicores(), left.idleMillicores());
-    }
-
     private static boolean isOutsideRack(String rack, FreeCapacity candidate) {
         return !rack.isEmpty() && !rack.equals(candidate.rack());
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.StepSpecification;
@@ -26,11 +28,11 @@
     /** Includes the pressure added by the starts of the same plan. */
     private final HostSelector selector;
 
-    private final Collection<FreeCapacity> capacities;
+    private final Map<String, FreeCapacity> capacitiesByHostId = new LinkedHashMap<>();
 
     MigrationPlanner(HostSelector selector, Collection<FreeCapacity> capacities) {
         this.selector = selector;
-        this.capacities = capacities;
+        capacities.forEach(capacity -> capacitiesByHostId.put(capacity.host().id(), capacity));
     }
 
     List<ActiveRun> plan(Collection<ThrottledRun> throttled) {
@@ -45,20 +47,18 @@
 
     private boolean planMigration(ThrottledRun throttled) {
         StepSpecification step = throttled.step().specification();
-        String hostId = throttled.run().host().id();
-        Optional<FreeCapacity> current = capacities.stream()
-                .filter(capacity -> capacity.host().id().equals(hostId))
-                .findFirst();
-        if (current.isEmpty()) {
+        FreeCapacity current = capacitiesByHostId.get(throttled.run().host().id());
+        if (current == null
+                || ColocationController.isNegligible(
+                        selector.impactOf(step, current).added())) {
             return false;
         }
-        List<FreeCapacity> others = capacities.stream()
-                .filter(capacity -> capacity.pool().equals(current.get().pool())
-                        && !capacity.host().id().equals(hostId))
+        List<FreeCapacity> others = capacitiesByHostId.values().stream()
+                .filter(capacity -> capacity != current && capacity.pool().equals(current.pool()))
                 .toList();
         Optional<FreeCapacity> best = selector.select(
                 throttled.step().id(), step, step.placementConstraints().dataRack(), others);
-        if (best.isEmpty() || !isWorthwhile(step, current.get(), best.get())) {
+        if (best.isEmpty() || !isWorthwhile(step, current, best.get())) {
             return false;
         }
         selector.allocate(throttled.step().id(), step, best.get());
@@ -68,7 +68,6 @@
     private boolean isWorthwhile(StepSpecification step, FreeCapacity current, FreeCapacity destination) {
         long addedAtSource = selector.impactOf(step, current).added();
         long addedAtDestination = selector.impactOf(step, destination).added();
-        return !ColocationController.isNegligible(addedAtSource)
-                && addedAtDestination * MIN_IMPROVEMENT_FACTOR <= addedAtSource;
+        return addedAtDestination * MIN_IMPROVEMENT_FACTOR <= addedAtSource;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
@@ -1,9 +1,10 @@
 package org.nettlering.domain.workflow.placement;
 
+import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import org.nettlering.domain.workflow.Job;
+import org.nettlering.domain.workflow.RemainingWork;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
 
@@ -18,7 +19,7 @@
  * </ul>
  *
  * <p>Within each class, the order is by priority, then by remaining work, least first, so that as many jobs as possible
- * finish in time, then by the end of the allowed duration. Not thread-safe.
+ * finish in time, then by the end of the allowed duration. Immutable and thread-safe.
  */
 final class PendingStepOrder {
     /** The result of a job has no value after this multiple of its allowed duration. */
@@ -29,20 +30,35 @@
 
     private final long nowMillis;
 
-    private final Map<Job, RemainingWork> remainingWork = new HashMap<>();
-
     PendingStepOrder(long nowMillis) {
         this.nowMillis = nowMillis;
     }
 
-    Comparator<StepProgress> comparator() {
-        return Comparator.comparingInt(this::urgencyClass)
-                .thenComparingInt(step -> step.job().terms().queueTerms().priority())
-                .thenComparingLong(step -> remainingWork(step).cpuMillis())
-                .thenComparingLong(step -> step.job().objectiveMillis(step.id().occurrence()));
+    /** A step with what decides on its place, which is computed once. */
+    private record Rank(StepProgress step, int urgencyClass, int priority, long cpuMillis, long objectiveMillis) {
+        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::urgencyClass)
+                .thenComparingInt(Rank::priority)
+                .thenComparingLong(Rank::cpuMillis)
+                .thenComparingLong(Rank::objectiveMillis);
+    }
+
+    /** Returns the steps in the order in which they are considered; steps of equal rank keep theirs. */
+    List<StepProgress> sorted(Collection<StepProgress> steps) {
+        return steps.stream().map(this::rank).sorted(Rank.ORDER).map(Rank::step).toList();
+    }
+
+    private Rank rank(StepProgress step) {
+        Job job = step.job();
+        RemainingWork remainingWork = step.remainingWorkOfOccurrence();
+        return new Rank(
+                step,
+                urgencyClass(step, remainingWork),
+                job.terms().queueTerms().priority(),
+                remainingWork.cpuMillis(),
+                job.objectiveMillis(step.id().occurrence()));
     }
 
-    private int urgencyClass(StepProgress step) {
+    private int urgencyClass(StepProgress step, RemainingWork remainingWork) {
         if (step.specification().has(StepTrait.LONG_RUNNING)) {
             return 0;
         }
@@ -51,12 +67,7 @@
         if (elapsedMillis > NO_VALUE_FACTOR * job.allowedDurationMillis()) {
             return 3;
         }
-        long minRemainingMillis = remainingWork(step).criticalPathMillis() * MIN_ESTIMATE_PERCENT / 100;
+        long minRemainingMillis = remainingWork.criticalPathMillis() * MIN_ESTIMATE_PERCENT / 100;
         return elapsedMillis + minRemainingMillis > job.allowedDurationMillis() ? 2 : 1;
     }
-
-    private RemainingWork remainingWork(StepProgress step) {
-        return remainingWork.computeIfAbsent(
-                step.job(), job -> RemainingWork.of(job, step.id().occurrence()));
-    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -8,9 +8,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.nettlering.domain.workflow.ActiveRun;
-import org.nettlering.domain.workflow.PlacementConstraints;
 import org.nettlering.domain.workflow.RunId;
-import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
@@ -39,11 +37,10 @@
 
     private final Collection<FreeCapacity> capacities;
 
-    /** Caches the free capacities of the hosts in each pool. */
-    private final Map<String, List<FreeCapacity>> capacitiesByPool = new HashMap<>();
+    /** The indexed capacities of the pools that were needed so far. */
+    private final Map<String, PoolCapacities> capacitiesByPool = new HashMap<>();
 
-    /** The steps without placement constraints for which no host of their pool was feasible in this plan, by pool. */
-    private final Map<String, List<StepSpecification>> unschedulableByPool = new HashMap<>();
+    private final UnschedulableDemands unschedulable = new UnschedulableDemands();
 
     private final List<StartRun> starts = new ArrayList<>();
 
@@ -67,7 +64,8 @@
             long nowMillis) {
         StartPlanner planner = new StartPlanner(capacities, permitted, colocation, nowMillis);
         planner.planAll(state.pendingSteps());
-        List<ActiveRun> migrations = new MigrationPlanner(planner.selector, capacities).plan(throttled);
+        List<ActiveRun> migrations =
+                throttled.isEmpty() ? List.of() : new MigrationPlanner(planner.selector, capacities).plan(throttled);
         return new StartPlan(planner.starts, migrations);
     }
 
@@ -86,9 +84,7 @@
         if (capacities.isEmpty()) {
             return;
         }
-        List<StepProgress> ordered = new ArrayList<>(pending);
-        ordered.sort(new PendingStepOrder(nowMillis).comparator());
-        for (StepProgress step : ordered) {
+        for (StepProgress step : new PendingStepOrder(nowMillis).sorted(pending)) {
             if (starts.size() >= MAX_STARTS) {
                 return;
             }
@@ -101,15 +97,14 @@
     private void planStep(StepProgress step) {
         StepSpecification specification = step.specification();
         String pool = step.job().terms().pool();
-        List<StepSpecification> unschedulable = unschedulableByPool.computeIfAbsent(pool, name -> new ArrayList<>());
-        if (unschedulable.stream().anyMatch(other -> requiresAtLeast(specification, other))) {
+        if (unschedulable.includes(pool, specification)) {
             return;
         }
-        List<FreeCapacity> candidates = candidatesIn(pool);
+        PoolCapacities candidates = candidatesIn(pool);
         int[] taskIndexes = step.pendingTasks();
         String rack = specification.placementConstraints().dataRack();
         if (specification.has(StepTrait.RACK_LOCAL)) {
-            String commonRack = selector.rackFor(step.id(), specification, taskIndexes.length, candidates);
+            String commonRack = selector.rackFor(step.id(), specification, taskIndexes.length, candidates.all());
             rack = commonRack == null ? rack : commonRack;
         }
         if (specification.has(StepTrait.GANG)) {
@@ -120,9 +115,7 @@
         for (int index : taskIndexes) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
-                if (specification.placementConstraints().equals(PlacementConstraints.NONE)) {
-                    unschedulable.add(specification);
-                }
+                unschedulable.add(pool, specification);
                 return;
             }
             int runNumber = step.task(index).lastRunNumber() + 1;
@@ -130,38 +123,28 @@
         }
     }
 
-    private List<FreeCapacity> candidatesIn(String pool) {
+    private PoolCapacities candidatesIn(String pool) {
         return capacitiesByPool.computeIfAbsent(
                 pool,
-                requested -> capacities.stream()
+                requested -> PoolCapacities.of(capacities.stream()
                         .filter(capacity -> capacity.pool().equals(requested))
-                        .toList());
+                        .toList()));
     }
 
-    /** Returns whether a step requires at least the capacity of another step that was found unschedulable. */
-    private static boolean requiresAtLeast(StepSpecification step, StepSpecification other) {
-        return step.has(StepTrait.BEST_EFFORT) == other.has(StepTrait.BEST_EFFORT)
-                && step.serviceLevel().image().equals(other.serviceLevel().image())
-                && other.demand().fitsIn(step.demand());
-    }
-
-    private void planGang(StepProgress step, int[] taskIndexes, String rack, List<FreeCapacity> candidates) {
+    private void planGang(StepProgress step, int[] taskIndexes, String rack, PoolCapacities candidates) {
         if (taskIndexes.length < step.specification().taskCount()) {
             return;
         }
         int runNumber = step.nextGangRunNumber();
         String checkpoint = newestCheckpoint(step);
         List<StartRun> members = new ArrayList<>();
-        List<FreeCapacity> allocated = new ArrayList<>();
-        StepId stepId = step.id();
-        HostRanking ranking = new HostRanking(selector, stepId, step.specification(), rack, candidates);
+        HostRanking ranking = new HostRanking(selector, step.id(), step.specification(), rack, candidates);
         for (int index : taskIndexes) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
-                allocated.forEach(each -> each.release(stepId, step.specification()));
+                ranking.releaseAll();
                 return;
             }
-            allocated.add(capacity.get());
             members.add(newStart(step, index, runNumber, checkpoint, capacity.get()));
         }
         starts.addAll(members);
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -9,6 +9,7 @@
 import static org.nettlering.domain.workflow.WorkflowSamples.step;
 
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
@@ -244,6 +245,44 @@
         assertThat(state.job("a")).isEmpty();
     }
 
+    @Test
+    void theDemandOfLongRunningTasksIsThatOfAllUnfinishedJobs() {
+        Random random = new Random(7);
+        for (int change = 0; change < 300; change++) {
+            String id = "job-" + random.nextInt(40);
+            switch (random.nextInt(4)) {
+                case 0 -> state.apply(job(id, step(1 + random.nextInt(5), List.of(), StepTrait.LONG_RUNNING)));
+                case 1 -> state.apply(job(id, step(1, List.of())));
+                case 2 -> state.apply(new CancelJob(id));
+                default -> state.apply(new RemoveJob(id));
+            }
+            assertThat(state.longRunningMillicores("pool")).isEqualTo(longRunningMillicoresOfUnfinishedJobs(state));
+        }
+        WorkflowState restored = WorkflowState.from(state.snapshot());
+        assertThat(restored.longRunningMillicores("pool")).isEqualTo(longRunningMillicoresOfUnfinishedJobs(state));
+    }
+
+    private static long longRunningMillicoresOfUnfinishedJobs(WorkflowState state) {
+        return state.jobs().stream()
+                .filter(job -> job.phase().isOpen())
+                .mapToLong(job -> job.definition().longRunningMillicores())
+                .sum();
+    }
+
+    @Test
+    void theRemainingWorkShrinksAsTasksAreDone() {
+        state.apply(job("a", step(2, List.of()), step(1, List.of(0))));
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(3_000, 2_000));
+        startAndEnd(0, 0, TerminalStatus.DONE);
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(2_000, 2_000));
+        startAndEnd(0, 1, TerminalStatus.DONE);
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(1_000, 1_000));
+    }
+
+    private RemainingWork remainingWork() {
+        return state.step(new StepId("a", 0, 1)).orElseThrow().remainingWorkOfOccurrence();
+    }
+
     @Test
     void aCheckpointIsKeptForTheNextRun() {
         state.apply(job("a", step(1, List.of(), StepTrait.CHECKPOINTING)));
--- a/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
@@ -22,7 +22,7 @@
         int admitted = 0;
         while (JobAdmissionPolicy.rejectionRetryDelay(LONG_RUNNING_JOB, 100_000, longRunningMillicores)
                 .isEmpty()) {
-            longRunningMillicores += JobAdmissionPolicy.longRunningMillicores(LONG_RUNNING_JOB);
+            longRunningMillicores += LONG_RUNNING_JOB.longRunningMillicores();
             admitted++;
         }
         assertThat(admitted).isEqualTo(14);
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
@@ -52,7 +52,8 @@
                 Set.of(),
                 PlacementConstraints.NONE,
                 StepServiceLevel.UNSPECIFIED);
-        HostRanking ranking = new HostRanking(selector, new StepId("job", 0, 0), step, "", capacities);
+        HostRanking ranking =
+                new HostRanking(selector, new StepId("job", 0, 0), step, "", PoolCapacities.of(capacities));
         for (int task = 0; task < TASKS; task++) {
             assertThat(ranking.allocateBest()).isPresent();
         }
@@ -62,7 +63,7 @@
     private static List<String> hostsByRanking(int seed, StepId stepId, StepSpecification step, String rack) {
         HostSelector selector = new HostSelector(ColocationController.create());
         List<FreeCapacity> capacities = randomCapacities(new Random(seed), selector);
-        HostRanking ranking = new HostRanking(selector, stepId, step, rack, capacities);
+        HostRanking ranking = new HostRanking(selector, stepId, step, rack, PoolCapacities.of(capacities));
         List<String> hosts = new ArrayList<>();
         for (int task = 0; task < TASKS; task++) {
             ranking.allocateBest()
