--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostScore.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostScore.java
@@ -21,7 +21,6 @@
         int colocation,
         long idleMillicores)
         implements Comparable<HostScore> {
-    // Written out, as this comparison dominates the cost of a plan.
     @Override
     public int compareTo(HostScore other) {
         if (consecutiveFailures != other.consecutiveFailures) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
@@ -1,7 +1,6 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.RemainingWork;
@@ -35,16 +34,26 @@
     }
 
     /** A step with what decides on its place, which is computed once. */
-    private record Rank(StepProgress step, int urgencyClass, int priority, long cpuMillis, long objectiveMillis) {
-        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::urgencyClass)
-                .thenComparingInt(Rank::priority)
-                .thenComparingLong(Rank::cpuMillis)
-                .thenComparingLong(Rank::objectiveMillis);
+    private record Rank(StepProgress step, int urgencyClass, int priority, long cpuMillis, long objectiveMillis)
+            implements Comparable<Rank> {
+        @Override
+        public int compareTo(Rank other) {
+            if (urgencyClass != other.urgencyClass) {
+                return Integer.compare(urgencyClass, other.urgencyClass);
+            }
+            if (priority != other.priority) {
+                return Integer.compare(priority, other.priority);
+            }
+            if (cpuMillis != other.cpuMillis) {
+                return Long.compare(cpuMillis, other.cpuMillis);
+            }
+            return Long.compare(objectiveMillis, other.objectiveMillis);
+        }
     }
 
     /** Returns the steps in the order in which they are considered; steps of equal rank keep theirs. */
     List<StepProgress> sorted(Collection<StepProgress> steps) {
-        return steps.stream().map(this::rank).sorted(Rank.ORDER).map(Rank::step).toList();
+        return steps.stream().map(this::rank).sorted().map(Rank::step).toList();
     }
 
     private Rank rank(StepProgress step) {
