Reject jobs that the members could not hold in memory

Cause: a step may have 100,000 tasks and a job 1,000 steps, all within the size of a request; every member makes an object for each task when it applies the accepted job, so that one such request would end all members by lack of memory, and again whenever they replay the log. Many smaller jobs would add up to the same. Ruled out: a check where definitions are decoded, since a definition in the log must always be applied. Change: a job of more than 50,000 tasks in one occurrence is invalid (400); any job is turned away with a Retry-After while the members hold 250,000 tasks. The state keeps the number of its tasks as a sum. JobAdmissionPolicyTest: the job of 100,000,000 tasks had no check before. Not shown with a process that runs out of memory.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -198,9 +198,9 @@
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
     Optional<Duration> retryAfterIfRejected(WorkflowState state, JobTerms terms, JobDefinition definition) {
-        if (definition.longRunningMillicores() == 0) {
-            // Jobs without long-running tasks are always accepted, regardless of the hosts and the other jobs.
-            return Optional.empty();
+        Optional<Duration> tooManyTasks = JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.taskCount());
+        if (tooManyTasks.isPresent() || definition.longRunningMillicores() == 0) {
+            return tooManyTasks;
         }
         long poolMillicores = 0;
         for (HostSession session : sessions.values()) {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -18,6 +18,7 @@
 import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.wire.codec.HostReportCodec;
@@ -125,6 +126,7 @@
             throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "path contains no job id");
         }
         JobDefinition definition = JobDefinitionCodec.decode(request.getDefinition());
+        JobAdmissionPolicy.requireAcceptableSize(definition);
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
         Optional<Duration> retryAfter =
--- a/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
@@ -58,6 +58,19 @@
         return longest;
     }
 
+    /**
+     * Returns the number of tasks of one occurrence.
+     *
+     * @return the sum over all steps, at least one
+     */
+    public long taskCount() {
+        long sum = 0;
+        for (StepSpecification step : steps) {
+            sum += step.taskCount();
+        }
+        return sum;
+    }
+
     /**
      * Returns the processors that the long-running tasks hold while they run.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -50,6 +50,9 @@
     /** The processor demand of the long-running tasks of all unfinished jobs by pool, in millicores. */
     private final Map<String, Long> longRunningMillicores = new HashMap<>();
 
+    /** The number of tasks of the started occurrences of all jobs, finished or not. */
+    private long taskCount;
+
     /**
      * Returns a state without jobs.
      *
@@ -82,6 +85,7 @@
             periodicJobs.add(job);
         }
         for (StepProgress step : job.steps()) {
+            taskCount += step.specification().taskCount();
             for (int index = 0; index < step.specification().taskCount(); index++) {
                 step.task(index)
                         .activeRuns()
@@ -148,6 +152,15 @@
         return queuedJobs.getOrDefault(queue, 0);
     }
 
+    /**
+     * Returns the number of tasks that are held in memory.
+     *
+     * @return the tasks of the started occurrences of all jobs, finished or not
+     */
+    public long taskCount() {
+        return taskCount;
+    }
+
     /**
      * Returns the processor demand of the long-running tasks of all unfinished jobs of a pool.
      *
@@ -265,6 +278,7 @@
         if (job.nextOccurrence().isEmpty()) {
             periodicJobs.remove(job);
         }
+        taskCount += job.definition().taskCount();
         occurrence.steps().forEach(this::updatePendingStep);
         return CommandResult.APPLIED;
     }
@@ -353,6 +367,7 @@
             return CommandResult.UNCHANGED;
         }
         jobs.remove(job.id());
+        job.steps().forEach(step -> taskCount -= step.specification().taskCount());
         return CommandResult.APPLIED;
     }
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.nettlering.domain.error.ErrorCode;
+import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.workflow.JobDefinition;
 
 /**
@@ -9,8 +11,11 @@
  *
  * <p>A long-running job holds its processors until it is cancelled, so a steady stream of such jobs would leave no capacity
  * for short jobs, whose callers wait for the result. A job with long-running tasks is therefore rejected immediately if the
- * long-running tasks of a pool would exceed a share of its processors. A job whose tasks all end is always admitted.
- * Immutable and thread-safe.
+ * long-running tasks of a pool would exceed a share of its processors.
+ *
+ * <p>Every member holds every task of the jobs that it knows in memory, so that one job with too many tasks would end all
+ * members, and again after each restart. Such a job is invalid, and any job is rejected while its tasks and those that are
+ * held would be too many together. Any other job whose tasks all end is admitted. Immutable and thread-safe.
  */
 public final class JobAdmissionPolicy {
     /** The maximum share of a pool's processors for long-running tasks, in percent. */
@@ -19,8 +24,39 @@
     /** The delay after which a caller should retry: long-running jobs leave one at a time, some seconds apart. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(5);
 
+    /** The maximum number of tasks in one occurrence of a job. */
+    private static final int MAX_JOB_TASKS = 50_000;
+
+    /** The maximum number of tasks of all jobs, unfinished or still shown to callers. */
+    private static final int MAX_TASKS = 250_000;
+
     private JobAdmissionPolicy() {}
 
+    /**
+     * Checks that a job is not too large for the members to hold.
+     *
+     * @param definition the job, not null
+     * @throws NettleringException with {@code INVALID_ARGUMENT} if an occurrence has more than 50,000 tasks
+     */
+    public static void requireAcceptableSize(JobDefinition definition) {
+        if (definition.taskCount() > MAX_JOB_TASKS) {
+            throw new NettleringException(
+                    ErrorCode.INVALID_ARGUMENT,
+                    "a job cannot have " + definition.taskCount() + " tasks; the limit is " + MAX_JOB_TASKS);
+        }
+    }
+
+    /**
+     * Decides whether the members have memory for a job.
+     *
+     * @param definition the job, not null
+     * @param heldTasks the number of tasks of all jobs that the members hold
+     * @return the delay after which to retry if the job is rejected, or empty if there is memory, never null
+     */
+    public static Optional<Duration> retryDelayIfTooManyTasks(JobDefinition definition, long heldTasks) {
+        return heldTasks + definition.taskCount() > MAX_TASKS ? Optional.of(RETRY_AFTER) : Optional.empty();
+    }
+
     /**
      * Decides whether a job is admitted.
      *
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -246,7 +246,7 @@
     }
 
     @Test
-    void theDemandOfLongRunningTasksIsThatOfAllUnfinishedJobs() {
+    void theSumsOverJobsAreThoseOfAWalkThroughThem() {
         Random random = new Random(7);
         for (int change = 0; change < 300; change++) {
             String id = "job-" + random.nextInt(40);
@@ -257,9 +257,18 @@
                 default -> state.apply(new RemoveJob(id));
             }
             assertThat(state.longRunningMillicores("pool")).isEqualTo(longRunningMillicoresOfUnfinishedJobs(state));
+            assertThat(state.taskCount()).isEqualTo(tasksOfAllJobs(state));
         }
         WorkflowState restored = WorkflowState.from(state.snapshot());
         assertThat(restored.longRunningMillicores("pool")).isEqualTo(longRunningMillicoresOfUnfinishedJobs(state));
+        assertThat(restored.taskCount()).isEqualTo(tasksOfAllJobs(state));
+    }
+
+    private static long tasksOfAllJobs(WorkflowState state) {
+        return state.jobs().stream()
+                .flatMap(job -> job.steps().stream())
+                .mapToLong(step -> step.specification().taskCount())
+                .sum();
     }
 
     private static long longRunningMillicoresOfUnfinishedJobs(WorkflowState state) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
@@ -1,12 +1,17 @@
 package org.nettlering.domain.workflow.admission;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.nettlering.domain.workflow.WorkflowSamples.step;
 
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.Recurrence;
+import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
 
 class JobAdmissionPolicyTest {
@@ -40,4 +45,23 @@
         assertThat(JobAdmissionPolicy.rejectionRetryDelay(LONG_RUNNING_JOB, 0, 50_000))
                 .isEmpty();
     }
+
+    @Test
+    void jobThatNoMemberCouldHoldInMemoryIsInvalid() {
+        List<StepSpecification> steps = Collections.nCopies(1_000, step(100_000, List.of()));
+        JobDefinition tooLarge = new JobDefinition("work", steps, Recurrence.ONCE);
+        assertThatThrownBy(() -> JobAdmissionPolicy.requireAcceptableSize(tooLarge))
+                .isInstanceOf(NettleringException.class)
+                .hasMessageContaining("100000000 tasks");
+        assertThatCode(() -> JobAdmissionPolicy.requireAcceptableSize(FINITE_JOB))
+                .doesNotThrowAnyException();
+    }
+
+    @Test
+    void jobsAreRejectedWhileTheMembersHoldTooManyTasks() {
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyTasks(FINITE_JOB, 249_994))
+                .isEmpty();
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyTasks(FINITE_JOB, 249_995))
+                .isPresent();
+    }
 }
