Compute the cost of a pair of images once in a plan

Best-effort tasks need no free processors, so that nearly every host has room for one and its latency pressure decides; for each waiting step and host the impact looked up two records of the learned model for each latency-critical image. Change: BestEffortCosts keeps the cost per processor of each pair for the length of a plan; HostLatencyPressure holds images and pressures in arrays and computes an impact without a map. The costs are those at the plan, the base pressures those of the host's last response. Tests: HostRankingTest (against a separate selection for each task), StartPlannerTest, InterferenceModelTest as before.

--- a/domain/src/main/java/org/nettlering/domain/workflow/colocation/ColocationController.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/colocation/ColocationController.java
@@ -306,16 +306,14 @@
     }
 
     /**
-     * Returns the pressure that a best-effort run at full speed adds to a latency-critical run.
+     * Returns the pressure that each processor of a best-effort run at full speed adds to a latency-critical run.
      *
      * @param latencyCriticalImage the image of the latency-critical run, not null
      * @param bestEffortImage the image of the best-effort run, not null
-     * @param millicores the processors that the best-effort run requests, in millicores
      * @return the pressure in thousandths, with a margin that shrinks as the pair is measured
      */
-    public long addedPressure(String latencyCriticalImage, String bestEffortImage, long millicores) {
-        return Math.round(
-                model.conservativeCost(latencyCriticalImage, new Neighbor(bestEffortImage, millicores / 1_000.0)));
+    public double addedPressurePerProcessor(String latencyCriticalImage, String bestEffortImage) {
+        return model.conservativeCost(latencyCriticalImage, new Neighbor(bestEffortImage, 1));
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -12,7 +12,6 @@
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
-import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.colocation.LatencyCriticalRun;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 
@@ -106,14 +105,14 @@
     }
 
     /**
-     * Returns the latency pressure on this host, as it was learned when this method was called first.
+     * Returns the latency pressure on this host, with the costs as learned when this method was called first.
      *
-     * <p>What has been learned since on other hosts is not in it.
+     * <p>What has been learned since on other hosts affects only the starts that are planned.
      */
-    HostLatencyPressure latencyPressure(ColocationController colocation) {
+    HostLatencyPressure latencyPressure(PressureCosts costs) {
         HostLatencyPressure pressure = latencyPressure;
         if (pressure == null) {
-            pressure = new HostLatencyPressure(colocation, this);
+            pressure = new HostLatencyPressure(costs, this);
             latencyPressure = pressure;
         }
         return pressure;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostLatencyPressure.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostLatencyPressure.java
@@ -1,8 +1,6 @@
 package org.nettlering.domain.workflow.placement;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.colocation.ColocationController;
@@ -18,29 +16,32 @@
     /** The assumed base pressure of a latency-critical run that was not measured yet. */
     private static final long UNMEASURED_PRESSURE_THOUSANDTHS = 500;
 
-    private final ColocationController colocation;
+    /** The images of the latency-critical runs. */
+    private final String[] images;
 
-    /** The highest pressure on a latency-critical run by image. */
-    private final Map<String, Long> pressures = new HashMap<>();
+    /** The highest pressure on a run of each image. */
+    private final long[] pressures;
 
-    /** Caches impacts, which are requested repeatedly within one plan. */
-    private final Map<BestEffortDemand, Impact> impacts = new HashMap<>();
-
-    HostLatencyPressure(ColocationController colocation, FreeCapacity capacity) {
-        this.colocation = colocation;
+    HostLatencyPressure(PressureCosts costs, FreeCapacity capacity) {
+        Map<String, Long> highest = new HashMap<>();
         for (LatencyCriticalRun run : capacity.latencyCriticalRuns()) {
-            pressures.merge(run.image(), colocation.basePressure(capacity.host().id(), run), Math::max);
+            highest.merge(
+                    run.image(), costs.colocation().basePressure(capacity.host().id(), run), Math::max);
         }
         if (capacity.hasUnmeasuredLatencyCritical()) {
             capacity.latencyCriticalImages()
-                    .forEach(image -> pressures.merge(image, UNMEASURED_PRESSURE_THOUSANDTHS, Math::max));
+                    .forEach(image -> highest.merge(image, UNMEASURED_PRESSURE_THOUSANDTHS, Math::max));
+        }
+        images = highest.keySet().toArray(String[]::new);
+        pressures = new long[images.length];
+        for (int index = 0; index < images.length; index++) {
+            pressures[index] = highest.getOrDefault(images[index], 0L);
+        }
+        if (images.length > 0) {
+            capacity.bestEffortSteps().forEach(step -> add(step, costs.of(step)));
         }
-        capacity.bestEffortSteps().forEach(this::add);
     }
 
-    /** The properties of a best-effort run that determine its impact. */
-    private record BestEffortDemand(String image, long millicores) {}
-
     /**
      * The impact of one more best-effort run.
      *
@@ -54,33 +55,27 @@
     }
 
     /** Returns the impact of one more task of a best-effort step. */
-    Impact impactOf(StepSpecification step) {
-        BestEffortDemand demand =
-                new BestEffortDemand(step.serviceLevel().image(), step.demand().millicores());
-        return impacts.computeIfAbsent(demand, this::computeImpact);
-    }
-
-    private Impact computeImpact(BestEffortDemand demand) {
-        Impact impact = Impact.NONE;
-        for (Map.Entry<String, Long> entry : pressures.entrySet()) {
-            long added = colocation.addedPressure(entry.getKey(), demand.image(), demand.millicores());
-            long resulting = entry.getValue() + added;
-            impact = new Impact(
-                    Math.max(impact.added(), added),
-                    Math.max(impact.resulting(), resulting),
-                    impact.acceptable() && ColocationController.isAcceptable(resulting, added));
+    Impact impactOf(StepSpecification step, BestEffortCosts costs) {
+        if (images.length == 0) {
+            return Impact.NONE;
+        }
+        long highestAdded = 0;
+        long highestResulting = 0;
+        boolean acceptable = true;
+        for (int index = 0; index < images.length; index++) {
+            long added = costs.addedPressure(images[index], step.demand().millicores());
+            long resulting = pressures[index] + added;
+            highestAdded = Math.max(highestAdded, added);
+            highestResulting = Math.max(highestResulting, resulting);
+            acceptable &= ColocationController.isAcceptable(resulting, added);
         }
-        return impact;
+        return new Impact(highestAdded, highestResulting, acceptable);
     }
 
     /** Adds the pressure of one more task of a best-effort step. */
-    void add(StepSpecification step) {
-        List<String> images = new ArrayList<>(pressures.keySet());
-        for (String image : images) {
-            long added = colocation.addedPressure(
-                    image, step.serviceLevel().image(), step.demand().millicores());
-            pressures.merge(image, added, Long::sum);
+    void add(StepSpecification step, BestEffortCosts costs) {
+        for (int index = 0; index < images.length; index++) {
+            pressures[index] += costs.addedPressure(images[index], step.demand().millicores());
         }
-        impacts.clear();
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
@@ -31,12 +31,13 @@
     /** Width of the buckets in which latency pressures are compared. */
     private static final long PRESSURE_BUCKET_THOUSANDTHS = 50;
 
-    private final ColocationController colocation;
+    /** The costs of best-effort tasks in this plan. */
+    private final PressureCosts costs;
 
     private long feasibilityChecks;
 
     HostSelector(ColocationController colocation) {
-        this.colocation = colocation;
+        costs = new PressureCosts(colocation);
     }
 
     /** Returns how many times {@link #isFeasible} was evaluated. */
@@ -62,13 +63,13 @@
 
     /** Returns the impact of one more best-effort task on a host. */
     HostLatencyPressure.Impact impactOf(StepSpecification step, FreeCapacity candidate) {
-        return candidate.latencyPressure(colocation).impactOf(step);
+        return candidate.latencyPressure(costs).impactOf(step, costs.of(step));
     }
 
     /** Allocates capacity for one more task; the pressure that it adds counts for later tasks of the same plan. */
     void allocate(StepId stepId, StepSpecification step, FreeCapacity candidate) {
         if (step.has(StepTrait.BEST_EFFORT)) {
-            candidate.latencyPressure(colocation).add(step);
+            candidate.latencyPressure(costs).add(step, costs.of(step));
         }
         candidate.allocate(stepId, step);
     }
@@ -87,9 +88,9 @@
                     candidate.hasLatencyCritical() ? 1 : 0,
                     -candidate.idleMillicores());
         }
-        int colocation =
+        int penalty =
                 step.isLatencyCritical() ? imageMixPenalty(step, candidate) : candidate.hasLatencyCritical() ? 0 : 1;
-        return new HostScore(failures, outsideRack, 0, 0, colocation, candidate.idleMillicores());
+        return new HostScore(failures, outsideRack, 0, 0, penalty, candidate.idleMillicores());
     }
 
     /** Returns 0 if the step's image is the only latency-critical one on the host, 1 if there is none, else more. */
