--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
@@ -24,7 +24,7 @@
     /** The delay after which a caller should retry: long-running jobs leave one at a time, some seconds apart. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(5);
 
-    /** The maximum number of tasks in one occurrence of a job. */
+    /** The maximum number of tasks in all occurrences of a job, which are held until the job has ended. */
     private static final int MAX_JOB_TASKS = 50_000;
 
     /** The maximum number of tasks of all jobs, unfinished or still shown to callers. */
@@ -36,13 +36,14 @@
      * Checks that a job is not too large for the members to hold.
      *
      * @param definition the job, not null
-     * @throws NettleringException with {@code INVALID_ARGUMENT} if an occurrence has more than 50,000 tasks
+     * @throws NettleringException with {@code INVALID_ARGUMENT} if its occurrences have more than 50,000 tasks
      */
     public static void requireAcceptableSize(JobDefinition definition) {
-        if (definition.taskCount() > MAX_JOB_TASKS) {
+        long taskCount = definition.taskCount() * definition.recurrence().occurrences();
+        if (taskCount > MAX_JOB_TASKS) {
             throw new NettleringException(
                     ErrorCode.INVALID_ARGUMENT,
-                    "a job cannot have " + definition.taskCount() + " tasks; the limit is " + MAX_JOB_TASKS);
+                    "a job cannot have " + taskCount + " tasks; the limit is " + MAX_JOB_TASKS);
         }
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
@@ -53,6 +53,10 @@
         assertThatThrownBy(() -> JobAdmissionPolicy.requireAcceptableSize(tooLarge))
                 .isInstanceOf(NettleringException.class)
                 .hasMessageContaining("100000000 tasks");
+        JobDefinition tooOften =
+                new JobDefinition("work", List.of(step(6, List.of())), new Recurrence(Integer.MAX_VALUE, 0, 0));
+        assertThatThrownBy(() -> JobAdmissionPolicy.requireAcceptableSize(tooOften))
+                .isInstanceOf(NettleringException.class);
         assertThatCode(() -> JobAdmissionPolicy.requireAcceptableSize(FINITE_JOB))
                 .doesNotThrowAnyException();
     }
