--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepSpecification;
 
@@ -34,7 +35,32 @@
     /** The position of the host of each allocation. */
     private final List<Integer> allocatedPositions = new ArrayList<>();
 
+    /** The host that is left out, or null if there is none. */
+    private final @Nullable FreeCapacity excluded;
+
+    /** Ranks the hosts of a pool but one. */
+    static HostRanking without(
+            FreeCapacity excluded,
+            HostSelector selector,
+            StepId stepId,
+            StepSpecification step,
+            String rack,
+            PoolCapacities pool) {
+        return new HostRanking(excluded, selector, stepId, step, rack, pool);
+    }
+
     HostRanking(HostSelector selector, StepId stepId, StepSpecification step, String rack, PoolCapacities pool) {
+        this(null, selector, stepId, step, rack, pool);
+    }
+
+    private HostRanking(
+            @Nullable FreeCapacity excluded,
+            HostSelector selector,
+            StepId stepId,
+            StepSpecification step,
+            String rack,
+            PoolCapacities pool) {
+        this.excluded = excluded;
         this.selector = selector;
         this.stepId = stepId;
         this.step = step;
@@ -48,11 +74,16 @@
 
     private void offer(int position) {
         FreeCapacity capacity = pool.all().get(position);
-        if (selector.isFeasible(stepId, step, capacity)) {
+        if (capacity != excluded && selector.isFeasible(stepId, step, capacity)) {
             candidates.add(new Candidate(capacity, selector.score(step, rack, capacity), position));
         }
     }
 
+    /** Returns the best host, or empty if no host is feasible. */
+    Optional<FreeCapacity> best() {
+        return Optional.ofNullable(candidates.peek()).map(Candidate::capacity);
+    }
+
     /** Allocates capacity for one more task on the best host and returns it, or empty if no host is feasible. */
     Optional<FreeCapacity> allocateBest() {
         Candidate best = candidates.poll();
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.colocation.ColocationController;
@@ -28,10 +29,15 @@
     /** Includes the pressure added by the starts of the same plan. */
     private final HostSelector selector;
 
-    private final Map<String, FreeCapacity> capacitiesByHostId = new LinkedHashMap<>();
+    /** The free capacities of each pool, without what the starts of the same plan use. */
+    private final Function<String, PoolCapacities> pools;
 
-    MigrationPlanner(HostSelector selector, Collection<FreeCapacity> capacities) {
+    private final Map<String, FreeCapacity> capacitiesByHostId = new HashMap<>();
+
+    MigrationPlanner(
+            HostSelector selector, Collection<FreeCapacity> capacities, Function<String, PoolCapacities> pools) {
         this.selector = selector;
+        this.pools = pools;
         capacities.forEach(capacity -> capacitiesByHostId.put(capacity.host().id(), capacity));
     }
 
@@ -48,26 +54,24 @@
     private boolean planMigration(ThrottledRun throttled) {
         StepSpecification step = throttled.step().specification();
         FreeCapacity current = capacitiesByHostId.get(throttled.run().host().id());
-        if (current == null
-                || ColocationController.isNegligible(
-                        selector.impactOf(step, current).added())) {
+        if (current == null) {
             return false;
         }
-        List<FreeCapacity> others = capacitiesByHostId.values().stream()
-                .filter(capacity -> capacity != current && capacity.pool().equals(current.pool()))
-                .toList();
-        Optional<FreeCapacity> best = selector.select(
-                throttled.step().id(), step, step.placementConstraints().dataRack(), others);
-        if (best.isEmpty() || !isWorthwhile(step, current, best.get())) {
+        long addedAtSource = selector.impactOf(step, current).added();
+        if (ColocationController.isNegligible(addedAtSource)) {
             return false;
         }
-        selector.allocate(throttled.step().id(), step, best.get());
-        return true;
-    }
-
-    private boolean isWorthwhile(StepSpecification step, FreeCapacity current, FreeCapacity destination) {
-        long addedAtSource = selector.impactOf(step, current).added();
-        long addedAtDestination = selector.impactOf(step, destination).added();
-        return addedAtDestination * MIN_IMPROVEMENT_FACTOR <= addedAtSource;
+        HostRanking ranking = HostRanking.without(
+                current,
+                selector,
+                throttled.step().id(),
+                step,
+                step.placementConstraints().dataRack(),
+                pools.apply(current.pool()));
+        Optional<FreeCapacity> best = ranking.best();
+        if (best.isEmpty() || selector.impactOf(step, best.get()).added() * MIN_IMPROVEMENT_FACTOR > addedAtSource) {
+            return false;
+        }
+        return ranking.allocateBest().isPresent();
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -64,8 +64,9 @@
             long nowMillis) {
         StartPlanner planner = new StartPlanner(capacities, permitted, colocation, nowMillis);
         planner.planAll(state.pendingSteps());
-        List<ActiveRun> migrations =
-                throttled.isEmpty() ? List.of() : new MigrationPlanner(planner.selector, capacities).plan(throttled);
+        List<ActiveRun> migrations = throttled.isEmpty()
+                ? List.of()
+                : new MigrationPlanner(planner.selector, capacities, planner::candidatesIn).plan(throttled);
         return new StartPlan(planner.starts, migrations);
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
@@ -60,6 +60,21 @@
         assertThat(selector.feasibilityChecks()).isLessThanOrEqualTo(HOSTS + TASKS);
     }
 
+    @Test
+    void rankingWithoutAHostSelectsAmongTheOthers() {
+        HostSelector selector = new HostSelector(ColocationController.create());
+        List<FreeCapacity> capacities = randomCapacities(new Random(3), selector);
+        StepSpecification step = randomStep(new Random(4), 1);
+        StepId stepId = new StepId("job", 0, 0);
+        PoolCapacities pool = PoolCapacities.of(capacities);
+        FreeCapacity best =
+                new HostRanking(selector, stepId, step, "", pool).best().orElseThrow();
+        List<FreeCapacity> others =
+                capacities.stream().filter(capacity -> capacity != best).toList();
+        assertThat(HostRanking.without(best, selector, stepId, step, "", pool).best())
+                .isEqualTo(selector.select(stepId, step, "", others));
+    }
+
     private static List<String> hostsByRanking(int seed, StepId stepId, StepSpecification step, String rack) {
         HostSelector selector = new HostSelector(ColocationController.create());
         List<FreeCapacity> capacities = randomCapacities(new Random(seed), selector);
