End the freshness of an entry's configuration when its host was suspended

Cause: the steady clock of a process stands still while its host is suspended. An entry counted the three seconds for which its copy of the configuration is fresh by that clock alone, so that after a suspension of any length it routed callers by the old configuration until its next poll: a paused process used a permission that had expired. Ruled out: a clock that counts suspensions, which the runtime does not offer. Change: TimeMark holds a moment by both clocks; the copy is fresh only while the period is over by neither. A time of day that jumps forward ends it early, until the next poll half a second later at the most. ConfigurationClientTest#theCopyIsNotFreshAfterTheHostWasSuspendedUntilItIsConfirmedAgain failed before. The copy had no test of its own without processes; a second one holds its period. The entry on the users' platform keeps no copy and is not affected.

--- a/domain/src/main/java/org/nettlering/domain/time/ManualTime.java
+++ b/domain/src/main/java/org/nettlering/domain/time/ManualTime.java
@@ -25,6 +25,9 @@
 
     private long elapsedNanos;
 
+    /** For how long the host was suspended, which only the time of day counts. */
+    private Duration suspended = Duration.ZERO;
+
     /** The sequence number of the next timer; orders timers with equal due times. */
     private long nextSequence;
 
@@ -44,7 +47,12 @@
 
     @Override
     public Instant instant() {
-        return start.plusNanos(nanoTime());
+        lock.lock();
+        try {
+            return start.plusNanos(elapsedNanos).plus(suspended);
+        } finally {
+            lock.unlock();
+        }
     }
 
     @Override
@@ -86,6 +94,20 @@
         }
     }
 
+    /**
+     * Suspends the host: the time of day advances, while the steady clock and the timers stand still.
+     *
+     * @param duration the duration of the suspension, not negative, not null
+     */
+    public void suspend(Duration duration) {
+        lock.lock();
+        try {
+            suspended = suspended.plus(duration);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Returns the number of pending timers.
      *
--- a/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
+++ b/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.configuration.RevisionRecord;
 import org.nettlering.domain.configuration.SiteConfiguration;
+import org.nettlering.domain.time.TimeMark;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.entry.EntryEvent;
 import org.nettlering.entry.lifecycle.Readiness;
@@ -54,14 +55,14 @@
     /** Called with each new revision, outside the lock. */
     private final Consumer<SiteConfiguration> listener;
 
-    /** Guards writes to {@link #current} and {@link #confirmedNanos}. */
+    /** Guards writes to {@link #current} and {@link #confirmedAt}. */
     private final ReentrantLock lock = new ReentrantLock();
 
     /** The applied configuration. */
     private volatile SiteConfiguration current = SiteConfiguration.empty();
 
     /** When the last request that confirmed the copy was sent; null before the first confirmation. */
-    private volatile @Nullable Long confirmedNanos;
+    private volatile @Nullable TimeMark confirmedAt;
 
     /** The freshness that was last logged. */
     private final AtomicBoolean loggedFresh = new AtomicBoolean();
@@ -103,8 +104,8 @@
      * @return true if the copy is fresh
      */
     public boolean isFresh() {
-        Long confirmed = confirmedNanos;
-        return confirmed != null && time.nanoTime() - confirmed < FRESHNESS_PERIOD.toNanos();
+        TimeMark confirmed = confirmedAt;
+        return confirmed != null && confirmed.isWithin(FRESHNESS_PERIOD, time);
     }
 
     @Override
@@ -127,10 +128,10 @@
         if (!running) {
             return;
         }
-        long sentNanos = time.nanoTime();
+        TimeMark sentAt = TimeMark.now(time);
         gateway.callLeader(createFetchRequest(false), true, LEADER_TIMEOUT).whenComplete((response, error) -> {
             if (error == null && response.hasConfigurationResponse()) {
-                applyAndConfirm(response.getConfigurationResponse().getUpdate(), sentNanos);
+                applyAndConfirm(response.getConfigurationResponse().getUpdate(), sentAt);
                 scheduleNext();
                 return;
             }
@@ -139,13 +140,13 @@
     }
 
     private void pollMembers() {
-        if (confirmedNanos == null) {
+        if (confirmedAt == null) {
             scheduleNext();
             return;
         }
-        long sentNanos = time.nanoTime();
+        TimeMark sentAt = TimeMark.now(time);
         List<CompletionStage<Frame>> responses = gateway.callEveryMember(createFetchRequest(true), MEMBER_TIMEOUT);
-        MajorityRead majorityRead = new MajorityRead(responses.size() / 2 + 1, sentNanos);
+        MajorityRead majorityRead = new MajorityRead(responses.size() / 2 + 1, sentAt);
         CompletableFuture<?>[] handledResponses = responses.stream()
                 .map(stage -> stage.handle((response, error) -> majorityRead.handleResponse(response, error))
                         .toCompletableFuture())
@@ -170,7 +171,7 @@
     }
 
     /** Applies an update and confirms the copy, unless the update is older than the copy or leaves a gap. */
-    private void applyAndConfirm(ConfigurationUpdate update, long sentNanos) {
+    private void applyAndConfirm(ConfigurationUpdate update, TimeMark sentAt) {
         SiteConfiguration applied = null;
         lock.lock();
         try {
@@ -184,9 +185,9 @@
                 return;
             }
             current = updated;
-            Long confirmed = confirmedNanos;
-            if (confirmed == null || sentNanos - confirmed > 0) {
-                confirmedNanos = sentNanos;
+            TimeMark confirmed = confirmedAt;
+            if (confirmed == null || sentAt.isAfter(confirmed)) {
+                confirmedAt = sentAt;
             }
             applied = updated.revision() == previous.revision() ? null : updated;
         } finally {
@@ -234,14 +235,14 @@
         /** The number of members that form a majority. */
         private final int majority;
 
-        private final long sentNanos;
+        private final TimeMark sentAt;
 
         /** The number of members that have applied no later revision than the local copy. */
         private final AtomicInteger confirmingMembers = new AtomicInteger();
 
-        MajorityRead(int majority, long sentNanos) {
+        MajorityRead(int majority, TimeMark sentAt) {
             this.majority = majority;
-            this.sentNanos = sentNanos;
+            this.sentAt = sentAt;
         }
 
         boolean handleResponse(@Nullable Frame response, @Nullable Throwable error) {
@@ -256,7 +257,7 @@
                 return false;
             }
             if (confirmingMembers.incrementAndGet() == majority) {
-                confirm(sentNanos);
+                confirm(sentAt);
             }
             return true;
         }
@@ -264,18 +265,18 @@
 
     /** Applies a later revision of a member without extending the freshness of the copy. */
     private void applyUnconfirmed(ConfigurationUpdate update) {
-        Long confirmed = confirmedNanos;
+        TimeMark confirmed = confirmedAt;
         if (confirmed != null) {
             applyAndConfirm(update, confirmed);
         }
     }
 
-    private void confirm(long sentNanos) {
+    private void confirm(TimeMark sentAt) {
         lock.lock();
         try {
-            Long confirmed = confirmedNanos;
-            if (confirmed != null && sentNanos - confirmed > 0) {
-                confirmedNanos = sentNanos;
+            TimeMark confirmed = confirmedAt;
+            if (confirmed != null && sentAt.isAfter(confirmed)) {
+                confirmedAt = sentAt;
             }
         } finally {
             lock.unlock();
