Count only the tasks of unfinished jobs against the limit of tasks

Change: the tasks of unfinished jobs count. What is left: the tasks of finished jobs stay in memory for as long as the jobs are shown, without a limit of their own.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -205,7 +205,8 @@
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
     Optional<Duration> retryAfterIfRejected(WorkflowState state, JobTerms terms, JobDefinition definition) {
-        Optional<Duration> tooManyTasks = JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.taskCount());
+        Optional<Duration> tooManyTasks =
+                JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks());
         if (tooManyTasks.isPresent() || definition.longRunningMillicores() == 0) {
             return tooManyTasks;
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -50,8 +50,8 @@
     /** The processor demand of the long-running tasks of all unfinished jobs by pool, in millicores. */
     private final Map<String, Long> longRunningMillicores = new HashMap<>();
 
-    /** The number of tasks of the started occurrences of all jobs, finished or not. */
-    private long taskCount;
+    /** The number of tasks in the started occurrences of the unfinished jobs. */
+    private long unfinishedJobTasks;
 
     /**
      * Returns a state without jobs.
@@ -85,7 +85,7 @@
             periodicJobs.add(job);
         }
         for (StepProgress step : job.steps()) {
-            taskCount += step.specification().taskCount();
+            unfinishedJobTasks += job.phase().isOpen() ? step.specification().taskCount() : 0;
             for (int index = 0; index < step.specification().taskCount(); index++) {
                 step.task(index)
                         .activeRuns()
@@ -153,12 +153,12 @@
     }
 
     /**
-     * Returns the number of tasks that are held in memory.
+     * Returns the number of tasks of the unfinished jobs.
      *
-     * @return the tasks of the started occurrences of all jobs, finished or not
+     * @return the tasks in their started occurrences, done or not
      */
-    public long taskCount() {
-        return taskCount;
+    public long unfinishedJobTasks() {
+        return unfinishedJobTasks;
     }
 
     /**
@@ -278,7 +278,7 @@
         if (job.nextOccurrence().isEmpty()) {
             periodicJobs.remove(job);
         }
-        taskCount += job.definition().taskCount();
+        unfinishedJobTasks += job.definition().taskCount();
         occurrence.steps().forEach(this::updatePendingStep);
         return CommandResult.APPLIED;
     }
@@ -367,13 +367,13 @@
             return CommandResult.UNCHANGED;
         }
         jobs.remove(job.id());
-        job.steps().forEach(step -> taskCount -= step.specification().taskCount());
         return CommandResult.APPLIED;
     }
 
     private void finishJob(Job job, JobPhase phase) {
         adjustQueuedJobs(job, job.phase() == JobPhase.QUEUED ? -1 : 0);
         adjustLongRunning(job, -1);
+        job.steps().forEach(step -> unfinishedJobTasks -= step.specification().taskCount());
         job.setPhase(phase);
         periodicJobs.remove(job);
         pendingSteps.removeAll(job.steps());
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
@@ -14,8 +14,8 @@
  * long-running tasks of a pool would exceed a share of its processors.
  *
  * <p>Every member holds every task of the jobs that it knows in memory, so that one job with too many tasks would end all
- * members, and again after each restart. Such a job is invalid, and any job is rejected while its tasks and those that are
- * held would be too many together. Any other job whose tasks all end is admitted. Immutable and thread-safe.
+ * members, and again after each restart. Such a job is invalid, and any job is rejected while its tasks and those of the
+ * unfinished jobs would be too many together. Any other job whose tasks all end is admitted. Immutable and thread-safe.
  */
 public final class JobAdmissionPolicy {
     /** The maximum share of a pool's processors for long-running tasks, in percent. */
@@ -27,7 +27,7 @@
     /** The maximum number of tasks in all occurrences of a job, which are held until the job has ended. */
     private static final int MAX_JOB_TASKS = 50_000;
 
-    /** The maximum number of tasks of all jobs, unfinished or still shown to callers. */
+    /** The maximum number of tasks of all unfinished jobs. */
     private static final int MAX_TASKS = 250_000;
 
     private JobAdmissionPolicy() {}
@@ -51,11 +51,11 @@
      * Decides whether the members have memory for a job.
      *
      * @param definition the job, not null
-     * @param heldTasks the number of tasks of all jobs that the members hold
+     * @param unfinishedJobTasks the number of tasks of the unfinished jobs
      * @return the delay after which to retry if the job is rejected, or empty if there is memory, never null
      */
-    public static Optional<Duration> retryDelayIfTooManyTasks(JobDefinition definition, long heldTasks) {
-        return heldTasks + definition.taskCount() > MAX_TASKS ? Optional.of(RETRY_AFTER) : Optional.empty();
+    public static Optional<Duration> retryDelayIfTooManyTasks(JobDefinition definition, long unfinishedJobTasks) {
+        return unfinishedJobTasks + definition.taskCount() > MAX_TASKS ? Optional.of(RETRY_AFTER) : Optional.empty();
     }
 
     /**
