--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -49,9 +49,6 @@
     /** Delay of an occurrence beyond its due time, so that small clock differences do not start it early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
-    /** The time between plans that look for a better host for throttled runs; short beside the time they are throttled. */
-    private static final Duration MIGRATION_INTERVAL = Duration.ofMillis(200);
-
     private static final EventLogger LOG = EventLogger.of(WorkflowLeadership.class);
 
     private final long term;
@@ -83,9 +80,6 @@
 
     private final LoopCounters counters = new LoopCounters();
 
-    /** The monotonic time from which a plan looks for a better host for throttled runs. */
-    private long nextMigrationNanos;
-
     /** Whether a batch was proposed to the log and has neither been committed nor failed. */
     private boolean batchInFlight;
 
@@ -117,7 +111,6 @@
         this.term = term;
         this.timings = timings;
         this.metrics = metrics;
-        nextMigrationNanos = nowNanos;
         finishedJobs = new FinishedJobRetention(nowNanos);
     }
 
@@ -248,7 +241,7 @@
     }
 
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
-        List<ThrottledRun> throttled = throttledRunsIfDue(state, nowNanos);
+        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
         if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
             return;
         }
@@ -258,15 +251,6 @@
         plan.migrations().forEach(this::migrate);
     }
 
-    /** Returns the throttled runs that may migrate, or none within the interval after they were looked at. */
-    private List<ThrottledRun> throttledRunsIfDue(WorkflowState state, long nowNanos) {
-        if (nowNanos - nextMigrationNanos < 0) {
-            return List.of();
-        }
-        nextMigrationNanos = nowNanos + MIGRATION_INTERVAL.toNanos();
-        return colocation.throttledRuns(state, sessions, nowNanos);
-    }
-
     /** Schedules a visit of a host and discards its cached free capacity. */
     private void markHostChanged(String hostId) {
         visitQueue.markDue(hostId);
