Leave out at most half of a pool's hosts because of failed runs

Cause: from the second consecutive failure on, a host receives no runs for 4 to 32 s. A failure may be the fault of the task. Hosts with fewer failures are preferred, so jobs that can never succeed spread their failures evenly over a pool, and with two on each host and none completed between, every host was left out at once and nothing could start. Ruled out: dropping the backoff; a host that fails everything attracts work. Why the fix works: of the hosts within their backoff at most half of the pool is left out, those with the most failures first; the rest are still ranked behind hosts with fewer failures.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.Job;
@@ -285,14 +286,24 @@
     }
 
     private List<FreeCapacity> freeCapacities(WorkflowState state, long nowNanos) {
-        List<FreeCapacity> capacities = new ArrayList<>();
+        Map<String, List<String>> hostIdsByPool = new LinkedHashMap<>();
         for (HostSession session : sessions.values()) {
-            String id = session.host().id();
-            if (session.acceptsRuns(nowNanos) && !failureBackoff.isBackingOff(id, nowNanos)) {
+            if (session.acceptsRuns(nowNanos)) {
                 session.latestHeartbeat()
-                        .ifPresent(heartbeat -> capacities.add(freeCapacity(state, session, heartbeat)));
+                        .ifPresent(heartbeat -> hostIdsByPool
+                                .computeIfAbsent(heartbeat.pool(), pool -> new ArrayList<>())
+                                .add(session.host().id()));
             }
         }
+        List<FreeCapacity> capacities = new ArrayList<>();
+        for (List<String> hostIds : hostIdsByPool.values()) {
+            Set<String> backingOff = failureBackoff.backingOff(hostIds, nowNanos);
+            hostIds.stream()
+                    .filter(hostId -> !backingOff.contains(hostId))
+                    .map(sessions::get)
+                    .forEach(session -> session.latestHeartbeat()
+                            .ifPresent(heartbeat -> capacities.add(freeCapacity(state, session, heartbeat))));
+        }
         return capacities;
     }
 
--- /dev/null
+++ b/control/src/test/java/org/nettlering/control/workflow/FailingHostsTest.java
@@ -0,0 +1,67 @@
+package org.nettlering.control.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.TerminalStatus;
+import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
+import org.nettlering.domain.workflow.host.HostCommand;
+import org.nettlering.domain.workflow.host.HostResponse;
+import org.nettlering.domain.workflow.host.HostResponse.ReportedTermination;
+
+/** How the leader places tasks while runs fail on its hosts. */
+class FailingHostsTest extends LeaderFixture {
+    private static final int HOSTS = 3;
+
+    /** A job of the fixture fails after two failed runs, so this many jobs fail twice on each host. */
+    private static final int FAILING_JOBS = 3;
+
+    /** A start follows a termination in the next batch. */
+    private static final int MAX_BATCHES = 2;
+
+    FailingHostsTest() {
+        super(HOSTS);
+    }
+
+    @Test
+    void tasksStartAlthoughJobsThatCanNeverSucceedHaveFailedOnEveryHost() {
+        for (int number = 0; number < FAILING_JOBS; number++) {
+            submit("failing-" + number);
+            failRun(commitStart().orElseThrow(), number + 1);
+            failRun(commitStart().orElseThrow(), number + 2);
+        }
+        assertThat(commitStart()).isEmpty();
+        submit("sound");
+        assertThat(commitStart()).isPresent();
+    }
+
+    /** Commits batches until one holds a start: a termination is committed before the start that replaces the run. */
+    private Optional<ActiveRun> commitStart() {
+        Optional<ActiveRun> started = Optional.empty();
+        for (int batches = 0; batches < MAX_BATCHES && started.isEmpty(); batches++) {
+            List<WorkflowCommand> batch = leadership.nextBatch(state, nowNanos, 0);
+            batch.forEach(state::apply);
+            leadership.batchCommitted(state, batch, nowNanos);
+            started = batch.stream()
+                    .filter(StartRun.class::isInstance)
+                    .map(start -> ((StartRun) start).run())
+                    .findFirst();
+        }
+        return started;
+    }
+
+    /** Lets the host report that the run failed; sequence numbers rise on each host. */
+    private void failRun(ActiveRun run, long sequence) {
+        HostCommand poll = new HostCommand.Poll(run.host(), 1, 0, 0, 0);
+        HostResponse failure = new HostResponse.PollResult(
+                2_000 + sequence,
+                List.of(),
+                List.of(new ReportedTermination(sequence, run.run(), TerminalStatus.FAILED, "")));
+        leadership.dueCommands(nowNanos);
+        leadership.handleResponse(state, poll, nowNanos, failure, nowNanos);
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
@@ -1,8 +1,12 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.nettlering.domain.workflow.TerminalStatus;
 
 /**
@@ -10,7 +14,10 @@
  *
  * <p>A host that looks healthy but fails every run always has free capacity and would attract more runs. Each
  * consecutive failure therefore ranks a host behind hosts with fewer failures. From the second one on, the host
- * receives no runs during a backoff period that doubles up to a bound. Not thread-safe.
+ * receives no runs during a backoff period that doubles up to a bound.
+ *
+ * <p>A failure may be the fault of the task instead, and a task that always fails does so on every host. Therefore at
+ * most half of the hosts of a pool are left out at once. Not thread-safe.
  */
 public final class HostFailureBackoff {
     private static final int MIN_FAILURES_FOR_BACKOFF = 2;
@@ -19,6 +26,9 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
+    /** At most one host in this many is left out. */
+    private static final int MIN_HOSTS_PER_BACKOFF = 2;
+
     /** The hosts with failures since their last completed run, by incarnation id. */
     private final Map<String, Backoff> backoffs = new HashMap<>();
 
@@ -76,6 +86,25 @@
         return backoff != null && nowNanos - backoff.untilNanos() < 0;
     }
 
+    /**
+     * Returns the hosts that receive no runs now: of those within their backoff period the ones with the most
+     * consecutive failures, at most half of the given hosts.
+     *
+     * @param poolHostIds the incarnation ids of all hosts of a pool that could receive runs, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the incarnation ids of the hosts to leave out, never null
+     */
+    public Set<String> backingOff(Collection<String> poolHostIds, long nowNanos) {
+        if (backoffs.isEmpty()) {
+            return Set.of();
+        }
+        return poolHostIds.stream()
+                .filter(hostId -> isBackingOff(hostId, nowNanos))
+                .sorted(Comparator.comparingInt(this::consecutiveFailures).reversed())
+                .limit(poolHostIds.size() / MIN_HOSTS_PER_BACKOFF)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns the number of failures since the last completed run on a host.
      *
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.workflow.TerminalStatus;
 
@@ -37,6 +38,35 @@
         assertThat(backoff.consecutiveFailures("h")).isZero();
     }
 
+    @Test
+    void atMostHalfOfTheHostsOfAPoolBackOffAtOnce() {
+        List<String> hosts = List.of("a", "b", "c", "d", "e");
+        hosts.forEach(host -> fail(host, 2));
+        fail("d", 1);
+        fail("b", 2);
+        assertThat(backoff.backingOff(hosts, 1)).containsExactlyInAnyOrder("b", "d");
+    }
+
+    @Test
+    void onlyHostsWithinTheirBackoffPeriodBackOff() {
+        fail("a", 2);
+        fail("b", 1);
+        assertThat(backoff.backingOff(List.of("a", "b", "c"), 1)).containsExactly("a");
+        assertThat(backoff.backingOff(List.of("a", "b", "c"), seconds(4.1))).isEmpty();
+    }
+
+    @Test
+    void theOnlyHostOfAPoolNeverBacksOff() {
+        fail("a", 3);
+        assertThat(backoff.backingOff(List.of("a"), 1)).isEmpty();
+    }
+
+    private void fail(String hostId, int times) {
+        for (int count = 0; count < times; count++) {
+            backoff.recordTermination(hostId, TerminalStatus.FAILED, 0);
+        }
+    }
+
     private static long seconds(double seconds) {
         return Duration.ofMillis(Math.round(seconds * 1_000)).toNanos();
     }
