Start a job that services hold back on every host, throttled, after 1.5 s

Cause: a best-effort step starts only on a host whose latency-critical runs keep their targets by the learned model, and nothing bounded the wait for one. Processors of best-effort tasks aren't allocated, so the site looks free meanwhile. A new leader starts with uncertain costs and holds back more. Ruled out: lowering the threshold (the services' targets come first); starting at full speed. Why the fix works: a job with nothing running and best-effort tasks pending for 1.5 s gets one task (a gang: all) on the host that it harms least, at the lowest speed; speeds are then raised by the measured headroom as for any throttled run.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -24,6 +24,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
+import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.domain.workflow.host.HostResponse;
@@ -36,6 +37,7 @@
 import org.nettlering.domain.workflow.placement.HostFailureBackoff;
 import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
+import org.nettlering.domain.workflow.placement.StepWaits;
 import org.nettlering.domain.workflow.placement.ThrottledRun;
 import org.nettlering.runtime.log.EventLogger;
 
@@ -65,6 +67,11 @@
 
     private final HostColocation colocation = new HostColocation();
 
+    private final StepWaits waits = StepWaits.create();
+
+    /** The runs of the last plan that begin at the lowest speed. */
+    private Set<RunId> throttledStarts = Set.of();
+
     private final HostVisitQueue visitQueue = new HostVisitQueue();
 
     private final FreeCapacityCache capacityCache = new FreeCapacityCache();
@@ -246,9 +253,16 @@
         if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
             return;
         }
+        waits.update(state.pendingSteps(), nowNanos);
         StartPlan plan = StartPlanner.plan(
-                state, freeCapacities(state, nowNanos), step -> true, colocation.controller(), throttled, nowMillis);
+                state,
+                freeCapacities(state, nowNanos),
+                step -> waits.isOverdue(step, nowNanos),
+                colocation.controller(),
+                throttled,
+                nowMillis);
         batch.addAll(plan.starts());
+        throttledStarts = plan.throttledStarts();
         plan.migrations().forEach(this::migrate);
     }
 
@@ -366,6 +380,9 @@
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
+        if (throttledStarts.contains(run.run())) {
+            session.setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
+        }
         hostIdsByRun.put(run.run(), run.host().id());
         markHostChanged(run.host().id());
         stopIfUnneeded(state, run);
--- a/domain/src/main/java/org/nettlering/domain/workflow/colocation/ColocationController.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/colocation/ColocationController.java
@@ -44,8 +44,8 @@
     /** All best-effort runs are throttled after a target was missed for this long, whatever their learned cost. */
     private static final Duration MAX_TARGET_MISS = Duration.ofMillis(1_800);
 
-    /** A stopped run would hold its memory without making progress. */
-    private static final int MIN_SPEED_PERCENT = 5;
+    /** The lowest speed, in percent of full speed; a stopped run would hold its memory without making progress. */
+    public static final int MIN_SPEED_PERCENT = 5;
 
     private static final int FULL_SPEED_PERCENT = 100;
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
@@ -38,6 +38,15 @@
     /** The host that is left out, or null if there is none. */
     private final @Nullable FreeCapacity excluded;
 
+    /** Whether hosts stay feasible on which the task would harm latency-critical runs at full speed. */
+    private final boolean pressureIgnored;
+
+    /** Ranks the hosts of a pool, also those on which the task would harm latency-critical runs at full speed. */
+    static HostRanking ignoringPressure(
+            HostSelector selector, StepId stepId, StepSpecification step, String rack, PoolCapacities pool) {
+        return new HostRanking(null, true, selector, stepId, step, rack, pool);
+    }
+
     /** Ranks the hosts of a pool but one. */
     static HostRanking without(
             FreeCapacity excluded,
@@ -46,21 +55,23 @@
             StepSpecification step,
             String rack,
             PoolCapacities pool) {
-        return new HostRanking(excluded, selector, stepId, step, rack, pool);
+        return new HostRanking(excluded, false, selector, stepId, step, rack, pool);
     }
 
     HostRanking(HostSelector selector, StepId stepId, StepSpecification step, String rack, PoolCapacities pool) {
-        this(null, selector, stepId, step, rack, pool);
+        this(null, false, selector, stepId, step, rack, pool);
     }
 
     private HostRanking(
             @Nullable FreeCapacity excluded,
+            boolean pressureIgnored,
             HostSelector selector,
             StepId stepId,
             StepSpecification step,
             String rack,
             PoolCapacities pool) {
         this.excluded = excluded;
+        this.pressureIgnored = pressureIgnored;
         this.selector = selector;
         this.stepId = stepId;
         this.step = step;
@@ -74,11 +85,15 @@
 
     private void offer(int position) {
         FreeCapacity capacity = pool.all().get(position);
-        if (capacity != excluded && selector.isFeasible(stepId, step, capacity)) {
+        if (capacity != excluded && isFeasible(capacity)) {
             candidates.add(new Candidate(capacity, selector.score(step, rack, capacity), position));
         }
     }
 
+    private boolean isFeasible(FreeCapacity capacity) {
+        return pressureIgnored ? capacity.fits(stepId, step) : selector.isFeasible(stepId, step, capacity);
+    }
+
     /** Returns the best host, or empty if no host is feasible. */
     Optional<FreeCapacity> best() {
         return Optional.ofNullable(candidates.peek()).map(Candidate::capacity);
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlan.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlan.java
@@ -1,7 +1,9 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.util.List;
+import java.util.Set;
 import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 
 /**
@@ -11,11 +13,14 @@
  *
  * @param starts the starts, most urgent first, not null
  * @param migrations the runs to stop so that their tasks restart on other hosts, not null
+ * @param throttledStarts those of the starts whose runs begin at the lowest speed, because they would harm
+ *     latency-critical runs at full speed, not null
  */
-public record StartPlan(List<StartRun> starts, List<ActiveRun> migrations) {
+public record StartPlan(List<StartRun> starts, List<ActiveRun> migrations, Set<RunId> throttledStarts) {
     /** Copies the lists. */
     public StartPlan {
         starts = List.copyOf(starts);
         migrations = List.copyOf(migrations);
+        throttledStarts = Set.copyOf(throttledStarts);
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.RunId;
@@ -31,7 +33,7 @@
 
     private final long nowMillis;
 
-    private final Predicate<StepProgress> permitted;
+    private final Predicate<StepProgress> overdue;
 
     private final HostSelector selector;
 
@@ -44,12 +46,15 @@
 
     private final List<StartRun> starts = new ArrayList<>();
 
+    private final Set<RunId> throttledStarts = new HashSet<>();
+
     /**
      * Plans starts and migrations.
      *
      * @param state the workflow state, not null
      * @param capacities the free capacity of each schedulable host, reduced by the plan, not null
-     * @param permitted returns true for steps that may start, not null
+     * @param overdue returns true for best-effort steps that have waited too long for a host whose latency-critical runs
+     *     they do not harm; one task of such a step, or the whole gang, starts throttled on the least harmed host, not null
      * @param colocation provides the learned interference between images, not null
      * @param throttled the throttled runs, candidates for migration, not null
      * @param nowMillis the current time in milliseconds since the Unix epoch
@@ -58,26 +63,26 @@
     public static StartPlan plan(
             WorkflowState state,
             Collection<FreeCapacity> capacities,
-            Predicate<StepProgress> permitted,
+            Predicate<StepProgress> overdue,
             ColocationController colocation,
             Collection<ThrottledRun> throttled,
             long nowMillis) {
-        StartPlanner planner = new StartPlanner(capacities, permitted, colocation, nowMillis);
+        StartPlanner planner = new StartPlanner(capacities, overdue, colocation, nowMillis);
         planner.planAll(state.pendingSteps());
         List<ActiveRun> migrations = throttled.isEmpty()
                 ? List.of()
                 : new MigrationPlanner(planner.selector, capacities, planner::candidatesIn).plan(throttled);
-        return new StartPlan(planner.starts, migrations);
+        return new StartPlan(planner.starts, migrations, planner.throttledStarts);
     }
 
     private StartPlanner(
             Collection<FreeCapacity> capacities,
-            Predicate<StepProgress> permitted,
+            Predicate<StepProgress> overdue,
             ColocationController colocation,
             long nowMillis) {
         selector = new HostSelector(colocation);
         this.capacities = capacities;
-        this.permitted = permitted;
+        this.overdue = overdue;
         this.nowMillis = nowMillis;
     }
 
@@ -89,41 +94,71 @@
             if (starts.size() >= MAX_STARTS) {
                 return;
             }
-            if (permitted.test(step)) {
-                planStep(step);
-            }
+            planStep(step);
         }
     }
 
     private void planStep(StepProgress step) {
+        int startsBefore = starts.size();
+        if (!unschedulable.includes(step.job().terms().pool(), step.specification())) {
+            planUnthrottled(step);
+        }
+        if (starts.size() == startsBefore && overdue.test(step)) {
+            planThrottled(step);
+        }
+    }
+
+    private void planUnthrottled(StepProgress step) {
         StepSpecification specification = step.specification();
         String pool = step.job().terms().pool();
-        if (unschedulable.includes(pool, specification)) {
-            return;
-        }
-        PoolCapacities candidates = candidatesIn(pool);
         int[] taskIndexes = step.pendingTasks();
-        String rack = specification.placementConstraints().dataRack();
-        if (specification.has(StepTrait.RACK_LOCAL)) {
-            String commonRack = selector.rackFor(step.id(), specification, taskIndexes.length, candidates.all());
-            rack = commonRack == null ? rack : commonRack;
-        }
+        HostRanking ranking =
+                new HostRanking(selector, step.id(), specification, preferredRack(step), candidatesIn(pool));
         if (specification.has(StepTrait.GANG)) {
-            planGang(step, taskIndexes, rack, candidates);
+            planGang(step, taskIndexes, ranking);
             return;
         }
-        HostRanking ranking = new HostRanking(selector, step.id(), specification, rack, candidates);
         for (int index : taskIndexes) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
                 unschedulable.add(pool, specification);
                 return;
             }
-            int runNumber = step.task(index).lastRunNumber() + 1;
-            starts.add(newStart(step, index, runNumber, step.task(index).checkpoint(), capacity.get()));
+            starts.add(nextStart(step, index, capacity.get()));
         }
     }
 
+    /** Starts one task, or the whole gang, at the lowest speed on the hosts that it harms least. */
+    private void planThrottled(StepProgress step) {
+        int startsBefore = starts.size();
+        int[] taskIndexes = step.pendingTasks();
+        HostRanking ranking = HostRanking.ignoringPressure(
+                selector,
+                step.id(),
+                step.specification(),
+                preferredRack(step),
+                candidatesIn(step.job().terms().pool()));
+        if (step.specification().has(StepTrait.GANG)) {
+            planGang(step, taskIndexes, ranking);
+        } else if (taskIndexes.length > 0) {
+            ranking.allocateBest().ifPresent(capacity -> starts.add(nextStart(step, taskIndexes[0], capacity)));
+        }
+        starts.subList(startsBefore, starts.size())
+                .forEach(start -> throttledStarts.add(start.run().run()));
+    }
+
+    private String preferredRack(StepProgress step) {
+        StepSpecification specification = step.specification();
+        String dataRack = specification.placementConstraints().dataRack();
+        if (!specification.has(StepTrait.RACK_LOCAL)) {
+            return dataRack;
+        }
+        Collection<FreeCapacity> candidates =
+                candidatesIn(step.job().terms().pool()).all();
+        String commonRack = selector.rackFor(step.id(), specification, step.pendingCount(), candidates);
+        return commonRack == null ? dataRack : commonRack;
+    }
+
     private PoolCapacities candidatesIn(String pool) {
         return capacitiesByPool.computeIfAbsent(
                 pool,
@@ -132,14 +167,13 @@
                         .toList()));
     }
 
-    private void planGang(StepProgress step, int[] taskIndexes, String rack, PoolCapacities candidates) {
+    private void planGang(StepProgress step, int[] taskIndexes, HostRanking ranking) {
         if (taskIndexes.length < step.specification().taskCount()) {
             return;
         }
         int runNumber = step.nextGangRunNumber();
         String checkpoint = newestCheckpoint(step);
         List<StartRun> members = new ArrayList<>();
-        HostRanking ranking = new HostRanking(selector, step.id(), step.specification(), rack, candidates);
         for (int index : taskIndexes) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
@@ -165,6 +199,11 @@
         return newest;
     }
 
+    private static StartRun nextStart(StepProgress step, int index, FreeCapacity capacity) {
+        int runNumber = step.task(index).lastRunNumber() + 1;
+        return newStart(step, index, runNumber, step.task(index).checkpoint(), capacity);
+    }
+
     private static StartRun newStart(
             StepProgress step, int index, int runNumber, String checkpoint, FreeCapacity capacity) {
         RunId runId = new RunId(new TaskId(step.id(), index), runNumber);
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StepWaits.java
@@ -0,0 +1,66 @@
+package org.nettlering.domain.workflow.placement;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.nettlering.domain.workflow.StepId;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepTrait;
+
+/**
+ * How long the pending best-effort steps of jobs without any active run have waited, as seen by one leader.
+ *
+ * <p>Latency targets may hold such a step back on every host for as long as the load of the services lasts. A job is not
+ * held back without bound: after {@link #MAX_WAIT} without any active run its steps count as overdue. Not thread-safe.
+ */
+public final class StepWaits {
+    /** How long a job may have pending best-effort tasks and no active run. */
+    public static final Duration MAX_WAIT = Duration.ofMillis(1_500);
+
+    /** The monotonic time since which each step has waited. */
+    private Map<StepId, Long> waitingSinceNanos = new HashMap<>();
+
+    /**
+     * Creates an empty record of waits.
+     *
+     * @return a new record, never null
+     */
+    public static StepWaits create() {
+        return new StepWaits();
+    }
+
+    private StepWaits() {}
+
+    /**
+     * Updates the waits before a plan. Steps that are not pending any more, or whose job has an active run, start anew.
+     *
+     * @param pending all pending steps, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void update(Collection<StepProgress> pending, long nowNanos) {
+        Map<StepId, Long> updated = new HashMap<>();
+        for (StepProgress step : pending) {
+            if (step.specification().has(StepTrait.BEST_EFFORT) && isJobIdle(step)) {
+                updated.put(step.id(), waitingSinceNanos.getOrDefault(step.id(), nowNanos));
+            }
+        }
+        waitingSinceNanos = updated;
+    }
+
+    private static boolean isJobIdle(StepProgress step) {
+        return step.job().steps().stream().allMatch(each -> each.activeRunCount() == 0);
+    }
+
+    /**
+     * Returns whether a step has waited too long.
+     *
+     * @param step a step, not null
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if it has waited for at least {@link #MAX_WAIT} as of the last update
+     */
+    public boolean isOverdue(StepProgress step, long nowNanos) {
+        Long sinceNanos = waitingSinceNanos.get(step.id());
+        return sinceNanos != null && nowNanos - sinceNanos >= MAX_WAIT.toNanos();
+    }
+}
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -175,6 +175,46 @@
                 .allSatisfy(start -> assertThat(start.run().host().id()).isEqualTo("robust"));
     }
 
+    @Test
+    void oneTaskOfOverdueBestEffortStepStartsThrottledOnHostThatItHarmsLeast() {
+        ColocationController controller = trainedController();
+        addBusyHost("tender");
+        addBusyHost("robust");
+        state.apply(job("a", bestEffortStep(4)));
+        assertThat(plan(controller, List.of()).starts()).isEmpty();
+        StartPlan overdue = StartPlanner.plan(state, capacities, step -> true, controller, List.of(), 0);
+        assertThat(overdue.starts()).hasSize(1);
+        assertThat(overdue.starts().getFirst().run().host().id()).isEqualTo("busy-robust");
+        assertThat(overdue.throttledStarts())
+                .containsExactly(overdue.starts().getFirst().run().run());
+    }
+
+    @Test
+    void overdueStepStartsUnthrottledWhereItDoesNoHarm() {
+        addHost("idle", "r1", 32_000, 0);
+        state.apply(job("a", bestEffortStep(2)));
+        StartPlan overdue =
+                StartPlanner.plan(state, capacities, step -> true, ColocationController.create(), List.of(), 0);
+        assertThat(overdue.starts()).hasSize(2);
+        assertThat(overdue.throttledStarts()).isEmpty();
+    }
+
+    @Test
+    void overdueGangStartsThrottledAsAWhole() {
+        addBusyHost("tender");
+        state.apply(job("a", step(3, List.of(), StepTrait.GANG, StepTrait.BEST_EFFORT)));
+        StartPlan overdue =
+                StartPlanner.plan(state, capacities, step -> true, ColocationController.create(), List.of(), 0);
+        assertThat(overdue.starts()).hasSize(3);
+        assertThat(overdue.throttledStarts()).hasSize(3);
+    }
+
+    /** Adds a host with room whose latency-critical run of an image is at its target. */
+    private void addBusyHost(String image) {
+        capacities.add(freeCapacity(
+                "busy-" + image, "r1", Resources.of(32_000, 64_000, 0), 0, List.of(latencyCriticalRun(image, 20))));
+    }
+
     @Test
     void throttledRunMigratesToHostWithLessAddedPressure() {
         ColocationController controller = trainedController();
@@ -289,7 +329,7 @@
     }
 
     private StartPlan plan(ColocationController colocation, List<ThrottledRun> throttled) {
-        return StartPlanner.plan(state, capacities, step -> true, colocation, throttled, 0);
+        return StartPlanner.plan(state, capacities, step -> false, colocation, throttled, 0);
     }
 
     private Map<String, Long> startsByHost() {
