Log and measure what the leader waits for

- hosts with active runs whose lease is not renewed for 2 s or expires, with the wait: a poll in flight, a poll outcome that never reached the session, uncommitted terminations, an unresponsive host, no clock reading, an incarnation taken for terminated and by which evidence, or the loop itself; and when the lease is renewed again;
- runs of finished jobs that are still tracked, starts without confirmation, terminations that are known but not committed, and active runs that the leader does not track;
- each decision to stop a run with its reason;
- batches in flight for 1 s and a loop or timer that stands still, from a thread of its own that takes no lock of the loop, with the stacks of the threads; a standstill of the whole process is told apart from it.

Metrics with the same words: ages of the oldest unrenewed lease, poll and batch, tracked runs of finished jobs, and the time from a cancellation to the last end. No decision depends on any of it. The reset of the metrics for a new term comes before the take-over now, so that what the take-over records stays.

Run: LeaderDiagnosticsTest (12), LoopWatchdogTest (6), the other tests of the loop and of host sessions, EventCatalogueTest and MetricsPageTest pass.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -41,6 +41,7 @@
 import org.nettlering.control.trace.TracingFrameHandler;
 import org.nettlering.control.workflow.HostCommandSender;
 import org.nettlering.control.workflow.LoopMetrics;
+import org.nettlering.control.workflow.LoopWatchdog;
 import org.nettlering.control.workflow.WorkflowLoop;
 import org.nettlering.control.workflow.WorkflowService;
 import org.nettlering.control.workflow.WorkflowStateMachine;
@@ -105,6 +106,12 @@
     /** The loop that starts the tasks of jobs of steps. */
     private final WorkflowLoop workflow;
 
+    /** The timers of the watchdog, which nothing else uses. */
+    private final SystemTime watchdogTime = SystemTime.create("loop-watchdog");
+
+    /** Reports when the loop stands still. */
+    private final LoopWatchdog watchdog;
+
     /** The way to the leader, this process included. */
     private final ControlGateway gateway;
 
@@ -205,6 +212,7 @@
                 orders.apply(metrics.registry()),
                 settings.hostLimits(),
                 measures);
+        watchdog = LoopWatchdog.start(watchdogTime, measures);
         FrameDispatcher dispatcher = FrameDispatcher.of(
                 frame -> transport.deliver(frame, node),
                 ConfigurationService.of(log, parts.configuration(), time),
@@ -284,6 +292,8 @@
         metricsServer.close();
         server.close();
         tasks.close();
+        watchdog.close();
+        watchdogTime.close();
         workflow.close();
         workflowThread.shutdown();
         node.close();
--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -45,6 +45,8 @@
 
     private final CommandMetrics commandMetrics;
 
+    private final LeaderDiagnostics diagnostics;
+
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
@@ -81,6 +83,11 @@
         this.time = time;
         histograms = LatencyHistograms.registerIn(registry);
         commandMetrics = CommandMetrics.registerIn(registry);
+        diagnostics = LeaderDiagnostics.registerIn(registry, time);
+    }
+
+    LeaderDiagnostics diagnostics() {
+        return diagnostics;
     }
 
     /**
@@ -93,16 +100,26 @@
     }
 
     void timerScheduled(Duration delay) {
+        diagnostics.activity().tickEnded();
         timerDueNanos = time.nanoTime() + delay.toNanos();
     }
 
     /** Records by how much the timer is late. */
     void timerFired() {
+        diagnostics.activity().tickStarted();
         histograms.timerDelay().observe(time.nanoTime() - timerDueNanos);
     }
 
+    /** Returns the monotonic time to pass to {@link #recordLoopRun} after the iteration. */
+    long loopRunStartNanos() {
+        diagnostics.activity().iterationStarted();
+        return time.nanoTime();
+    }
+
     void recordLoopRun(long startNanos) {
+        diagnostics.activity().iterationEnded();
         histograms.loopRun().observe(time.nanoTime() - startNanos);
+        diagnostics.logStops();
     }
 
     /** Returns the monotonic time to pass to {@link #recordPlan} after planning. */
@@ -117,6 +134,7 @@
     void resetForNewTerm() {
         unsentStartNanos.clear();
         firstStartAcceptedMillis = List.of();
+        diagnostics.resetForNewTerm();
     }
 
     /** Records the next batch before it is proposed to the log. */
@@ -124,6 +142,7 @@
         if (batch.isEmpty()) {
             return;
         }
+        diagnostics.activity().batchProposed(batch.size());
         proposedNanos = time.nanoTime();
         Set<String> seenJobIds = new HashSet<>();
         List<Long> acceptedMillis = new ArrayList<>();
@@ -148,6 +167,7 @@
 
     /** Records that the batch is committed and applied. */
     void batchCommitted(List<WorkflowCommand> batch) {
+        diagnostics.activity().batchFinished();
         long nowNanos = time.nanoTime();
         histograms.commit().observe(nowNanos - proposedNanos);
         long nowMillis = time.millis();
@@ -157,13 +177,22 @@
         for (WorkflowCommand command : batch) {
             switch (command) {
                 case StartRun start -> unsentStartNanos.put(start.run().run(), nowNanos);
-                case RecordTermination termination -> unsentStartNanos.remove(termination.run());
+                case RecordTermination termination -> {
+                    unsentStartNanos.remove(termination.run());
+                    diagnostics.runs().runEnded(termination.run());
+                }
                 default -> {}
             }
         }
     }
 
+    /** Records that the commit of the batch failed or that its outcome is unknown. */
+    void batchFailed() {
+        diagnostics.activity().batchFinished();
+    }
+
     void commandSent(HostCommand command) {
+        diagnostics.commandSent(command);
         commandMetrics.commandSent(command);
         if (command instanceof HostCommand.Start start) {
             Long committedNanos = unsentStartNanos.remove(start.run().run());
@@ -174,6 +203,7 @@
     }
 
     void commandFinished(HostCommand command, long sentNanos, HostResponse response) {
+        diagnostics.commandFinished(command, sentNanos, response);
         commandMetrics.commandFinished(command, response, time.nanoTime() - sentNanos);
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -38,7 +38,32 @@
     /** A throttled run is stopped so that its task runs on another host. */
     RUN_MIGRATED(3315, Level.INFO, "stopping throttled run {} on host {} to migrate its task"),
     /** Statistics of the loop, logged periodically. */
-    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}");
+    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}"),
+    /** The lease of a host with active runs was not renewed in time. */
+    LEASE_OVERDUE(3317, Level.WARN, "lease of host {} with {} active runs not renewed for {} ms in term {}: {}"),
+    /** The lease of a host with active runs was not renewed for longer than it lasts. */
+    LEASE_OVERDUE_EXPIRED(
+            3318, Level.WARN, "lease of host {} with {} active runs expired: not renewed for {} ms in term {}: {}"),
+    /** The lease of a host that was reported is renewed again. */
+    LEASE_RENEWED_AGAIN(3319, Level.INFO, "lease of host {} renewed again in term {} after {} ms"),
+    /** A run is still tracked although its job is finished. */
+    FINISHED_JOB_RUN_TRACKED(
+            3320, Level.WARN, "run {} on host {} still tracked {} ms after the end of its job ({}): {}"),
+    /** The host has not confirmed the start of a run in time. */
+    START_NOT_CONFIRMED(3321, Level.WARN, "start of run {} on host {} not confirmed for {} ms: {}"),
+    /** A termination is known, but not committed in time. */
+    TERMINATION_NOT_COMMITTED(3322, Level.WARN, "termination of run {} on host {} known, but not committed for {} ms"),
+    /** The replicated state contains a run that the leader does not track. */
+    ACTIVE_RUN_NOT_TRACKED(3323, Level.WARN, "active run {} on host {} not tracked by the leader of term {} for {} ms"),
+    /** The outcome of a batch is not known in time. */
+    BATCH_NOT_FINISHED(3324, Level.WARN, "batch of {} workflow commands of the leader of term {} in flight for {} ms"),
+    /** The loop or its timer stands still. */
+    LOOP_STOOD_STILL(
+            3325, Level.WARN, "workflow loop without an iteration for {} ms and a tick for {} ms in term {}: {}"),
+    /** No thread of the process ran. */
+    PROCESS_STOOD_STILL(3326, Level.WARN, "this process stood still for {} ms"),
+    /** The leader decided to stop a run. */
+    STOP_REQUESTED(3327, Level.INFO, "stop of run {} on host {} requested: {}");
 
     private final int number;
 
@@ -70,9 +95,22 @@
     @Override
     public int linesPerSecond() {
         return switch (this) {
-            case JOB_ACCEPTED, JOB_CANCELLED, JOB_REJECTED, RUN_STARTED, RUN_ENDED, RUN_MIGRATED, HOST_JOINED ->
-                LineBudget.JOB_LIFE;
-            case COMMAND_FAILED -> LineBudget.DETAIL;
+            case JOB_ACCEPTED,
+                    JOB_CANCELLED,
+                    JOB_REJECTED,
+                    RUN_STARTED,
+                    RUN_ENDED,
+                    RUN_MIGRATED,
+                    HOST_JOINED,
+                    STOP_REQUESTED -> LineBudget.JOB_LIFE;
+            case COMMAND_FAILED,
+                    LEASE_OVERDUE,
+                    LEASE_OVERDUE_EXPIRED,
+                    LEASE_RENEWED_AGAIN,
+                    FINISHED_JOB_RUN_TRACKED,
+                    START_NOT_CONFIRMED,
+                    TERMINATION_NOT_COMMITTED,
+                    ACTIVE_RUN_NOT_TRACKED -> LineBudget.DETAIL;
             default -> LogEvent.super.linesPerSecond();
         };
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -94,6 +94,9 @@
             for (ActiveRun run : allocations.runs()) {
                 session.trackInheritedRun(run, isBestEffort(state, run), nowNanos);
                 leadership.hostIdsByRun.put(run.run(), allocations.host().id());
+                metrics.diagnostics()
+                        .runs()
+                        .runTracked(run.run(), allocations.host().id());
                 leadership.stopIfUnneeded(state, run);
             }
         }
@@ -177,6 +180,7 @@
                     .isPresent();
             if (stalled) {
                 session.requestStop(usage.run());
+                metrics.diagnostics().runs().stopRequested(usage.run(), StopReason.STALLED);
                 failureBackoff.recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
             }
         }
@@ -273,7 +277,7 @@
 
     private void migrate(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MIGRATED, run.run(), run.host().id());
-        stop(run);
+        stop(run, StopReason.MIGRATED);
     }
 
     private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
@@ -356,6 +360,7 @@
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
         hostIdsByRun.put(run.run(), run.host().id());
+        metrics.diagnostics().runs().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
         stopIfUnneeded(state, run);
     }
@@ -399,12 +404,13 @@
 
     /** Stops all runs of a finished job. */
     void stopRuns(Job job) {
+        metrics.diagnostics().runs().jobFinished(job.id(), job.phase());
         for (StepProgress step : job.steps()) {
             if (step.activeRunCount() == 0) {
                 continue;
             }
             for (int index = 0; index < step.specification().taskCount(); index++) {
-                step.task(index).activeRuns().forEach(this::stop);
+                step.task(index).activeRuns().forEach(run -> stop(run, StopReason.ofFinishedJob(job.phase())));
             }
         }
     }
@@ -416,14 +422,15 @@
                 .filter(step -> !step.task(run.run().task().index()).isDone())
                 .isPresent();
         if (!needed) {
-            stop(run);
+            stop(run, StopReason.ofUnneeded(state, run.run()));
         }
     }
 
-    private void stop(ActiveRun run) {
+    private void stop(ActiveRun run, StopReason reason) {
         HostSession session = sessions.get(run.host().id());
         if (session != null) {
             session.requestStop(run.run());
+            metrics.diagnostics().runs().stopRequested(run.run(), reason);
             markHostChanged(run.host().id());
         }
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -209,6 +209,7 @@
             ticks++;
             if (ticks % TICKS_PER_SUMMARY == 0) {
                 logLoad();
+                inspect();
                 metrics.logSummary(log.isReadyLeader(), log.term());
             }
         } catch (RuntimeException exception) {
@@ -300,7 +301,7 @@
         if (closed || !log.isReadyLeader()) {
             return;
         }
-        long startNanos = time.nanoTime();
+        long startNanos = metrics.loopRunStartNanos();
         try {
             proposeBatch();
             sendDueCommands();
@@ -327,6 +328,24 @@
         }
     }
 
+    /** Looks for whatever takes too long, and logs it. */
+    private void inspect() {
+        WorkflowLeadership current = leadership;
+        List<Runnable> logLines = new ArrayList<>();
+        withLock(LoopStage.REQUEST, state -> {
+            LeaderDiagnostics diagnostics = metrics.diagnostics();
+            if (current == null || !log.isReadyLeader()) {
+                diagnostics.doesNotLead();
+            } else if (current == leadership) {
+                diagnostics.activity().leads(current.term());
+                logLines.addAll(diagnostics.inspect(state, current.term(), current.sessions(), timings.lease()));
+            }
+            return diagnostics;
+        });
+        metrics.diagnostics().logStops();
+        logLines.forEach(Runnable::run);
+    }
+
     /** Applies an update if the expected leadership is still the current one; drops it otherwise. */
     private void withLeadership(
             LoopStage stage, WorkflowLeadership expected, BiConsumer<WorkflowState, WorkflowLeadership> update) {
@@ -358,7 +377,10 @@
     private void batchFinished(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
         if (failure != null) {
             LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
-            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.batchFailed(batch));
+            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
+                metrics.batchFailed();
+                current.batchFailed(batch);
+            });
             return;
         }
         List<Runnable> logLines = new ArrayList<>();
@@ -448,8 +470,9 @@
         }
         WorkflowLeadership current = leadership;
         if (current == null || current.term() != term) {
-            current = WorkflowLeadership.takeOver(state, term, timings, metrics, time.nanoTime());
             metrics.resetForNewTerm();
+            current = WorkflowLeadership.takeOver(state, term, timings, metrics, time.nanoTime());
+            metrics.diagnostics().activity().leads(term);
             LOG.log(WorkflowEvent.LEADERSHIP_STARTED, term, current.sessions().size());
             leadership = current;
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostIncarnation;
@@ -622,4 +623,33 @@
         TrackedRun tracked = runs.get(run);
         return tracked == null ? Optional.empty() : Optional.ofNullable(tracked.evidence);
     }
+
+    /**
+     * Returns what this session knows of the host and waits for.
+     *
+     * @param nowNanos the monotonic time
+     * @return the status, for logs and metrics only, never null
+     */
+    public HostSessionStatus status(long nowNanos) {
+        return new HostSessionStatus(
+                host,
+                runs.size(),
+                lease.canBeRenewed(),
+                pollInFlight,
+                liveness.isUnresponsive(),
+                terminationTracker.uncommittedCount(),
+                TimeUnit.NANOSECONDS.toMillis(nextPollNanos - nowNanos),
+                liveness.heartbeatAgeMillis(nowNanos),
+                liveness.responseAgeMillis(nowNanos),
+                isIncarnationTerminated(nowNanos) ? Optional.of(liveness.terminationEvidence()) : Optional.empty());
+    }
+
+    /**
+     * Returns what this session knows of each run that may be active on the host.
+     *
+     * @return the runs in the order in which they were tracked, for logs only, never null
+     */
+    public List<TrackedRunStatus> trackedRuns() {
+        return runs.values().stream().map(TrackedRun::status).toList();
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
@@ -50,4 +50,8 @@
     boolean hasUncommitted() {
         return !uncommitted.isEmpty();
     }
+
+    int uncommittedCount() {
+        return uncommitted.size();
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -241,4 +241,10 @@
         progressPercent = reported.progressPercent();
         load = reported.load();
     }
+
+    /** Returns the status, for logs only. */
+    TrackedRunStatus status() {
+        return new TrackedRunStatus(
+                activeRun.run(), stage.name(), stage == Stage.CONFIRMED, stopRequested, terminationFound);
+    }
 }
