--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -102,6 +102,9 @@
             for (ActiveRun run : allocations.runs()) {
                 session.trackInheritedRun(run, isBestEffort(state, run), nowNanos);
                 leadership.hostIdsByRun.put(run.run(), allocations.host().id());
+                metrics.diagnostics()
+                        .runs()
+                        .runTracked(run.run(), allocations.host().id());
                 leadership.stopIfUnneeded(state, run);
             }
         }
@@ -185,6 +188,7 @@
                     .isPresent();
             if (stalled) {
                 session.requestStop(usage.run());
+                metrics.diagnostics().runs().stopRequested(usage.run(), StopReason.STALLED);
                 failureBackoff.recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
             }
         }
@@ -288,7 +292,7 @@
 
     private void migrate(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MIGRATED, run.run(), run.host().id());
-        stop(run);
+        stop(run, StopReason.MIGRATED);
     }
 
     private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
@@ -384,6 +388,7 @@
             session.setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
         hostIdsByRun.put(run.run(), run.host().id());
+        metrics.diagnostics().runs().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
         stopIfUnneeded(state, run);
     }
@@ -427,12 +432,13 @@
 
     /** Stops all runs of a finished job. */
     void stopRuns(Job job) {
+        metrics.diagnostics().runs().jobFinished(job.id(), job.phase());
         for (StepProgress step : job.steps()) {
             if (step.activeRunCount() == 0) {
                 continue;
             }
             for (int index = 0; index < step.specification().taskCount(); index++) {
-                step.task(index).activeRuns().forEach(this::stop);
+                step.task(index).activeRuns().forEach(run -> stop(run, StopReason.ofFinishedJob(job.phase())));
             }
         }
     }
@@ -444,14 +450,15 @@
                 .filter(step -> !step.task(run.run().task().index()).isDone())
                 .isPresent();
         if (!needed) {
-            stop(run);
+            stop(run, StopReason.ofUnneeded(state, run.run()));
         }
     }
 
-    private void stop(ActiveRun run) {
+    private void stop(ActiveRun run, StopReason reason) {
         HostSession session = sessions.get(run.host().id());
         if (session != null) {
             session.requestStop(run.run());
+            metrics.diagnostics().runs().stopRequested(run.run(), reason);
             markHostChanged(run.host().id());
         }
     }
