Remove voters that have been unreachable for ten seconds from a group that others join

Cause: a host that replaces another one joins with a new id and gets a vote, and nobody removed the one that is gone. Ruled out: a voter's disk that is not readmitted (all five were listed and answered), a lost log entry. Why the fix works: the leader of a group whose members join by themselves removes the voter that has not responded for longest, one at a time, once it has been silent for ten seconds and enough voters remain for the losses that the group has to bear. The removal needs a quorum of the remaining voters, so a leader that is cut off removes nobody. A voter that was only unreachable knows no leader when it comes back, asks to be taken in, and catches up as a learner first.

--- a/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
+++ b/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
@@ -15,7 +15,8 @@
  * Asks the group to take a member in that it does not list.
  *
  * <p>Goes on until the member finds itself in the membership: a learner first, which gets its vote when it has caught up. A
- * member whose folder was emptied is still listed and is only found again. Thread-safe.
+ * member whose folder was emptied is still listed and is only found again. A member that knows no leader asks as well: it
+ * may have been removed while it was unreachable, which it cannot see in its own log. Thread-safe.
  */
 public final class GroupJoin implements AutoCloseable {
     /** How often the member asks. */
@@ -73,7 +74,8 @@
     }
 
     private void attempt() {
-        if (isListed()) {
+        boolean listed = isListed();
+        if (listed && node.leader().isPresent()) {
             scheduleNext();
             return;
         }
@@ -86,6 +88,10 @@
                 .setMembershipRequest(MembershipRequest.newBuilder().setAdd(add))
                 .build();
         gateway.callLeader(request, true, TIMEOUT).whenComplete((response, failure) -> {
+            if (listed) {
+                scheduleNext();
+                return;
+            }
             if (failure == null) {
                 LOG.log(ConsensusEvent.JOIN_ACCEPTED, self.id());
             } else {
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -0,0 +1,88 @@
+package org.nettlering.control.consensus;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.MemberId;
+import org.nettlering.domain.time.TimeSource;
+import org.nettlering.runtime.log.EventLogger;
+
+/**
+ * Removes voters that have been unreachable for long from the group, one at a time, while this member leads.
+ *
+ * <p>A removal takes effect only if a quorum of the remaining voters responds, so a leader that is cut off removes nobody.
+ * Thread-safe.
+ */
+public final class VoterRemoval implements AutoCloseable {
+    private static final Duration CHECK_INTERVAL = Duration.ofSeconds(1);
+
+    private static final Duration REMOVAL_TIMEOUT = Duration.ofSeconds(5);
+
+    private static final EventLogger LOG = EventLogger.of(VoterRemoval.class);
+
+    private final ConsensusNode node;
+
+    private final UnreachableVoters unreachableVoters;
+
+    private final TimeSource time;
+
+    private volatile TimeSource.@Nullable Timer timer;
+
+    private volatile boolean closed;
+
+    /**
+     * Starts checking.
+     *
+     * @param node the member of this process, not null
+     * @param toleratedLosses the number of disks that may be lost at once, at least zero
+     * @param time sets the timers, not null
+     * @return the running checks, never null
+     */
+    public static VoterRemoval start(ConsensusNode node, int toleratedLosses, TimeSource time) {
+        VoterRemoval removal = new VoterRemoval(node, UnreachableVoters.bearing(toleratedLosses), time);
+        removal.scheduleNext();
+        return removal;
+    }
+
+    private VoterRemoval(ConsensusNode node, UnreachableVoters unreachableVoters, TimeSource time) {
+        this.node = node;
+        this.unreachableVoters = unreachableVoters;
+        this.time = time;
+    }
+
+    private void scheduleNext() {
+        if (!closed) {
+            timer = time.schedule(CHECK_INTERVAL, this::check);
+        }
+    }
+
+    private void check() {
+        node.status().flatMap(unreachableVoters::findRemovable).ifPresentOrElse(this::remove, this::scheduleNext);
+    }
+
+    private void remove(MemberId voter) {
+        LOG.log(
+                ConsensusEvent.VOTER_REMOVED,
+                voter,
+                unreachableVoters.removalDelay().toMillis());
+        node.removeMember(voter)
+                .orTimeout(REMOVAL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((removed, failure) -> {
+                    if (failure != null) {
+                        LOG.log(ConsensusEvent.VOTER_KEPT, voter, String.valueOf(failure.getMessage()));
+                    }
+                    scheduleNext();
+                });
+    }
+
+    /** Ends the checks. */
+    @Override
+    public void close() {
+        closed = true;
+        TimeSource.Timer pending = timer;
+        if (pending != null) {
+            pending.cancel();
+        }
+    }
+}
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -29,6 +29,7 @@
 import org.nettlering.control.consensus.MembershipService;
 import org.nettlering.control.consensus.PeerConsensusTransport;
 import org.nettlering.control.consensus.ReplicatedCommandLog;
+import org.nettlering.control.consensus.VoterRemoval;
 import org.nettlering.control.ledger.LedgerService;
 import org.nettlering.control.log.CommandLog;
 import org.nettlering.control.metrics.ControlMetrics;
@@ -36,6 +37,7 @@
 import org.nettlering.control.service.FrameDispatcher;
 import org.nettlering.control.service.LeaderHintHandler;
 import org.nettlering.control.settings.ControlSettings;
+import org.nettlering.control.settings.GroupStart;
 import org.nettlering.control.task.TaskEvents;
 import org.nettlering.control.task.TaskService;
 import org.nettlering.control.trace.TracingFrameHandler;
@@ -118,6 +120,9 @@
     /** Asks the group to take this member in, or null if only operators add members. */
     private final @Nullable GroupJoin join;
 
+    /** Removes voters that are gone from the group, or null if only operators do. */
+    private final @Nullable VoterRemoval voterRemoval;
+
     /** Accepts connections. */
     private final NettyPeerServer server;
 
@@ -231,7 +236,9 @@
         ControlMetrics.register(metrics.registry(), node, parts.configuration().state());
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
-        join = settings.groupStart().joins() ? GroupJoin.start(node, self(self, settings), others, time) : null;
+        GroupStart groupStart = settings.groupStart();
+        join = groupStart.joins() ? GroupJoin.start(node, self(self, settings), others, time) : null;
+        voterRemoval = groupStart.joins() ? VoterRemoval.start(node, groupStart.toleratedLosses(), time) : null;
     }
 
     private static Member self(MemberId id, ControlSettings settings) {
@@ -288,6 +295,9 @@
         if (join != null) {
             join.close();
         }
+        if (voterRemoval != null) {
+            voterRemoval.close();
+        }
         handLeadershipOver();
         metricsServer.close();
         server.close();
--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -43,6 +43,11 @@
 
     private static final String GROUP = "group";
 
+    private static final int DEFAULT_TOLERATED_LOSSES = 1;
+
+    /** A group of as many voters as this needs, twice as many and one, would be slow to agree. */
+    private static final int MAX_TOLERATED_LOSSES = 4;
+
     private static final String HOSTS = "hosts";
 
     /** The failure domain of a member that the settings tell only the address of. */
@@ -89,11 +94,26 @@
                 Path.of(reader.text("storage", "data_folder")),
                 seeded ? seeds(reader, peersAddress.getPort()) : members(reader),
                 advertised(reader),
-                seeded ? new GroupStart(reader.flag(GROUP, "found", false), true) : new GroupStart(true, false),
+                seeded ? seededStart(reader) : new GroupStart(true, false, DEFAULT_TOLERATED_LOSSES),
                 hostLimits(reader),
                 TelemetrySettings.read(reader));
     }
 
+    private static GroupStart seededStart(SettingsReader reader) {
+        return new GroupStart(reader.flag(GROUP, "found", false), true, toleratedLosses(reader));
+    }
+
+    private static int toleratedLosses(SettingsReader reader) {
+        String text = reader.text(GROUP, "tolerated_losses", String.valueOf(DEFAULT_TOLERATED_LOSSES))
+                .strip();
+        if (!text.matches("[0-" + MAX_TOLERATED_LOSSES + "]")) {
+            reader.fault(
+                    GROUP, "tolerated_losses", "\"" + text + "\" is no whole number from 0 to " + MAX_TOLERATED_LOSSES);
+            return DEFAULT_TOLERATED_LOSSES;
+        }
+        return Integer.parseInt(text);
+    }
+
     /** Reads members of which only addresses are told: each is named after its IP and listens for peers on our port. */
     private static Map<String, ControlMember> seeds(SettingsReader reader, int peersPort) {
         Map<String, ControlMember> members = new LinkedHashMap<>();
--- a/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
+++ b/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
@@ -63,7 +63,7 @@
                 folder.resolve("data"),
                 Map.of("c1", new ControlMember("c1", new InetSocketAddress(ANY_PORT.getAddress(), 1), "fd-1")),
                 Map.of(),
-                new GroupStart(true, false),
+                new GroupStart(true, false, 1),
                 new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofSeconds(1)),
                 TelemetrySettings.NONE);
         control = ControlProcess.start(
