Do not tell that a request was not run after an attempt of unknown outcome

A caller of a job could be told 503, which says that the job never runs, although the job ran. The gateway repeats an idempotent request at another member when an attempt has no response; when that member refused the repetition as overloaded, the refusal was passed on as it is, and it says that the request certainly had no effect. That holds for the last attempt alone.

Seen by reading; the test sends a request whose first attempt has an unknown outcome and whose second is refused with OVERLOADED. Before the change it said: expected OUTCOME_UNKNOWN, but was OVERLOADED. Refusals that depend on the request itself or that the log decided on are passed on as before: they hold for each attempt, or are ordered behind the earlier one. NO_LEADER and its like were right already.

--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -176,7 +176,7 @@
             boolean notRun = FrameFailureException.isNotRun(error);
             possiblyRun |= !notRun;
             if (!(error instanceof NettleringException exception) || !isWorthAnotherMember(exception.code())) {
-                result.completeExceptionally(error);
+                refuse(error);
                 return;
             }
             if (!notRun && !repeatable) {
@@ -214,6 +214,17 @@
             };
         }
 
+        /** Passes a refusal on, unless it tells of the last attempt alone while an earlier one may have taken effect. */
+        private void refuse(Throwable error) {
+            boolean attemptAlone =
+                    error instanceof NettleringException exception && exception.code() == ErrorCode.OVERLOADED;
+            if (possiblyRun && attemptAlone) {
+                giveUp(error);
+                return;
+            }
+            result.completeExceptionally(error);
+        }
+
         private void giveUp(@Nullable Throwable cause) {
             String reason = cause == null ? "the timeout passed" : String.valueOf(cause.getMessage());
             if (possiblyRun) {
--- a/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
@@ -84,6 +84,22 @@
         assertThat(asked).containsExactly("c1");
     }
 
+    @Test
+    void aMemberThatIsOverloadedDoesNotProveThatAnEarlierAttemptHadNoEffect() {
+        behave("c1", () -> failing(new NettleringException(ErrorCode.OUTCOME_UNKNOWN, "no response")));
+        behave("c2", () -> failing(new NettleringException(ErrorCode.OVERLOADED, "too many calls are pending")));
+
+        assertThat(codeOf(call(gateway(), true))).isEqualTo(ErrorCode.OUTCOME_UNKNOWN);
+        assertThat(asked).containsExactly("c1", "c2");
+    }
+
+    @Test
+    void aMemberThatIsOverloadedAtTheFirstAttemptTellsThatTheRequestHadNoEffect() {
+        behave("c1", () -> failing(new NettleringException(ErrorCode.OVERLOADED, "too many calls are pending")));
+
+        assertThat(codeOf(call(gateway(), true))).isEqualTo(ErrorCode.OVERLOADED);
+    }
+
     @Test
     void membersThatRedirectToEachOtherDoNotLoopWithoutWaiting() {
         behave("c1", () -> failing(FrameFailureException.notLeader("c2")));
