Keep the connection when a handler refuses one message

A message that no handler understood, such as one for another member, closed the connection that it came on, and every call that waited on that connection ended with an unknown outcome. An exception of the handler of messages left the channel's handler, which closes the channel for anything that is thrown.

The test has a handler that throws at a message while an earlier call waits. Before the change the call failed with "the peer closed the connection; the request may have taken effect". Requests were not affected: their exceptions become failures already.

--- a/wire/src/main/java/org/nettlering/wire/transport/WireEvent.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/WireEvent.java
@@ -28,7 +28,9 @@
     /** A caller's connection went quiet and was closed. */
     SILENT_CALLER(2011, Level.INFO, "connection from {} has been silent for {} ms and is closed"),
     /** This process was refused by a peer of another cluster or version. */
-    REFUSED_BY_PEER(2012, Level.ERROR, "peer {} at {} refused this process: {}");
+    REFUSED_BY_PEER(2012, Level.ERROR, "peer {} at {} refused this process: {}"),
+    /** A message was not understood; its connection stays. */
+    MESSAGE_DROPPED(2013, Level.WARN, "dropped a message from {}: {}");
 
     /** The number of the event. */
     private final int number;
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
@@ -98,7 +98,7 @@
             return;
         }
         if (frame.getCorrelationId() == 0) {
-            handler.handleMessage(frame);
+            pass(frame);
             return;
         }
         request(context, frame);
@@ -158,6 +158,15 @@
                 }));
     }
 
+    /** Passes a message on; one that the handler refuses is dropped, as other frames need the connection. */
+    private void pass(Frame message) {
+        try {
+            handler.handleMessage(message);
+        } catch (RuntimeException exception) {
+            LOG.log(WireEvent.MESSAGE_DROPPED, caller, String.valueOf(exception.getMessage()));
+        }
+    }
+
     private CompletionStage<Frame> ask(Frame frame) {
         try {
             return handler.handleRequest(frame);
--- a/wire/src/test/java/org/nettlering/wire/transport/PeerNetworkTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/PeerNetworkTest.java
@@ -108,6 +108,34 @@
         assertThat(get(first).getTraceparent()).isEqualTo("first");
     }
 
+    @Test
+    void aMessageThatTheHandlerRefusesDoesNotEndTheCallsOfTheSameConnection() throws Exception {
+        CompletableFuture<Frame> held = new CompletableFuture<>();
+        FrameHandler refusing = new Echo() {
+            @Override
+            public CompletionStage<Frame> handleRequest(Frame request) {
+                return request.getTraceparent().equals("held")
+                        ? held.thenApply(ignored -> request)
+                        : CompletableFuture.completedFuture(request);
+            }
+
+            @Override
+            public void handleMessage(Frame message) {
+                throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "a message for another member");
+            }
+        };
+        NettyPeerServer server =
+                network("site", "c1", TransportLimits.defaults()).listen(ANY_PORT, refusing);
+        NettyPeer peer = network("site", "e1", TransportLimits.defaults()).peer("c1", server.address());
+        CompletionStage<Frame> earlier = peer.call(request("held"), TIMEOUT);
+
+        peer.send(request("refused"));
+
+        assertThat(get(peer.call(request("later"), TIMEOUT)).getTraceparent()).isEqualTo("later");
+        held.complete(Frame.getDefaultInstance());
+        assertThat(get(earlier).getTraceparent()).isEqualTo("held");
+    }
+
     private PeerNetwork network(String clusterId, String processId, TransportLimits limits) {
         PeerNetwork network = PeerNetwork.create(new ClusterIdentity(clusterId, processId, "fd-1"), limits, time);
         networks.add(network);
