Refuse a member whose address cannot be read

One malformed request to add a member could end the whole group for good. Its address went into the log unread unless it was blank; each member then parsed it when it sent its next message to the new member, and the exception left the replicated log in the midst of its actions: the member went on ticking, but sent nothing and completed nothing any more. The next leader did the same, and so did each member after a restart, as the membership is in the log.

The service now reads the address before the proposal. A member that is in a log already with such an address has no connection instead of an exception: what is meant for it is dropped, as for a member that cannot be reached, and it can be removed. The operator's program always checked the address; other callers of the port for operators, and members that ask to join, were not checked.

MembershipServiceTest's new test failed before the change: the request with the address "control-2" completed. A refusal is now also a failed response where the request names no member, which was an exception to the caller.

--- a/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
+++ b/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
@@ -14,6 +14,7 @@
 import org.nettlering.control.log.FrameService;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
+import org.nettlering.runtime.settings.Addresses;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.MembershipProto.AddMember;
 import org.nettlering.wire.proto.MembershipProto.MemberStatus;
@@ -46,11 +47,15 @@
 
     @Override
     public CompletionStage<Frame> handle(Frame request) {
-        return change(request.getMembershipRequest())
-                .thenApply(done -> Frame.newBuilder()
-                        .setCorrelationId(request.getCorrelationId())
-                        .setMembershipResponse(describe())
-                        .build());
+        try {
+            return change(request.getMembershipRequest())
+                    .thenApply(done -> Frame.newBuilder()
+                            .setCorrelationId(request.getCorrelationId())
+                            .setMembershipResponse(describe())
+                            .build());
+        } catch (NettleringException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
     }
 
     private CompletableFuture<Void> change(MembershipRequest request) {
@@ -68,11 +73,12 @@
         };
     }
 
+    /** Checks the member before it reaches the log, from where all members would try to connect to it. */
     private CompletableFuture<Void> add(AddMember request) {
-        if (request.getAddress().isBlank() || request.getFailureDomain().isBlank()) {
-            return CompletableFuture.failedFuture(new NettleringException(
-                    ErrorCode.INVALID_ARGUMENT, "a member needs an address and a failure domain"));
+        if (request.getFailureDomain().isBlank()) {
+            throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "a member needs a failure domain");
         }
+        Addresses.parse(request.getAddress());
         return node.addMember(
                 Member.learner(MemberId.of(request.getMemberId()), request.getAddress(), request.getFailureDomain()));
     }
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -54,7 +54,6 @@
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.ControlGateway;
 import org.nettlering.wire.transport.LeaderControlGateway;
-import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
 import org.nettlering.wire.transport.TransportCounters;
@@ -183,7 +182,7 @@
         SiteParts parts =
                 SiteParts.create(WorkflowStateMachine.withLockTiming(time::nanoTime, measures::recordLockWait));
         PeerConsensusTransport transport =
-                PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, this::openPeer));
+                PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, network::peer));
         LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
         ConsensusPorts ports = new ConsensusPorts(
                 time,
@@ -315,13 +314,6 @@
                         .findFirst());
     }
 
-    private NettyPeer openPeer(String id, String address) {
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress socketAddress =
-                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-        return network.peer(id, socketAddress);
-    }
-
     private static List<Member> initialMembers(ControlSettings settings) {
         return settings.members().values().stream()
                 .map(member -> new Member(
--- a/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
@@ -83,6 +83,15 @@
         assertThat(ask(add(""))).isCompletedExceptionally();
     }
 
+    @Test
+    void aMemberWhoseAddressCannotBeReadIsRefused() {
+        member.lead();
+
+        assertThat(ask(add("control-2"))).isCompletedExceptionally();
+        assertThat(ask(add("127.0.0.1:port"))).isCompletedExceptionally();
+        assertThat(ask(add("control-2:7000"))).isCompletedExceptionally();
+    }
+
     @Test
     void theLeaderIsNotRemoved() {
         member.lead();
