Refuse commands that no frame between the members holds

A job close to the largest body that an entry accepts could stop the replication. The request fits into a frame from the entry to the leader, but the entry of the log that it becomes has the queue's terms and the replication's own fields beside it. A message above the limit closes the connection at the follower, each time it is sent again, so that nothing behind it is replicated until another member leads, which gets the same job from the entry's next attempt.

The leader now refuses a command that leaves less than 64 KiB of a frame, before it is appended, with TOO_LARGE: it has certainly had no effect.

--- a/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ReplicatedCommandLog.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.MemberId;
@@ -10,6 +11,7 @@
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 import org.nettlering.wire.proto.CommandProto.SiteResult;
+import org.nettlering.wire.transport.TransportLimits;
 
 /**
  * The command log over the replicated log.
@@ -30,6 +32,9 @@
  * }</pre>
  */
 public final class ReplicatedCommandLog implements CommandLog {
+    /** The largest command: with the rest of its message it must fit into one frame between two members. */
+    static final int MAX_COMMAND_BYTES = TransportLimits.defaults().maxFrameBytes() - 64 * 1024;
+
     /** The member of this process. */
     private final ConsensusNode node;
 
@@ -49,7 +54,13 @@
 
     @Override
     public CompletionStage<SiteResult> propose(SiteCommand command) {
-        return node.propose(command.toByteArray()).thenApply(ReplicatedCommandLog::decode);
+        byte[] encoded = command.toByteArray();
+        if (encoded.length > MAX_COMMAND_BYTES) {
+            return CompletableFuture.failedFuture(new NettleringException(
+                    ErrorCode.TOO_LARGE,
+                    "a command of " + encoded.length + " bytes is larger than the maximum of " + MAX_COMMAND_BYTES));
+        }
+        return node.propose(encoded).thenApply(ReplicatedCommandLog::decode);
     }
 
     private static SiteResult decode(byte[] result) {
--- a/control/src/main/java/org/nettlering/control/log/CommandLog.java
+++ b/control/src/main/java/org/nettlering/control/log/CommandLog.java
@@ -14,7 +14,7 @@
     /**
      * Appends a command and waits until it was committed and applied here.
      *
-     * <p>Fails with {@code NOT_LEADER} when the command certainly was not appended, and with {@code OUTCOME_UNKNOWN} when
+     * <p>Fails with {@code NOT_LEADER} or {@code TOO_LARGE} when the command certainly was not appended, and with {@code OUTCOME_UNKNOWN} when
      * leadership was lost before the outcome was known.
      *
      * @param command the command, not null
