Keep reservations with long timeouts from ending the members

An exception while a command is applied stops the member.

The codec now writes the unsigned number that it reads, and cuts what no field holds: the remaining time of a lookup, which a leader's clock that is behind could bring above it.

--- a/wire/src/main/java/org/nettlering/wire/codec/LedgerCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/LedgerCodec.java
@@ -22,6 +22,8 @@
 
 /** Converts the ledger of non-idempotent requests between messages and domain values. Thread-safe. */
 public final class LedgerCodec {
+    private static final long MAX_UNSIGNED_MILLIS = 0xFFFF_FFFFL;
+
     private LedgerCodec() {}
 
     /**
@@ -55,7 +57,7 @@
                 .setEntryId(reservation.entryId())
                 .setAttemptId(reservation.attemptId())
                 .setTimeUnixMillis(reservation.time().toEpochMilli())
-                .setTimeoutMillis(Math.toIntExact(reservation.timeout().toMillis()))
+                .setTimeoutMillis(toUnsignedMillis(reservation.timeout()))
                 .build();
     }
 
@@ -120,7 +122,7 @@
                 builder.setState(ReservationState.IN_FLIGHT)
                         .setHolderEntryId(entryId)
                         .setHolderAttemptId(attemptId)
-                        .setRemainingMillis(Math.toIntExact(remaining.toMillis()))
+                        .setRemainingMillis(toUnsignedMillis(remaining))
                         .build();
             case LedgerResult.Completed(StoredResponse answer) ->
                 builder.setState(ReservationState.KEPT_ANSWER)
@@ -228,6 +230,11 @@
         return builder.build();
     }
 
+    /** Returns a duration as the unsigned number of a message, at most as many milliseconds as it holds. */
+    private static int toUnsignedMillis(Duration duration) {
+        return (int) Math.min(duration.toMillis(), MAX_UNSIGNED_MILLIS);
+    }
+
     private static StoredResponse toAnswer(RequestProto.KeptAnswer message) {
         var headers = message.getHeadersList().stream()
                 .map(header -> new StoredHeader(header.getName(), header.getValue()))
