Count a suspension of the host towards the age of announcements

An entry whose host had been suspended went on sending requests to upstreams that had left meanwhile, until their announcements expired by its own steady clock, up to 2.5 s after it came back, and it passed such announcements on to other entries as fresh. The steady clock stands still while a host is suspended; the time of day does not. Announcements now expire by whichever of the two clocks says so first, as the configuration of the entry does. If the time of day jumps forward, upstreams are unknown until they announce themselves again, each second.

The newest sequence of an upstream is still kept by the steady clock alone, so that a suspension does not make an entry forget that an upstream has left; the fourth new test holds that, which was right before. The other three failed before the change: the upstream was still served, and the age passed to peers left the suspension out.

--- a/domain/src/main/java/org/nettlering/domain/time/TimeMark.java
+++ b/domain/src/main/java/org/nettlering/domain/time/TimeMark.java
@@ -40,6 +40,40 @@
         return time.nanoTime() - nanos < period.toNanos() && time.millis() - millis < period.toMillis();
     }
 
+    /**
+     * Returns the moment that was a given time before this one.
+     *
+     * @param age the time between the two, not negative, not null
+     * @return the earlier moment, never null
+     */
+    public TimeMark before(Duration age) {
+        return new TimeMark(nanos - age.toNanos(), millis - age.toMillis());
+    }
+
+    /**
+     * Returns how long ago this moment was, by the clock by which it was longer ago.
+     *
+     * @param time the clocks of the same process, not null
+     * @return the time that has passed, never null
+     */
+    public Duration elapsed(TimeSource time) {
+        Duration bySteadyClock = Duration.ofNanos(time.nanoTime() - nanos);
+        Duration byTimeOfDay = Duration.ofMillis(time.millis() - millis);
+        return bySteadyClock.compareTo(byTimeOfDay) > 0 ? bySteadyClock : byTimeOfDay;
+    }
+
+    /**
+     * Returns whether less than a period has passed since this moment by the steady clock, on which a suspension of the host
+     * does not count. For what must not be forgotten too early.
+     *
+     * @param period the period, not null
+     * @param time the clocks of the same process, not null
+     * @return true if the period is not over
+     */
+    public boolean isWithinSteady(Duration period, TimeSource time) {
+        return time.nanoTime() - nanos < period.toNanos();
+    }
+
     /**
      * Returns whether this moment is after another one, by the steady clock.
      *
--- a/domain/src/main/java/org/nettlering/domain/upstream/UpstreamDirectory.java
+++ b/domain/src/main/java/org/nettlering/domain/upstream/UpstreamDirectory.java
@@ -9,13 +9,14 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.ReentrantLock;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.time.TimeMark;
 import org.nettlering.domain.time.TimeSource;
 
 /**
  * The upstreams that one entry knows from their announcements.
  *
  * <p>An announcement expires {@link #ANNOUNCEMENT_LIFETIME} after the upstream made it, so that an upstream that
- * failed, or that is partitioned from this entry, is removed without a message. The newest incarnation and sequence are
+ * failed, or that is partitioned from this entry, is removed without a message; a suspension of this host counts. The newest incarnation and sequence are
  * retained until the announcement is {@link #SEQUENCE_RETENTION} old, so that a delayed announcement does not restore
  * an upstream. Thread-safe: the state is sharded by service, and each shard has its own lock.
  */
@@ -62,7 +63,7 @@
      * @return the upstreams, ordered by name of the instance, never null
      */
     public List<UpstreamAnnouncement> serving(String service) {
-        return shard(service).serving(service, time.nanoTime());
+        return shard(service).serving(service, time);
     }
 
     /**
@@ -72,11 +73,10 @@
      * @return the announcements that have not expired, and the current version, never null
      */
     public DirectoryChanges changesSince(long knownVersion) {
-        long now = time.nanoTime();
         long current = version.get();
         List<AgedAnnouncement> changes = new ArrayList<>();
         for (Shard shard : shards) {
-            shard.collectChanges(knownVersion, now, changes);
+            shard.collectChanges(knownVersion, time, changes);
         }
         return new DirectoryChanges(current, changes);
     }
@@ -88,7 +88,7 @@
      * @return the result, never null
      */
     public AnnouncementResult acceptDirect(UpstreamAnnouncement announcement) {
-        return shard(announcement.service()).accept(announcement, time.nanoTime(), version);
+        return shard(announcement.service()).accept(announcement, TimeMark.now(time), version);
     }
 
     /**
@@ -101,15 +101,14 @@
         if (aged.age().compareTo(ANNOUNCEMENT_LIFETIME) >= 0) {
             return AnnouncementResult.EXPIRED;
         }
-        long announcedNanos = time.nanoTime() - aged.age().toNanos();
-        return shard(aged.announcement().service()).accept(aged.announcement(), announcedNanos, null);
+        TimeMark announcedAt = TimeMark.now(time).before(aged.age());
+        return shard(aged.announcement().service()).accept(aged.announcement(), announcedAt, null);
     }
 
     /** Removes the instances whose newest announcement is at least {@link #SEQUENCE_RETENTION} old. */
     public void removeExpired() {
-        long now = time.nanoTime();
         for (Shard shard : shards) {
-            shard.removeExpired(now);
+            shard.removeExpired(time);
         }
     }
 
@@ -118,9 +117,9 @@
     }
 
     /** The newest announcement of an instance; the direct version is zero if a peer forwarded the announcement. */
-    private record DirectoryEntry(UpstreamAnnouncement announcement, long announcedNanos, long directVersion) {
-        boolean isFresh(long now) {
-            return now - announcedNanos < ANNOUNCEMENT_LIFETIME.toNanos();
+    private record DirectoryEntry(UpstreamAnnouncement announcement, TimeMark announcedAt, long directVersion) {
+        boolean isFresh(TimeSource time) {
+            return announcedAt.isWithin(ANNOUNCEMENT_LIFETIME, time);
         }
     }
 
@@ -138,7 +137,7 @@
         private int instances;
 
         AnnouncementResult accept(
-                UpstreamAnnouncement announcement, long announcedNanos, @Nullable AtomicLong version) {
+                UpstreamAnnouncement announcement, TimeMark announcedAt, @Nullable AtomicLong version) {
             lock.lock();
             try {
                 Map<String, DirectoryEntry> entries =
@@ -154,18 +153,18 @@
                     instances++;
                 }
                 long directVersion = version == null ? 0L : version.incrementAndGet();
-                entries.put(announcement.instance(), new DirectoryEntry(announcement, announcedNanos, directVersion));
+                entries.put(announcement.instance(), new DirectoryEntry(announcement, announcedAt, directVersion));
                 return AnnouncementResult.ACCEPTED;
             } finally {
                 lock.unlock();
             }
         }
 
-        List<UpstreamAnnouncement> serving(String service, long now) {
+        List<UpstreamAnnouncement> serving(String service, TimeSource time) {
             lock.lock();
             try {
                 return services.getOrDefault(service, Map.of()).values().stream()
-                        .filter(entry -> entry.isFresh(now))
+                        .filter(entry -> entry.isFresh(time))
                         .map(DirectoryEntry::announcement)
                         .filter(announcement -> announcement.state() == UpstreamState.SERVING)
                         .sorted(BY_INSTANCE)
@@ -175,26 +174,26 @@
             }
         }
 
-        void collectChanges(long knownVersion, long now, List<AgedAnnouncement> changes) {
+        void collectChanges(long knownVersion, TimeSource time, List<AgedAnnouncement> changes) {
             lock.lock();
             try {
                 services.values().stream()
                         .flatMap(entries -> entries.values().stream())
-                        .filter(entry -> entry.directVersion() > knownVersion && entry.isFresh(now))
+                        .filter(entry -> entry.directVersion() > knownVersion && entry.isFresh(time))
                         .map(entry -> new AgedAnnouncement(
-                                entry.announcement(), Duration.ofNanos(now - entry.announcedNanos())))
+                                entry.announcement(), entry.announcedAt().elapsed(time)))
                         .forEach(changes::add);
             } finally {
                 lock.unlock();
             }
         }
 
-        void removeExpired(long now) {
+        void removeExpired(TimeSource time) {
             lock.lock();
             try {
                 for (Map<String, DirectoryEntry> entries : services.values()) {
                     int before = entries.size();
-                    entries.values().removeIf(entry -> now - entry.announcedNanos() >= SEQUENCE_RETENTION.toNanos());
+                    entries.values().removeIf(entry -> !entry.announcedAt().isWithinSteady(SEQUENCE_RETENTION, time));
                     instances -= before - entries.size();
                 }
                 services.values().removeIf(Map::isEmpty);
--- a/domain/src/test/java/org/nettlering/domain/upstream/UpstreamDirectoryTest.java
+++ b/domain/src/test/java/org/nettlering/domain/upstream/UpstreamDirectoryTest.java
@@ -41,6 +41,44 @@
         assertThat(directory.serving("previews")).isEmpty();
     }
 
+    @Test
+    void anAnnouncementExpiresWhileTheHostOfTheEntryIsSuspended() {
+        directory.acceptDirect(announcement(UpstreamState.SERVING, 1, 1));
+        time.suspend(UpstreamDirectory.ANNOUNCEMENT_LIFETIME);
+
+        assertThat(directory.serving("previews")).isEmpty();
+        assertThat(directory.changesSince(0).announcements()).isEmpty();
+    }
+
+    @Test
+    void theAgePassedToAPeerIncludesASuspensionOfTheHost() {
+        directory.acceptDirect(announcement(UpstreamState.SERVING, 1, 1));
+        time.suspend(Duration.ofSeconds(2));
+
+        assertThat(directory.changesSince(0).announcements())
+                .singleElement()
+                .satisfies(aged -> assertThat(aged.age()).isGreaterThanOrEqualTo(Duration.ofSeconds(2)));
+    }
+
+    @Test
+    void anAnnouncementOfAPeerExpiresWhileTheHostOfTheEntryIsSuspended() {
+        directory.acceptFromPeer(
+                new AgedAnnouncement(announcement(UpstreamState.SERVING, 1, 1), Duration.ofSeconds(2)));
+        time.suspend(Duration.ofMillis(500));
+
+        assertThat(directory.serving("previews")).isEmpty();
+    }
+
+    @Test
+    void aLeavingInstanceIsNotRestoredAfterALongSuspension() {
+        directory.acceptDirect(announcement(UpstreamState.LEAVING, 1, 5));
+        time.suspend(UpstreamDirectory.SEQUENCE_RETENTION.multipliedBy(2));
+        directory.removeExpired();
+
+        assertThat(directory.acceptDirect(announcement(UpstreamState.SERVING, 1, 4)))
+                .isEqualTo(AnnouncementResult.SUPERSEDED);
+    }
+
     @Test
     void theAgeReportedByAPeerCountsTowardsExpiry() {
         directory.acceptFromPeer(
