Keep one response or call from stopping the gossip of an entry

- A response that could not be read left the peer marked as asked for ever: it was never polled again, counted as unreachable after 2 s, and the entries shared the slots as if it were gone ("expected size 2 but was 1" polls).
- A call that threw ended the rounds themselves, for all peers, as the next round was scheduled at the end of the present one (the exception reached the timer).
- Any response of any peer ended the mark that slots are being borrowed, so that a second peer was asked for the same slots while the first had not answered yet ("expected size 1 but was 2" requests for slots).
The mark now ends with its own request.
- The time that an announcement was on its way was measured by the steady clock alone, so that one that arrived after a suspension of the host was taken for fresh.

--- a/entry/src/main/java/org/nettlering/entry/EntryEvent.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryEvent.java
@@ -29,7 +29,11 @@
     INTERNAL_ERROR(5014, Level.ERROR, "A request failed because of an internal error"),
     /** A connection did not send a complete request head before the timeout. */
     SLOW_CONNECTION_CLOSED(
-            5015, Level.DEBUG, "Closed the connection from {}: the request head was not complete before the timeout");
+            5015, Level.DEBUG, "Closed the connection from {}: the request head was not complete before the timeout"),
+    /** One run of a periodic task failed unexpectedly; its next run comes at its time. */
+    PERIODIC_TASK_FAILED(5016, Level.ERROR, "One run of a periodic task failed because of an internal error"),
+    /** A response of another entry could not be processed to its end. */
+    GOSSIP_RESPONSE_DROPPED(5017, Level.WARN, "Dropped the rest of a response of entry {}: {}");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/nettlering/entry/gossip/GossipClient.java
+++ b/entry/src/main/java/org/nettlering/entry/gossip/GossipClient.java
@@ -110,7 +110,7 @@
                 .sorted(Comparator.comparingInt(peer -> inFlightByPeer.getOrDefault(peer.id(), 0)))
                 .toList();
         for (GossipPeer peer : byLoad) {
-            if (peer.trySend(createRequest(peer, true))) {
+            if (peer.trySend(createRequest(peer, true), () -> borrowRequestInFlight.set(false))) {
                 return;
             }
         }
@@ -125,7 +125,7 @@
     public void reportReturnedSlot(String peerId) {
         for (GossipPeer peer : peers) {
             if (running && peer.id().equals(peerId)) {
-                peer.trySend(createRequest(peer, false));
+                peer.trySend(createRequest(peer, false), () -> {});
             }
         }
     }
@@ -156,14 +156,24 @@
     }
 
     @Override
-    public void onRequestCompleted(GossipPeer peer, boolean successful) {
-        borrowRequestInFlight.set(false);
+    public void onResponseFailed(String peerId, RuntimeException exception) {
+        LOGGER.log(EntryEvent.GOSSIP_RESPONSE_DROPPED, peerId, String.valueOf(exception.getMessage()));
     }
 
     private void runRound() {
         if (!running) {
             return;
         }
+        try {
+            pollPeers();
+        } catch (RuntimeException exception) {
+            LOGGER.log(EntryEvent.PERIODIC_TASK_FAILED, exception);
+        } finally {
+            time.schedule(GOSSIP_INTERVAL, this::runRound);
+        }
+    }
+
+    private void pollPeers() {
         updateReachablePeers();
         boolean idle = admission.queuedCount() == 0;
         if (idle) {
@@ -173,9 +183,8 @@
             });
         }
         for (GossipPeer peer : peers) {
-            peer.trySend(createRequest(peer, false));
+            peer.trySend(createRequest(peer, false), () -> {});
         }
-        time.schedule(GOSSIP_INTERVAL, this::runRound);
     }
 
     private void updateReachablePeers() {
--- a/entry/src/main/java/org/nettlering/entry/gossip/GossipPeer.java
+++ b/entry/src/main/java/org/nettlering/entry/gossip/GossipPeer.java
@@ -1,9 +1,12 @@
 package org.nettlering.entry.gossip;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeMark;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.wire.codec.AnnouncementCodec;
 import org.nettlering.wire.proto.FrameProto.Frame;
@@ -51,28 +54,46 @@
         return requestNanos != null && time.nanoTime() - requestNanos < duration.toNanos();
     }
 
-    /** Sends a request unless one is in flight; returns whether it was sent. */
-    boolean trySend(GossipRequest.Builder request) {
+    /**
+     * Sends a request unless one is in flight; returns whether it was sent.
+     *
+     * @param onCompleted called when the request has completed, with or without a response
+     */
+    boolean trySend(GossipRequest.Builder request, Runnable onCompleted) {
         if (!requestInFlight.compareAndSet(false, true)) {
             return false;
         }
+        TimeMark sentAt = TimeMark.now(time);
         long sentNanos = time.nanoTime();
         request.setKnownIncarnation(peerIncarnation)
                 .setKnownVersion(directoryVersion)
                 .setLastGrant(lastGrantNumber);
-        Frame frame = Frame.newBuilder().setGossipRequest(request).build();
-        connection.call(frame, TIMEOUT).whenComplete((response, error) -> {
-            if (error == null && response.hasGossipResponse()) {
-                handleResponse(response.getGossipResponse(), sentNanos);
+        call(Frame.newBuilder().setGossipRequest(request).build()).whenComplete((response, error) -> {
+            try {
+                if (error == null && response.hasGossipResponse()) {
+                    handleResponse(response.getGossipResponse(), sentAt, sentNanos);
+                }
+            } catch (RuntimeException exception) {
+                listener.onResponseFailed(id, exception);
+            } finally {
+                requestInFlight.set(false);
+                onCompleted.run();
             }
-            requestInFlight.set(false);
-            listener.onRequestCompleted(this, error == null);
         });
         return true;
     }
 
-    private void handleResponse(GossipResponse response, long sentNanos) {
-        Duration roundTrip = Duration.ofNanos(time.nanoTime() - sentNanos);
+    /** Calls the peer; an exception becomes a failed call. */
+    private CompletionStage<Frame> call(Frame request) {
+        try {
+            return connection.call(request, TIMEOUT);
+        } catch (RuntimeException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+
+    private void handleResponse(GossipResponse response, TimeMark sentAt, long sentNanos) {
+        Duration roundTrip = sentAt.elapsed(time);
         for (RequestProto.AgedAnnouncement message : response.getAnnouncementsList()) {
             try {
                 listener.onAnnouncement(AnnouncementCodec.toAged(message, roundTrip));
@@ -98,7 +119,7 @@
         /** Processes a malformed announcement. */
         void onMalformedAnnouncement(String peerId, NettleringException exception);
 
-        /** Called when a request has completed, with or without a response. */
-        void onRequestCompleted(GossipPeer peer, boolean successful);
+        /** Called when the response of a peer could not be processed to its end. */
+        void onResponseFailed(String peerId, RuntimeException exception);
     }
 }
