Poll the configuration again after a response that cannot be read

An entry that got one configuration that it could not read, or whose gateway threw, never polled again: 3 s later it refused all requests as its configuration was stale, until it was restarted, although the next response would have been in order. The next poll was scheduled behind the processing of the response, which the exception left.

The new test gives one unreadable configuration and then good ones; before the change the copy was not fresh any more afterwards.

--- a/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
+++ b/entry/src/main/java/org/nettlering/entry/configuration/ConfigurationClient.java
@@ -128,21 +128,30 @@
         if (!running) {
             return;
         }
-        TimeMark sentAt = TimeMark.now(time);
-        gateway.callLeader(createFetchRequest(false), true, LEADER_TIMEOUT).whenComplete((response, error) -> {
-            if (error == null && response.hasConfigurationResponse()) {
-                applyAndConfirm(response.getConfigurationResponse().getUpdate(), sentAt);
-                scheduleNext();
-                return;
+        pollLeader().thenCompose(responded -> responded ? done() : pollMembers()).whenComplete((nothing, error) -> {
+            if (error != null) {
+                LOGGER.log(EntryEvent.PERIODIC_TASK_FAILED, error);
             }
-            pollMembers();
+            scheduleNext();
         });
     }
 
-    private void pollMembers() {
+    /** Polls the leader; the stage tells whether it responded, and fails if the response cannot be applied. */
+    private CompletionStage<Boolean> pollLeader() {
+        TimeMark sentAt = TimeMark.now(time);
+        return done().thenCompose(nothing -> gateway.callLeader(createFetchRequest(false), true, LEADER_TIMEOUT))
+                .handle((response, error) -> {
+                    if (error != null || !response.hasConfigurationResponse()) {
+                        return false;
+                    }
+                    applyAndConfirm(response.getConfigurationResponse().getUpdate(), sentAt);
+                    return true;
+                });
+    }
+
+    private CompletionStage<Void> pollMembers() {
         if (confirmedAt == null) {
-            scheduleNext();
-            return;
+            return done();
         }
         TimeMark sentAt = TimeMark.now(time);
         List<CompletionStage<Frame>> responses = gateway.callEveryMember(createFetchRequest(true), MEMBER_TIMEOUT);
@@ -151,8 +160,11 @@
                 .map(stage -> stage.handle((response, error) -> majorityRead.handleResponse(response, error))
                         .toCompletableFuture())
                 .toArray(CompletableFuture<?>[]::new);
-        CompletableFuture<Void> all = CompletableFuture.allOf(handledResponses);
-        var _ = all.whenComplete((nothing, error) -> scheduleNext());
+        return CompletableFuture.allOf(handledResponses);
+    }
+
+    private static CompletionStage<Void> done() {
+        return CompletableFuture.completedFuture(null);
     }
 
     private void scheduleNext() {
--- a/entry/src/test/java/org/nettlering/entry/configuration/ConfigurationClientTest.java
+++ b/entry/src/test/java/org/nettlering/entry/configuration/ConfigurationClientTest.java
@@ -11,6 +11,8 @@
 import org.nettlering.domain.time.ManualTime;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationResponse;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationUpdate;
+import org.nettlering.wire.proto.ConfigurationProto.Service;
+import org.nettlering.wire.proto.ConfigurationProto.SiteConfiguration;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.transport.ControlGateway;
 
@@ -20,8 +22,18 @@
                     ConfigurationResponse.newBuilder().setUpdate(ConfigurationUpdate.getDefaultInstance()))
             .build();
 
+    private static final Frame UNREADABLE = Frame.newBuilder()
+            .setConfigurationResponse(ConfigurationResponse.newBuilder()
+                    .setUpdate(ConfigurationUpdate.newBuilder()
+                            .setRevision(1)
+                            .setFull(SiteConfiguration.newBuilder()
+                                    .setRevision(1)
+                                    .addServices(Service.getDefaultInstance()))))
+            .build();
+
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
-    private final ConfigurationClient client = ConfigurationClient.of(new ConfirmingGateway(), time, applied -> {});
+    private final ConfirmingGateway gateway = new ConfirmingGateway();
+    private final ConfigurationClient client = ConfigurationClient.of(gateway, time, applied -> {});
 
     @Test
     void theCopyIsNotFreshAfterTheHostWasSuspendedUntilItIsConfirmedAgain() {
@@ -45,11 +57,25 @@
         assertThat(client.isFresh()).isFalse();
     }
 
-    /** Confirms revision zero to each poll. */
+    @Test
+    void aResponseThatCannotBeReadDoesNotEndThePolls() {
+        gateway.response = CompletableFuture.completedFuture(UNREADABLE);
+        client.start();
+        time.advance(ConfigurationClient.POLL_INTERVAL);
+        assertThat(client.isFresh()).isFalse();
+
+        gateway.response = CompletableFuture.completedFuture(CONFIRMATION);
+        time.advance(ConfigurationClient.POLL_INTERVAL);
+        assertThat(client.isFresh()).isTrue();
+    }
+
+    /** Gives the same response to each poll, at first the confirmation of revision zero. */
     private static final class ConfirmingGateway implements ControlGateway {
+        private CompletionStage<Frame> response = CompletableFuture.completedFuture(CONFIRMATION);
+
         @Override
         public CompletionStage<Frame> callLeader(Frame request, boolean repeatable, Duration timeout) {
-            return CompletableFuture.completedFuture(CONFIRMATION);
+            return response;
         }
 
         @Override
