Go on with the rounds of upstreams after one that failed

The round that takes announced upstreams into use and drops those that left or whose service is gone scheduled the next one at its end, so that one exception would have frozen an entry's list of upstreams for good. The entry's feature tests, which pass, run these rounds; none of them makes one fail.

--- a/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamRefresher.java
+++ b/entry/src/main/java/org/nettlering/entry/upstreams/UpstreamRefresher.java
@@ -10,6 +10,8 @@
 import org.nettlering.domain.upstream.UpstreamAddress;
 import org.nettlering.domain.upstream.UpstreamAnnouncement;
 import org.nettlering.domain.upstream.UpstreamDirectory;
+import org.nettlering.entry.EntryEvent;
+import org.nettlering.runtime.log.EventLogger;
 
 /**
  * Periodically updates admission control from the directory of upstreams and the clock.
@@ -25,6 +27,7 @@
  * <p>Thread-safe.
  */
 public final class UpstreamRefresher {
+    private static final EventLogger LOGGER = EventLogger.of(UpstreamRefresher.class);
     /** The interval between rounds. */
     public static final Duration INTERVAL = Duration.ofMillis(20);
 
@@ -82,12 +85,17 @@
         if (!running) {
             return;
         }
-        refreshUpstreams();
-        slotAllocator.reevaluateQueues();
-        if (number == ROUNDS_BETWEEN_EXPIRY) {
-            directory.removeExpired();
+        try {
+            refreshUpstreams();
+            slotAllocator.reevaluateQueues();
+            if (number == ROUNDS_BETWEEN_EXPIRY) {
+                directory.removeExpired();
+            }
+        } catch (RuntimeException exception) {
+            LOGGER.log(EntryEvent.PERIODIC_TASK_FAILED, exception);
+        } finally {
+            time.schedule(INTERVAL, () -> round(number == ROUNDS_BETWEEN_EXPIRY ? 0 : number + 1));
         }
-        time.schedule(INTERVAL, () -> round(number == ROUNDS_BETWEEN_EXPIRY ? 0 : number + 1));
     }
 
     private void refreshUpstreams() {
