Tell a member without a log where the members of the group are

Cause: a member answers a leader over the address that its own log or its settings give for that leader's id. A new or emptied member has no log, and its settings name the seeds alone. Under a leader that is no seed its answers went nowhere, so it was listed as a learner for ever, got no log and no vote, while the removal of its predecessor went on to count it. Why the fix works: the response to the request to join names all members with their addresses; the process keeps them and looks there before it looks in its settings. An attempt whose response cannot be read no longer ends the attempts.

--- a/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
+++ b/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
@@ -1,9 +1,12 @@
 package org.nettlering.control.consensus;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.Member;
+import org.nettlering.consensus.MemberId;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.wire.proto.FrameProto.Frame;
@@ -16,7 +19,10 @@
  *
  * <p>Goes on until the member finds itself in the membership: a learner first, which gets its vote when it has caught up. A
  * member whose folder was emptied is still listed and is only found again. A member that knows no leader asks as well: it
- * may have been removed while it was unreachable, which it cannot see in its own log. Thread-safe.
+ * may have been removed while it was unreachable, which it cannot see in its own log.
+ *
+ * <p>The members that the group names in its response are passed on: a member without a log learns only from them where to
+ * send its answers to a leader that its settings do not name. Thread-safe.
  */
 public final class GroupJoin implements AutoCloseable {
     /** How often the member asks. */
@@ -36,6 +42,9 @@
     /** The way to the leader. */
     private final ControlGateway gateway;
 
+    /** Receives the members that the group names. */
+    private final Consumer<List<Member>> namedMembers;
+
     /** Sets the timers. */
     private final TimeSource time;
 
@@ -51,19 +60,31 @@
      * @param node the member of this process, not null
      * @param self how the group is to list it, not null
      * @param gateway the way to the leader, not null
+     * @param namedMembers receives the members that the group names, as learners whatever they are, not null
      * @param time sets the timers, not null
      * @return the running attempts, never null
      */
-    public static GroupJoin start(ConsensusNode node, Member self, ControlGateway gateway, TimeSource time) {
-        GroupJoin join = new GroupJoin(node, self, gateway, time);
+    public static GroupJoin start(
+            ConsensusNode node,
+            Member self,
+            ControlGateway gateway,
+            Consumer<List<Member>> namedMembers,
+            TimeSource time) {
+        GroupJoin join = new GroupJoin(node, self, gateway, namedMembers, time);
         join.scheduleNext();
         return join;
     }
 
-    private GroupJoin(ConsensusNode node, Member self, ControlGateway gateway, TimeSource time) {
+    private GroupJoin(
+            ConsensusNode node,
+            Member self,
+            ControlGateway gateway,
+            Consumer<List<Member>> namedMembers,
+            TimeSource time) {
         this.node = node;
         this.self = self;
         this.gateway = gateway;
+        this.namedMembers = namedMembers;
         this.time = time;
     }
 
@@ -88,19 +109,31 @@
                 .setMembershipRequest(MembershipRequest.newBuilder().setAdd(add))
                 .build();
         gateway.callLeader(request, true, TIMEOUT).whenComplete((response, failure) -> {
-            if (listed) {
+            try {
+                finishAttempt(listed, response, failure);
+            } finally {
                 scheduleNext();
-                return;
-            }
-            if (failure == null) {
-                LOG.log(ConsensusEvent.JOIN_ACCEPTED, self.id());
-            } else {
-                LOG.log(ConsensusEvent.JOIN_REFUSED, self.id(), String.valueOf(failure.getMessage()));
             }
-            scheduleNext();
         });
     }
 
+    private void finishAttempt(boolean listed, @Nullable Frame response, @Nullable Throwable failure) {
+        if (response != null) {
+            namedMembers.accept(response.getMembershipResponse().getMembersList().stream()
+                    .map(member -> Member.learner(
+                            MemberId.of(member.getMemberId()), member.getAddress(), member.getFailureDomain()))
+                    .toList());
+        }
+        if (listed) {
+            return;
+        }
+        if (failure == null) {
+            LOG.log(ConsensusEvent.JOIN_ACCEPTED, self.id());
+        } else {
+            LOG.log(ConsensusEvent.JOIN_REFUSED, self.id(), String.valueOf(failure.getMessage()));
+        }
+    }
+
     private boolean isListed() {
         return node.status()
                 .filter(status -> status.membership().find(self.id()).isPresent())
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -79,6 +79,9 @@
     /** The members that the settings name. */
     private final List<Member> settingsMembers;
 
+    /** The members that the group named when this process last asked it, known without a log. */
+    private volatile List<Member> namedMembers = List.of();
+
     /** The clock and the timers. */
     private final SystemTime time;
 
@@ -236,7 +239,9 @@
         metricsServer = MetricsServer.start(
                 settings.metricsAddress(), metrics, () -> node.leader().isPresent());
         GroupStart groupStart = settings.groupStart();
-        join = groupStart.joins() ? GroupJoin.start(node, self(self, settings), others, time) : null;
+        join = groupStart.joins()
+                ? GroupJoin.start(node, self(self, settings), others, this::rememberNamedMembers, time)
+                : null;
         voterRemoval = groupStart.joins() ? VoterRemoval.start(node, groupStart.toleratedLosses(), time) : null;
     }
 
@@ -325,13 +330,20 @@
         return node.leader().flatMap(this::findMember);
     }
 
-    /** Looks in the current membership, then in the settings, which a member without a log has alone. */
+    /** Looks in the current membership, then at what a member without a log has: the group's own word and the settings. */
     private Optional<Member> findMember(MemberId id) {
         return node.status()
                 .flatMap(status -> status.membership().find(id))
-                .or(() -> settingsMembers.stream()
-                        .filter(member -> member.id().equals(id))
-                        .findFirst());
+                .or(() -> findMember(id, namedMembers))
+                .or(() -> findMember(id, settingsMembers));
+    }
+
+    private static Optional<Member> findMember(MemberId id, List<Member> members) {
+        return members.stream().filter(member -> member.id().equals(id)).findFirst();
+    }
+
+    private void rememberNamedMembers(List<Member> members) {
+        namedMembers = List.copyOf(members);
     }
 
     private static List<Member> initialMembers(ControlSettings settings) {
--- a/control/src/test/java/org/nettlering/control/consensus/SingleMember.java
+++ b/control/src/test/java/org/nettlering/control/consensus/SingleMember.java
@@ -25,10 +25,15 @@
     final ConsensusNode node;
 
     SingleMember(ConsensusListener listener) {
+        this(listener, List.of(Member.learner(SELF, "127.0.0.1:1", "one")));
+    }
+
+    /** Starts a member of a group that the given members found, or that it has to join if there are none. */
+    SingleMember(ConsensusListener listener, List<Member> founders) {
         ConsensusExecutors executors = new ConsensusExecutors(Runnable::run, Runnable::run, Runnable::run);
         node = ConsensusNode.create(
                 SELF,
-                List.of(Member.learner(SELF, "127.0.0.1:1", "one")),
+                founders,
                 ConsensusSettings.DEFAULT,
                 new ConsensusPorts(
                         time,
