--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -29,9 +29,9 @@
     /** The group could not be asked to take the member in, or refused for now. */
     JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}"),
     /** The leader removes a voter that has been unreachable for long. */
-    VOTER_REMOVED(4012, Level.WARN, "voter {} has not responded for {} ms or more and is removed from the group"),
+    VOTER_REMOVED(4015, Level.WARN, "voter {} has not responded for {} ms or more and is removed from the group"),
     /** The removal of an unreachable voter was refused, or its outcome is unknown. */
-    VOTER_KEPT(4013, Level.INFO, "unreachable voter {} is not removed yet: {}");
+    VOTER_KEPT(4016, Level.INFO, "unreachable voter {} is not removed yet: {}");
 
     /** The number of the event. */
     private final int number;
