Remove no voter while no quorum responds to the leader

A leader that stood still for longer than the delay has heard nobody for as long when it goes on, and would have asked to remove a voter that is well. UnreachableVotersTest (aLeaderThatStoodStillItselfRemovesNobody) was red before.

--- a/control/src/main/java/org/nettlering/control/consensus/UnreachableVoters.java
+++ b/control/src/main/java/org/nettlering/control/consensus/UnreachableVoters.java
@@ -40,7 +40,7 @@
      *
      * @param status the status of this member, not null
      * @return the voter, or empty if this member does not lead, a change of the membership is under way, the group is small
-     *     already, or all voters respond, never null
+     *     already, no quorum responds (this member may have stood still itself), or all voters respond, never null
      */
     Optional<MemberId> findRemovable(ConsensusStatus status) {
         boolean leads = status.leader().filter(status.self()::equals).isPresent();
@@ -52,6 +52,13 @@
         if (voters.size() <= minVoters) {
             return Optional.empty();
         }
+        long respondingVoters = 1
+                + status.progress().stream()
+                        .filter(progress -> progress.live() && voters.contains(progress.id()))
+                        .count();
+        if (respondingVoters < status.membership().quorum()) {
+            return Optional.empty();
+        }
         return status.progress().stream()
                 .filter(progress -> voters.contains(progress.id()))
                 .filter(progress -> progress.lastHeardMillis() >= removalDelay.toMillis())
--- a/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
@@ -58,6 +58,12 @@
         assertThat(unreachableVoters.findRemovable(status(SELF, false))).isEmpty();
     }
 
+    @Test
+    void aLeaderThatStoodStillItselfRemovesNobody() {
+        addVoters(4, LONG_MILLIS);
+        assertThat(unreachableVoters.findRemovable(status(SELF, true))).isEmpty();
+    }
+
     @Test
     void aLearnerThatIsUnreachableStays() {
         addVoters(4, 50);
