--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -1,7 +1,6 @@
 package org.nettlering.control.consensus;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.MemberId;
@@ -17,8 +16,6 @@
 public final class VoterRemoval implements AutoCloseable {
     private static final Duration CHECK_INTERVAL = Duration.ofSeconds(1);
 
-    private static final Duration REMOVAL_TIMEOUT = Duration.ofSeconds(5);
-
     private static final EventLogger LOG = EventLogger.of(VoterRemoval.class);
 
     private final ConsensusNode node;
@@ -58,22 +55,24 @@
     }
 
     private void check() {
-        node.status().flatMap(unreachableVoters::findRemovable).ifPresentOrElse(this::remove, this::scheduleNext);
+        try {
+            node.status().flatMap(unreachableVoters::findRemovable).ifPresent(this::remove);
+        } finally {
+            scheduleNext();
+        }
     }
 
+    /** Starts the removal; until it is committed or refused, further ones are refused. */
     private void remove(MemberId voter) {
         LOG.log(
                 ConsensusEvent.VOTER_REMOVED,
                 voter,
                 unreachableVoters.removalDelay().toMillis());
-        node.removeMember(voter)
-                .orTimeout(REMOVAL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .whenComplete((removed, failure) -> {
-                    if (failure != null) {
-                        LOG.log(ConsensusEvent.VOTER_KEPT, voter, String.valueOf(failure.getMessage()));
-                    }
-                    scheduleNext();
-                });
+        node.removeMember(voter).whenComplete((removed, failure) -> {
+            if (failure != null) {
+                LOG.log(ConsensusEvent.VOTER_KEPT, voter, String.valueOf(failure.getMessage()));
+            }
+        });
     }
 
     /** Ends the checks. */
