--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -68,7 +68,7 @@
                 ConsensusEvent.VOTER_REMOVED,
                 voter,
                 unreachableVoters.removalDelay().toMillis());
-        node.removeMember(voter).whenComplete((removed, failure) -> {
+        var _ = node.removeMember(voter).whenComplete((removed, failure) -> {
             if (failure != null) {
                 LOG.log(ConsensusEvent.VOTER_KEPT, voter, String.valueOf(failure.getMessage()));
             }
