Let a learner without contact to a leader know no leader

A voter that loses contact forgets its leader when it stands for a pre-vote. A learner stood for none and named the last leader for as long as it ran. It asks the group to take it in only while it knows no leader, so a learner in its own log that was removed while it was unreachable (it got its vote meanwhile, and lost it by the removal) never asked, and stayed out until a restart.

Found by reading. The new test failed before: "Expecting an empty Optional but was containing value: b".

--- a/consensus/src/main/java/org/nettlering/consensus/protocol/Elections.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/Elections.java
@@ -48,12 +48,16 @@
         electionDeadlineNanos = state.time.nanoTime();
     }
 
-    /** Starts a pre-vote if the election timeout has expired and this member is a voter but not the leader. */
+    /**
+     * Once the election timeout has expired without a message from a leader, knows no leader any more and, if this member
+     * is a voter, starts a pre-vote.
+     */
     void tick() {
         if (state.role == Role.LEADER || state.time.nanoTime() - electionDeadlineNanos < 0) {
             return;
         }
         resetElectionTimeout();
+        state.leader = null;
         if (state.isVoter()) {
             startPreVote();
         }
@@ -61,7 +65,6 @@
 
     private void startPreVote() {
         state.role = Role.PRE_CANDIDATE;
-        state.leader = null;
         grantedVotes.clear();
         grantedVotes.add(state.self);
         if (hasQuorum()) {
--- a/consensus/src/test/java/org/nettlering/consensus/protocol/MemberProtocolTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/protocol/MemberProtocolTest.java
@@ -8,6 +8,7 @@
 import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_B;
 import static org.nettlering.consensus.protocol.ProtocolFixture.DISK_C;
 import static org.nettlering.consensus.protocol.ProtocolFixture.MEMBERSHIP;
+import static org.nettlering.consensus.protocol.ProtocolFixture.SELF;
 import static org.nettlering.consensus.protocol.ProtocolFixture.SETTINGS;
 import static org.nettlering.consensus.protocol.ProtocolFixture.bootstrapEntry;
 import static org.nettlering.consensus.protocol.ProtocolFixture.command;
@@ -78,6 +79,19 @@
         assertThat(member.protocol.status().term()).isEqualTo(1);
     }
 
+    @Test
+    void learnerWithoutLeaderContactKnowsNoLeader() {
+        Membership withoutOwnVote = MEMBERSHIP.with(Member.learner(SELF, "a:1", "one"));
+        ProtocolFixture learner = new ProtocolFixture(1, Optional.empty(), membership(1, 1, withoutOwnVote));
+        learner.receive(B, new AppendRequest(1, 1, 1, List.of(), 1, 1));
+        assertThat(learner.protocol.status().leader()).contains(B);
+
+        learner.advance(TWO_ELECTION_TIMEOUTS);
+
+        assertThat(learner.protocol.status().leader()).isEmpty();
+        assertThat(learner.sent(PreVoteRequest.class)).isEmpty();
+    }
+
     @Test
     void memberWithRecentLeaderContactGrantsNoVotes() {
         ProtocolFixture member = follower();
