Ask for the members again while the log does not list the leader

A member sends its answers to the address that its log, the group's own word or its settings give for the leader. One that was unreachable while a newcomer joined and became leader has none of these: it hears the leader, so it did not ask the group, and its answers are dropped, so its log does not grow to the entry that names the leader. It is mute until the leader removes it, which the leader doesn't do at the least size of a group: there it counts as a voter and never acknowledges anything, and the next lost host ends the group. A restart alone doesn't help, as the log stays as it is.

Now such a member asks too, and learns the address from the response. The new test failed before: "Expected size: 1 but was: 0". Found by reading.

--- a/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
+++ b/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusStatus;
 import org.nettlering.consensus.Member;
 import org.nettlering.consensus.MemberId;
 import org.nettlering.domain.time.TimeSource;
@@ -19,10 +21,11 @@
  *
  * <p>Goes on until the member finds itself in the membership: a learner first, which gets its vote when it has caught up. A
  * member whose folder was emptied is still listed and is only found again. A member that knows no leader asks as well: it
- * may have been removed while it was unreachable, which it cannot see in its own log.
+ * may have been removed while it was unreachable, which it cannot see in its own log. So does one whose log does not list
+ * the leader that it hears, because the leader joined while this member was unreachable.
  *
- * <p>The members that the group names in its response are passed on: a member without a log learns only from them where to
- * send its answers to a leader that its settings do not name. Thread-safe.
+ * <p>The members that the group names in its response are passed on: a member learns only from them where to send its
+ * answers to a leader that neither its log nor its settings name, and without answers its log does not grow. Thread-safe.
  */
 public final class GroupJoin implements AutoCloseable {
     /** How often the member asks. */
@@ -95,8 +98,9 @@
     }
 
     private void attempt() {
-        boolean listed = isListed();
-        if (listed && node.leader().isPresent()) {
+        Optional<ConsensusStatus> status = node.status();
+        boolean listed = status.filter(this::listsSelf).isPresent();
+        if (listed && status.filter(GroupJoin::listsLeader).isPresent()) {
             scheduleNext();
             return;
         }
@@ -134,10 +138,12 @@
         }
     }
 
-    private boolean isListed() {
-        return node.status()
-                .filter(status -> status.membership().find(self.id()).isPresent())
-                .isPresent();
+    private boolean listsSelf(ConsensusStatus status) {
+        return status.membership().find(self.id()).isPresent();
+    }
+
+    private static boolean listsLeader(ConsensusStatus status) {
+        return status.leader().flatMap(status.membership()::find).isPresent();
     }
 
     /** Ends the attempts. */
--- a/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
@@ -8,8 +8,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.junit.jupiter.api.Test;
+import org.nettlering.consensus.ConsensusMessage.AppendRequest;
+import org.nettlering.consensus.LogEntry;
 import org.nettlering.consensus.Member;
 import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
+import org.nettlering.consensus.protocol.MembershipCodec;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.wire.proto.FrameProto.Frame;
@@ -51,6 +55,24 @@
         assertThat(requests).hasSize(1);
     }
 
+    @Test
+    void aMemberWhoseLogDoesNotListTheLeaderAsksWhereItIs() {
+        follow(newcomer, MemberId.of("control-7"));
+        start(newcomer);
+        newcomer.time.advance(ATTEMPT_INTERVAL);
+        assertThat(requests).hasSize(1);
+        assertThat(namedMembers).singleElement().satisfies(leader -> assertThat(leader.address())
+                .isEqualTo("127.0.0.1:7"));
+    }
+
+    @Test
+    void aMemberWhoseLogListsItselfAndTheLeaderDoesNotAsk() {
+        follow(newcomer, MemberId.of("control-2"));
+        start(newcomer);
+        newcomer.time.advance(ATTEMPT_INTERVAL);
+        assertThat(requests).isEmpty();
+    }
+
     @Test
     void attemptsGoOnAfterARefusalAndAfterAResponseThatCannotBeRead() {
         response = CompletableFuture.failedFuture(new NettleringException(ErrorCode.NOT_LEADER, "no leader"));
@@ -62,6 +84,15 @@
         assertThat(requests).hasSize(3);
     }
 
+    /** Lets a member without a log receive a membership of itself and of control-2 from a leader. */
+    private static void follow(SingleMember member, MemberId leader) {
+        Membership membership = Membership.of(List.of(
+                Member.learner(SingleMember.SELF, "127.0.0.1:1", "one"),
+                Member.learner(MemberId.of("control-2"), "127.0.0.1:2", "two").withVote(2)));
+        LogEntry entry = new LogEntry(1, 1, LogEntry.Kind.MEMBERSHIP, MembershipCodec.encode(membership));
+        member.node.receive(leader, new AppendRequest(2, 0, 0, List.of(entry), 1, 0));
+    }
+
     private void start(SingleMember member) {
         Member self = Member.learner(SingleMember.SELF, "127.0.0.1:1", "one");
         GroupJoin.start(member.node, self, new RecordingGateway(), namedMembers::addAll, member.time);
