Remove no voter right after the leader's process stood still

When all processes of a group were stopped for more than ten seconds and went on, as with a host that pauses its virtual machines, the leader had heard nobody for that long. If its check came before the timer by which it steps down, it removed a voter that was as alive as the others: a quorum of the rest responded at once. The voter came back by itself, but the group was one vote short meanwhile.

A check that comes 500 ms late or more is left out now, as the loop's watchdog does it. By the next check the leader has stepped down or heard the others.

--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -1,6 +1,7 @@
 package org.nettlering.control.consensus;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
@@ -11,12 +12,16 @@
 /**
  * Removes voters that have been unreachable for long from the group, one at a time, while this member leads.
  *
- * <p>A removal takes effect only if a quorum of the remaining voters responds, so a leader that is cut off removes nobody.
+ * <p>A removal takes effect only if a quorum of the remaining voters responds, so a leader that is cut off removes nobody. A
+ * check that is late is left out: while this process stood still it heard nobody, which says nothing about the others.
  * Thread-safe.
  */
 public final class VoterRemoval implements AutoCloseable {
     private static final Duration CHECK_INTERVAL = Duration.ofSeconds(1);
 
+    /** The delay of a check beyond which this process stood still. */
+    private static final Duration STANDSTILL = Duration.ofMillis(500);
+
     private static final Duration REMOVAL_TIMEOUT = Duration.ofSeconds(5);
 
     private static final EventLogger LOG = EventLogger.of(VoterRemoval.class);
@@ -31,6 +36,9 @@
 
     private volatile boolean closed;
 
+    /** When the next check is due, by the monotonic clock. */
+    private volatile long dueNanos;
+
     /**
      * Starts checking.
      *
@@ -53,12 +61,16 @@
 
     private void scheduleNext() {
         if (!closed) {
+            dueNanos = time.nanoTime() + CHECK_INTERVAL.toNanos();
             timer = time.schedule(CHECK_INTERVAL, this::check);
         }
     }
 
     private void check() {
-        node.status().flatMap(unreachableVoters::findRemovable).ifPresentOrElse(this::remove, this::scheduleNext);
+        boolean stoodStill = time.nanoTime() - dueNanos >= STANDSTILL.toNanos();
+        Optional<MemberId> voter =
+                stoodStill ? Optional.empty() : node.status().flatMap(unreachableVoters::findRemovable);
+        voter.ifPresentOrElse(this::remove, this::scheduleNext);
     }
 
     private void remove(MemberId voter) {
