Log pending tasks that no host takes although there is room

An accepted task that does not start left no line: decisions of the placement are not logged. For best-effort tasks, processors that only best-effort runs use count as room, so that waiting for them shows. The capacities are computed for this alone; plans use nothing of it.

--- a/control/src/main/java/org/nettlering/control/workflow/LeaderDiagnostics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LeaderDiagnostics.java
@@ -5,15 +5,14 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import org.nettlering.control.workflow.RunTraces.StopDecision;
 import org.nettlering.domain.time.TimeSource;
+import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
-import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.runtime.log.EventLogger;
 
 /**
@@ -39,6 +38,8 @@
 
     private final RunInspection runInspection;
 
+    private final PlacementInspection placementInspection = new PlacementInspection();
+
     /** Creates diagnostics and registers their metrics in a registry. */
     static LeaderDiagnostics registerIn(PrometheusRegistry registry, TimeSource time) {
         DistributionDataPoint cancelToEnd = LatencyHistograms.histogram(
@@ -108,6 +109,13 @@
     private void clearInspections() {
         leaseInspection.clear();
         runInspection.clear();
+        placementInspection.clear();
+    }
+
+    /** Records that the leader tracks a run from now on; called under the lock of the state machine. */
+    void runTracked(RunId run, String hostId) {
+        runs.runTracked(run, hostId);
+        placementInspection.taskStarted(run.task().step());
     }
 
     void commandSent(HostCommand command) {
@@ -132,10 +140,12 @@
      *
      * @return the actions that log what was found, to be run without the lock, never null
      */
-    List<Runnable> inspect(WorkflowState state, long term, Collection<HostSession> sessions, Duration lease) {
+    List<Runnable> inspect(WorkflowState state, WorkflowLeadership leadership, Duration lease) {
         long nowNanos = time.nanoTime();
-        List<Runnable> lines = new ArrayList<>(leaseInspection.inspect(term, sessions, lease, nowNanos));
-        lines.addAll(runInspection.inspect(state, term, sessions, nowNanos));
+        long term = leadership.term();
+        List<Runnable> lines = new ArrayList<>(leaseInspection.inspect(term, leadership.sessions(), lease, nowNanos));
+        lines.addAll(runInspection.inspect(state, term, leadership.sessions(), nowNanos));
+        placementInspection.inspect(state, leadership, nowNanos).ifPresent(lines::add);
         return lines;
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/LeaseInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LeaseInspection.java
@@ -19,7 +19,7 @@
  * Finds the hosts with active runs whose lease is not renewed in time, and tells what the leader waits for.
  *
  * <p>A host is reported when the limit is exceeded, when the wait changes, when the lease has expired, and then at intervals.
- * Belongs to a {@link LeaderInspection}. Not thread-safe, but for {@link #oldestUnrenewedNanos}.
+ * Belongs to a {@link LeaderDiagnostics}. Not thread-safe, but for {@link #oldestUnrenewedNanos}.
  */
 final class LeaseInspection {
     /** The age of a renewal beyond which its host is reported. */
--- a/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
@@ -23,7 +23,7 @@
  * Finds runs that do not go on as decided: runs of finished jobs that are still tracked, starts that no host confirms,
  * terminations that are not committed, and active runs that the leader does not track.
  *
- * <p>A run is reported when a limit is exceeded, and then at intervals. Belongs to a {@link LeaderInspection}. Not
+ * <p>A run is reported when a limit is exceeded, and then at intervals. Belongs to a {@link LeaderDiagnostics}. Not
  * thread-safe, but for {@link #finishedJobRuns}.
  */
 final class RunInspection {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -63,7 +63,9 @@
     /** No thread of the process ran. */
     PROCESS_STOOD_STILL(3326, Level.WARN, "this process stood still for {} ms"),
     /** The leader decided to stop a run. */
-    STOP_REQUESTED(3327, Level.INFO, "stop of run {} on host {} requested: {}");
+    STOP_REQUESTED(3327, Level.INFO, "stop of run {} on host {} requested: {}"),
+    /** Tasks stay pending although hosts have room for them. */
+    TASKS_NOT_PLACED(3328, Level.INFO, "no task of step {} started for {} ms although hosts of pool {} have room: {}");
 
     private final int number;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -23,6 +23,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
+import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.domain.workflow.host.HostResponse;
@@ -134,6 +135,14 @@
         return sessions.values();
     }
 
+    ColocationController colocationController() {
+        return colocation.controller();
+    }
+
+    boolean isBackingOff(String hostId, long nowNanos) {
+        return failureBackoff.isBackingOff(hostId, nowNanos);
+    }
+
     /** Handles a heartbeat; returns whether it is the first one of this host incarnation in this term. */
     boolean receiveHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
         HostSession session = sessions.get(heartbeat.host().id());
@@ -360,7 +369,7 @@
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
         hostIdsByRun.put(run.run(), run.host().id());
-        metrics.diagnostics().runs().runTracked(run.run(), run.host().id());
+        metrics.diagnostics().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
         stopIfUnneeded(state, run);
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -338,7 +338,7 @@
                 diagnostics.doesNotLead();
             } else if (current == leadership) {
                 diagnostics.activity().leads(current.term());
-                logLines.addAll(diagnostics.inspect(state, current.term(), current.sessions(), timings.lease()));
+                logLines.addAll(diagnostics.inspect(state, current, timings.lease()));
             }
             return diagnostics;
         });
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
@@ -67,6 +67,8 @@
     private Function<HostCommand, CompletionStage<HostResponse>> host =
             command -> CompletableFuture.completedStage(fakeHost.handle(command));
 
+    private boolean draining;
+
     private final WorkflowLoop loop = WorkflowLoop.startOn(
             Runnable::run,
             log,
@@ -237,8 +239,42 @@
                 .startsWith("active run " + second + " on host h1 not tracked by the leader of term 1 for ");
     }
 
+    @Test
+    void aPendingTaskThatNoHostWithRoomTakesIsReportedWithTheReason() {
+        draining = true;
+        advance(500);
+        submit();
+        advance(2_500);
+        assertThat(events.messages(WorkflowEvent.TASKS_NOT_PLACED)).isNotEmpty();
+        assertThat(events.messages(WorkflowEvent.TASKS_NOT_PLACED).getFirst())
+                .startsWith("no task of step a.0.0 started for ")
+                .contains("although hosts of pool pool have room: ")
+                .contains("pendingTasks=1, activeRuns=0")
+                .contains("hostsWithRoom={DRAINING=1}");
+    }
+
+    @Test
+    void aPendingTaskThatFindsRoomOnlyOnceIsNotReported() {
+        draining = true;
+        advance(500);
+        stateMachine.read((state, queues) -> state.apply(submitCommand("a", Resources.of(3_000, 100, 0))));
+        advance(3_000);
+        assertThat(events.messages(WorkflowEvent.TASKS_NOT_PLACED)).isEmpty();
+    }
+
+    @Test
+    void tasksOfWhichOthersStartAreNotReported() {
+        for (int number = 0; number < 30; number++) {
+            String id = "job-" + number;
+            stateMachine.read((state, queues) -> state.apply(submitCommand(id, Resources.of(1_000, 100, 0))));
+            advance(100);
+            fakeHost.terminateRuns(TerminalStatus.DONE, 0);
+        }
+        assertThat(events.messages(WorkflowEvent.TASKS_NOT_PLACED)).isEmpty();
+    }
+
     private void submit() {
-        stateMachine.read((state, queues) -> state.apply(submitCommand()));
+        stateMachine.read((state, queues) -> state.apply(submitCommand("a", Resources.of(1_000, 100, 0))));
         advance(500);
     }
 
@@ -275,7 +311,7 @@
     /** Lets time pass in steps of a tick, with a heartbeat in each. */
     private void advance(long millis) {
         for (long passed = 0; passed < millis; passed += 100) {
-            HostHeartbeat heartbeat = fakeHost.heartbeat(false);
+            HostHeartbeat heartbeat = fakeHost.heartbeat(draining);
             loop.update(leadership -> leadership.receiveHeartbeat(heartbeat, time.nanoTime()));
             time.advance(Duration.ofMillis(100));
         }
@@ -292,17 +328,12 @@
                 .orElseThrow();
     }
 
-    private static WorkflowCommand submitCommand() {
+    private static WorkflowCommand submitCommand(String jobId, Resources demand) {
         StepSpecification step = new StepSpecification(
-                1,
-                Resources.of(1_000, 100, 0),
-                1_000,
-                List.of(),
-                Set.of(),
-                PlacementConstraints.NONE,
-                StepServiceLevel.UNSPECIFIED);
+                1, demand, 1_000, List.of(), Set.of(), PlacementConstraints.NONE, StepServiceLevel.UNSPECIFIED);
         JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
-        return new WorkflowCommand.SubmitJob("a", terms, new JobDefinition("work", List.of(step), Recurrence.ONCE), 0);
+        return new WorkflowCommand.SubmitJob(
+                jobId, terms, new JobDefinition("work", List.of(step), Recurrence.ONCE), 0);
     }
 
     /** A log that keeps what is proposed while it is told to hold it. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -167,4 +167,26 @@
     void recordRejection(long nowNanos) {
         rejectionBackoffUntilNanos = nowNanos + REJECTION_BACKOFF.toNanos();
     }
+
+    /** Returns the first reason why no new runs are started on the host, or empty if {@link #acceptsRuns} is true. */
+    Optional<HostRefusal> refusal(long nowNanos) {
+        HostHeartbeat heartbeat = latestHeartbeat;
+        if (heartbeat == null) {
+            return Optional.of(HostRefusal.NO_HEARTBEAT);
+        }
+        if (terminationNanos != null) {
+            return Optional.of(HostRefusal.SHUTTING_DOWN);
+        }
+        if (heartbeat.draining()) {
+            return Optional.of(HostRefusal.DRAINING);
+        }
+        if (!hasRecentHeartbeat(nowNanos)) {
+            return Optional.of(HostRefusal.HEARTBEAT_OLD);
+        }
+        if (unresponsive) {
+            return Optional.of(HostRefusal.UNRESPONSIVE);
+        }
+        boolean rejected = nowNanos - rejectionBackoffUntilNanos < 0;
+        return rejected ? Optional.of(HostRefusal.REJECTED_START) : Optional.empty();
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -652,4 +652,15 @@
     public List<TrackedRunStatus> trackedRuns() {
         return runs.values().stream().map(TrackedRun::status).toList();
     }
+
+    /**
+     * Returns why no new runs are started on the host.
+     *
+     * @param nowNanos the monotonic time
+     * @return the first reason, for logs only, or empty if {@link #acceptsRuns} is true, never null
+     */
+    public Optional<HostRefusal> refusal(long nowNanos) {
+        return liveness.refusal(nowNanos)
+                .or(() -> pollSucceeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
+    }
 }
