--- a/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
@@ -102,11 +102,11 @@
         return lines;
     }
 
-    /** Returns the phase of the run's job if it is finished, {@code REMOVED} if it is not stored, else an empty text. */
+    /** Returns the phase of the run's job if it is finished, {@code NOT_STORED} if it is not stored, else an empty text. */
     private static String phaseIfFinished(WorkflowState state, RunId run) {
         return state.job(run.task().jobId())
                 .map(job -> job.phase().isOpen() ? "" : job.phase().name())
-                .orElse("REMOVED");
+                .orElse("NOT_STORED");
     }
 
     private void inspectRun(
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -14,7 +14,6 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.TimeSource;
-import org.nettlering.domain.workflow.JobPhase;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
@@ -408,9 +407,9 @@
                         start.run().host().address(),
                         term));
             case RecordTermination termination -> {
-                JobPhase phase = state.job(termination.run().task().jobId())
-                        .map(job -> job.phase())
-                        .orElse(JobPhase.CANCELLED);
+                String phase = state.job(termination.run().task().jobId())
+                        .map(job -> job.phase().name())
+                        .orElse("NOT_STORED");
                 TerminationEvidence evidence = current.removeEvidence(termination.run());
                 yield Optional.of(() ->
                         LOG.log(WorkflowEvent.RUN_ENDED, termination.run(), describe(termination, evidence), phase));
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
@@ -273,6 +273,20 @@
         assertThat(events.messages(WorkflowEvent.TASKS_NOT_PLACED)).isEmpty();
     }
 
+    @Test
+    void theTerminationOfARunWhoseJobIsNotStoredDoesNotSayThatTheJobWasCancelled() {
+        startRun();
+        fakeHost.terminateRuns(TerminalStatus.DONE, 0);
+        stateMachine.read((state, queues) -> {
+            state.apply(new WorkflowCommand.RecordTermination(RUN, TerminalStatus.HOST_LOST, ""));
+            state.apply(new WorkflowCommand.CancelJob("a"));
+            return state.apply(new WorkflowCommand.RemoveJob("a"));
+        });
+        advance(500);
+        assertThat(events.messages(WorkflowEvent.RUN_ENDED))
+                .containsExactly("run " + RUN + " terminated: DONE; job phase is NOT_STORED");
+    }
+
     private void submit() {
         stateMachine.read((state, queues) -> state.apply(submitCommand("a", Resources.of(1_000, 100, 0))));
         advance(500);
