--- a/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
@@ -23,7 +23,7 @@
  * Finds runs that do not go on as decided: runs of finished jobs that are still tracked, starts that no host confirms,
  * terminations that are not committed, and active runs that the leader does not track.
  *
- * <p>A run is reported when a limit is exceeded, and then at intervals. Belongs to a {@link LeaderInspection}. Not
+ * <p>A run is reported when a limit is exceeded, and then at intervals. Belongs to a {@link LeaderDiagnostics}. Not
  * thread-safe, but for {@link #finishedJobRuns}.
  */
 final class RunInspection {
@@ -102,11 +102,11 @@
         return lines;
     }
 
-    /** Returns the phase of the run's job if it is finished, {@code REMOVED} if it is not stored, else an empty text. */
+    /** Returns the phase of the run's job if it is finished, {@code NOT_STORED} if it is not stored, else an empty text. */
     private static String phaseIfFinished(WorkflowState state, RunId run) {
         return state.job(run.task().jobId())
                 .map(job -> job.phase().isOpen() ? "" : job.phase().name())
-                .orElse("REMOVED");
+                .orElse("NOT_STORED");
     }
 
     private void inspectRun(
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -142,6 +142,14 @@
         return sessions.values();
     }
 
+    ColocationController colocationController() {
+        return colocation.controller();
+    }
+
+    boolean isBackingOff(String hostId, long nowNanos) {
+        return failureBackoff.isBackingOff(hostId, nowNanos);
+    }
+
     /** Handles a heartbeat; returns whether it is the first one of this host incarnation in this term. */
     boolean receiveHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
         HostSession session = sessions.get(heartbeat.host().id());
@@ -388,7 +396,7 @@
             session.setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
         hostIdsByRun.put(run.run(), run.host().id());
-        metrics.diagnostics().runs().runTracked(run.run(), run.host().id());
+        metrics.diagnostics().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
         stopIfUnneeded(state, run);
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -14,7 +14,6 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.time.TimeSource;
-import org.nettlering.domain.workflow.JobPhase;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
@@ -338,7 +337,7 @@
                 diagnostics.doesNotLead();
             } else if (current == leadership) {
                 diagnostics.activity().leads(current.term());
-                logLines.addAll(diagnostics.inspect(state, current.term(), current.sessions(), timings.lease()));
+                logLines.addAll(diagnostics.inspect(state, current, timings.lease()));
             }
             return diagnostics;
         });
@@ -408,9 +407,9 @@
                         start.run().host().address(),
                         term));
             case RecordTermination termination -> {
-                JobPhase phase = state.job(termination.run().task().jobId())
-                        .map(job -> job.phase())
-                        .orElse(JobPhase.CANCELLED);
+                String phase = state.job(termination.run().task().jobId())
+                        .map(job -> job.phase().name())
+                        .orElse("NOT_STORED");
                 TerminationEvidence evidence = current.removeEvidence(termination.run());
                 yield Optional.of(() ->
                         LOG.log(WorkflowEvent.RUN_ENDED, termination.run(), describe(termination, evidence), phase));
