Stop a member on any error instead of going on with a part of it dead

The members' code caught exceptions but no errors. An error in a tick ended the chain of ticks: no heartbeat and no election any more. A message that could not be handed to the transport left the mark "running actions" set: nothing was sent, completed or reported from then on, while the log took proposals.

Now whatever a step, a write or the state machine throws stops the member, which reports it, and the process ends so that it is started again. The stop reports the failure also if the protocol's own stop fails, and the process ends also if the failure can't be logged.

--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
@@ -77,6 +77,13 @@
      */
     record SnapshotInstalled(long index, long sizeBytes) implements Event {}
 
+    /**
+     * A message or an event could not be handed over; it is lost, and the member goes on.
+     *
+     * @param failure the cause, not null
+     */
+    record EffectFailed(Throwable failure) implements Event {}
+
     /**
      * The storage or state machine failed; the member has stopped permanently.
      *
--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusListener.EffectFailed;
 import org.nettlering.consensus.ConsensusListener.MemberFailed;
 import org.nettlering.consensus.LogStorage.StoredSnapshot;
 import org.nettlering.consensus.protocol.ApplyStep;
@@ -25,8 +26,8 @@
  * {@link #receive}. Commands are proposed to the leader.
  *
  * <p>A command whose future completes normally is durable on a majority of the voters and applied on this member; it is
- * never lost while a majority keeps its disks. If the storage or state machine fails, the member stops permanently.
- * Thread-safe. Futures complete without a lock held; their dependent actions must not block.
+ * never lost while a majority keeps its disks. If the storage, the state machine or a step of the protocol fails, with an
+ * exception or an error, the member stops permanently and reports {@code MemberFailed}. Thread-safe. Futures complete without a lock held; their dependent actions must not block.
  *
  * <pre>{@code
  * ConsensusNode node = ConsensusNode.create(self, members, ConsensusSettings.DEFAULT, ports);
@@ -269,11 +270,9 @@
             if (tickTimer != null) {
                 tickTimer.cancel();
             }
-            if (protocol != null) {
-                protocol.stop();
-            }
-            if (failure != null) {
-                outbox.runOutsideLock(() -> ports.listener().onEvent(new MemberFailed(failure)));
+            Throwable cause = stopProtocol(failure);
+            if (cause != null) {
+                outbox.runOutsideLock(() -> ports.listener().onEvent(new MemberFailed(cause)));
             }
         } finally {
             lock.unlock();
@@ -281,6 +280,18 @@
         runActions();
     }
 
+    /** Stops the protocol, which after a failure may fail too; returns the first failure, or null if there was none. */
+    private @Nullable Throwable stopProtocol(@Nullable Throwable failure) {
+        try {
+            if (protocol != null) {
+                protocol.stop();
+            }
+            return failure;
+        } catch (Throwable e) {
+            return failure == null ? e : failure;
+        }
+    }
+
     /** A request that the protocol completes through a future. */
     @FunctionalInterface
     private interface Request<T> {
@@ -289,38 +300,54 @@
 
     private <T> CompletableFuture<T> request(Request<T> request) {
         CompletableFuture<T> future = new CompletableFuture<>();
-        boolean running = runLocked(activeProtocol -> request.submit(activeProtocol, future));
-        if (!running) {
-            future.completeExceptionally(
-                    new NettleringException(ErrorCode.STOPPING, "member " + self + " is not running"));
+        switch (runLocked(activeProtocol -> request.submit(activeProtocol, future))) {
+            case DONE -> {}
+            case NOT_RUNNING ->
+                future.completeExceptionally(
+                        new NettleringException(ErrorCode.STOPPING, "member " + self + " is not running"));
+            case FAILED ->
+                future.completeExceptionally(new NettleringException(
+                        ErrorCode.OUTCOME_UNKNOWN, "member " + self + " failed during the request"));
         }
         return future;
     }
 
+    /** What became of a step of the protocol. */
+    private enum StepResult {
+        /** It was run. */
+        DONE,
+        /** It was not run, because the member is not running. */
+        NOT_RUNNING,
+        /** It failed, and the member stopped. */
+        FAILED
+    }
+
     /**
-     * Runs a protocol step under the lock, then the resulting actions outside it; returns false if the member is not
-     * running.
+     * Runs a protocol step under the lock, then the resulting actions outside it.
+     *
+     * <p>Anything that a step throws, errors included, stops the member: the state may be inconsistent then, and a timer or
+     * executor that goes on without the step would leave a part of the member dead.
      */
-    private boolean runLocked(Consumer<MemberProtocol> step) {
-        RuntimeException failure = null;
+    private StepResult runLocked(Consumer<MemberProtocol> step) {
+        Throwable failure = null;
         lock.lock();
         try {
             if (stopped || protocol == null) {
-                return false;
+                return StepResult.NOT_RUNNING;
             }
             step.accept(protocol);
             dispatchWork(protocol);
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             failure = e;
         } finally {
             lock.unlock();
         }
         if (failure != null) {
             stop(failure);
-            return true;
+            return StepResult.FAILED;
         }
         runActions();
-        return true;
+        return StepResult.DONE;
     }
 
     /** Submits tasks to the executors that have work and are idle. Called under the lock. */
@@ -352,11 +379,30 @@
         }
         List<Runnable> actions = takeActions();
         while (!actions.isEmpty()) {
-            actions.forEach(Runnable::run);
+            actions.forEach(this::runAction);
             actions = takeActions();
         }
     }
 
+    /** Runs an action; one that fails must not keep the later ones from being run, now or ever. */
+    private void runAction(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            reportEffectFailed(e);
+        } catch (Error e) {
+            stop(e);
+        }
+    }
+
+    private void reportEffectFailed(RuntimeException failure) {
+        try {
+            ports.listener().onEvent(new EffectFailed(failure));
+        } catch (RuntimeException ignored) {
+            // It is the listener that fails; there is nobody else to tell.
+        }
+    }
+
     private List<Runnable> takeActions() {
         lock.lock();
         try {
@@ -371,14 +417,13 @@
     /** Performs the pending writes and makes them durable with one sync. */
     private void writeToDisk() {
         List<DiskWrite> writes = new ArrayList<>();
-        boolean running = runLocked(activeProtocol -> writes.addAll(outbox.takeWrites()));
-        if (!running) {
+        if (runLocked(activeProtocol -> writes.addAll(outbox.takeWrites())) != StepResult.DONE) {
             return;
         }
         try {
             writes.forEach(write -> write.writeTo(ports.storage()));
             ports.storage().sync();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
             return;
         }
@@ -397,7 +442,7 @@
 
     private boolean applyStep() {
         List<ApplyStep> steps = new ArrayList<>();
-        boolean running = runLocked(activeProtocol -> {
+        StepResult result = runLocked(activeProtocol -> {
             ApplyStep step = activeProtocol.nextApplyStep();
             if (step == null) {
                 applying = false;
@@ -405,7 +450,7 @@
                 steps.add(step);
             }
         });
-        if (!running || steps.isEmpty()) {
+        if (result != StepResult.DONE || steps.isEmpty()) {
             return false;
         }
         try {
@@ -414,7 +459,7 @@
                 case ApplyStep.Apply apply -> apply(apply);
             }
             return true;
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
             return false;
         }
@@ -468,7 +513,7 @@
                 savingSnapshot = false;
                 activeProtocol.onSnapshotSaved(header);
             });
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
         }
     }
@@ -480,7 +525,7 @@
                 loadingSnapshot = false;
                 snapshot.ifPresent(activeProtocol::onSnapshotLoaded);
             });
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
         }
     }
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -27,7 +27,9 @@
     /** The group took the member in, or had before. */
     JOIN_ACCEPTED(4010, Level.INFO, "the group takes member {} in"),
     /** The group could not be asked to take the member in, or refused for now. */
-    JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}");
+    JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}"),
+    /** A message or an event was lost because it could not be handed over. */
+    EFFECT_FAILED(4012, Level.ERROR, "a message or event of this member was lost: {}");
 
     /** The number of the event. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
@@ -47,11 +47,18 @@
             case SnapshotSaved saved -> logger.log(ConsensusEvent.SNAPSHOT_SAVED, saved.index(), saved.sizeBytes());
             case SnapshotInstalled installed ->
                 logger.log(ConsensusEvent.SNAPSHOT_INSTALLED, installed.index(), installed.sizeBytes());
-            case MemberFailed failed -> {
-                Throwable failure = failed.failure();
-                logger.log(ConsensusEvent.MEMBER_FAILED, String.valueOf(failure.getMessage()), failure);
-                onMemberFailed.run();
-            }
+            case EffectFailed failed ->
+                logger.log(ConsensusEvent.EFFECT_FAILED, String.valueOf(failed.failure()), failed.failure());
+            case MemberFailed failed -> endAfterFailure(failed.failure());
+        }
+    }
+
+    /** Logs the failure and tells the process, also when the failure leaves too little room to log. */
+    private void endAfterFailure(Throwable failure) {
+        try {
+            logger.log(ConsensusEvent.MEMBER_FAILED, String.valueOf(failure.getMessage()), failure);
+        } finally {
+            onMemberFailed.run();
         }
     }
 }
