Keep the log readable when a power loss brings removed segments back

The users' platform keeps or loses each name that was changed without a sync of its directory independently at a power loss. With an earlier segment back and a later one gone, the member refuses its log as corrupt ("frame 3 is missing before frame 7") at every start, with a disk that holds everything acknowledged.

Each removal is synced before the next, the oldest first, so that what is left is always the end of the log.

The simulated folder kept only prefixes of the changes of names and so couldn't show this. It now keeps or loses each on its own, makes the name of a created file durable with the file's own sync, and loses everything unsynced in one crash of four.

--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
@@ -18,12 +18,18 @@
  *
  * <ul>
  *   <li>the bytes of a file survive up to its last sync, and an arbitrary prefix of the later bytes, possibly corrupted;
- *   <li>changes of file names survive up to the last sync of the folder, and an arbitrary prefix of the later changes.
+ *   <li>changes of file names survive up to the last sync of the folder, and of the later ones each is kept or lost on its
+ *       own, whatever became of the others;
+ *   <li>the name under which a file was created survives once the file itself was synced;
+ *   <li>sometimes, nothing survives that was not synced.
  * </ul>
  *
  * <p>Not thread-safe.
  */
 public final class SimulatedFolder implements StorageFolder {
+    /** The mean number of crashes between two that lose everything that was not synced. */
+    private static final int CRASHES_PER_TOTAL_LOSS = 4;
+
     /** Determines which unsynced data survives a crash. */
     private final RandomGenerator random;
 
@@ -70,11 +76,15 @@
     public void crashMachine() {
         failed = false;
         operationsBeforeFailure = -1;
-        int survivingChanges = random.nextInt(unsyncedNameChanges.size() + 1);
-        unsyncedNameChanges.subList(0, survivingChanges).forEach(change -> change.apply(durableFiles));
+        boolean losesAll = random.nextInt(CRASHES_PER_TOTAL_LOSS) == 0;
+        for (NameChange change : unsyncedNameChanges) {
+            if (!losesAll && random.nextBoolean()) {
+                change.apply(durableFiles);
+            }
+        }
         unsyncedNameChanges.clear();
         files = new TreeMap<>(durableFiles);
-        files.values().forEach(content -> content.loseUnsyncedBytes(random));
+        files.values().forEach(content -> content.loseUnsyncedBytes(random, losesAll));
     }
 
     /** Simulates the replacement of the disk: deletes all files and ends any disk failure. */
@@ -153,6 +163,16 @@
         unsyncedNameChanges.add(change);
     }
 
+    /** Makes the name durable under which a file was created. */
+    private void keepCreatedName(Content content) {
+        for (NameChange change : List.copyOf(unsyncedNameChanges)) {
+            if (change instanceof NameChange.Create create && create.content() == content) {
+                create.apply(durableFiles);
+                unsyncedNameChanges.remove(change);
+            }
+        }
+    }
+
     @Override
     public void sync() {
         countOperation();
@@ -201,13 +221,14 @@
             durableBytes = bytes.length;
         }
 
-        void loseUnsyncedBytes(RandomGenerator random) {
+        void loseUnsyncedBytes(RandomGenerator random, boolean losesAll) {
             byte[] all = bytes();
             int unsynced = all.length - durableBytes;
             if (unsynced == 0) {
                 return;
             }
-            byte[] surviving = Arrays.copyOf(all, durableBytes + random.nextInt(unsynced + 1));
+            byte[] surviving =
+                    Arrays.copyOf(all, losesAll ? durableBytes : durableBytes + random.nextInt(unsynced + 1));
             if (surviving.length > durableBytes && random.nextBoolean()) {
                 surviving[durableBytes + random.nextInt(surviving.length - durableBytes)] ^= 0x55;
             }
@@ -232,6 +253,7 @@
         public void sync() {
             countOperation();
             content.durableBytes = content.written.size();
+            keepCreatedName(content);
         }
 
         @Override
--- a/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
@@ -315,6 +315,8 @@
     public void discardUpTo(long index) {
         while (!closedSegments.isEmpty() && closedSegments.getFirst().lastIndex() <= index) {
             folder.delete(closedSegments.removeFirst().name());
+            // A power loss may bring back any name removed since the last sync, and load refuses a log with a gap.
+            folder.sync();
         }
     }
 
--- a/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
@@ -210,6 +210,28 @@
         assertThat(new LoadedStorage(open()).diskId()).isNotEqualTo(before);
     }
 
+    /** Each removed name may come back after a power loss, whichever of the others do. */
+    @Test
+    void aPowerLossAfterSegmentsWereDiscardedLeavesAReadableLog() {
+        for (int seed = 0; seed < 50; seed++) {
+            SimulatedFolder disk = new SimulatedFolder(new SplittableRandom(seed));
+            FileLogStorage storage = FileLogStorage.open(disk, SELF, 1);
+            storage.load();
+            for (int index = 1; index <= 8; index++) {
+                storage.append(List.of(entry(index, 1)));
+                storage.sync();
+            }
+            Payload state = payload("state");
+            storage.saveSnapshot(header(6, 1, state), state);
+            storage.discardUpTo(6);
+            disk.crashMachine();
+
+            StoredState loaded = FileLogStorage.open(disk, SELF, 1).load();
+
+            assertThat(loaded.entries()).as("seed " + seed).containsExactly(entry(7, 1), entry(8, 1));
+        }
+    }
+
     @Test
     void discardRemovesSegmentsThatTheSnapshotIncludes() {
         FileLogStorage storage = FileLogStorage.open(folder, SELF, 1);
