Simulate the loss of disks while all other members lose power

Before, members are replaced, restarted, readmitted and hand over; after, those with an emptied disk are killed again or lose it again within their readmission. Bounds: served within 12 s of the last start (recovery_s of the settings), all members vote within 4 s (catch_up_s). New check in both kinds of run's members: no vote is granted with a disk that no membership listed as voting.

--- a/benchmarks/src/main/java/org/nettlering/benchmarks/SeedsMain.java
+++ b/benchmarks/src/main/java/org/nettlering/benchmarks/SeedsMain.java
@@ -5,6 +5,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.nettlering.consensus.simulation.LossSimulation;
 import org.nettlering.consensus.simulation.Simulation;
 import org.nettlering.consensus.simulation.SimulationResult;
 
@@ -23,6 +24,9 @@
     @Option(name = "--first", usage = "the first seed")
     private long first = 1;
 
+    @Option(name = "--loss", usage = "end each run with the loss of as many disks as the group bears")
+    private boolean loss;
+
     private SeedsMain() {}
 
     /**
@@ -45,11 +49,17 @@
         }
         List<SimulationResult> results = LongStream.range(first, first + count)
                 .parallel()
-                .mapToObj(seed -> Simulation.ofSeed(seed).run())
+                .mapToObj(this::simulate)
                 .toList();
         return report(results);
     }
 
+    private SimulationResult simulate(long seed) {
+        return loss
+                ? LossSimulation.ofSeed(seed).run()
+                : Simulation.ofSeed(seed).run();
+    }
+
     private static int report(List<SimulationResult> results) {
         List<SimulationResult> failed =
                 results.stream().filter(result -> !result.isPassed()).toList();
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/History.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/History.java
@@ -5,7 +5,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.nettlering.consensus.Member;
 import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
 
 /**
  * Checks the history of a run for linearizability against a sequential model, {@link Register}.
@@ -41,9 +44,56 @@
 
     private long completedReads;
 
+    /** The disks that some membership lists as voting, by member. */
+    private final Map<MemberId, Set<Long>> votingDisks = new HashMap<>();
+
+    /** Told of each acknowledgement at the moment at which it is given. */
+    private Consumer<Acknowledgement> acknowledgementListener = acknowledgement -> {};
+
     /** The first violation; empty if there is none. */
     private String violation = "";
 
+    /** What a group may acknowledge, to a client, to an operator or within itself. */
+    enum Acknowledgement {
+        /** A command. */
+        COMMAND,
+        /** A read, of what was acknowledged before. */
+        READ,
+        /** A change of the membership that an operator asked for. */
+        MEMBERSHIP_CHANGE,
+        /** A membership that took effect on a member, among them those that take a vote or give it back. */
+        MEMBERSHIP_IN_EFFECT,
+        /** A snapshot that a member saved. */
+        SNAPSHOT,
+        /** A snapshot that a member took over from the leader. */
+        SNAPSHOT_INSTALLED,
+        /** A leadership that a member won. */
+        LEADERSHIP
+    }
+
+    /** Lets a listener know of each acknowledgement from now on. */
+    void onAcknowledgement(Consumer<Acknowledgement> listener) {
+        acknowledgementListener = listener;
+    }
+
+    void acknowledge(Acknowledgement acknowledgement) {
+        acknowledgementListener.accept(acknowledgement);
+    }
+
+    /** Notes the disks with which members vote; a membership takes effect before any vote by it is asked for. */
+    void recordMembership(Membership membership) {
+        for (Member voter : membership.voters()) {
+            votingDisks.computeIfAbsent(voter.id(), id -> new HashSet<>()).add(voter.diskId());
+        }
+    }
+
+    /** Checks that a member that grants a vote does so with a disk that a membership has given a vote. */
+    void recordGrantedVote(MemberId member, long diskId) {
+        require(
+                votingDisks.getOrDefault(member, Set.of()).contains(diskId),
+                member + " voted with a disk that has no vote");
+    }
+
     void require(boolean condition, String message) {
         if (!condition && violation.isEmpty()) {
             violation = message;
@@ -71,6 +121,7 @@
         require(
                 other == null || other.equals(member),
                 "term " + term + " has two leaders, " + other + " and " + member);
+        acknowledge(Acknowledgement.LEADERSHIP);
     }
 
     /** Checks a command that a member applied; the first member to apply an index determines its command for all. */
@@ -128,6 +179,7 @@
                 "command " + command.id() + " got a response that differs from the model");
         acknowledgedIndex = Math.max(acknowledgedIndex, index);
         acknowledgedCommands++;
+        acknowledge(Acknowledgement.COMMAND);
     }
 
     void recordRejected(RegisterCommand command) {
@@ -148,6 +200,7 @@
         require(response.equals(registerAt(appliedIndex)), "a read differs from the model");
         acknowledgedIndex = Math.max(acknowledgedIndex, appliedIndex);
         completedReads++;
+        acknowledge(Acknowledgement.READ);
     }
 
     /** Checks that a member has the final state of the model. */
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedMember.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedMember.java
@@ -79,6 +79,12 @@
         folder.crashMachine();
     }
 
+    /** Stops the process abruptly; its disk keeps everything that was written. */
+    void kill() {
+        incarnation = null;
+        folder.crashProcess();
+    }
+
     void pause(Duration duration) {
         pausedUntilNanos = environment.time().nanoTime() + duration.toNanos();
     }
@@ -113,7 +119,7 @@
             ConsensusPorts ports = new ConsensusPorts(
                     this,
                     FileLogStorage.open(folder, id, SEGMENT_BYTES),
-                    (to, message) -> environment.network().send(id, to, message),
+                    this::send,
                     machine,
                     this::onEvent,
                     new ConsensusExecutors(
@@ -124,10 +130,25 @@
             node = ConsensusNode.create(id, environment.initialMembers(), environment.settings(), ports);
         }
 
+        private void send(MemberId to, ConsensusMessage message) {
+            if (message instanceof ConsensusMessage.VoteResponse vote && vote.granted()) {
+                environment.history().recordGrantedVote(id, vote.diskId());
+            }
+            environment.network().send(id, to, message);
+        }
+
         private void onEvent(ConsensusListener.Event event) {
             switch (event) {
                 case ConsensusListener.LeadershipGained gained ->
                     environment.history().recordLeader(id, gained.term());
+                case ConsensusListener.MembershipChanged changed -> {
+                    environment.history().recordMembership(changed.membership());
+                    environment.history().acknowledge(History.Acknowledgement.MEMBERSHIP_IN_EFFECT);
+                }
+                case ConsensusListener.SnapshotSaved ignored ->
+                    environment.history().acknowledge(History.Acknowledgement.SNAPSHOT);
+                case ConsensusListener.SnapshotInstalled ignored ->
+                    environment.history().acknowledge(History.Acknowledgement.SNAPSHOT_INSTALLED);
                 case ConsensusListener.MemberFailed failed -> onMemberFailed(failed.failure());
                 default -> {}
             }
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/Simulation.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/Simulation.java
@@ -86,7 +86,8 @@
                 history.violation(),
                 history.acknowledgedCommands(),
                 history.completedReads(),
-                faults.injectedFaults());
+                faults.injectedFaults(),
+                false);
     }
 
     private boolean hasNoViolation() {
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulationResult.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulationResult.java
@@ -8,9 +8,15 @@
  * @param acknowledgedCommands the number of acknowledged commands
  * @param completedReads the number of completed reads
  * @param injectedFaults the number of injected faults
+ * @param endsWithLoss whether the run ended with the loss of disks
  */
 public record SimulationResult(
-        long seed, String violation, long acknowledgedCommands, long completedReads, long injectedFaults) {
+        long seed,
+        String violation,
+        long acknowledgedCommands,
+        long completedReads,
+        long injectedFaults,
+        boolean endsWithLoss) {
     /**
      * Returns whether the run passed all checks.
      *
@@ -26,6 +32,6 @@
      * @return the command line, never null
      */
     public String repeatCommand() {
-        return "./build seeds --count 1 --first " + seed;
+        return "./build seeds --count 1 --first " + seed + (endsWithLoss ? " --loss" : "");
     }
 }
--- a/consensus/src/test/java/org/nettlering/consensus/simulation/SimulationTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/simulation/SimulationTest.java
@@ -13,6 +13,8 @@
 
     private static final long SEED_COUNT = 1_000;
 
+    private static final long LOSS_SEED_COUNT = 200;
+
     @Test
     void everySeedConvergesWithoutViolation() {
         List<String> failures = LongStream.range(FIRST_SEED, FIRST_SEED + SEED_COUNT)
@@ -36,4 +38,16 @@
         assertThat(Simulation.ofSeed(FIRST_SEED).run())
                 .isEqualTo(Simulation.ofSeed(FIRST_SEED).run());
     }
+
+    @Test
+    void noLossThatAGroupBearsLosesWhatWasAcknowledged() {
+        List<String> failures = LongStream.range(FIRST_SEED, FIRST_SEED + LOSS_SEED_COUNT)
+                .parallel()
+                .mapToObj(seed -> LossSimulation.ofSeed(seed).run())
+                .filter(result -> !result.isPassed())
+                .map(result -> result.repeatCommand() + ": " + result.violation())
+                .toList();
+
+        assertThat(failures).isEmpty();
+    }
 }
