Try a refused write again instead of ending the process

What callers see: when a disk is full (disk_full) the write of the member fails, the process ends, and its restarts fail until there is room. If it leads, the group needs an election, and proposals under way end with an unknown outcome. If all disks fill at a similar time, all members end.

A write that the disk refuses is now taken back (the segment is cut to what was written before) and tried again every heartbeat interval. Until then the member acknowledges nothing that depends on it, and no vote; a leader goes on, as commands commit through the disks of the others, and steps down as before when a majority doesn't respond. A failed sync, and a refusal after which the segment cannot be cut, stay final.

Ruled out: that a leader whose disk hangs stops the group.

--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
@@ -77,6 +77,13 @@
      */
     record SnapshotInstalled(long index, long sizeBytes) implements Event {}
 
+    /**
+     * The disk refuses what the member writes; it is tried again until the disk takes it, or the member stops.
+     *
+     * @param refusal the cause, not null
+     */
+    record WritesRefused(Throwable refusal) implements Event {}
+
     /**
      * A message or an event could not be handed over; it is lost, and the member goes on.
      *
--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -1,5 +1,7 @@
 package org.nettlering.consensus;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusListener.EffectFailed;
 import org.nettlering.consensus.ConsensusListener.MemberFailed;
+import org.nettlering.consensus.ConsensusListener.WritesRefused;
 import org.nettlering.consensus.LogStorage.StoredSnapshot;
 import org.nettlering.consensus.protocol.ApplyStep;
 import org.nettlering.consensus.protocol.DiskWrite;
@@ -39,6 +42,9 @@
     /** The result of an entry that is not a command. */
     private static final byte[] EMPTY_RESULT = new byte[0];
 
+    /** How long the disk may refuse a write, for example because it is full, before the member stops. */
+    private static final Duration MAX_REFUSAL = Duration.ofSeconds(30);
+
     private final MemberId self;
 
     /** The members that bootstrap the group when all disks are uninitialised. */
@@ -420,19 +426,83 @@
         if (runLocked(activeProtocol -> writes.addAll(outbox.takeWrites())) != StepResult.DONE) {
             return;
         }
+        write(new WriteBatch(writes));
+    }
+
+    private void write(WriteBatch batch) {
         try {
-            writes.forEach(write -> write.writeTo(ports.storage()));
-            ports.storage().sync();
+            batch.writeTo(ports.storage());
         } catch (Throwable e) {
-            stop(e);
+            if (!isRefusedByDisk(e)
+                    || batch.isRefusedFor(MAX_REFUSAL, ports.time().nanoTime())) {
+                stop(e);
+                return;
+            }
+            tryAgainLater(batch, e);
             return;
         }
         runLocked(activeProtocol -> {
             writing = false;
-            activeProtocol.onWritesDurable(writes.size());
+            activeProtocol.onWritesDurable(batch.size);
         });
     }
 
+    private static boolean isRefusedByDisk(Throwable failure) {
+        return failure instanceof NettleringException exception && exception.code() == ErrorCode.STORAGE_FULL;
+    }
+
+    /** Tries a batch again that the disk refused; until it is written, the member acknowledges nothing that is in it. */
+    private void tryAgainLater(WriteBatch batch, Throwable refusal) {
+        runLocked(activeProtocol -> {
+            if (batch.recordRefusal(ports.time().nanoTime())) {
+                outbox.runOutsideLock(() -> ports.listener().onEvent(new WritesRefused(refusal)));
+            }
+            ports.time().schedule(settings.heartbeatInterval(), () -> tryAgain(batch));
+        });
+    }
+
+    private void tryAgain(WriteBatch batch) {
+        runLocked(activeProtocol -> ports.executors().disk().execute(() -> write(batch)));
+    }
+
+    /** Writes that become durable with one sync. Used by one thread at a time. */
+    private static final class WriteBatch {
+        final int size;
+
+        /** The writes that the storage has not taken yet. */
+        private final ArrayDeque<DiskWrite> remaining;
+
+        /** When the disk first refused the batch, by the monotonic clock; null if it has not. */
+        private @Nullable Long refusedSinceNanos;
+
+        WriteBatch(List<DiskWrite> writes) {
+            size = writes.size();
+            remaining = new ArrayDeque<>(writes);
+        }
+
+        /** Writes and syncs the batch, or the rest of it if an earlier attempt was refused. */
+        void writeTo(LogStorage storage) {
+            while (!remaining.isEmpty()) {
+                remaining.getFirst().writeTo(storage);
+                remaining.removeFirst();
+            }
+            storage.sync();
+        }
+
+        /** Records that the disk refused the batch; returns whether for the first time. */
+        boolean recordRefusal(long nowNanos) {
+            if (refusedSinceNanos != null) {
+                return false;
+            }
+            refusedSinceNanos = nowNanos;
+            return true;
+        }
+
+        boolean isRefusedFor(Duration limit, long nowNanos) {
+            return refusedSinceNanos != null && nowNanos - refusedSinceNanos >= limit.toNanos();
+        }
+    }
+
     private void applySteps() {
         boolean more = true;
         while (more) {
@@ -514,7 +584,12 @@
                 activeProtocol.onSnapshotSaved(header);
             });
         } catch (Throwable e) {
-            stop(e);
+            if (!isRefusedByDisk(e)) {
+                stop(e);
+                return;
+            }
+            // The log keeps what the snapshot would have replaced; the next one is due after as many bytes again.
+            runLocked(activeProtocol -> savingSnapshot = false);
         }
     }
 
--- a/consensus/src/main/java/org/nettlering/consensus/LogStorage.java
+++ b/consensus/src/main/java/org/nettlering/consensus/LogStorage.java
@@ -8,8 +8,11 @@
  *
  * <p>The methods that write the log ({@code saveVote}, {@code append}, {@code truncateFrom}, {@code installSnapshot},
  * {@code discardUpTo}, {@code sync}) are called by one thread at a time. {@code saveSnapshot} and {@code loadSnapshot} may
- * be called by another thread at the same time. Every method throws {@code NettleringException} with {@code STORAGE_FAILED}
- * if an I/O operation fails; the storage must not be used after that.
+ * be called by another thread at the same time.
+ *
+ * <p>Every method throws {@code NettleringException} with {@code STORAGE_FAILED} if an I/O operation fails; the storage must
+ * not be used after that. {@code sync}, {@code installSnapshot} and {@code saveSnapshot} throw it with {@code STORAGE_FULL} if
+ * the disk refused a write and nothing of it was stored; the same call may then be repeated until it succeeds.
  */
 public interface LogStorage extends AutoCloseable {
     /**
--- a/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
+++ b/consensus/src/main/java/org/nettlering/consensus/simulation/SimulatedFolder.java
@@ -45,6 +45,12 @@
     /** The number of operations before the disk fails; negative if it does not fail. */
     private long operationsBeforeFailure = -1;
 
+    /** Whether the disk is full: it refuses to create and write files, and does everything else. */
+    private boolean full;
+
+    /** Whether the disk refuses to create files. */
+    private boolean refusesNewFiles;
+
     /** True once an operation has failed; all later operations then fail as well. */
     private boolean failed;
 
@@ -66,6 +72,25 @@
         operationsBeforeFailure = operations;
     }
 
+    /**
+     * Makes the disk full, or gives it room again. While it is full, files are neither created nor written, except that a
+     * write may leave a part of its bytes behind.
+     *
+     * @param isFull whether it is full
+     */
+    public void setFull(boolean isFull) {
+        full = isFull;
+    }
+
+    /**
+     * Makes the disk refuse to create files, or create them again.
+     *
+     * @param isRefused whether it refuses
+     */
+    public void refuseNewFiles(boolean isRefused) {
+        refusesNewFiles = isRefused;
+    }
+
     /** Simulates a crash of the process only: retains all written data and ends any disk failure. */
     public void crashProcess() {
         failed = false;
@@ -140,12 +165,19 @@
         countOperation();
         Content content = files.get(name);
         if (content == null) {
+            requireRoom(true);
             content = new Content();
             applyNameChange(new NameChange.Create(name, content));
         }
         return new SimulatedFile(content);
     }
 
+    private void requireRoom(boolean isNewFile) {
+        if (full || (isNewFile && refusesNewFiles)) {
+            throw new NettleringException(ErrorCode.STORAGE_FAILED, "no space left on the simulated disk");
+        }
+    }
+
     @Override
     public void rename(String from, String to) {
         countOperation();
@@ -246,6 +278,10 @@
         @Override
         public void write(byte[] bytes) {
             countOperation();
+            if (full) {
+                content.written.write(bytes, 0, random.nextInt(bytes.length));
+            }
+            requireRoom(false);
             content.written.writeBytes(bytes);
         }
 
--- a/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
+++ b/consensus/src/main/java/org/nettlering/consensus/storage/FileLogStorage.java
@@ -116,7 +116,9 @@
         List<LogEntry> entries = replay.entriesAfter(header);
         vote = new LogOperation.Vote(replay.term(), replay.votedFor());
         long lastIndex = entries.isEmpty() ? header.index() : entries.getLast().index();
-        startSegment();
+        if (!startSegment()) {
+            throw full("start a segment of the log");
+        }
         if (!replay.canAppendAfter(lastIndex)) {
             pendingOperations.add(new LogOperation.Reset(lastIndex));
             sync();
@@ -212,26 +214,54 @@
                 .toList();
     }
 
-    /** Starts a segment whose first frame repeats the current term and vote, so that older segments can be deleted. */
-    private void startSegment() {
-        AppendFile previous = activeSegment;
-        if (previous != null) {
-            previous.close();
-            closedSegments.add(new ClosedSegment(activeSegmentName, activeSegmentLastIndex));
-        }
+    /**
+     * Starts a segment whose first frame repeats the current term and vote, so that older segments can be deleted.
+     *
+     * @return false if the disk refused it; the active segment then remains
+     */
+    private boolean startSegment() {
         String name = String.format(Locale.ROOT, "%s%016x", SEGMENT_PREFIX, nextFrameSequence);
         byte[] firstFrame = new LogFrame(nextFrameSequence, List.of(vote)).encode();
-        nextFrameSequence++;
-        AppendFile file = folder.open(name + INCOMPLETE_SUFFIX);
-        file.write(FileHeader.encode());
-        file.write(firstFrame);
+        AppendFile file = createFile(name + INCOMPLETE_SUFFIX, FileHeader.encode(), firstFrame);
+        if (file == null) {
+            return false;
+        }
         file.sync();
         folder.rename(name + INCOMPLETE_SUFFIX, name);
         folder.sync();
+        nextFrameSequence++;
+        AppendFile previous = activeSegment;
+        if (previous != null) {
+            previous.close();
+            closedSegments.add(new ClosedSegment(activeSegmentName, activeSegmentLastIndex));
+        }
         activeSegment = file;
         activeSegmentName = name;
         activeSegmentSizeBytes = (long) FileHeader.SIZE_BYTES + firstFrame.length;
         activeSegmentLastIndex = 0;
+        return true;
+    }
+
+    /** Creates a file with the given content, which is not synced yet; returns null, and no file, if the disk refuses it. */
+    private @Nullable AppendFile createFile(String name, byte[]... contents) {
+        AppendFile file = null;
+        try {
+            file = folder.open(name);
+            for (byte[] content : contents) {
+                file.write(content);
+            }
+            return file;
+        } catch (NettleringException refused) {
+            if (file != null) {
+                file.close();
+            }
+            folder.delete(name);
+            return null;
+        }
+    }
+
+    private static NettleringException full(String action) {
+        return new NettleringException(ErrorCode.STORAGE_FULL, "the disk refused to " + action + "; it may be full");
     }
 
     @Override
@@ -262,17 +292,28 @@
             return;
         }
         List<LogOperation> operations = pendingOperations;
-        pendingOperations = new ArrayList<>();
         byte[] frame = new LogFrame(nextFrameSequence, operations).encode();
-        nextFrameSequence++;
-        file.write(frame);
+        writeOrTakeBack(file, frame);
         file.sync();
+        pendingOperations = new ArrayList<>();
+        nextFrameSequence++;
         activeSegmentSizeBytes += frame.length;
         for (LogOperation operation : operations) {
             activeSegmentLastIndex = Math.max(activeSegmentLastIndex, lastIndexOf(operation));
         }
         if (activeSegmentSizeBytes >= segmentBytes) {
-            startSegment();
+            // If the disk refuses a new segment, the active one grows until it takes one.
+            boolean _ = startSegment();
+        }
+    }
+
+    /** Writes a frame to the active segment, or leaves the segment as it was and fails with {@code STORAGE_FULL}. */
+    private void writeOrTakeBack(AppendFile segment, byte[] frame) {
+        try {
+            segment.write(frame);
+        } catch (NettleringException refused) {
+            segment.truncate(activeSegmentSizeBytes);
+            throw full("write to the log");
         }
     }
 
@@ -294,8 +335,10 @@
                 return;
             }
             String name = String.format(Locale.ROOT, "%s%016x", SNAPSHOT_PREFIX, header.index());
-            try (AppendFile file = folder.open(name + INCOMPLETE_SUFFIX)) {
-                file.write(SnapshotFile.encode(header, state));
+            try (AppendFile file = createFile(name + INCOMPLETE_SUFFIX, SnapshotFile.encode(header, state))) {
+                if (file == null) {
+                    throw full("save a snapshot");
+                }
                 file.sync();
             }
             folder.rename(name + INCOMPLETE_SUFFIX, name);
--- a/consensus/src/test/java/org/nettlering/consensus/simulation/ReplicatedStateSteps.java
+++ b/consensus/src/test/java/org/nettlering/consensus/simulation/ReplicatedStateSteps.java
@@ -185,6 +185,29 @@
         member(number).folder.failAfter(0);
     }
 
+    @When("the disk of member {int} has no room")
+    public void theDiskHasNoRoom(int number) {
+        member(number).folder.setFull(true);
+    }
+
+    @When("the disk of member {int} has room again")
+    public void theDiskHasRoomAgain(int number) {
+        member(number).folder.setFull(false);
+    }
+
+    @When("the disk of member {int} hangs for {int} seconds")
+    public void theDiskHangs(int number, int seconds) {
+        member(number).hangDisk(Duration.ofSeconds(seconds));
+    }
+
+    @Then("a command that is proposed gets no result within {int} seconds")
+    public void aCommandGetsNoResult(int seconds) {
+        long acknowledged = group.history().acknowledgedCommands();
+        propose();
+        group.advance(Duration.ofSeconds(seconds));
+        assertThat(group.history().acknowledgedCommands()).isEqualTo(acknowledged);
+    }
+
     @Then("member {int} has stopped")
     public void memberHasStopped(int number) {
         assertThat(member(number).node()).isEmpty();
--- a/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/storage/FileLogStorageTest.java
@@ -232,6 +232,48 @@
         }
     }
 
+    @Test
+    void whatAFullDiskRefusedIsStoredByTheSameCallOnceThereIsRoom() {
+        FileLogStorage storage = open();
+        storage.load();
+        storage.append(List.of(entry(1, 1)));
+        storage.sync();
+        folder.setFull(true);
+        storage.append(List.of(entry(2, 1)));
+        Payload state = payload("state");
+
+        assertFails(ErrorCode.STORAGE_FULL, storage::sync);
+        assertFails(ErrorCode.STORAGE_FULL, storage::sync);
+        assertFails(ErrorCode.STORAGE_FULL, () -> storage.saveSnapshot(header(1, 1, state), state));
+        folder.setFull(false);
+        storage.sync();
+        storage.append(List.of(entry(3, 1)));
+        storage.sync();
+        storage.saveSnapshot(header(1, 1, state), state);
+        folder.crashMachine();
+
+        StoredState stored = open().load();
+        assertThat(stored.snapshot()).isPresent();
+        assertThat(stored.entries()).containsExactly(entry(2, 1), entry(3, 1));
+    }
+
+    @Test
+    void aFullDiskThatTakesNoNewSegmentStillTakesEntries() {
+        FileLogStorage storage = FileLogStorage.open(folder, SELF, 1);
+        storage.load();
+        folder.refuseNewFiles(true);
+        storage.append(List.of(entry(1, 1)));
+        storage.sync();
+        storage.append(List.of(entry(2, 1)));
+        storage.sync();
+        folder.refuseNewFiles(false);
+        storage.append(List.of(entry(3, 1)));
+        storage.sync();
+        folder.crashMachine();
+
+        assertThat(open().load().entries()).containsExactly(entry(1, 1), entry(2, 1), entry(3, 1));
+    }
+
     @Test
     void discardRemovesSegmentsThatTheSnapshotIncludes() {
         FileLogStorage storage = FileLogStorage.open(folder, SELF, 1);
--- a/consensus/src/test/resources/features/replicated-state.feature
+++ b/consensus/src/test/resources/features/replicated-state.feature
@@ -58,6 +58,42 @@
     And member 1 starts
     Then the group settles and nothing acknowledged is lost
 
+  Scenario: A leader whose disk hangs goes on through the disks of the others
+    When the disk of member 0 hangs for 5 seconds
+    And 20 commands are acknowledged
+    And 3 seconds pass
+    Then the term and the leader are as before
+    When 4 seconds pass
+    Then the group settles and nothing acknowledged is lost
+
+  Scenario: A leader whose disk is full goes on and writes when it has room again
+    When the disk of member 0 has no room
+    And 20 commands are acknowledged
+    And 3 seconds pass
+    Then the term and the leader are as before
+    When the disk of member 0 has room again
+    And 1 seconds pass
+    Then the group settles and nothing acknowledged is lost
+
+  Scenario: Nothing is acknowledged while the disks of a majority are full
+    When the disk of member 1 has no room
+    And the disk of member 2 has no room
+    And 500 milliseconds pass
+    Then a command that is proposed gets no result within 5 seconds
+    When the disk of member 1 has room again
+    And the disk of member 2 has room again
+    And 5 seconds pass
+    Then the group settles and nothing acknowledged is lost
+
+  Scenario: A member whose disk stays full stops
+    When the disk of member 1 has no room
+    And 20 commands are acknowledged
+    And 40 seconds pass
+    Then member 1 has stopped
+    When the disk of member 1 has room again
+    And member 1 starts
+    Then the group settles and nothing acknowledged is lost
+
   Scenario: A leader hands over before a planned stop
     When member 0 hands its leadership over
     And 300 milliseconds pass
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -29,7 +29,9 @@
     /** The group could not be asked to take the member in, or refused for now. */
     JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}"),
     /** A message or an event was lost because it could not be handed over. */
-    EFFECT_FAILED(4012, Level.ERROR, "a message or event of this member was lost: {}");
+    EFFECT_FAILED(4012, Level.ERROR, "a message or event of this member was lost: {}"),
+    /** The disk refuses writes, which are tried again. */
+    WRITES_REFUSED(4013, Level.WARN, "the disk refuses writes, which are tried again: {}");
 
     /** The number of the event. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
@@ -47,6 +47,10 @@
             case SnapshotSaved saved -> logger.log(ConsensusEvent.SNAPSHOT_SAVED, saved.index(), saved.sizeBytes());
             case SnapshotInstalled installed ->
                 logger.log(ConsensusEvent.SNAPSHOT_INSTALLED, installed.index(), installed.sizeBytes());
+            case WritesRefused refused ->
+                logger.log(
+                        ConsensusEvent.WRITES_REFUSED,
+                        String.valueOf(refused.refusal().getMessage()));
             case EffectFailed failed ->
                 logger.log(ConsensusEvent.EFFECT_FAILED, String.valueOf(failed.failure()), failed.failure());
             case MemberFailed failed -> endAfterFailure(failed.failure());
--- a/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
+++ b/domain/src/main/java/org/nettlering/domain/error/ErrorCode.java
@@ -50,6 +50,8 @@
     STORAGE_CORRUPT(500),
     /** Stored data could not be written or synced. */
     STORAGE_FAILED(500),
+    /** The disk refused a write, for example because it is full; nothing of it was stored, and it may be tried again. */
+    STORAGE_FULL(500),
     /** The data folder is in use by another process. */
     STORAGE_LOCKED(500),
     /** The data was written by a newer version of the program. */
--- a/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/FrameFailureException.java
@@ -166,6 +166,7 @@
                     INTERNAL,
                     STORAGE_CORRUPT,
                     STORAGE_FAILED,
+                    STORAGE_FULL,
                     STORAGE_LOCKED,
                     STORAGE_TOO_NEW -> false;
             default -> true;
