Let a command that no member can apply fail alone

What callers would see: a command in the log at which a part of the state throws (a fault of the program) stopped the member that applied it, and as all members apply the same log, every member, again after each restart: the site is down until the program is replaced.

Applying is deterministic, so what a part throws, every member's part throws. Commands of a newer program (storage-too-new) and damaged ones (storage-corrupt) still stop the member, as other members may apply them; so does any error.

Run on ConsensusNode and SiteStateMachine of the commit before: ConsensusNodeTest.aCommandThatNoMemberCanApplyFailsAloneAndTheMemberGoesOn failed (OUTCOME_UNKNOWN, the member had stopped), and SiteStateMachineTest.aCommandThatAPartCannotApplyFailsAloneAndTheSameWayOnEveryMember failed (IllegalStateException). Both pass with it.

--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusListener.java
@@ -77,6 +77,14 @@
      */
     record SnapshotInstalled(long index, long sizeBytes) implements Event {}
 
+    /**
+     * The state machine could not apply a command; the member goes on with the next one, as all members do.
+     *
+     * @param index the index of its entry
+     * @param failure the cause, not null
+     */
+    record CommandFailed(long index, Throwable failure) implements Event {}
+
     /**
      * The disk refuses what the member writes; it is tried again until the disk takes it, or the member stops.
      *
--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -544,9 +544,7 @@
     private void apply(ApplyStep.Apply step) {
         List<byte[]> results = new ArrayList<>();
         for (LogEntry entry : step.entries()) {
-            boolean isCommand = entry.kind() == LogEntry.Kind.COMMAND;
-            byte[] bytes = entry.payload().bytes();
-            results.add(isCommand ? ports.stateMachine().apply(entry.index(), bytes) : EMPTY_RESULT);
+            results.add(entry.kind() == LogEntry.Kind.COMMAND ? applyCommand(entry) : EMPTY_RESULT);
             appliedBytes += entry.sizeBytes();
         }
         runLocked(activeProtocol -> activeProtocol.onEntriesApplied(step.entries(), results));
@@ -555,6 +553,19 @@
         }
     }
 
+    /** Applies a command; one that cannot be applied on any member must not stop them all, again after each restart. */
+    private byte[] applyCommand(LogEntry entry) {
+        try {
+            return ports.stateMachine().apply(entry.index(), entry.payload().bytes());
+        } catch (NettleringException e) {
+            if (e.code() != ErrorCode.INTERNAL) {
+                throw e;
+            }
+            runLocked(activeProtocol -> activeProtocol.onCommandFailed(entry, e));
+            return EMPTY_RESULT;
+        }
+    }
+
     /** Captures the state on the apply thread; the background executor encodes and saves it. */
     private void captureSnapshot(ApplyStep.Apply step) {
         List<Boolean> captureStarted = new ArrayList<>();
--- a/consensus/src/main/java/org/nettlering/consensus/ReplicatedStateMachine.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ReplicatedStateMachine.java
@@ -12,6 +12,9 @@
      * @param index the position in the log, from 1
      * @param command the command as it was proposed, not null
      * @return the result for the proposer, never null
+     * @throws org.nettlering.domain.error.NettleringException with {@code INTERNAL} if the command cannot be applied, in the
+     *     same way on every member; the proposal fails with it, and the member goes on with the next command. Anything else
+     *     that is thrown stops the member
      */
     byte[] apply(long index, byte[] command);
 
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusListener.CommandFailed;
 import org.nettlering.consensus.ConsensusListener.LeadershipLost;
 import org.nettlering.consensus.ConsensusListener.SnapshotSaved;
 import org.nettlering.consensus.ConsensusMessage;
@@ -310,6 +311,12 @@
         leader.onApplied();
     }
 
+    /** Records that the state machine could not apply a command; it counts as applied, without a result. */
+    public void onCommandFailed(LogEntry entry, RuntimeException failure) {
+        proposals.fail(entry, failure);
+        state.outbox.report(new CommandFailed(entry.index(), failure));
+    }
+
     /** Records that the state machine has applied entries and completes their proposals with the results. */
     public void onEntriesApplied(List<LogEntry> entries, List<byte[]> results) {
         applyQueue.onApplied(entries.getLast().index());
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/PendingProposals.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/PendingProposals.java
@@ -33,6 +33,14 @@
         outbox.runOutsideLock(() -> proposal.future().complete(result));
     }
 
+    /** Fails the proposal of an entry that the state machine could not apply. */
+    void fail(LogEntry entry, RuntimeException failure) {
+        Proposal proposal = pending.remove(entry.index());
+        if (proposal != null) {
+            outbox.runOutsideLock(() -> proposal.future().completeExceptionally(failure));
+        }
+    }
+
     /** Fails the proposals whose entries come after {@code index}. */
     void failAfter(long index, RuntimeException failure) {
         Map<Long, Proposal> failing = pending.tailMap(index, false);
--- a/consensus/src/test/java/org/nettlering/consensus/ConsensusNodeTest.java
+++ b/consensus/src/test/java/org/nettlering/consensus/ConsensusNodeTest.java
@@ -134,6 +134,20 @@
         assertThat(codeOf(proposal)).isEqualTo(ErrorCode.OUTCOME_UNKNOWN);
     }
 
+    @Test
+    void aCommandThatNoMemberCanApplyFailsAloneAndTheMemberGoesOn() {
+        lead();
+        applyFailure = new NettleringException(ErrorCode.INTERNAL, "log entry 3 could not be applied");
+
+        CompletableFuture<byte[]> failing = propose();
+        applyFailure = null;
+
+        assertThat(codeOf(failing)).isEqualTo(ErrorCode.INTERNAL);
+        assertThat(propose()).isCompletedWithValueMatching(result -> result.length == 400);
+        assertThat(node.isReadyLeader()).isTrue();
+        assertThat(events).anyMatch(ConsensusListener.CommandFailed.class::isInstance);
+    }
+
     @Test
     void anErrorWhileEncodingASnapshotStopsTheMember() {
         lead();
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -31,7 +31,9 @@
     /** A message or an event was lost because it could not be handed over. */
     EFFECT_FAILED(4012, Level.ERROR, "a message or event of this member was lost: {}"),
     /** The disk refuses writes, which are tried again. */
-    WRITES_REFUSED(4013, Level.WARN, "the disk refuses writes, which are tried again: {}");
+    WRITES_REFUSED(4013, Level.WARN, "the disk refuses writes, which are tried again: {}"),
+    /** A command could not be applied. */
+    COMMAND_FAILED(4014, Level.ERROR, "entry {} of the log could not be applied and was passed over");
 
     /** The number of the event. */
     private final int number;
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvents.java
@@ -47,6 +47,7 @@
             case SnapshotSaved saved -> logger.log(ConsensusEvent.SNAPSHOT_SAVED, saved.index(), saved.sizeBytes());
             case SnapshotInstalled installed ->
                 logger.log(ConsensusEvent.SNAPSHOT_INSTALLED, installed.index(), installed.sizeBytes());
+            case CommandFailed failed -> logger.log(ConsensusEvent.COMMAND_FAILED, failed.index(), failed.failure());
             case WritesRefused refused ->
                 logger.log(
                         ConsensusEvent.WRITES_REFUSED,
--- a/control/src/main/java/org/nettlering/control/consensus/LeadershipHistory.java
+++ b/control/src/main/java/org/nettlering/control/consensus/LeadershipHistory.java
@@ -85,6 +85,7 @@
             case DiskReplaced ignored -> Optional.empty();
             case SnapshotSaved ignored -> Optional.empty();
             case SnapshotInstalled ignored -> Optional.empty();
+            case CommandFailed ignored -> Optional.empty();
             case WritesRefused ignored -> Optional.empty();
             case EffectFailed ignored -> Optional.empty();
             case MemberFailed ignored -> Optional.empty();
--- a/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
+++ b/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
@@ -55,17 +55,39 @@
     @Override
     public byte[] apply(long index, byte[] command) {
         SiteCommand decoded = decode(index, command);
-        SiteResult result = switch (decoded.getCommandCase()) {
-            case CONFIGURATION -> configuration.apply(decoded);
-            case TASK -> tasks.apply(decoded);
-            case LEDGER -> ledger.apply(decoded);
-            case WORKFLOW, QUEUES -> workflow.apply(decoded);
+        try {
+            return apply(index, decoded).toByteArray();
+        } catch (RuntimeException exception) {
+            if (mustStop(exception)) {
+                throw exception;
+            }
+            throw new NettleringException(
+                    ErrorCode.INTERNAL,
+                    "log entry " + index + " of kind " + decoded.getCommandCase() + " could not be applied",
+                    exception);
+        }
+    }
+
+    private SiteResult apply(long index, SiteCommand command) {
+        return switch (command.getCommandCase()) {
+            case CONFIGURATION -> configuration.apply(command);
+            case TASK -> tasks.apply(command);
+            case LEDGER -> ledger.apply(command);
+            case WORKFLOW, QUEUES -> workflow.apply(command);
             case COMMAND_NOT_SET ->
                 throw new NettleringException(
                         ErrorCode.STORAGE_TOO_NEW,
                         "log entry " + index + " holds a command that this program does not know");
         };
-        return result.toByteArray();
+    }
+
+    /**
+     * Returns whether a member must not pass a command over, because other members may apply it: it may come from a newer
+     * program, or be damaged on this disk. Any other failure is a fault of a part, which applies deterministically.
+     */
+    private static boolean mustStop(RuntimeException failure) {
+        return failure instanceof NettleringException exception
+                && (exception.code() == ErrorCode.STORAGE_TOO_NEW || exception.code() == ErrorCode.STORAGE_CORRUPT);
     }
 
     @Override
--- a/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
+++ b/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.junit.jupiter.api.Test;
 import org.nettlering.control.configuration.ConfigurationPart;
+import org.nettlering.control.log.StatePart;
 import org.nettlering.control.testing.EmptyPart;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -14,6 +15,7 @@
 import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationChange;
 import org.nettlering.wire.proto.ConfigurationProto.ConfigurationCommand;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage;
 
 class SiteStateMachineTest {
     private final ConfigurationPart configuration = ConfigurationPart.create();
@@ -53,6 +55,36 @@
         assertRefused(ErrorCode.STORAGE_TOO_NEW, () -> machine.apply(1, new byte[0]));
     }
 
+    @Test
+    void aCommandThatAPartCannotApplyFailsAloneAndTheSameWayOnEveryMember() {
+        SiteStateMachine faulty =
+                SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart(), new FaultyPart());
+
+        assertRefused(ErrorCode.INTERNAL, () -> faulty.apply(1, workflowCommand()));
+        assertThat(faulty.apply(2, powerCapCommand())).isNotEmpty();
+    }
+
+    /** A part with a fault of the program. */
+    private static final class FaultyPart implements StatePart {
+        @Override
+        public SiteResult apply(SiteCommand command) {
+            throw new IllegalStateException("no task 3fd85ccbdf37bd4e.0.0.12");
+        }
+
+        @Override
+        public void save(SiteSnapshot.Builder snapshot) {}
+
+        @Override
+        public void restore(SiteSnapshot snapshot) {}
+    }
+
+    private static byte[] workflowCommand() {
+        return SiteCommand.newBuilder()
+                .setWorkflow(WorkflowCommandMessage.getDefaultInstance())
+                .build()
+                .toByteArray();
+    }
+
     private static void assertRefused(ErrorCode code, Runnable action) {
         assertThatThrownBy(action::run)
                 .isInstanceOfSatisfying(
