Report what timers throw, and end a process in which a part died of an error

A timer of SystemTime that threw was swallowed by its future: a chain of timers (ticks, joins, pings, the loops) that re-schedules itself at its end was broken for good, and no line of the log said so. Threads that ended by an error left only a trace on standard error, and the process went on without them.

What a timer throws now reaches the uncaught exception handler of the timer thread, and the later timers run.

--- a/domain/src/main/java/org/nettlering/domain/time/SystemTime.java
+++ b/domain/src/main/java/org/nettlering/domain/time/SystemTime.java
@@ -9,7 +9,8 @@
 /**
  * A time source that uses the system clocks.
  *
- * <p>Timers run on a single daemon thread. Thread-safe.
+ * <p>Timers run on a single daemon thread. What a timer throws goes to the uncaught exception handler of that thread, and the
+ * other timers go on. Thread-safe.
  */
 public final class SystemTime implements TimeSource, AutoCloseable {
     private final ScheduledThreadPoolExecutor executor;
@@ -42,10 +43,20 @@
 
     @Override
     public Timer schedule(Duration delay, Runnable task) {
-        ScheduledFuture<?> future = executor.schedule(task, Math.max(0L, delay.toNanos()), TimeUnit.NANOSECONDS);
+        ScheduledFuture<?> future =
+                executor.schedule(() -> run(task), Math.max(0L, delay.toNanos()), TimeUnit.NANOSECONDS);
         return () -> future.cancel(false);
     }
 
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (Throwable failure) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, failure);
+        }
+    }
+
     /** Stops the timer thread and discards all pending timers. */
     @Override
     public void close() {
--- a/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/RuntimeEvent.java
@@ -25,7 +25,9 @@
     /** Lines found no room as the output stood still or was too slow. */
     LINES_DROPPED(1010, Level.WARN, "{} lines were dropped: the output of the log is too slow"),
     /** Lines of one event were left out. */
-    LINES_LEFT_OUT(1011, Level.INFO, "{} lines of {} were left out: its budget of a second was used up");
+    LINES_LEFT_OUT(1011, Level.INFO, "{} lines of {} were left out: its budget of a second was used up"),
+    /** A thread or timer ended with an exception that nobody handled. */
+    UNCAUGHT(1012, Level.ERROR, "thread {} ended or lost a timer by an exception that nobody handles");
 
     /** The number of the event. */
     private final int number;
--- a/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
+++ b/runtime/src/main/java/org/nettlering/runtime/program/Daemon.java
@@ -22,7 +22,8 @@
  * }</pre>
  *
  * <p>Exits with {@link ExitCode#USAGE} when the command line or the settings are wrong; every fault is one line on
- * standard error, and nothing was started. Exits with 0 after a graceful stop. Used by one thread.
+ * standard error, and nothing was started. Ends with {@link ExitCode#FAILURE} when a thread or a timer ends by an error that
+ * nobody handles, so that no process goes on with a part of it dead. Exits with 0 after a graceful stop. Used by one thread.
  *
  * @param <S> the type of the settings
  */
@@ -64,6 +65,7 @@
      */
     @SuppressWarnings("SystemExitOutsideMain")
     public void main(String[] arguments) {
+        Thread.setDefaultUncaughtExceptionHandler(UncaughtFailures.of(Daemon::endWithFailure));
         ExitCode code = run(arguments, System.out, System.err, this::stopOnShutdown);
         if (code != ExitCode.SUCCESS) {
             LogOutput.flush();
@@ -71,6 +73,12 @@
         }
     }
 
+    /** Ends the process at once: a part of it is dead, and whoever started it starts it again. */
+    private static void endWithFailure() {
+        LogOutput.flush();
+        Runtime.getRuntime().halt(ExitCode.FAILURE.number());
+    }
+
     /**
      * Parses the command line, reads the settings and starts the program.
      *
