--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -1,5 +1,7 @@
 package org.nettlering.consensus;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -7,7 +9,9 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.consensus.ConsensusListener.EffectFailed;
 import org.nettlering.consensus.ConsensusListener.MemberFailed;
+import org.nettlering.consensus.ConsensusListener.WritesRefused;
 import org.nettlering.consensus.LogStorage.StoredSnapshot;
 import org.nettlering.consensus.protocol.ApplyStep;
 import org.nettlering.consensus.protocol.DiskWrite;
@@ -25,8 +29,8 @@
  * {@link #receive}. Commands are proposed to the leader.
  *
  * <p>A command whose future completes normally is durable on a majority of the voters and applied on this member; it is
- * never lost while a majority keeps its disks. If the storage or state machine fails, the member stops permanently.
- * Thread-safe. Futures complete without a lock held; their dependent actions must not block.
+ * never lost while a majority keeps its disks. If the storage, the state machine or a step of the protocol fails, with an
+ * exception or an error, the member stops permanently and reports {@code MemberFailed}. Thread-safe. Futures complete without a lock held; their dependent actions must not block.
  *
  * <pre>{@code
  * ConsensusNode node = ConsensusNode.create(self, members, ConsensusSettings.DEFAULT, ports);
@@ -38,6 +42,9 @@
     /** The result of an entry that is not a command. */
     private static final byte[] EMPTY_RESULT = new byte[0];
 
+    /** How long the disk may refuse a write, for example because it is full, before the member stops. */
+    private static final Duration MAX_REFUSAL = Duration.ofSeconds(30);
+
     private final MemberId self;
 
     /** The members that bootstrap the group when all disks are uninitialised. */
@@ -269,11 +276,9 @@
             if (tickTimer != null) {
                 tickTimer.cancel();
             }
-            if (protocol != null) {
-                protocol.stop();
-            }
-            if (failure != null) {
-                outbox.runOutsideLock(() -> ports.listener().onEvent(new MemberFailed(failure)));
+            Throwable cause = stopProtocol(failure);
+            if (cause != null) {
+                outbox.runOutsideLock(() -> ports.listener().onEvent(new MemberFailed(cause)));
             }
         } finally {
             lock.unlock();
@@ -281,6 +286,18 @@
         runActions();
     }
 
+    /** Stops the protocol, which after a failure may fail too; returns the first failure, or null if there was none. */
+    private @Nullable Throwable stopProtocol(@Nullable Throwable failure) {
+        try {
+            if (protocol != null) {
+                protocol.stop();
+            }
+            return failure;
+        } catch (Throwable e) {
+            return failure == null ? e : failure;
+        }
+    }
+
     /** A request that the protocol completes through a future. */
     @FunctionalInterface
     private interface Request<T> {
@@ -289,38 +306,54 @@
 
     private <T> CompletableFuture<T> request(Request<T> request) {
         CompletableFuture<T> future = new CompletableFuture<>();
-        boolean running = runLocked(activeProtocol -> request.submit(activeProtocol, future));
-        if (!running) {
-            future.completeExceptionally(
-                    new NettleringException(ErrorCode.STOPPING, "member " + self + " is not running"));
+        switch (runLocked(activeProtocol -> request.submit(activeProtocol, future))) {
+            case DONE -> {}
+            case NOT_RUNNING ->
+                future.completeExceptionally(
+                        new NettleringException(ErrorCode.STOPPING, "member " + self + " is not running"));
+            case FAILED ->
+                future.completeExceptionally(new NettleringException(
+                        ErrorCode.OUTCOME_UNKNOWN, "member " + self + " failed during the request"));
         }
         return future;
     }
 
+    /** What became of a step of the protocol. */
+    private enum StepResult {
+        /** It was run. */
+        DONE,
+        /** It was not run, because the member is not running. */
+        NOT_RUNNING,
+        /** It failed, and the member stopped. */
+        FAILED
+    }
+
     /**
-     * Runs a protocol step under the lock, then the resulting actions outside it; returns false if the member is not
-     * running.
+     * Runs a protocol step under the lock, then the resulting actions outside it.
+     *
+     * <p>Anything that a step throws, errors included, stops the member: the state may be inconsistent then, and a timer or
+     * executor that goes on without the step would leave a part of the member dead.
      */
-    private boolean runLocked(Consumer<MemberProtocol> step) {
-        RuntimeException failure = null;
+    private StepResult runLocked(Consumer<MemberProtocol> step) {
+        Throwable failure = null;
         lock.lock();
         try {
             if (stopped || protocol == null) {
-                return false;
+                return StepResult.NOT_RUNNING;
             }
             step.accept(protocol);
             dispatchWork(protocol);
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             failure = e;
         } finally {
             lock.unlock();
         }
         if (failure != null) {
             stop(failure);
-            return true;
+            return StepResult.FAILED;
         }
         runActions();
-        return true;
+        return StepResult.DONE;
     }
 
     /** Submits tasks to the executors that have work and are idle. Called under the lock. */
@@ -352,11 +385,30 @@
         }
         List<Runnable> actions = takeActions();
         while (!actions.isEmpty()) {
-            actions.forEach(Runnable::run);
+            actions.forEach(this::runAction);
             actions = takeActions();
         }
     }
 
+    /** Runs an action; one that fails must not keep the later ones from being run, now or ever. */
+    private void runAction(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            reportEffectFailed(e);
+        } catch (Error e) {
+            stop(e);
+        }
+    }
+
+    private void reportEffectFailed(RuntimeException failure) {
+        try {
+            ports.listener().onEvent(new EffectFailed(failure));
+        } catch (RuntimeException ignored) {
+            // It is the listener that fails; there is nobody else to tell.
+        }
+    }
+
     private List<Runnable> takeActions() {
         lock.lock();
         try {
@@ -371,23 +423,86 @@
     /** Performs the pending writes and makes them durable with one sync. */
     private void writeToDisk() {
         List<DiskWrite> writes = new ArrayList<>();
-        boolean running = runLocked(activeProtocol -> writes.addAll(outbox.takeWrites()));
-        if (!running) {
+        if (runLocked(activeProtocol -> writes.addAll(outbox.takeWrites())) != StepResult.DONE) {
             return;
         }
+        write(new WriteBatch(writes));
+    }
+
+    private void write(WriteBatch batch) {
         try {
-            writes.forEach(write -> write.writeTo(ports.storage()));
-            ports.storage().sync();
-        } catch (RuntimeException e) {
-            stop(e);
+            batch.writeTo(ports.storage());
+        } catch (Throwable e) {
+            if (!isRefusedByDisk(e)
+                    || batch.isRefusedFor(MAX_REFUSAL, ports.time().nanoTime())) {
+                stop(e);
+                return;
+            }
+            tryAgainLater(batch, e);
             return;
         }
         runLocked(activeProtocol -> {
             writing = false;
-            activeProtocol.onWritesDurable(writes.size());
+            activeProtocol.onWritesDurable(batch.size);
         });
     }
 
+    private static boolean isRefusedByDisk(Throwable failure) {
+        return failure instanceof NettleringException exception && exception.code() == ErrorCode.STORAGE_FULL;
+    }
+
+    /** Tries a batch again that the disk refused; until it is written, the member acknowledges nothing that is in it. */
+    private void tryAgainLater(WriteBatch batch, Throwable refusal) {
+        runLocked(activeProtocol -> {
+            if (batch.recordRefusal(ports.time().nanoTime())) {
+                outbox.runOutsideLock(() -> ports.listener().onEvent(new WritesRefused(refusal)));
+            }
+            ports.time().schedule(settings.heartbeatInterval(), () -> tryAgain(batch));
+        });
+    }
+
+    private void tryAgain(WriteBatch batch) {
+        runLocked(activeProtocol -> ports.executors().disk().execute(() -> write(batch)));
+    }
+
+    /** Writes that become durable with one sync. Used by one thread at a time. */
+    private static final class WriteBatch {
+        final int size;
+
+        /** The writes that the storage has not taken yet. */
+        private final ArrayDeque<DiskWrite> remaining;
+
+        /** When the disk first refused the batch, by the monotonic clock; null if it has not. */
+        private @Nullable Long refusedSinceNanos;
+
+        WriteBatch(List<DiskWrite> writes) {
+            size = writes.size();
+            remaining = new ArrayDeque<>(writes);
+        }
+
+        /** Writes and syncs the batch, or the rest of it if an earlier attempt was refused. */
+        void writeTo(LogStorage storage) {
+            while (!remaining.isEmpty()) {
+                remaining.getFirst().writeTo(storage);
+                remaining.removeFirst();
+            }
+            storage.sync();
+        }
+
+        /** Records that the disk refused the batch; returns whether for the first time. */
+        boolean recordRefusal(long nowNanos) {
+            if (refusedSinceNanos != null) {
+                return false;
+            }
+            refusedSinceNanos = nowNanos;
+            return true;
+        }
+
+        boolean isRefusedFor(Duration limit, long nowNanos) {
+            return refusedSinceNanos != null && nowNanos - refusedSinceNanos >= limit.toNanos();
+        }
+    }
+
     private void applySteps() {
         boolean more = true;
         while (more) {
@@ -397,7 +512,7 @@
 
     private boolean applyStep() {
         List<ApplyStep> steps = new ArrayList<>();
-        boolean running = runLocked(activeProtocol -> {
+        StepResult result = runLocked(activeProtocol -> {
             ApplyStep step = activeProtocol.nextApplyStep();
             if (step == null) {
                 applying = false;
@@ -405,7 +520,7 @@
                 steps.add(step);
             }
         });
-        if (!running || steps.isEmpty()) {
+        if (result != StepResult.DONE || steps.isEmpty()) {
             return false;
         }
         try {
@@ -414,7 +529,7 @@
                 case ApplyStep.Apply apply -> apply(apply);
             }
             return true;
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
             return false;
         }
@@ -429,9 +544,7 @@
     private void apply(ApplyStep.Apply step) {
         List<byte[]> results = new ArrayList<>();
         for (LogEntry entry : step.entries()) {
-            boolean isCommand = entry.kind() == LogEntry.Kind.COMMAND;
-            byte[] bytes = entry.payload().bytes();
-            results.add(isCommand ? ports.stateMachine().apply(entry.index(), bytes) : EMPTY_RESULT);
+            results.add(entry.kind() == LogEntry.Kind.COMMAND ? applyCommand(entry) : EMPTY_RESULT);
             appliedBytes += entry.sizeBytes();
         }
         runLocked(activeProtocol -> activeProtocol.onEntriesApplied(step.entries(), results));
@@ -440,6 +553,19 @@
         }
     }
 
+    /** Applies a command; one that cannot be applied on any member must not stop them all, again after each restart. */
+    private byte[] applyCommand(LogEntry entry) {
+        try {
+            return ports.stateMachine().apply(entry.index(), entry.payload().bytes());
+        } catch (NettleringException e) {
+            if (e.code() != ErrorCode.INTERNAL) {
+                throw e;
+            }
+            runLocked(activeProtocol -> activeProtocol.onCommandFailed(entry, e));
+            return EMPTY_RESULT;
+        }
+    }
+
     /** Captures the state on the apply thread; the background executor encodes and saves it. */
     private void captureSnapshot(ApplyStep.Apply step) {
         List<Boolean> captureStarted = new ArrayList<>();
@@ -468,8 +594,13 @@
                 savingSnapshot = false;
                 activeProtocol.onSnapshotSaved(header);
             });
-        } catch (RuntimeException e) {
-            stop(e);
+        } catch (Throwable e) {
+            if (!isRefusedByDisk(e)) {
+                stop(e);
+                return;
+            }
+            // The log keeps what the snapshot would have replaced; the next one is due after as many bytes again.
+            runLocked(activeProtocol -> savingSnapshot = false);
         }
     }
 
@@ -480,7 +611,7 @@
                 loadingSnapshot = false;
                 snapshot.ifPresent(activeProtocol::onSnapshotLoaded);
             });
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             stop(e);
         }
     }
--- a/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
+++ b/control/src/main/java/org/nettlering/control/consensus/ConsensusEvent.java
@@ -28,6 +28,12 @@
     JOIN_ACCEPTED(4010, Level.INFO, "the group takes member {} in"),
     /** The group could not be asked to take the member in, or refused for now. */
     JOIN_REFUSED(4011, Level.INFO, "the group does not take member {} in yet: {}"),
+    /** A message or an event was lost because it could not be handed over. */
+    EFFECT_FAILED(4012, Level.ERROR, "a message or event of this member was lost: {}"),
+    /** The disk refuses writes, which are tried again. */
+    WRITES_REFUSED(4013, Level.WARN, "the disk refuses writes, which are tried again: {}"),
+    /** A command could not be applied. */
+    COMMAND_FAILED(4014, Level.ERROR, "entry {} of the log could not be applied and was passed over"),
     /** The leader removes a voter that has been unreachable for long. */
     VOTER_REMOVED(4015, Level.WARN, "voter {} has not responded for {} ms or more and is removed from the group"),
     /** The removal of an unreachable voter was refused, or its outcome is unknown. */
