Renew the lease of a host whatever becomes of its other commands

The lease of a host covers all its runs, and polls alone renew it. Two things kept it from being renewed while the host answered every poll:

- A poll renewed nothing if the last command of any kind had got no response, so that lost stops or throttle commands withheld renewals.
- No poll was sent while a termination that the host had reported was not committed.
A commit that took longer than a lease ended all other runs on that host.

Now only a poll without a response withholds the next renewal, which still lets the lease of a host that is gone expire; and a poll waits for a commit for a second at most. A termination that is not committed is still not acknowledged.

Both new tests failed on the code before: "Expecting actual: 0L to be greater than: 0L" for the renewal after a lost stop, and "no poll is due" for the commit.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -66,6 +66,12 @@
     /** The minimum time between the sending of a poll that does not wait and of the next poll. */
     private static final Duration MIN_IMMEDIATE_POLL_INTERVAL = Duration.ofMillis(100);
 
+    /**
+     * How long after the last poll the next one waits for reported terminations to be committed, so that it can acknowledge
+     * them. It does not wait longer, because polls renew the lease of all runs on the host.
+     */
+    private static final Duration MAX_COMMIT_WAIT = POLL_WAIT;
+
     private final HostIncarnation host;
 
     private final HostTimings timings;
@@ -89,6 +95,12 @@
 
     private boolean pollInFlight;
 
+    /** Whether the last poll got no response or the host was too unhealthy to handle it. */
+    private boolean pollUnanswered;
+
+    /** When the last poll was taken, by the monotonic clock. */
+    private long lastPollNanos;
+
     /** The earliest monotonic time of the next poll. */
     private long nextPollNanos;
 
@@ -326,7 +338,7 @@
             liveness.terminationNanos().ifPresent(terminationNanos -> delaysNanos.add(terminationNanos - nowNanos));
         }
         if (needsPoll()) {
-            delaysNanos.add(nextPollNanos - nowNanos);
+            delaysNanos.add(nextPollNanos() - nowNanos);
         }
         orphanedRuns.values().forEach(next -> delaysNanos.add(next - nowNanos));
         runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> delaysNanos.add(next - nowNanos)));
@@ -337,7 +349,7 @@
     }
 
     private boolean isPollDue(long nowNanos) {
-        return needsPoll() && nowNanos - nextPollNanos >= 0;
+        return needsPoll() && nowNanos - nextPollNanos() >= 0;
     }
 
     private boolean needsPoll() {
@@ -345,20 +357,29 @@
                 || liveness.isUnresponsive()
                 || !runs.isEmpty()
                 || terminationTracker.hasUnsentAcknowledgement()
+                || terminationTracker.hasUncommitted()
                 || !orphanedRuns.isEmpty();
+        return needed && !pollInFlight;
+    }
+
+    /** Returns the earliest monotonic time of the next poll, which waits for terminations to be committed. */
+    private long nextPollNanos() {
         boolean awaitsCommit = terminationTracker.hasUncommitted() && !liveness.isUnresponsive();
-        return needed && !awaitsCommit && !pollInFlight;
+        long afterCommitWaitNanos = lastPollNanos + MAX_COMMIT_WAIT.toNanos();
+        return awaitsCommit && afterCommitWaitNanos - nextPollNanos > 0 ? afterCommitWaitNanos : nextPollNanos;
     }
 
     private HostCommand createPoll(long nowNanos) {
         pollInFlight = true;
+        lastPollNanos = nowNanos;
         boolean immediate = !pollSucceeded
                 || liveness.isUnresponsive()
                 || runs.isEmpty()
                 || !orphanedRuns.isEmpty()
                 || hasUnansweredStart();
         long maxWaitMillis = immediate ? 0 : (usageMonitored ? MONITORED_POLL_WAIT : POLL_WAIT).toMillis();
-        boolean renewsLease = !runs.isEmpty() && !liveness.isUnresponsive();
+        // Other commands without a response do not count: the lease of a host that answers polls must not expire.
+        boolean renewsLease = !runs.isEmpty() && !pollUnanswered;
         return new HostCommand.Poll(
                 host,
                 token,
@@ -461,6 +482,7 @@
     private List<RecordTermination> onPollResponse(
             HostCommand.Poll poll, long sentNanos, HostResponse response, long nowNanos) {
         pollInFlight = false;
+        pollUnanswered = liveness.isUnresponsive();
         if (!(response instanceof PollResult pollResult)) {
             nextPollNanos = nowNanos + UNRESPONSIVE_POLL_DELAY.toNanos();
             return List.of();
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -297,6 +297,42 @@
         assertThat(takePoll().leaseExpiryMillis()).isZero();
     }
 
+    /** Guards against runs that end by their lease on a host that answers every poll. */
+    @Test
+    void leaseIsRenewedWhileOtherCommandsGetNoResponse() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        session.requestStop(RUN);
+        for (int attempt = 0; attempt < 5; attempt++) {
+            respond(takeCommand(HostCommand.Stop.class), new NoResponse("timeout"));
+            HostCommand.Poll poll = takePoll();
+            assertThat(poll.leaseExpiryMillis()).isPositive();
+            respond(poll, new PollResult(hostClockMillis, List.of(new ReportedRun(RUN, "", 10, 0)), List.of()));
+            advance(500);
+        }
+    }
+
+    /** Guards against runs that end by their lease because a termination on the same host is committed late. */
+    @Test
+    void leaseIsRenewedWhileTerminationAwaitsCommit() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        RunId other = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(other, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new Accepted(hostClockMillis));
+        ReportedRun running = new ReportedRun(other, "", 10, 0);
+        ReportedTermination done = new ReportedTermination(1, RUN, TerminalStatus.DONE, "");
+        respondToPoll(List.of(running), List.of(done));
+        for (int second = 0; second < 10; second++) {
+            advance(1_000);
+            HostCommand.Poll poll = takePoll();
+            assertThat(poll.leaseExpiryMillis()).isGreaterThan(hostClockMillis + 4_000);
+            assertThat(poll.acknowledgedThrough()).isZero();
+            assertThat(respond(poll, new PollResult(hostClockMillis, List.of(running), List.of(done))))
+                    .isEmpty();
+        }
+    }
+
     @Test
     void inheritedRunsOfUnresponsiveHostAreLostOnlyAfterMaxLeaseOfEarlierLeader() {
         session.trackInheritedRun(ACTIVE, false, nowNanos);
