Count a termination as found only once it can be returned

A host session marked a run as terminated before it had read all of the reported termination. An exception in between left a termination that was never proposed, and that later poll responses did not return any more: the job never finished, and, as the host was not polled while the termination waited for its commit, the lease of all its runs expired.

The new test failed on the code before: the termination was not returned when it was reported again ("Expecting actual: []"). The session now reads all that it needs first, and records the sequence number last.

--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -512,18 +512,23 @@
     }
 
     private void handleReportedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
+        findTermination(reported, terminations);
+        // Not before, because a reported termination that is not uncommitted is acknowledged.
         terminationTracker.recordReported(reported.sequence());
+    }
+
+    private void findTermination(ReportedTermination reported, List<RecordTermination> terminations) {
         TrackedRun tracked = runs.get(reported.run());
         if (tracked == null) {
             handleUntrackedTermination(reported, terminations);
             return;
         }
+        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
         terminationTracker.addUncommitted(reported);
         if (tracked.isTerminationReported()) {
             return;
         }
         tracked.recordTermination(new TerminationEvidence.Listed());
-        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
         terminations.add(new RecordTermination(reported.run(), reported.status(), checkpoint));
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.nettlering.domain.workflow.WorkflowSamples.HOST;
 import static org.nettlering.domain.workflow.WorkflowSamples.run;
 
@@ -333,6 +334,22 @@
         }
     }
 
+    /** Guards against a result that is neither recorded nor reported again. */
+    @Test
+    @SuppressWarnings("NullAway")
+    void terminationThatCannotBeHandledIsReturnedWhenItIsReportedAgain() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        ReportedTermination malformed = new ReportedTermination(1, RUN, TerminalStatus.DONE, null);
+        assertThatThrownBy(() -> respondToPoll(List.of(), List.of(malformed))).isInstanceOf(NullPointerException.class);
+        advance(1_000);
+        HostCommand.Poll poll = takePoll();
+        assertThat(poll.acknowledgedThrough()).isZero();
+        ReportedTermination done = new ReportedTermination(1, RUN, TerminalStatus.DONE, "");
+        assertThat(respond(poll, new PollResult(hostClockMillis, List.of(), List.of(done))))
+                .containsExactly(new RecordTermination(RUN, TerminalStatus.DONE, ""));
+    }
+
     @Test
     void inheritedRunsOfUnresponsiveHostAreLostOnlyAfterMaxLeaseOfEarlierLeader() {
         session.trackInheritedRun(ACTIVE, false, nowNanos);
