Let the parts of the leader's loop fail independently

An iteration proposed a batch and then sent the due commands, under one handler of exceptions, and commands were marked as sent before they were. So an exception had effects far from its cause, for the rest of the term:

- while the plan threw, no poll and no stop was sent at all: after a lease, every run of the site had ended by it, while the log went on to commit and callers' cancellations were acknowledged;
- after a command whose sending threw, the commands behind it were never sent, but counted as in flight: their hosts were not polled any more;
- after a proposal that threw, the batch counted as in flight: no start ever again;
- one host without a usable capacity kept tasks from all others, and one command of a batch kept the rest of it from being handled.

Each part is now isolated: planning, a proposal, each command of a committed batch, each visit, each command and each response. A command whose sending throws counts as one that the host may have received, so that its run is stopped before its task starts elsewhere.

--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.workflow;
 
+import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -45,6 +46,9 @@
 
     private final CommandMetrics commandMetrics;
 
+    /** The failures of parts of the loop. */
+    private final Counter failureCounter;
+
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
@@ -81,6 +85,11 @@
         this.time = time;
         histograms = LatencyHistograms.registerIn(registry);
         commandMetrics = CommandMetrics.registerIn(registry);
+        failureCounter = Counter.builder()
+                .name("nettlering_leader_failures_total")
+                .help("Parts of the leader's loop that failed.")
+                .labelNames("part")
+                .register(registry);
     }
 
     /**
@@ -163,6 +172,10 @@
         }
     }
 
+    void partFailed(LoopPart part) {
+        failureCounter.labelValues(part.label()).inc();
+    }
+
     void commandSent(HostCommand command) {
         commandMetrics.commandSent(command);
         if (command instanceof HostCommand.Start start) {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -38,7 +38,9 @@
     /** A throttled run is stopped so that its task runs on another host. */
     RUN_MIGRATED(3315, Level.INFO, "stopping throttled run {} on host {} to migrate its task"),
     /** Statistics of the loop, logged periodically. */
-    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}");
+    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}"),
+    /** A part of the workflow loop failed; the other parts of the same iteration are not affected. */
+    LOOP_PART_FAILED(3317, Level.ERROR, "part {} of the workflow loop failed for {}");
 
     private final int number;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -57,6 +57,8 @@
 
     private final LoopMetrics metrics;
 
+    private final LoopFailures failures;
+
     /** The sessions by the incarnation id of the host. */
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
 
@@ -87,8 +89,13 @@
     private boolean planRequested = true;
 
     static WorkflowLeadership takeOver(
-            WorkflowState state, long term, HostTimings timings, LoopMetrics metrics, long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, timings, metrics, nowNanos);
+            WorkflowState state,
+            long term,
+            HostTimings timings,
+            LoopMetrics metrics,
+            LoopFailures failures,
+            long nowNanos) {
+        WorkflowLeadership leadership = new WorkflowLeadership(term, timings, metrics, failures, nowNanos);
         for (HostAllocations allocations : state.allocations()) {
             HostSession session = leadership.sessionOf(allocations, nowNanos);
             for (ActiveRun run : allocations.runs()) {
@@ -107,10 +114,12 @@
                 .isPresent();
     }
 
-    private WorkflowLeadership(long term, HostTimings timings, LoopMetrics metrics, long nowNanos) {
+    private WorkflowLeadership(
+            long term, HostTimings timings, LoopMetrics metrics, LoopFailures failures, long nowNanos) {
         this.term = term;
         this.timings = timings;
         this.metrics = metrics;
+        this.failures = failures;
         finishedJobs = new FinishedJobRetention(nowNanos);
     }
 
@@ -162,7 +171,7 @@
         markHostChanged(command.host().id());
         addTerminations(session, session.handleResponse(command, sentNanos, response, nowNanos));
         if (response instanceof HostResponse.PollResult) {
-            colocation.adjustThrottling(state, session, nowNanos);
+            failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
         }
         colocation.updateThrottled(session);
@@ -229,17 +238,21 @@
         List<WorkflowCommand> batch = new ArrayList<>(uncommittedTerminations.values());
         if (planRequested) {
             planRequested = false;
-            addDueOccurrences(state, nowMillis, batch);
-            batch.addAll(finishedJobs.removalsDue(state, nowNanos));
-            long planStartNanos = metrics.planStartNanos();
-            addStarts(state, nowNanos, nowMillis, batch);
-            metrics.recordPlan(planStartNanos);
+            failures.isolate(LoopPart.PLAN, "term " + term, () -> addPlan(state, nowNanos, nowMillis, batch));
         }
         uncommittedTerminations.clear();
         batchInFlight = !batch.isEmpty();
         return batch;
     }
 
+    private void addPlan(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
+        addDueOccurrences(state, nowMillis, batch);
+        batch.addAll(finishedJobs.removalsDue(state, nowNanos));
+        long planStartNanos = metrics.planStartNanos();
+        addStarts(state, nowNanos, nowMillis, batch);
+        metrics.recordPlan(planStartNanos);
+    }
+
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
         List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
         if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
@@ -262,15 +275,19 @@
             HostSession session = sessions.get(hostId);
             if (session != null) {
                 counters.countHostVisit();
-                List<RecordTermination> inferred = session.inferTerminations(nowNanos);
-                addTerminations(session, inferred);
-                if (!inferred.isEmpty()) {
-                    markHostChanged(hostId);
-                }
+                failures.isolate(LoopPart.VISIT, hostId, () -> collectInferredTerminations(session, nowNanos));
             }
         }
     }
 
+    private void collectInferredTerminations(HostSession session, long nowNanos) {
+        List<RecordTermination> inferred = session.inferTerminations(nowNanos);
+        addTerminations(session, inferred);
+        if (!inferred.isEmpty()) {
+            markHostChanged(session.host().id());
+        }
+    }
+
     private void migrate(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MIGRATED, run.run(), run.host().id());
         stop(run);
@@ -290,7 +307,8 @@
             String id = session.host().id();
             if (session.acceptsRuns(nowNanos) && !failureBackoff.isBackingOff(id, nowNanos)) {
                 session.latestHeartbeat()
-                        .ifPresent(heartbeat -> capacities.add(freeCapacity(state, session, heartbeat)));
+                        .ifPresent(heartbeat -> failures.isolate(
+                                LoopPart.PLAN, id, () -> capacities.add(freeCapacity(state, session, heartbeat))));
             }
         }
         return capacities;
@@ -324,11 +342,15 @@
         batchInFlight = false;
         planRequested = true;
         for (WorkflowCommand command : batch) {
-            switch (command) {
-                case StartRun start -> startCommitted(state, start.run(), nowNanos);
-                case RecordTermination termination -> terminationCommitted(state, termination, nowNanos);
-                default -> {}
-            }
+            failures.isolate(LoopPart.COMMIT, command, () -> commandCommitted(state, command, nowNanos));
+        }
+    }
+
+    private void commandCommitted(WorkflowState state, WorkflowCommand command, long nowNanos) {
+        switch (command) {
+            case StartRun start -> startCommitted(state, start.run(), nowNanos);
+            case RecordTermination termination -> terminationCommitted(state, termination, nowNanos);
+            default -> {}
         }
     }
 
@@ -437,16 +459,22 @@
                 continue;
             }
             counters.countHostVisit();
-            if (session.isObsolete(nowNanos)) {
-                failureBackoff.removeHost(hostId);
-                colocation.removeHost(hostId);
-                sessions.remove(hostId);
-                capacityCache.invalidate(hostId);
-                continue;
-            }
-            due.addAll(session.takeDueCommands(nowNanos));
-            session.nextDueNanos(nowNanos).ifPresent(next -> visitQueue.scheduleVisit(hostId, next));
+            failures.isolate(LoopPart.VISIT, hostId, () -> due.addAll(dueCommands(session, nowNanos)));
+        }
+        return due;
+    }
+
+    private List<HostCommand> dueCommands(HostSession session, long nowNanos) {
+        String hostId = session.host().id();
+        if (session.isObsolete(nowNanos)) {
+            failureBackoff.removeHost(hostId);
+            colocation.removeHost(hostId);
+            sessions.remove(hostId);
+            capacityCache.invalidate(hostId);
+            return List.of();
         }
+        List<HostCommand> due = session.takeDueCommands(nowNanos);
+        session.nextDueNanos(nowNanos).ifPresent(next -> visitQueue.scheduleVisit(hostId, next));
         return due;
     }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
@@ -26,6 +28,7 @@
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.wire.codec.WorkflowCommandCodec;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
+import org.nettlering.wire.proto.CommandProto.SiteResult;
 
 /**
  * The control loop of the leader. Each iteration proposes a batch with the terminations and the planned starts of runs to
@@ -39,6 +42,8 @@
  *   <li>An iteration follows each event and each tick of the timer, on the executor of the loop, one at a time. Events
  *       during an iteration cause another one.
  *   <li>Commands are sent without holding a lock.
+ *   <li>Parts of the work fail independently: whatever fails for one host, one command or one batch, and a plan that fails,
+ *       keep nothing else from being done. Failures are logged and counted.
  * </ul>
  *
  * <p>Thread-safe.
@@ -65,6 +70,8 @@
 
     private final LoopMetrics metrics;
 
+    private final LoopFailures failures;
+
     private final LoopTimer stageTimer;
 
     private final Executor executor;
@@ -187,6 +194,7 @@
         this.commandSender = commandSender;
         this.timings = timings;
         this.metrics = metrics;
+        failures = new LoopFailures(metrics);
         this.stageTimer = stageTimer;
         this.executor = executor;
     }
@@ -301,19 +309,10 @@
             return;
         }
         long startNanos = time.nanoTime();
-        try {
-            proposeBatch();
-            sendDueCommands();
-        } catch (NettleringException exception) {
-            // The leadership may be lost during an iteration.
-            if (exception.code() != ErrorCode.NOT_LEADER) {
-                LOG.log(WorkflowEvent.LOOP_FAILED, exception);
-            }
-        } catch (RuntimeException exception) {
-            LOG.log(WorkflowEvent.LOOP_FAILED, exception);
-        } finally {
-            metrics.recordLoopRun(startNanos);
-        }
+        failures.isolate(LoopPart.PROPOSAL, "an iteration", this::proposeBatch);
+        failures.isolate(LoopPart.VISIT, "an iteration", this::sendDueCommands);
+        metrics.recordLoopRun(startNanos);
+        failures.logAll();
     }
 
     private void logLoad() {
@@ -338,36 +337,59 @@
         });
     }
 
+    /**
+     * A batch to propose.
+     *
+     * @param proposer the leadership that decided on it
+     * @param commands the commands, possibly none
+     */
+    private record Proposal(WorkflowLeadership proposer, List<WorkflowCommand> commands) {}
+
     private void proposeBatch() {
-        List<WorkflowCommand> batch = new ArrayList<>();
-        WorkflowLeadership proposer = withLock(LoopStage.PLAN, state -> {
+        Proposal proposal = withLock(LoopStage.PLAN, state -> {
             WorkflowLeadership current = leadership(state);
-            batch.addAll(current.nextBatch(state, time.nanoTime(), time.millis()));
-            metrics.batchProposed(state, batch);
-            return current;
+            List<WorkflowCommand> batch = current.nextBatch(state, time.nanoTime(), time.millis());
+            failures.isolate(LoopPart.PROPOSAL, "its metrics", () -> metrics.batchProposed(state, batch));
+            return new Proposal(current, batch);
         });
-        if (batch.isEmpty()) {
+        if (proposal.commands().isEmpty()) {
             return;
         }
-        SiteCommand command = SiteCommand.newBuilder()
-                .setWorkflow(WorkflowCommandCodec.encode(new WorkflowCommand.Batch(batch)))
-                .build();
-        log.propose(command).whenComplete((result, failure) -> batchFinished(proposer, batch, failure));
+        propose(proposal).whenComplete((result, failure) -> {
+            String subject = "a batch of " + proposal.commands().size() + " commands";
+            failures.isolate(LoopPart.COMMIT, subject, () -> batchFinished(proposal, failure));
+            if (failure == null) {
+                requestRun();
+            }
+            failures.logAll();
+        });
+    }
+
+    /** Proposes a batch; an exception counts as a batch that failed. */
+    private CompletionStage<SiteResult> propose(Proposal proposal) {
+        try {
+            return log.propose(SiteCommand.newBuilder()
+                    .setWorkflow(WorkflowCommandCodec.encode(new WorkflowCommand.Batch(proposal.commands())))
+                    .build());
+        } catch (RuntimeException exception) {
+            failures.add(LoopPart.PROPOSAL, "a batch of " + proposal.commands().size() + " commands", exception);
+            return CompletableFuture.failedStage(exception);
+        }
     }
 
-    private void batchFinished(WorkflowLeadership proposer, List<WorkflowCommand> batch, @Nullable Throwable failure) {
+    private void batchFinished(Proposal proposal, @Nullable Throwable failure) {
+        List<WorkflowCommand> batch = proposal.commands();
         if (failure != null) {
             LOG.log(WorkflowEvent.BATCH_FAILED, batch.size(), String.valueOf(failure.getMessage()));
-            withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> current.batchFailed(batch));
+            withLeadership(LoopStage.COMMITTED, proposal.proposer(), (state, current) -> current.batchFailed(batch));
             return;
         }
         List<Runnable> logLines = new ArrayList<>();
-        withLeadership(LoopStage.COMMITTED, proposer, (state, current) -> {
-            metrics.batchCommitted(batch);
+        withLeadership(LoopStage.COMMITTED, proposal.proposer(), (state, current) -> {
             current.batchCommitted(state, batch, time.nanoTime());
             batch.forEach(command -> logLine(state, command, current).ifPresent(logLines::add));
+            metrics.batchCommitted(batch);
         });
-        requestRun();
         logLines.forEach(Runnable::run);
     }
 
@@ -411,13 +433,24 @@
             commands.addAll(current.dueCommands(time.nanoTime()));
             return current;
         });
-        for (HostCommand command : commands) {
-            long sentNanos = time.nanoTime();
-            metrics.commandSent(command);
-            commandSender
-                    .send(command)
-                    .whenComplete((response, failure) ->
-                            handleResponse(sender, command, sentNanos, responseOrFailure(response, failure)));
+        commands.forEach(command -> send(sender, command));
+    }
+
+    private void send(WorkflowLeadership sender, HostCommand command) {
+        long sentNanos = time.nanoTime();
+        failures.isolate(LoopPart.COMMAND, command, () -> metrics.commandSent(command));
+        submit(command)
+                .whenComplete((response, failure) ->
+                        handleResponse(sender, command, sentNanos, responseOrFailure(response, failure)));
+    }
+
+    /** Passes a command to the sender; an exception counts as a command that the host may have received. */
+    private CompletionStage<HostResponse> submit(HostCommand command) {
+        try {
+            return commandSender.send(command);
+        } catch (RuntimeException exception) {
+            failures.add(LoopPart.COMMAND, command, exception);
+            return CompletableFuture.failedStage(exception);
         }
     }
 
@@ -426,16 +459,21 @@
     }
 
     private void handleResponse(WorkflowLeadership sender, HostCommand command, long sentNanos, HostResponse response) {
-        metrics.commandFinished(command, sentNanos, response);
+        failures.isolate(
+                LoopPart.RESPONSE,
+                command,
+                () -> withLeadership(
+                        LoopStage.ANSWER,
+                        sender,
+                        (state, current) ->
+                                current.handleResponse(state, command, sentNanos, response, time.nanoTime())));
+        failures.isolate(LoopPart.RESPONSE, command, () -> metrics.commandFinished(command, sentNanos, response));
         boolean accepted = response instanceof HostResponse.Accepted || response instanceof HostResponse.PollResult;
         if (!accepted) {
             LOG.log(WorkflowEvent.COMMAND_FAILED, command, command.host().id(), response);
         }
-        withLeadership(
-                LoopStage.ANSWER,
-                sender,
-                (state, current) -> current.handleResponse(state, command, sentNanos, response, time.nanoTime()));
         requestRun();
+        failures.logAll();
     }
 
     /** Returns the leadership of the current term, taking over if it is new; called under the lock of the state machine. */
@@ -448,7 +486,7 @@
         }
         WorkflowLeadership current = leadership;
         if (current == null || current.term() != term) {
-            current = WorkflowLeadership.takeOver(state, term, timings, metrics, time.nanoTime());
+            current = WorkflowLeadership.takeOver(state, term, timings, metrics, failures, time.nanoTime());
             metrics.resetForNewTerm();
             LOG.log(WorkflowEvent.LEADERSHIP_STARTED, term, current.sessions().size());
             leadership = current;
--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -47,6 +47,7 @@
     private boolean leaseExpired = true;
     private long heartbeatSequence;
     private boolean up = true;
+    private long pollCount;
 
     /** Observes the actual events on a host, whether or not the leader learns of them. */
     interface Listener {
@@ -125,6 +126,11 @@
         return running.size();
     }
 
+    /** Returns the number of polls that were handled. */
+    long pollCount() {
+        return pollCount;
+    }
+
     private void terminate(RunId run, TerminalStatus status) {
         running.remove(run);
         highestTerminatedNumbers.merge(run.task(), run.number(), Math::max);
@@ -177,6 +183,7 @@
     }
 
     private HostResponse poll(HostCommand.Poll poll) {
+        pollCount++;
         extendLease(poll.leaseExpiryMillis());
         for (ReportedTermination termination : List.copyOf(unacknowledgedTerminations)) {
             if (termination.sequence() <= poll.acknowledgedThrough()) {
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
@@ -42,8 +42,9 @@
             new HostResponse.PollResult(1_000, List.of(), List.of());
 
     final WorkflowState state = WorkflowState.empty();
-    final WorkflowLeadership leadership = WorkflowLeadership.takeOver(
-            state, 1, TIMINGS, LoopMetrics.unexported(ManualTime.startingAt(Instant.EPOCH)), 0);
+    private final LoopMetrics metrics = LoopMetrics.unexported(ManualTime.startingAt(Instant.EPOCH));
+    final WorkflowLeadership leadership =
+            WorkflowLeadership.takeOver(state, 1, TIMINGS, metrics, new LoopFailures(metrics), 0);
     private final int hostCount;
 
     long nowNanos = NANOS_PER_MILLI;
--- a/control/src/test/java/org/nettlering/control/workflow/SharedLog.java
+++ b/control/src/test/java/org/nettlering/control/workflow/SharedLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.nettlering.control.log.CommandLog;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
@@ -19,6 +20,23 @@
     private int memberCount;
     private int leaderNumber;
     private Predicate<SiteCommand> replicationFilter = command -> true;
+    private Supplier<ProposalFault> proposalFaults = () -> ProposalFault.NONE;
+
+    /** What may go wrong with a proposal beside the loss of the leadership. */
+    enum ProposalFault {
+        NONE,
+        /** It throws and is not logged. */
+        EXCEPTION,
+        /** It is not logged and has no outcome. */
+        LOST,
+        /** It is committed and applied but has no outcome. */
+        LOST_OUTCOME
+    }
+
+    /** Injects the faults that the supplier draws for each proposal. */
+    void injectProposalFaults(Supplier<ProposalFault> faults) {
+        proposalFaults = faults;
+    }
 
     /** Injects a fault: newly elected members do not receive the entries that the filter rejects. */
     void replicateOnly(Predicate<SiteCommand> filter) {
@@ -79,9 +97,19 @@
             if (!isLeader()) {
                 return CompletableFuture.failedStage(new NettleringException(ErrorCode.OUTCOME_UNKNOWN, "replaced"));
             }
+            ProposalFault fault = proposalFaults.get();
+            if (fault == ProposalFault.EXCEPTION) {
+                throw new IllegalStateException("injected");
+            }
+            if (fault == ProposalFault.LOST) {
+                return new CompletableFuture<>();
+            }
             entries.add(command);
             appliedCount++;
-            return CompletableFuture.completedStage(stateMachine.apply(command));
+            SiteResult result = stateMachine.apply(command);
+            return fault == ProposalFault.LOST_OUTCOME
+                    ? new CompletableFuture<>()
+                    : CompletableFuture.completedStage(result);
         }
 
         @Override
