Settle every command and batch of the leader, and compare its sessions with the state

What the leader has in flight was marked until an outcome came, without a limit, and what a commit means for a host was handled by the callback of the proposal alone. One outcome that never came, or was lost between the log and the loop, therefore lasted for the whole term: a host was never polled again, a stop never sent again, a start never settled; no batch was proposed any more; a start that was committed was never sent while its task counted as active and its room as taken; a run of a finished job was never stopped.

- A command without an outcome for 6 s counts as one without a response; the sender takes less for any command.
A real response may still follow; one of a poll then does not clear the mark of a newer poll.
- A batch without an outcome for 10 s does not keep others from being proposed.
It may still commit, so that a start is sent only if the run is active on that very host: two batches may start the same run on two.
- Once a second, while no batch is in flight, the sessions are compared with the replicated state: committed starts that are not tracked are sent, runs that are not needed any more are stopped, terminations that were found and not proposed are proposed, and runs that are not active any more are forgotten.
A start is not sent if a termination of its run is to be proposed.

TaskProtocolSimulation now also draws commands and proposals that throw or have no outcome.

Ruled out on the way: that a cancellation is missed by a leader in good order. The callback of the cancellation, the commit of a start and the takeover each stop what is not needed.

--- a/control/src/main/java/org/nettlering/control/workflow/LoopFailures.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopFailures.java
@@ -50,6 +50,12 @@
         logLines.add(() -> LOG.log(WorkflowEvent.LOOP_PART_FAILED, part.label(), subject, exception));
     }
 
+    /** Records that a command to a host, or a batch, has had no outcome within its deadline. */
+    void addOverdue(LoopPart part, Object subject, long millis) {
+        metrics.outcomeOverdue(part);
+        logLines.add(() -> LOG.log(WorkflowEvent.OUTCOME_OVERDUE, part.label(), subject, millis));
+    }
+
     /** Logs the failures since the last call; must not be called while a lock is held. */
     void logAll() {
         for (Runnable logLine = logLines.poll(); logLine != null; logLine = logLines.poll()) {
--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -49,6 +49,9 @@
     /** The failures of parts of the loop. */
     private final Counter failureCounter;
 
+    /** The commands and batches without an outcome within their deadline. */
+    private final Counter overdueCounter;
+
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
@@ -90,6 +93,11 @@
                 .help("Parts of the leader's loop that failed.")
                 .labelNames("part")
                 .register(registry);
+        overdueCounter = Counter.builder()
+                .name("nettlering_leader_overdue_outcomes_total")
+                .help("Commands and batches without an outcome within their deadline.")
+                .labelNames("part")
+                .register(registry);
     }
 
     /**
@@ -176,6 +184,10 @@
         failureCounter.labelValues(part.label()).inc();
     }
 
+    void outcomeOverdue(LoopPart part) {
+        overdueCounter.labelValues(part.label()).inc();
+    }
+
     void commandSent(HostCommand command) {
         commandMetrics.commandSent(command);
         if (command instanceof HostCommand.Start start) {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -40,7 +40,9 @@
     /** Statistics of the loop, logged periodically. */
     LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}"),
     /** A part of the workflow loop failed; the other parts of the same iteration are not affected. */
-    LOOP_PART_FAILED(3317, Level.ERROR, "part {} of the workflow loop failed for {}");
+    LOOP_PART_FAILED(3317, Level.ERROR, "part {} of the workflow loop failed for {}"),
+    /** A command or a batch has had no outcome within its deadline, and is treated as one whose outcome is unknown. */
+    OUTCOME_OVERDUE(3318, Level.ERROR, "{} has had no outcome within its deadline: {}, {} ms");
 
     private final int number;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.Job;
@@ -49,6 +52,15 @@
     /** Delay of an occurrence beyond its due time, so that small clock differences do not start it early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
+    /**
+     * How long after its proposal a batch without an outcome no longer keeps others from being proposed. A log that can
+     * commit does so, or loses its leader, in far less.
+     */
+    private static final Duration BATCH_DEADLINE = Duration.ofSeconds(10);
+
+    /** The minimum time between two comparisons of the sessions with the replicated state. */
+    private static final Duration COMPARISON_INTERVAL = Duration.ofSeconds(1);
+
     private static final EventLogger LOG = EventLogger.of(WorkflowLeadership.class);
 
     private final long term;
@@ -82,8 +94,14 @@
 
     private final LoopCounters counters = new LoopCounters();
 
-    /** Whether a batch was proposed to the log and has neither been committed nor failed. */
-    private boolean batchInFlight;
+    /** The batch that was proposed to the log and has neither been committed nor failed; empty for none. */
+    private List<WorkflowCommand> batchInFlight = List.of();
+
+    /** When that batch was proposed, by the monotonic clock. */
+    private long batchProposedNanos;
+
+    /** The earliest monotonic time of the next comparison of the sessions with the replicated state. */
+    private long nextComparisonNanos;
 
     /** Whether a change since the last plan may allow a task to start. */
     private boolean planRequested = true;
@@ -120,6 +138,7 @@
         this.timings = timings;
         this.metrics = metrics;
         this.failures = failures;
+        nextComparisonNanos = nowNanos;
         finishedJobs = new FinishedJobRetention(nowNanos);
     }
 
@@ -231,18 +250,36 @@
      * applied.
      */
     List<WorkflowCommand> nextBatch(WorkflowState state, long nowNanos, long nowMillis) {
-        if (batchInFlight) {
+        if (isBatchAwaited(nowNanos)) {
             return List.of();
         }
-        collectInferredTerminations(nowNanos);
+        collectInferredTerminations(state, nowNanos);
         List<WorkflowCommand> batch = new ArrayList<>(uncommittedTerminations.values());
         if (planRequested) {
             planRequested = false;
             failures.isolate(LoopPart.PLAN, "term " + term, () -> addPlan(state, nowNanos, nowMillis, batch));
         }
         uncommittedTerminations.clear();
-        batchInFlight = !batch.isEmpty();
-        return batch;
+        batchInFlight = List.copyOf(batch);
+        batchProposedNanos = nowNanos;
+        return batchInFlight;
+    }
+
+    /** Returns whether the outcome of a batch is awaited; one that is overdue counts as failed, but may still commit. */
+    private boolean isBatchAwaited(long nowNanos) {
+        if (batchInFlight.isEmpty()) {
+            return false;
+        }
+        long ageNanos = nowNanos - batchProposedNanos;
+        if (ageNanos < BATCH_DEADLINE.toNanos()) {
+            return true;
+        }
+        failures.addOverdue(
+                LoopPart.PROPOSAL,
+                "a batch of " + batchInFlight.size() + " commands",
+                TimeUnit.NANOSECONDS.toMillis(ageNanos));
+        batchFailed(batchInFlight);
+        return false;
     }
 
     private void addPlan(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
@@ -270,7 +307,8 @@
         capacityCache.invalidate(hostId);
     }
 
-    private void collectInferredTerminations(long nowNanos) {
+    private void collectInferredTerminations(WorkflowState state, long nowNanos) {
+        compareIfDue(state, nowNanos);
         for (String hostId : visitQueue.drainTerminationVisits(nowNanos)) {
             HostSession session = sessions.get(hostId);
             if (session != null) {
@@ -288,6 +326,46 @@
         }
     }
 
+    /**
+     * Makes the sessions agree with the replicated state. While no batch is in flight, they differ only if the outcome of a
+     * batch or of a cancellation was not handled here.
+     */
+    private void compareIfDue(WorkflowState state, long nowNanos) {
+        if (nowNanos - nextComparisonNanos < 0) {
+            return;
+        }
+        nextComparisonNanos = nowNanos + COMPARISON_INTERVAL.toNanos();
+        for (HostSession session : sessions.values()) {
+            failures.isolate(LoopPart.VISIT, session.host().id(), () -> compare(state, session, nowNanos));
+        }
+        for (HostAllocations allocations : state.allocations()) {
+            if (!sessions.containsKey(allocations.host().id())) {
+                allocations.runs().forEach(this::endUnsentRun);
+            }
+        }
+    }
+
+    private void compare(WorkflowState state, HostSession session, long nowNanos) {
+        Collection<ActiveRun> activeRuns = state.allocationsOf(session.host().id())
+                .map(HostAllocations::runs)
+                .orElse(List.of());
+        Set<RunId> activeIds = new HashSet<>();
+        for (ActiveRun run : activeRuns) {
+            activeIds.add(run.run());
+            // A run with an uncommitted termination but without a session was never started, and must not be any more.
+            if (!uncommittedTerminations.containsKey(run.run())) {
+                startCommitted(state, run, nowNanos);
+                stopIfUnneeded(state, run);
+            }
+        }
+        session.retainRuns(activeIds);
+        addTerminations(
+                session,
+                session.uncommittedTerminations().stream()
+                        .filter(termination -> !uncommittedTerminations.containsKey(termination.run()))
+                        .toList());
+    }
+
     private void migrate(ActiveRun run) {
         LOG.log(WorkflowEvent.RUN_MIGRATED, run.run(), run.host().id());
         stop(run);
@@ -339,7 +417,7 @@
 
     /** Handles a batch that was committed and applied on this member. */
     void batchCommitted(WorkflowState state, List<WorkflowCommand> batch, long nowNanos) {
-        batchInFlight = false;
+        batchFinished(batch);
         planRequested = true;
         for (WorkflowCommand command : batch) {
             failures.isolate(LoopPart.COMMIT, command, () -> commandCommitted(state, command, nowNanos));
@@ -354,9 +432,16 @@
         }
     }
 
+    /** Permits the next batch, unless the one that finished was overdue and another one is in flight already. */
+    private void batchFinished(List<WorkflowCommand> batch) {
+        if (batch.equals(batchInFlight)) {
+            batchInFlight = List.of();
+        }
+    }
+
     /** Handles a batch whose commit failed or is unknown; its terminations are proposed again. */
     void batchFailed(List<WorkflowCommand> batch) {
-        batchInFlight = false;
+        batchFinished(batch);
         for (WorkflowCommand command : batch) {
             if (command instanceof RecordTermination termination) {
                 uncommittedTerminations.putIfAbsent(termination.run(), termination);
@@ -365,14 +450,15 @@
     }
 
     private void startCommitted(WorkflowState state, ActiveRun run, long nowNanos) {
-        if (!state.isActive(run.run())) {
+        if (!state.isActiveOnItsHost(run)) {
             return;
         }
         HostSession session = sessions.get(run.host().id());
         if (session == null) {
-            // The session was removed while the start was being committed, so no start command was sent.
-            uncommittedTerminations.put(run.run(), new RecordTermination(run.run(), TerminalStatus.NOT_BEGUN, ""));
-            evidenceByRun.put(run.run(), new TerminationEvidence.NotSent(false, false));
+            endUnsentRun(run);
+            return;
+        }
+        if (session.isTracking(run.run())) {
             return;
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
@@ -382,6 +468,12 @@
         stopIfUnneeded(state, run);
     }
 
+    /** Ends a run whose start is committed, but whose host has no session any more, so that no start command was sent. */
+    private void endUnsentRun(ActiveRun run) {
+        uncommittedTerminations.put(run.run(), new RecordTermination(run.run(), TerminalStatus.NOT_BEGUN, ""));
+        evidenceByRun.put(run.run(), new TerminationEvidence.NotSent(false, false));
+    }
+
     private void terminationCommitted(WorkflowState state, RecordTermination termination, long nowNanos) {
         String hostId = hostIdsByRun.get(termination.run());
         if (hostId != null) {
@@ -432,20 +524,23 @@
     }
 
     private void stopIfUnneeded(WorkflowState state, ActiveRun run) {
-        boolean needed = state.job(run.run().task().jobId())
+        if (!isNeeded(state, run)) {
+            stop(run);
+        }
+    }
+
+    /** Returns whether the task of a run is still to be done. */
+    private static boolean isNeeded(WorkflowState state, ActiveRun run) {
+        return state.job(run.run().task().jobId())
                 .filter(job -> job.phase().isOpen())
                 .flatMap(job -> job.step(run.run().task().step()))
                 .filter(step -> !step.task(run.run().task().index()).isDone())
                 .isPresent();
-        if (!needed) {
-            stop(run);
-        }
     }
 
     private void stop(ActiveRun run) {
         HostSession session = sessions.get(run.host().id());
-        if (session != null) {
-            session.requestStop(run.run());
+        if (session != null && session.requestStop(run.run())) {
             markHostChanged(run.host().id());
         }
     }
@@ -464,6 +559,13 @@
         return due;
     }
 
+    /** Treats a command without an outcome as one that the host may have executed, or may execute later. */
+    private void settle(HostSession session, HostCommand command, long nowNanos) {
+        failures.addOverdue(LoopPart.COMMAND, command, HostSession.OUTCOME_DEADLINE.toMillis());
+        HostResponse noResponse = new HostResponse.NoResponse("no outcome in time");
+        addTerminations(session, session.handleResponse(command, nowNanos, noResponse, nowNanos));
+    }
+
     private List<HostCommand> dueCommands(HostSession session, long nowNanos) {
         String hostId = session.host().id();
         if (session.isObsolete(nowNanos)) {
@@ -473,6 +575,7 @@
             capacityCache.invalidate(hostId);
             return List.of();
         }
+        session.overdueCommands(nowNanos).forEach(command -> settle(session, command, nowNanos));
         List<HostCommand> due = session.takeDueCommands(nowNanos);
         session.nextDueNanos(nowNanos).ifPresent(next -> visitQueue.scheduleVisit(hostId, next));
         return due;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -400,7 +400,7 @@
         return switch (command) {
             // A start has no effect, and is not logged, if an earlier command of the same batch finished the job.
             case StartRun start
-            when state.isActive(start.run().run()) ->
+            when state.isActiveOnItsHost(start.run()) ->
                 Optional.of(() -> LOG.log(
                         WorkflowEvent.RUN_STARTED,
                         start.run().run(),
--- a/control/src/test/java/org/nettlering/control/workflow/LoopFaultsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopFaultsTest.java
@@ -34,8 +34,8 @@
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 
 /**
- * A part of the leader's loop that fails delays what belongs to it and nothing else: hosts are polled, leases renewed, and
- * tasks started and stopped.
+ * A part of the leader's loop that fails, or an outcome that never comes, delays what belongs to it and nothing else: hosts
+ * are polled, leases renewed, and tasks started and stopped.
  */
 class LoopFaultsTest implements FakeHost.Listener {
     private static final HostTimings TIMINGS =
@@ -98,6 +98,42 @@
         assertThat(runningCount()).isEqualTo(2);
     }
 
+    @Test
+    void aHostIsPolledAgainWhenThePollHasNoOutcome() {
+        startOneRunOnEachHost();
+        inject(first, HostCommand.Poll.class, response -> new CompletableFuture<>());
+        advance(1_500);
+        faulty = false;
+        advance(12_000);
+        long polls = first.pollCount();
+        advance(5_000);
+        assertThat(first.pollCount()).isGreaterThan(polls);
+    }
+
+    @Test
+    void aStopIsSentAgainWhenItHasNoOutcome() {
+        startOneRunOnEachHost();
+        loseOutcomes(HostCommand.Stop.class);
+        cancel("job0");
+        cancel("job1");
+        advance(100);
+        faulty = false;
+        advance(10_000);
+        assertThat(terminations).hasSize(2).allMatch(line -> line.endsWith("STOPPED"));
+    }
+
+    @Test
+    void aTaskRunsWhenTheCommandOfItsFirstStartHasNoOutcome() {
+        sendHeartbeats();
+        advance(200);
+        loseOutcomes(HostCommand.Start.class);
+        submit("job0");
+        advance(100);
+        faulty = false;
+        advance(15_000);
+        assertThat(runningCount()).isEqualTo(1);
+    }
+
     @Test
     void tasksStartAfterABatchWhoseProposalThrows() {
         sendHeartbeats();
@@ -110,6 +146,30 @@
         assertThat(runningCount()).isEqualTo(1);
     }
 
+    @Test
+    void tasksStartAfterABatchThatHasNoOutcomeAndIsLost() {
+        sendHeartbeats();
+        advance(200);
+        proposalFault = ProposalFault.LOST;
+        submit("job0");
+        advance(300);
+        proposalFault = ProposalFault.NONE;
+        advance(15_000);
+        assertThat(runningCount()).isEqualTo(1);
+    }
+
+    @Test
+    void tasksStartAfterABatchThatCommitsWithoutAnOutcome() {
+        sendHeartbeats();
+        advance(200);
+        proposalFault = ProposalFault.LOST_OUTCOME;
+        submit("job0");
+        advance(300);
+        proposalFault = ProposalFault.NONE;
+        advance(15_000);
+        assertThat(runningCount()).isEqualTo(1);
+    }
+
     @Test
     void leasesAreRenewedWhileATerminationAwaitsItsCommit() {
         first.crash();
@@ -196,6 +256,12 @@
         faulty = true;
     }
 
+    /** Lets commands of one kind get lost, without an outcome, on their way to any host. */
+    private void loseOutcomes(Class<? extends HostCommand> kind) {
+        inject(first, kind, response -> new CompletableFuture<>());
+        faultyHosts = Set.of(first, second);
+    }
+
     private CompletionStage<HostResponse> send(HostCommand command) {
         FakeHost host = command.host().equals(first.incarnation()) ? first : second;
         boolean affected = faulty && faultyHosts.contains(host) && faultyKind.isInstance(command);
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.nettlering.control.workflow.SharedLog.ProposalFault;
 import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.time.ManualTime;
@@ -49,6 +50,10 @@
             new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
 
     private final SplittableRandom random;
+
+    /** Draws the faults of the program itself: exceptions and outcomes that never come. */
+    private final SplittableRandom programFaults;
+
     private final InjectedFault fault;
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
     private final SharedLog log = new SharedLog();
@@ -74,6 +79,7 @@
 
     private TaskProtocolSimulation(long seed, InjectedFault fault) {
         random = new SplittableRandom(seed);
+        programFaults = new SplittableRandom(-seed);
         this.fault = fault;
         if (fault == InjectedFault.UNREPLICATED_STARTS) {
             log.replicateOnly(TaskProtocolSimulation::containsNoStart);
@@ -101,6 +107,7 @@
         for (int job = 0; job < JOBS; job++) {
             submit("job" + job, 1 + random.nextInt(3));
         }
+        log.injectProposalFaults(this::drawProposalFault);
         for (int step = 0; step < FAULTY_STEPS && violations.isEmpty(); step++) {
             maybeDisrupt();
             advance(step);
@@ -114,6 +121,17 @@
         }
     }
 
+    private ProposalFault drawProposalFault() {
+        int draw = faultsEnabled ? programFaults.nextInt(1_000) : 1_000;
+        if (draw < 3) {
+            return ProposalFault.EXCEPTION;
+        }
+        if (draw < 6) {
+            return ProposalFault.LOST;
+        }
+        return draw < 9 ? ProposalFault.LOST_OUTCOME : ProposalFault.NONE;
+    }
+
     private void advance(int step) {
         time.advance(Duration.ofMillis(STEP_MILLIS));
         for (int host = 0; host < HOSTS; host++) {
@@ -233,6 +251,18 @@
     }
 
     private CompletionStage<HostResponse> send(HostCommand command) {
+        int draw = faultsEnabled ? programFaults.nextInt(1_000) : 1_000;
+        if (draw < 3) {
+            throw new IllegalStateException("injected before sending");
+        }
+        CompletionStage<HostResponse> response = exchange(command);
+        if (draw < 6) {
+            throw new IllegalStateException("injected after sending");
+        }
+        return draw < 12 ? new CompletableFuture<>() : response;
+    }
+
+    private CompletionStage<HostResponse> exchange(HostCommand command) {
         HostResponse response = deliver(injectFault(command));
         return CompletableFuture.completedFuture(injectFault(command, response));
     }
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
@@ -10,7 +10,8 @@
 
 /**
  * Simulates successive leaders and their hosts with seeded faults: lost commands, lost responses, commands executed seconds
- * late, partitioned hosts, host restarts, and replaced leaders that do not know it yet.
+ * late, partitioned hosts, host restarts, replaced leaders that do not know it yet, and faults of the program itself:
+ * commands and proposals that throw or have no outcome.
  *
  * <p>Without an injected fault no seed may lead to one of these violations, and with each {@link InjectedFault} some seed must:
  *
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -210,6 +210,18 @@
         return activeRun(run) != null;
     }
 
+    /**
+     * Returns whether a run is active on a certain host. Of two proposed starts of the same run on different hosts only the
+     * one that is applied first takes effect.
+     *
+     * @param run the run with its host, not null
+     * @return true if the start of the run on that host is committed and its termination is not
+     */
+    public boolean isActiveOnItsHost(ActiveRun run) {
+        ActiveRun active = activeRun(run.run());
+        return active != null && active.host().equals(run.host());
+    }
+
     private @Nullable ActiveRun activeRun(RunId run) {
         TaskId taskId = run.task();
         StepProgress step = step(taskId.step()).orElse(null);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -48,6 +48,11 @@
  * too, and is not acknowledged to the host before it is committed. Responses may arrive in any order. Not thread-safe.
  */
 public final class HostSession {
+    /**
+     * How long a command may have no outcome. Senders report one in less, also for a poll that waits at the host.
+     */
+    public static final Duration OUTCOME_DEADLINE = Duration.ofSeconds(6);
+
     /** How long the host may delay the response to a poll until a run terminates. */
     private static final Duration POLL_WAIT = Duration.ofSeconds(1);
 
@@ -93,6 +98,9 @@
     /** Whether the host responded to a poll in this term. */
     private boolean pollSucceeded;
 
+    /** The commands that were taken and whose outcome was not handled, with the time at which they were taken. */
+    private final List<CommandInFlight> commandsInFlight = new ArrayList<>();
+
     private boolean pollInFlight;
 
     /** Whether the last poll got no response or the host was too unhealthy to handle it. */
@@ -106,6 +114,14 @@
 
     private boolean usageMonitored;
 
+    /**
+     * A command whose outcome is awaited.
+     *
+     * @param command the command
+     * @param takenNanos when it was taken, by the monotonic clock
+     */
+    private record CommandInFlight(HostCommand command, long takenNanos) {}
+
     /**
      * Creates a session for a host incarnation.
      *
@@ -239,12 +255,46 @@
      * Requests that a run be stopped.
      *
      * @param run the run, ignored if it is not tracked, not null
+     * @return true if the run is tracked and its stop was not requested before
      */
-    public void requestStop(RunId run) {
+    public boolean requestStop(RunId run) {
         TrackedRun tracked = runs.get(run);
-        if (tracked != null) {
-            tracked.stopRequested = true;
+        if (tracked == null || tracked.stopRequested) {
+            return false;
         }
+        tracked.stopRequested = true;
+        return true;
+    }
+
+    /**
+     * Returns whether a run is tracked.
+     *
+     * @param run the run, not null
+     * @return true from the time when its start is known to be committed until its termination is
+     */
+    public boolean isTracking(RunId run) {
+        return runs.containsKey(run);
+    }
+
+    /**
+     * Stops tracking runs whose terminations are committed although {@link #onTerminationCommitted} was not called.
+     *
+     * @param activeRuns all runs that are active on this host by the replicated state, not null
+     */
+    public void retainRuns(Set<RunId> activeRuns) {
+        runs.keySet().retainAll(activeRuns);
+        terminationTracker.discardWithoutEffect(activeRuns);
+    }
+
+    /**
+     * Returns the terminations that were found and are not known to be committed.
+     *
+     * @return one for each tracked run whose termination was found, never null
+     */
+    public List<RecordTermination> uncommittedTerminations() {
+        return runs.values().stream()
+                .flatMap(tracked -> Optional.ofNullable(tracked.termination).stream())
+                .toList();
     }
 
     /**
@@ -277,7 +327,7 @@
      */
     public List<RunUsage> runUsages() {
         return runs.values().stream()
-                .filter(tracked -> tracked.reportedRunning && !tracked.terminationFound && !tracked.stopRequested)
+                .filter(tracked -> tracked.reportedRunning && !tracked.isTerminationFound() && !tracked.stopRequested)
                 .map(TrackedRun::toUsage)
                 .toList();
     }
@@ -301,6 +351,26 @@
      * @return the commands in the order in which to send them, never null
      */
     public List<HostCommand> takeDueCommands(long nowNanos) {
+        List<HostCommand> due = collectDueCommands(nowNanos);
+        due.forEach(command -> commandsInFlight.add(new CommandInFlight(command, nowNanos)));
+        return due;
+    }
+
+    /**
+     * Returns the commands that have had no outcome for longer than any sender takes. Their outcome is unknown: the caller
+     * passes {@link HostResponse.NoResponse} for each to {@link #handleResponse}. A real response may still follow.
+     *
+     * @param nowNanos the monotonic time
+     * @return the commands, never null
+     */
+    public List<HostCommand> overdueCommands(long nowNanos) {
+        return commandsInFlight.stream()
+                .filter(inFlight -> nowNanos - inFlight.takenNanos() >= OUTCOME_DEADLINE.toNanos())
+                .map(CommandInFlight::command)
+                .toList();
+    }
+
+    private List<HostCommand> collectDueCommands(long nowNanos) {
         List<HostCommand> due = new ArrayList<>();
         if (isIncarnationTerminated(nowNanos)) {
             return due;
@@ -404,15 +474,26 @@
      */
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
+        boolean awaited = commandsInFlight.removeIf(inFlight -> isSame(inFlight.command(), command));
         recordContact(response, nowNanos);
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
             case HostCommand.Stop stop -> onStopResponse(stop, response, nowNanos);
-            case HostCommand.Poll poll -> onPollResponse(poll, sentNanos, response, nowNanos);
+            case HostCommand.Poll poll -> {
+                // After an overdue poll, another one may be in flight.
+                pollInFlight &= !awaited;
+                yield onPollResponse(poll, sentNanos, response, nowNanos);
+            }
             case HostCommand.Throttle throttle -> onThrottleResponse(throttle, response, nowNanos);
         };
     }
 
+    /** Compares by identity: two commands with the same content may be in flight. */
+    @SuppressWarnings("ReferenceEquality")
+    private static boolean isSame(HostCommand one, HostCommand other) {
+        return one == other;
+    }
+
     private List<RecordTermination> onThrottleResponse(
             HostCommand.Throttle throttle, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(throttle.run());
@@ -481,7 +562,6 @@
 
     private List<RecordTermination> onPollResponse(
             HostCommand.Poll poll, long sentNanos, HostResponse response, long nowNanos) {
-        pollInFlight = false;
         pollUnanswered = liveness.isUnresponsive();
         if (!(response instanceof PollResult pollResult)) {
             nextPollNanos = nowNanos + UNRESPONSIVE_POLL_DELAY.toNanos();
@@ -504,7 +584,7 @@
             handleReportedTermination(termination, terminations);
         }
         for (TrackedRun tracked : runs.values()) {
-            if (!tracked.terminationFound && !reported.contains(tracked.activeRun.run())) {
+            if (!tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run())) {
                 handleUnreportedRun(tracked, sentNanos, terminations);
             }
         }
@@ -528,8 +608,9 @@
         if (tracked.isTerminationReported()) {
             return;
         }
-        tracked.recordTermination(new TerminationEvidence.Listed());
-        terminations.add(new RecordTermination(reported.run(), reported.status(), checkpoint));
+        RecordTermination termination = new RecordTermination(reported.run(), reported.status(), checkpoint);
+        tracked.recordTermination(termination, new TerminationEvidence.Listed());
+        terminations.add(termination);
     }
 
     /**
@@ -537,7 +618,7 @@
      * committed.
      */
     private void handleUntrackedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
-        if (reported.status() == TerminalStatus.DONE || reported.status() == TerminalStatus.FAILED) {
+        if (TerminationTracker.isResult(reported)) {
             terminationTracker.addUncommitted(reported);
             terminations.add(new RecordTermination(reported.run(), reported.status(), reported.checkpoint()));
         }
@@ -582,8 +663,9 @@
 
     private static RecordTermination recordTermination(
             TrackedRun tracked, TerminalStatus status, TerminationEvidence evidence) {
-        tracked.recordTermination(evidence);
-        return new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
+        RecordTermination termination = new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
+        tracked.recordTermination(termination, evidence);
+        return termination;
     }
 
     /**
@@ -597,7 +679,7 @@
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
         boolean runsLost = areRunsLost(nowNanos);
         for (TrackedRun tracked : runs.values()) {
-            if (tracked.terminationFound) {
+            if (tracked.isTerminationFound()) {
                 continue;
             }
             if (tracked.stage == Stage.START_PENDING) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
@@ -1,5 +1,6 @@
 package org.nettlering.domain.workflow.host;
 
+import java.util.Set;
 import java.util.TreeMap;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
@@ -34,6 +35,19 @@
         uncommitted.values().removeIf(termination -> termination.run().equals(run) && termination.status() == status);
     }
 
+    /**
+     * Discards the terminations that would have no effect if they were committed: those of runs that are not active, apart
+     * from results, which may replace the loss of a run.
+     */
+    void discardWithoutEffect(Set<RunId> activeRuns) {
+        uncommitted.values().removeIf(termination -> !activeRuns.contains(termination.run()) && !isResult(termination));
+    }
+
+    /** Returns whether a termination tells how the work of the run ended. */
+    static boolean isResult(ReportedTermination termination) {
+        return termination.status() == TerminalStatus.DONE || termination.status() == TerminalStatus.FAILED;
+    }
+
     /** Returns the sequence number up to which every reported termination is committed. */
     long committedThrough() {
         return uncommitted.isEmpty() ? highestReported : Math.min(highestReported, uncommitted.firstKey() - 1);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 
 /**
  * A run that may be active on a host, and the commands due for it.
@@ -59,8 +60,9 @@
 
     private long stopAcknowledgedNanos;
 
-    /** Whether a termination is known that is not committed yet. */
-    boolean terminationFound;
+    /** The termination that is known and not committed yet, or null while none is known. */
+    @Nullable
+    RecordTermination termination;
 
     /** The evidence of the termination, or null while none is known. */
     @Nullable
@@ -111,11 +113,16 @@
         desiredSpeedPercent = speedPercent;
     }
 
-    void recordTermination(TerminationEvidence terminationEvidence) {
-        terminationFound = true;
+    void recordTermination(RecordTermination found, TerminationEvidence terminationEvidence) {
+        termination = found;
         evidence = terminationEvidence;
     }
 
+    /** Returns whether a termination is known that is not committed yet. */
+    boolean isTerminationFound() {
+        return termination != null;
+    }
+
     /** Returns whether the host itself reported the termination. */
     boolean isTerminationReported() {
         return evidence instanceof TerminationEvidence.Listed;
@@ -123,7 +130,7 @@
 
     /** Returns the command that is due for this run, if any, and treats it as sent. */
     Optional<HostCommand> takeDueCommand(long token, HostLease lease, boolean unresponsive, long nowNanos) {
-        if (terminationFound) {
+        if (isTerminationFound()) {
             return Optional.empty();
         }
         if (stage == Stage.START_PENDING) {
@@ -150,7 +157,7 @@
      * Returns when the next stop command falls due, or empty if none is needed or one is in flight or acknowledged.
      */
     OptionalLong nextStopNanos() {
-        boolean pending = !terminationFound
+        boolean pending = !isTerminationFound()
                 && stage != Stage.START_PENDING
                 && stopRequested
                 && !stopInFlight
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -334,6 +334,38 @@
         }
     }
 
+    @Test
+    void commandsAreOverdueWithoutAnOutcomeAndNotBeforeTheDeadline() {
+        makeSchedulable();
+        HostCommand.Start start = takeStart();
+        HostCommand.Poll poll = takePoll();
+        advance(HostSession.OUTCOME_DEADLINE.toMillis() - 200);
+        assertThat(session.overdueCommands(nowNanos)).isEmpty();
+        advance(200);
+        assertThat(session.overdueCommands(nowNanos)).containsExactly(start, poll);
+        respond(start, new NoResponse("no outcome"));
+        respond(poll, new NoResponse("no outcome"));
+        assertThat(session.overdueCommands(nowNanos)).isEmpty();
+        assertThat(takeCommand(HostCommand.Stop.class).run()).isEqualTo(RUN);
+        advance(400);
+        assertThat(takePoll()).isNotSameAs(poll);
+    }
+
+    /** Two polls at the same time would take the places of other commands to the host. */
+    @Test
+    void lateOutcomeOfOverduePollDoesNotCauseAPollBesideTheOneInFlight() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        HostCommand.Poll overdue = takePoll();
+        advance(HostSession.OUTCOME_DEADLINE.toMillis());
+        respond(overdue, new NoResponse("no outcome"));
+        advance(400);
+        takePoll();
+        respond(overdue, new PollResult(hostClockMillis, List.of(new ReportedRun(RUN, "", 10, 0)), List.of()));
+        advance(2_000);
+        assertThat(dueCommands()).noneMatch(HostCommand.Poll.class::isInstance);
+    }
+
     /** Guards against a result that is neither recorded nor reported again. */
     @Test
     @SuppressWarnings("NullAway")
