--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.workflow;
 
+import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -47,6 +48,12 @@
 
     private final LeaderDiagnostics diagnostics;
 
+    /** The failures of parts of the loop. */
+    private final Counter failureCounter;
+
+    /** The commands and batches without an outcome within their deadline. */
+    private final Counter overdueCounter;
+
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
@@ -84,6 +91,16 @@
         histograms = LatencyHistograms.registerIn(registry);
         commandMetrics = CommandMetrics.registerIn(registry);
         diagnostics = LeaderDiagnostics.registerIn(registry, time);
+        failureCounter = Counter.builder()
+                .name("nettlering_leader_failures_total")
+                .help("Parts of the leader's loop that failed.")
+                .labelNames("part")
+                .register(registry);
+        overdueCounter = Counter.builder()
+                .name("nettlering_leader_overdue_outcomes_total")
+                .help("Commands and batches without an outcome within their deadline.")
+                .labelNames("part")
+                .register(registry);
     }
 
     LeaderDiagnostics diagnostics() {
@@ -191,6 +208,14 @@
         diagnostics.activity().batchFinished();
     }
 
+    void partFailed(LoopPart part) {
+        failureCounter.labelValues(part.label()).inc();
+    }
+
+    void outcomeOverdue(LoopPart part) {
+        overdueCounter.labelValues(part.label()).inc();
+    }
+
     void commandSent(HostCommand command) {
         diagnostics.commandSent(command);
         commandMetrics.commandSent(command);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -65,7 +65,11 @@
     /** The leader decided to stop a run. */
     STOP_REQUESTED(3327, Level.INFO, "stop of run {} on host {} requested: {}"),
     /** Tasks stay pending although hosts have room for them. */
-    TASKS_NOT_PLACED(3328, Level.INFO, "no task of step {} started for {} ms although hosts of pool {} have room: {}");
+    TASKS_NOT_PLACED(3328, Level.INFO, "no task of step {} started for {} ms although hosts of pool {} have room: {}"),
+    /** A part of the workflow loop failed; the other parts of the same iteration are not affected. */
+    LOOP_PART_FAILED(3329, Level.ERROR, "part {} of the workflow loop failed for {}"),
+    /** A command or a batch has had no outcome within its deadline, and is treated as one whose outcome is unknown. */
+    OUTCOME_OVERDUE(3330, Level.ERROR, "{} has had no outcome within its deadline: {}, {} ms");
 
     private final int number;
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -49,6 +49,11 @@
  * too, and is not acknowledged to the host before it is committed. Responses may arrive in any order. Not thread-safe.
  */
 public final class HostSession {
+    /**
+     * How long a command may have no outcome. Senders report one in less, also for a poll that waits at the host.
+     */
+    public static final Duration OUTCOME_DEADLINE = Duration.ofSeconds(6);
+
     /** How long the host may delay the response to a poll until a run terminates. */
     private static final Duration POLL_WAIT = Duration.ofSeconds(1);
 
@@ -67,6 +72,12 @@
     /** The minimum time between the sending of a poll that does not wait and of the next poll. */
     private static final Duration MIN_IMMEDIATE_POLL_INTERVAL = Duration.ofMillis(100);
 
+    /**
+     * How long after the last poll the next one waits for reported terminations to be committed, so that it can acknowledge
+     * them. It does not wait longer, because polls renew the lease of all runs on the host.
+     */
+    private static final Duration MAX_COMMIT_WAIT = POLL_WAIT;
+
     private final HostIncarnation host;
 
     private final HostTimings timings;
@@ -88,13 +99,30 @@
     /** Whether the host responded to a poll in this term. */
     private boolean pollSucceeded;
 
+    /** The commands that were taken and whose outcome was not handled, with the time at which they were taken. */
+    private final List<CommandInFlight> commandsInFlight = new ArrayList<>();
+
     private boolean pollInFlight;
 
+    /** Whether the last poll got no response or the host was too unhealthy to handle it. */
+    private boolean pollUnanswered;
+
+    /** When the last poll was taken, by the monotonic clock. */
+    private long lastPollNanos;
+
     /** The earliest monotonic time of the next poll. */
     private long nextPollNanos;
 
     private boolean usageMonitored;
 
+    /**
+     * A command whose outcome is awaited.
+     *
+     * @param command the command
+     * @param takenNanos when it was taken, by the monotonic clock
+     */
+    private record CommandInFlight(HostCommand command, long takenNanos) {}
+
     /**
      * Creates a session for a host incarnation.
      *
@@ -228,12 +256,46 @@
      * Requests that a run be stopped.
      *
      * @param run the run, ignored if it is not tracked, not null
+     * @return true if the run is tracked and its stop was not requested before
      */
-    public void requestStop(RunId run) {
+    public boolean requestStop(RunId run) {
         TrackedRun tracked = runs.get(run);
-        if (tracked != null) {
-            tracked.stopRequested = true;
+        if (tracked == null || tracked.stopRequested) {
+            return false;
         }
+        tracked.stopRequested = true;
+        return true;
+    }
+
+    /**
+     * Returns whether a run is tracked.
+     *
+     * @param run the run, not null
+     * @return true from the time when its start is known to be committed until its termination is
+     */
+    public boolean isTracking(RunId run) {
+        return runs.containsKey(run);
+    }
+
+    /**
+     * Stops tracking runs whose terminations are committed although {@link #onTerminationCommitted} was not called.
+     *
+     * @param activeRuns all runs that are active on this host by the replicated state, not null
+     */
+    public void retainRuns(Set<RunId> activeRuns) {
+        runs.keySet().retainAll(activeRuns);
+        terminationTracker.discardWithoutEffect(activeRuns);
+    }
+
+    /**
+     * Returns the terminations that were found and are not known to be committed.
+     *
+     * @return one for each tracked run whose termination was found, never null
+     */
+    public List<RecordTermination> uncommittedTerminations() {
+        return runs.values().stream()
+                .flatMap(tracked -> Optional.ofNullable(tracked.termination).stream())
+                .toList();
     }
 
     /**
@@ -266,7 +328,7 @@
      */
     public List<RunUsage> runUsages() {
         return runs.values().stream()
-                .filter(tracked -> tracked.reportedRunning && !tracked.terminationFound && !tracked.stopRequested)
+                .filter(tracked -> tracked.reportedRunning && !tracked.isTerminationFound() && !tracked.stopRequested)
                 .map(TrackedRun::toUsage)
                 .toList();
     }
@@ -290,6 +352,26 @@
      * @return the commands in the order in which to send them, never null
      */
     public List<HostCommand> takeDueCommands(long nowNanos) {
+        List<HostCommand> due = collectDueCommands(nowNanos);
+        due.forEach(command -> commandsInFlight.add(new CommandInFlight(command, nowNanos)));
+        return due;
+    }
+
+    /**
+     * Returns the commands that have had no outcome for longer than any sender takes. Their outcome is unknown: the caller
+     * passes {@link HostResponse.NoResponse} for each to {@link #handleResponse}. A real response may still follow.
+     *
+     * @param nowNanos the monotonic time
+     * @return the commands, never null
+     */
+    public List<HostCommand> overdueCommands(long nowNanos) {
+        return commandsInFlight.stream()
+                .filter(inFlight -> nowNanos - inFlight.takenNanos() >= OUTCOME_DEADLINE.toNanos())
+                .map(CommandInFlight::command)
+                .toList();
+    }
+
+    private List<HostCommand> collectDueCommands(long nowNanos) {
         List<HostCommand> due = new ArrayList<>();
         if (isIncarnationTerminated(nowNanos)) {
             return due;
@@ -327,7 +409,7 @@
             liveness.terminationNanos().ifPresent(terminationNanos -> delaysNanos.add(terminationNanos - nowNanos));
         }
         if (needsPoll()) {
-            delaysNanos.add(nextPollNanos - nowNanos);
+            delaysNanos.add(nextPollNanos() - nowNanos);
         }
         orphanedRuns.values().forEach(next -> delaysNanos.add(next - nowNanos));
         runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> delaysNanos.add(next - nowNanos)));
@@ -338,7 +420,7 @@
     }
 
     private boolean isPollDue(long nowNanos) {
-        return needsPoll() && nowNanos - nextPollNanos >= 0;
+        return needsPoll() && nowNanos - nextPollNanos() >= 0;
     }
 
     private boolean needsPoll() {
@@ -346,20 +428,29 @@
                 || liveness.isUnresponsive()
                 || !runs.isEmpty()
                 || terminationTracker.hasUnsentAcknowledgement()
+                || terminationTracker.hasUncommitted()
                 || !orphanedRuns.isEmpty();
+        return needed && !pollInFlight;
+    }
+
+    /** Returns the earliest monotonic time of the next poll, which waits for terminations to be committed. */
+    private long nextPollNanos() {
         boolean awaitsCommit = terminationTracker.hasUncommitted() && !liveness.isUnresponsive();
-        return needed && !awaitsCommit && !pollInFlight;
+        long afterCommitWaitNanos = lastPollNanos + MAX_COMMIT_WAIT.toNanos();
+        return awaitsCommit && afterCommitWaitNanos - nextPollNanos > 0 ? afterCommitWaitNanos : nextPollNanos;
     }
 
     private HostCommand createPoll(long nowNanos) {
         pollInFlight = true;
+        lastPollNanos = nowNanos;
         boolean immediate = !pollSucceeded
                 || liveness.isUnresponsive()
                 || runs.isEmpty()
                 || !orphanedRuns.isEmpty()
                 || hasUnansweredStart();
         long maxWaitMillis = immediate ? 0 : (usageMonitored ? MONITORED_POLL_WAIT : POLL_WAIT).toMillis();
-        boolean renewsLease = !runs.isEmpty() && !liveness.isUnresponsive();
+        // Other commands without a response do not count: the lease of a host that answers polls must not expire.
+        boolean renewsLease = !runs.isEmpty() && !pollUnanswered;
         return new HostCommand.Poll(
                 host,
                 token,
@@ -384,15 +475,26 @@
      */
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
+        boolean awaited = commandsInFlight.removeIf(inFlight -> isSame(inFlight.command(), command));
         recordContact(response, nowNanos);
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
             case HostCommand.Stop stop -> onStopResponse(stop, response, nowNanos);
-            case HostCommand.Poll poll -> onPollResponse(poll, sentNanos, response, nowNanos);
+            case HostCommand.Poll poll -> {
+                // After an overdue poll, another one may be in flight.
+                pollInFlight &= !awaited;
+                yield onPollResponse(poll, sentNanos, response, nowNanos);
+            }
             case HostCommand.Throttle throttle -> onThrottleResponse(throttle, response, nowNanos);
         };
     }
 
+    /** Compares by identity: two commands with the same content may be in flight. */
+    @SuppressWarnings("ReferenceEquality")
+    private static boolean isSame(HostCommand one, HostCommand other) {
+        return one == other;
+    }
+
     private List<RecordTermination> onThrottleResponse(
             HostCommand.Throttle throttle, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(throttle.run());
@@ -461,7 +563,7 @@
 
     private List<RecordTermination> onPollResponse(
             HostCommand.Poll poll, long sentNanos, HostResponse response, long nowNanos) {
-        pollInFlight = false;
+        pollUnanswered = liveness.isUnresponsive();
         if (!(response instanceof PollResult pollResult)) {
             nextPollNanos = nowNanos + UNRESPONSIVE_POLL_DELAY.toNanos();
             return List.of();
@@ -483,7 +585,7 @@
             handleReportedTermination(termination, terminations);
         }
         for (TrackedRun tracked : runs.values()) {
-            if (!tracked.terminationFound && !reported.contains(tracked.activeRun.run())) {
+            if (!tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run())) {
                 handleUnreportedRun(tracked, sentNanos, terminations);
             }
         }
@@ -491,19 +593,25 @@
     }
 
     private void handleReportedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
+        findTermination(reported, terminations);
+        // Not before, because a reported termination that is not uncommitted is acknowledged.
         terminationTracker.recordReported(reported.sequence());
+    }
+
+    private void findTermination(ReportedTermination reported, List<RecordTermination> terminations) {
         TrackedRun tracked = runs.get(reported.run());
         if (tracked == null) {
             handleUntrackedTermination(reported, terminations);
             return;
         }
+        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
         terminationTracker.addUncommitted(reported);
         if (tracked.isTerminationReported()) {
             return;
         }
-        tracked.recordTermination(new TerminationEvidence.Listed());
-        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
-        terminations.add(new RecordTermination(reported.run(), reported.status(), checkpoint));
+        RecordTermination termination = new RecordTermination(reported.run(), reported.status(), checkpoint);
+        tracked.recordTermination(termination, new TerminationEvidence.Listed());
+        terminations.add(termination);
     }
 
     /**
@@ -511,7 +619,7 @@
      * committed.
      */
     private void handleUntrackedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
-        if (reported.status() == TerminalStatus.DONE || reported.status() == TerminalStatus.FAILED) {
+        if (TerminationTracker.isResult(reported)) {
             terminationTracker.addUncommitted(reported);
             terminations.add(new RecordTermination(reported.run(), reported.status(), reported.checkpoint()));
         }
@@ -556,8 +664,9 @@
 
     private static RecordTermination recordTermination(
             TrackedRun tracked, TerminalStatus status, TerminationEvidence evidence) {
-        tracked.recordTermination(evidence);
-        return new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
+        RecordTermination termination = new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
+        tracked.recordTermination(termination, evidence);
+        return termination;
     }
 
     /**
@@ -571,7 +680,7 @@
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
         boolean runsLost = areRunsLost(nowNanos);
         for (TrackedRun tracked : runs.values()) {
-            if (tracked.terminationFound) {
+            if (tracked.isTerminationFound()) {
                 continue;
             }
             if (tracked.stage == Stage.START_PENDING) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.nettlering.domain.workflow.WorkflowSamples.HOST;
 import static org.nettlering.domain.workflow.WorkflowSamples.run;
 
@@ -297,6 +298,90 @@
         assertThat(takePoll().leaseExpiryMillis()).isZero();
     }
 
+    /** Guards against runs that end by their lease on a host that answers every poll. */
+    @Test
+    void leaseIsRenewedWhileOtherCommandsGetNoResponse() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        session.requestStop(RUN);
+        for (int attempt = 0; attempt < 5; attempt++) {
+            respond(takeCommand(HostCommand.Stop.class), new NoResponse("timeout"));
+            HostCommand.Poll poll = takePoll();
+            assertThat(poll.leaseExpiryMillis()).isPositive();
+            respond(poll, new PollResult(hostClockMillis, List.of(new ReportedRun(RUN, "", 10, 0)), List.of()));
+            advance(500);
+        }
+    }
+
+    /** Guards against runs that end by their lease because a termination on the same host is committed late. */
+    @Test
+    void leaseIsRenewedWhileTerminationAwaitsCommit() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        RunId other = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(other, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new Accepted(hostClockMillis));
+        ReportedRun running = new ReportedRun(other, "", 10, 0);
+        ReportedTermination done = new ReportedTermination(1, RUN, TerminalStatus.DONE, "");
+        respondToPoll(List.of(running), List.of(done));
+        for (int second = 0; second < 10; second++) {
+            advance(1_000);
+            HostCommand.Poll poll = takePoll();
+            assertThat(poll.leaseExpiryMillis()).isGreaterThan(hostClockMillis + 4_000);
+            assertThat(poll.acknowledgedThrough()).isZero();
+            assertThat(respond(poll, new PollResult(hostClockMillis, List.of(running), List.of(done))))
+                    .isEmpty();
+        }
+    }
+
+    @Test
+    void commandsAreOverdueWithoutAnOutcomeAndNotBeforeTheDeadline() {
+        makeSchedulable();
+        HostCommand.Start start = takeStart();
+        HostCommand.Poll poll = takePoll();
+        advance(HostSession.OUTCOME_DEADLINE.toMillis() - 200);
+        assertThat(session.overdueCommands(nowNanos)).isEmpty();
+        advance(200);
+        assertThat(session.overdueCommands(nowNanos)).containsExactly(start, poll);
+        respond(start, new NoResponse("no outcome"));
+        respond(poll, new NoResponse("no outcome"));
+        assertThat(session.overdueCommands(nowNanos)).isEmpty();
+        assertThat(takeCommand(HostCommand.Stop.class).run()).isEqualTo(RUN);
+        advance(400);
+        assertThat(takePoll()).isNotSameAs(poll);
+    }
+
+    /** Two polls at the same time would take the places of other commands to the host. */
+    @Test
+    void lateOutcomeOfOverduePollDoesNotCauseAPollBesideTheOneInFlight() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        HostCommand.Poll overdue = takePoll();
+        advance(HostSession.OUTCOME_DEADLINE.toMillis());
+        respond(overdue, new NoResponse("no outcome"));
+        advance(400);
+        takePoll();
+        respond(overdue, new PollResult(hostClockMillis, List.of(new ReportedRun(RUN, "", 10, 0)), List.of()));
+        advance(2_000);
+        assertThat(dueCommands()).noneMatch(HostCommand.Poll.class::isInstance);
+    }
+
+    /** Guards against a result that is neither recorded nor reported again. */
+    @Test
+    @SuppressWarnings("NullAway")
+    void terminationThatCannotBeHandledIsReturnedWhenItIsReportedAgain() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        ReportedTermination malformed = new ReportedTermination(1, RUN, TerminalStatus.DONE, null);
+        assertThatThrownBy(() -> respondToPoll(List.of(), List.of(malformed))).isInstanceOf(NullPointerException.class);
+        advance(1_000);
+        HostCommand.Poll poll = takePoll();
+        assertThat(poll.acknowledgedThrough()).isZero();
+        ReportedTermination done = new ReportedTermination(1, RUN, TerminalStatus.DONE, "");
+        assertThat(respond(poll, new PollResult(hostClockMillis, List.of(), List.of(done))))
+                .containsExactly(new RecordTermination(RUN, TerminalStatus.DONE, ""));
+    }
+
     @Test
     void inheritedRunsOfUnresponsiveHostAreLostOnlyAfterMaxLeaseOfEarlierLeader() {
         session.trackInheritedRun(ACTIVE, false, nowNanos);
