Refuse to add a member whose address cannot be connected to

What callers saw: `member add` took any text that isn't blank as the address.

The address is now parsed, as the settings do, before the change is proposed; invalid-argument names it.

--- a/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
+++ b/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.consensus;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.nettlering.control.log.FrameService;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
+import org.nettlering.runtime.settings.Addresses;
 import org.nettlering.wire.proto.FrameProto.Frame;
 import org.nettlering.wire.proto.MembershipProto.AddMember;
 import org.nettlering.wire.proto.MembershipProto.MemberStatus;
@@ -73,6 +75,8 @@
             return CompletableFuture.failedFuture(new NettleringException(
                     ErrorCode.INVALID_ARGUMENT, "a member needs an address and a failure domain"));
         }
+        // Every member connects to an address that is listed; none could do so with one that is no address.
+        InetSocketAddress _ = Addresses.parse(request.getAddress());
         return node.addMember(
                 Member.learner(MemberId.of(request.getMemberId()), request.getAddress(), request.getFailureDomain()));
     }
--- a/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/MembershipServiceTest.java
@@ -1,8 +1,10 @@
 package org.nettlering.control.consensus;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.time.ManualTime;
@@ -83,6 +85,16 @@
         assertThat(ask(add(""))).isCompletedExceptionally();
     }
 
+    @Test
+    void aMemberWhoseAddressCannotBeConnectedToIsRefused() {
+        member.lead();
+
+        for (String address : List.of("127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:70000")) {
+            assertThatThrownBy(() -> ask(add(address)).join()).as(address).hasMessageContaining("is no address");
+        }
+        assertThat(ask(add("127.0.0.1:2"))).isCompleted();
+    }
+
     @Test
     void theLeaderIsNotRemoved() {
         member.lead();
