--- a/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
+++ b/control/src/main/java/org/nettlering/control/consensus/MembershipService.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.consensus;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -78,7 +79,7 @@
         if (request.getFailureDomain().isBlank()) {
             throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "a member needs a failure domain");
         }
-        Addresses.parse(request.getAddress());
+        InetSocketAddress _ = Addresses.parse(request.getAddress());
         return node.addMember(
                 Member.learner(MemberId.of(request.getMemberId()), request.getAddress(), request.getFailureDomain()));
     }
