--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -252,6 +252,6 @@
     /** Returns the status, for logs only. */
     TrackedRunStatus status() {
         return new TrackedRunStatus(
-                activeRun.run(), stage.name(), stage == Stage.CONFIRMED, stopRequested, terminationFound);
+                activeRun.run(), stage.name(), stage == Stage.CONFIRMED, stopRequested, isTerminationFound());
     }
 }
