Keep a member from going mute after one message that cannot be sent

The actions of the replicated log (messages, events, completions) run one after the other by whichever thread finds none running. An exception of one left the mark that they are running: from then on the member sent nothing, completed nothing and reported nothing, while its process lived, took connections and counted as a voter. A leader in that state is replaced after a second; the voter is missing for good.

A message that cannot be sent is lost now, which the protocol allows of any message. If a listener fails, the member stops and its process ends with an error, as after a failed write. The rest of the actions run in both cases.

--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -25,7 +25,8 @@
  * {@link #receive}. Commands are proposed to the leader.
  *
  * <p>A command whose future completes normally is durable on a majority of the voters and applied on this member; it is
- * never lost while a majority keeps its disks. If the storage or state machine fails, the member stops permanently.
+ * never lost while a majority keeps its disks. If the storage, state machine or listener fails, the member stops
+ * permanently.
  * Thread-safe. Futures complete without a lock held; their dependent actions must not block.
  *
  * <pre>{@code
@@ -99,7 +100,16 @@
         this.initialMembers = List.copyOf(initialMembers);
         this.settings = settings;
         this.ports = ports;
-        outbox = new Outbox(ports.transport()::send, ports.listener()::onEvent);
+        outbox = new Outbox(this::send, ports.listener()::onEvent);
+    }
+
+    /** Sends a message; one that cannot be sent is lost, as the protocol allows of any. */
+    private void send(MemberId to, ConsensusMessage message) {
+        try {
+            ports.transport().send(to, message);
+        } catch (RuntimeException ignored) {
+            // The next heartbeat or election timeout sends again; the actions that follow must not wait for this one.
+        }
     }
 
     /**
@@ -352,11 +362,20 @@
         }
         List<Runnable> actions = takeActions();
         while (!actions.isEmpty()) {
-            actions.forEach(Runnable::run);
+            actions.forEach(this::run);
             actions = takeActions();
         }
     }
 
+    /** Runs an action; stops the member if it fails, as a member that goes on with some of its actions looks alive. */
+    private void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            stop(e);
+        }
+    }
+
     private List<Runnable> takeActions() {
         lock.lock();
         try {
--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusTransport.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusTransport.java
@@ -4,7 +4,7 @@
 @FunctionalInterface
 public interface ConsensusTransport {
     /**
-     * Sends a message; it may be lost, delayed or duplicated.
+     * Sends a message; it may be lost, delayed or duplicated. It is lost if this method throws.
      *
      * @param to the receiver, not null
      * @param message the message, not null
