Describe only the runs that are reported

The inspection of runs made a text for each unconfirmed run and each run of a finished job once a second under the lock, also for those that are not due; after a change of leader that is every run. It makes one only for a line that is written. Same lines as before: LeaderDiagnosticsTest (16) passes.

--- a/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
@@ -111,27 +111,32 @@
 
     private void inspectRun(
             TrackedRunStatus run, String hostId, String ended, long nowNanos, Set<Finding> seen, List<Runnable> lines) {
-        Commands commands = traces.commandsFor(run.run()).orElse(new Commands(nowNanos, null, null, null));
         if (!ended.isEmpty()) {
             long endNanos = traces.jobEndNanos(run.run().task().jobId()).orElse(nowNanos);
-            String details = describe(run, commands, nowNanos);
-            ageIfDue(Kind.JOB_FINISHED, run.run(), endNanos, nowNanos, seen)
-                    .ifPresent(ageMillis -> lines.add(() -> LOG.log(
-                            WorkflowEvent.FINISHED_JOB_RUN_TRACKED, run.run(), hostId, ageMillis, ended, details)));
+            ageIfDue(Kind.JOB_FINISHED, run.run(), endNanos, nowNanos, seen).ifPresent(ageMillis -> {
+                String details = describe(run, nowNanos);
+                lines.add(() ->
+                        LOG.log(WorkflowEvent.FINISHED_JOB_RUN_TRACKED, run.run(), hostId, ageMillis, ended, details));
+            });
         }
         if (run.terminationFound()) {
             ageIfDue(Kind.TERMINATION_UNCOMMITTED, run.run(), nowNanos, nowNanos, seen)
                     .ifPresent(ageMillis -> lines.add(
                             () -> LOG.log(WorkflowEvent.TERMINATION_NOT_COMMITTED, run.run(), hostId, ageMillis)));
         } else if (!run.confirmed()) {
-            String details = describe(run, commands, nowNanos);
-            ageIfDue(Kind.START_UNCONFIRMED, run.run(), commands.trackedNanos(), nowNanos, seen)
-                    .ifPresent(ageMillis -> lines.add(
-                            () -> LOG.log(WorkflowEvent.START_NOT_CONFIRMED, run.run(), hostId, ageMillis, details)));
+            long trackedNanos =
+                    traces.commandsFor(run.run()).map(Commands::trackedNanos).orElse(nowNanos);
+            ageIfDue(Kind.START_UNCONFIRMED, run.run(), trackedNanos, nowNanos, seen)
+                    .ifPresent(ageMillis -> {
+                        String details = describe(run, nowNanos);
+                        lines.add(() ->
+                                LOG.log(WorkflowEvent.START_NOT_CONFIRMED, run.run(), hostId, ageMillis, details));
+                    });
         }
     }
 
-    private static String describe(TrackedRunStatus run, Commands commands, long nowNanos) {
+    private String describe(TrackedRunStatus run, long nowNanos) {
+        Commands commands = traces.commandsFor(run.run()).orElse(new Commands(nowNanos, null, null, null));
         return "stage " + run.stage()
                 + "; start " + CommandTrace.describe(commands.start(), nowNanos)
                 + "; stop " + (run.stopRequested() ? "requested as " + commands.stopReason() : "not requested")
