Tell when a lease that is not renewed ends by the host's clock

The runs of a host that cannot be polled count as over only when every lease that it may have been given has ended by its clock, and readings of that clock may move that time on while earlier leaders are not fenced.

--- a/control/src/main/java/org/nettlering/control/workflow/LeaseDetails.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LeaseDetails.java
@@ -12,6 +12,8 @@
  * @param pollFinishedAgeMillis how long ago the outcome of the last poll was known, in milliseconds, or
  *     {@link LeaseTraces#NONE}
  * @param pollDueInMillis the time until the next poll may be sent, in milliseconds, negative if it is overdue
+ * @param latestExpiryInMillis the time by the host's clock until every lease that it may have been given ends, in milliseconds,
+ *     negative if it is over; zero if none is known
  * @param uncommittedTerminations the number of terminations that the host reported and that are not committed
  * @param uncommittedForMillis for how long there have been some, as seen once a second, in milliseconds
  * @param heartbeatAgeMillis the age of the latest heartbeat, in milliseconds; -1 if there was none
@@ -23,6 +25,7 @@
         long pollInFlightMillis,
         long pollFinishedAgeMillis,
         long pollDueInMillis,
+        long latestExpiryInMillis,
         int uncommittedTerminations,
         long uncommittedForMillis,
         long heartbeatAgeMillis,
@@ -40,6 +43,7 @@
                 pollInFlightMillis,
                 pollFinishedAgeMillis,
                 status.pollDueInMillis(),
+                status.latestExpiryInMillis(),
                 status.uncommittedTerminations(),
                 uncommittedForMillis,
                 status.heartbeatAgeMillis(),
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
@@ -102,7 +102,8 @@
         assertThat(events.messages(WorkflowEvent.LEASE_OVERDUE)).hasSize(1);
         assertThat(events.messages(WorkflowEvent.LEASE_OVERDUE).getFirst())
                 .startsWith("lease of host h1 with 1 active runs not renewed for ")
-                .contains("waitsFor=POLL_IN_FLIGHT");
+                .contains("waitsFor=POLL_IN_FLIGHT")
+                .containsPattern("latestExpiryInMillis=[1-9][0-9]*,");
         assertThat(gauge("nettlering_leader_oldest_poll_seconds")).isGreaterThan(2);
         assertThat(gauge("nettlering_leader_oldest_unrenewed_lease_seconds")).isGreaterThan(2);
         answerPolls(polls);
@@ -157,7 +158,7 @@
 
     @Test
     void aSessionThatAwaitsAPollWhichIsNotInFlightIsToldApart() {
-        HostSessionStatus status = new HostSessionStatus(HOST, 1, true, true, false, 0, 0, 10, 10, Optional.empty());
+        HostSessionStatus status = new HostSessionStatus(HOST, 1, true, true, false, 0, 0, 0, 10, 10, Optional.empty());
         LeaseTraces leases = LeaseTraces.create(time);
         assertThat(LeaseDetails.of(status, leases, 0).waitsFor()).isEqualTo(LeaseWait.POLL_OUTCOME_MISSING);
         HostCommand.Poll poll = new HostCommand.Poll(HOST, 1, 1, 0, 0);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -99,4 +99,12 @@
                 mayBeRenewedByEarlierLeader && !earlierLeadersFenced ? DEPOSED_LEADER_MARGIN.toMillis() : 0;
         return clock.lowerBoundMillis(nowNanos) > latestExpiryMillis + marginMillis + deposedLeaderMarginMillis;
     }
+
+    /**
+     * Returns the time by the host's clock until every lease that the host may have been given ends, in milliseconds,
+     * negative if it is over; zero if none is known. For logs only.
+     */
+    long latestExpiryInMillis(long nowNanos) {
+        return latestExpiryMillis == 0 ? 0 : latestExpiryMillis - clock.lowerBoundMillis(nowNanos);
+    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -639,6 +639,7 @@
                 liveness.isUnresponsive(),
                 terminationTracker.uncommittedCount(),
                 TimeUnit.NANOSECONDS.toMillis(nextPollNanos - nowNanos),
+                lease.latestExpiryInMillis(nowNanos),
                 liveness.heartbeatAgeMillis(nowNanos),
                 liveness.responseAgeMillis(nowNanos),
                 isIncarnationTerminated(nowNanos) ? Optional.of(liveness.terminationEvidence()) : Optional.empty());
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSessionStatus.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSessionStatus.java
@@ -16,6 +16,8 @@
  * @param uncommittedTerminations the number of terminations that the host reported and that are not committed; no poll is
  *     sent to a responsive host meanwhile
  * @param pollDueInMillis the time until the next poll may be sent, in milliseconds, negative if it is overdue
+ * @param latestExpiryInMillis the time by the host's clock until every lease that it may have been given ends, in milliseconds,
+ *     negative if it is over; zero if none is known
  * @param heartbeatAgeMillis the age of the latest heartbeat, in milliseconds, or {@link TerminationEvidence#NEVER}
  * @param responseAgeMillis the age of the last response, in milliseconds, or {@link TerminationEvidence#NEVER}
  * @param terminatedBy the evidence by which the incarnation counts as terminated, so that no command is sent to it any
@@ -29,6 +31,7 @@
         boolean unresponsive,
         int uncommittedTerminations,
         long pollDueInMillis,
+        long latestExpiryInMillis,
         long heartbeatAgeMillis,
         long responseAgeMillis,
         Optional<TerminationEvidence> terminatedBy) {}
