Log the figures of the loop as fields with units in their names

They are values of their own in kvpList now, by names that tell their units (planMeanMicros); Logback's encoder writes each value as a JSON text, not as a number. EventLogger#logWithFields serves other events as well. scripts/job-history puts such values behind the message.

Run: LoopMetricsTest (8), EventLoggerTest, JobHistoryTest (6), EventCatalogueTest pass; the new test of LoopMetricsTest needs the new method and so was not run on the code before.

--- a/benchmarks/src/test/java/org/nettlering/project/JobHistoryTest.java
+++ b/benchmarks/src/test/java/org/nettlering/project/JobHistoryTest.java
@@ -115,6 +115,18 @@
                         "meanwhile: 2950 NTL-3314 INFO running and pending work of the leader of term 2: LoadSummary[]");
     }
 
+    @Test
+    void valuesBesideAMessageArePutBehindIt() throws Exception {
+        log(1_000, WorkflowEvent.JOB_ACCEPTED, "b7", "q", 3, 1);
+        log(2_000, WorkflowEvent.RUN_STARTED, "b7.0.0.0#1", "i-96", "10.0.0.1:80", 2);
+        lines.add(
+                "{\"timestamp\":2500,\"level\":\"INFO\",\"kvpList\": [{\"event\":\"NTL-3316\"},{\"planMaxMicros\":\"7\"},"
+                        + "{\"outcomes.look.unanswered_closed\":\"2\"}],\"formattedMessage\":\"workflow loop\",\"throwable\":null}");
+        assertThat(notes("b7"))
+                .contains(
+                        "meanwhile: 2500 NTL-3316 INFO workflow loop planMaxMicros=7 outcomes.look.unanswered_closed=2");
+    }
+
     private void log(long millis, WorkflowEvent event, Object... arguments) {
         String message =
                 MessageFormatter.arrayFormat(event.pattern(), arguments).getMessage();
--- a/control/src/main/java/org/nettlering/control/workflow/LatencyRecorder.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LatencyRecorder.java
@@ -57,10 +57,5 @@
      * @param meanMicros the mean in microseconds, 0 if there are none
      * @param maxMicros the maximum in microseconds, 0 if there are none
      */
-    record Summary(long count, long meanMicros, long maxMicros) {
-        @Override
-        public String toString() {
-            return count + " of mean " + meanMicros + " longest " + maxMicros + " us";
-        }
-    }
+    record Summary(long count, long meanMicros, long maxMicros) {}
 }
--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -227,7 +227,7 @@
     void logSummary(boolean leads, long term) {
         LoopSummary summary = summariseAndReset();
         if (leads) {
-            LOG.log(WorkflowEvent.LOOP_SUMMARY, term, summary);
+            LOG.logWithFields(WorkflowEvent.LOOP_SUMMARY, summary.toFields(), term);
         }
     }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/LoopSummary.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopSummary.java
@@ -1,6 +1,8 @@
 package org.nettlering.control.workflow;
 
 import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.nettlering.control.workflow.LatencyRecorder.Summary;
@@ -8,7 +10,7 @@
 /**
  * Latencies and command counts of the leader's loop since the previous summary.
  *
- * <p>For logs only. The component names appear in the log. Immutable and thread-safe.
+ * <p>For logs only. The names of the fields are made of those of the components. Immutable and thread-safe.
  *
  * @param timerDelay by how much the timer of the loop was late, not null
  * @param run the duration of iterations of the loop, not null
@@ -40,4 +42,27 @@
         inFlight = Collections.unmodifiableSortedMap(new TreeMap<>(inFlight));
         outcomes = Collections.unmodifiableSortedMap(new TreeMap<>(outcomes));
     }
+
+    /** Returns the fields of the log line by name, with units. */
+    Map<String, Object> toFields() {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        addFields(fields, "timerDelay", timerDelay);
+        addFields(fields, "run", run);
+        addFields(fields, "plan", plan);
+        addFields(fields, "lockWait", lockWait);
+        addFields(fields, "log", log);
+        addFields(fields, "firstStart", firstStart);
+        addFields(fields, "startToOrder", startToOrder);
+        addFields(fields, "startAnswer", startAnswer);
+        addFields(fields, "lookAnswer", lookAnswer);
+        inFlight.forEach((kind, count) -> fields.put("inFlight." + kind, count));
+        outcomes.forEach((outcome, count) -> fields.put("outcomes." + outcome, count));
+        return fields;
+    }
+
+    private static void addFields(Map<String, Object> fields, String name, Summary summary) {
+        fields.put(name + "Count", summary.count());
+        fields.put(name + "MeanMicros", summary.meanMicros());
+        fields.put(name + "MaxMicros", summary.maxMicros());
+    }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -38,7 +38,7 @@
     /** A throttled run is stopped so that its task runs on another host. */
     RUN_MIGRATED(3315, Level.INFO, "stopping throttled run {} on host {} to migrate its task"),
     /** Statistics of the loop, logged periodically. */
-    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second: {}"),
+    LOOP_SUMMARY(3316, Level.INFO, "workflow loop of the leader of term {} in the last second"),
     /** The lease of a host with active runs was not renewed in time. */
     LEASE_OVERDUE(3317, Level.WARN, "lease of host {} with {} active runs not renewed for {} ms in term {}: {}"),
     /** The lease of a host with active runs was not renewed for longer than it lasts. */
--- a/control/src/test/java/org/nettlering/control/workflow/EventRecorder.java
+++ b/control/src/test/java/org/nettlering/control/workflow/EventRecorder.java
@@ -3,8 +3,11 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.AppenderBase;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
 import org.nettlering.runtime.log.EventLogger;
 import org.nettlering.runtime.log.LogEvent;
 import org.slf4j.LoggerFactory;
@@ -37,12 +40,21 @@
 
     /** Returns the messages of an event in the order in which they were logged. */
     List<String> messages(LogEvent event) {
+        return linesOf(event).map(ILoggingEvent::getFormattedMessage).toList();
+    }
+
+    /** Returns the values by name of all lines of an event, the last one of each name. */
+    Map<String, Object> fields(LogEvent event) {
+        Map<String, Object> fields = new HashMap<>();
+        linesOf(event).forEach(line -> line.getKeyValuePairs().forEach(pair -> fields.put(pair.key, pair.value)));
+        return fields;
+    }
+
+    private Stream<ILoggingEvent> linesOf(LogEvent event) {
         String code = EventLogger.code(event);
         return lines.stream()
                 .filter(line -> line.getKeyValuePairs() != null
-                        && line.getKeyValuePairs().stream().anyMatch(pair -> code.equals(pair.value)))
-                .map(ILoggingEvent::getFormattedMessage)
-                .toList();
+                        && line.getKeyValuePairs().stream().anyMatch(pair -> code.equals(pair.value)));
     }
 
     @Override
--- a/control/src/test/java/org/nettlering/control/workflow/LoopMetricsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopMetricsTest.java
@@ -45,6 +45,25 @@
                 .isEqualTo(new LatencyRecorder.Summary(1, 250_000, 250_000));
     }
 
+    @Test
+    void aSummaryIsLoggedAsFieldsWithUnits() {
+        metrics.recordLockWait(Duration.ofMillis(3).toNanos());
+        metrics.commandSent(startCommand("a", 0));
+        metrics.commandFinished(startCommand("a", 0), time.nanoTime(), new HostResponse.Accepted(0));
+        try (EventRecorder events = EventRecorder.start()) {
+            metrics.logSummary(true, 7);
+            assertThat(events.messages(WorkflowEvent.LOOP_SUMMARY))
+                    .containsExactly("workflow loop of the leader of term 7 in the last second");
+            assertThat(events.fields(WorkflowEvent.LOOP_SUMMARY))
+                    .containsEntry("lockWaitCount", 1L)
+                    .containsEntry("lockWaitMeanMicros", 3_000L)
+                    .containsEntry("lockWaitMaxMicros", 3_000L)
+                    .containsEntry("timerDelayCount", 0L)
+                    .containsEntry("inFlight.start", 0)
+                    .containsEntry("outcomes.start.accepted", 1L);
+        }
+    }
+
     @Test
     void takingASummaryResetsIt() {
         metrics.recordLockWait(Duration.ofMillis(3).toNanos());
--- a/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
@@ -1,6 +1,7 @@
 package org.nettlering.runtime.log;
 
 import java.util.Locale;
+import java.util.Map;
 import org.nettlering.domain.time.SystemTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,10 +43,25 @@
      * @param arguments the values for the pattern, in order, not null; a last throwable is logged with its stack
      */
     public void log(LogEvent event, Object... arguments) {
+        logWithFields(event, Map.of(), arguments);
+    }
+
+    /**
+     * Logs an event with values of their own beside its message, unless its level is off or its lines of this second are used
+     * up.
+     *
+     * @param event the kind of event, not null
+     * @param fields the values by name, in the order of the line; a name tells the unit, not null
+     * @param arguments the values for the pattern, in order, not null; a last throwable is logged with its stack
+     */
+    public void logWithFields(LogEvent event, Map<String, ?> fields, Object... arguments) {
         if (!logger.isEnabledForLevel(event.level()) || !BUDGET.permits(event)) {
             return;
         }
         LoggingEventBuilder builder = logger.atLevel(event.level()).addKeyValue("event", code(event));
+        for (Map.Entry<String, ?> field : fields.entrySet()) {
+            builder = builder.addKeyValue(field.getKey(), field.getValue());
+        }
         builder.log(event.pattern(), arguments);
     }
 
--- a/runtime/src/test/java/org/nettlering/runtime/log/EventLoggerTest.java
+++ b/runtime/src/test/java/org/nettlering/runtime/log/EventLoggerTest.java
@@ -8,17 +8,22 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.slf4j.LoggerFactory;
 
 class EventLoggerTest {
     @Test
-    void aLineCarriesTheNumberOfItsEventAsAKey() {
+    void aLineCarriesTheNumberOfItsEventAndItsFieldsAsKeys() {
         Logger logger = (Logger) LoggerFactory.getLogger(EventLoggerTest.class);
         ListAppender<ILoggingEvent> appender = new ListAppender<>();
         appender.start();
         logger.addAppender(appender);
-        EventLogger.of(EventLoggerTest.class).log(RuntimeEvent.STOPPING, "nettlering-entry");
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("waitMaxMicros", 12L);
+        fields.put("waitCount", 3);
+        EventLogger.of(EventLoggerTest.class).logWithFields(RuntimeEvent.STOPPING, fields, "nettlering-entry");
         logger.detachAppender(appender);
 
         JsonEncoder encoder = new JsonEncoder();
@@ -26,6 +31,8 @@
         encoder.setWithFormattedMessage(true);
         encoder.start();
         String line = new String(encoder.encode(appender.list.getFirst()), StandardCharsets.UTF_8);
-        assertThat(line).contains("{\"event\":\"NTL-1002\"}").contains("nettlering-entry is stopping");
+        assertThat(line)
+                .contains("[{\"event\":\"NTL-1002\"},{\"waitMaxMicros\":\"12\"},{\"waitCount\":\"3\"}]")
+                .contains("nettlering-entry is stopping");
     }
 }
