--- a/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
@@ -61,8 +61,9 @@
         start(newcomer);
         newcomer.time.advance(ATTEMPT_INTERVAL);
         assertThat(requests).hasSize(1);
-        assertThat(namedMembers).singleElement().satisfies(leader -> assertThat(leader.address())
-                .isEqualTo("127.0.0.1:7"));
+        assertThat(namedMembers)
+                .singleElement()
+                .satisfies(leader -> assertThat(leader.address()).isEqualTo("127.0.0.1:7"));
     }
 
     @Test
