Never reject a job whose submission may still be accepted

What callers see: a submission whose first attempt is still on its way into the log is sent again, by the entry after 700 ms or by the caller. The admission then judges it as a new job, and a pool that has filled meanwhile gives 429, which says that the job never runs; then the first proposal commits, and it runs. Evidence: WorkflowEndToEndTest.aJobWhoseAcceptanceIsUndecidedIsNotRejectedWhenItIsSubmittedAgain was red (Rejected[retryAfter=PT5S]). Now such a job isn't judged again but proposed again, which changes nothing if the first proposal commits. With it, without a test that failed: a cancellation that is committed is no longer answered as not run when the leadership ends between the commit and the request to stop the runs; the next leader stops them.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -56,6 +56,8 @@
 
     private final LeadershipConfirmations confirmations;
 
+    private final UndecidedJobs undecidedJobs = new UndecidedJobs();
+
     /**
      * Creates a service.
      *
@@ -130,7 +132,7 @@
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
         Optional<Duration> retryAfter =
-                loop.decide((state, leadership) -> state.job(jobId).isPresent()
+                loop.decide((state, leadership) -> state.job(jobId).isPresent() || undecidedJobs.contains(jobId)
                         ? Optional.empty()
                         : leadership.retryAfterIfRejected(state, terms, definition));
         if (retryAfter.isPresent()) {
@@ -141,17 +143,17 @@
                     retryAfter.get().toMillis());
             return readConfirmed((state, current) -> rejectedResponse(retryAfter.get()));
         }
-        return propose(new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis()))
-                .thenApply(commandResult -> {
-                    LOG.log(
-                            WorkflowEvent.JOB_ACCEPTED,
-                            jobId,
-                            terms.queue(),
-                            queues.version(),
-                            definition.steps().size());
-                    loop.requestPlanAndRun();
-                    return responseOf(WorkflowAnswer.ANSWER_DONE);
-                });
+        WorkflowCommand submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
+        return undecidedJobs.during(jobId, () -> propose(submission)).thenApply(commandResult -> {
+            LOG.log(
+                    WorkflowEvent.JOB_ACCEPTED,
+                    jobId,
+                    terms.queue(),
+                    queues.version(),
+                    definition.steps().size());
+            loop.requestPlanAndRun();
+            return responseOf(WorkflowAnswer.ANSWER_DONE);
+        });
     }
 
     private static WorkflowResponse show(JobRequest request, WorkflowState state, QueueConfiguration queues) {
@@ -191,11 +193,15 @@
         });
     }
 
+    /** Stops the runs of a cancelled job. Fails never, as the cancellation is committed; the next leader stops them else. */
     private void stopRuns(String jobId) {
-        if (!log.isReadyLeader()) {
-            return;
+        try {
+            loop.updateWithState((state, leadership) -> state.job(jobId).ifPresent(leadership::stopRuns));
+        } catch (NettleringException exception) {
+            if (exception.code() != ErrorCode.NOT_LEADER) {
+                throw exception;
+            }
         }
-        loop.updateWithState((state, leadership) -> state.job(jobId).ifPresent(leadership::stopRuns));
     }
 
     private CompletionStage<WorkflowResponse> receiveHeartbeat(HostReportMessage message) {
