Revert "Keep the way to the leader open when all hosts of the settings are gone"

The review mended the same fault at the same time; its form is kept: control processes take the members from their own log, the believed leader is never forgotten, and a known address stays.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -57,7 +57,6 @@
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.ControlGateway;
 import org.nettlering.wire.transport.LeaderControlGateway;
-import org.nettlering.wire.transport.MemberRefresh;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
 import org.nettlering.wire.transport.TransportCounters;
@@ -123,9 +122,6 @@
     /** Asks the group to take this member in, or null if only operators add members. */
     private final @Nullable GroupJoin join;
 
-    /** Keeps the way to the leader open when the seeds are gone, or null if the members are fixed. */
-    private final @Nullable MemberRefresh memberRefresh;
-
     /** Removes voters that are gone from the group, or null if only operators do. */
     private final @Nullable VoterRemoval voterRemoval;
 
@@ -246,7 +242,6 @@
         join = groupStart.joins()
                 ? GroupJoin.start(node, self(self, settings), others, this::rememberNamedMembers, time)
                 : null;
-        memberRefresh = groupStart.joins() ? MemberRefresh.start(others, time) : null;
         voterRemoval = groupStart.joins() ? VoterRemoval.start(node, groupStart.toleratedLosses(), time) : null;
     }
 
@@ -307,9 +302,6 @@
         if (voterRemoval != null) {
             voterRemoval.close();
         }
-        if (memberRefresh != null) {
-            memberRefresh.close();
-        }
         handLeadershipOver();
         metricsServer.close();
         server.close();
--- a/wire/src/main/java/org/nettlering/wire/transport/ControlMembers.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/ControlMembers.java
@@ -3,11 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
@@ -16,8 +13,7 @@
 import org.nettlering.runtime.settings.Addresses;
 
 /**
- * The control members that a gateway knows: those of the settings, leaders that it was redirected to, and members that the
- * group named.
+ * The control members that a gateway knows: those of the settings, and leaders that it was redirected to.
  *
  * <p>A member that was redirected to under another address than before gets a new peer. Thread-safe; peers are opened
  * without the lock.
@@ -37,9 +33,6 @@
     /** The addresses by id. */
     private final Map<String, InetSocketAddress> addresses;
 
-    /** The ids of the members that settings name; these are never forgotten. */
-    private final Set<String> named;
-
     static ControlMembers fixed(Map<String, ? extends Peer> peers) {
         return new ControlMembers(null, peers, Map.of());
     }
@@ -61,7 +54,6 @@
         this.opener = opener;
         this.peers = new LinkedHashMap<>(peers);
         this.addresses = new LinkedHashMap<>(addresses);
-        named = new LinkedHashSet<>(peers.keySet());
     }
 
     /** Returns the first member. */
@@ -106,45 +98,7 @@
         return ids().size();
     }
 
-    /** Takes note of members that settings name. */
-    void name(Map<String, InetSocketAddress> settings) {
-        lock.lock();
-        try {
-            named.addAll(settings.keySet());
-        } finally {
-            lock.unlock();
-        }
-        settings.forEach((id, address) -> learn(id, address.getHostString() + ":" + address.getPort()));
-    }
-
-    /** Takes note of the members of the group, and forgets others that were learned before. */
-    void replaceLearned(Map<String, String> members) {
-        if (opener == null || members.isEmpty()) {
-            return;
-        }
-        List<Peer> forgotten = new ArrayList<>();
-        lock.lock();
-        try {
-            for (String id : List.copyOf(peers.keySet())) {
-                if (!members.containsKey(id) && !named.contains(id)) {
-                    Optional.ofNullable(peers.remove(id)).ifPresent(forgotten::add);
-                    addresses.remove(id);
-                }
-            }
-        } finally {
-            lock.unlock();
-        }
-        forgotten.forEach(ControlMembers::close);
-        members.forEach(this::learn);
-    }
-
-    private static void close(@Nullable Peer peer) {
-        if (peer instanceof NettyPeer connection) {
-            connection.close();
-        }
-    }
-
-    /** Takes note of a member; an address that is empty or malformed is ignored. */
+    /** Takes note of a leader; an address that is empty or malformed is ignored. */
     void learn(String id, String text) {
         if (opener == null || id.isEmpty() || text.isEmpty()) {
             return;
@@ -162,7 +116,9 @@
         } finally {
             lock.unlock();
         }
-        close(previous);
+        if (previous instanceof NettyPeer replaced) {
+            replaced.close();
+        }
     }
 
     private boolean isCurrent(String id, InetSocketAddress address) {
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -113,17 +113,7 @@
      * @param addresses where the members listen, by id, not null
      */
     public void learn(Map<String, InetSocketAddress> addresses) {
-        members.name(addresses);
-    }
-
-    /**
-     * Takes note of the members of the group, and forgets those that are neither among them nor named by settings.
-     *
-     * @param addresses where the members listen, as {@code host:port} by id; if there are none, nothing is forgotten, not
-     *     null
-     */
-    public void replaceLearned(Map<String, String> addresses) {
-        members.replaceLearned(addresses);
+        addresses.forEach((id, address) -> members.learn(id, address.getHostString() + ":" + address.getPort()));
     }
 
     /**
