Keep the way to the leader informed of the members of the group

Entries and control processes look for the leader among the members that their settings name and the leaders that they were redirected to. Hosts that are replaced get new ids, so the settings of a running process get old: once its members of the settings and the leader it knew were gone, it found none, although the group had a quorum of newcomers. With five founders, three of them replaced, that takes the two last founders and nothing else, which a group of five bears.

Members that left the group are forgotten, but for those of the settings and the believed leader. An address that is known stays, as entries may reach members at other addresses than the members do.

Found by reading. MemberDiscoveryTest was run with the noting of unknown members left out: 3 of 3 failed (the leader was not found; the newcomers were not known). With the change it passes, with one more test on members that left; so does LeaderControlGatewayTest.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -15,6 +15,8 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusExecutors;
+import org.nettlering.consensus.ConsensusListener;
+import org.nettlering.consensus.ConsensusListener.MembershipChanged;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.ConsensusPorts;
 import org.nettlering.consensus.ConsensusSettings;
@@ -198,7 +200,10 @@
                 SiteParts.create(WorkflowStateMachine.withLockTiming(time::nanoTime, measures::recordLockWait));
         PeerConsensusTransport transport =
                 PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, network::peer));
-        LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
+        LeaderControlGateway others =
+                LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
+        LeadershipHistory history = LeadershipHistory.of(
+                time, informing(others, ConsensusEvents.logging(ControlProcess::endWithFailure)));
         ConsensusPorts ports = new ConsensusPorts(
                 time,
                 FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
@@ -227,8 +232,6 @@
                 LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history),
                 WorkflowService.of(log, parts.workflow(), workflow, time));
-        LeaderControlGateway others =
-                LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
         gateway = new OwnOrLeaderGateway(log, dispatcher, others);
         node.start();
         server = network.listen(
@@ -259,6 +262,20 @@
         return addresses;
     }
 
+    /** Returns a listener that also informs the way to the other members of those that the log lists. */
+    private static ConsensusListener informing(LeaderControlGateway others, ConsensusListener next) {
+        return event -> {
+            if (event instanceof MembershipChanged changed) {
+                Map<String, String> addresses = new LinkedHashMap<>();
+                changed.membership()
+                        .members()
+                        .forEach(member -> addresses.put(member.id().value(), member.address()));
+                others.setPresentMembers(addresses);
+            }
+            next.onEvent(event);
+        };
+    }
+
     private TaskService startTasks(CommandLog log, SiteParts parts) {
         return TaskService.start(
                 log,
--- a/entry/src/main/java/org/nettlering/entry/EntryMain.java
+++ b/entry/src/main/java/org/nettlering/entry/EntryMain.java
@@ -18,6 +18,7 @@
 import org.nettlering.runtime.program.Daemon;
 import org.nettlering.runtime.trace.Telemetry;
 import org.nettlering.wire.transport.LeaderControlGateway;
+import org.nettlering.wire.transport.MemberDiscovery;
 import org.nettlering.wire.transport.NettyPeer;
 import org.nettlering.wire.transport.NettyPeerServer;
 import org.nettlering.wire.transport.PeerNetwork;
@@ -53,6 +54,7 @@
                 TransportCounters.registerIn(metrics.registry()));
         LeaderControlGateway gateway =
                 LeaderControlGateway.connecting(settings.controlAddresses(), network::peer, time);
+        MemberDiscovery memberDiscovery = MemberDiscovery.start(gateway, time);
         Vertx vertx = Vertx.vertx();
         EntryConfiguration configuration = new EntryConfiguration(
                 settings.identity().processId(),
@@ -77,6 +79,7 @@
         return () -> {
             await(process.stop());
             await(operatorServer.close().toCompletionStage());
+            memberDiscovery.close();
             peerServer.close();
             network.close();
             telemetry.close();
--- a/wire/src/main/java/org/nettlering/wire/transport/ControlMembers.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/ControlMembers.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
@@ -13,7 +15,8 @@
 import org.nettlering.runtime.settings.Addresses;
 
 /**
- * The control members that a gateway knows: those of the settings, and leaders that it was redirected to.
+ * The control members that a gateway knows: those of the settings, those of the group, and leaders that it was
+ * redirected to.
  *
  * <p>A member that was redirected to under another address than before gets a new peer. Thread-safe; peers are opened
  * without the lock.
@@ -33,6 +36,9 @@
     /** The addresses by id. */
     private final Map<String, InetSocketAddress> addresses;
 
+    /** The members that settings name, which are never forgotten. */
+    private final Set<String> settingsIds;
+
     static ControlMembers fixed(Map<String, ? extends Peer> peers) {
         return new ControlMembers(null, peers, Map.of());
     }
@@ -54,6 +60,7 @@
         this.opener = opener;
         this.peers = new LinkedHashMap<>(peers);
         this.addresses = new LinkedHashMap<>(addresses);
+        settingsIds = new HashSet<>(peers.keySet());
     }
 
     /** Returns the first member. */
@@ -116,8 +123,41 @@
         } finally {
             lock.unlock();
         }
-        if (previous instanceof NettyPeer replaced) {
-            replaced.close();
+        if (previous != null) {
+            close(previous);
+        }
+    }
+
+    /** Notes that settings name a member. */
+    void keep(String id) {
+        lock.lock();
+        try {
+            settingsIds.add(id);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Forgets the members that are not among the given ones, unless settings name them. */
+    void forgetAllBut(Set<String> ids) {
+        List<Peer> forgotten = new ArrayList<>();
+        lock.lock();
+        try {
+            for (String id : List.copyOf(peers.keySet())) {
+                if (!ids.contains(id) && !settingsIds.contains(id)) {
+                    forgotten.add(peers.remove(id));
+                    addresses.remove(id);
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+        forgotten.forEach(ControlMembers::close);
+    }
+
+    private static void close(Peer peer) {
+        if (peer instanceof NettyPeer connected) {
+            connected.close();
         }
     }
 
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -3,8 +3,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -113,7 +115,27 @@
      * @param addresses where the members listen, by id, not null
      */
     public void learn(Map<String, InetSocketAddress> addresses) {
-        addresses.forEach((id, address) -> members.learn(id, address.getHostString() + ":" + address.getPort()));
+        addresses.forEach((id, address) -> {
+            members.keep(id);
+            members.learn(id, address.getHostString() + ":" + address.getPort());
+        });
+    }
+
+    /**
+     * Takes note of the present members of the group, and forgets others, unless settings named them or they are believed to lead.
+     * The address of a known member stays, as callers may reach it at another one than the members do.
+     *
+     * @param addresses where the members listen for peers, as IP:PORT, by id; a malformed address is ignored, not null
+     */
+    public void setPresentMembers(Map<String, String> addresses) {
+        Set<String> kept = new HashSet<>(addresses.keySet());
+        kept.add(leader);
+        members.forgetAllBut(kept);
+        addresses.forEach((id, address) -> {
+            if (!members.isKnown(id)) {
+                members.learn(id, address);
+            }
+        });
     }
 
     /**
