Ask the leader that the replicated log knows first

A control process that does not lead passes requests on. It looked for the leader from member to member, up to 0.7 s each at one that is gone, although its replicated log hears the leader ten times a second.

Tested at the gateway (LeaderControlGatewayTest; the method is new).

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -16,12 +16,14 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusExecutors;
 import org.nettlering.consensus.ConsensusListener;
+import org.nettlering.consensus.ConsensusListener.LeaderChanged;
 import org.nettlering.consensus.ConsensusListener.MembershipChanged;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.ConsensusPorts;
 import org.nettlering.consensus.ConsensusSettings;
 import org.nettlering.consensus.Member;
 import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
 import org.nettlering.consensus.storage.DiskFolder;
 import org.nettlering.consensus.storage.FileLogStorage;
 import org.nettlering.control.configuration.ConfigurationService;
@@ -262,20 +264,25 @@
         return addresses;
     }
 
-    /** Returns a listener that also informs the way to the other members of those that the log lists. */
+    /** Returns a listener that also informs the way to the other members of those in the log, and of the leader. */
     private static ConsensusListener informing(LeaderControlGateway others, ConsensusListener next) {
         return event -> {
             if (event instanceof MembershipChanged changed) {
-                Map<String, String> addresses = new LinkedHashMap<>();
-                changed.membership()
-                        .members()
-                        .forEach(member -> addresses.put(member.id().value(), member.address()));
-                others.setPresentMembers(addresses);
+                others.setPresentMembers(addresses(changed.membership()));
+            }
+            if (event instanceof LeaderChanged changed) {
+                others.setBelievedLeader(changed.leader().value());
             }
             next.onEvent(event);
         };
     }
 
+    private static Map<String, String> addresses(Membership membership) {
+        Map<String, String> addresses = new LinkedHashMap<>();
+        membership.members().forEach(member -> addresses.put(member.id().value(), member.address()));
+        return addresses;
+    }
+
     private TaskService startTasks(CommandLog log, SiteParts parts) {
         return TaskService.start(
                 log,
--- a/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/LeaderControlGateway.java
@@ -138,6 +138,17 @@
         });
     }
 
+    /**
+     * Takes note of a leader that the caller knows of, which is asked first from now on; an unknown member is ignored.
+     *
+     * @param id the member, not null
+     */
+    public void setBelievedLeader(String id) {
+        if (members.isKnown(id)) {
+            leader = id;
+        }
+    }
+
     /**
      * Returns the member that is believed to lead.
      *
--- a/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/LeaderControlGatewayTest.java
@@ -131,6 +131,18 @@
         assertThat(opened).extracting(InetSocketAddress::getPort).containsExactly(7101, 7104);
     }
 
+    @Test
+    void theLeaderThatTheCallerKnowsOfIsAskedFirst() {
+        behave("gone", () -> failing(new NettleringException(ErrorCode.CONNECTION_LOST, "down")));
+        behave("leading", () -> CompletableFuture.completedFuture(REQUEST));
+        LeaderControlGateway gateway = gateway();
+
+        gateway.setBelievedLeader("leading");
+        gateway.setBelievedLeader("unknown");
+        assertThat(call(gateway, false)).isCompletedWithValue(REQUEST);
+        assertThat(asked).containsExactly("leading");
+    }
+
     @Test
     void aMemberThatMovedIsReachedAtItsNewAddress() {
         behave("c1", () -> failing(FrameFailureException.notLeader("c2", "127.0.0.1:7202")));
