Remove a voter that is gone sooner while the group bears too few losses

A leader counts the silence of a voter from its own election. If hosts that lead are replaced one after the other, each new leader waits ten seconds anew, and the group keeps the votes of all of them: three leaders replaced seven seconds apart leave eight voters, five of them alive and a quorum of five, for some ten seconds. Two members of five that are gone at once are the same: three alive, quorum three.

While the voters that respond are fewer than the quorum and the losses to bear, a voter is removed after three seconds without a response. Ruled out: that a member which is only slow does harm when it comes back; a group of five by hand-driven time shows that a removed voter deposes nobody, and gets its vote back when it is added.

Not run: whole processes.

--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusStatus;
 import org.nettlering.consensus.MemberId;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.log.EventLogger;
@@ -68,16 +69,15 @@
 
     private void check() {
         boolean stoodStill = time.nanoTime() - dueNanos >= STANDSTILL.toNanos();
-        Optional<MemberId> voter =
-                stoodStill ? Optional.empty() : node.status().flatMap(unreachableVoters::findRemovable);
-        voter.ifPresentOrElse(this::remove, this::scheduleNext);
+        Optional<ConsensusStatus> status = stoodStill ? Optional.empty() : node.status();
+        status.flatMap(unreachableVoters::findRemovable)
+                .ifPresentOrElse(
+                        voter -> remove(voter, unreachableVoters.removalDelay(status.orElseThrow())),
+                        this::scheduleNext);
     }
 
-    private void remove(MemberId voter) {
-        LOG.log(
-                ConsensusEvent.VOTER_REMOVED,
-                voter,
-                unreachableVoters.removalDelay().toMillis());
+    private void remove(MemberId voter, Duration removalDelay) {
+        LOG.log(ConsensusEvent.VOTER_REMOVED, voter, removalDelay.toMillis());
         node.removeMember(voter)
                 .orTimeout(REMOVAL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((removed, failure) -> {
