--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -15,11 +15,15 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusExecutors;
+import org.nettlering.consensus.ConsensusListener;
+import org.nettlering.consensus.ConsensusListener.LeaderChanged;
+import org.nettlering.consensus.ConsensusListener.MembershipChanged;
 import org.nettlering.consensus.ConsensusNode;
 import org.nettlering.consensus.ConsensusPorts;
 import org.nettlering.consensus.ConsensusSettings;
 import org.nettlering.consensus.Member;
 import org.nettlering.consensus.MemberId;
+import org.nettlering.consensus.Membership;
 import org.nettlering.consensus.storage.DiskFolder;
 import org.nettlering.consensus.storage.FileLogStorage;
 import org.nettlering.control.configuration.ConfigurationService;
@@ -198,7 +202,10 @@
                 SiteParts.create(WorkflowStateMachine.withLockTiming(time::nanoTime, measures::recordLockWait));
         PeerConsensusTransport transport =
                 PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, network::peer));
-        LeadershipHistory history = LeadershipHistory.of(time, ConsensusEvents.logging(ControlProcess::endWithFailure));
+        LeaderControlGateway others =
+                LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
+        LeadershipHistory history = LeadershipHistory.of(
+                time, informing(others, ConsensusEvents.logging(ControlProcess::endWithFailure)));
         ConsensusPorts ports = new ConsensusPorts(
                 time,
                 FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
@@ -227,8 +234,6 @@
                 LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history),
                 WorkflowService.of(log, parts.workflow(), workflow, time));
-        LeaderControlGateway others =
-                LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
         gateway = new OwnOrLeaderGateway(log, dispatcher, others);
         node.start();
         server = network.listen(
@@ -259,6 +264,25 @@
         return addresses;
     }
 
+    /** Returns a listener that also informs the way to the other members of those in the log, and of the leader. */
+    private static ConsensusListener informing(LeaderControlGateway others, ConsensusListener next) {
+        return event -> {
+            if (event instanceof MembershipChanged changed) {
+                others.setPresentMembers(addresses(changed.membership()));
+            }
+            if (event instanceof LeaderChanged changed) {
+                others.setBelievedLeader(changed.leader().value());
+            }
+            next.onEvent(event);
+        };
+    }
+
+    private static Map<String, String> addresses(Membership membership) {
+        Map<String, String> addresses = new LinkedHashMap<>();
+        membership.members().forEach(member -> addresses.put(member.id().value(), member.address()));
+        return addresses;
+    }
+
     private TaskService startTasks(CommandLog log, SiteParts parts) {
         return TaskService.start(
                 log,
