Let a job that ran while nothing else waited wait anew for a host

A best-effort job that no host can run without harm to a service starts throttled after 1.5 s. The waits were only updated in plans with pending steps or throttled runs. So if the job started and nothing else waited, its old wait stayed; when its run was stopped later, by a migration or a lost host, it counted as overdue at once and started on a host at its target, without looking for a better one for 1.5 s.

The new test failed before: "Expecting empty but was: [StartRun[run=ActiveRun[run=filling.0.0.0#2, ...".

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -310,11 +310,11 @@
     }
 
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
+        waits.update(state.pendingSteps(), nowNanos);
         List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
         if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
             return;
         }
-        waits.update(state.pendingSteps(), nowNanos);
         StartPlan plan = StartPlanner.plan(
                 state,
                 freeCapacities(state, nowNanos),
--- a/control/src/test/java/org/nettlering/control/workflow/OverdueBestEffortTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/OverdueBestEffortTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.PlacementConstraints;
@@ -15,9 +17,12 @@
 import org.nettlering.domain.workflow.StepServiceLevel;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
+import org.nettlering.domain.workflow.WorkflowSamples;
 import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
@@ -49,6 +54,23 @@
         assertThat(throttle.speedPercent()).isEqualTo(ColocationController.MIN_SPEED_PERCENT);
     }
 
+    @Test
+    void aJobThatRanMeanwhileWaitsAnew() {
+        runServiceAtItsTarget();
+        submit("filling", Set.of(StepTrait.BEST_EFFORT), new StepServiceLevel("filling", 0, -1));
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
+
+        RunId run = WorkflowSamples.run("filling", 0, 0, 1);
+        state.apply(new StartRun(new ActiveRun(run, new HostIncarnation("other", "10.0.0.9:80"), "")));
+        nowNanos += StepWaits.MAX_WAIT.toNanos();
+        leadership.requestPlan();
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
+
+        state.apply(new RecordTermination(run, TerminalStatus.STOPPED, ""));
+        leadership.requestPlan();
+        assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
+    }
+
     private void runServiceAtItsTarget() {
         submit("service", Set.of(StepTrait.LONG_RUNNING), new StepServiceLevel("service", LATENCY_TARGET_MILLIS, 0));
         RunId run = commitOnlyStart();
