Look at each job once when waits are updated

Each pending best-effort step looked at all steps of its job, and copied their list: with a thousand pending steps a job that is a million steps for a job and plan, under the lock of the state.

The new test holds what a run does to the waits of its job's steps and of other jobs; it passes before and after.

--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StepWaits.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StepWaits.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
@@ -40,16 +41,19 @@
      */
     public void update(Collection<StepProgress> pending, long nowNanos) {
         Map<StepId, Long> updated = new HashMap<>();
+        // A job may have a thousand pending steps, each of which would look at all steps of the job.
+        Map<String, Boolean> idleJobs = new HashMap<>();
         for (StepProgress step : pending) {
-            if (step.specification().has(StepTrait.BEST_EFFORT) && isJobIdle(step)) {
+            if (step.specification().has(StepTrait.BEST_EFFORT)
+                    && idleJobs.computeIfAbsent(step.job().id(), jobId -> isIdle(step.job()))) {
                 updated.put(step.id(), waitingSinceNanos.getOrDefault(step.id(), nowNanos));
             }
         }
         waitingSinceNanos = updated;
     }
 
-    private static boolean isJobIdle(StepProgress step) {
-        return step.job().steps().stream().allMatch(each -> each.activeRunCount() == 0);
+    private static boolean isIdle(Job job) {
+        return job.steps().stream().allMatch(step -> step.activeRunCount() == 0);
     }
 
     /**
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StepWaitsTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StepWaitsTest.java
@@ -48,6 +48,20 @@
         assertThat(waits.isOverdue(pendingStep(), 2 * MAX_WAIT_NANOS)).isTrue();
     }
 
+    @Test
+    void aRunOfOneJobEndsTheWaitsOfAllItsStepsAndOfNoOtherJob() {
+        state.apply(job("a", step(2, List.of(), StepTrait.BEST_EFFORT), step(1, List.of(), StepTrait.BEST_EFFORT)));
+        state.apply(job("b", step(2, List.of(), StepTrait.BEST_EFFORT)));
+        waits.update(state.pendingSteps(), 0);
+        state.apply(new StartRun(new ActiveRun(RUN, new HostIncarnation("h", "10.0.0.1:80"), "")));
+        waits.update(state.pendingSteps(), MAX_WAIT_NANOS);
+        assertThat(state.pendingSteps()).hasSize(3);
+        assertThat(state.pendingSteps().stream()
+                        .filter(step -> waits.isOverdue(step, MAX_WAIT_NANOS))
+                        .map(step -> step.job().id()))
+                .containsExactly("b");
+    }
+
     @Test
     void stepWithReservedProcessorsIsNeverOverdue() {
         state.apply(job("a", step(2, List.of())));
