Go on asking for a place in the group after the gateway threw

The next attempt is set when a call ends. A gateway that throws instead ended the attempts for good; the member would stay without a vote until a restart. No such exception was seen. The new test failed before: the exception came out of the timer and no second call was made.

--- a/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
+++ b/control/src/main/java/org/nettlering/control/consensus/GroupJoin.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
@@ -112,7 +114,7 @@
         Frame request = Frame.newBuilder()
                 .setMembershipRequest(MembershipRequest.newBuilder().setAdd(add))
                 .build();
-        gateway.callLeader(request, true, TIMEOUT).whenComplete((response, failure) -> {
+        call(request).whenComplete((response, failure) -> {
             try {
                 finishAttempt(listed, response, failure);
             } finally {
@@ -121,6 +123,14 @@
         });
     }
 
+    private CompletionStage<Frame> call(Frame request) {
+        try {
+            return gateway.callLeader(request, true, TIMEOUT);
+        } catch (RuntimeException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+
     private void finishAttempt(boolean listed, @Nullable Frame response, @Nullable Throwable failure) {
         if (response != null) {
             namedMembers.accept(response.getMembershipResponse().getMembersList().stream()
--- a/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/GroupJoinTest.java
@@ -85,6 +85,16 @@
         assertThat(requests).hasSize(3);
     }
 
+    @Test
+    void attemptsGoOnAfterTheGatewayThrows() {
+        GatewayFailure failing = new GatewayFailure();
+        Member self = Member.learner(SingleMember.SELF, "127.0.0.1:1", "one");
+        GroupJoin.start(newcomer.node, self, failing, namedMembers::addAll, newcomer.time);
+        newcomer.time.advance(ATTEMPT_INTERVAL);
+        newcomer.time.advance(ATTEMPT_INTERVAL);
+        assertThat(failing.calls).isEqualTo(2);
+    }
+
     /** Lets a member without a log receive a membership of itself and of control-2 from a leader. */
     private static void follow(SingleMember member, MemberId leader) {
         Membership membership = Membership.of(List.of(
@@ -125,4 +135,19 @@
             return List.of();
         }
     }
+
+    private static final class GatewayFailure implements ControlGateway {
+        private int calls;
+
+        @Override
+        public CompletionStage<Frame> callLeader(Frame request, boolean idempotent, Duration timeout) {
+            calls++;
+            throw new IllegalStateException("the gateway is closed");
+        }
+
+        @Override
+        public List<CompletionStage<Frame>> callEveryMember(Frame request, Duration timeout) {
+            return List.of();
+        }
+    }
 }
