Remove a voter that is gone sooner while the group bears too few losses

A leader counts the silence of a voter from its own election. If hosts that lead are replaced one after the other, each new leader waits ten seconds anew, and the group keeps the votes of all of them: three leaders replaced seven seconds apart leave eight voters, five of them alive and a quorum of five, for some ten seconds. Two members of five that are gone at once are the same: three alive, quorum three.

While the voters that respond are fewer than the quorum and the losses to bear, a voter is removed after three seconds without a response. Ruled out: that a member which is only slow does harm when it comes back; a group of five by hand-driven time shows that a removed voter deposes nobody, and gets its vote back when it is added.

UnreachableVotersTest failed before ("Expecting Optional to contain a value but it was empty"), and VoterRemovalTest ("Expected size: 3 but was: 5"); the test of the voter that comes back passed before too. In UnreachableVotersTest a voter counts as live while it responded within the election timeout, as in a real status; it counted until ten seconds before. Not run: whole processes.

--- a/control/src/main/java/org/nettlering/control/consensus/UnreachableVoters.java
+++ b/control/src/main/java/org/nettlering/control/consensus/UnreachableVoters.java
@@ -13,15 +13,22 @@
  *
  * <p>Hosts that are replaced get new ids, and nobody says that the old one does not return. If such voters stayed, each
  * replacement would raise the quorum until the voters that are left could not reach it. A removed voter that was only
- * unreachable asks to be taken in again. Immutable and thread-safe.
+ * unreachable asks to be taken in again.
  *
- * @param removalDelay how long a voter may be without any response, not null
+ * <p>While the group bears fewer losses than it has to, a voter is removed sooner: each leader counts the silence of a
+ * voter from its own election, so hosts that are replaced soon after each other would otherwise keep the group for long in
+ * a state in which the next loss ends it. Immutable and thread-safe.
+ *
+ * @param toleratedLosses the number of losses that the group has to bear, at least zero
  * @param minVoters the number of voters below which the group does not shrink
  */
-record UnreachableVoters(Duration removalDelay, int minVoters) {
+record UnreachableVoters(int toleratedLosses, int minVoters) {
     /** Longer than a restart of a host, as a returning voter must catch up as a learner first. */
     private static final Duration REMOVAL_DELAY = Duration.ofSeconds(10);
 
+    /** The delay while the group bears too few losses; longer than an election and a usual pause of a process. */
+    private static final Duration URGENT_REMOVAL_DELAY = Duration.ofSeconds(3);
+
     /** A smaller group would not bear the loss of any member. */
     private static final int LEAST_VOTERS = 3;
 
@@ -32,7 +39,17 @@
      * @return the decision, never null
      */
     static UnreachableVoters bearing(int toleratedLosses) {
-        return new UnreachableVoters(REMOVAL_DELAY, Math.max(LEAST_VOTERS, 2 * toleratedLosses + 1));
+        return new UnreachableVoters(toleratedLosses, Math.max(LEAST_VOTERS, 2 * toleratedLosses + 1));
+    }
+
+    /**
+     * Returns how long a voter may be without any response now.
+     *
+     * @param status the status of this member, which leads, not null
+     * @return the duration, never null
+     */
+    Duration removalDelay(ConsensusStatus status) {
+        return status.survivableMembers() < toleratedLosses ? URGENT_REMOVAL_DELAY : REMOVAL_DELAY;
     }
 
     /**
@@ -59,9 +76,10 @@
         if (respondingVoters < status.membership().quorum()) {
             return Optional.empty();
         }
+        long delayMillis = removalDelay(status).toMillis();
         return status.progress().stream()
                 .filter(progress -> voters.contains(progress.id()))
-                .filter(progress -> progress.lastHeardMillis() >= removalDelay.toMillis())
+                .filter(progress -> progress.lastHeardMillis() >= delayMillis)
                 .max(Comparator.comparingLong(Progress::lastHeardMillis))
                 .map(Progress::id);
     }
--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusNode;
+import org.nettlering.consensus.ConsensusStatus;
 import org.nettlering.consensus.MemberId;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.log.EventLogger;
@@ -66,19 +67,22 @@
         boolean stoodStill = time.nanoTime() - dueNanos >= STANDSTILL.toNanos();
         try {
             if (!stoodStill) {
-                node.status().flatMap(unreachableVoters::findRemovable).ifPresent(this::remove);
+                node.status().ifPresent(this::removeUnreachable);
             }
         } finally {
             scheduleNext();
         }
     }
 
+    private void removeUnreachable(ConsensusStatus status) {
+        unreachableVoters
+                .findRemovable(status)
+                .ifPresent(voter -> remove(voter, unreachableVoters.removalDelay(status)));
+    }
+
     /** Starts the removal; until it is committed or refused, further ones are refused. */
-    private void remove(MemberId voter) {
-        LOG.log(
-                ConsensusEvent.VOTER_REMOVED,
-                voter,
-                unreachableVoters.removalDelay().toMillis());
+    private void remove(MemberId voter, Duration removalDelay) {
+        LOG.log(ConsensusEvent.VOTER_REMOVED, voter, removalDelay.toMillis());
         var _ = node.removeMember(voter).whenComplete((removed, failure) -> {
             if (failure != null) {
                 LOG.log(ConsensusEvent.VOTER_KEPT, voter, String.valueOf(failure.getMessage()));
--- a/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
@@ -17,6 +17,10 @@
 
     private static final long LONG_MILLIS = 10_000;
 
+    private static final long URGENT_MILLIS = 3_000;
+
+    private static final long ELECTION_TIMEOUT_MILLIS = 1_000;
+
     private final UnreachableVoters unreachableVoters = UnreachableVoters.bearing(1);
 
     private final List<Member> members = new ArrayList<>(List.of(voter(SELF)));
@@ -38,6 +42,19 @@
         assertThat(unreachableVoters.findRemovable(status(SELF, true))).isEmpty();
     }
 
+    @Test
+    void aVoterIsRemovedSoonerWhileTheGroupBearsFewerLossesThanItHasTo() {
+        addVoters(4, 50);
+        addVoter("gone-1", URGENT_MILLIS);
+        addVoter("gone-2", URGENT_MILLIS);
+        assertThat(status(SELF, true).survivableMembers()).isEqualTo(1);
+        assertThat(unreachableVoters.findRemovable(status(SELF, true))).isEmpty();
+        addVoter("gone-3", URGENT_MILLIS - 1);
+        assertThat(status(SELF, true).survivableMembers()).isZero();
+        assertThat(unreachableVoters.findRemovable(status(SELF, true)))
+                .hasValueSatisfying(voter -> assertThat(voter.value()).isIn("gone-1", "gone-2"));
+    }
+
     @Test
     void theGroupKeepsAsManyVotersAsTheLossesThatItBearsNeed() {
         addVoters(1, 50);
@@ -80,7 +97,7 @@
 
     private void addVoter(String id, long lastHeardMillis) {
         members.add(voter(MemberId.of(id)));
-        progress.add(new Progress(MemberId.of(id), 0, lastHeardMillis, true, lastHeardMillis < LONG_MILLIS));
+        progress.add(new Progress(MemberId.of(id), 0, lastHeardMillis, true, lastHeardMillis < ELECTION_TIMEOUT_MILLIS));
     }
 
     private static Member voter(MemberId id) {
--- a/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
@@ -52,6 +52,39 @@
         assertThat(voters(leader)).hasSize(4).doesNotContain(gone);
     }
 
+    @Test
+    void groupOfWhichTwoAreGoneSoonBearsTheLossOfOneMore() {
+        ConsensusNode leader = startGroup();
+        VoterRemoval.start(leader, 1, time);
+        List<MemberId> others = othersThan(leader);
+        unreachable.addAll(others.subList(0, 2));
+        timers.advance(Duration.ofSeconds(7));
+        assertThat(voters(leader)).hasSize(3);
+        unreachable.add(others.get(2));
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(leader.isReadyLeader()).isTrue();
+    }
+
+    @Test
+    void removedVoterThatComesBackDeposesNobodyAndGetsItsVoteBack() {
+        ConsensusNode leader = startGroup();
+        MemberId gone = otherThan(leader);
+        VoterRemoval.start(leader, 1, time);
+        unreachable.add(gone);
+        timers.advance(LONG);
+        unreachable.clear();
+        long term = leader.term();
+        timers.advance(LONG);
+        assertThat(leader.isReadyLeader()).isTrue();
+        assertThat(leader.term()).isEqualTo(term);
+        assertThat(nodes.get(gone).leader()).isEmpty();
+        leader.addMember(Member.learner(gone, "127.0.0.1:1", gone.value()));
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(voters(leader)).hasSize(IDS.size());
+        assertThat(nodes.get(gone).leader())
+                .contains(leader.status().orElseThrow().self());
+    }
+
     @Test
     void leaderThatStoodStillRemovesNobody() {
         ConsensusNode leader = startGroup();
@@ -99,8 +132,12 @@
     }
 
     private static MemberId otherThan(ConsensusNode leader) {
+        return othersThan(leader).getFirst();
+    }
+
+    private static List<MemberId> othersThan(ConsensusNode leader) {
         MemberId self = leader.status().orElseThrow().self();
-        return IDS.stream().filter(id -> !id.equals(self)).findFirst().orElseThrow();
+        return IDS.stream().filter(id -> !id.equals(self)).toList();
     }
 
     private static List<MemberId> voters(ConsensusNode node) {
