--- a/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
+++ b/control/src/main/java/org/nettlering/control/consensus/VoterRemoval.java
@@ -67,14 +67,14 @@
         boolean stoodStill = time.nanoTime() - dueNanos >= STANDSTILL.toNanos();
         try {
             if (!stoodStill) {
-                node.status().ifPresent(this::removeFrom);
+                node.status().ifPresent(this::removeUnreachable);
             }
         } finally {
             scheduleNext();
         }
     }
 
-    private void removeFrom(ConsensusStatus status) {
+    private void removeUnreachable(ConsensusStatus status) {
         unreachableVoters
                 .findRemovable(status)
                 .ifPresent(voter -> remove(voter, unreachableVoters.removalDelay(status)));
