--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -204,8 +204,8 @@
                 PeerConsensusTransport.of(self, MemberPeers.of(this::findMember, network::peer));
         LeaderControlGateway others =
                 LeaderControlGateway.connecting(addresses(settings), network::peer, time, ATTEMPT_LIMIT);
-        LeadershipHistory history = LeadershipHistory.of(
-                time, informing(others, ConsensusEvents.logging(ControlProcess::endWithFailure)));
+        LeadershipHistory history =
+                LeadershipHistory.of(time, informing(others, ConsensusEvents.logging(ControlProcess::endWithFailure)));
         ConsensusPorts ports = new ConsensusPorts(
                 time,
                 FileLogStorage.open(DiskFolder.open(settings.dataFolder()), self),
--- a/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
@@ -97,7 +97,8 @@
 
     private void addVoter(String id, long lastHeardMillis) {
         members.add(voter(MemberId.of(id)));
-        progress.add(new Progress(MemberId.of(id), 0, lastHeardMillis, true, lastHeardMillis < ELECTION_TIMEOUT_MILLIS));
+        progress.add(
+                new Progress(MemberId.of(id), 0, lastHeardMillis, true, lastHeardMillis < ELECTION_TIMEOUT_MILLIS));
     }
 
     private static Member voter(MemberId id) {
--- a/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -127,7 +128,7 @@
 
     private void deliver(MemberId from, MemberId to, ConsensusMessage message) {
         if (!unreachable.contains(from) && !unreachable.contains(to)) {
-            nodes.get(to).receive(from, message);
+            Objects.requireNonNull(nodes.get(to)).receive(from, message);
         }
     }
 
