--- a/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/VoterRemovalTest.java
@@ -78,11 +78,11 @@
         timers.advance(LONG);
         assertThat(leader.isReadyLeader()).isTrue();
         assertThat(leader.term()).isEqualTo(term);
-        assertThat(nodes.get(gone).leader()).isEmpty();
-        leader.addMember(Member.learner(gone, "127.0.0.1:1", gone.value()));
+        assertThat(Objects.requireNonNull(nodes.get(gone)).leader()).isEmpty();
+        var _ = leader.addMember(Member.learner(gone, "127.0.0.1:1", gone.value()));
         timers.advance(Duration.ofSeconds(2));
         assertThat(voters(leader)).hasSize(IDS.size());
-        assertThat(nodes.get(gone).leader())
+        assertThat(Objects.requireNonNull(nodes.get(gone)).leader())
                 .contains(leader.status().orElseThrow().self());
     }
 
--- a/control/src/test/java/org/nettlering/control/workflow/OverdueBestEffortTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/OverdueBestEffortTest.java
@@ -17,11 +17,11 @@
 import org.nettlering.domain.workflow.StepServiceLevel;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.TaskId;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
-import org.nettlering.domain.workflow.WorkflowSamples;
 import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
@@ -60,7 +60,7 @@
         assertThat(leadership.nextBatch(state, nowNanos, 0)).isEmpty();
 
         // The leader finds that no host has this run, and ends it.
-        RunId run = WorkflowSamples.run("filling", 0, 0, 1);
+        RunId run = new RunId(TaskId.of("filling", 0, 0, 0), 1);
         state.apply(new StartRun(new ActiveRun(run, new HostIncarnation("other", "10.0.0.9:80"), "")));
         nowNanos += StepWaits.MAX_WAIT.toNanos();
         leadership.requestPlan();
--- a/wire/src/test/java/org/nettlering/wire/transport/MemberDiscoveryTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/MemberDiscoveryTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -55,8 +56,8 @@
     void anAddressThatTheGatewayKnowsStays() {
         MemberDiscovery.start(gateway, time);
         time.advance(MemberDiscovery.INTERVAL);
-        assertThat(opened.get("founder").getPort()).isEqualTo(7101);
-        assertThat(opened.get("newcomer-2").getPort()).isEqualTo(7204);
+        assertThat(Objects.requireNonNull(opened.get("founder")).getPort()).isEqualTo(7101);
+        assertThat(Objects.requireNonNull(opened.get("newcomer-2")).getPort()).isEqualTo(7204);
     }
 
     @Test
