--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -89,8 +88,7 @@
     /** The runs that may be active on the host. */
     private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
 
-    /** Runs that are active on the host but not tracked here, with the monotonic time of the next stop command. */
-    private final Map<RunId, Long> orphanedRuns = new HashMap<>();
+    private final OrphanedRuns orphanedRuns = new OrphanedRuns();
 
     private final TerminationTracker terminationTracker = new TerminationTracker();
 
@@ -99,8 +97,7 @@
     /** Whether the host responded to a poll in this term. */
     private boolean pollSucceeded;
 
-    /** The commands that were taken and whose outcome was not handled, with the time at which they were taken. */
-    private final List<CommandInFlight> commandsInFlight = new ArrayList<>();
+    private final CommandsInFlight commandsInFlight = new CommandsInFlight();
 
     private boolean pollInFlight;
 
@@ -115,14 +112,6 @@
 
     private boolean usageMonitored;
 
-    /**
-     * A command whose outcome is awaited.
-     *
-     * @param command the command
-     * @param takenNanos when it was taken, by the monotonic clock
-     */
-    private record CommandInFlight(HostCommand command, long takenNanos) {}
-
     /**
      * Creates a session for a host incarnation.
      *
@@ -353,7 +342,7 @@
      */
     public List<HostCommand> takeDueCommands(long nowNanos) {
         List<HostCommand> due = collectDueCommands(nowNanos);
-        due.forEach(command -> commandsInFlight.add(new CommandInFlight(command, nowNanos)));
+        due.forEach(command -> commandsInFlight.add(command, nowNanos));
         return due;
     }
 
@@ -365,10 +354,7 @@
      * @return the commands, never null
      */
     public List<HostCommand> overdueCommands(long nowNanos) {
-        return commandsInFlight.stream()
-                .filter(inFlight -> nowNanos - inFlight.takenNanos() >= OUTCOME_DEADLINE.toNanos())
-                .map(CommandInFlight::command)
-                .toList();
+        return commandsInFlight.overdue(OUTCOME_DEADLINE, nowNanos);
     }
 
     private List<HostCommand> collectDueCommands(long nowNanos) {
@@ -380,13 +366,7 @@
             tracked.takeDueCommand(token, lease, liveness.isUnresponsive(), nowNanos)
                     .ifPresent(due::add);
         }
-        orphanedRuns.replaceAll((run, next) -> {
-            if (nowNanos - next < 0) {
-                return next;
-            }
-            due.add(new HostCommand.Stop(host, token, run));
-            return nowNanos + TrackedRun.STOP_RETRY_DELAY.toNanos();
-        });
+        orphanedRuns.takeDueStops(nowNanos).forEach(run -> due.add(new HostCommand.Stop(host, token, run)));
         if (isPollDue(nowNanos)) {
             due.add(createPoll(nowNanos));
         }
@@ -411,7 +391,7 @@
         if (needsPoll()) {
             delaysNanos.add(nextPollNanos() - nowNanos);
         }
-        orphanedRuns.values().forEach(next -> delaysNanos.add(next - nowNanos));
+        orphanedRuns.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> delaysNanos.add(next - nowNanos)));
         OptionalLong shortestDelayNanos = delaysNanos.build().min();
         return shortestDelayNanos.isEmpty() || isIncarnationTerminated(nowNanos)
@@ -475,7 +455,7 @@
      */
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
-        boolean awaited = commandsInFlight.removeIf(inFlight -> isSame(inFlight.command(), command));
+        boolean awaited = commandsInFlight.remove(command);
         recordContact(response, nowNanos);
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
@@ -489,12 +469,6 @@
         };
     }
 
-    /** Compares by identity: two commands with the same content may be in flight. */
-    @SuppressWarnings("ReferenceEquality")
-    private static boolean isSame(HostCommand one, HostCommand other) {
-        return one == other;
-    }
-
     private List<RecordTermination> onThrottleResponse(
             HostCommand.Throttle throttle, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(throttle.run());
@@ -579,7 +553,7 @@
             reported.add(reportedRun.run());
             handleReportedRun(reportedRun, nowNanos);
         }
-        orphanedRuns.keySet().retainAll(reported);
+        orphanedRuns.retain(reported);
         for (ReportedTermination termination : pollResult.terminations()) {
             reported.add(termination.run());
             handleReportedTermination(termination, terminations);
@@ -628,7 +602,7 @@
     private void handleReportedRun(ReportedRun reported, long nowNanos) {
         TrackedRun tracked = runs.get(reported.run());
         if (tracked == null) {
-            orphanedRuns.putIfAbsent(reported.run(), nowNanos);
+            orphanedRuns.add(reported.run(), nowNanos);
             return;
         }
         tracked.onReportedRunning(reported, nowNanos);
