Give each recording of events in the tests whole budgets of lines

Shown by the new test aSummaryIsLoggedAlsoRightAfterManyOthers, with which both fail unless the recorder resets the budgets.

--- a/control/src/test/java/org/nettlering/control/workflow/EventRecorder.java
+++ b/control/src/test/java/org/nettlering/control/workflow/EventRecorder.java
@@ -21,6 +21,7 @@
     private final List<ILoggingEvent> lines = new CopyOnWriteArrayList<>();
 
     static EventRecorder start() {
+        EventLogger.resetBudgets();
         EventRecorder recorder = new EventRecorder();
         recorder.appender.start();
         recorder.logger.addAppender(recorder.appender);
--- a/control/src/test/java/org/nettlering/control/workflow/LoopMetricsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopMetricsTest.java
@@ -64,6 +64,17 @@
         }
     }
 
+    @Test
+    void aSummaryIsLoggedAlsoRightAfterManyOthers() {
+        for (int number = 0; number < 2 * WorkflowEvent.LOOP_SUMMARY.linesPerSecond(); number++) {
+            metrics.logSummary(true, 7);
+        }
+        try (EventRecorder events = EventRecorder.start()) {
+            metrics.logSummary(true, 7);
+            assertThat(events.messages(WorkflowEvent.LOOP_SUMMARY)).hasSize(1);
+        }
+    }
+
     @Test
     void takingASummaryResetsIt() {
         metrics.recordLockWait(Duration.ofMillis(3).toNanos());
--- a/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/EventLogger.java
@@ -36,6 +36,11 @@
         this.logger = logger;
     }
 
+    /** Makes the budgets of all events whole again, which the tests of one process would otherwise use up for each other. */
+    public static void resetBudgets() {
+        BUDGET.reset();
+    }
+
     /**
      * Logs an event, unless its level is off or its lines of this second are used up.
      *
--- a/runtime/src/main/java/org/nettlering/runtime/log/LineBudget.java
+++ b/runtime/src/main/java/org/nettlering/runtime/log/LineBudget.java
@@ -91,6 +91,11 @@
         return false;
     }
 
+    /** Makes the whole budget of each event available again; what was left out and not told is forgotten. */
+    void reset() {
+        windows.clear();
+    }
+
     private long second() {
         return TimeUnit.NANOSECONDS.toSeconds(time.nanoTime() - originNanos);
     }
