--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -106,6 +106,9 @@
     private static int toleratedLosses(SettingsReader reader) {
         String text = reader.text(GROUP, "tolerated_losses", String.valueOf(DEFAULT_TOLERATED_LOSSES))
                 .strip();
+        if (text.isEmpty()) {
+            return DEFAULT_TOLERATED_LOSSES;
+        }
         if (!text.matches("[0-" + MAX_TOLERATED_LOSSES + "]")) {
             reader.fault(
                     GROUP, "tolerated_losses", "\"" + text + "\" is no whole number from 0 to " + MAX_TOLERATED_LOSSES);
