Bound the time that a control process asks itself

A heartbeat, a shutdown of a host or an operator's change that reached the leader's own process had no timeout: while its disk hung, or while it had lost its majority without knowing it yet, the response stayed open for as long as that lasted, and the caller's connection with it. The deadline of the caller was passed on to other members alone, and anew in full when this member found that it no longer led.

The process now gives itself the time of the request, then tells that the outcome is unknown, and passes the rest of the time on to the other members; an exception of its handler is a failed response.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -234,7 +234,7 @@
                 LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history),
                 WorkflowService.of(log, parts.workflow(), workflow, time));
-        gateway = new OwnOrLeaderGateway(log, dispatcher, others);
+        gateway = new OwnOrLeaderGateway(log, dispatcher, others, time);
         node.start();
         server = network.listen(
                 settings.peersAddress(),
