Check the leader again after a check that threw

An entry of the platform tells that it is not ready, and refuses all requests, while no leader responds to its checks. One check whose call threw ended the checks, so that the entry stayed so until it was restarted, or until a request that it forwarded had a response, which it does not do any more by then. The next check is now scheduled however the present one ends. The new test has the leader's gateway throw once; before the change the exception reached the timer. No call is known to throw while the process runs.

--- a/entry/src/main/java/org/nettlering/entry/workflow/LeaderMonitor.java
+++ b/entry/src/main/java/org/nettlering/entry/workflow/LeaderMonitor.java
@@ -1,6 +1,8 @@
 package org.nettlering.entry.workflow;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.time.TimeSource;
@@ -65,16 +67,32 @@
         if (closed) {
             return;
         }
-        client.checkLeader(CHECK_TIMEOUT).whenComplete((done, failure) -> {
-            if (failure == null) {
-                recordResponse();
-            } else {
-                recordFailure(failure);
+        callLeader().whenComplete((done, failure) -> {
+            try {
+                record(failure);
+            } finally {
+                timer = time.schedule(isLeaderless() ? LEADERLESS_CHECK_INTERVAL : CHECK_INTERVAL, this::check);
             }
-            timer = time.schedule(isLeaderless() ? LEADERLESS_CHECK_INTERVAL : CHECK_INTERVAL, this::check);
         });
     }
 
+    /** Checks the leader; an exception becomes a failed check, so that it does not end the checks. */
+    private CompletionStage<Void> callLeader() {
+        try {
+            return client.checkLeader(CHECK_TIMEOUT);
+        } catch (RuntimeException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+
+    private void record(@Nullable Throwable failure) {
+        if (failure == null) {
+            recordResponse();
+        } else {
+            recordFailure(failure);
+        }
+    }
+
     private void recordFailure(Throwable failure) {
         if (leaderReached && !isFresh()) {
             leaderReached = false;
--- a/entry/src/test/java/org/nettlering/entry/workflow/FailFastGatewayTest.java
+++ b/entry/src/test/java/org/nettlering/entry/workflow/FailFastGatewayTest.java
@@ -61,6 +61,13 @@
         assertThat(call()).isCompletedWithValue(leader.response);
     }
 
+    @Test
+    void checksGoOnAfterOneThatThrows() {
+        leader.throwsOnce = true;
+        time.advance(Duration.ofSeconds(4));
+        assertThat(leaderMonitor.unmetReason()).isNull();
+    }
+
     private CompletableFuture<Frame> call() {
         return gateway.callLeader(REQUEST, true, TIMEOUT).toCompletableFuture();
     }
@@ -75,9 +82,15 @@
 
         private boolean isReachable = true;
 
+        private boolean throwsOnce;
+
         @Override
         public CompletionStage<Frame> callLeader(Frame request, boolean repeatable, Duration timeout) {
             calls.add(request);
+            if (throwsOnce) {
+                throwsOnce = false;
+                throw new IllegalStateException("the network is closed");
+            }
             return isReachable
                     ? CompletableFuture.completedFuture(response)
                     : CompletableFuture.failedFuture(new NettleringException(ErrorCode.NO_LEADER, "none is elected"));
