Do not send a request whose deadline passed while the host was suspended

A request that waited for a slot at an entry whose host was suspended was sent to an upstream when the host came back, however long its caller had given up by then: deadlines were counted by the steady clock alone, which stands still meanwhile. A request without an idempotency key could so run beside the one that its caller had sent elsewhere after its deadline. A slot that is granted after the deadline by either clock is now given back, and the caller is told that the deadline has passed and that the request was not run; retries and the time that upstreams are told go by the same clocks.

--- a/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
+++ b/entry/src/main/java/org/nettlering/entry/callers/CallerExchange.java
@@ -30,6 +30,7 @@
 import org.nettlering.domain.retry.RequestTraits;
 import org.nettlering.domain.retry.RetryDecision;
 import org.nettlering.domain.retry.RetryPolicy;
+import org.nettlering.domain.time.TimeMark;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.domain.upstream.UpstreamAddress;
 import org.nettlering.entry.EntryEvent;
@@ -64,6 +65,9 @@
     /** When the request arrived, in monotonic time. */
     private final long startNanos;
 
+    /** When the request arrived, by both clocks; its deadline also passes while the host is suspended. */
+    private final TimeMark startedAt;
+
     private final TraceSpan span;
 
     /** The attempts that have neither responded nor failed. */
@@ -99,6 +103,7 @@
         this.response = request.response();
         this.context = context;
         this.startNanos = services.time().nanoTime();
+        this.startedAt = TimeMark.now(services.time());
         String traceparent = request.getHeader(HeaderNames.TRACEPARENT);
         this.span = services.telemetry().start(Hop.CALLER_TO_ENTRY, traceparent == null ? "" : traceparent);
     }
@@ -282,6 +287,11 @@
             services.slotAllocator().release(upstream, serviceName(), new RequestCompletion.UpstreamNotAtFault());
             return;
         }
+        if (!remaining().isPositive()) {
+            services.slotAllocator().release(upstream, serviceName(), new RequestCompletion.UpstreamNotAtFault());
+            deadlinePassed();
+            return;
+        }
         triedUpstreams.add(upstream);
         history = history.withAttempt();
         services.metrics().recordAttempt(serviceName());
@@ -520,8 +530,8 @@
     }
 
     private Duration remaining() {
-        return Duration.ofNanos(
-                acceptedRequest().deadlineNanos() - services.time().nanoTime());
+        Duration timeout = Duration.ofNanos(acceptedRequest().deadlineNanos() - startNanos);
+        return timeout.minus(startedAt.elapsed(services.time()));
     }
 
     private String serviceName() {
