Give workers a new lease after the leader was paused

A leader that was paused for longer than a lease, and still led because its followers had been paused with it, declared workers lost whose reports waited to be read: its loop ran before the reports were processed. Their tasks were given up and started elsewhere. What a paused leader has not read is no silence, so a leader that has not looked at the leases for half of one now treats all as renewed, as a new leader does; a worker that stays silent is lost one lease later. That never shortens a lease. Shorter pauses need nothing: a worker reports each second, so that its lease outlasts them.

--- a/control/src/main/java/org/nettlering/control/task/Leadership.java
+++ b/control/src/main/java/org/nettlering/control/task/Leadership.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.task;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,6 +23,9 @@
     /** How many commands one record of the log may hold. */
     private static final int MAX_BATCH = 1_000;
 
+    /** A leader that has not looked at the leases for this long was paused; shorter pauses end before a lease does. */
+    private static final Duration PAUSE = SessionLeases.LEASE_DURATION.dividedBy(2);
+
     /** The term that this leadership belongs to. */
     private final long term;
 
@@ -34,13 +38,17 @@
     /** Commands that wait to be proposed, without repetitions. */
     private final Map<Object, TaskCommand> outbox = new LinkedHashMap<>();
 
+    /** When the leases were last looked at, or could have been but for a proposal under way, in monotonic time. */
+    private long lastLookNanos;
+
     /** Whether a batch was proposed whose outcome is open. */
     private boolean proposing;
 
-    Leadership(long term, SessionLeases leases, Planner planner) {
+    Leadership(long term, Planner planner, long nowNanos) {
         this.term = term;
-        this.leases = leases;
+        this.leases = SessionLeases.startingAt(nowNanos);
         this.planner = planner;
+        lastLookNanos = nowNanos;
     }
 
     long term() {
@@ -70,6 +78,9 @@
      */
     List<TaskCommand> nextBatch(
             TaskState state, SiteConfiguration configuration, long nowNanos, long nowMillis, boolean plan) {
+        if (plan) {
+            noticePause(nowNanos);
+        }
         if (proposing) {
             return List.of();
         }
@@ -88,6 +99,14 @@
         return batch;
     }
 
+    /** Gives all workers a new lease if this leader was paused: it has not read the reports that came meanwhile. */
+    private void noticePause(long nowNanos) {
+        if (nowNanos - lastLookNanos > PAUSE.toNanos()) {
+            leases.restart(nowNanos);
+        }
+        lastLookNanos = nowNanos;
+    }
+
     private void expireLeases(TaskState state, long nowNanos, long nowMillis) {
         for (Worker worker : leases.expire(state.workers(), nowNanos)) {
             TaskCommand lost = new TaskCommand.MarkWorkerLost(nowMillis, worker.id(), worker.session());
--- a/control/src/main/java/org/nettlering/control/task/TaskService.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskService.java
@@ -279,7 +279,7 @@
         }
         Leadership current = leadership;
         if (current == null || current.term() != term) {
-            current = new Leadership(term, SessionLeases.startingAt(time.nanoTime()), planners.get());
+            current = new Leadership(term, planners.get(), time.nanoTime());
             leadership = current;
         }
         return current;
--- a/domain/src/main/java/org/nettlering/domain/worker/SessionLeases.java
+++ b/domain/src/main/java/org/nettlering/domain/worker/SessionLeases.java
@@ -25,7 +25,8 @@
     /** By worker id. */
     private final Map<String, WorkerLease> leases = new HashMap<>();
 
-    private final long leadershipStartNanos;
+    /** When every worker without a later renewal counts as renewed. */
+    private long leadershipStartNanos;
 
     /**
      * Returns the leases for a leadership that starts now.
@@ -75,6 +76,17 @@
         return true;
     }
 
+    /**
+     * Treats all leases as renewed now, as at the start of a leadership. For a leader that was paused: the reports that came
+     * meanwhile wait to be read, so that no worker's silence is known.
+     *
+     * @param nowNanos the monotonic clock of the leader, in nanoseconds
+     */
+    public void restart(long nowNanos) {
+        leadershipStartNanos = nowNanos;
+        leases.values().forEach(lease -> lease.renewedNanos = nowNanos);
+    }
+
     /**
      * Returns the workers whose lease has expired. Their current sessions are not renewed from now on.
      *
