--- a/control/src/main/java/org/nettlering/control/workflow/PlacementInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/PlacementInspection.java
@@ -20,6 +20,7 @@
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.placement.FreeCapacity;
 import org.nettlering.domain.workflow.placement.PlacementObstacle;
+import org.nettlering.domain.workflow.placement.StartAdmission;
 import org.nettlering.runtime.log.EventLogger;
 
 /**
@@ -113,8 +114,12 @@
                 HostAllocations allocations =
                         state.allocationsOf(session.host().id()).orElseGet(() -> HostAllocations.empty(session.host()));
                 // Not the cached capacity, which would keep what is looked up in it for the next plan.
-                FreeCapacity capacity =
-                        FreeCapacity.of(heartbeat, allocations, 0, HostColocation.latencyCriticalRuns(state, session));
+                FreeCapacity capacity = FreeCapacity.of(
+                        heartbeat,
+                        allocations,
+                        0,
+                        HostColocation.latencyCriticalRuns(state, session),
+                        StartAdmission.ALL);
                 hosts.add(new Host(session, heartbeat, allocations, capacity));
             });
         }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -37,6 +37,7 @@
 import org.nettlering.domain.workflow.host.TerminationEvidence;
 import org.nettlering.domain.workflow.placement.FreeCapacity;
 import org.nettlering.domain.workflow.placement.HostFailureBackoff;
+import org.nettlering.domain.workflow.placement.StartAdmission;
 import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
 import org.nettlering.domain.workflow.placement.StepWaits;
@@ -439,10 +440,27 @@
                     heartbeat,
                     allocations == null ? HostAllocations.empty(session.host()) : allocations,
                     failureBackoff.consecutiveFailures(id),
-                    HostColocation.latencyCriticalRuns(state, session));
+                    HostColocation.latencyCriticalRuns(state, session),
+                    startAdmission(state, session));
         });
     }
 
+    private static StartAdmission startAdmission(WorkflowState state, HostSession session) {
+        List<RunId> unproven = session.unprovenRuns();
+        if (unproven.isEmpty()) {
+            return StartAdmission.ALL;
+        }
+        return unproven.stream().anyMatch(run -> isSuspect(state, run))
+                ? StartAdmission.NONE
+                : StartAdmission.NO_SUSPECTS;
+    }
+
+    private static boolean isSuspect(WorkflowState state, RunId run) {
+        return state.step(run.task().step())
+                .filter(step -> step.task(run.task().index()).hostCrashes() > 0)
+                .isPresent();
+    }
+
     /** Schedules a visit of every host, for whatever becomes due by the passing of time alone. */
     void markAllHostsDue() {
         visitQueue.markAllDue(sessions.keySet());
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -12,6 +12,12 @@
  * <p>Owned by a {@link WorkflowState}, which alone modifies it. Not thread-safe.
  */
 public final class StepProgress {
+    /** The number of host crashes after which a task is given up if it was the only suspect of the latest one. */
+    private static final int MAX_HOST_CRASHES = 2;
+
+    /** The number of host crashes after which a task is given up in any case. */
+    private static final int MAX_SUSPECTED_CRASHES = 4;
+
     private final Job job;
 
     private final StepId id;
@@ -27,6 +33,8 @@
 
     private int activeRunCount;
 
+    private boolean hasSuspects;
+
     /** The numbers of the runs of a gang that counted as failures; empty for other steps and for long-running ones. */
     private final SortedSet<Integer> failedGangRuns = new TreeSet<>();
 
@@ -53,6 +61,7 @@
             TaskProgress task = tasks.get(index);
             unfinishedCount += task.isDone() ? 0 : 1;
             activeRunCount += task.activeRuns().size();
+            hasSuspects |= task.hostCrashes() > 0;
             pending.set(index, !task.isDone() && task.hasNoActiveRun());
         }
     }
@@ -194,12 +203,17 @@
     }
 
     /**
-     * Records the status that a host reported for a run whose termination was inferred.
+     * Records what became known of a run whose termination was inferred: the status that its host reported, or that its
+     * host had crashed.
      *
-     * <p>Returns false and changes nothing if the status is itself inferred or the run has no unconfirmed termination.
+     * <p>Returns false and changes nothing for any other status, or if the run has no unconfirmed termination.
      */
     boolean confirmTermination(int index, RunId run, TerminalStatus status) {
-        if (status.isInferred() || !tasks.get(index).confirmTermination(run)) {
+        TaskProgress task = tasks.get(index);
+        if (status.isHostCrash()) {
+            return task.isUnconfirmed(run) && recordHostCrash(task, run);
+        }
+        if (status.isInferred() || !task.confirmTermination(run)) {
             return false;
         }
         applyStatus(index, run, status);
@@ -216,9 +230,17 @@
         if (status == TerminalStatus.FAILED && countsAsFailure(run)) {
             task.recordFailure();
         }
+        if (status.isHostCrash()) {
+            recordHostCrash(task, run);
+        }
         pending.set(index, !task.isDone() && task.hasNoActiveRun());
     }
 
+    private boolean recordHostCrash(TaskProgress task, RunId run) {
+        hasSuspects = true;
+        return task.recordHostCrash(run);
+    }
+
     /** Returns whether a failed run is a further failure of its task, or the first one of its gang's run. */
     private boolean countsAsFailure(RunId run) {
         if (!specification.has(StepTrait.GANG) || specification.has(StepTrait.LONG_RUNNING)) {
@@ -247,6 +269,26 @@
         }
     }
 
+    /**
+     * Returns whether a task of the step may have crashed a host.
+     *
+     * @return true if a run of any task ended as {@link TerminalStatus#isHostCrash}
+     */
+    public boolean hasSuspects() {
+        return hasSuspects;
+    }
+
+    /**
+     * Returns whether a task is to be given up because it crashes its hosts. One that is only suspected is started more
+     * often, so that it is found out which of the runs that started together is the cause.
+     */
+    boolean crashesHosts(int index, TerminalStatus latestStatus) {
+        TaskProgress task = tasks.get(index);
+        int crashes = task.isDone() ? 0 : task.hostCrashes();
+        int allowed = latestStatus == TerminalStatus.CRASHED_HOST ? MAX_HOST_CRASHES : MAX_SUSPECTED_CRASHES;
+        return crashes >= allowed;
+    }
+
     /** Returns how often a task, or the gang that it belongs to, has failed. */
     int failures(int index) {
         if (!specification.has(StepTrait.GANG)) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
@@ -17,6 +17,9 @@
     /** The numbers of the runs whose termination was inferred and has not been reported by their host since. */
     private final Set<Integer> unconfirmedRuns = new TreeSet<>();
 
+    /** The numbers of the runs that may have crashed their host. */
+    private final Set<Integer> crashRuns = new TreeSet<>();
+
     private int lastRunNumber;
 
     private int failures;
@@ -32,6 +35,7 @@
         TaskProgress task = new TaskProgress();
         task.lastRunNumber = snapshot.lastRunNumber();
         task.failures = snapshot.failures();
+        task.crashRuns.addAll(snapshot.crashRuns());
         task.done = snapshot.done();
         task.checkpoint = snapshot.checkpoint();
         task.activeRuns.addAll(snapshot.activeRuns());
@@ -41,7 +45,13 @@
 
     WorkflowStateSnapshot.TaskSnapshot snapshot() {
         return new WorkflowStateSnapshot.TaskSnapshot(
-                lastRunNumber, failures, done, checkpoint, activeRuns, List.copyOf(unconfirmedRuns));
+                lastRunNumber,
+                failures,
+                done,
+                checkpoint,
+                activeRuns,
+                List.copyOf(unconfirmedRuns),
+                List.copyOf(crashRuns));
     }
 
     /**
@@ -71,6 +81,15 @@
         return failures;
     }
 
+    /**
+     * Returns how many runs of the task may have crashed their host.
+     *
+     * @return the number of runs that ended as {@link TerminalStatus#isHostCrash}
+     */
+    public int hostCrashes() {
+        return crashRuns.size();
+    }
+
     /**
      * Returns whether the work of the task is done.
      *
@@ -107,6 +126,11 @@
         unconfirmedRuns.add(run.number());
     }
 
+    /** Returns whether the termination of a run was only inferred. */
+    boolean isUnconfirmed(RunId run) {
+        return unconfirmedRuns.contains(run.number());
+    }
+
     /** Records that the host reported the termination of a run; returns whether it was only inferred before. */
     boolean confirmTermination(RunId run) {
         return unconfirmedRuns.remove(run.number());
@@ -122,6 +146,11 @@
         failures++;
     }
 
+    /** Records that a run may have crashed its host; returns false if that was recorded before. */
+    boolean recordHostCrash(RunId run) {
+        return crashRuns.add(run.number());
+    }
+
     void markDone() {
         done = true;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/TerminalStatus.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TerminalStatus.java
@@ -17,7 +17,11 @@
     /** The run never started and can no longer start. */
     NOT_BEGUN,
     /** The host incarnation has terminated, or the lease has certainly expired there, and the run with it. */
-    HOST_LOST;
+    HOST_LOST,
+    /** The host crashed just after it had started this run and no other one, so that the run is taken for the cause. */
+    CRASHED_HOST,
+    /** The host crashed just after it had started this run and others, any of which may be the cause. */
+    CRASH_SUSPECT;
 
     /**
      * Returns whether the status was inferred, so that the host may still report another one for the same run.
@@ -25,6 +29,15 @@
      * @return false if only the host itself reports this status
      */
     public boolean isInferred() {
-        return this == NOT_BEGUN || this == HOST_LOST;
+        return this == NOT_BEGUN || this == HOST_LOST || isHostCrash();
+    }
+
+    /**
+     * Returns whether the run may have crashed its host.
+     *
+     * @return true if the host crashed just after it had started the run
+     */
+    public boolean isHostCrash() {
+        return this == CRASHED_HOST || this == CRASH_SUSPECT;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -345,12 +345,9 @@
             return CommandResult.UNCHANGED;
         }
         Job job = step.job();
-        boolean runsToCompletion = !step.specification().has(StepTrait.LONG_RUNNING);
         if (job.phase().isOpen() && job.areAllOccurrencesDone()) {
             finishJob(job, JobPhase.COMPLETED);
-        } else if (job.phase().isOpen()
-                && runsToCompletion
-                && step.failures(taskId.index()) >= job.terms().queueTerms().attempts()) {
+        } else if (job.phase().isOpen() && isGivenUp(step, taskId.index(), termination.status())) {
             finishJob(job, JobPhase.FAILED);
         } else {
             updatePendingSteps(job, taskId.step().occurrence());
@@ -358,6 +355,12 @@
         return CommandResult.APPLIED;
     }
 
+    private static boolean isGivenUp(StepProgress step, int index, TerminalStatus latestStatus) {
+        int attempts = step.job().terms().queueTerms().attempts();
+        boolean hasAttemptsLeft = step.specification().has(StepTrait.LONG_RUNNING) || step.failures(index) < attempts;
+        return !hasAttemptsLeft || step.crashesHosts(index, latestStatus);
+    }
+
     private void releaseAllocation(ActiveRun active) {
         HostAllocations hostAllocations = allocations.get(active.host().id());
         if (hostAllocations == null) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
@@ -75,6 +75,7 @@
      * @param activeRuns the runs without a committed termination, not null
      * @param unconfirmedRuns the numbers of the runs whose termination was inferred and has not been reported by
      *     their host since, not null
+     * @param crashRuns the numbers of the runs that may have crashed their host, not null
      */
     public record TaskSnapshot(
             int lastRunNumber,
@@ -82,11 +83,13 @@
             boolean done,
             String checkpoint,
             List<ActiveRun> activeRuns,
-            List<Integer> unconfirmedRuns) {
+            List<Integer> unconfirmedRuns,
+            List<Integer> crashRuns) {
         /** Copies the lists of runs. */
         public TaskSnapshot {
             activeRuns = List.copyOf(activeRuns);
             unconfirmedRuns = List.copyOf(unconfirmedRuns);
+            crashRuns = List.copyOf(crashRuns);
         }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -49,6 +49,8 @@
 
     private long rejectionBackoffUntilNanos;
 
+    private boolean shutdownAnnounced;
+
     /** When the incarnation terminates, by the monotonic clock, or null if that is not known. */
     private @Nullable Long terminationNanos;
 
@@ -134,8 +136,15 @@
         return true;
     }
 
+    /** Returns whether the host has announced its end. */
+    boolean isLeaving() {
+        return shutdownAnnounced
+                || latestHeartbeat().filter(HostHeartbeat::draining).isPresent();
+    }
+
     /** Handles the notice of the host that it is shutting down. */
     void handleShutdownNotice(long nowNanos) {
+        shutdownAnnounced = true;
         if (terminationNanos == null) {
             terminationNanos = nowNanos + SHUTDOWN_TIMEOUT.toNanos();
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -19,6 +19,7 @@
 import org.nettlering.domain.workflow.host.HostResponse.Accepted;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.NotSent;
+import org.nettlering.domain.workflow.host.HostResponse.OtherIncarnation;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
 import org.nettlering.domain.workflow.host.HostResponse.Rejected;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
@@ -92,6 +93,8 @@
 
     private final TerminationTracker terminationTracker = new TerminationTracker();
 
+    private final CrashSuspects crashSuspects = new CrashSuspects();
+
     private final HostLease lease;
 
     /** Whether the host responded to a poll in this term. */
@@ -171,7 +174,8 @@
      *     time
      */
     public boolean isObsolete(long nowNanos) {
-        return runs.isEmpty() && (isIncarnationTerminated(nowNanos) || liveness.isHeartbeatLongOverdue(nowNanos));
+        boolean terminated = isIncarnationTerminated(nowNanos) && crashSuspects.isEmpty();
+        return runs.isEmpty() && (terminated || liveness.isHeartbeatLongOverdue(nowNanos));
     }
 
     private boolean isIncarnationTerminated(long nowNanos) {
@@ -309,6 +313,19 @@
         usageMonitored = enabled;
     }
 
+    /**
+     * Returns the unproven runs: those that the host may have started or is to start, and has not shown at
+     * work for long enough to show that starting them does not crash it.
+     *
+     * @return the runs whose termination is not known, never null
+     */
+    public List<RunId> unprovenRuns() {
+        return runs.values().stream()
+                .filter(TrackedRun::isUnproven)
+                .map(tracked -> tracked.activeRun.run())
+                .toList();
+    }
+
     /**
      * Returns the usage of the active runs as of the last poll response.
      *
@@ -510,6 +527,10 @@
                 return List.of(
                         recordTermination(tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.HostUnwell()));
             }
+            case OtherIncarnation otherIncarnation -> {
+                return List.of(
+                        recordTermination(tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.OtherLife()));
+            }
             default -> {}
         }
         return List.of();
@@ -653,6 +674,14 @@
         List<RecordTermination> terminations = new ArrayList<>();
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
         boolean runsLost = areRunsLost(nowNanos);
+        List<RunId> suspects = incarnationTerminated || runsLost ? CrashSuspects.among(runs.values()) : List.of();
+        if (incarnationTerminated) {
+            terminations.addAll(lateCrashes(suspects));
+        } else {
+            crashSuspects.addLost(suspects);
+        }
+        TerminalStatus suspectStatus =
+                isCrash(incarnationTerminated) ? CrashSuspects.statusOf(suspects.size()) : TerminalStatus.HOST_LOST;
         for (TrackedRun tracked : runs.values()) {
             if (tracked.isTerminationFound()) {
                 continue;
@@ -670,13 +699,29 @@
             } else if (incarnationTerminated || runsLost) {
                 terminations.add(recordTermination(
                         tracked,
-                        TerminalStatus.HOST_LOST,
+                        tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST,
                         incarnationTerminated ? liveness.terminationEvidence() : leaseExpiryEvidence(nowNanos)));
             }
         }
         return terminations;
     }
 
+    /** Returns whether the incarnation has terminated without having announced it. */
+    private boolean isCrash(boolean incarnationTerminated) {
+        return incarnationTerminated
+                && liveness.terminationEvidence() instanceof TerminationEvidence.OtherLife
+                && !liveness.isLeaving();
+    }
+
+    /** Returns the crashes that runs are suspected of which were lost before the crash of their host was known. */
+    private List<RecordTermination> lateCrashes(List<RunId> suspects) {
+        if (isCrash(true)) {
+            return crashSuspects.removeLost(suspects);
+        }
+        crashSuspects.clear();
+        return List.of();
+    }
+
     /**
      * Returns whether the lease has expired and the host's own report of the terminations is no longer awaited.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -30,6 +30,9 @@
     /** How long to wait for a stop to take effect before it is sent again. */
     static final Duration STOP_RETRY_DELAY = Duration.ofMillis(400);
 
+    /** How long a run is at work before a crash of its host is no longer ascribed to its start. */
+    private static final Duration HARMLESS_AFTER = Duration.ofMillis(500);
+
     /** The speed of a run that was never throttled. */
     private static final int FULL_SPEED_PERCENT = 100;
 
@@ -93,6 +96,12 @@
     /** Whether a poll response reported the run as running. */
     boolean reportedRunning;
 
+    /** When the run was started or, if an earlier leader started it, was first tracked, by the monotonic clock. */
+    private long startNanos;
+
+    /** Whether the host reported the run as running for long enough to show that starting it does not crash the host. */
+    private boolean provenHarmless;
+
     TrackedRun(ActiveRun activeRun, String taskSpecification, String ticket, Stage stage, long nowNanos) {
         this.activeRun = activeRun;
         this.taskSpecification = taskSpecification;
@@ -101,6 +110,7 @@
         this.checkpoint = activeRun.checkpoint();
         this.nextStopNanos = nowNanos;
         this.lastProgressNanos = nowNanos;
+        this.startNanos = nowNanos;
     }
 
     /** Marks the speed as unknown because an earlier leader may have throttled the run. */
@@ -123,6 +133,16 @@
         return termination != null;
     }
 
+    /** Returns whether the run, if it is active, may crash its host by being started. */
+    boolean isUnproven() {
+        return !provenHarmless && !isTerminationFound();
+    }
+
+    /** Returns whether the run may have crashed its host. */
+    boolean isCrashSuspect() {
+        return stage != Stage.START_PENDING && isUnproven();
+    }
+
     /** Returns whether the host itself reported the termination. */
     boolean isTerminationReported() {
         return evidence instanceof TerminationEvidence.Listed;
@@ -135,7 +155,7 @@
         }
         if (stage == Stage.START_PENDING) {
             return lease.canBeRenewed() && !stopRequested
-                    ? Optional.of(createStart(token, lease.renew(nowNanos)))
+                    ? Optional.of(createStart(token, lease.renew(nowNanos), nowNanos))
                     : Optional.empty();
         }
         if (stopRequested) {
@@ -144,8 +164,9 @@
         return isThrottleDue(unresponsive) ? Optional.of(createThrottle(token)) : Optional.empty();
     }
 
-    private HostCommand createStart(long token, long leaseExpiryMillis) {
+    private HostCommand createStart(long token, long leaseExpiryMillis, long nowNanos) {
         stage = Stage.START_SENT;
+        startNanos = nowNanos;
         return new HostCommand.Start(token, activeRun, taskSpecification, leaseExpiryMillis, ticket);
     }
 
@@ -239,6 +260,7 @@
     void onReportedRunning(HostResponse.ReportedRun reported, long nowNanos) {
         confirm(nowNanos);
         reportedRunning = true;
+        provenHarmless |= nowNanos - startNanos >= HARMLESS_AFTER.toNanos();
         if (!reported.checkpoint().isEmpty()) {
             checkpoint = reported.checkpoint();
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -38,6 +38,12 @@
 
     private Resources free;
 
+    /** Whether a start was planned here, or none is to be. */
+    private boolean changedByPlan;
+
+    /** Which tasks may start, also with regard to the planned starts. */
+    private StartAdmission admission;
+
     /** The latency pressure with the planned starts, null until it is needed. */
     private @Nullable HostLatencyPressure latencyPressure;
 
@@ -58,21 +64,25 @@
      * @param allocations the allocations on the host in the committed log, not null
      * @param consecutiveFailures the number of consecutive run failures on the host, zero or more
      * @param latencyCriticalRuns the latest measurements of latency-critical runs on the host, not null
+     * @param admission which tasks may start, not null
      * @return the free capacity, never null
      */
     public static FreeCapacity of(
             HostHeartbeat heartbeat,
             HostAllocations allocations,
             int consecutiveFailures,
-            List<LatencyCriticalRun> latencyCriticalRuns) {
-        return new FreeCapacity(heartbeat, allocations, consecutiveFailures, latencyCriticalRuns);
+            List<LatencyCriticalRun> latencyCriticalRuns,
+            StartAdmission admission) {
+        return new FreeCapacity(heartbeat, allocations, consecutiveFailures, latencyCriticalRuns, admission);
     }
 
     private FreeCapacity(
             HostHeartbeat heartbeat,
             HostAllocations allocations,
             int consecutiveFailures,
-            List<LatencyCriticalRun> latencyCriticalRuns) {
+            List<LatencyCriticalRun> latencyCriticalRuns,
+            StartAdmission admission) {
+        this.admission = admission;
         this.latencyCriticalRuns = List.copyOf(latencyCriticalRuns);
         this.heartbeat = heartbeat;
         this.consecutiveFailures = consecutiveFailures;
@@ -89,14 +99,14 @@
     }
 
     /**
-     * Returns whether starts were planned on the host.
+     * Returns whether starts were planned on the host, or were ruled out.
      *
      * <p>If so, this object differs from the free capacity of the host unless the planned starts take effect.
      *
      * @return true if capacity was allocated, even if it was released again
      */
     public boolean hasPlannedStarts() {
-        return !plannedTasks.isEmpty();
+        return changedByPlan;
     }
 
     /** Returns what is neither allocated in the log nor planned. */
@@ -178,13 +188,37 @@
     /** Returns whether one more task of a step fits and its placement constraints allow this host. */
     boolean fits(StepId stepId, StepSpecification step) {
         int maxPerHost = step.placementConstraints().maxTasksPerHost();
-        return step.allocation().fitsIn(free)
+        return admission != StartAdmission.NONE
+                && step.allocation().fitsIn(free)
                 && heartbeat.hasLabel(step.placementConstraints().requiredLabel())
                 && (maxPerHost == 0 || allocations.countOf(stepId) + plannedTasks.getOrDefault(stepId, 0) < maxPerHost)
                 && (!step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores());
     }
 
+    /** Returns whether a task that may crash its host may start. */
+    boolean admitsSuspects() {
+        return admission == StartAdmission.ALL;
+    }
+
+    /** Returns the number of runs that would be lost if the host crashed. */
+    int runCount() {
+        return allocations.runs().size();
+    }
+
+    /** Allocates capacity for a task that may crash its host, and lets nothing else start beside it. */
+    void allocateSuspect(StepId stepId, StepSpecification step) {
+        allocate(stepId, step);
+        close();
+    }
+
+    /** Lets nothing start here in this plan. */
+    void close() {
+        admission = StartAdmission.NONE;
+        changedByPlan = true;
+    }
+
     void allocate(StepId stepId, StepSpecification step) {
+        admission = admission == StartAdmission.ALL ? StartAdmission.NO_SUSPECTS : admission;
         free = free.minus(step.allocation());
         account(stepId, step, 1);
     }
@@ -195,6 +229,7 @@
     }
 
     private void account(StepId stepId, StepSpecification step, int sign) {
+        changedByPlan = true;
         plannedTasks.merge(stepId, sign, Integer::sum);
         if (step.has(StepTrait.BEST_EFFORT)) {
             bestEffortMillicores += sign * step.demand().millicores();
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
@@ -68,10 +68,20 @@
 
     /** Allocates capacity for one more task; the pressure that it adds counts for later tasks of the same plan. */
     void allocate(StepId stepId, StepSpecification step, FreeCapacity candidate) {
+        addPressure(step, candidate);
+        candidate.allocate(stepId, step);
+    }
+
+    /** Like {@link #allocate}, for a task that may crash its host. */
+    void allocateSuspect(StepId stepId, StepSpecification step, FreeCapacity candidate) {
+        addPressure(step, candidate);
+        candidate.allocateSuspect(stepId, step);
+    }
+
+    private void addPressure(StepSpecification step, FreeCapacity candidate) {
         if (step.has(StepTrait.BEST_EFFORT)) {
             candidate.latencyPressure(costs).add(step, costs.of(step));
         }
-        candidate.allocate(stepId, step);
     }
 
     /** Returns how well a feasible host suits one more task. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -1,7 +1,9 @@
 package org.nettlering.domain.workflow.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -48,6 +50,9 @@
 
     private final Set<RunId> throttledStarts = new HashSet<>();
 
+    /** Whether a host is kept free of new runs, so that it admits a suspect soon. */
+    private boolean hostReserved;
+
     /**
      * Plans starts and migrations.
      *
@@ -90,7 +95,10 @@
         if (capacities.isEmpty()) {
             return;
         }
-        for (StepProgress step : new PendingStepOrder(nowMillis).sorted(pending)) {
+        List<StepProgress> sorted = new PendingStepOrder(nowMillis).sorted(pending);
+        // First, as a suspect needs a host on which nothing else is about to start.
+        sorted.stream().filter(StepProgress::hasSuspects).forEach(this::planSuspects);
+        for (StepProgress step : sorted) {
             if (starts.size() >= MAX_STARTS) {
                 return;
             }
@@ -111,10 +119,11 @@
     private void planUnthrottled(StepProgress step) {
         StepSpecification specification = step.specification();
         String pool = step.job().terms().pool();
-        int[] taskIndexes = step.pendingTasks();
+        boolean isGang = specification.has(StepTrait.GANG);
+        int[] taskIndexes = isGang ? step.pendingTasks() : harmlessTasks(step);
         HostRanking ranking =
                 new HostRanking(selector, step.id(), specification, preferredRack(step), candidatesIn(pool));
-        if (specification.has(StepTrait.GANG)) {
+        if (isGang) {
             planGang(step, taskIndexes, ranking);
             return;
         }
@@ -128,17 +137,66 @@
         }
     }
 
+    /** Returns the pending tasks that are not suspected of crashing their hosts. */
+    private static int[] harmlessTasks(StepProgress step) {
+        if (!step.hasSuspects()) {
+            return step.pendingTasks();
+        }
+        return Arrays.stream(step.pendingTasks())
+                .filter(index -> step.task(index).hostCrashes() == 0)
+                .toArray();
+    }
+
+    /**
+     * Starts the tasks that are suspected of crashing their hosts, each on a host on which no other run has just started.
+     * Such a host starts nothing else until it has shown the task at work, so that a crash tells which task is the cause.
+     * The members of a gang start together and cannot be told apart in this way.
+     */
+    private void planSuspects(StepProgress step) {
+        if (step.specification().has(StepTrait.GANG)) {
+            return;
+        }
+        for (int index : step.pendingTasks()) {
+            if (step.task(index).hostCrashes() > 0) {
+                planSuspect(step, index);
+            }
+        }
+    }
+
+    /** Starts a suspect, if a host admits it, and keeps a host free of new runs for one that has to wait. */
+    private void planSuspect(StepProgress step, int index) {
+        Optional<FreeCapacity> admitting = leastRunsAtStake(step, FreeCapacity::admitsSuspects);
+        if (admitting.isPresent()) {
+            FreeCapacity capacity = admitting.get();
+            selector.allocateSuspect(step.id(), step.specification(), capacity);
+            starts.add(nextStart(step, index, capacity));
+        } else if (!hostReserved) {
+            hostReserved = true;
+            leastRunsAtStake(step, capacity -> true).ifPresent(FreeCapacity::close);
+        }
+    }
+
+    /** Returns the feasible host on which a crash would lose the fewest runs. */
+    private Optional<FreeCapacity> leastRunsAtStake(StepProgress step, Predicate<FreeCapacity> condition) {
+        return capacities.stream()
+                .filter(capacity -> capacity.pool().equals(step.job().terms().pool()))
+                .filter(condition)
+                .filter(capacity -> selector.isFeasible(step.id(), step.specification(), capacity))
+                .min(Comparator.comparingInt(FreeCapacity::runCount));
+    }
+
     /** Starts one task, or the whole gang, at the lowest speed on the hosts that it harms least. */
     private void planThrottled(StepProgress step) {
         int startsBefore = starts.size();
-        int[] taskIndexes = step.pendingTasks();
+        boolean isGang = step.specification().has(StepTrait.GANG);
+        int[] taskIndexes = isGang ? step.pendingTasks() : harmlessTasks(step);
         HostRanking ranking = HostRanking.ignoringPressure(
                 selector,
                 step.id(),
                 step.specification(),
                 preferredRack(step),
                 candidatesIn(step.job().terms().pool()));
-        if (step.specification().has(StepTrait.GANG)) {
+        if (isGang) {
             planGang(step, taskIndexes, ranking);
         } else if (taskIndexes.length > 0) {
             ranking.allocateBest().ifPresent(capacity -> starts.add(nextStart(step, taskIndexes[0], capacity)));
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -133,6 +133,62 @@
         assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
     }
 
+    @Test
+    void aTaskIsGivenUpIfItIsTheOnlySuspectOfTheSecondCrash() {
+        state.apply(job("a", step(1, List.of(), StepTrait.LONG_RUNNING)));
+        endRun(1, TerminalStatus.CRASH_SUSPECT);
+        assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+        endRun(2, TerminalStatus.CRASHED_HOST);
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void aSuspectIsGivenUpAfterTheFourthCrashAtTheLatest() {
+        state.apply(job("a", step(1, List.of())));
+        for (int number = 1; number <= 4; number++) {
+            assertThat(phase("a")).isIn(JobPhase.QUEUED, JobPhase.RUNNING);
+            endRun(number, TerminalStatus.CRASH_SUSPECT);
+        }
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void aCrashIsCountedOnceAlsoIfItIsKnownOnlyAfterTheLoss() {
+        state.apply(job("a", step(1, List.of())));
+        endRun(1, TerminalStatus.HOST_LOST);
+        for (int time = 0; time < 2; time++) {
+            state.apply(end("a", 0, 0, 1, TerminalStatus.CRASHED_HOST));
+        }
+        assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+        endRun(2, TerminalStatus.CRASHED_HOST);
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void aSnapshotKeepsHostCrashes() {
+        state.apply(job("a", step(1, List.of())));
+        endRun(1, TerminalStatus.CRASHED_HOST);
+        WorkflowState restored = WorkflowState.from(state.snapshot());
+        restored.apply(start("a", 0, 0, 2));
+        restored.apply(end("a", 0, 0, 2, TerminalStatus.CRASHED_HOST));
+        assertThat(restored.job("a").orElseThrow().phase()).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void aTaskThatIsDoneIsNotGivenUpForALateCrash() {
+        state.apply(job("a", step(2, List.of())));
+        endRun(1, TerminalStatus.CRASHED_HOST);
+        endRun(2, TerminalStatus.HOST_LOST);
+        endRun(3, TerminalStatus.DONE);
+        state.apply(end("a", 0, 0, 2, TerminalStatus.CRASHED_HOST));
+        assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+    }
+
+    private void endRun(int number, TerminalStatus status) {
+        state.apply(start("a", 0, 0, number));
+        state.apply(end("a", 0, 0, number, status));
+    }
+
     @Test
     void aSnapshotKeepsUnconfirmedTerminations() {
         state.apply(job("a", step(1, List.of())));
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -410,15 +410,66 @@
     }
 
     @Test
-    void otherIncarnationAtSameAddressEndsRunsAsLost() {
+    void otherIncarnationAtSameAddressEndsRunsThatWereAtWorkAsLost() {
         makeSchedulable();
         respond(takeStart(), new Accepted(hostClockMillis));
+        advance(600);
+        respondToPoll(List.of(new ReportedRun(RUN, "", 10, 0)), List.of());
         respond(takePoll(), new OtherIncarnation());
         assertThat(session.inferTerminations(nowNanos))
                 .containsExactly(new RecordTermination(RUN, TerminalStatus.HOST_LOST, ""));
         assertThat(dueCommands()).isEmpty();
     }
 
+    @Test
+    void onlyRunThatHadJustStartedIsTakenForTheCauseOfACrash() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        advance(600);
+        respondToPoll(List.of(new ReportedRun(RUN, "", 10, 0)), List.of());
+        RunId next = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new Accepted(hostClockMillis));
+        respond(takePoll(), new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(
+                        new RecordTermination(RUN, TerminalStatus.HOST_LOST, ""),
+                        new RecordTermination(next, TerminalStatus.CRASHED_HOST, ""));
+        assertThat(dueCommands()).isEmpty();
+    }
+
+    @Test
+    void runsThatHadJustStartedTogetherAreSuspectsOfACrash() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        RunId next = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new NoResponse("reset"));
+        respond(takePoll(), new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(
+                        new RecordTermination(RUN, TerminalStatus.CRASH_SUSPECT, ""),
+                        new RecordTermination(next, TerminalStatus.CRASH_SUSPECT, ""));
+    }
+
+    @Test
+    void startThatReachesAnotherIncarnationNeverBegan() {
+        makeSchedulable();
+        assertThat(respond(takeStart(), new OtherIncarnation()))
+                .containsExactly(new RecordTermination(RUN, TerminalStatus.NOT_BEGUN, ""));
+    }
+
+    @Test
+    void hostThatAnnouncedItsEndDidNotCrash() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        respondToPoll(List.of(new ReportedRun(RUN, "", 10, 0)), List.of());
+        sendHeartbeat(true, 2);
+        respond(takePoll(), new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(new RecordTermination(RUN, TerminalStatus.HOST_LOST, ""));
+    }
+
     @Test
     void orphanedRunIsStopped() {
         makeSchedulable();
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
@@ -130,7 +130,11 @@
                     new LatencyCriticalRun(runId, "serve-" + random.nextInt(3), 45, 10 + random.nextInt(40)));
         }
         return FreeCapacity.of(
-                heartbeat, HostAllocations.empty(host), random.nextInt(10) == 0 ? 1 : 0, latencyCritical);
+                heartbeat,
+                HostAllocations.empty(host),
+                random.nextInt(10) == 0 ? 1 : 0,
+                latencyCritical,
+                StartAdmission.ALL);
     }
 
     /** Returns a best-effort step, a latency-critical step or one that is neither. */
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/PoolCapacitiesTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/PoolCapacitiesTest.java
@@ -71,7 +71,7 @@
             HostIncarnation host = new HostIncarnation("host-" + number, "10.0.0." + number + ":80");
             Resources capacity = Resources.of(random.nextInt(32_000), random.nextInt(128_000), 0);
             HostHeartbeat heartbeat = new HostHeartbeat(host, "pool", "fd", capacity, "a", "r", false, 0, 1);
-            hosts.add(FreeCapacity.of(heartbeat, HostAllocations.empty(host), 0, List.of()));
+            hosts.add(FreeCapacity.of(heartbeat, HostAllocations.empty(host), 0, List.of(), StartAdmission.ALL));
         }
         return hosts;
     }
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.nettlering.domain.workflow.WorkflowSamples.end;
 import static org.nettlering.domain.workflow.WorkflowSamples.job;
 import static org.nettlering.domain.workflow.WorkflowSamples.run;
 import static org.nettlering.domain.workflow.WorkflowSamples.step;
@@ -25,6 +26,7 @@
 import org.nettlering.domain.workflow.StepServiceLevel;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
@@ -88,6 +90,38 @@
         assertThat(startsByHost()).containsOnly(Map.entry("h1", 2L), Map.entry("h2", 2L));
     }
 
+    @Test
+    void suspectOfACrashStartsAloneOnTheHostWithTheFewestRuns() {
+        capacities.add(freeCapacity("new-run", StartAdmission.NO_SUSPECTS));
+        capacities.add(freeCapacity("suspect-starting", StartAdmission.NONE));
+        capacities.add(freeCapacity("free", StartAdmission.ALL));
+        makeSuspect("a");
+        state.apply(job("b", step(20, List.of())));
+        assertThat(startsByHost()).containsOnly(Map.entry("new-run", 4L), Map.entry("free", 1L));
+        assertThat(plan().stream().map(start -> start.run().run().task().jobId()))
+                .doesNotContain("a");
+    }
+
+    @Test
+    void suspectWaitsWhileNoHostWouldShowThatItIsTheCause() {
+        capacities.add(freeCapacity("new-run", StartAdmission.NO_SUSPECTS));
+        makeSuspect("a");
+        assertThat(plan()).isEmpty();
+    }
+
+    private void makeSuspect(String jobId) {
+        state.apply(job(jobId, step(1, List.of())));
+        state.apply(new StartRun(new ActiveRun(run(jobId, 0, 0, 1), new HostIncarnation("gone", "10.0.0.9:80"), "")));
+        state.apply(end(jobId, 0, 0, 1, TerminalStatus.CRASH_SUSPECT));
+    }
+
+    private static FreeCapacity freeCapacity(String id, StartAdmission admission) {
+        HostIncarnation host = new HostIncarnation(id, "10.0.0.1:80");
+        HostHeartbeat heartbeat =
+                new HostHeartbeat(host, "pool", "fd", Resources.of(4_000, 8_000, 0), "a", "r1", false, 0, 1);
+        return FreeCapacity.of(heartbeat, HostAllocations.empty(host), 0, List.of(), admission);
+    }
+
     @Test
     void requiredLabelIsRespected() {
         addHost("h1", "r1", 32_000, 0);
@@ -321,7 +355,8 @@
             List<LatencyCriticalRun> latencyCritical) {
         HostIncarnation host = new HostIncarnation(id, "10.0.0.1:80");
         HostHeartbeat heartbeat = new HostHeartbeat(host, "pool", "fd", capacity, "a", rack, false, 0, 1);
-        return FreeCapacity.of(heartbeat, HostAllocations.empty(host), consecutiveFailures, latencyCritical);
+        return FreeCapacity.of(
+                heartbeat, HostAllocations.empty(host), consecutiveFailures, latencyCritical, StartAdmission.ALL);
     }
 
     private List<StartRun> plan() {
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -21,6 +21,7 @@
 import org.nettlering.wire.proto.WorkflowProto.CancelWorkflow;
 import org.nettlering.wire.proto.WorkflowProto.EndRun;
 import org.nettlering.wire.proto.WorkflowProto.ForgetWorkflow;
+import org.nettlering.wire.proto.WorkflowProto.HostCrashMessage;
 import org.nettlering.wire.proto.WorkflowProto.RunEndMessage;
 import org.nettlering.wire.proto.WorkflowProto.RunMessage;
 import org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow;
@@ -110,12 +111,14 @@
         return EndRun.newBuilder()
                 .setRun(encode(end.run()))
                 .setHow(encode(end.status()))
+                .setHostCrash(encodeHostCrash(end.status()))
                 .setCheckpoint(end.checkpoint())
                 .build();
     }
 
     private static RecordTermination decodeEnd(EndRun message) {
-        return new RecordTermination(decode(message.getRun()), decode(message.getHow()), message.getCheckpoint());
+        TerminalStatus status = decode(message.getHow(), message.getHostCrash());
+        return new RecordTermination(decode(message.getRun()), status, message.getCheckpoint());
     }
 
     static ActiveRunMessage encode(ActiveRun run) {
@@ -159,11 +162,19 @@
             case BROKEN -> RunEndMessage.RUN_BROKEN;
             case ALONE -> RunEndMessage.RUN_ALONE;
             case NOT_BEGUN -> RunEndMessage.RUN_NOT_BEGUN;
-            case HOST_LOST -> RunEndMessage.RUN_HOST_LOST;
+            case HOST_LOST, CRASHED_HOST, CRASH_SUSPECT -> RunEndMessage.RUN_HOST_LOST;
         };
     }
 
-    private static TerminalStatus decode(RunEndMessage message) {
+    private static HostCrashMessage encodeHostCrash(TerminalStatus status) {
+        return switch (status) {
+            case CRASHED_HOST -> HostCrashMessage.HOST_CRASH_CAUSE;
+            case CRASH_SUSPECT -> HostCrashMessage.HOST_CRASH_SUSPECT;
+            default -> HostCrashMessage.HOST_CRASH_UNSPECIFIED;
+        };
+    }
+
+    private static TerminalStatus decode(RunEndMessage message, HostCrashMessage hostCrash) {
         return switch (message) {
             case RUN_DONE -> TerminalStatus.DONE;
             case RUN_FAILED -> TerminalStatus.FAILED;
@@ -172,12 +183,20 @@
             case RUN_BROKEN -> TerminalStatus.BROKEN;
             case RUN_ALONE -> TerminalStatus.ALONE;
             case RUN_NOT_BEGUN -> TerminalStatus.NOT_BEGUN;
-            case RUN_HOST_LOST -> TerminalStatus.HOST_LOST;
+            case RUN_HOST_LOST -> decode(hostCrash);
             case RUN_END_UNSPECIFIED, UNRECOGNIZED ->
                 throw new NettleringException(ErrorCode.STORAGE_TOO_NEW, "a run ended in an unknown way");
         };
     }
 
+    private static TerminalStatus decode(HostCrashMessage message) {
+        return switch (message) {
+            case HOST_CRASH_CAUSE -> TerminalStatus.CRASHED_HOST;
+            case HOST_CRASH_SUSPECT -> TerminalStatus.CRASH_SUSPECT;
+            case HOST_CRASH_UNSPECIFIED, UNRECOGNIZED -> TerminalStatus.HOST_LOST;
+        };
+    }
+
     /**
      * Encodes what a command did.
      *
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -111,6 +111,7 @@
                 .setCheckpoint(task.checkpoint());
         task.activeRuns().forEach(run -> message.addActiveRuns(WorkflowCommandCodec.encode(run)));
         message.addAllUnsettledRuns(task.unconfirmedRuns());
+        message.addAllCrashRuns(task.crashRuns());
         return message.build();
     }
 
@@ -123,6 +124,7 @@
                 message.getActiveRunsList().stream()
                         .map(WorkflowCommandCodec::decode)
                         .toList(),
-                message.getUnsettledRunsList());
+                message.getUnsettledRunsList(),
+                message.getCrashRunsList());
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -188,6 +188,136 @@
     // @@protoc_insertion_point(enum_scope:nettlering.StepTraitMessage)
   }
 
+  /**
+   * <pre>
+   * Whether a run may have crashed its host.
+   * </pre>
+   *
+   * Protobuf enum {@code nettlering.HostCrashMessage}
+   */
+  public enum HostCrashMessage
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>HOST_CRASH_UNSPECIFIED = 0;</code>
+     */
+    HOST_CRASH_UNSPECIFIED(0),
+    /**
+     * <code>HOST_CRASH_CAUSE = 1;</code>
+     */
+    HOST_CRASH_CAUSE(1),
+    /**
+     * <code>HOST_CRASH_SUSPECT = 2;</code>
+     */
+    HOST_CRASH_SUSPECT(2),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "HostCrashMessage");
+    }
+    /**
+     * <code>HOST_CRASH_UNSPECIFIED = 0;</code>
+     */
+    public static final int HOST_CRASH_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>HOST_CRASH_CAUSE = 1;</code>
+     */
+    public static final int HOST_CRASH_CAUSE_VALUE = 1;
+    /**
+     * <code>HOST_CRASH_SUSPECT = 2;</code>
+     */
+    public static final int HOST_CRASH_SUSPECT_VALUE = 2;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static HostCrashMessage valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static HostCrashMessage forNumber(int value) {
+      switch (value) {
+        case 0: return HOST_CRASH_UNSPECIFIED;
+        case 1: return HOST_CRASH_CAUSE;
+        case 2: return HOST_CRASH_SUSPECT;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<HostCrashMessage>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        HostCrashMessage> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<HostCrashMessage>() {
+            public HostCrashMessage findValueByNumber(int number) {
+              return HostCrashMessage.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(1);
+    }
+
+    private static final HostCrashMessage[] VALUES = values();
+
+    public static HostCrashMessage valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private HostCrashMessage(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:nettlering.HostCrashMessage)
+  }
+
   /**
    * Protobuf enum {@code nettlering.RunEndMessage}
    */
@@ -342,7 +472,7 @@
     }
     public static com.google.protobuf.Descriptors.EnumDescriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(1);
+      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(2);
     }
 
     private static final RunEndMessage[] VALUES = values();
@@ -477,7 +607,7 @@
     }
     public static com.google.protobuf.Descriptors.EnumDescriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(2);
+      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(3);
     }
 
     private static final WorkflowOutcomeMessage[] VALUES = values();
@@ -630,7 +760,7 @@
     }
     public static com.google.protobuf.Descriptors.EnumDescriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(3);
+      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(4);
     }
 
     private static final JobPhaseMessage[] VALUES = values();
@@ -799,7 +929,7 @@
     }
     public static com.google.protobuf.Descriptors.EnumDescriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(4);
+      return org.nettlering.wire.proto.WorkflowProto.getDescriptor().getEnumType(5);
     }
 
     private static final WorkflowAnswer[] VALUES = values();
@@ -15537,6 +15667,25 @@
      */
     com.google.protobuf.ByteString
         getCheckpointBytes();
+
+    /**
+     * <pre>
+     * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+     * </pre>
+     *
+     * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+     * @return The enum numeric value on the wire for hostCrash.
+     */
+    int getHostCrashValue();
+    /**
+     * <pre>
+     * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+     * </pre>
+     *
+     * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+     * @return The hostCrash.
+     */
+    org.nettlering.wire.proto.WorkflowProto.HostCrashMessage getHostCrash();
   }
   /**
    * Protobuf type {@code nettlering.EndRun}
@@ -15562,6 +15711,7 @@
     private EndRun() {
       how_ = 0;
       checkpoint_ = "";
+      hostCrash_ = 0;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -15666,6 +15816,32 @@
       }
     }
 
+    public static final int HOST_CRASH_FIELD_NUMBER = 4;
+    private int hostCrash_ = 0;
+    /**
+     * <pre>
+     * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+     * </pre>
+     *
+     * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+     * @return The enum numeric value on the wire for hostCrash.
+     */
+    @java.lang.Override public int getHostCrashValue() {
+      return hostCrash_;
+    }
+    /**
+     * <pre>
+     * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+     * </pre>
+     *
+     * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+     * @return The hostCrash.
+     */
+    @java.lang.Override public org.nettlering.wire.proto.WorkflowProto.HostCrashMessage getHostCrash() {
+      org.nettlering.wire.proto.WorkflowProto.HostCrashMessage result = org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.forNumber(hostCrash_);
+      return result == null ? org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.UNRECOGNIZED : result;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -15689,6 +15865,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 3, checkpoint_);
       }
+      if (hostCrash_ != org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.HOST_CRASH_UNSPECIFIED.getNumber()) {
+        output.writeEnum(4, hostCrash_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -15704,6 +15883,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(3, checkpoint_);
       }
+      if (hostCrash_ != org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.HOST_CRASH_UNSPECIFIED.getNumber()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeEnumSize(4, hostCrash_);
+      }
       return size;
     }
     @java.lang.Override
@@ -15736,6 +15919,7 @@
       if (how_ != other.how_) return false;
       if (!getCheckpoint()
           .equals(other.getCheckpoint())) return false;
+      if (hostCrash_ != other.hostCrash_) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -15755,6 +15939,8 @@
       hash = (53 * hash) + how_;
       hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
       hash = (53 * hash) + getCheckpoint().hashCode();
+      hash = (37 * hash) + HOST_CRASH_FIELD_NUMBER;
+      hash = (53 * hash) + hostCrash_;
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -15899,6 +16085,7 @@
         }
         how_ = 0;
         checkpoint_ = "";
+        hostCrash_ = 0;
         return this;
       }
 
@@ -15945,6 +16132,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.checkpoint_ = checkpoint_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.hostCrash_ = hostCrash_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -15971,6 +16161,9 @@
           bitField0_ |= 0x00000004;
           onChanged();
         }
+        if (other.hostCrash_ != 0) {
+          setHostCrashValue(other.getHostCrashValue());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -16012,6 +16205,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 26
+              case 32: {
+                hostCrash_ = input.readEnum();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -16272,6 +16470,78 @@
         return this;
       }
 
+      private int hostCrash_ = 0;
+      /**
+       * <pre>
+       * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+       * </pre>
+       *
+       * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+       * @return The enum numeric value on the wire for hostCrash.
+       */
+      @java.lang.Override public int getHostCrashValue() {
+        return hostCrash_;
+      }
+      /**
+       * <pre>
+       * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+       * </pre>
+       *
+       * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+       * @param value The enum numeric value on the wire for hostCrash to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostCrashValue(int value) {
+        hostCrash_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+       * </pre>
+       *
+       * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+       * @return The hostCrash.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.HostCrashMessage getHostCrash() {
+        org.nettlering.wire.proto.WorkflowProto.HostCrashMessage result = org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.forNumber(hostCrash_);
+        return result == null ? org.nettlering.wire.proto.WorkflowProto.HostCrashMessage.UNRECOGNIZED : result;
+      }
+      /**
+       * <pre>
+       * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+       * </pre>
+       *
+       * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+       * @param value The hostCrash to set.
+       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * @return This builder for chaining.
+       */
+      public Builder setHostCrash(org.nettlering.wire.proto.WorkflowProto.HostCrashMessage value) {
+        java.util.Objects.requireNonNull(value);
+        bitField0_ |= 0x00000008;
+        hostCrash_ = value.getNumber();
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Beside RUN_HOST_LOST only. Members that do not know this field take the host for lost.
+       * </pre>
+       *
+       * <code>.nettlering.HostCrashMessage host_crash = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHostCrash() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        hostCrash_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.EndRun)
     }
 
@@ -23507,6 +23777,35 @@
      * @return The unsettledRuns at the given index.
      */
     int getUnsettledRuns(int index);
+
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @return A list containing the crashRuns.
+     */
+    java.util.List<java.lang.Integer> getCrashRunsList();
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @return The count of crashRuns.
+     */
+    int getCrashRunsCount();
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @param index The index of the element to return.
+     * @return The crashRuns at the given index.
+     */
+    int getCrashRuns(int index);
   }
   /**
    * Protobuf type {@code nettlering.TaskImageMessage}
@@ -23533,6 +23832,7 @@
       checkpoint_ = "";
       activeRuns_ = java.util.Collections.emptyList();
       unsettledRuns_ = emptyIntList();
+      crashRuns_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -23708,6 +24008,48 @@
     }
     private int unsettledRunsMemoizedSerializedSize = -1;
 
+    public static final int CRASH_RUNS_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList crashRuns_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @return A list containing the crashRuns.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getCrashRunsList() {
+      return crashRuns_;
+    }
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @return The count of crashRuns.
+     */
+    public int getCrashRunsCount() {
+      return crashRuns_.size();
+    }
+    /**
+     * <pre>
+     * The numbers of the runs that may have crashed their host.
+     * </pre>
+     *
+     * <code>repeated uint32 crash_runs = 7;</code>
+     * @param index The index of the element to return.
+     * @return The crashRuns at the given index.
+     */
+    public int getCrashRuns(int index) {
+      return crashRuns_.getInt(index);
+    }
+    private int crashRunsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -23745,6 +24087,13 @@
       for (int i = 0; i < unsettledRuns_.size(); i++) {
         output.writeUInt32NoTag(unsettledRuns_.getInt(i));
       }
+      if (getCrashRunsList().size() > 0) {
+        output.writeUInt32NoTag(58);
+        output.writeUInt32NoTag(crashRunsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < crashRuns_.size(); i++) {
+        output.writeUInt32NoTag(crashRuns_.getInt(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -23787,6 +24136,20 @@
         }
         unsettledRunsMemoizedSerializedSize = dataSize;
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < crashRuns_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(crashRuns_.getInt(i));
+        }
+        size += dataSize;
+        if (!getCrashRunsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        crashRunsMemoizedSerializedSize = dataSize;
+      }
       return size;
     }
     @java.lang.Override
@@ -23823,6 +24186,8 @@
           .equals(other.getActiveRunsList())) return false;
       if (!getUnsettledRunsList()
           .equals(other.getUnsettledRunsList())) return false;
+      if (!getCrashRunsList()
+          .equals(other.getCrashRunsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23851,6 +24216,10 @@
         hash = (37 * hash) + UNSETTLED_RUNS_FIELD_NUMBER;
         hash = (53 * hash) + getUnsettledRunsList().hashCode();
       }
+      if (getCrashRunsCount() > 0) {
+        hash = (37 * hash) + CRASH_RUNS_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashRunsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -23994,6 +24363,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000010);
         unsettledRuns_ = emptyIntList();
+        crashRuns_ = emptyIntList();
         return this;
       }
 
@@ -24056,6 +24426,10 @@
           unsettledRuns_.makeImmutable();
           result.unsettledRuns_ = unsettledRuns_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          crashRuns_.makeImmutable();
+          result.crashRuns_ = crashRuns_;
+        }
       }
 
       @java.lang.Override
@@ -24121,6 +24495,17 @@
           }
           onChanged();
         }
+        if (!other.crashRuns_.isEmpty()) {
+          if (crashRuns_.isEmpty()) {
+            crashRuns_ = other.crashRuns_;
+            crashRuns_.makeImmutable();
+            bitField0_ |= 0x00000040;
+          } else {
+            ensureCrashRunsIsMutable();
+            crashRuns_.addAll(other.crashRuns_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -24194,6 +24579,22 @@
                 input.popLimit(limit);
                 break;
               } // case 50
+              case 56: {
+                int v = input.readUInt32();
+                ensureCrashRunsIsMutable();
+                crashRuns_.addInt(v);
+                break;
+              } // case 56
+              case 58: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureCrashRunsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  crashRuns_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24725,6 +25126,118 @@
         return this;
       }
 
+      private com.google.protobuf.Internal.IntList crashRuns_ = emptyIntList();
+      private void ensureCrashRunsIsMutable() {
+        if (!crashRuns_.isModifiable()) {
+          crashRuns_ = makeMutableCopy(crashRuns_);
+        }
+        bitField0_ |= 0x00000040;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @return A list containing the crashRuns.
+       */
+      public java.util.List<java.lang.Integer>
+          getCrashRunsList() {
+        crashRuns_.makeImmutable();
+        return crashRuns_;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @return The count of crashRuns.
+       */
+      public int getCrashRunsCount() {
+        return crashRuns_.size();
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @param index The index of the element to return.
+       * @return The crashRuns at the given index.
+       */
+      public int getCrashRuns(int index) {
+        return crashRuns_.getInt(index);
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @param index The index to set the value at.
+       * @param value The crashRuns to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCrashRuns(
+          int index, int value) {
+
+        ensureCrashRunsIsMutable();
+        crashRuns_.setInt(index, value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @param value The crashRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addCrashRuns(int value) {
+
+        ensureCrashRunsIsMutable();
+        crashRuns_.addInt(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @param values The crashRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllCrashRuns(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureCrashRunsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashRuns_);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The numbers of the runs that may have crashed their host.
+       * </pre>
+       *
+       * <code>repeated uint32 crash_runs = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCrashRuns() {
+        crashRuns_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.TaskImageMessage)
     }
 
@@ -32668,82 +33181,87 @@
       "onMessage\022\027\n\017accepted_millis\030\004 \001(\003\" \n\016Ca" +
       "ncelWorkflow\022\016\n\006job_id\030\001 \001(\t\"5\n\017BeginOcc" +
       "urrence\022\016\n\006job_id\030\001 \001(\t\022\022\n\noccurrence\030\002 " +
-      "\001(\r\"i\n\006EndRun\022#\n\003run\030\001 \001(\0132\026.nettlering." +
-      "RunMessage\022&\n\003how\030\002 \001(\0162\031.nettlering.Run" +
-      "EndMessage\022\022\n\ncheckpoint\030\003 \001(\t\" \n\016Forget" +
-      "Workflow\022\016\n\006job_id\030\001 \001(\t\"E\n\rWorkflowBatc" +
-      "h\0224\n\010commands\030\001 \003(\0132\".nettlering.Workflo" +
-      "wCommandMessage\"E\n\016WorkflowResult\0223\n\007out" +
-      "come\030\001 \001(\0162\".nettlering.WorkflowOutcomeM" +
-      "essage\"F\n\014QueueCommand\0226\n\007replace\030\001 \001(\0132" +
-      "%.nettlering.QueueConfigurationMessage\"\'" +
-      "\n\013QueueResult\022\030\n\020version_in_force\030\001 \001(\004\"" +
-      "t\n\020WorkflowSnapshot\0225\n\006queues\030\001 \001(\0132%.ne" +
-      "ttlering.QueueConfigurationMessage\022)\n\004jo" +
-      "bs\030\002 \003(\0132\033.nettlering.JobImageMessage\"\375\001" +
-      "\n\017JobImageMessage\022\n\n\002id\030\001 \001(\t\022*\n\005terms\030\002" +
-      " \001(\0132\033.nettlering.JobTermsMessage\0224\n\ndef" +
-      "inition\030\003 \001(\0132 .nettlering.JobDefinition" +
-      "Message\022\027\n\017accepted_millis\030\004 \001(\003\022*\n\005phas" +
-      "e\030\005 \001(\0162\033.nettlering.JobPhaseMessage\0227\n\013" +
-      "occurrences\030\006 \003(\0132\".nettlering.Occurrenc" +
-      "eImageMessage\"U\n\026OccurrenceImageMessage\022" +
-      "\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.nettler" +
-      "ing.StepImageMessage\"t\n\020StepImageMessage" +
-      "\022\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks\030\002 \003" +
-      "(\0132\034.nettlering.TaskImageMessage\022\030\n\020fail" +
-      "ed_gang_runs\030\003 \003(\r\"\243\001\n\020TaskImageMessage\022" +
-      "\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004d" +
-      "one\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013active_" +
-      "runs\030\005 \003(\0132\034.nettlering.ActiveRunMessage" +
-      "\022\026\n\016unsettled_runs\030\006 \003(\r\"\237\003\n\017WorkflowReq" +
-      "uest\022.\n\006submit\030\001 \001(\0132\034.nettlering.Submit" +
-      "JobRequestH\000\022&\n\004show\030\002 \001(\0132\026.nettlering." +
-      "JobRequestH\000\022(\n\006cancel\030\003 \001(\0132\026.nettlerin" +
-      "g.JobRequestH\000\0224\n\013host_report\030\004 \001(\0132\035.ne" +
-      "ttlering.HostReportMessageH\000\022/\n\014host_lea" +
-      "ving\030\005 \001(\0132\027.nettlering.HostLeavingH\000\022?\n" +
-      "\016replace_queues\030\006 \001(\0132%.nettlering.Queue" +
-      "ConfigurationMessageH\000\022-\n\013read_queues\030\007 " +
-      "\001(\0132\026.nettlering.ReadQueuesH\000\022(\n\005check\030\010" +
-      " \001(\0132\027.nettlering.LeaderCheckH\000B\t\n\007reque" +
-      "st\"i\n\020SubmitJobRequest\022\021\n\tauthority\030\001 \001(" +
-      "\t\022\014\n\004path\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .ne" +
-      "ttlering.JobDefinitionMessage\"-\n\nJobRequ" +
-      "est\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\372\001\n" +
-      "\021HostReportMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014h" +
-      "ost_address\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failu" +
-      "re_domain\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020m" +
-      "emory_mebibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 " +
-      "\001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010drain" +
-      "ing\030\n \001(\010\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010seque" +
-      "nce\030\014 \001(\004\"\036\n\013HostLeaving\022\017\n\007host_id\030\001 \001(" +
-      "\t\"\014\n\nReadQueues\"\r\n\013LeaderCheck\"\323\001\n\020Workf" +
-      "lowResponse\022*\n\006answer\030\001 \001(\0162\032.nettlering" +
-      ".WorkflowAnswer\022*\n\005phase\030\002 \001(\0162\033.nettler" +
-      "ing.JobPhaseMessage\022\024\n\014pending_jobs\030\003 \001(" +
-      "\r\022\032\n\022retry_after_millis\030\004 \001(\r\0225\n\006queues\030" +
-      "\005 \001(\0132%.nettlering.QueueConfigurationMes" +
-      "sage*\211\001\n\020StepTraitMessage\022\032\n\026STEP_TRAIT_" +
-      "UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022" +
-      "\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCH" +
-      "ECKPOINTING\020\005\022\t\n\005FILLS\020\006*\254\001\n\rRunEndMessa" +
-      "ge\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020" +
-      "\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nRU" +
-      "N_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE\020" +
-      "\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010*" +
-      "\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_O" +
-      "UTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIED" +
-      "\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_U" +
-      "NKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_" +
-      "PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013J" +
-      "OB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_F" +
-      "AILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016WorkflowA" +
-      "nswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017" +
-      "\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\r" +
-      "ANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027" +
-      "ANSWER_NO_CONFIGURATION\020\005B*\n\031org.nettler" +
-      "ing.wire.protoB\rWorkflowProtob\006proto3"
+      "\001(\r\"\233\001\n\006EndRun\022#\n\003run\030\001 \001(\0132\026.nettlering" +
+      ".RunMessage\022&\n\003how\030\002 \001(\0162\031.nettlering.Ru" +
+      "nEndMessage\022\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_" +
+      "crash\030\004 \001(\0162\034.nettlering.HostCrashMessag" +
+      "e\" \n\016ForgetWorkflow\022\016\n\006job_id\030\001 \001(\t\"E\n\rW" +
+      "orkflowBatch\0224\n\010commands\030\001 \003(\0132\".nettler" +
+      "ing.WorkflowCommandMessage\"E\n\016WorkflowRe" +
+      "sult\0223\n\007outcome\030\001 \001(\0162\".nettlering.Workf" +
+      "lowOutcomeMessage\"F\n\014QueueCommand\0226\n\007rep" +
+      "lace\030\001 \001(\0132%.nettlering.QueueConfigurati" +
+      "onMessage\"\'\n\013QueueResult\022\030\n\020version_in_f" +
+      "orce\030\001 \001(\004\"t\n\020WorkflowSnapshot\0225\n\006queues" +
+      "\030\001 \001(\0132%.nettlering.QueueConfigurationMe" +
+      "ssage\022)\n\004jobs\030\002 \003(\0132\033.nettlering.JobImag" +
+      "eMessage\"\375\001\n\017JobImageMessage\022\n\n\002id\030\001 \001(\t" +
+      "\022*\n\005terms\030\002 \001(\0132\033.nettlering.JobTermsMes" +
+      "sage\0224\n\ndefinition\030\003 \001(\0132 .nettlering.Jo" +
+      "bDefinitionMessage\022\027\n\017accepted_millis\030\004 " +
+      "\001(\003\022*\n\005phase\030\005 \001(\0162\033.nettlering.JobPhase" +
+      "Message\0227\n\013occurrences\030\006 \003(\0132\".nettlerin" +
+      "g.OccurrenceImageMessage\"U\n\026OccurrenceIm" +
+      "ageMessage\022\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(" +
+      "\0132\034.nettlering.StepImageMessage\"t\n\020StepI" +
+      "mageMessage\022\031\n\021last_gang_failure\030\001 \001(\r\022+" +
+      "\n\005tasks\030\002 \003(\0132\034.nettlering.TaskImageMess" +
+      "age\022\030\n\020failed_gang_runs\030\003 \003(\r\"\267\001\n\020TaskIm" +
+      "ageMessage\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures" +
+      "\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t" +
+      "\0221\n\013active_runs\030\005 \003(\0132\034.nettlering.Activ" +
+      "eRunMessage\022\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\nc" +
+      "rash_runs\030\007 \003(\r\"\237\003\n\017WorkflowRequest\022.\n\006s" +
+      "ubmit\030\001 \001(\0132\034.nettlering.SubmitJobReques" +
+      "tH\000\022&\n\004show\030\002 \001(\0132\026.nettlering.JobReques" +
+      "tH\000\022(\n\006cancel\030\003 \001(\0132\026.nettlering.JobRequ" +
+      "estH\000\0224\n\013host_report\030\004 \001(\0132\035.nettlering." +
+      "HostReportMessageH\000\022/\n\014host_leaving\030\005 \001(" +
+      "\0132\027.nettlering.HostLeavingH\000\022?\n\016replace_" +
+      "queues\030\006 \001(\0132%.nettlering.QueueConfigura" +
+      "tionMessageH\000\022-\n\013read_queues\030\007 \001(\0132\026.net" +
+      "tlering.ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027.ne" +
+      "ttlering.LeaderCheckH\000B\t\n\007request\"i\n\020Sub" +
+      "mitJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path" +
+      "\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nettlering." +
+      "JobDefinitionMessage\"-\n\nJobRequest\022\021\n\tau" +
+      "thority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\372\001\n\021HostRepo" +
+      "rtMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_addre" +
+      "ss\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain" +
+      "\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_meb" +
+      "ibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004ki" +
+      "nd\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010" +
+      "\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004" +
+      "\"\036\n\013HostLeaving\022\017\n\007host_id\030\001 \001(\t\"\014\n\nRead" +
+      "Queues\"\r\n\013LeaderCheck\"\323\001\n\020WorkflowRespon" +
+      "se\022*\n\006answer\030\001 \001(\0162\032.nettlering.Workflow" +
+      "Answer\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPh" +
+      "aseMessage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retr" +
+      "y_after_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.n" +
+      "ettlering.QueueConfigurationMessage*\211\001\n\020" +
+      "StepTraitMessage\022\032\n\026STEP_TRAIT_UNSPECIFI" +
+      "ED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECUL" +
+      "ATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTI" +
+      "NG\020\005\022\t\n\005FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026H" +
+      "OST_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CA" +
+      "USE\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEnd" +
+      "Message\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_" +
+      "DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022" +
+      "\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_A" +
+      "LONE\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LO" +
+      "ST\020\010*\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKF" +
+      "LOW_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_AP" +
+      "PLIED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKF" +
+      "LOW_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n" +
+      "\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001" +
+      "\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\n" +
+      "JOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016Work" +
+      "flowAnswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIE" +
+      "D\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020" +
+      "\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020" +
+      "\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005B*\n\031org.ne" +
+      "ttlering.wire.protoB\rWorkflowProtob\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32838,7 +33356,7 @@
     internal_static_nettlering_EndRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_EndRun_descriptor,
-        new java.lang.String[] { "Run", "How", "Checkpoint", });
+        new java.lang.String[] { "Run", "How", "Checkpoint", "HostCrash", });
     internal_static_nettlering_ForgetWorkflow_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_nettlering_ForgetWorkflow_fieldAccessorTable = new
@@ -32898,7 +33416,7 @@
     internal_static_nettlering_TaskImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskImageMessage_descriptor,
-        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", });
+        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", "CrashRuns", });
     internal_static_nettlering_WorkflowRequest_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_nettlering_WorkflowRequest_fieldAccessorTable = new
--- /dev/null
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowCommandCodecTest.java
@@ -0,0 +1,30 @@
+package org.nettlering.wire.codec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.nettlering.domain.workflow.RunId;
+import org.nettlering.domain.workflow.TaskId;
+import org.nettlering.domain.workflow.TerminalStatus;
+import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
+import org.nettlering.wire.proto.WorkflowProto.RunEndMessage;
+
+class WorkflowCommandCodecTest {
+    private static final RunId RUN = new RunId(TaskId.of("0123456789abcdef", 0, 1, 2), 3);
+
+    @ParameterizedTest
+    @EnumSource
+    void everyTerminalStatusIsRestored(TerminalStatus status) {
+        RecordTermination termination = new RecordTermination(RUN, status, "saved");
+        assertThat(WorkflowCommandCodec.decode(WorkflowCommandCodec.encode(termination)))
+                .isEqualTo(termination);
+    }
+
+    @Test
+    void aMemberOfTheVersionBeforeTakesAHostThatCrashedForLost() {
+        RecordTermination termination = new RecordTermination(RUN, TerminalStatus.CRASHED_HOST, "");
+        assertThat(WorkflowCommandCodec.encode(termination).getEnd().getHow()).isEqualTo(RunEndMessage.RUN_HOST_LOST);
+    }
+}
--- a/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
@@ -19,6 +19,7 @@
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.JobSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.OccurrenceSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.StepSnapshot;
+import org.nettlering.domain.workflow.WorkflowStateSnapshot.TaskSnapshot;
 import org.nettlering.wire.proto.WorkflowProto.StepImageMessage;
 import org.nettlering.wire.proto.WorkflowProto.WorkflowSnapshot;
 
@@ -54,14 +55,27 @@
                 .isEqualTo(snapshotWithFailedGangRuns(List.of(1, 2, 3)));
     }
 
+    @Test
+    void theRunsThatMayHaveCrashedTheirHostsAreRestored() {
+        TaskSnapshot task = new TaskSnapshot(3, 0, false, "", List.of(), List.of(1, 3), List.of(3));
+        WorkflowStateSnapshot snapshot = snapshotWith(new StepSnapshot(List.of(), List.of(task)));
+        assertThat(WorkflowSnapshotCodec.decode(
+                        WorkflowSnapshotCodec.encode(snapshot).build()))
+                .isEqualTo(snapshot);
+    }
+
     private static StepImageMessage.Builder step(WorkflowSnapshot.Builder snapshot) {
         return snapshot.getJobsBuilder(0).getOccurrencesBuilder(0).getStepsBuilder(0);
     }
 
     private static WorkflowStateSnapshot snapshotWithFailedGangRuns(List<Integer> failedRuns) {
+        return snapshotWith(new StepSnapshot(failedRuns, List.of()));
+    }
+
+    private static WorkflowStateSnapshot snapshotWith(StepSnapshot step) {
         JobTerms terms = new JobTerms("queue", "pool", new QueueTerms(0, 2, 1.5, 250, false));
         JobDefinition definition = new JobDefinition("work", List.of(GANG), Recurrence.ONCE);
-        OccurrenceSnapshot occurrence = new OccurrenceSnapshot(0, List.of(new StepSnapshot(failedRuns, List.of())));
+        OccurrenceSnapshot occurrence = new OccurrenceSnapshot(0, List.of(step));
         return new WorkflowStateSnapshot(List.of(
                 new JobSnapshot("0123456789abcdef", terms, definition, 5, JobPhase.QUEUED, List.of(occurrence))));
     }
