Do not send a start for which its host has shrunk too much

By the users' changed term a host's capacity shrinks and grows while it runs, and a start beyond it breaks LIMIT. Plans use the latest heartbeat, but a start that was committed before that heartbeat was sent all the same, however long the commit took. It now ends as not begun and is planned anew.

ChangingCapacityTest failed before: the start was sent. That a host with more runs than its new capacity starts nothing until it grows held already.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -517,6 +517,10 @@
         if (session.isTracking(run.run())) {
             return;
         }
+        if (exceedsCapacity(state, session)) {
+            endUnsentRun(run);
+            return;
+        }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
         if (throttledStarts.contains(run.run())) {
@@ -528,7 +532,15 @@
         stopIfUnneeded(state, run);
     }
 
-    /** Ends a run whose start is committed, but whose host has no session any more, so that no start command was sent. */
+    /** Returns whether a host has shrunk since its latest starts were planned, so that they do not fit any more. */
+    private static boolean exceedsCapacity(WorkflowState state, HostSession session) {
+        return state.allocationsOf(session.host().id())
+                .flatMap(allocations -> session.latestHeartbeat()
+                        .filter(heartbeat -> !allocations.allocated().fitsIn(heartbeat.capacity())))
+                .isPresent();
+    }
+
+    /** Ends a run whose start is committed, but whose start command is not sent: its host is gone or has shrunk. */
     private void endUnsentRun(ActiveRun run) {
         uncommittedTerminations.put(run.run(), new RecordTermination(run.run(), TerminalStatus.NOT_BEGUN, ""));
         evidenceByRun.put(run.run(), new TerminationEvidence.NotSent(false, false));
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostHeartbeat.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostHeartbeat.java
@@ -11,7 +11,7 @@
  * @param host the host incarnation, not null
  * @param pool the pool of the host, not null
  * @param failureDomain the failure domain of the host, not null
- * @param capacity the capacity for runs, not null
+ * @param capacity the capacity for runs, which may shrink and grow while the host runs, not null
  * @param kind the kind of machine, which also serves as a label, not null
  * @param rack the rack, which also serves as a label, empty if unknown, not null
  * @param draining true if the host is about to shut down and accepts no new runs
