Reproduce the faults of hosts reborn under their id

Hosts in memory that start again under the id that they had, with counts and clock anew. On the unchanged code a task that is done on such a host is started again, as the host discards its end before it was read; the host gets no run once its last heartbeat from before is old; a run lost with it isn't started again soon; a lease is measured by the clock of before, so that a task runs on two hosts at once; and crashes under a kept id don't count.

--- a/control/src/test/java/org/nettlering/control/workflow/CrashingHostsSite.java
+++ b/control/src/test/java/org/nettlering/control/workflow/CrashingHostsSite.java
@@ -50,10 +50,17 @@
     private final Set<String> longRunningJobs = new HashSet<>();
     private final Map<TaskId, Integer> startCounts = new HashMap<>();
     private final Map<RunId, Long> startNanos = new HashMap<>();
+    private final Set<RunId> activeRuns = new HashSet<>();
 
     /** How long a host that crashed stays down. */
     Duration downtime = Duration.ofSeconds(3);
 
+    /** Whether hosts that crashed start again under the id that they had. */
+    boolean idsKept;
+
+    /** The starts of tasks that were running elsewhere at that moment. */
+    final List<RunId> simultaneousStarts = new ArrayList<>();
+
     /** Whether the leader is replaced at each crash. */
     boolean leaderReplacedAtCrashes;
 
@@ -137,7 +144,7 @@
     /** Crashes a host, which starts again after the downtime. */
     void crash(int host) {
         hosts[host].crash();
-        time.schedule(downtime, () -> hosts[host] = newIncarnation(host));
+        time.schedule(downtime, () -> hosts[host] = idsKept ? hosts[host].reborn() : newIncarnation(host));
         if (leaderReplacedAtCrashes) {
             replaceLeader();
         }
@@ -182,6 +189,10 @@
 
     @Override
     public void runStarted(FakeHost host, RunId run) {
+        if (activeRuns.stream().anyMatch(other -> other.task().equals(run.task()))) {
+            simultaneousStarts.add(run);
+        }
+        activeRuns.add(run);
         startCounts.merge(run.task(), 1, Integer::sum);
         startNanos.put(run, time.nanoTime());
         if (deadlyJobs.contains(run.task().jobId())) {
@@ -198,7 +209,9 @@
     }
 
     @Override
-    public void runTerminated(FakeHost host, RunId run, TerminalStatus status) {}
+    public void runTerminated(FakeHost host, RunId run, TerminalStatus status) {
+        activeRuns.remove(run);
+    }
 
     @Override
     public void terminationAcknowledged(FakeHost host, RunId run, TerminalStatus status, boolean leaseHeld) {}
--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -34,6 +34,7 @@
 
     private final TimeSource time;
     private final long clockOffsetMillis;
+    private final long clockOriginNanos;
     private final Map<RunId, Long> running = new LinkedHashMap<>();
     private final Map<TaskId, Integer> highestTerminatedNumbers = new HashMap<>();
     private final List<ReportedTermination> unacknowledgedTerminations = new ArrayList<>();
@@ -60,10 +61,25 @@
     }
 
     FakeHost(String id, String address, TimeSource time, Listener listener) {
-        this.incarnation = new HostIncarnation(id, address);
+        this(new HostIncarnation(id, address), 1_000L * Math.abs(id.hashCode() % 1_000), 0, time, listener);
+    }
+
+    private FakeHost(
+            HostIncarnation incarnation,
+            long clockOffsetMillis,
+            long clockOriginNanos,
+            TimeSource time,
+            Listener listener) {
+        this.incarnation = incarnation;
+        this.clockOffsetMillis = clockOffsetMillis;
+        this.clockOriginNanos = clockOriginNanos;
         this.time = time;
         this.listener = listener;
-        clockOffsetMillis = 1_000L * Math.abs(id.hashCode() % 1_000);
+    }
+
+    /** Returns a host that starts again under its id: it knows nothing of before, and its counts and clock start anew. */
+    FakeHost reborn() {
+        return new FakeHost(incarnation, 0, time.nanoTime(), time, listener);
     }
 
     HostIncarnation incarnation() {
@@ -82,7 +98,7 @@
     }
 
     private long clockMillis() {
-        return clockOffsetMillis + time.nanoTime() / 1_000_000 * 99 / 100;
+        return clockOffsetMillis + (time.nanoTime() - clockOriginNanos) / 1_000_000 * 99 / 100;
     }
 
     /** Terminates the incarnation: all runs are lost, and later commands get no response. */
