--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -191,10 +191,10 @@
         return first;
     }
 
-    void hostShuttingDown(String hostId, long nowNanos) {
+    void hostShuttingDown(String hostId, long startMillis, long nowNanos) {
         HostSession session = sessions.get(hostId);
         if (session != null) {
-            session.handleShutdownNotice(nowNanos);
+            session.handleShutdownNotice(startMillis, nowNanos);
             markHostChanged(hostId);
         }
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -27,6 +27,7 @@
 import org.nettlering.wire.codec.WorkflowCommandCodec;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 import org.nettlering.wire.proto.FrameProto.Frame;
+import org.nettlering.wire.proto.WorkflowProto.HostLeaving;
 import org.nettlering.wire.proto.WorkflowProto.HostReportMessage;
 import org.nettlering.wire.proto.WorkflowProto.JobRequest;
 import org.nettlering.wire.proto.WorkflowProto.QueueCommand;
@@ -102,7 +103,7 @@
             case SHOW -> readConfirmed((state, queues) -> show(request.getShow(), state, queues));
             case CANCEL -> cancel(request.getCancel());
             case HOST_REPORT -> receiveHeartbeat(request.getHostReport());
-            case HOST_LEAVING -> hostShuttingDown(request.getHostLeaving().getHostId());
+            case HOST_LEAVING -> hostShuttingDown(request.getHostLeaving());
             case REPLACE_QUEUES -> replaceQueues(request.getReplaceQueues());
             case READ_QUEUES -> readConfirmed((state, queues) -> queuesResponse(queues));
             // A leader check needs no confirmation round; it may succeed on a deposed leader for a short time.
@@ -223,10 +224,11 @@
         return readConfirmed((state, queues) -> responseOf(WorkflowAnswer.ANSWER_DONE));
     }
 
-    private CompletionStage<WorkflowResponse> hostShuttingDown(String hostId) {
+    private CompletionStage<WorkflowResponse> hostShuttingDown(HostLeaving notice) {
+        String hostId = notice.getHostId();
         LOG.log(WorkflowEvent.HOST_SHUTTING_DOWN, hostId);
         loop.update(leadership -> {
-            leadership.hostShuttingDown(hostId, time.nanoTime());
+            leadership.hostShuttingDown(hostId, notice.getStartMillis(), time.nanoTime());
             return hostId;
         });
         return readConfirmed((state, queues) -> responseOf(WorkflowAnswer.ANSWER_DONE));
--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -35,6 +35,7 @@
     private final TimeSource time;
     private final long clockOffsetMillis;
     private final long clockOriginNanos;
+    private final long startMillis;
     private final Map<RunId, Long> running = new LinkedHashMap<>();
     private final Map<TaskId, Integer> highestTerminatedNumbers = new HashMap<>();
     private final List<ReportedTermination> unacknowledgedTerminations = new ArrayList<>();
@@ -73,6 +74,7 @@
         this.incarnation = incarnation;
         this.clockOffsetMillis = clockOffsetMillis;
         this.clockOriginNanos = clockOriginNanos;
+        startMillis = 1 + clockOriginNanos / 1_000_000;
         this.time = time;
         this.listener = listener;
     }
@@ -94,7 +96,16 @@
         heartbeatSequence++;
         Resources capacity = Resources.of(4_000, 4_000, 0);
         return new HostHeartbeat(
-                incarnation, "pool", "fd", capacity, "a", "r1", draining, clockMillis(), heartbeatSequence);
+                incarnation,
+                "pool",
+                "fd",
+                capacity,
+                "a",
+                "r1",
+                draining,
+                clockMillis(),
+                heartbeatSequence,
+                startMillis);
     }
 
     private long clockMillis() {
@@ -214,7 +225,7 @@
         List<ReportedRun> reportedRuns = running.keySet().stream()
                 .map(run -> new ReportedRun(run, "", progressPercent(run), 0))
                 .toList();
-        return new HostResponse.PollResult(clockMillis(), reportedRuns, unacknowledgedTerminations);
+        return new HostResponse.PollResult(clockMillis(), reportedRuns, unacknowledgedTerminations, startMillis);
     }
 
     /** Returns the progress of a run: one percent for each 250 ms, up to 99. */
--- a/control/src/test/java/org/nettlering/control/workflow/HostsRebornUnderTheirIdTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/HostsRebornUnderTheirIdTest.java
@@ -91,6 +91,17 @@
         assertThat(site.phase("deadly")).isEqualTo(JobPhase.FAILED);
     }
 
+    @Test
+    void crashesUnderAKeptIdAreCountedAlsoByNewLeaders() {
+        site = siteOf(3);
+        site.downtime = Duration.ofSeconds(3);
+        site.leaderReplacedAtCrashes = true;
+        site.submitDeadly("deadly", 1);
+        site.advance(60_000);
+        assertThat(site.starts("deadly", 0)).isBetween(2, 5);
+        assertThat(site.phase("deadly")).isEqualTo(JobPhase.FAILED);
+    }
+
     @Test
     void rebirthIsSeenAlsoByANewLeader() {
         site.submit("earlier", EARLIER_TASKS);
--- a/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LostRunsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand;
@@ -35,7 +36,7 @@
     void terminationsFromAPollInFlightAreAwaitedAfterTheHostShutsDown() {
         RunId run = startRun("a");
         HostCommand poll = acceptStartAndGetNextPoll();
-        leadership.hostShuttingDown(poll.host().id(), nowNanos);
+        leadership.hostShuttingDown(poll.host().id(), HostIncarnation.UNKNOWN_START, nowNanos);
         // Longer than the shutdown timeout, after which a host without a poll in flight counts as terminated.
         nowNanos += 1_600 * NANOS_PER_MILLI;
         leadership.markAllHostsDue();
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/CrashSuspects.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/CrashSuspects.java
@@ -10,11 +10,11 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 
 /**
- * The runs that may have caused the crash of a host: those that the host may have started and has not
- * shown at work for a while.
+ * The runs that may have caused the crash of a host: those that the host may have started and has not shown at work for a
+ * while.
  *
- * <p>A run that had been at work for a while when the host crashed is not a suspect: hosts crash for many reasons, and most runs on one that
- * crashes are not the cause. Suspects may be known before the crash: a silent host may only be cut off, which says nothing
+ * <p>A run that had been at work for a while is not a suspect: hosts crash for many reasons, and most runs on one that crashes
+ * are not the cause. Suspects may be known before the crash: a silent host may only be cut off, which says nothing
  * of its runs until another incarnation of it shows up. Not thread-safe.
  */
 final class CrashSuspects {
@@ -44,17 +44,17 @@
         lostRuns.clear();
     }
 
-    /** Returns the status of each suspect that was lost before its host was known to have crashed, and removes it. */
+    /** Returns the status of each suspect of a crash: those that were lost before it was known, and the given ones. */
+    TerminalStatus statusTogetherWith(List<RunId> suspects) {
+        return lostRuns.size() + suspects.size() == 1 ? TerminalStatus.CRASHED_HOST : TerminalStatus.CRASH_SUSPECT;
+    }
+
+    /** Removes the suspects that were lost before the crash was known, and returns their status. */
     List<RecordTermination> removeLost(List<RunId> otherSuspects) {
-        TerminalStatus status = statusOf(lostRuns.size() + otherSuspects.size());
+        TerminalStatus status = statusTogetherWith(otherSuspects);
         List<RecordTermination> terminations = new ArrayList<>();
         lostRuns.forEach(run -> terminations.add(new RecordTermination(run, status, "")));
         lostRuns.clear();
         return terminations;
     }
-
-    /** Returns the status of each of a number of suspects of the same crash. */
-    static TerminalStatus statusOf(int suspects) {
-        return suspects == 1 ? TerminalStatus.CRASHED_HOST : TerminalStatus.CRASH_SUSPECT;
-    }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostHeartbeat.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostHeartbeat.java
@@ -16,7 +16,8 @@
  * @param rack the rack, which also serves as a label, empty if unknown, not null
  * @param draining true if the host is about to shut down and accepts no new runs
  * @param clockMillis the host's monotonic clock, in milliseconds since an arbitrary origin
- * @param sequence the sequence number, which increases with each heartbeat
+ * @param sequence the sequence number, which increases with each heartbeat of an incarnation
+ * @param startMillis when the incarnation started, in milliseconds since 1970, or {@link HostIncarnation#UNKNOWN_START}
  */
 public record HostHeartbeat(
         HostIncarnation host,
@@ -27,7 +28,44 @@
         String rack,
         boolean draining,
         long clockMillis,
-        long sequence) {
+        long sequence,
+        long startMillis) {
+    /**
+     * Creates a heartbeat of a host that does not tell when it started.
+     *
+     * @param host the host incarnation, not null
+     * @param pool the pool of the host, not null
+     * @param failureDomain the failure domain of the host, not null
+     * @param capacity the capacity for runs, not null
+     * @param kind the kind of machine, not null
+     * @param rack the rack, empty if unknown, not null
+     * @param draining true if the host is about to shut down and accepts no new runs
+     * @param clockMillis the host's monotonic clock, in milliseconds since an arbitrary origin
+     * @param sequence the sequence number
+     */
+    public HostHeartbeat(
+            HostIncarnation host,
+            String pool,
+            String failureDomain,
+            Resources capacity,
+            String kind,
+            String rack,
+            boolean draining,
+            long clockMillis,
+            long sequence) {
+        this(
+                host,
+                pool,
+                failureDomain,
+                capacity,
+                kind,
+                rack,
+                draining,
+                clockMillis,
+                sequence,
+                HostIncarnation.UNKNOWN_START);
+    }
+
     /**
      * Returns whether the host has a label.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.NotSent;
 import org.nettlering.domain.workflow.host.HostResponse.OtherIncarnation;
@@ -127,7 +128,10 @@
     /** Handles a heartbeat; returns false if it is ignored because it is not newer than the latest one. */
     boolean handleHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
         HostHeartbeat previous = latestHeartbeat;
-        if (previous != null && heartbeat.sequence() <= previous.sequence()) {
+        boolean outdated = previous != null
+                && !HostIncarnation.isOtherStart(previous.startMillis(), heartbeat.startMillis())
+                && heartbeat.sequence() <= previous.sequence();
+        if (outdated) {
             return false;
         }
         latestHeartbeat = heartbeat;
@@ -142,6 +146,11 @@
                 || latestHeartbeat().filter(HostHeartbeat::draining).isPresent();
     }
 
+    /** Returns whether an incarnation that has terminated had announced that. */
+    boolean hasAnnouncedEnd() {
+        return isLeaving() || terminationEvidence instanceof TerminationEvidence.HostLeft;
+    }
+
     /** Handles the notice of the host that it is shutting down. */
     void handleShutdownNotice(long nowNanos) {
         shutdownAnnounced = true;
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
@@ -1,6 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
 import java.util.List;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 
@@ -19,9 +20,23 @@
      * @param clockMillis the host's clock, in milliseconds
      * @param running the active runs, not null
      * @param terminations the unacknowledged terminations, in the order of their sequence numbers, not null
+     * @param startMillis when the incarnation started, in milliseconds since 1970, or
+     *     {@link HostIncarnation#UNKNOWN_START}
      */
-    record PollResult(long clockMillis, List<ReportedRun> running, List<ReportedTermination> terminations)
+    record PollResult(
+            long clockMillis, List<ReportedRun> running, List<ReportedTermination> terminations, long startMillis)
             implements HostResponse {
+        /**
+         * Creates the result of a host that does not tell when it started.
+         *
+         * @param clockMillis the host's clock, in milliseconds
+         * @param running the active runs, not null
+         * @param terminations the unacknowledged terminations, not null
+         */
+        public PollResult(long clockMillis, List<ReportedRun> running, List<ReportedTermination> terminations) {
+            this(clockMillis, running, terminations, HostIncarnation.UNKNOWN_START);
+        }
+
         /** Copies the lists. */
         public PollResult {
             running = List.copyOf(running);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,7 +29,7 @@
 import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
 /**
- * Tracks one incarnation of a host during one leader term: the runs that may be active there, the commands due to it,
+ * Tracks a host with one id during one leader term, also if it starts again under that id: the runs that may be active there, the commands due to it,
  * and the terminations that its responses prove.
  *
  * <p>A termination is returned only on evidence that the run is over or was never started:
@@ -84,18 +85,20 @@
 
     private final long token;
 
-    private final HostLiveness liveness;
+    private final IncarnationTracker incarnation;
+
+    private HostLiveness liveness;
 
     /** The runs that may be active on the host. */
     private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
 
-    private final OrphanedRuns orphanedRuns = new OrphanedRuns();
+    private OrphanedRuns orphanedRuns = new OrphanedRuns();
 
-    private final TerminationTracker terminationTracker = new TerminationTracker();
+    private TerminationTracker terminationTracker = new TerminationTracker();
 
     private final CrashSuspects crashSuspects = new CrashSuspects();
 
-    private final HostLease lease;
+    private HostLease lease;
 
     /** Whether the host responded to a poll in this term. */
     private boolean pollSucceeded;
@@ -132,6 +135,7 @@
         this.host = host;
         this.timings = timings;
         this.token = token;
+        incarnation = new IncarnationTracker(nowNanos);
         liveness = new HostLiveness(nowNanos);
         lease = new HostLease(timings, nowNanos);
         nextPollNanos = nowNanos;
@@ -198,9 +202,15 @@
      *
      * @param heartbeat the heartbeat, not null
      * @param nowNanos the monotonic time
-     * @return false if the heartbeat is ignored because it is not newer than the latest one
+     * @return false if the heartbeat is ignored because it is not newer than the latest one, or waits for a poll response
+     *     that confirms that it is of the current incarnation
      */
     public boolean handleHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
+        if (incarnation.isOther(heartbeat.startMillis())) {
+            incarnation.keepUnconfirmed(heartbeat);
+            requireNewPoll(nowNanos);
+            return false;
+        }
         if (!liveness.handleHeartbeat(heartbeat, nowNanos)) {
             return false;
         }
@@ -211,12 +221,24 @@
     /**
      * Handles the notice of the host that it is shutting down.
      *
+     * @param startMillis when the incarnation that sent the notice started, in milliseconds since 1970, or
+     *     {@link HostIncarnation#UNKNOWN_START}
      * @param nowNanos the monotonic time
      */
-    public void handleShutdownNotice(long nowNanos) {
+    public void handleShutdownNotice(long startMillis, long nowNanos) {
+        if (incarnation.isOther(startMillis)) {
+            requireNewPoll(nowNanos);
+            return;
+        }
         liveness.handleShutdownNotice(nowNanos);
     }
 
+    /** Starts nothing more before the response to a poll has shown which incarnation is running. */
+    private void requireNewPoll(long nowNanos) {
+        pollSucceeded = false;
+        nextPollNanos = nowNanos;
+    }
+
     /**
      * Tracks a run that an earlier leader started.
      *
@@ -230,6 +252,7 @@
             tracked.markSpeedUnknown(nowNanos);
         }
         runs.put(run.run(), tracked);
+        incarnation.assumeStart(run.hostStartMillis());
         lease.markInherited();
     }
 
@@ -473,7 +496,28 @@
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
         boolean awaited = commandsInFlight.remove(command);
+        List<RecordTermination> endedWithIncarnation = new ArrayList<>();
+        if (response instanceof PollResult pollResult) {
+            switch (incarnation.identifySender(pollResult.startMillis(), sentNanos)) {
+                case CURRENT -> {}
+                case LATER -> endedWithIncarnation.addAll(onReborn(pollResult, sentNanos, nowNanos));
+                case EARLIER -> {
+                    pollInFlight &= !awaited;
+                    return List.of();
+                }
+            }
+        }
         recordContact(response, nowNanos);
+        List<RecordTermination> terminations = onResponse(command, awaited, sentNanos, response, nowNanos);
+        if (endedWithIncarnation.isEmpty()) {
+            return terminations;
+        }
+        endedWithIncarnation.addAll(terminations);
+        return endedWithIncarnation;
+    }
+
+    private List<RecordTermination> onResponse(
+            HostCommand command, boolean awaited, long sentNanos, HostResponse response, long nowNanos) {
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
             case HostCommand.Stop stop -> onStopResponse(stop, response, nowNanos);
@@ -486,6 +530,55 @@
         };
     }
 
+    /**
+     * Discards what is known of the incarnation that has terminated, and returns the terminations of the runs that were
+     * active there. The later incarnation may have executed a start that was sent before its rebirth was known, and may
+     * still execute one without a response.
+     */
+    private List<RecordTermination> onReborn(PollResult pollResult, long sentNanos, long nowNanos) {
+        boolean announced = liveness.isLeaving();
+        liveness = new HostLiveness(nowNanos);
+        incarnation.removeConfirmedHeartbeat().ifPresent(heartbeat -> liveness.handleHeartbeat(heartbeat, nowNanos));
+        lease = new HostLease(timings, nowNanos);
+        // Leases requested by the clock of the earlier incarnation are bounded only by the longest one.
+        lease.markInherited();
+        orphanedRuns = new OrphanedRuns();
+        terminationTracker = new TerminationTracker();
+        Set<RunId> reported = reportedRuns(pollResult);
+        List<TrackedRun> ended = runs.values().stream()
+                .filter(tracked -> !reported.contains(tracked.activeRun.run()))
+                .filter(tracked -> tracked.wasActiveBefore(sentNanos))
+                .toList();
+        runs.values().forEach(tracked -> tracked.forgetStopAcknowledgement(nowNanos));
+        return endWithIncarnation(ended, announced, new TerminationEvidence.Reborn(incarnation.startMillis()));
+    }
+
+    /** Returns the terminations of runs that were active on an incarnation that has terminated. */
+    private List<RecordTermination> endWithIncarnation(
+            Collection<TrackedRun> ended, boolean announced, TerminationEvidence evidence) {
+        List<RunId> suspects = CrashSuspects.among(ended);
+        List<RecordTermination> terminations = new ArrayList<>();
+        TerminalStatus suspectStatus = TerminalStatus.HOST_LOST;
+        if (announced) {
+            crashSuspects.clear();
+        } else {
+            suspectStatus = crashSuspects.statusTogetherWith(suspects);
+            terminations.addAll(crashSuspects.removeLost(suspects));
+        }
+        for (TrackedRun tracked : ended) {
+            TerminalStatus status = tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST;
+            terminations.add(recordTermination(tracked, status, evidence));
+        }
+        return terminations;
+    }
+
+    private static Set<RunId> reportedRuns(PollResult pollResult) {
+        Set<RunId> reported = new HashSet<>();
+        pollResult.running().forEach(running -> reported.add(running.run()));
+        pollResult.terminations().forEach(termination -> reported.add(termination.run()));
+        return reported;
+    }
+
     private List<RecordTermination> onThrottleResponse(
             HostCommand.Throttle throttle, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(throttle.run());
@@ -568,17 +661,17 @@
         Duration interval = poll.maxWaitMillis() > 0 ? MIN_POLL_INTERVAL : MIN_IMMEDIATE_POLL_INTERVAL;
         nextPollNanos = Math.max(nowNanos, sentNanos + interval.toNanos());
         terminationTracker.recordAcknowledged(poll.acknowledgedThrough());
-        Set<RunId> reported = new HashSet<>();
+        Set<RunId> reported = reportedRuns(pollResult);
         List<RecordTermination> terminations = new ArrayList<>();
         for (ReportedRun reportedRun : pollResult.running()) {
-            reported.add(reportedRun.run());
             handleReportedRun(reportedRun, nowNanos);
         }
         orphanedRuns.retain(reported);
         for (ReportedTermination termination : pollResult.terminations()) {
-            reported.add(termination.run());
             handleReportedTermination(termination, terminations);
         }
+        // Whatever was suspected of the silence of the host, it has not crashed.
+        crashSuspects.clear();
         for (TrackedRun tracked : runs.values()) {
             if (!tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run())) {
                 handleUnreportedRun(tracked, sentNanos, terminations);
@@ -671,57 +764,37 @@
      * @return the terminations, to be committed to the log, never null
      */
     public List<RecordTermination> inferTerminations(long nowNanos) {
-        List<RecordTermination> terminations = new ArrayList<>();
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
-        boolean runsLost = areRunsLost(nowNanos);
-        List<RunId> suspects = incarnationTerminated || runsLost ? CrashSuspects.among(runs.values()) : List.of();
+        List<RecordTermination> terminations = new ArrayList<>(endUnsentRuns(incarnationTerminated));
+        List<TrackedRun> sent =
+                runs.values().stream().filter(TrackedRun::mayBeActive).toList();
         if (incarnationTerminated) {
-            terminations.addAll(lateCrashes(suspects));
-        } else {
-            crashSuspects.addLost(suspects);
+            terminations.addAll(endWithIncarnation(sent, liveness.hasAnnouncedEnd(), liveness.terminationEvidence()));
+        } else if (areRunsLost(nowNanos)) {
+            crashSuspects.addLost(CrashSuspects.among(sent));
+            TerminationEvidence evidence = leaseExpiryEvidence(nowNanos);
+            sent.forEach(tracked -> terminations.add(recordTermination(tracked, TerminalStatus.HOST_LOST, evidence)));
         }
-        TerminalStatus suspectStatus =
-                isCrash(incarnationTerminated) ? CrashSuspects.statusOf(suspects.size()) : TerminalStatus.HOST_LOST;
+        return terminations;
+    }
+
+    /** Returns the terminations of runs whose start is not sent any more; the lease does not cover them. */
+    private List<RecordTermination> endUnsentRuns(boolean incarnationTerminated) {
+        List<RecordTermination> terminations = new ArrayList<>();
         for (TrackedRun tracked : runs.values()) {
-            if (tracked.isTerminationFound()) {
-                continue;
-            }
-            if (tracked.stage == Stage.START_PENDING) {
-                // The lease does not cover a run whose start has not been sent.
-                if (tracked.stopRequested || incarnationTerminated || liveness.isUnresponsive()) {
-                    TerminationEvidence notSent =
-                            new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive());
-                    terminations.add(recordTermination(
-                            tracked,
-                            TerminalStatus.NOT_BEGUN,
-                            incarnationTerminated ? liveness.terminationEvidence() : notSent));
-                }
-            } else if (incarnationTerminated || runsLost) {
+            boolean unsent = tracked.stage == Stage.START_PENDING && !tracked.isTerminationFound();
+            if (unsent && (tracked.stopRequested || incarnationTerminated || liveness.isUnresponsive())) {
+                TerminationEvidence notSent =
+                        new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive());
                 terminations.add(recordTermination(
                         tracked,
-                        tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST,
-                        incarnationTerminated ? liveness.terminationEvidence() : leaseExpiryEvidence(nowNanos)));
+                        TerminalStatus.NOT_BEGUN,
+                        incarnationTerminated ? liveness.terminationEvidence() : notSent));
             }
         }
         return terminations;
     }
 
-    /** Returns whether the incarnation has terminated without having announced it. */
-    private boolean isCrash(boolean incarnationTerminated) {
-        return incarnationTerminated
-                && liveness.terminationEvidence() instanceof TerminationEvidence.OtherLife
-                && !liveness.isLeaving();
-    }
-
-    /** Returns the crashes that runs are suspected of which were lost before the crash of their host was known. */
-    private List<RecordTermination> lateCrashes(List<RunId> suspects) {
-        if (isCrash(true)) {
-            return crashSuspects.removeLost(suspects);
-        }
-        crashSuspects.clear();
-        return List.of();
-    }
-
     /**
      * Returns whether the lease has expired and the host's own report of the terminations is no longer awaited.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
@@ -37,6 +37,13 @@
     /** Another incarnation of the host responds at its address. */
     record OtherLife() implements TerminationEvidence {}
 
+    /**
+     * The host has started again under its id, and does not report the run.
+     *
+     * @param startMillis when it started, in milliseconds since 1970
+     */
+    record Reborn(long startMillis) implements TerminationEvidence {}
+
     /** The host announced its shutdown, and the time after which it counts as terminated has passed. */
     record HostLeft() implements TerminationEvidence {}
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -133,6 +133,20 @@
         return termination != null;
     }
 
+    /** Returns whether the host may have received the start of the run, and no termination is known. */
+    boolean mayBeActive() {
+        return stage != Stage.START_PENDING && !isTerminationFound();
+    }
+
+    /**
+     * Returns whether a host that does not report the run would have executed its start before a poll was sent, if ever: it had
+     * confirmed it, or an earlier leader had sent it, whose commands the poll ended.
+     */
+    boolean wasActiveBefore(long pollSentNanos) {
+        boolean confirmed = stage == Stage.CONFIRMED && pollSentNanos - confirmedNanos >= 0;
+        return (confirmed || stage == Stage.INHERITED) && !isTerminationFound();
+    }
+
     /** Returns whether the run, if it is active, may crash its host by being started. */
     boolean isUnproven() {
         return !provenHarmless && !isTerminationFound();
@@ -186,6 +200,12 @@
         return pending ? OptionalLong.of(nextStopNanos) : OptionalLong.empty();
     }
 
+    /** Has a requested stop sent again, because the incarnation that acknowledged it has terminated. */
+    void forgetStopAcknowledgement(long nowNanos) {
+        stopAcknowledged = false;
+        nextStopNanos = nowNanos;
+    }
+
     private HostCommand createStop(long token) {
         stopInFlight = true;
         return new HostCommand.Stop(activeRun.host(), token, activeRun.run());
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -132,6 +132,10 @@
         return heartbeat.host();
     }
 
+    long hostStartMillis() {
+        return heartbeat.startMillis();
+    }
+
     String rack() {
         return heartbeat.rack();
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -265,6 +265,6 @@
     private static StartRun newStart(
             StepProgress step, int index, int runNumber, String checkpoint, FreeCapacity capacity) {
         RunId runId = new RunId(new TaskId(step.id(), index), runNumber);
-        return new StartRun(new ActiveRun(runId, capacity.host(), checkpoint));
+        return new StartRun(new ActiveRun(runId, capacity.host(), checkpoint, capacity.hostStartMillis()));
     }
 }
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostRefusalTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostRefusalTest.java
@@ -52,7 +52,7 @@
     @Test
     void aHostThatAnnouncedItsShutdownIsRefused() {
         connect();
-        session.handleShutdownNotice(2 * NANOS_PER_MILLI);
+        session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, 2 * NANOS_PER_MILLI);
         assertRefused(HostRefusal.SHUTTING_DOWN, 2);
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
@@ -277,9 +278,9 @@
     void contactAfterShutdownNoticePostponesTermination() {
         makeSchedulable();
         respond(takeStart(), new Accepted(hostClockMillis));
-        session.handleShutdownNotice(nowNanos);
+        session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, nowNanos);
         advance(1_400);
-        session.handleShutdownNotice(nowNanos);
+        session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, nowNanos);
         advance(1_400);
         respondToPoll(List.of(new ReportedRun(RUN, "", 10, 0)), List.of());
         advanceWithoutResponses(1_400);
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.ActiveRun;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
@@ -64,7 +65,7 @@
         sendHeartbeat();
         HostCommand poll = session.takeDueCommands(0).getFirst();
         startRun();
-        session.handleShutdownNotice(0);
+        session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, 0);
         session.handleResponse(poll, 0, new HostResponse.NoResponse("closed"), 0);
         session.inferTerminations(millis(1_600));
         assertThat(session.evidenceOf(RUN)).contains(new TerminationEvidence.HostLeft());
--- a/wire/src/main/java/org/nettlering/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/HostReportCodec.java
@@ -29,6 +29,7 @@
                 .setDraining(report.draining())
                 .setClockMillis(report.clockMillis())
                 .setSequence(report.sequence())
+                .setStartMillis(report.startMillis())
                 .build();
     }
 
@@ -48,6 +49,7 @@
                 message.getRack(),
                 message.getDraining(),
                 message.getClockMillis(),
-                message.getSequence());
+                message.getSequence(),
+                message.getStartMillis());
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -127,6 +127,7 @@
                 .setHostId(run.host().id())
                 .setHostAddress(run.host().address())
                 .setCheckpoint(run.checkpoint())
+                .setHostStartMillis(run.hostStartMillis())
                 .build();
     }
 
@@ -134,7 +135,8 @@
         return new ActiveRun(
                 decode(message.getRun()),
                 new HostIncarnation(message.getHostId(), message.getHostAddress()),
-                message.getCheckpoint());
+                message.getCheckpoint(),
+                message.getHostStartMillis());
     }
 
     private static RunMessage encode(RunId run) {
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -10560,6 +10560,16 @@
      */
     com.google.protobuf.ByteString
         getCheckpointBytes();
+
+    /**
+     * <pre>
+     * When the host had started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 host_start_millis = 5;</code>
+     * @return The hostStartMillis.
+     */
+    long getHostStartMillis();
   }
   /**
    * Protobuf type {@code nettlering.ActiveRunMessage}
@@ -10750,6 +10760,21 @@
       }
     }
 
+    public static final int HOST_START_MILLIS_FIELD_NUMBER = 5;
+    private long hostStartMillis_ = 0L;
+    /**
+     * <pre>
+     * When the host had started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 host_start_millis = 5;</code>
+     * @return The hostStartMillis.
+     */
+    @java.lang.Override
+    public long getHostStartMillis() {
+      return hostStartMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -10776,6 +10801,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 4, checkpoint_);
       }
+      if (hostStartMillis_ != 0L) {
+        output.writeUInt64(5, hostStartMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -10793,6 +10821,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(4, checkpoint_);
       }
+      if (hostStartMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, hostStartMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -10828,6 +10860,8 @@
           .equals(other.getHostAddress())) return false;
       if (!getCheckpoint()
           .equals(other.getCheckpoint())) return false;
+      if (getHostStartMillis()
+          != other.getHostStartMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -10849,6 +10883,9 @@
       hash = (53 * hash) + getHostAddress().hashCode();
       hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
       hash = (53 * hash) + getCheckpoint().hashCode();
+      hash = (37 * hash) + HOST_START_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHostStartMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -10994,6 +11031,7 @@
         hostId_ = "";
         hostAddress_ = "";
         checkpoint_ = "";
+        hostStartMillis_ = 0L;
         return this;
       }
 
@@ -11043,6 +11081,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.checkpoint_ = checkpoint_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.hostStartMillis_ = hostStartMillis_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -11076,6 +11117,9 @@
           bitField0_ |= 0x00000008;
           onChanged();
         }
+        if (other.getHostStartMillis() != 0L) {
+          setHostStartMillis(other.getHostStartMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -11122,6 +11166,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 34
+              case 40: {
+                hostStartMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11474,6 +11523,50 @@
         return this;
       }
 
+      private long hostStartMillis_ ;
+      /**
+       * <pre>
+       * When the host had started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 host_start_millis = 5;</code>
+       * @return The hostStartMillis.
+       */
+      @java.lang.Override
+      public long getHostStartMillis() {
+        return hostStartMillis_;
+      }
+      /**
+       * <pre>
+       * When the host had started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 host_start_millis = 5;</code>
+       * @param value The hostStartMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostStartMillis(long value) {
+
+        hostStartMillis_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * When the host had started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 host_start_millis = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHostStartMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        hostStartMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.ActiveRunMessage)
     }
 
@@ -29174,6 +29267,16 @@
      * @return The sequence.
      */
     long getSequence();
+
+    /**
+     * <pre>
+     * When the host started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 start_millis = 13;</code>
+     * @return The startMillis.
+     */
+    long getStartMillis();
   }
   /**
    * Protobuf type {@code nettlering.HostReportMessage}
@@ -29523,6 +29626,21 @@
       return sequence_;
     }
 
+    public static final int START_MILLIS_FIELD_NUMBER = 13;
+    private long startMillis_ = 0L;
+    /**
+     * <pre>
+     * When the host started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 start_millis = 13;</code>
+     * @return The startMillis.
+     */
+    @java.lang.Override
+    public long getStartMillis() {
+      return startMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -29573,6 +29691,9 @@
       if (sequence_ != 0L) {
         output.writeUInt64(12, sequence_);
       }
+      if (startMillis_ != 0L) {
+        output.writeUInt64(13, startMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -29619,6 +29740,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(12, sequence_);
       }
+      if (startMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(13, startMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -29667,6 +29792,8 @@
           != other.getClockMillis()) return false;
       if (getSequence()
           != other.getSequence()) return false;
+      if (getStartMillis()
+          != other.getStartMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -29707,6 +29834,9 @@
       hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSequence());
+      hash = (37 * hash) + START_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -29850,6 +29980,7 @@
         draining_ = false;
         clockMillis_ = 0L;
         sequence_ = 0L;
+        startMillis_ = 0L;
         return this;
       }
 
@@ -29919,6 +30050,9 @@
         if (((from_bitField0_ & 0x00000800) != 0)) {
           result.sequence_ = sequence_;
         }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          result.startMillis_ = startMillis_;
+        }
       }
 
       @java.lang.Override
@@ -29981,6 +30115,9 @@
         if (other.getSequence() != 0L) {
           setSequence(other.getSequence());
         }
+        if (other.getStartMillis() != 0L) {
+          setStartMillis(other.getStartMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -30065,6 +30202,11 @@
                 bitField0_ |= 0x00000800;
                 break;
               } // case 96
+              case 104: {
+                startMillis_ = input.readUInt64();
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 104
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -30706,6 +30848,50 @@
         return this;
       }
 
+      private long startMillis_ ;
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @return The startMillis.
+       */
+      @java.lang.Override
+      public long getStartMillis() {
+        return startMillis_;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @param value The startMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartMillis(long value) {
+
+        startMillis_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartMillis() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        startMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.HostReportMessage)
     }
 
@@ -30772,6 +30958,16 @@
      */
     com.google.protobuf.ByteString
         getHostIdBytes();
+
+    /**
+     * <pre>
+     * When the host started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 start_millis = 2;</code>
+     * @return The startMillis.
+     */
+    long getStartMillis();
   }
   /**
    * Protobuf type {@code nettlering.HostLeaving}
@@ -30855,6 +31051,21 @@
       }
     }
 
+    public static final int START_MILLIS_FIELD_NUMBER = 2;
+    private long startMillis_ = 0L;
+    /**
+     * <pre>
+     * When the host started, in milliseconds since 1970; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 start_millis = 2;</code>
+     * @return The startMillis.
+     */
+    @java.lang.Override
+    public long getStartMillis() {
+      return startMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -30872,6 +31083,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(hostId_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, hostId_);
       }
+      if (startMillis_ != 0L) {
+        output.writeUInt64(2, startMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -30879,6 +31093,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(hostId_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, hostId_);
       }
+      if (startMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, startMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -30905,6 +31123,8 @@
 
       if (!getHostId()
           .equals(other.getHostId())) return false;
+      if (getStartMillis()
+          != other.getStartMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -30918,6 +31138,9 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + HOST_ID_FIELD_NUMBER;
       hash = (53 * hash) + getHostId().hashCode();
+      hash = (37 * hash) + START_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -31050,6 +31273,7 @@
         super.clear();
         bitField0_ = 0;
         hostId_ = "";
+        startMillis_ = 0L;
         return this;
       }
 
@@ -31086,6 +31310,9 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.hostId_ = hostId_;
         }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.startMillis_ = startMillis_;
+        }
       }
 
       @java.lang.Override
@@ -31105,6 +31332,9 @@
           bitField0_ |= 0x00000001;
           onChanged();
         }
+        if (other.getStartMillis() != 0L) {
+          setStartMillis(other.getStartMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -31134,6 +31364,11 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
+              case 16: {
+                startMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31223,6 +31458,50 @@
         return this;
       }
 
+      private long startMillis_ ;
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @return The startMillis.
+       */
+      @java.lang.Override
+      public long getStartMillis() {
+        return startMillis_;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @param value The startMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartMillis(long value) {
+
+        startMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.HostLeaving)
     }
 
@@ -33163,105 +33442,106 @@
       "\030\003 \001(\0132\035.nettlering.QueueTermsMessage\"]\n" +
       "\nRunMessage\022\016\n\006job_id\030\001 \001(\t\022\022\n\noccurrenc" +
       "e\030\002 \001(\r\022\014\n\004step\030\003 \001(\r\022\r\n\005index\030\004 \001(\r\022\016\n\006" +
-      "number\030\005 \001(\r\"r\n\020ActiveRunMessage\022#\n\003run\030" +
-      "\001 \001(\0132\026.nettlering.RunMessage\022\017\n\007host_id" +
-      "\030\002 \001(\t\022\024\n\014host_address\030\003 \001(\t\022\022\n\ncheckpoi" +
-      "nt\030\004 \001(\t\"\331\002\n\026WorkflowCommandMessage\022,\n\006s" +
-      "ubmit\030\001 \001(\0132\032.nettlering.SubmitWorkflowH" +
-      "\000\022,\n\006cancel\030\002 \001(\0132\032.nettlering.CancelWor" +
-      "kflowH\000\022,\n\005begin\030\003 \001(\0132\033.nettlering.Begi" +
-      "nOccurrenceH\000\022-\n\005start\030\004 \001(\0132\034.nettlerin" +
-      "g.ActiveRunMessageH\000\022!\n\003end\030\005 \001(\0132\022.nett" +
-      "lering.EndRunH\000\022,\n\006forget\030\006 \001(\0132\032.nettle" +
-      "ring.ForgetWorkflowH\000\022*\n\005batch\030\007 \001(\0132\031.n" +
-      "ettlering.WorkflowBatchH\000B\t\n\007command\"\233\001\n" +
-      "\016SubmitWorkflow\022\016\n\006job_id\030\001 \001(\t\022*\n\005terms" +
-      "\030\002 \001(\0132\033.nettlering.JobTermsMessage\0224\n\nd" +
-      "efinition\030\003 \001(\0132 .nettlering.JobDefiniti" +
-      "onMessage\022\027\n\017accepted_millis\030\004 \001(\003\" \n\016Ca" +
-      "ncelWorkflow\022\016\n\006job_id\030\001 \001(\t\"5\n\017BeginOcc" +
-      "urrence\022\016\n\006job_id\030\001 \001(\t\022\022\n\noccurrence\030\002 " +
-      "\001(\r\"\233\001\n\006EndRun\022#\n\003run\030\001 \001(\0132\026.nettlering" +
-      ".RunMessage\022&\n\003how\030\002 \001(\0162\031.nettlering.Ru" +
-      "nEndMessage\022\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_" +
-      "crash\030\004 \001(\0162\034.nettlering.HostCrashMessag" +
-      "e\" \n\016ForgetWorkflow\022\016\n\006job_id\030\001 \001(\t\"E\n\rW" +
-      "orkflowBatch\0224\n\010commands\030\001 \003(\0132\".nettler" +
-      "ing.WorkflowCommandMessage\"E\n\016WorkflowRe" +
-      "sult\0223\n\007outcome\030\001 \001(\0162\".nettlering.Workf" +
-      "lowOutcomeMessage\"F\n\014QueueCommand\0226\n\007rep" +
-      "lace\030\001 \001(\0132%.nettlering.QueueConfigurati" +
-      "onMessage\"\'\n\013QueueResult\022\030\n\020version_in_f" +
-      "orce\030\001 \001(\004\"t\n\020WorkflowSnapshot\0225\n\006queues" +
-      "\030\001 \001(\0132%.nettlering.QueueConfigurationMe" +
-      "ssage\022)\n\004jobs\030\002 \003(\0132\033.nettlering.JobImag" +
-      "eMessage\"\375\001\n\017JobImageMessage\022\n\n\002id\030\001 \001(\t" +
-      "\022*\n\005terms\030\002 \001(\0132\033.nettlering.JobTermsMes" +
-      "sage\0224\n\ndefinition\030\003 \001(\0132 .nettlering.Jo" +
-      "bDefinitionMessage\022\027\n\017accepted_millis\030\004 " +
-      "\001(\003\022*\n\005phase\030\005 \001(\0162\033.nettlering.JobPhase" +
-      "Message\0227\n\013occurrences\030\006 \003(\0132\".nettlerin" +
-      "g.OccurrenceImageMessage\"U\n\026OccurrenceIm" +
-      "ageMessage\022\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(" +
-      "\0132\034.nettlering.StepImageMessage\"t\n\020StepI" +
-      "mageMessage\022\031\n\021last_gang_failure\030\001 \001(\r\022+" +
-      "\n\005tasks\030\002 \003(\0132\034.nettlering.TaskImageMess" +
-      "age\022\030\n\020failed_gang_runs\030\003 \003(\r\"\267\001\n\020TaskIm" +
-      "ageMessage\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures" +
-      "\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t" +
-      "\0221\n\013active_runs\030\005 \003(\0132\034.nettlering.Activ" +
-      "eRunMessage\022\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\nc" +
-      "rash_runs\030\007 \003(\r\"\237\003\n\017WorkflowRequest\022.\n\006s" +
-      "ubmit\030\001 \001(\0132\034.nettlering.SubmitJobReques" +
-      "tH\000\022&\n\004show\030\002 \001(\0132\026.nettlering.JobReques" +
-      "tH\000\022(\n\006cancel\030\003 \001(\0132\026.nettlering.JobRequ" +
-      "estH\000\0224\n\013host_report\030\004 \001(\0132\035.nettlering." +
-      "HostReportMessageH\000\022/\n\014host_leaving\030\005 \001(" +
-      "\0132\027.nettlering.HostLeavingH\000\022?\n\016replace_" +
-      "queues\030\006 \001(\0132%.nettlering.QueueConfigura" +
-      "tionMessageH\000\022-\n\013read_queues\030\007 \001(\0132\026.net" +
-      "tlering.ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027.ne" +
-      "ttlering.LeaderCheckH\000B\t\n\007request\"i\n\020Sub" +
-      "mitJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path" +
-      "\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nettlering." +
-      "JobDefinitionMessage\"-\n\nJobRequest\022\021\n\tau" +
-      "thority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\372\001\n\021HostRepo" +
-      "rtMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_addre" +
-      "ss\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain" +
-      "\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_meb" +
-      "ibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004ki" +
-      "nd\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010" +
-      "\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004" +
-      "\"\036\n\013HostLeaving\022\017\n\007host_id\030\001 \001(\t\"\014\n\nRead" +
-      "Queues\"\r\n\013LeaderCheck\"\323\001\n\020WorkflowRespon" +
-      "se\022*\n\006answer\030\001 \001(\0162\032.nettlering.Workflow" +
-      "Answer\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPh" +
-      "aseMessage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retr" +
-      "y_after_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.n" +
-      "ettlering.QueueConfigurationMessage*\211\001\n\020" +
-      "StepTraitMessage\022\032\n\026STEP_TRAIT_UNSPECIFI" +
-      "ED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECUL" +
-      "ATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTI" +
-      "NG\020\005\022\t\n\005FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026H" +
-      "OST_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CA" +
-      "USE\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEnd" +
-      "Message\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_" +
-      "DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022" +
-      "\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_A" +
-      "LONE\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LO" +
-      "ST\020\010*\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKF" +
-      "LOW_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_AP" +
-      "PLIED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKF" +
-      "LOW_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n" +
-      "\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001" +
-      "\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\n" +
-      "JOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016Work" +
-      "flowAnswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIE" +
-      "D\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020" +
-      "\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020" +
-      "\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005B*\n\031org.ne" +
-      "ttlering.wire.protoB\rWorkflowProtob\006prot" +
-      "o3"
+      "number\030\005 \001(\r\"\215\001\n\020ActiveRunMessage\022#\n\003run" +
+      "\030\001 \001(\0132\026.nettlering.RunMessage\022\017\n\007host_i" +
+      "d\030\002 \001(\t\022\024\n\014host_address\030\003 \001(\t\022\022\n\ncheckpo" +
+      "int\030\004 \001(\t\022\031\n\021host_start_millis\030\005 \001(\004\"\331\002\n" +
+      "\026WorkflowCommandMessage\022,\n\006submit\030\001 \001(\0132" +
+      "\032.nettlering.SubmitWorkflowH\000\022,\n\006cancel\030" +
+      "\002 \001(\0132\032.nettlering.CancelWorkflowH\000\022,\n\005b" +
+      "egin\030\003 \001(\0132\033.nettlering.BeginOccurrenceH" +
+      "\000\022-\n\005start\030\004 \001(\0132\034.nettlering.ActiveRunM" +
+      "essageH\000\022!\n\003end\030\005 \001(\0132\022.nettlering.EndRu" +
+      "nH\000\022,\n\006forget\030\006 \001(\0132\032.nettlering.ForgetW" +
+      "orkflowH\000\022*\n\005batch\030\007 \001(\0132\031.nettlering.Wo" +
+      "rkflowBatchH\000B\t\n\007command\"\233\001\n\016SubmitWorkf" +
+      "low\022\016\n\006job_id\030\001 \001(\t\022*\n\005terms\030\002 \001(\0132\033.net" +
+      "tlering.JobTermsMessage\0224\n\ndefinition\030\003 " +
+      "\001(\0132 .nettlering.JobDefinitionMessage\022\027\n" +
+      "\017accepted_millis\030\004 \001(\003\" \n\016CancelWorkflow" +
+      "\022\016\n\006job_id\030\001 \001(\t\"5\n\017BeginOccurrence\022\016\n\006j" +
+      "ob_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\"\233\001\n\006EndR" +
+      "un\022#\n\003run\030\001 \001(\0132\026.nettlering.RunMessage\022" +
+      "&\n\003how\030\002 \001(\0162\031.nettlering.RunEndMessage\022" +
+      "\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_crash\030\004 \001(\0162" +
+      "\034.nettlering.HostCrashMessage\" \n\016ForgetW" +
+      "orkflow\022\016\n\006job_id\030\001 \001(\t\"E\n\rWorkflowBatch" +
+      "\0224\n\010commands\030\001 \003(\0132\".nettlering.Workflow" +
+      "CommandMessage\"E\n\016WorkflowResult\0223\n\007outc" +
+      "ome\030\001 \001(\0162\".nettlering.WorkflowOutcomeMe" +
+      "ssage\"F\n\014QueueCommand\0226\n\007replace\030\001 \001(\0132%" +
+      ".nettlering.QueueConfigurationMessage\"\'\n" +
+      "\013QueueResult\022\030\n\020version_in_force\030\001 \001(\004\"t" +
+      "\n\020WorkflowSnapshot\0225\n\006queues\030\001 \001(\0132%.net" +
+      "tlering.QueueConfigurationMessage\022)\n\004job" +
+      "s\030\002 \003(\0132\033.nettlering.JobImageMessage\"\375\001\n" +
+      "\017JobImageMessage\022\n\n\002id\030\001 \001(\t\022*\n\005terms\030\002 " +
+      "\001(\0132\033.nettlering.JobTermsMessage\0224\n\ndefi" +
+      "nition\030\003 \001(\0132 .nettlering.JobDefinitionM" +
+      "essage\022\027\n\017accepted_millis\030\004 \001(\003\022*\n\005phase" +
+      "\030\005 \001(\0162\033.nettlering.JobPhaseMessage\0227\n\013o" +
+      "ccurrences\030\006 \003(\0132\".nettlering.Occurrence" +
+      "ImageMessage\"U\n\026OccurrenceImageMessage\022\016" +
+      "\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.nettleri" +
+      "ng.StepImageMessage\"t\n\020StepImageMessage\022" +
+      "\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks\030\002 \003(" +
+      "\0132\034.nettlering.TaskImageMessage\022\030\n\020faile" +
+      "d_gang_runs\030\003 \003(\r\"\267\001\n\020TaskImageMessage\022\020" +
+      "\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004do" +
+      "ne\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013active_r" +
+      "uns\030\005 \003(\0132\034.nettlering.ActiveRunMessage\022" +
+      "\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\ncrash_runs\030\007 " +
+      "\003(\r\"\237\003\n\017WorkflowRequest\022.\n\006submit\030\001 \001(\0132" +
+      "\034.nettlering.SubmitJobRequestH\000\022&\n\004show\030" +
+      "\002 \001(\0132\026.nettlering.JobRequestH\000\022(\n\006cance" +
+      "l\030\003 \001(\0132\026.nettlering.JobRequestH\000\0224\n\013hos" +
+      "t_report\030\004 \001(\0132\035.nettlering.HostReportMe" +
+      "ssageH\000\022/\n\014host_leaving\030\005 \001(\0132\027.nettleri" +
+      "ng.HostLeavingH\000\022?\n\016replace_queues\030\006 \001(\013" +
+      "2%.nettlering.QueueConfigurationMessageH" +
+      "\000\022-\n\013read_queues\030\007 \001(\0132\026.nettlering.Read" +
+      "QueuesH\000\022(\n\005check\030\010 \001(\0132\027.nettlering.Lea" +
+      "derCheckH\000B\t\n\007request\"i\n\020SubmitJobReques" +
+      "t\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0224\n\nde" +
+      "finition\030\003 \001(\0132 .nettlering.JobDefinitio" +
+      "nMessage\"-\n\nJobRequest\022\021\n\tauthority\030\001 \001(" +
+      "\t\022\014\n\004path\030\002 \001(\t\"\220\002\n\021HostReportMessage\022\017\n" +
+      "\007host_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(\t\022\014\n\004" +
+      "pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\022\n\nmi" +
+      "llicores\030\005 \001(\004\022\030\n\020memory_mebibytes\030\006 \001(\004" +
+      "\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004" +
+      "rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clock_mi" +
+      "llis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\022\024\n\014start_mi" +
+      "llis\030\r \001(\004\"4\n\013HostLeaving\022\017\n\007host_id\030\001 \001" +
+      "(\t\022\024\n\014start_millis\030\002 \001(\004\"\014\n\nReadQueues\"\r" +
+      "\n\013LeaderCheck\"\323\001\n\020WorkflowResponse\022*\n\006an" +
+      "swer\030\001 \001(\0162\032.nettlering.WorkflowAnswer\022*" +
+      "\n\005phase\030\002 \001(\0162\033.nettlering.JobPhaseMessa" +
+      "ge\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_after_" +
+      "millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nettlerin" +
+      "g.QueueConfigurationMessage*\211\001\n\020StepTrai" +
+      "tMessage\022\032\n\026STEP_TRAIT_UNSPECIFIED\020\000\022\010\n\004" +
+      "GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECULATIVE\020\003\022" +
+      "\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005" +
+      "FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026HOST_CRAS" +
+      "H_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CAUSE\020\001\022\026\n" +
+      "\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEndMessage\022" +
+      "\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016" +
+      "\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nRUN_L" +
+      "APSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE\020\006\022\021" +
+      "\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010*\202\001\n" +
+      "\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_OUTC" +
+      "OME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIED\020\001\022" +
+      "\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_UNKN" +
+      "OWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_PHA" +
+      "SE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_" +
+      "RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAIL" +
+      "ED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016WorkflowAnsw" +
+      "er\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017\n\013A" +
+      "NSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\rANS" +
+      "WER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027ANS" +
+      "WER_NO_CONFIGURATION\020\005B*\n\031org.nettlering" +
+      ".wire.protoB\rWorkflowProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -33326,7 +33606,7 @@
     internal_static_nettlering_ActiveRunMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ActiveRunMessage_descriptor,
-        new java.lang.String[] { "Run", "HostId", "HostAddress", "Checkpoint", });
+        new java.lang.String[] { "Run", "HostId", "HostAddress", "Checkpoint", "HostStartMillis", });
     internal_static_nettlering_WorkflowCommandMessage_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_nettlering_WorkflowCommandMessage_fieldAccessorTable = new
@@ -33440,13 +33720,13 @@
     internal_static_nettlering_HostReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_HostReportMessage_descriptor,
-        new java.lang.String[] { "HostId", "HostAddress", "Pool", "FailureDomain", "Millicores", "MemoryMebibytes", "Accelerators", "Kind", "Rack", "Draining", "ClockMillis", "Sequence", });
+        new java.lang.String[] { "HostId", "HostAddress", "Pool", "FailureDomain", "Millicores", "MemoryMebibytes", "Accelerators", "Kind", "Rack", "Draining", "ClockMillis", "Sequence", "StartMillis", });
     internal_static_nettlering_HostLeaving_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_nettlering_HostLeaving_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_HostLeaving_descriptor,
-        new java.lang.String[] { "HostId", });
+        new java.lang.String[] { "HostId", "StartMillis", });
     internal_static_nettlering_ReadQueues_descriptor =
       getDescriptor().getMessageType(30);
     internal_static_nettlering_ReadQueues_fieldAccessorTable = new
--- a/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
+++ b/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
@@ -113,11 +113,15 @@
      * Reports that a host is shutting down and its incarnation will not return.
      *
      * @param hostId the incarnation id of the host, not null
+     * @param startMillis when the incarnation started, in milliseconds since 1970, or zero if unknown
      * @param timeout the limit for all attempts together, not null
      * @return completes when the leader has acknowledged it, never null
      */
-    public CompletionStage<Void> reportShutdown(String hostId, Duration timeout) {
-        HostLeaving message = HostLeaving.newBuilder().setHostId(hostId).build();
+    public CompletionStage<Void> reportShutdown(String hostId, long startMillis, Duration timeout) {
+        HostLeaving message = HostLeaving.newBuilder()
+                .setHostId(hostId)
+                .setStartMillis(startMillis)
+                .build();
         return call(WorkflowRequest.newBuilder().setHostLeaving(message), timeout)
                 .thenAccept(WorkflowClient::requireDone);
     }
