Show that a late poll reaches the next incarnation of a host

The simulation of the task protocol with hosts that keep their id: seed 17 starts a task after its acknowledged end. A poll of the incarnation before is executed late by the next one and acknowledges ends that nobody has seen.

--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
@@ -54,6 +54,9 @@
     /** Draws the faults of the program itself: exceptions and outcomes that never come. */
     private final SplittableRandom programFaults;
 
+    /** Draws whether a host that crashed keeps its id. */
+    private final SplittableRandom rebirths;
+
     private final InjectedFault fault;
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
     private final SharedLog log = new SharedLog();
@@ -66,13 +69,24 @@
     private final Set<RunId> doneRuns = new HashSet<>();
     private final Set<TaskId> tasksAcknowledgedDone = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
+    private boolean idsMayBeKept;
     private int leaderIndex;
     private int incarnationCount;
     private boolean faultsEnabled = true;
 
     /** Runs the simulation of a seed and returns its first violation. */
     static Optional<String> simulate(long seed, InjectedFault fault) {
-        TaskProtocolSimulation simulation = new TaskProtocolSimulation(seed, fault);
+        return simulate(new TaskProtocolSimulation(seed, fault));
+    }
+
+    /** Runs the simulation of a seed in which half of the hosts that crash keep their id; returns its first violation. */
+    static Optional<String> simulateWithKeptIds(long seed) {
+        TaskProtocolSimulation simulation = new TaskProtocolSimulation(seed, InjectedFault.NONE);
+        simulation.idsMayBeKept = true;
+        return simulate(simulation);
+    }
+
+    private static Optional<String> simulate(TaskProtocolSimulation simulation) {
         simulation.run();
         return simulation.violations.stream().findFirst();
     }
@@ -80,6 +94,7 @@
     private TaskProtocolSimulation(long seed, InjectedFault fault) {
         random = new SplittableRandom(seed);
         programFaults = new SplittableRandom(-seed);
+        rebirths = new SplittableRandom(~seed);
         this.fault = fault;
         if (fault == InjectedFault.UNREPLICATED_STARTS) {
             log.replicateOnly(TaskProtocolSimulation::containsNoStart);
@@ -158,7 +173,8 @@
         int host = random.nextInt(HOSTS);
         if (draw < 6) {
             hosts[host].crash();
-            hosts[host] = newIncarnation(host);
+            boolean idKept = idsMayBeKept && rebirths.nextBoolean();
+            hosts[host] = idKept ? hosts[host].reborn() : newIncarnation(host);
         } else if (draw < 16) {
             partitionedUntilNanos[host] =
                     time.nanoTime() + Duration.ofMillis(random.nextInt(9_000)).toNanos();
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
@@ -40,6 +40,15 @@
         }
     }
 
+    @Test
+    void noSeedViolatesTheTaskGuaranteesWhereHostsKeepTheirIds() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            assertThat(TaskProtocolSimulation.simulateWithKeptIds(seed))
+                    .as("seed " + seed)
+                    .isEmpty();
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(mode = Mode.EXCLUDE, names = "NONE")
     void anInjectedFaultIsDetected(InjectedFault fault) {
