Shut late commands out of a host that starts again under its id

Hosts ignore commands with a lower fencing token, and the token was the term alone. It is now the term plus the raises in the log; a leader raises it after a rebirth, and the host gets new runs once it has answered a poll with the raised token. A new leader has applied all raises and a higher term, so tokens rise across leaders. The raise is a new optional field of a batch; members of the version before don't count it.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -21,6 +21,7 @@
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartOccurrence;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
@@ -68,6 +69,12 @@
 
     private final long term;
 
+    /** The fencing token of new sessions. */
+    private long token;
+
+    /** The incarnation ids of the hosts that need a higher fencing token. */
+    private final Set<String> hostsToFence = new HashSet<>();
+
     private final HostTimings timings;
 
     private final LoopMetrics metrics;
@@ -122,6 +129,7 @@
             LoopFailures failures,
             long nowNanos) {
         WorkflowLeadership leadership = new WorkflowLeadership(term, timings, metrics, failures, nowNanos);
+        leadership.token = state.fencingToken(term);
         for (HostAllocations allocations : state.allocations()) {
             HostSession session = leadership.sessionOf(allocations, nowNanos);
             for (ActiveRun run : allocations.runs()) {
@@ -155,7 +163,7 @@
 
     private HostSession sessionOf(HostAllocations allocations, long nowNanos) {
         return sessions.computeIfAbsent(
-                allocations.host().id(), id -> HostSession.create(allocations.host(), timings, term, nowNanos));
+                allocations.host().id(), id -> HostSession.create(allocations.host(), timings, token, nowNanos));
     }
 
     long term() {
@@ -183,7 +191,7 @@
         HostSession session = sessions.get(heartbeat.host().id());
         boolean first = session == null || session.latestHeartbeat().isEmpty();
         if (session == null) {
-            session = HostSession.create(heartbeat.host(), timings, term, nowNanos);
+            session = HostSession.create(heartbeat.host(), timings, token, nowNanos);
             sessions.put(heartbeat.host().id(), session);
         }
         session.handleHeartbeat(heartbeat, nowNanos);
@@ -209,12 +217,32 @@
         markHostChanged(command.host().id());
         addTerminations(session, session.handleResponse(command, sentNanos, response, nowNanos));
         if (response instanceof HostResponse.PollResult) {
+            addToFence(session);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
         }
         colocation.updateThrottled(session);
     }
 
+    private void addToFence(HostSession session) {
+        if (session.needsFence()) {
+            hostsToFence.add(session.host().id());
+        }
+    }
+
+    /** Uses the token that was raised for the hosts that need it; no command with it was sent before. */
+    private void fenceCommitted(WorkflowState state, long nowNanos) {
+        token = state.fencingToken(term);
+        for (String hostId : hostsToFence) {
+            HostSession session = sessions.get(hostId);
+            if (session != null) {
+                session.raiseToken(token, nowNanos);
+                markHostChanged(hostId);
+            }
+        }
+        hostsToFence.clear();
+    }
+
     /** Stops the stalled runs on a host, so that their tasks start elsewhere, and counts each as a failure of the host. */
     private void stopStalledRuns(WorkflowState state, HostSession session, long nowNanos) {
         for (RunUsage usage : session.runUsages()) {
@@ -279,6 +307,9 @@
             planRequested = false;
             failures.isolate(LoopPart.PLAN, "term " + term, () -> addPlan(state, nowNanos, nowMillis, batch));
         }
+        if (!hostsToFence.isEmpty()) {
+            batch.add(new RaiseFence());
+        }
         uncommittedTerminations.clear();
         batchInFlight = List.copyOf(batch);
         batchProposedNanos = nowNanos;
@@ -484,6 +515,7 @@
         switch (command) {
             case StartRun start -> startCommitted(state, start.run(), nowNanos);
             case RecordTermination termination -> terminationCommitted(state, termination, nowNanos);
+            case RaiseFence raise -> fenceCommitted(state, nowNanos);
             default -> {}
         }
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowCommand.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowCommand.java
@@ -53,6 +53,12 @@
      */
     record RemoveJob(String jobId) implements WorkflowCommand {}
 
+    /**
+     * Raises the fencing token that the leader uses next, so that hosts ignore commands that it sent before. Part of a
+     * batch.
+     */
+    record RaiseFence() implements WorkflowCommand {}
+
     /**
      * Several commands in one log entry.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.WorkflowCommand.Batch;
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
+import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
 import org.nettlering.domain.workflow.WorkflowCommand.StartOccurrence;
@@ -53,6 +54,9 @@
     /** The number of tasks in the started occurrences of the unfinished jobs. */
     private long unfinishedJobTasks;
 
+    /** How often leaders have raised their fencing token. */
+    private long fenceRaises;
+
     /**
      * Returns a state without jobs.
      *
@@ -71,6 +75,7 @@
     public static WorkflowState from(WorkflowStateSnapshot snapshot) {
         WorkflowState state = new WorkflowState();
         snapshot.jobs().forEach(job -> state.add(Job.from(job)));
+        state.fenceRaises = snapshot.fenceRaises();
         return state;
     }
 
@@ -102,7 +107,21 @@
      */
     public WorkflowStateSnapshot snapshot() {
         return new WorkflowStateSnapshot(
-                jobs.values().stream().map(Job::snapshot).toList());
+                jobs.values().stream().map(Job::snapshot).toList(), fenceRaises);
+    }
+
+    /**
+     * Returns the fencing token of the leader of a term.
+     *
+     * <p>A leader uses it once it has applied all entries of earlier terms, and again after it has applied a {@link
+     * RaiseFence} of its own. The tokens of a leader are then higher than all those of leaders before it, as terms and raises
+     * only increase.
+     *
+     * @param term the term, positive
+     * @return the token, the term plus the number of raises
+     */
+    public long fencingToken(long term) {
+        return term + fenceRaises;
     }
 
     /**
@@ -250,10 +269,16 @@
             case StartRun start -> startRun(start.run());
             case RecordTermination termination -> recordTermination(termination);
             case RemoveJob remove -> removeJob(remove);
+            case RaiseFence raise -> raiseFence();
             case Batch batch -> applyAll(batch.commands());
         };
     }
 
+    private CommandResult raiseFence() {
+        fenceRaises++;
+        return CommandResult.APPLIED;
+    }
+
     private CommandResult applyAll(List<WorkflowCommand> commands) {
         CommandResult last = CommandResult.UNCHANGED;
         for (WorkflowCommand command : commands) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
@@ -8,8 +8,9 @@
  * <p>Immutable and thread-safe.
  *
  * @param jobs the jobs in the order of acceptance, not null
+ * @param fenceRaises how often leaders have raised their fencing token
  */
-public record WorkflowStateSnapshot(List<JobSnapshot> jobs) {
+public record WorkflowStateSnapshot(List<JobSnapshot> jobs, long fenceRaises) {
     /** Copies the list of jobs. */
     public WorkflowStateSnapshot {
         jobs = List.copyOf(jobs);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostRefusal.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostRefusal.java
@@ -12,6 +12,6 @@
     UNRESPONSIVE,
     /** The host rejected a start a moment ago. */
     REJECTED_START,
-    /** The host has not responded to a poll in this term. */
+    /** The host has not responded to a poll in this term, or not to one with the latest fencing token. */
     NOT_POLLED
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -83,7 +83,10 @@
 
     private final HostTimings timings;
 
-    private final long token;
+    private long token;
+
+    /** Whether the host may still execute commands that were sent to an incarnation which has terminated. */
+    private boolean fenceNeeded;
 
     private final IncarnationTracker incarnation;
 
@@ -123,7 +126,7 @@
      *
      * @param host the host incarnation, not null
      * @param timings the lease and stop durations of the host, not null
-     * @param token the fencing token of this term
+     * @param token the fencing token
      * @param nowNanos the monotonic time
      * @return a new session, never null
      */
@@ -167,7 +170,7 @@
      *     term, responded to the last command, and has not rejected a start within the backoff time
      */
     public boolean acceptsRuns(long nowNanos) {
-        return pollSucceeded && liveness.acceptsRuns(nowNanos);
+        return pollSucceeded && !fenceNeeded && liveness.acceptsRuns(nowNanos);
     }
 
     /**
@@ -233,6 +236,28 @@
         liveness.handleShutdownNotice(nowNanos);
     }
 
+    /**
+     * Returns whether the host needs a higher fencing token: it has started again under its id, so that commands which were
+     * sent before may reach the new incarnation late.
+     *
+     * @return true until {@link #raiseToken} is called
+     */
+    public boolean needsFence() {
+        return fenceNeeded;
+    }
+
+    /**
+     * Uses a higher fencing token from now on. The host accepts runs again once a poll has shown it the token.
+     *
+     * @param higherToken the token, higher than any that was used for this host
+     * @param nowNanos the monotonic time
+     */
+    public void raiseToken(long higherToken, long nowNanos) {
+        token = higherToken;
+        fenceNeeded = false;
+        requireNewPoll(nowNanos);
+    }
+
     /** Starts nothing more before the response to a poll has shown which incarnation is running. */
     private void requireNewPoll(long nowNanos) {
         pollSucceeded = false;
@@ -537,6 +562,7 @@
      */
     private List<RecordTermination> onReborn(PollResult pollResult, long sentNanos, long nowNanos) {
         boolean announced = liveness.isLeaving();
+        fenceNeeded = true;
         liveness = new HostLiveness(nowNanos);
         incarnation.removeConfirmedHeartbeat().ifPresent(heartbeat -> liveness.handleHeartbeat(heartbeat, nowNanos));
         lease = new HostLease(timings, nowNanos);
@@ -656,7 +682,7 @@
             nextPollNanos = nowNanos + UNRESPONSIVE_POLL_DELAY.toNanos();
             return List.of();
         }
-        pollSucceeded = true;
+        pollSucceeded |= poll.token() == token;
         lease.markEarlierLeadersFenced();
         Duration interval = poll.maxWaitMillis() > 0 ? MIN_POLL_INTERVAL : MIN_IMMEDIATE_POLL_INTERVAL;
         nextPollNanos = Math.max(nowNanos, sentNanos + interval.toNanos());
@@ -863,6 +889,6 @@
      */
     public Optional<HostRefusal> refusal(long nowNanos) {
         return liveness.refusal(nowNanos)
-                .or(() -> pollSucceeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
+                .or(() -> pollSucceeded && !fenceNeeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
     }
 }
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
@@ -32,6 +32,8 @@
     /** Before the first start: the clock that it is read from may jump back. */
     private static final long SECOND_START = FIRST_START - 500;
 
+    private static final long HIGHER_TOKEN = 8;
+
     private static final long FIRST_CLOCK = 1_000_000;
 
     private static final long SECOND_CLOCK = 100;
@@ -66,9 +68,29 @@
         session.handleHeartbeat(heartbeat(SECOND_START, 1, SECOND_CLOCK), nowNanos);
         assertThat(session.acceptsRuns(nowNanos)).isFalse();
         respondToPoll(result(SECOND_START, List.of(), List.of()));
+        assertThat(session.latestHeartbeat().orElseThrow().startMillis()).isEqualTo(SECOND_START);
+        raiseToken();
         assertThat(session.acceptsRuns(nowNanos)).isTrue();
     }
 
+    @Test
+    void rebornHostAcceptsRunsOnceItHasSeenATokenThatShutsLateCommandsOut() {
+        rebirth();
+        assertThat(session.needsFence()).isTrue();
+        assertThat(session.acceptsRuns(nowNanos)).isFalse();
+        session.raiseToken(HIGHER_TOKEN, nowNanos);
+        assertThat(session.acceptsRuns(nowNanos)).isFalse();
+        HostCommand.Poll poll = take(HostCommand.Poll.class);
+        assertThat(poll.token()).isEqualTo(HIGHER_TOKEN);
+        respond(poll, result(SECOND_START, List.of(), List.of()));
+        assertThat(session.acceptsRuns(nowNanos)).isTrue();
+    }
+
+    private void raiseToken() {
+        session.raiseToken(HIGHER_TOKEN, nowNanos);
+        respondToPoll(result(SECOND_START, List.of(), List.of()));
+    }
+
     @Test
     void lateHeartbeatOfTheFirstIncarnationIsIgnored() {
         rebirth();
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -1,5 +1,8 @@
 package org.nettlering.wire.codec;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.workflow.ActiveRun;
@@ -11,6 +14,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.Batch;
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
+import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
 import org.nettlering.domain.workflow.WorkflowCommand.StartOccurrence;
@@ -53,6 +57,7 @@
             case RecordTermination end -> message.setEnd(encodeEnd(end));
             case RemoveJob forget ->
                 message.setForget(ForgetWorkflow.newBuilder().setJobId(forget.jobId()));
+            case RaiseFence raise -> message.setBatch(encodeBatch(new Batch(List.of(raise))));
             case Batch batch -> message.setBatch(encodeBatch(batch));
         }
         return message.build();
@@ -75,10 +80,7 @@
             case START -> new StartRun(decode(message.getStart()));
             case END -> decodeEnd(message.getEnd());
             case FORGET -> new RemoveJob(message.getForget().getJobId());
-            case BATCH ->
-                new Batch(message.getBatch().getCommandsList().stream()
-                        .map(WorkflowCommandCodec::decode)
-                        .toList());
+            case BATCH -> decodeBatch(message.getBatch());
             case COMMAND_NOT_SET ->
                 throw new NettleringException(ErrorCode.STORAGE_TOO_NEW, "a change of jobs is of an unknown kind");
         };
@@ -103,10 +105,23 @@
 
     private static WorkflowBatch encodeBatch(Batch batch) {
         WorkflowBatch.Builder message = WorkflowBatch.newBuilder();
-        batch.commands().forEach(each -> message.addCommands(encode(each)));
+        for (WorkflowCommand each : batch.commands()) {
+            if (each instanceof RaiseFence) {
+                message.setFenceRaises(message.getFenceRaises() + 1);
+            } else {
+                message.addCommands(encode(each));
+            }
+        }
         return message.build();
     }
 
+    private static Batch decodeBatch(WorkflowBatch message) {
+        List<WorkflowCommand> commands = new ArrayList<>();
+        message.getCommandsList().forEach(each -> commands.add(decode(each)));
+        commands.addAll(Collections.nCopies(message.getFenceRaises(), new RaiseFence()));
+        return new Batch(commands);
+    }
+
     private static EndRun encodeEnd(RecordTermination end) {
         return EndRun.newBuilder()
                 .setRun(encode(end.run()))
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -26,7 +26,7 @@
     public static WorkflowSnapshot.Builder encode(WorkflowStateSnapshot image) {
         WorkflowSnapshot.Builder snapshot = WorkflowSnapshot.newBuilder();
         image.jobs().forEach(job -> snapshot.addJobs(encode(job)));
-        return snapshot;
+        return snapshot.setFenceRaises(image.fenceRaises());
     }
 
     /**
@@ -36,9 +36,11 @@
      * @return the jobs, never null
      */
     public static WorkflowStateSnapshot decode(WorkflowSnapshot snapshot) {
-        return new WorkflowStateSnapshot(snapshot.getJobsList().stream()
-                .map(WorkflowSnapshotCodec::decode)
-                .toList());
+        return new WorkflowStateSnapshot(
+                snapshot.getJobsList().stream()
+                        .map(WorkflowSnapshotCodec::decode)
+                        .toList(),
+                snapshot.getFenceRaises());
     }
 
     private static JobImageMessage encode(JobSnapshot job) {
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -17230,6 +17230,16 @@
      */
     org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessageOrBuilder getCommandsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * How often the batch raises the fencing token of the leader.
+     * </pre>
+     *
+     * <code>uint32 fence_raises = 2;</code>
+     * @return The fenceRaises.
+     */
+    int getFenceRaises();
   }
   /**
    * Protobuf type {@code nettlering.WorkflowBatch}
@@ -17315,6 +17325,21 @@
       return commands_.get(index);
     }
 
+    public static final int FENCE_RAISES_FIELD_NUMBER = 2;
+    private int fenceRaises_ = 0;
+    /**
+     * <pre>
+     * How often the batch raises the fencing token of the leader.
+     * </pre>
+     *
+     * <code>uint32 fence_raises = 2;</code>
+     * @return The fenceRaises.
+     */
+    @java.lang.Override
+    public int getFenceRaises() {
+      return fenceRaises_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -17332,6 +17357,9 @@
       for (int i = 0; i < commands_.size(); i++) {
         output.writeMessage(1, commands_.get(i));
       }
+      if (fenceRaises_ != 0) {
+        output.writeUInt32(2, fenceRaises_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -17345,6 +17373,10 @@
             }
             size += 1 * count;
           }
+      if (fenceRaises_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, fenceRaises_);
+      }
       return size;
     }
     @java.lang.Override
@@ -17371,6 +17403,8 @@
 
       if (!getCommandsList()
           .equals(other.getCommandsList())) return false;
+      if (getFenceRaises()
+          != other.getFenceRaises()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -17386,6 +17420,8 @@
         hash = (37 * hash) + COMMANDS_FIELD_NUMBER;
         hash = (53 * hash) + getCommandsList().hashCode();
       }
+      hash = (37 * hash) + FENCE_RAISES_FIELD_NUMBER;
+      hash = (53 * hash) + getFenceRaises();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -17524,6 +17560,7 @@
           commandsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000001);
+        fenceRaises_ = 0;
         return this;
       }
 
@@ -17570,6 +17607,9 @@
 
       private void buildPartial0(org.nettlering.wire.proto.WorkflowProto.WorkflowBatch result) {
         int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.fenceRaises_ = fenceRaises_;
+        }
       }
 
       @java.lang.Override
@@ -17610,6 +17650,9 @@
             }
           }
         }
+        if (other.getFenceRaises() != 0) {
+          setFenceRaises(other.getFenceRaises());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -17647,6 +17690,11 @@
                 }
                 break;
               } // case 10
+              case 16: {
+                fenceRaises_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -17898,6 +17946,50 @@
         return commandsBuilder_;
       }
 
+      private int fenceRaises_ ;
+      /**
+       * <pre>
+       * How often the batch raises the fencing token of the leader.
+       * </pre>
+       *
+       * <code>uint32 fence_raises = 2;</code>
+       * @return The fenceRaises.
+       */
+      @java.lang.Override
+      public int getFenceRaises() {
+        return fenceRaises_;
+      }
+      /**
+       * <pre>
+       * How often the batch raises the fencing token of the leader.
+       * </pre>
+       *
+       * <code>uint32 fence_raises = 2;</code>
+       * @param value The fenceRaises to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFenceRaises(int value) {
+
+        fenceRaises_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How often the batch raises the fencing token of the leader.
+       * </pre>
+       *
+       * <code>uint32 fence_raises = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFenceRaises() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        fenceRaises_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowBatch)
     }
 
@@ -19497,6 +19589,16 @@
      */
     org.nettlering.wire.proto.WorkflowProto.JobImageMessageOrBuilder getJobsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * How often leaders have raised their fencing token.
+     * </pre>
+     *
+     * <code>uint64 fence_raises = 3;</code>
+     * @return The fenceRaises.
+     */
+    long getFenceRaises();
   }
   /**
    * Protobuf type {@code nettlering.WorkflowSnapshot}
@@ -19609,6 +19711,21 @@
       return jobs_.get(index);
     }
 
+    public static final int FENCE_RAISES_FIELD_NUMBER = 3;
+    private long fenceRaises_ = 0L;
+    /**
+     * <pre>
+     * How often leaders have raised their fencing token.
+     * </pre>
+     *
+     * <code>uint64 fence_raises = 3;</code>
+     * @return The fenceRaises.
+     */
+    @java.lang.Override
+    public long getFenceRaises() {
+      return fenceRaises_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -19629,6 +19746,9 @@
       for (int i = 0; i < jobs_.size(); i++) {
         output.writeMessage(2, jobs_.get(i));
       }
+      if (fenceRaises_ != 0L) {
+        output.writeUInt64(3, fenceRaises_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -19646,6 +19766,10 @@
             }
             size += 1 * count;
           }
+      if (fenceRaises_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, fenceRaises_);
+      }
       return size;
     }
     @java.lang.Override
@@ -19677,6 +19801,8 @@
       }
       if (!getJobsList()
           .equals(other.getJobsList())) return false;
+      if (getFenceRaises()
+          != other.getFenceRaises()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -19696,6 +19822,9 @@
         hash = (37 * hash) + JOBS_FIELD_NUMBER;
         hash = (53 * hash) + getJobsList().hashCode();
       }
+      hash = (37 * hash) + FENCE_RAISES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getFenceRaises());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -19846,6 +19975,7 @@
           jobsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000002);
+        fenceRaises_ = 0L;
         return this;
       }
 
@@ -19899,6 +20029,9 @@
               : queuesBuilder_.build();
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.fenceRaises_ = fenceRaises_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -19943,6 +20076,9 @@
             }
           }
         }
+        if (other.getFenceRaises() != 0L) {
+          setFenceRaises(other.getFenceRaises());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -19987,6 +20123,11 @@
                 }
                 break;
               } // case 18
+              case 24: {
+                fenceRaises_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -20357,6 +20498,50 @@
         return jobsBuilder_;
       }
 
+      private long fenceRaises_ ;
+      /**
+       * <pre>
+       * How often leaders have raised their fencing token.
+       * </pre>
+       *
+       * <code>uint64 fence_raises = 3;</code>
+       * @return The fenceRaises.
+       */
+      @java.lang.Override
+      public long getFenceRaises() {
+        return fenceRaises_;
+      }
+      /**
+       * <pre>
+       * How often leaders have raised their fencing token.
+       * </pre>
+       *
+       * <code>uint64 fence_raises = 3;</code>
+       * @param value The fenceRaises to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFenceRaises(long value) {
+
+        fenceRaises_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How often leaders have raised their fencing token.
+       * </pre>
+       *
+       * <code>uint64 fence_raises = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFenceRaises() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        fenceRaises_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowSnapshot)
     }
 
@@ -33465,83 +33650,84 @@
       "&\n\003how\030\002 \001(\0162\031.nettlering.RunEndMessage\022" +
       "\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_crash\030\004 \001(\0162" +
       "\034.nettlering.HostCrashMessage\" \n\016ForgetW" +
-      "orkflow\022\016\n\006job_id\030\001 \001(\t\"E\n\rWorkflowBatch" +
+      "orkflow\022\016\n\006job_id\030\001 \001(\t\"[\n\rWorkflowBatch" +
       "\0224\n\010commands\030\001 \003(\0132\".nettlering.Workflow" +
-      "CommandMessage\"E\n\016WorkflowResult\0223\n\007outc" +
-      "ome\030\001 \001(\0162\".nettlering.WorkflowOutcomeMe" +
-      "ssage\"F\n\014QueueCommand\0226\n\007replace\030\001 \001(\0132%" +
-      ".nettlering.QueueConfigurationMessage\"\'\n" +
-      "\013QueueResult\022\030\n\020version_in_force\030\001 \001(\004\"t" +
-      "\n\020WorkflowSnapshot\0225\n\006queues\030\001 \001(\0132%.net" +
-      "tlering.QueueConfigurationMessage\022)\n\004job" +
-      "s\030\002 \003(\0132\033.nettlering.JobImageMessage\"\375\001\n" +
-      "\017JobImageMessage\022\n\n\002id\030\001 \001(\t\022*\n\005terms\030\002 " +
-      "\001(\0132\033.nettlering.JobTermsMessage\0224\n\ndefi" +
-      "nition\030\003 \001(\0132 .nettlering.JobDefinitionM" +
-      "essage\022\027\n\017accepted_millis\030\004 \001(\003\022*\n\005phase" +
-      "\030\005 \001(\0162\033.nettlering.JobPhaseMessage\0227\n\013o" +
-      "ccurrences\030\006 \003(\0132\".nettlering.Occurrence" +
-      "ImageMessage\"U\n\026OccurrenceImageMessage\022\016" +
-      "\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.nettleri" +
-      "ng.StepImageMessage\"t\n\020StepImageMessage\022" +
-      "\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks\030\002 \003(" +
-      "\0132\034.nettlering.TaskImageMessage\022\030\n\020faile" +
-      "d_gang_runs\030\003 \003(\r\"\267\001\n\020TaskImageMessage\022\020" +
-      "\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\014\n\004do" +
-      "ne\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013active_r" +
-      "uns\030\005 \003(\0132\034.nettlering.ActiveRunMessage\022" +
-      "\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\ncrash_runs\030\007 " +
-      "\003(\r\"\237\003\n\017WorkflowRequest\022.\n\006submit\030\001 \001(\0132" +
-      "\034.nettlering.SubmitJobRequestH\000\022&\n\004show\030" +
-      "\002 \001(\0132\026.nettlering.JobRequestH\000\022(\n\006cance" +
-      "l\030\003 \001(\0132\026.nettlering.JobRequestH\000\0224\n\013hos" +
-      "t_report\030\004 \001(\0132\035.nettlering.HostReportMe" +
-      "ssageH\000\022/\n\014host_leaving\030\005 \001(\0132\027.nettleri" +
-      "ng.HostLeavingH\000\022?\n\016replace_queues\030\006 \001(\013" +
-      "2%.nettlering.QueueConfigurationMessageH" +
-      "\000\022-\n\013read_queues\030\007 \001(\0132\026.nettlering.Read" +
-      "QueuesH\000\022(\n\005check\030\010 \001(\0132\027.nettlering.Lea" +
-      "derCheckH\000B\t\n\007request\"i\n\020SubmitJobReques" +
-      "t\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\0224\n\nde" +
-      "finition\030\003 \001(\0132 .nettlering.JobDefinitio" +
-      "nMessage\"-\n\nJobRequest\022\021\n\tauthority\030\001 \001(" +
-      "\t\022\014\n\004path\030\002 \001(\t\"\220\002\n\021HostReportMessage\022\017\n" +
-      "\007host_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(\t\022\014\n\004" +
-      "pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\022\n\nmi" +
-      "llicores\030\005 \001(\004\022\030\n\020memory_mebibytes\030\006 \001(\004" +
-      "\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004" +
-      "rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clock_mi" +
-      "llis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\022\024\n\014start_mi" +
-      "llis\030\r \001(\004\"4\n\013HostLeaving\022\017\n\007host_id\030\001 \001" +
-      "(\t\022\024\n\014start_millis\030\002 \001(\004\"\014\n\nReadQueues\"\r" +
-      "\n\013LeaderCheck\"\323\001\n\020WorkflowResponse\022*\n\006an" +
-      "swer\030\001 \001(\0162\032.nettlering.WorkflowAnswer\022*" +
-      "\n\005phase\030\002 \001(\0162\033.nettlering.JobPhaseMessa" +
-      "ge\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_after_" +
-      "millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nettlerin" +
-      "g.QueueConfigurationMessage*\211\001\n\020StepTrai" +
-      "tMessage\022\032\n\026STEP_TRAIT_UNSPECIFIED\020\000\022\010\n\004" +
-      "GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECULATIVE\020\003\022" +
-      "\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005" +
-      "FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026HOST_CRAS" +
-      "H_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CAUSE\020\001\022\026\n" +
-      "\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEndMessage\022" +
-      "\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016" +
-      "\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nRUN_L" +
-      "APSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE\020\006\022\021" +
-      "\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010*\202\001\n" +
-      "\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_OUTC" +
-      "OME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIED\020\001\022" +
-      "\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_UNKN" +
-      "OWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_PHA" +
-      "SE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_" +
-      "RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAIL" +
-      "ED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016WorkflowAnsw" +
-      "er\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017\n\013A" +
-      "NSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\rANS" +
-      "WER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027ANS" +
-      "WER_NO_CONFIGURATION\020\005B*\n\031org.nettlering" +
-      ".wire.protoB\rWorkflowProtob\006proto3"
+      "CommandMessage\022\024\n\014fence_raises\030\002 \001(\r\"E\n\016" +
+      "WorkflowResult\0223\n\007outcome\030\001 \001(\0162\".nettle" +
+      "ring.WorkflowOutcomeMessage\"F\n\014QueueComm" +
+      "and\0226\n\007replace\030\001 \001(\0132%.nettlering.QueueC" +
+      "onfigurationMessage\"\'\n\013QueueResult\022\030\n\020ve" +
+      "rsion_in_force\030\001 \001(\004\"\212\001\n\020WorkflowSnapsho" +
+      "t\0225\n\006queues\030\001 \001(\0132%.nettlering.QueueConf" +
+      "igurationMessage\022)\n\004jobs\030\002 \003(\0132\033.nettler" +
+      "ing.JobImageMessage\022\024\n\014fence_raises\030\003 \001(" +
+      "\004\"\375\001\n\017JobImageMessage\022\n\n\002id\030\001 \001(\t\022*\n\005ter" +
+      "ms\030\002 \001(\0132\033.nettlering.JobTermsMessage\0224\n" +
+      "\ndefinition\030\003 \001(\0132 .nettlering.JobDefini" +
+      "tionMessage\022\027\n\017accepted_millis\030\004 \001(\003\022*\n\005" +
+      "phase\030\005 \001(\0162\033.nettlering.JobPhaseMessage" +
+      "\0227\n\013occurrences\030\006 \003(\0132\".nettlering.Occur" +
+      "renceImageMessage\"U\n\026OccurrenceImageMess" +
+      "age\022\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.net" +
+      "tlering.StepImageMessage\"t\n\020StepImageMes" +
+      "sage\022\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks" +
+      "\030\002 \003(\0132\034.nettlering.TaskImageMessage\022\030\n\020" +
+      "failed_gang_runs\030\003 \003(\r\"\267\001\n\020TaskImageMess" +
+      "age\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022" +
+      "\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013act" +
+      "ive_runs\030\005 \003(\0132\034.nettlering.ActiveRunMes" +
+      "sage\022\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\ncrash_ru" +
+      "ns\030\007 \003(\r\"\237\003\n\017WorkflowRequest\022.\n\006submit\030\001" +
+      " \001(\0132\034.nettlering.SubmitJobRequestH\000\022&\n\004" +
+      "show\030\002 \001(\0132\026.nettlering.JobRequestH\000\022(\n\006" +
+      "cancel\030\003 \001(\0132\026.nettlering.JobRequestH\000\0224" +
+      "\n\013host_report\030\004 \001(\0132\035.nettlering.HostRep" +
+      "ortMessageH\000\022/\n\014host_leaving\030\005 \001(\0132\027.net" +
+      "tlering.HostLeavingH\000\022?\n\016replace_queues\030" +
+      "\006 \001(\0132%.nettlering.QueueConfigurationMes" +
+      "sageH\000\022-\n\013read_queues\030\007 \001(\0132\026.nettlering" +
+      ".ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027.nettlerin" +
+      "g.LeaderCheckH\000B\t\n\007request\"i\n\020SubmitJobR" +
+      "equest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022" +
+      "4\n\ndefinition\030\003 \001(\0132 .nettlering.JobDefi" +
+      "nitionMessage\"-\n\nJobRequest\022\021\n\tauthority" +
+      "\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\220\002\n\021HostReportMessa" +
+      "ge\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(" +
+      "\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022" +
+      "\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_mebibytes\030" +
+      "\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(" +
+      "\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clo" +
+      "ck_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\022\024\n\014sta" +
+      "rt_millis\030\r \001(\004\"4\n\013HostLeaving\022\017\n\007host_i" +
+      "d\030\001 \001(\t\022\024\n\014start_millis\030\002 \001(\004\"\014\n\nReadQue" +
+      "ues\"\r\n\013LeaderCheck\"\323\001\n\020WorkflowResponse\022" +
+      "*\n\006answer\030\001 \001(\0162\032.nettlering.WorkflowAns" +
+      "wer\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPhase" +
+      "Message\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_a" +
+      "fter_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nett" +
+      "lering.QueueConfigurationMessage*\211\001\n\020Ste" +
+      "pTraitMessage\022\032\n\026STEP_TRAIT_UNSPECIFIED\020" +
+      "\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECULATI" +
+      "VE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTING\020" +
+      "\005\022\t\n\005FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026HOST" +
+      "_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CAUSE" +
+      "\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEndMes" +
+      "sage\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DON" +
+      "E\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\n" +
+      "RUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALON" +
+      "E\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020" +
+      "\010*\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW" +
+      "_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLI" +
+      "ED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW" +
+      "_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JO" +
+      "B_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n" +
+      "\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB" +
+      "_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016Workflo" +
+      "wAnswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000" +
+      "\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021" +
+      "\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033" +
+      "\n\027ANSWER_NO_CONFIGURATION\020\005B*\n\031org.nettl" +
+      "ering.wire.protoB\rWorkflowProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -33648,7 +33834,7 @@
     internal_static_nettlering_WorkflowBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowBatch_descriptor,
-        new java.lang.String[] { "Commands", });
+        new java.lang.String[] { "Commands", "FenceRaises", });
     internal_static_nettlering_WorkflowResult_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_nettlering_WorkflowResult_fieldAccessorTable = new
@@ -33672,7 +33858,7 @@
     internal_static_nettlering_WorkflowSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowSnapshot_descriptor,
-        new java.lang.String[] { "Queues", "Jobs", });
+        new java.lang.String[] { "Queues", "Jobs", "FenceRaises", });
     internal_static_nettlering_JobImageMessage_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_nettlering_JobImageMessage_fieldAccessorTable = new
--- a/wire/src/test/java/org/nettlering/wire/codec/WorkflowCommandCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowCommandCodecTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -11,6 +12,8 @@
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TaskId;
 import org.nettlering.domain.workflow.TerminalStatus;
+import org.nettlering.domain.workflow.WorkflowCommand.Batch;
+import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
@@ -38,6 +41,13 @@
         assertThat(HostReportCodec.decode(HostReportCodec.encode(heartbeat))).isEqualTo(heartbeat);
     }
 
+    @Test
+    void raisesOfTheFencingTokenAreRestoredWithTheirBatch() {
+        Batch batch = new Batch(List.of(new RecordTermination(RUN, TerminalStatus.DONE, ""), new RaiseFence()));
+        assertThat(WorkflowCommandCodec.decode(WorkflowCommandCodec.encode(batch)))
+                .isEqualTo(batch);
+    }
+
     @Test
     void aMemberOfTheVersionBeforeTakesAHostThatCrashedForLost() {
         RecordTermination termination = new RecordTermination(RUN, TerminalStatus.CRASHED_HOST, "");
--- a/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
@@ -76,7 +76,9 @@
         JobTerms terms = new JobTerms("queue", "pool", new QueueTerms(0, 2, 1.5, 250, false));
         JobDefinition definition = new JobDefinition("work", List.of(GANG), Recurrence.ONCE);
         OccurrenceSnapshot occurrence = new OccurrenceSnapshot(0, List.of(step));
-        return new WorkflowStateSnapshot(List.of(
-                new JobSnapshot("0123456789abcdef", terms, definition, 5, JobPhase.QUEUED, List.of(occurrence))));
+        return new WorkflowStateSnapshot(
+                List.of(new JobSnapshot(
+                        "0123456789abcdef", terms, definition, 5, JobPhase.QUEUED, List.of(occurrence))),
+                3);
     }
 }
