--- a/control/src/main/java/org/nettlering/control/log/StatePart.java
+++ b/control/src/main/java/org/nettlering/control/log/StatePart.java
@@ -26,6 +26,16 @@
      */
     void save(SiteSnapshot.Builder snapshot);
 
+    /**
+     * Returns the oldest format of snapshots that holds this part of the state in full. Programs that do not know the
+     * format refuse the snapshot instead of ignoring what they do not know.
+     *
+     * @return the format version, 1 or more
+     */
+    default int requiredFormat() {
+        return 1;
+    }
+
     /**
      * Replaces this part of the state by the one in a snapshot.
      *
--- a/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
+++ b/control/src/main/java/org/nettlering/control/state/SiteStateMachine.java
@@ -17,8 +17,8 @@
  * from others.
  */
 public final class SiteStateMachine implements ReplicatedStateMachine {
-    /** The format of the snapshots that this program writes, and the newest that it reads. */
-    public static final int FORMAT_VERSION = 1;
+    /** The newest format of snapshots that this program reads; it writes the oldest one that holds the whole state. */
+    public static final int FORMAT_VERSION = 2;
 
     /** The configuration. */
     private final StatePart configuration;
@@ -92,7 +92,9 @@
 
     @Override
     public CapturedState capture() {
-        SiteSnapshot.Builder snapshot = SiteSnapshot.newBuilder().setFormatVersion(FORMAT_VERSION);
+        int formatVersion =
+                parts().stream().mapToInt(StatePart::requiredFormat).max().orElse(FORMAT_VERSION);
+        SiteSnapshot.Builder snapshot = SiteSnapshot.newBuilder().setFormatVersion(formatVersion);
         parts().forEach(part -> part.save(snapshot));
         SiteSnapshot captured = snapshot.build();
         return captured::toByteArray;
--- a/control/src/main/java/org/nettlering/control/workflow/LeaderDiagnostics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LeaderDiagnostics.java
@@ -38,6 +38,8 @@
 
     private final RunInspection runInspection;
 
+    private final DrainMetrics drains;
+
     private final PlacementInspection placementInspection = new PlacementInspection();
 
     /** Creates diagnostics and registers their metrics in a registry. */
@@ -46,13 +48,14 @@
                         "nettlering_leader_cancel_to_last_end_seconds",
                         "From the cancellation of a job to the committed termination of its last run.")
                 .register(registry);
-        LeaderDiagnostics diagnostics = new LeaderDiagnostics(time, cancelToEnd);
+        LeaderDiagnostics diagnostics = new LeaderDiagnostics(time, cancelToEnd, DrainMetrics.registerIn(registry));
         diagnostics.registerGauges(registry);
         return diagnostics;
     }
 
-    private LeaderDiagnostics(TimeSource time, DistributionDataPoint cancelToEnd) {
+    private LeaderDiagnostics(TimeSource time, DistributionDataPoint cancelToEnd, DrainMetrics drains) {
         this.time = time;
+        this.drains = drains;
         activity = LoopActivity.create(time);
         runs = RunTraces.create(time, cancelToEnd);
         leases = LeaseTraces.create(time);
@@ -60,6 +63,10 @@
         runInspection = new RunInspection(runs);
     }
 
+    DrainMetrics drains() {
+        return drains;
+    }
+
     private void registerGauges(PrometheusRegistry registry) {
         gauge(
                 registry,
--- a/control/src/main/java/org/nettlering/control/workflow/StopReason.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StopReason.java
@@ -21,6 +21,8 @@
     STALLED,
     /** The run is throttled, and its task shall run on another host. */
     MIGRATED,
+    /** The host is to be emptied, and the task shall run on another host. */
+    HOST_EMPTIED,
     /** The host reports a run that the leader does not track there. */
     NOT_TRACKED;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -69,7 +69,13 @@
     /** A part of the workflow loop failed; the other parts of the same iteration are not affected. */
     LOOP_PART_FAILED(3329, Level.ERROR, "part {} of the workflow loop failed for {}"),
     /** A command or a batch has had no outcome within its deadline, and is treated as one whose outcome is unknown. */
-    OUTCOME_OVERDUE(3330, Level.ERROR, "{} has had no outcome within its deadline: {}, {} ms");
+    OUTCOME_OVERDUE(3330, Level.ERROR, "{} has had no outcome within its deadline: {}, {} ms"),
+    /** A run is stopped so that its task runs on another host, because its host is to be emptied. */
+    RUN_MOVED(3331, Level.INFO, "stopping run {} on host {}, which is to be emptied, to move its task"),
+    /** The evacuation of a failure domain was started or finished. */
+    EVACUATION_CHANGED(3332, Level.INFO, "evacuation of failure domain {} {}: {}"),
+    /** The runs on hosts that are to be emptied, by failure domain, logged periodically. */
+    DRAIN_SUMMARY(3333, Level.INFO, "runs left on hosts to be emptied, leader of term {}, evacuations version {}: {}");
 
     private final int number;
 
@@ -107,6 +113,7 @@
                     RUN_STARTED,
                     RUN_ENDED,
                     RUN_MIGRATED,
+                    RUN_MOVED,
                     HOST_JOINED,
                     STOP_REQUESTED -> LineBudget.JOB_LIFE;
             case COMMAND_FAILED,
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -38,6 +38,7 @@
 import org.nettlering.domain.workflow.host.TerminationEvidence;
 import org.nettlering.domain.workflow.placement.FreeCapacity;
 import org.nettlering.domain.workflow.placement.HostFailureBackoff;
+import org.nettlering.domain.workflow.placement.RelocationCandidates;
 import org.nettlering.domain.workflow.placement.StartAdmission;
 import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
@@ -118,6 +119,9 @@
     /** The earliest monotonic time of the next comparison of the sessions with the replicated state. */
     private long nextComparisonNanos;
 
+    /** The version of the evacuations that were obeyed last. */
+    private long evacuationVersion;
+
     /** Whether a change since the last plan may allow a task to start. */
     private boolean planRequested = true;
 
@@ -282,7 +286,8 @@
         long poolMillicores = 0;
         for (HostSession session : sessions.values()) {
             poolMillicores += session.latestHeartbeat()
-                    .filter(heartbeat -> heartbeat.pool().equals(terms.pool()) && !heartbeat.draining())
+                    .filter(heartbeat ->
+                            heartbeat.pool().equals(terms.pool()) && !HostDrains.isClosed(state.evacuations(), session))
                     .map(heartbeat -> heartbeat.capacity().millicores())
                     .orElse(0L);
         }
@@ -298,6 +303,7 @@
      * applied.
      */
     List<WorkflowCommand> nextBatch(WorkflowState state, long nowNanos, long nowMillis) {
+        withdrawStartsOnEvacuatedHosts(state);
         if (isBatchAwaited(nowNanos)) {
             return List.of();
         }
@@ -316,6 +322,21 @@
         return batchInFlight;
     }
 
+    /** After a change of the evacuations, ends the runs on evacuated hosts whose starts were not passed on. */
+    private void withdrawStartsOnEvacuatedHosts(WorkflowState state) {
+        if (evacuationVersion == state.evacuations().version()) {
+            return;
+        }
+        evacuationVersion = state.evacuations().version();
+        planRequested = true;
+        for (HostSession session : sessions.values()) {
+            if (HostDrains.isClosed(state.evacuations(), session)) {
+                session.withdrawUnsentStarts();
+                markHostChanged(session.host().id());
+            }
+        }
+    }
+
     /** Returns whether the outcome of a batch is awaited; one that is overdue counts as failed, but may still commit. */
     private boolean isBatchAwaited(long nowNanos) {
         if (batchInFlight.isEmpty()) {
@@ -344,7 +365,11 @@
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
         waits.update(state.pendingSteps(), nowNanos);
         List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
-        if (state.pendingSteps().isEmpty() && throttled.isEmpty()) {
+        RelocationCandidates relocations = new RelocationCandidates(
+                throttled,
+                HostDrains.movingRuns(state, sessions.values()),
+                run -> HostDrains.isAtWork(sessions, run, nowNanos));
+        if (state.pendingSteps().isEmpty() && relocations.isEmpty()) {
             return;
         }
         StartPlan plan = StartPlanner.plan(
@@ -352,11 +377,12 @@
                 freeCapacities(state, nowNanos),
                 step -> waits.isOverdue(step, nowNanos),
                 colocation.controller(),
-                throttled,
+                relocations,
                 nowMillis);
         batch.addAll(plan.starts());
         throttledStarts = plan.throttledStarts();
         plan.migrations().forEach(this::migrate);
+        plan.drainMoves().forEach(this::moveOff);
     }
 
     /** Schedules a visit of a host and discards its cached free capacity. */
@@ -429,6 +455,11 @@
         stop(run, StopReason.MIGRATED);
     }
 
+    private void moveOff(ActiveRun run) {
+        LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
+        stop(run, StopReason.HOST_EMPTIED);
+    }
+
     private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
         for (Job job : state.periodicJobs()) {
             job.nextOccurrence()
@@ -440,7 +471,7 @@
     private List<FreeCapacity> freeCapacities(WorkflowState state, long nowNanos) {
         Map<String, List<String>> hostIdsByPool = new LinkedHashMap<>();
         for (HostSession session : sessions.values()) {
-            if (session.acceptsRuns(nowNanos)) {
+            if (session.acceptsRuns(nowNanos) && !HostDrains.isClosed(state.evacuations(), session)) {
                 session.latestHeartbeat()
                         .ifPresent(heartbeat -> hostIdsByPool
                                 .computeIfAbsent(heartbeat.pool(), pool -> new ArrayList<>())
@@ -549,7 +580,7 @@
         if (session.isTracking(run.run())) {
             return;
         }
-        if (exceedsCapacity(state, session)) {
+        if (exceedsCapacity(state, session) || HostDrains.isClosed(state.evacuations(), session)) {
             endUnsentRun(run);
             return;
         }
@@ -572,7 +603,10 @@
                 .isPresent();
     }
 
-    /** Ends a run whose start is committed, but whose start command is not sent: its host is gone or has shrunk. */
+    /**
+     * Ends a run whose start is committed, but whose start command is not sent: its host is gone, has shrunk or is to be
+     * emptied.
+     */
     private void endUnsentRun(ActiveRun run) {
         uncommittedTerminations.put(run.run(), new RecordTermination(run.run(), TerminalStatus.NOT_BEGUN, ""));
         evidenceByRun.put(run.run(), new TerminationEvidence.NotSent(false, false));
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -20,6 +21,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.drain.DrainDecision;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
 import org.nettlering.domain.workflow.host.HostTimings;
@@ -318,11 +320,22 @@
     private void logLoad() {
         WorkflowLeadership current = leadership;
         if (current != null && log.isReadyLeader()) {
-            withLeadership(
-                    LoopStage.REQUEST,
-                    current,
-                    (state, active) -> LOG.log(
-                            WorkflowEvent.LOAD_SUMMARY, active.term(), LoadSummary.of(state, active.sessions())));
+            withLeadership(LoopStage.REQUEST, current, (state, active) -> {
+                LOG.log(WorkflowEvent.LOAD_SUMMARY, active.term(), LoadSummary.of(state, active.sessions()));
+                logDrains(state, active);
+            });
+        }
+    }
+
+    private void logDrains(WorkflowState state, WorkflowLeadership active) {
+        Map<String, Map<DrainDecision, Integer>> progress = HostDrains.progress(state, active.sessions());
+        metrics.diagnostics().drains().record(state.evacuations(), progress);
+        if (!progress.isEmpty()) {
+            LOG.log(
+                    WorkflowEvent.DRAIN_SUMMARY,
+                    active.term(),
+                    state.evacuations().version(),
+                    progress);
         }
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -14,13 +14,16 @@
 import org.nettlering.domain.queue.QueueSettings;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.domain.workflow.CommandResult;
+import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.WorkflowCommand;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.runtime.log.EventLogger;
+import org.nettlering.wire.codec.EvacuationCodec;
 import org.nettlering.wire.codec.HostReportCodec;
 import org.nettlering.wire.codec.JobDefinitionCodec;
 import org.nettlering.wire.codec.QueueCodec;
@@ -105,6 +108,9 @@
             case HOST_REPORT -> receiveHeartbeat(request.getHostReport());
             case HOST_LEAVING -> hostShuttingDown(request.getHostLeaving());
             case REPLACE_QUEUES -> replaceQueues(request.getReplaceQueues());
+            case CHANGE_EVACUATION -> changeEvacuation(EvacuationCodec.decode(request.getChangeEvacuation()));
+            case READ_EVACUATIONS ->
+                readConfirmed((state, queues) -> evacuationsResponse(state, WorkflowAnswer.ANSWER_DONE));
             case READ_QUEUES -> readConfirmed((state, queues) -> queuesResponse(queues));
             // A leader check needs no confirmation round; it may succeed on a deposed leader for a short time.
             case CHECK -> CompletableFuture.completedFuture(responseOf(WorkflowAnswer.ANSWER_DONE));
@@ -248,6 +254,34 @@
         });
     }
 
+    private CompletionStage<WorkflowResponse> changeEvacuation(ChangeEvacuation change) {
+        Evacuations.requireValidName(change.failureDomain());
+        boolean hasRoom =
+                stateMachine.read((state, queues) -> state.evacuations().hasRoom());
+        if (change.evacuated() && !hasRoom) {
+            throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "too many failure domains are evacuated");
+        }
+        return propose(change).thenApply(result -> {
+            LOG.log(
+                    WorkflowEvent.EVACUATION_CHANGED,
+                    change.failureDomain(),
+                    change.evacuated() ? "started" : "finished",
+                    result);
+            loop.requestPlanAndRun();
+            WorkflowAnswer answer = result == CommandResult.VERSION_CONFLICT
+                    ? WorkflowAnswer.ANSWER_CONFLICT
+                    : WorkflowAnswer.ANSWER_DONE;
+            return stateMachine.read((state, queues) -> evacuationsResponse(state, answer));
+        });
+    }
+
+    private static WorkflowResponse evacuationsResponse(WorkflowState state, WorkflowAnswer answer) {
+        return WorkflowResponse.newBuilder()
+                .setAnswer(answer)
+                .setEvacuations(EvacuationCodec.encode(state.evacuations()))
+                .build();
+    }
+
     private static WorkflowResponse queuesResponse(QueueConfiguration queues) {
         if (!queues.isPresent()) {
             return responseOf(WorkflowAnswer.ANSWER_NO_CONFIGURATION);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowStateMachine.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowStateMachine.java
@@ -7,6 +7,7 @@
 import org.nettlering.control.log.StatePart;
 import org.nettlering.domain.queue.QueueConfiguration;
 import org.nettlering.domain.workflow.CommandResult;
+import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot;
 import org.nettlering.wire.codec.QueueCodec;
@@ -27,6 +28,8 @@
  * object.
  */
 public final class WorkflowStateMachine implements StatePart {
+    private static final int FORMAT_WITH_EVACUATIONS = 2;
+
     private final LongSupplier nanoTime;
 
     /** Receives the duration of each wait for the lock, in nanoseconds; not called if the lock is free. */
@@ -132,6 +135,11 @@
         }
     }
 
+    @Override
+    public int requiredFormat() {
+        return read((state, ignored) -> state.evacuations().equals(Evacuations.NONE) ? 1 : FORMAT_WITH_EVACUATIONS);
+    }
+
     @Override
     public void restore(SiteSnapshot snapshot) {
         WorkflowSnapshot saved = snapshot.getWorkflow();
--- a/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
+++ b/control/src/test/java/org/nettlering/control/state/SiteStateMachineTest.java
@@ -8,8 +8,11 @@
 import org.nettlering.control.configuration.ConfigurationPart;
 import org.nettlering.control.log.StatePart;
 import org.nettlering.control.testing.EmptyPart;
+import org.nettlering.control.workflow.WorkflowStateMachine;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
+import org.nettlering.wire.codec.WorkflowCommandCodec;
 import org.nettlering.wire.proto.CommandProto.SiteCommand;
 import org.nettlering.wire.proto.CommandProto.SiteResult;
 import org.nettlering.wire.proto.CommandProto.SiteSnapshot;
@@ -44,11 +47,27 @@
 
     @Test
     void aSnapshotOfANewerFormatIsRefused() {
-        byte[] newer = SiteSnapshot.newBuilder().setFormatVersion(2).build().toByteArray();
+        byte[] newer = SiteSnapshot.newBuilder()
+                .setFormatVersion(SiteStateMachine.FORMAT_VERSION + 1)
+                .build()
+                .toByteArray();
 
         assertRefused(ErrorCode.STORAGE_TOO_NEW, () -> machine.restore(newer));
     }
 
+    @Test
+    void aSnapshotHasTheOldestFormatThatHoldsTheStateSoThatOlderProgramsReadItOrRefuseIt()
+            throws InvalidProtocolBufferException {
+        WorkflowStateMachine workflow = WorkflowStateMachine.create();
+        SiteStateMachine site = SiteStateMachine.of(configuration, new EmptyPart(), new EmptyPart(), workflow);
+        assertThat(SiteSnapshot.parseFrom(site.capture().encode()).getFormatVersion())
+                .isEqualTo(1);
+        WorkflowCommandMessage evacuation = WorkflowCommandCodec.encode(new ChangeEvacuation("zone-a", true, 0));
+        site.apply(1, SiteCommand.newBuilder().setWorkflow(evacuation).build().toByteArray());
+        assertThat(SiteSnapshot.parseFrom(site.capture().encode()).getFormatVersion())
+                .isEqualTo(2);
+    }
+
     @Test
     void anEntryThatIsNotACommandIsRefused() {
         assertRefused(ErrorCode.STORAGE_CORRUPT, () -> machine.apply(1, new byte[] {-1, -1}));
--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -88,6 +88,12 @@
         return incarnation;
     }
 
+    /** Returns a failure domain for each number of a host. */
+    String failureDomain() {
+        String address = incarnation.address();
+        return "fd" + address.substring(address.lastIndexOf('.') + 1, address.lastIndexOf(':'));
+    }
+
     boolean isUp() {
         return up;
     }
@@ -98,7 +104,7 @@
         return new HostHeartbeat(
                 incarnation,
                 "pool",
-                "fd",
+                failureDomain(),
                 capacity,
                 "a",
                 "r1",
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
@@ -46,6 +46,9 @@
     private static final int ATTEMPTS = 2;
     private static final int HOSTS = 3;
     private static final int MEMBERS = 3;
+    /** How long after its acknowledgement an evacuation is in force everywhere. */
+    private static final Duration EVACUATION_BOUND = Duration.ofSeconds(5);
+
     private static final HostTimings TIMINGS =
             new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
 
@@ -69,6 +72,13 @@
     private final Set<RunId> doneRuns = new HashSet<>();
     private final Set<TaskId> tasksAcknowledgedDone = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
+    /** Since when each failure domain is evacuated by an acknowledged order, in monotonic nanoseconds; absent if it is not. */
+    private final Map<String, Long> evacuatedSinceNanos = new HashMap<>();
+
+    /** Draws the evacuations. */
+    private final SplittableRandom evacuations;
+
+    private boolean commandIsLate;
     private boolean idsMayBeKept;
     private int leaderIndex;
     private int incarnationCount;
@@ -95,6 +105,7 @@
         random = new SplittableRandom(seed);
         programFaults = new SplittableRandom(-seed);
         rebirths = new SplittableRandom(~seed);
+        evacuations = new SplittableRandom(seed + 1);
         this.fault = fault;
         if (fault == InjectedFault.UNREPLICATED_STARTS) {
             log.replicateOnly(TaskProtocolSimulation::containsNoStart);
@@ -128,6 +139,8 @@
             advance(step);
         }
         faultsEnabled = false;
+        log.injectProposalFaults(() -> ProposalFault.NONE);
+        finishEvacuations();
         for (int step = 0; step < FAULT_FREE_STEPS && violations.isEmpty(); step++) {
             advance(step);
         }
@@ -181,6 +194,53 @@
         } else if (draw < 26) {
             replaceLeader();
         }
+        maybeEvacuate();
+    }
+
+    /** Starts or finishes the evacuation of the failure domain of one host, as an operator does. */
+    private void maybeEvacuate() {
+        if (evacuations.nextInt(400) > 0) {
+            return;
+        }
+        String domain = "fd" + evacuations.nextInt(HOSTS);
+        changeEvacuation(domain, evacuations.nextBoolean());
+    }
+
+    private void changeEvacuation(String domain, boolean evacuated) {
+        ControlMember leader = members.get(leaderIndex);
+        long version =
+                leader.stateMachine.read((state, queues) -> state.evacuations().version());
+        SiteCommand command = SiteCommand.newBuilder()
+                .setWorkflow(
+                        WorkflowCommandCodec.encode(new WorkflowCommand.ChangeEvacuation(domain, evacuated, version)))
+                .build();
+        try {
+            leader.member.propose(command).thenRun(() -> evacuationAcknowledged(domain, evacuated));
+        } catch (IllegalStateException injected) {
+            // The operator gets no acknowledgement.
+        }
+    }
+
+    private void evacuationAcknowledged(String domain, boolean evacuated) {
+        if (evacuated) {
+            evacuatedSinceNanos.put(domain, time.nanoTime());
+        } else {
+            evacuatedSinceNanos.remove(domain);
+        }
+    }
+
+    private void finishEvacuations() {
+        for (int host = 0; host < HOSTS; host++) {
+            changeEvacuation("fd" + host, false);
+        }
+    }
+
+    private void checkEvacuation(FakeHost host, RunId run) {
+        Long sinceNanos = evacuatedSinceNanos.get(host.failureDomain());
+        boolean overdue = sinceNanos != null && time.nanoTime() - sinceNanos > EVACUATION_BOUND.toNanos();
+        if (overdue && !commandIsLate) {
+            violations.add("start in an evacuated failure domain: " + run);
+        }
     }
 
     private void replaceLeader() {
@@ -232,6 +292,7 @@
     @Override
     public void runStarted(FakeHost host, RunId run) {
         TaskId task = run.task();
+        checkEvacuation(host, run);
         if (activeRuns.stream().anyMatch(other -> other.task().equals(task))) {
             violations.add("two runs at the same time: " + run + " and " + activeRuns);
         }
@@ -293,13 +354,19 @@
             if (command instanceof HostCommand.Start && random.nextInt(4) == 0) {
                 replaceLeaderBeforeItsStop(host);
             }
-            time.schedule(Duration.ofMillis(200 + random.nextInt(9_000)), () -> handleOnHost(host, command));
+            time.schedule(Duration.ofMillis(200 + random.nextInt(9_000)), () -> handleLate(host, command));
             return new NoResponse("late");
         }
         HostResponse response = handleOnHost(host, command);
         return draw < 12 ? new NoResponse("response lost") : response;
     }
 
+    private void handleLate(int host, HostCommand command) {
+        commandIsLate = true;
+        handleOnHost(host, command);
+        commandIsLate = false;
+    }
+
     /** Replaces the leader while a partition keeps it from stopping the run of a delayed start command. */
     private void replaceLeaderBeforeItsStop(int host) {
         partitionedUntilNanos[host] = time.nanoTime() + Duration.ofMillis(300).toNanos();
--- a/domain/src/main/java/org/nettlering/domain/workflow/CommandResult.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/CommandResult.java
@@ -7,5 +7,7 @@
     /** Nothing changed: the command had taken effect before, or no longer applies to the state. */
     UNCHANGED,
     /** Nothing changed: the command names an unknown job. */
-    UNKNOWN_JOB
+    UNKNOWN_JOB,
+    /** Nothing changed: the command is based on an older version of what it changes. */
+    VERSION_CONFLICT
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowCommand.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowCommand.java
@@ -59,6 +59,16 @@
      */
     record RaiseFence() implements WorkflowCommand {}
 
+    /**
+     * Starts or finishes the evacuation of a failure domain. Has no effect if the evacuations have changed since the sender
+     * read them.
+     *
+     * @param failureDomain the failure domain, not null
+     * @param evacuated true to start the evacuation, false to finish it
+     * @param expectedVersion the version of the evacuations that the sender has read
+     */
+    record ChangeEvacuation(String failureDomain, boolean evacuated, long expectedVersion) implements WorkflowCommand {}
+
     /**
      * Several commands in one log entry.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.WorkflowCommand.Batch;
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
 import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
@@ -57,6 +58,8 @@
     /** How often leaders have raised their fencing token. */
     private long fenceRaises;
 
+    private Evacuations evacuations = Evacuations.NONE;
+
     /**
      * Returns a state without jobs.
      *
@@ -76,6 +79,7 @@
         WorkflowState state = new WorkflowState();
         snapshot.jobs().forEach(job -> state.add(Job.from(job)));
         state.fenceRaises = snapshot.fenceRaises();
+        state.evacuations = snapshot.evacuations();
         return state;
     }
 
@@ -107,7 +111,7 @@
      */
     public WorkflowStateSnapshot snapshot() {
         return new WorkflowStateSnapshot(
-                jobs.values().stream().map(Job::snapshot).toList(), fenceRaises);
+                jobs.values().stream().map(Job::snapshot).toList(), fenceRaises, evacuations);
     }
 
     /**
@@ -124,6 +128,15 @@
         return term + fenceRaises;
     }
 
+    /**
+     * Returns the failure domains whose hosts get no new runs.
+     *
+     * @return the evacuations, never null
+     */
+    public Evacuations evacuations() {
+        return evacuations;
+    }
+
     /**
      * Finds a job.
      *
@@ -270,6 +283,7 @@
             case RecordTermination termination -> recordTermination(termination);
             case RemoveJob remove -> removeJob(remove);
             case RaiseFence raise -> raiseFence();
+            case ChangeEvacuation change -> changeEvacuation(change);
             case Batch batch -> applyAll(batch.commands());
         };
     }
@@ -279,6 +293,17 @@
         return CommandResult.APPLIED;
     }
 
+    private CommandResult changeEvacuation(ChangeEvacuation change) {
+        if (evacuations.includes(change.failureDomain()) == change.evacuated()) {
+            return CommandResult.UNCHANGED;
+        }
+        if (change.expectedVersion() != evacuations.version()) {
+            return CommandResult.VERSION_CONFLICT;
+        }
+        evacuations = evacuations.with(change.failureDomain(), change.evacuated());
+        return CommandResult.APPLIED;
+    }
+
     private CommandResult applyAll(List<WorkflowCommand> commands) {
         CommandResult last = CommandResult.UNCHANGED;
         for (WorkflowCommand command : commands) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
@@ -9,8 +9,9 @@
  *
  * @param jobs the jobs in the order of acceptance, not null
  * @param fenceRaises how often leaders have raised their fencing token
+ * @param evacuations the failure domains whose hosts get no new runs, not null
  */
-public record WorkflowStateSnapshot(List<JobSnapshot> jobs, long fenceRaises) {
+public record WorkflowStateSnapshot(List<JobSnapshot> jobs, long fenceRaises, Evacuations evacuations) {
     /** Copies the list of jobs. */
     public WorkflowStateSnapshot {
         jobs = List.copyOf(jobs);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -308,6 +308,25 @@
         return true;
     }
 
+    /** Ends the runs as never begun whose start commands have not been passed on. */
+    public void withdrawUnsentStarts() {
+        runs.values().stream()
+                .filter(tracked -> tracked.stage == Stage.START_PENDING)
+                .forEach(tracked -> tracked.stopRequested = true);
+    }
+
+    /**
+     * Returns whether the last response of the host is recent enough to tell which of its runs are at work.
+     *
+     * @param maxAge the largest age of the response, not null
+     * @param nowNanos the monotonic time
+     * @return true if the host has responded within that time
+     */
+    public boolean hasRespondedWithin(Duration maxAge, long nowNanos) {
+        long ageMillis = liveness.responseAgeMillis(nowNanos);
+        return ageMillis != TerminationEvidence.NEVER && ageMillis <= maxAge.toMillis();
+    }
+
     /**
      * Returns whether a run is tracked.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -144,6 +144,11 @@
         return heartbeat.pool();
     }
 
+    /** Returns whether the host said in its last heartbeat that it is still slow after its start. */
+    boolean isCold() {
+        return heartbeat.coldLeftMillis() > 0;
+    }
+
     int consecutiveFailures() {
         return consecutiveFailures;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostScore.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostScore.java
@@ -7,6 +7,7 @@
  * thread-safe.
  *
  * @param consecutiveFailures the consecutive run failures on the host
+ * @param cold 1 if the host is still slow after its start, else 0
  * @param outsideRack 1 if the data is in another rack, else 0
  * @param addedPressure the bucket of the latency pressure that a best-effort task adds, zero for other tasks
  * @param resultingPressure the bucket of the latency pressure that results from it, zero for other tasks
@@ -15,6 +16,7 @@
  */
 record HostScore(
         int consecutiveFailures,
+        int cold,
         int outsideRack,
         long addedPressure,
         long resultingPressure,
@@ -26,6 +28,9 @@
         if (consecutiveFailures != other.consecutiveFailures) {
             return Integer.compare(consecutiveFailures, other.consecutiveFailures);
         }
+        if (cold != other.cold) {
+            return Integer.compare(cold, other.cold);
+        }
         if (outsideRack != other.outsideRack) {
             return Integer.compare(outsideRack, other.outsideRack);
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostSelector.java
@@ -87,11 +87,13 @@
     /** Returns how well a feasible host suits one more task. */
     HostScore score(StepSpecification step, String rack, FreeCapacity candidate) {
         int failures = candidate.consecutiveFailures();
+        int cold = candidate.isCold() ? 1 : 0;
         int outsideRack = isOutsideRack(rack, candidate) ? 1 : 0;
         if (step.has(StepTrait.BEST_EFFORT)) {
             HostLatencyPressure.Impact impact = impactOf(step, candidate);
             return new HostScore(
                     failures,
+                    cold,
                     outsideRack,
                     impact.added() / PRESSURE_BUCKET_THOUSANDTHS,
                     impact.resulting() / PRESSURE_BUCKET_THOUSANDTHS,
@@ -100,7 +102,7 @@
         }
         int penalty =
                 step.isLatencyCritical() ? imageMixPenalty(step, candidate) : candidate.hasLatencyCritical() ? 0 : 1;
-        return new HostScore(failures, outsideRack, 0, 0, penalty, candidate.idleMillicores());
+        return new HostScore(failures, cold, outsideRack, 0, 0, penalty, candidate.idleMillicores());
     }
 
     /** Returns 0 if the step's image is the only latency-critical one on the host, 1 if there is none, else more. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlan.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlan.java
@@ -13,14 +13,17 @@
  *
  * @param starts the starts, most urgent first, not null
  * @param migrations the runs to stop so that their tasks restart on other hosts, not null
+ * @param drainMoves the runs to stop because their hosts are to be emptied, not null
  * @param throttledStarts those of the starts whose runs begin at the lowest speed, because they would harm
  *     latency-critical runs at full speed, not null
  */
-public record StartPlan(List<StartRun> starts, List<ActiveRun> migrations, Set<RunId> throttledStarts) {
+public record StartPlan(
+        List<StartRun> starts, List<ActiveRun> migrations, List<ActiveRun> drainMoves, Set<RunId> throttledStarts) {
     /** Copies the lists. */
     public StartPlan {
         starts = List.copyOf(starts);
         migrations = List.copyOf(migrations);
+        drainMoves = List.copyOf(drainMoves);
         throttledStarts = Set.copyOf(throttledStarts);
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -61,7 +61,7 @@
      * @param overdue returns true for best-effort steps that have waited too long for a host whose latency-critical runs
      *     they do not harm; one task of such a step, or the whole gang, starts throttled on the least harmed host, not null
      * @param colocation provides the learned interference between images, not null
-     * @param throttled the throttled runs, candidates for migration, not null
+     * @param relocations the runs that may be stopped so that their tasks run on other hosts, not null
      * @param nowMillis the current time in milliseconds since the Unix epoch
      * @return the plan, never null
      */
@@ -70,14 +70,19 @@
             Collection<FreeCapacity> capacities,
             Predicate<StepProgress> overdue,
             ColocationController colocation,
-            Collection<ThrottledRun> throttled,
+            RelocationCandidates relocations,
             long nowMillis) {
         StartPlanner planner = new StartPlanner(capacities, overdue, colocation, nowMillis);
         planner.planAll(state.pendingSteps());
-        List<ActiveRun> migrations = throttled.isEmpty()
+        List<ActiveRun> drainMoves = relocations.draining().isEmpty()
                 ? List.of()
-                : new MigrationPlanner(planner.selector, capacities, planner::candidatesIn).plan(throttled);
-        return new StartPlan(planner.starts, migrations, planner.throttledStarts);
+                : new DrainPlanner(planner.selector, planner::candidatesIn, relocations.atWork())
+                        .plan(relocations.draining());
+        List<ActiveRun> migrations = relocations.throttled().isEmpty()
+                ? List.of()
+                : new MigrationPlanner(planner.selector, capacities, planner::candidatesIn)
+                        .plan(relocations.throttled());
+        return new StartPlan(planner.starts, migrations, drainMoves, planner.throttledStarts);
     }
 
     private StartPlanner(
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -216,7 +216,8 @@
         addBusyHost("robust");
         state.apply(job("a", bestEffortStep(4)));
         assertThat(plan(controller, List.of()).starts()).isEmpty();
-        StartPlan overdue = StartPlanner.plan(state, capacities, step -> true, controller, List.of(), 0);
+        StartPlan overdue =
+                StartPlanner.plan(state, capacities, step -> true, controller, RelocationCandidates.NONE, 0);
         assertThat(overdue.starts()).hasSize(1);
         assertThat(overdue.starts().getFirst().run().host().id()).isEqualTo("busy-robust");
         assertThat(overdue.throttledStarts())
@@ -227,8 +228,8 @@
     void overdueStepStartsUnthrottledWhereItDoesNoHarm() {
         addHost("idle", "r1", 32_000, 0);
         state.apply(job("a", bestEffortStep(2)));
-        StartPlan overdue =
-                StartPlanner.plan(state, capacities, step -> true, ColocationController.create(), List.of(), 0);
+        StartPlan overdue = StartPlanner.plan(
+                state, capacities, step -> true, ColocationController.create(), RelocationCandidates.NONE, 0);
         assertThat(overdue.starts()).hasSize(2);
         assertThat(overdue.throttledStarts()).isEmpty();
     }
@@ -237,8 +238,8 @@
     void overdueGangStartsThrottledAsAWhole() {
         addBusyHost("tender");
         state.apply(job("a", step(3, List.of(), StepTrait.GANG, StepTrait.BEST_EFFORT)));
-        StartPlan overdue =
-                StartPlanner.plan(state, capacities, step -> true, ColocationController.create(), List.of(), 0);
+        StartPlan overdue = StartPlanner.plan(
+                state, capacities, step -> true, ColocationController.create(), RelocationCandidates.NONE, 0);
         assertThat(overdue.starts()).hasSize(3);
         assertThat(overdue.throttledStarts()).hasSize(3);
     }
@@ -364,7 +365,8 @@
     }
 
     private StartPlan plan(ColocationController colocation, List<ThrottledRun> throttled) {
-        return StartPlanner.plan(state, capacities, step -> false, colocation, throttled, 0);
+        return StartPlanner.plan(
+                state, capacities, step -> false, colocation, RelocationCandidates.ofThrottled(throttled), 0);
     }
 
     private Map<String, Long> startsByHost() {
--- a/entry/src/main/java/org/nettlering/entry/operators/ControlForwarder.java
+++ b/entry/src/main/java/org/nettlering/entry/operators/ControlForwarder.java
@@ -18,6 +18,8 @@
 import org.nettlering.wire.proto.MembershipProto.MembershipResponse;
 import org.nettlering.wire.proto.TaskProto.TaskRequest;
 import org.nettlering.wire.proto.TaskProto.TaskResponse;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowRequest;
+import org.nettlering.wire.proto.WorkflowProto.WorkflowResponse;
 import org.nettlering.wire.transport.ControlGateway;
 
 /**
@@ -60,6 +62,12 @@
         return forward(routing, frame, request.hasList()).map(Frame::getMembershipResponse);
     }
 
+    /** Forwards a query or change of the evacuations; a change is based on a version and may be repeated. */
+    Future<WorkflowResponse> forwardWorkflowRequest(RoutingContext routing, WorkflowRequest request) {
+        Frame frame = Frame.newBuilder().setWorkflowRequest(request).build();
+        return forward(routing, frame, true).map(Frame::getWorkflowResponse);
+    }
+
     private Future<Frame> forward(RoutingContext routing, Frame frame, boolean mayRepeat) {
         Promise<Frame> promise = Promise.promise();
         Context context = routing.vertx().getOrCreateContext();
--- a/entry/src/main/java/org/nettlering/entry/operators/OperatorServer.java
+++ b/entry/src/main/java/org/nettlering/entry/operators/OperatorServer.java
@@ -55,6 +55,7 @@
         ConfigurationRoutes.register(router, forwarder);
         TaskRoutes.register(router, forwarder);
         MemberRoutes.register(router, forwarder);
+        EvacuationRoutes.register(router, forwarder);
         StatusRoutes.register(router, services, forwarder);
         router.route().failureHandler(HttpResponses::handleRouterFailure);
         for (int status : new int[] {400, 404, 405, 413}) {
--- a/operator/src/main/java/org/nettlering/operator/command/RootCommands.java
+++ b/operator/src/main/java/org/nettlering/operator/command/RootCommands.java
@@ -29,6 +29,7 @@
         @SubCommand(name = "job", impl = JobCommands.class),
         @SubCommand(name = "worker", impl = WorkerCommands.class),
         @SubCommand(name = "member", impl = MemberCommands.class),
+        @SubCommand(name = "evacuation", impl = EvacuationCommands.class),
         @SubCommand(name = "leader", impl = LeaderCommands.class),
         @SubCommand(name = "status", impl = StatusCommand.class),
         @SubCommand(name = "explain", impl = ExplainCommands.class)
--- a/operator/src/main/java/org/nettlering/operator/output/Reports.java
+++ b/operator/src/main/java/org/nettlering/operator/output/Reports.java
@@ -19,6 +19,7 @@
 import org.nettlering.wire.proto.TaskProto.PowerStatus;
 import org.nettlering.wire.proto.TaskProto.Resources;
 import org.nettlering.wire.proto.TaskProto.WorkerStatus;
+import org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage;
 
 /** Writes the answers of the system for people. */
 public final class Reports {
@@ -42,6 +43,18 @@
         return table.toString();
     }
 
+    /**
+     * Writes the evacuated failure domains.
+     *
+     * @param evacuations the evacuations, not null
+     * @return a table, never null
+     */
+    public static String evacuations(EvacuationsMessage evacuations) {
+        Table table = Table.of("EVACUATED FAILURE DOMAIN");
+        evacuations.getFailureDomainsList().forEach(table::row);
+        return table.toString();
+    }
+
     /**
      * Writes the services.
      *
--- a/wire/src/main/java/org/nettlering/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/HostReportCodec.java
@@ -30,6 +30,8 @@
                 .setClockMillis(report.clockMillis())
                 .setSequence(report.sequence())
                 .setStartMillis(report.startMillis())
+                .setDrainLeftMillis(report.drainLeftMillis())
+                .setColdLeftMillis(report.coldLeftMillis())
                 .build();
     }
 
@@ -50,6 +52,8 @@
                 message.getDraining(),
                 message.getClockMillis(),
                 message.getSequence(),
-                message.getStartMillis());
+                message.getStartMillis(),
+                message.getDrainLeftMillis(),
+                message.getColdLeftMillis());
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -14,6 +14,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.Batch;
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
 import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
@@ -57,6 +58,7 @@
             case RecordTermination end -> message.setEnd(encodeEnd(end));
             case RemoveJob forget ->
                 message.setForget(ForgetWorkflow.newBuilder().setJobId(forget.jobId()));
+            case ChangeEvacuation change -> message.setEvacuation(EvacuationCodec.encode(change));
             case RaiseFence raise -> message.setBatch(encodeBatch(new Batch(List.of(raise))));
             case Batch batch -> message.setBatch(encodeBatch(batch));
         }
@@ -81,6 +83,7 @@
             case END -> decodeEnd(message.getEnd());
             case FORGET -> new RemoveJob(message.getForget().getJobId());
             case BATCH -> decodeBatch(message.getBatch());
+            case EVACUATION -> EvacuationCodec.decode(message.getEvacuation());
             case COMMAND_NOT_SET ->
                 throw new NettleringException(ErrorCode.STORAGE_TOO_NEW, "a change of jobs is of an unknown kind");
         };
@@ -225,6 +228,7 @@
             case APPLIED -> WorkflowOutcomeMessage.WORKFLOW_APPLIED;
             case UNCHANGED -> WorkflowOutcomeMessage.WORKFLOW_UNCHANGED;
             case UNKNOWN_JOB -> WorkflowOutcomeMessage.WORKFLOW_UNKNOWN_JOB;
+            case VERSION_CONFLICT -> WorkflowOutcomeMessage.WORKFLOW_VERSION_CONFLICT;
         };
         return WorkflowResult.newBuilder().setOutcome(message).build();
     }
@@ -241,6 +245,7 @@
             case WORKFLOW_APPLIED -> CommandResult.APPLIED;
             case WORKFLOW_UNCHANGED -> CommandResult.UNCHANGED;
             case WORKFLOW_UNKNOWN_JOB -> CommandResult.UNKNOWN_JOB;
+            case WORKFLOW_VERSION_CONFLICT -> CommandResult.VERSION_CONFLICT;
             case WORKFLOW_OUTCOME_UNSPECIFIED, UNRECOGNIZED ->
                 throw new NettleringException(ErrorCode.INTERNAL, "a change of jobs had an unknown outcome");
         };
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
+import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.JobSnapshot;
 import org.nettlering.domain.workflow.WorkflowStateSnapshot.OccurrenceSnapshot;
@@ -26,6 +27,9 @@
     public static WorkflowSnapshot.Builder encode(WorkflowStateSnapshot image) {
         WorkflowSnapshot.Builder snapshot = WorkflowSnapshot.newBuilder();
         image.jobs().forEach(job -> snapshot.addJobs(encode(job)));
+        if (!image.evacuations().equals(Evacuations.NONE)) {
+            snapshot.setEvacuations(EvacuationCodec.encode(image.evacuations()));
+        }
         return snapshot.setFenceRaises(image.fenceRaises());
     }
 
@@ -40,7 +44,8 @@
                 snapshot.getJobsList().stream()
                         .map(WorkflowSnapshotCodec::decode)
                         .toList(),
-                snapshot.getFenceRaises());
+                snapshot.getFenceRaises(),
+                EvacuationCodec.decode(snapshot.getEvacuations()));
     }
 
     private static JobImageMessage encode(JobSnapshot job) {
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -519,6 +519,10 @@
      * <code>WORKFLOW_UNKNOWN_JOB = 3;</code>
      */
     WORKFLOW_UNKNOWN_JOB(3),
+    /**
+     * <code>WORKFLOW_VERSION_CONFLICT = 4;</code>
+     */
+    WORKFLOW_VERSION_CONFLICT(4),
     UNRECOGNIZED(-1),
     ;
 
@@ -547,6 +551,10 @@
      * <code>WORKFLOW_UNKNOWN_JOB = 3;</code>
      */
     public static final int WORKFLOW_UNKNOWN_JOB_VALUE = 3;
+    /**
+     * <code>WORKFLOW_VERSION_CONFLICT = 4;</code>
+     */
+    public static final int WORKFLOW_VERSION_CONFLICT_VALUE = 4;
 
 
     public final int getNumber() {
@@ -577,6 +585,7 @@
         case 1: return WORKFLOW_APPLIED;
         case 2: return WORKFLOW_UNCHANGED;
         case 3: return WORKFLOW_UNKNOWN_JOB;
+        case 4: return WORKFLOW_VERSION_CONFLICT;
         default: return null;
       }
     }
@@ -823,6 +832,14 @@
      * <code>ANSWER_NO_CONFIGURATION = 5;</code>
      */
     ANSWER_NO_CONFIGURATION(5),
+    /**
+     * <pre>
+     * The change was based on an older version, and had no effect.
+     * </pre>
+     *
+     * <code>ANSWER_CONFLICT = 6;</code>
+     */
+    ANSWER_CONFLICT(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -867,6 +884,14 @@
      * <code>ANSWER_NO_CONFIGURATION = 5;</code>
      */
     public static final int ANSWER_NO_CONFIGURATION_VALUE = 5;
+    /**
+     * <pre>
+     * The change was based on an older version, and had no effect.
+     * </pre>
+     *
+     * <code>ANSWER_CONFLICT = 6;</code>
+     */
+    public static final int ANSWER_CONFLICT_VALUE = 6;
 
 
     public final int getNumber() {
@@ -899,6 +924,7 @@
         case 3: return ANSWER_NO_JOB;
         case 4: return ANSWER_REJECTED;
         case 5: return ANSWER_NO_CONFIGURATION;
+        case 6: return ANSWER_CONFLICT;
         default: return null;
       }
     }
@@ -11727,6 +11753,21 @@
      */
     org.nettlering.wire.proto.WorkflowProto.WorkflowBatchOrBuilder getBatchOrBuilder();
 
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     * @return Whether the evacuation field is set.
+     */
+    boolean hasEvacuation();
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     * @return The evacuation.
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationChange getEvacuation();
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getEvacuationOrBuilder();
+
     org.nettlering.wire.proto.WorkflowProto.WorkflowCommandMessage.CommandCase getCommandCase();
   }
   /**
@@ -11788,6 +11829,7 @@
       END(5),
       FORGET(6),
       BATCH(7),
+      EVACUATION(8),
       COMMAND_NOT_SET(0);
       private final int value;
       private CommandCase(int value) {
@@ -11812,6 +11854,7 @@
           case 5: return END;
           case 6: return FORGET;
           case 7: return BATCH;
+          case 8: return EVACUATION;
           case 0: return COMMAND_NOT_SET;
           default: return null;
         }
@@ -12044,6 +12087,37 @@
       return org.nettlering.wire.proto.WorkflowProto.WorkflowBatch.getDefaultInstance();
     }
 
+    public static final int EVACUATION_FIELD_NUMBER = 8;
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     * @return Whether the evacuation field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuation() {
+      return commandCase_ == 8;
+    }
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     * @return The evacuation.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getEvacuation() {
+      if (commandCase_ == 8) {
+         return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getEvacuationOrBuilder() {
+      if (commandCase_ == 8) {
+         return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12079,6 +12153,9 @@
       if (commandCase_ == 7) {
         output.writeMessage(7, (org.nettlering.wire.proto.WorkflowProto.WorkflowBatch) command_);
       }
+      if (commandCase_ == 8) {
+        output.writeMessage(8, (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -12111,6 +12188,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(7, (org.nettlering.wire.proto.WorkflowProto.WorkflowBatch) command_);
       }
+      if (commandCase_ == 8) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_);
+      }
       return size;
     }
     @java.lang.Override
@@ -12165,6 +12246,10 @@
           if (!getBatch()
               .equals(other.getBatch())) return false;
           break;
+        case 8:
+          if (!getEvacuation()
+              .equals(other.getEvacuation())) return false;
+          break;
         case 0:
         default:
       }
@@ -12208,6 +12293,10 @@
           hash = (37 * hash) + BATCH_FIELD_NUMBER;
           hash = (53 * hash) + getBatch().hashCode();
           break;
+        case 8:
+          hash = (37 * hash) + EVACUATION_FIELD_NUMBER;
+          hash = (53 * hash) + getEvacuation().hashCode();
+          break;
         case 0:
         default:
       }
@@ -12367,6 +12456,9 @@
         if (batchBuilder_ != null) {
           batchBuilder_.clear();
         }
+        if (evacuationBuilder_ != null) {
+          evacuationBuilder_.clear();
+        }
         commandCase_ = 0;
         command_ = null;
         return this;
@@ -12436,6 +12528,10 @@
             batchBuilder_ != null) {
           result.command_ = batchBuilder_.build();
         }
+        if (commandCase_ == 8 &&
+            evacuationBuilder_ != null) {
+          result.command_ = evacuationBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -12479,6 +12575,10 @@
             mergeBatch(other.getBatch());
             break;
           }
+          case EVACUATION: {
+            mergeEvacuation(other.getEvacuation());
+            break;
+          }
           case COMMAND_NOT_SET: {
             break;
           }
@@ -12556,6 +12656,13 @@
                 commandCase_ = 7;
                 break;
               } // case 58
+              case 66: {
+                input.readMessage(
+                    internalGetEvacuationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                commandCase_ = 8;
+                break;
+              } // case 66
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13568,6 +13675,146 @@
         return batchBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder> evacuationBuilder_;
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       * @return Whether the evacuation field is set.
+       */
+      @java.lang.Override
+      public boolean hasEvacuation() {
+        return commandCase_ == 8;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       * @return The evacuation.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getEvacuation() {
+        if (evacuationBuilder_ == null) {
+          if (commandCase_ == 8) {
+            return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        } else {
+          if (commandCase_ == 8) {
+            return evacuationBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      public Builder setEvacuation(org.nettlering.wire.proto.WorkflowProto.EvacuationChange value) {
+        if (evacuationBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          command_ = value;
+          onChanged();
+        } else {
+          evacuationBuilder_.setMessage(value);
+        }
+        commandCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      public Builder setEvacuation(
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder builderForValue) {
+        if (evacuationBuilder_ == null) {
+          command_ = builderForValue.build();
+          onChanged();
+        } else {
+          evacuationBuilder_.setMessage(builderForValue.build());
+        }
+        commandCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      public Builder mergeEvacuation(org.nettlering.wire.proto.WorkflowProto.EvacuationChange value) {
+        if (evacuationBuilder_ == null) {
+          if (commandCase_ == 8 &&
+              command_ != org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance()) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.EvacuationChange.newBuilder((org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            command_ = value;
+          }
+          onChanged();
+        } else {
+          if (commandCase_ == 8) {
+            evacuationBuilder_.mergeFrom(value);
+          } else {
+            evacuationBuilder_.setMessage(value);
+          }
+        }
+        commandCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      public Builder clearEvacuation() {
+        if (evacuationBuilder_ == null) {
+          if (commandCase_ == 8) {
+            commandCase_ = 0;
+            command_ = null;
+            onChanged();
+          }
+        } else {
+          if (commandCase_ == 8) {
+            commandCase_ = 0;
+            command_ = null;
+          }
+          evacuationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder getEvacuationBuilder() {
+        return internalGetEvacuationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getEvacuationOrBuilder() {
+        if ((commandCase_ == 8) && (evacuationBuilder_ != null)) {
+          return evacuationBuilder_.getMessageOrBuilder();
+        } else {
+          if (commandCase_ == 8) {
+            return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationChange evacuation = 8;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder> 
+          internalGetEvacuationFieldBuilder() {
+        if (evacuationBuilder_ == null) {
+          if (!(commandCase_ == 8)) {
+            command_ = org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+          }
+          evacuationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) command_,
+                  getParentForChildren(),
+                  isClean());
+          command_ = null;
+        }
+        commandCase_ = 8;
+        onChanged();
+        return evacuationBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowCommandMessage)
     }
 
@@ -13619,65 +13866,49 @@
 
   }
 
-  public interface SubmitWorkflowOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:nettlering.SubmitWorkflow)
+  public interface EvacuationChangeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.EvacuationChange)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string job_id = 1;</code>
-     * @return The jobId.
+     * <code>string failure_domain = 1;</code>
+     * @return The failureDomain.
      */
-    java.lang.String getJobId();
+    java.lang.String getFailureDomain();
     /**
-     * <code>string job_id = 1;</code>
-     * @return The bytes for jobId.
+     * <code>string failure_domain = 1;</code>
+     * @return The bytes for failureDomain.
      */
     com.google.protobuf.ByteString
-        getJobIdBytes();
-
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     * @return Whether the terms field is set.
-     */
-    boolean hasTerms();
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     * @return The terms.
-     */
-    org.nettlering.wire.proto.WorkflowProto.JobTermsMessage getTerms();
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     */
-    org.nettlering.wire.proto.WorkflowProto.JobTermsMessageOrBuilder getTermsOrBuilder();
+        getFailureDomainBytes();
 
     /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
-     * @return Whether the definition field is set.
-     */
-    boolean hasDefinition();
-    /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
-     * @return The definition.
-     */
-    org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage getDefinition();
-    /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * <code>bool evacuated = 2;</code>
+     * @return The evacuated.
      */
-    org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessageOrBuilder getDefinitionOrBuilder();
+    boolean getEvacuated();
 
     /**
-     * <code>int64 accepted_millis = 4;</code>
-     * @return The acceptedMillis.
+     * <pre>
+     * The version of the evacuations that the sender has seen; the change applies to no other.
+     * </pre>
+     *
+     * <code>uint64 expected_version = 3;</code>
+     * @return The expectedVersion.
      */
-    long getAcceptedMillis();
+    long getExpectedVersion();
   }
   /**
-   * Protobuf type {@code nettlering.SubmitWorkflow}
+   * <pre>
+   * Starts or finishes the evacuation of a failure domain.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.EvacuationChange}
    */
-  public static final class SubmitWorkflow extends
+  public static final class EvacuationChange extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:nettlering.SubmitWorkflow)
-      SubmitWorkflowOrBuilder {
+      // @@protoc_insertion_point(message_implements:nettlering.EvacuationChange)
+      EvacuationChangeOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -13686,135 +13917,97 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "SubmitWorkflow");
+        "EvacuationChange");
     }
-    // Use SubmitWorkflow.newBuilder() to construct.
-    private SubmitWorkflow(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use EvacuationChange.newBuilder() to construct.
+    private EvacuationChange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private SubmitWorkflow() {
-      jobId_ = "";
+    private EvacuationChange() {
+      failureDomain_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_fieldAccessorTable
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.class, org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.Builder.class);
+              org.nettlering.wire.proto.WorkflowProto.EvacuationChange.class, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder.class);
     }
 
-    private int bitField0_;
-    public static final int JOB_ID_FIELD_NUMBER = 1;
+    public static final int FAILURE_DOMAIN_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object jobId_ = "";
+    private volatile java.lang.Object failureDomain_ = "";
     /**
-     * <code>string job_id = 1;</code>
-     * @return The jobId.
+     * <code>string failure_domain = 1;</code>
+     * @return The failureDomain.
      */
     @java.lang.Override
-    public java.lang.String getJobId() {
-      java.lang.Object ref = jobId_;
+    public java.lang.String getFailureDomain() {
+      java.lang.Object ref = failureDomain_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        jobId_ = s;
+        failureDomain_ = s;
         return s;
       }
     }
     /**
-     * <code>string job_id = 1;</code>
-     * @return The bytes for jobId.
+     * <code>string failure_domain = 1;</code>
+     * @return The bytes for failureDomain.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getJobIdBytes() {
-      java.lang.Object ref = jobId_;
+        getFailureDomainBytes() {
+      java.lang.Object ref = failureDomain_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        jobId_ = b;
+        failureDomain_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int TERMS_FIELD_NUMBER = 2;
-    private org.nettlering.wire.proto.WorkflowProto.JobTermsMessage terms_;
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     * @return Whether the terms field is set.
-     */
-    @java.lang.Override
-    public boolean hasTerms() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     * @return The terms.
-     */
-    @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.JobTermsMessage getTerms() {
-      return terms_ == null ? org.nettlering.wire.proto.WorkflowProto.JobTermsMessage.getDefaultInstance() : terms_;
-    }
-    /**
-     * <code>.nettlering.JobTermsMessage terms = 2;</code>
-     */
-    @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.JobTermsMessageOrBuilder getTermsOrBuilder() {
-      return terms_ == null ? org.nettlering.wire.proto.WorkflowProto.JobTermsMessage.getDefaultInstance() : terms_;
-    }
-
-    public static final int DEFINITION_FIELD_NUMBER = 3;
-    private org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage definition_;
-    /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
-     * @return Whether the definition field is set.
-     */
-    @java.lang.Override
-    public boolean hasDefinition() {
-      return ((bitField0_ & 0x00000002) != 0);
-    }
-    /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
-     * @return The definition.
-     */
-    @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage getDefinition() {
-      return definition_ == null ? org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage.getDefaultInstance() : definition_;
-    }
+    public static final int EVACUATED_FIELD_NUMBER = 2;
+    private boolean evacuated_ = false;
     /**
-     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * <code>bool evacuated = 2;</code>
+     * @return The evacuated.
      */
     @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessageOrBuilder getDefinitionOrBuilder() {
-      return definition_ == null ? org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage.getDefaultInstance() : definition_;
+    public boolean getEvacuated() {
+      return evacuated_;
     }
 
-    public static final int ACCEPTED_MILLIS_FIELD_NUMBER = 4;
-    private long acceptedMillis_ = 0L;
+    public static final int EXPECTED_VERSION_FIELD_NUMBER = 3;
+    private long expectedVersion_ = 0L;
     /**
-     * <code>int64 accepted_millis = 4;</code>
-     * @return The acceptedMillis.
+     * <pre>
+     * The version of the evacuations that the sender has seen; the change applies to no other.
+     * </pre>
+     *
+     * <code>uint64 expected_version = 3;</code>
+     * @return The expectedVersion.
      */
     @java.lang.Override
-    public long getAcceptedMillis() {
-      return acceptedMillis_;
+    public long getExpectedVersion() {
+      return expectedVersion_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -13831,36 +14024,29 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(jobId_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, jobId_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, failureDomain_);
       }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(2, getTerms());
+      if (evacuated_ != false) {
+        output.writeBool(2, evacuated_);
       }
-      if (((bitField0_ & 0x00000002) != 0)) {
-        output.writeMessage(3, getDefinition());
-      }
-      if (acceptedMillis_ != 0L) {
-        output.writeInt64(4, acceptedMillis_);
+      if (expectedVersion_ != 0L) {
+        output.writeUInt64(3, expectedVersion_);
       }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
       int size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(jobId_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, jobId_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, failureDomain_);
       }
-      if (((bitField0_ & 0x00000001) != 0)) {
+      if (evacuated_ != false) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(2, getTerms());
+          .computeBoolSize(2, evacuated_);
       }
-      if (((bitField0_ & 0x00000002) != 0)) {
+      if (expectedVersion_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(3, getDefinition());
-      }
-      if (acceptedMillis_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(4, acceptedMillis_);
+          .computeUInt64Size(3, expectedVersion_);
       }
       return size;
     }
@@ -13881,25 +14067,17 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow)) {
+      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.EvacuationChange)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow other = (org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow) obj;
+      org.nettlering.wire.proto.WorkflowProto.EvacuationChange other = (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) obj;
 
-      if (!getJobId()
-          .equals(other.getJobId())) return false;
-      if (hasTerms() != other.hasTerms()) return false;
-      if (hasTerms()) {
-        if (!getTerms()
-            .equals(other.getTerms())) return false;
-      }
-      if (hasDefinition() != other.hasDefinition()) return false;
-      if (hasDefinition()) {
-        if (!getDefinition()
-            .equals(other.getDefinition())) return false;
-      }
-      if (getAcceptedMillis()
-          != other.getAcceptedMillis()) return false;
+      if (!getFailureDomain()
+          .equals(other.getFailureDomain())) return false;
+      if (getEvacuated()
+          != other.getEvacuated()) return false;
+      if (getExpectedVersion()
+          != other.getExpectedVersion()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -13911,62 +14089,57 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + JOB_ID_FIELD_NUMBER;
-      hash = (53 * hash) + getJobId().hashCode();
-      if (hasTerms()) {
-        hash = (37 * hash) + TERMS_FIELD_NUMBER;
-        hash = (53 * hash) + getTerms().hashCode();
-      }
-      if (hasDefinition()) {
-        hash = (37 * hash) + DEFINITION_FIELD_NUMBER;
-        hash = (53 * hash) + getDefinition().hashCode();
-      }
-      hash = (37 * hash) + ACCEPTED_MILLIS_FIELD_NUMBER;
+      hash = (37 * hash) + FAILURE_DOMAIN_FIELD_NUMBER;
+      hash = (53 * hash) + getFailureDomain().hashCode();
+      hash = (37 * hash) + EVACUATED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getEvacuated());
+      hash = (37 * hash) + EXPECTED_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getAcceptedMillis());
+          getExpectedVersion());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -13974,26 +14147,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseDelimitedFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -14006,7 +14179,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.EvacuationChange prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -14022,75 +14195,63 @@
       return builder;
     }
     /**
-     * Protobuf type {@code nettlering.SubmitWorkflow}
+     * <pre>
+     * Starts or finishes the evacuation of a failure domain.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.EvacuationChange}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.SubmitWorkflow)
-        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflowOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.EvacuationChange)
+        org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_fieldAccessorTable
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.class, org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.Builder.class);
+                org.nettlering.wire.proto.WorkflowProto.EvacuationChange.class, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.newBuilder()
+      // Construct using org.nettlering.wire.proto.WorkflowProto.EvacuationChange.newBuilder()
       private Builder() {
-        maybeForceBuilderInitialization();
+
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetTermsFieldBuilder();
-          internalGetDefinitionFieldBuilder();
-        }
+
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        jobId_ = "";
-        terms_ = null;
-        if (termsBuilder_ != null) {
-          termsBuilder_.dispose();
-          termsBuilder_ = null;
-        }
-        definition_ = null;
-        if (definitionBuilder_ != null) {
-          definitionBuilder_.dispose();
-          definitionBuilder_ = null;
-        }
-        acceptedMillis_ = 0L;
+        failureDomain_ = "";
+        evacuated_ = false;
+        expectedVersion_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationChange_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.getDefaultInstance();
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow build() {
-        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result = buildPartial();
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange build() {
+        org.nettlering.wire.proto.WorkflowProto.EvacuationChange result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -14098,62 +14259,1502 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow buildPartial() {
-        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result = new org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow(this);
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange buildPartial() {
+        org.nettlering.wire.proto.WorkflowProto.EvacuationChange result = new org.nettlering.wire.proto.WorkflowProto.EvacuationChange(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result) {
+      private void buildPartial0(org.nettlering.wire.proto.WorkflowProto.EvacuationChange result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.jobId_ = jobId_;
+          result.failureDomain_ = failureDomain_;
         }
-        int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.terms_ = termsBuilder_ == null
-              ? terms_
-              : termsBuilder_.build();
-          to_bitField0_ |= 0x00000001;
+          result.evacuated_ = evacuated_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.definition_ = definitionBuilder_ == null
-              ? definition_
-              : definitionBuilder_.build();
-          to_bitField0_ |= 0x00000002;
+          result.expectedVersion_ = expectedVersion_;
         }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.acceptedMillis_ = acceptedMillis_;
-        }
-        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow) {
-          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow)other);
+        if (other instanceof org.nettlering.wire.proto.WorkflowProto.EvacuationChange) {
+          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.EvacuationChange)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow other) {
-        if (other == org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.getDefaultInstance()) return this;
-        if (!other.getJobId().isEmpty()) {
-          jobId_ = other.jobId_;
+      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.EvacuationChange other) {
+        if (other == org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance()) return this;
+        if (!other.getFailureDomain().isEmpty()) {
+          failureDomain_ = other.failureDomain_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.hasTerms()) {
-          mergeTerms(other.getTerms());
-        }
-        if (other.hasDefinition()) {
-          mergeDefinition(other.getDefinition());
+        if (other.getEvacuated() != false) {
+          setEvacuated(other.getEvacuated());
         }
-        if (other.getAcceptedMillis() != 0L) {
-          setAcceptedMillis(other.getAcceptedMillis());
+        if (other.getExpectedVersion() != 0L) {
+          setExpectedVersion(other.getExpectedVersion());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                failureDomain_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                evacuated_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                expectedVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object failureDomain_ = "";
+      /**
+       * <code>string failure_domain = 1;</code>
+       * @return The failureDomain.
+       */
+      public java.lang.String getFailureDomain() {
+        java.lang.Object ref = failureDomain_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          failureDomain_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string failure_domain = 1;</code>
+       * @return The bytes for failureDomain.
+       */
+      public com.google.protobuf.ByteString
+          getFailureDomainBytes() {
+        java.lang.Object ref = failureDomain_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          failureDomain_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string failure_domain = 1;</code>
+       * @param value The failureDomain to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFailureDomain(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        failureDomain_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string failure_domain = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFailureDomain() {
+        failureDomain_ = getDefaultInstance().getFailureDomain();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string failure_domain = 1;</code>
+       * @param value The bytes for failureDomain to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFailureDomainBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        failureDomain_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private boolean evacuated_ ;
+      /**
+       * <code>bool evacuated = 2;</code>
+       * @return The evacuated.
+       */
+      @java.lang.Override
+      public boolean getEvacuated() {
+        return evacuated_;
+      }
+      /**
+       * <code>bool evacuated = 2;</code>
+       * @param value The evacuated to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEvacuated(boolean value) {
+
+        evacuated_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool evacuated = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEvacuated() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        evacuated_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long expectedVersion_ ;
+      /**
+       * <pre>
+       * The version of the evacuations that the sender has seen; the change applies to no other.
+       * </pre>
+       *
+       * <code>uint64 expected_version = 3;</code>
+       * @return The expectedVersion.
+       */
+      @java.lang.Override
+      public long getExpectedVersion() {
+        return expectedVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the evacuations that the sender has seen; the change applies to no other.
+       * </pre>
+       *
+       * <code>uint64 expected_version = 3;</code>
+       * @param value The expectedVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setExpectedVersion(long value) {
+
+        expectedVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the evacuations that the sender has seen; the change applies to no other.
+       * </pre>
+       *
+       * <code>uint64 expected_version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearExpectedVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        expectedVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.EvacuationChange)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.EvacuationChange)
+    private static final org.nettlering.wire.proto.WorkflowProto.EvacuationChange DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.EvacuationChange();
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationChange getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EvacuationChange>
+        PARSER = new com.google.protobuf.AbstractParser<EvacuationChange>() {
+      @java.lang.Override
+      public EvacuationChange parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EvacuationChange> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EvacuationChange> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface EvacuationsMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.EvacuationsMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 version = 1;</code>
+     * @return The version.
+     */
+    long getVersion();
+
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @return A list containing the failureDomains.
+     */
+    java.util.List<java.lang.String>
+        getFailureDomainsList();
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @return The count of failureDomains.
+     */
+    int getFailureDomainsCount();
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @param index The index of the element to return.
+     * @return The failureDomains at the given index.
+     */
+    java.lang.String getFailureDomains(int index);
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the failureDomains at the given index.
+     */
+    com.google.protobuf.ByteString
+        getFailureDomainsBytes(int index);
+  }
+  /**
+   * <pre>
+   * The failure domains whose hosts get no new runs.
+   * </pre>
+   *
+   * Protobuf type {@code nettlering.EvacuationsMessage}
+   */
+  public static final class EvacuationsMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.EvacuationsMessage)
+      EvacuationsMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EvacuationsMessage");
+    }
+    // Use EvacuationsMessage.newBuilder() to construct.
+    private EvacuationsMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EvacuationsMessage() {
+      failureDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.class, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder.class);
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 1;
+    private long version_ = 0L;
+    /**
+     * <code>uint64 version = 1;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int FAILURE_DOMAINS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList failureDomains_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @return A list containing the failureDomains.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getFailureDomainsList() {
+      return failureDomains_;
+    }
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @return The count of failureDomains.
+     */
+    public int getFailureDomainsCount() {
+      return failureDomains_.size();
+    }
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @param index The index of the element to return.
+     * @return The failureDomains at the given index.
+     */
+    public java.lang.String getFailureDomains(int index) {
+      return failureDomains_.get(index);
+    }
+    /**
+     * <code>repeated string failure_domains = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the failureDomains at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFailureDomainsBytes(int index) {
+      return failureDomains_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (version_ != 0L) {
+        output.writeUInt64(1, version_);
+      }
+      for (int i = 0; i < failureDomains_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, failureDomains_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, version_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < failureDomains_.size(); i++) {
+          dataSize += computeStringSizeNoTag(failureDomains_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getFailureDomainsList().size();
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage other = (org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage) obj;
+
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (!getFailureDomainsList()
+          .equals(other.getFailureDomainsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      if (getFailureDomainsCount() > 0) {
+        hash = (37 * hash) + FAILURE_DOMAINS_FIELD_NUMBER;
+        hash = (53 * hash) + getFailureDomainsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The failure domains whose hosts get no new runs.
+     * </pre>
+     *
+     * Protobuf type {@code nettlering.EvacuationsMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.EvacuationsMessage)
+        org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.class, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        version_ = 0L;
+        failureDomains_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_EvacuationsMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage build() {
+        org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage buildPartial() {
+        org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage result = new org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          failureDomains_.makeImmutable();
+          result.failureDomains_ = failureDomains_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage) {
+          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage other) {
+        if (other == org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance()) return this;
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (!other.failureDomains_.isEmpty()) {
+          if (failureDomains_.isEmpty()) {
+            failureDomains_ = other.failureDomains_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureFailureDomainsIsMutable();
+            failureDomains_.addAll(other.failureDomains_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                ensureFailureDomainsIsMutable();
+                failureDomains_.add(input.readStringRequireUtf8());
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long version_ ;
+      /**
+       * <code>uint64 version = 1;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>uint64 version = 1;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 version = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList failureDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureFailureDomainsIsMutable() {
+        if (!failureDomains_.isModifiable()) {
+          failureDomains_ = new com.google.protobuf.LazyStringArrayList(failureDomains_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @return A list containing the failureDomains.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getFailureDomainsList() {
+        failureDomains_.makeImmutable();
+        return failureDomains_;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @return The count of failureDomains.
+       */
+      public int getFailureDomainsCount() {
+        return failureDomains_.size();
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param index The index of the element to return.
+       * @return The failureDomains at the given index.
+       */
+      public java.lang.String getFailureDomains(int index) {
+        return failureDomains_.get(index);
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the failureDomains at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getFailureDomainsBytes(int index) {
+        return failureDomains_.getByteString(index);
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The failureDomains to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFailureDomains(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureFailureDomainsIsMutable();
+        failureDomains_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param value The failureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFailureDomains(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureFailureDomainsIsMutable();
+        failureDomains_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param values The failureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllFailureDomains(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureFailureDomainsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, failureDomains_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFailureDomains() {
+        failureDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string failure_domains = 2;</code>
+       * @param value The bytes of the failureDomains to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFailureDomainsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureFailureDomainsIsMutable();
+        failureDomains_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.EvacuationsMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.EvacuationsMessage)
+    private static final org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage();
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EvacuationsMessage>
+        PARSER = new com.google.protobuf.AbstractParser<EvacuationsMessage>() {
+      @java.lang.Override
+      public EvacuationsMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EvacuationsMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EvacuationsMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SubmitWorkflowOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.SubmitWorkflow)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string job_id = 1;</code>
+     * @return The jobId.
+     */
+    java.lang.String getJobId();
+    /**
+     * <code>string job_id = 1;</code>
+     * @return The bytes for jobId.
+     */
+    com.google.protobuf.ByteString
+        getJobIdBytes();
+
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     * @return Whether the terms field is set.
+     */
+    boolean hasTerms();
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     * @return The terms.
+     */
+    org.nettlering.wire.proto.WorkflowProto.JobTermsMessage getTerms();
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.JobTermsMessageOrBuilder getTermsOrBuilder();
+
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * @return Whether the definition field is set.
+     */
+    boolean hasDefinition();
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * @return The definition.
+     */
+    org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage getDefinition();
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessageOrBuilder getDefinitionOrBuilder();
+
+    /**
+     * <code>int64 accepted_millis = 4;</code>
+     * @return The acceptedMillis.
+     */
+    long getAcceptedMillis();
+  }
+  /**
+   * Protobuf type {@code nettlering.SubmitWorkflow}
+   */
+  public static final class SubmitWorkflow extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.SubmitWorkflow)
+      SubmitWorkflowOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SubmitWorkflow");
+    }
+    // Use SubmitWorkflow.newBuilder() to construct.
+    private SubmitWorkflow(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SubmitWorkflow() {
+      jobId_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.class, org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int JOB_ID_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object jobId_ = "";
+    /**
+     * <code>string job_id = 1;</code>
+     * @return The jobId.
+     */
+    @java.lang.Override
+    public java.lang.String getJobId() {
+      java.lang.Object ref = jobId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        jobId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string job_id = 1;</code>
+     * @return The bytes for jobId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getJobIdBytes() {
+      java.lang.Object ref = jobId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        jobId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TERMS_FIELD_NUMBER = 2;
+    private org.nettlering.wire.proto.WorkflowProto.JobTermsMessage terms_;
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     * @return Whether the terms field is set.
+     */
+    @java.lang.Override
+    public boolean hasTerms() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     * @return The terms.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.JobTermsMessage getTerms() {
+      return terms_ == null ? org.nettlering.wire.proto.WorkflowProto.JobTermsMessage.getDefaultInstance() : terms_;
+    }
+    /**
+     * <code>.nettlering.JobTermsMessage terms = 2;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.JobTermsMessageOrBuilder getTermsOrBuilder() {
+      return terms_ == null ? org.nettlering.wire.proto.WorkflowProto.JobTermsMessage.getDefaultInstance() : terms_;
+    }
+
+    public static final int DEFINITION_FIELD_NUMBER = 3;
+    private org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage definition_;
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * @return Whether the definition field is set.
+     */
+    @java.lang.Override
+    public boolean hasDefinition() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     * @return The definition.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage getDefinition() {
+      return definition_ == null ? org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage.getDefaultInstance() : definition_;
+    }
+    /**
+     * <code>.nettlering.JobDefinitionMessage definition = 3;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessageOrBuilder getDefinitionOrBuilder() {
+      return definition_ == null ? org.nettlering.wire.proto.WorkflowProto.JobDefinitionMessage.getDefaultInstance() : definition_;
+    }
+
+    public static final int ACCEPTED_MILLIS_FIELD_NUMBER = 4;
+    private long acceptedMillis_ = 0L;
+    /**
+     * <code>int64 accepted_millis = 4;</code>
+     * @return The acceptedMillis.
+     */
+    @java.lang.Override
+    public long getAcceptedMillis() {
+      return acceptedMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(jobId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, jobId_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getTerms());
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeMessage(3, getDefinition());
+      }
+      if (acceptedMillis_ != 0L) {
+        output.writeInt64(4, acceptedMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(jobId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, jobId_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getTerms());
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, getDefinition());
+      }
+      if (acceptedMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, acceptedMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow other = (org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow) obj;
+
+      if (!getJobId()
+          .equals(other.getJobId())) return false;
+      if (hasTerms() != other.hasTerms()) return false;
+      if (hasTerms()) {
+        if (!getTerms()
+            .equals(other.getTerms())) return false;
+      }
+      if (hasDefinition() != other.hasDefinition()) return false;
+      if (hasDefinition()) {
+        if (!getDefinition()
+            .equals(other.getDefinition())) return false;
+      }
+      if (getAcceptedMillis()
+          != other.getAcceptedMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + JOB_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getJobId().hashCode();
+      if (hasTerms()) {
+        hash = (37 * hash) + TERMS_FIELD_NUMBER;
+        hash = (53 * hash) + getTerms().hashCode();
+      }
+      if (hasDefinition()) {
+        hash = (37 * hash) + DEFINITION_FIELD_NUMBER;
+        hash = (53 * hash) + getDefinition().hashCode();
+      }
+      hash = (37 * hash) + ACCEPTED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAcceptedMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.SubmitWorkflow}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.SubmitWorkflow)
+        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflowOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.class, org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetTermsFieldBuilder();
+          internalGetDefinitionFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        jobId_ = "";
+        terms_ = null;
+        if (termsBuilder_ != null) {
+          termsBuilder_.dispose();
+          termsBuilder_ = null;
+        }
+        definition_ = null;
+        if (definitionBuilder_ != null) {
+          definitionBuilder_.dispose();
+          definitionBuilder_ = null;
+        }
+        acceptedMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_SubmitWorkflow_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow build() {
+        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow buildPartial() {
+        org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result = new org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.jobId_ = jobId_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.terms_ = termsBuilder_ == null
+              ? terms_
+              : termsBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.definition_ = definitionBuilder_ == null
+              ? definition_
+              : definitionBuilder_.build();
+          to_bitField0_ |= 0x00000002;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.acceptedMillis_ = acceptedMillis_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow) {
+          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow other) {
+        if (other == org.nettlering.wire.proto.WorkflowProto.SubmitWorkflow.getDefaultInstance()) return this;
+        if (!other.getJobId().isEmpty()) {
+          jobId_ = other.jobId_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.hasTerms()) {
+          mergeTerms(other.getTerms());
+        }
+        if (other.hasDefinition()) {
+          mergeDefinition(other.getDefinition());
+        }
+        if (other.getAcceptedMillis() != 0L) {
+          setAcceptedMillis(other.getAcceptedMillis());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -19599,6 +21200,21 @@
      * @return The fenceRaises.
      */
     long getFenceRaises();
+
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     * @return Whether the evacuations field is set.
+     */
+    boolean hasEvacuations();
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     * @return The evacuations.
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations();
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder();
   }
   /**
    * Protobuf type {@code nettlering.WorkflowSnapshot}
@@ -19726,6 +21342,32 @@
       return fenceRaises_;
     }
 
+    public static final int EVACUATIONS_FIELD_NUMBER = 4;
+    private org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage evacuations_;
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     * @return Whether the evacuations field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuations() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     * @return The evacuations.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations() {
+      return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+    }
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder() {
+      return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -19749,6 +21391,9 @@
       if (fenceRaises_ != 0L) {
         output.writeUInt64(3, fenceRaises_);
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeMessage(4, getEvacuations());
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -19770,6 +21415,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, fenceRaises_);
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, getEvacuations());
+      }
       return size;
     }
     @java.lang.Override
@@ -19803,6 +21452,11 @@
           .equals(other.getJobsList())) return false;
       if (getFenceRaises()
           != other.getFenceRaises()) return false;
+      if (hasEvacuations() != other.hasEvacuations()) return false;
+      if (hasEvacuations()) {
+        if (!getEvacuations()
+            .equals(other.getEvacuations())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -19825,6 +21479,10 @@
       hash = (37 * hash) + FENCE_RAISES_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getFenceRaises());
+      if (hasEvacuations()) {
+        hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuations().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -19957,6 +21615,7 @@
                 .alwaysUseFieldBuilders) {
           internalGetQueuesFieldBuilder();
           internalGetJobsFieldBuilder();
+          internalGetEvacuationsFieldBuilder();
         }
       }
       @java.lang.Override
@@ -19976,6 +21635,11 @@
         }
         bitField0_ = (bitField0_ & ~0x00000002);
         fenceRaises_ = 0L;
+        evacuations_ = null;
+        if (evacuationsBuilder_ != null) {
+          evacuationsBuilder_.dispose();
+          evacuationsBuilder_ = null;
+        }
         return this;
       }
 
@@ -20032,6 +21696,12 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.fenceRaises_ = fenceRaises_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.evacuations_ = evacuationsBuilder_ == null
+              ? evacuations_
+              : evacuationsBuilder_.build();
+          to_bitField0_ |= 0x00000002;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -20079,6 +21749,9 @@
         if (other.getFenceRaises() != 0L) {
           setFenceRaises(other.getFenceRaises());
         }
+        if (other.hasEvacuations()) {
+          mergeEvacuations(other.getEvacuations());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -20128,6 +21801,13 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 34: {
+                input.readMessage(
+                    internalGetEvacuationsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -20542,6 +22222,125 @@
         return this;
       }
 
+      private org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage evacuations_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder> evacuationsBuilder_;
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       * @return Whether the evacuations field is set.
+       */
+      public boolean hasEvacuations() {
+        return ((bitField0_ & 0x00000008) != 0);
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       * @return The evacuations.
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations() {
+        if (evacuationsBuilder_ == null) {
+          return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+        } else {
+          return evacuationsBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public Builder setEvacuations(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage value) {
+        if (evacuationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          evacuations_ = value;
+        } else {
+          evacuationsBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public Builder setEvacuations(
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder builderForValue) {
+        if (evacuationsBuilder_ == null) {
+          evacuations_ = builderForValue.build();
+        } else {
+          evacuationsBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public Builder mergeEvacuations(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage value) {
+        if (evacuationsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0) &&
+            evacuations_ != null &&
+            evacuations_ != org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance()) {
+            getEvacuationsBuilder().mergeFrom(value);
+          } else {
+            evacuations_ = value;
+          }
+        } else {
+          evacuationsBuilder_.mergeFrom(value);
+        }
+        if (evacuations_ != null) {
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public Builder clearEvacuations() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        evacuations_ = null;
+        if (evacuationsBuilder_ != null) {
+          evacuationsBuilder_.dispose();
+          evacuationsBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder getEvacuationsBuilder() {
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return internalGetEvacuationsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder() {
+        if (evacuationsBuilder_ != null) {
+          return evacuationsBuilder_.getMessageOrBuilder();
+        } else {
+          return evacuations_ == null ?
+              org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder> 
+          internalGetEvacuationsFieldBuilder() {
+        if (evacuationsBuilder_ == null) {
+          evacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder>(
+                  getEvacuations(),
+                  getParentForChildren(),
+                  isClean());
+          evacuations_ = null;
+        }
+        return evacuationsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowSnapshot)
     }
 
@@ -25691,6 +27490,36 @@
      */
     org.nettlering.wire.proto.WorkflowProto.LeaderCheckOrBuilder getCheckOrBuilder();
 
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     * @return Whether the changeEvacuation field is set.
+     */
+    boolean hasChangeEvacuation();
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     * @return The changeEvacuation.
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationChange getChangeEvacuation();
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getChangeEvacuationOrBuilder();
+
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     * @return Whether the readEvacuations field is set.
+     */
+    boolean hasReadEvacuations();
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     * @return The readEvacuations.
+     */
+    org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getReadEvacuations();
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder getReadEvacuationsOrBuilder();
+
     org.nettlering.wire.proto.WorkflowProto.WorkflowRequest.RequestCase getRequestCase();
   }
   /**
@@ -25753,6 +27582,8 @@
       REPLACE_QUEUES(6),
       READ_QUEUES(7),
       CHECK(8),
+      CHANGE_EVACUATION(9),
+      READ_EVACUATIONS(10),
       REQUEST_NOT_SET(0);
       private final int value;
       private RequestCase(int value) {
@@ -25778,6 +27609,8 @@
           case 6: return REPLACE_QUEUES;
           case 7: return READ_QUEUES;
           case 8: return CHECK;
+          case 9: return CHANGE_EVACUATION;
+          case 10: return READ_EVACUATIONS;
           case 0: return REQUEST_NOT_SET;
           default: return null;
         }
@@ -26041,6 +27874,68 @@
       return org.nettlering.wire.proto.WorkflowProto.LeaderCheck.getDefaultInstance();
     }
 
+    public static final int CHANGE_EVACUATION_FIELD_NUMBER = 9;
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     * @return Whether the changeEvacuation field is set.
+     */
+    @java.lang.Override
+    public boolean hasChangeEvacuation() {
+      return requestCase_ == 9;
+    }
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     * @return The changeEvacuation.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getChangeEvacuation() {
+      if (requestCase_ == 9) {
+         return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getChangeEvacuationOrBuilder() {
+      if (requestCase_ == 9) {
+         return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+    }
+
+    public static final int READ_EVACUATIONS_FIELD_NUMBER = 10;
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     * @return Whether the readEvacuations field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadEvacuations() {
+      return requestCase_ == 10;
+    }
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     * @return The readEvacuations.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getReadEvacuations() {
+      if (requestCase_ == 10) {
+         return (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+    }
+    /**
+     * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder getReadEvacuationsOrBuilder() {
+      if (requestCase_ == 10) {
+         return (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_;
+      }
+      return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -26079,6 +27974,12 @@
       if (requestCase_ == 8) {
         output.writeMessage(8, (org.nettlering.wire.proto.WorkflowProto.LeaderCheck) request_);
       }
+      if (requestCase_ == 9) {
+        output.writeMessage(9, (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_);
+      }
+      if (requestCase_ == 10) {
+        output.writeMessage(10, (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -26115,6 +28016,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, (org.nettlering.wire.proto.WorkflowProto.LeaderCheck) request_);
       }
+      if (requestCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_);
+      }
+      if (requestCase_ == 10) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_);
+      }
       return size;
     }
     @java.lang.Override
@@ -26173,6 +28082,14 @@
           if (!getCheck()
               .equals(other.getCheck())) return false;
           break;
+        case 9:
+          if (!getChangeEvacuation()
+              .equals(other.getChangeEvacuation())) return false;
+          break;
+        case 10:
+          if (!getReadEvacuations()
+              .equals(other.getReadEvacuations())) return false;
+          break;
         case 0:
         default:
       }
@@ -26220,6 +28137,14 @@
           hash = (37 * hash) + CHECK_FIELD_NUMBER;
           hash = (53 * hash) + getCheck().hashCode();
           break;
+        case 9:
+          hash = (37 * hash) + CHANGE_EVACUATION_FIELD_NUMBER;
+          hash = (53 * hash) + getChangeEvacuation().hashCode();
+          break;
+        case 10:
+          hash = (37 * hash) + READ_EVACUATIONS_FIELD_NUMBER;
+          hash = (53 * hash) + getReadEvacuations().hashCode();
+          break;
         case 0:
         default:
       }
@@ -26382,6 +28307,12 @@
         if (checkBuilder_ != null) {
           checkBuilder_.clear();
         }
+        if (changeEvacuationBuilder_ != null) {
+          changeEvacuationBuilder_.clear();
+        }
+        if (readEvacuationsBuilder_ != null) {
+          readEvacuationsBuilder_.clear();
+        }
         requestCase_ = 0;
         request_ = null;
         return this;
@@ -26455,6 +28386,14 @@
             checkBuilder_ != null) {
           result.request_ = checkBuilder_.build();
         }
+        if (requestCase_ == 9 &&
+            changeEvacuationBuilder_ != null) {
+          result.request_ = changeEvacuationBuilder_.build();
+        }
+        if (requestCase_ == 10 &&
+            readEvacuationsBuilder_ != null) {
+          result.request_ = readEvacuationsBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -26502,6 +28441,14 @@
             mergeCheck(other.getCheck());
             break;
           }
+          case CHANGE_EVACUATION: {
+            mergeChangeEvacuation(other.getChangeEvacuation());
+            break;
+          }
+          case READ_EVACUATIONS: {
+            mergeReadEvacuations(other.getReadEvacuations());
+            break;
+          }
           case REQUEST_NOT_SET: {
             break;
           }
@@ -26586,6 +28533,20 @@
                 requestCase_ = 8;
                 break;
               } // case 66
+              case 74: {
+                input.readMessage(
+                    internalGetChangeEvacuationFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                requestCase_ = 9;
+                break;
+              } // case 74
+              case 82: {
+                input.readMessage(
+                    internalGetReadEvacuationsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                requestCase_ = 10;
+                break;
+              } // case 82
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -27738,6 +29699,286 @@
         return checkBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder> changeEvacuationBuilder_;
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       * @return Whether the changeEvacuation field is set.
+       */
+      @java.lang.Override
+      public boolean hasChangeEvacuation() {
+        return requestCase_ == 9;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       * @return The changeEvacuation.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange getChangeEvacuation() {
+        if (changeEvacuationBuilder_ == null) {
+          if (requestCase_ == 9) {
+            return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        } else {
+          if (requestCase_ == 9) {
+            return changeEvacuationBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      public Builder setChangeEvacuation(org.nettlering.wire.proto.WorkflowProto.EvacuationChange value) {
+        if (changeEvacuationBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          request_ = value;
+          onChanged();
+        } else {
+          changeEvacuationBuilder_.setMessage(value);
+        }
+        requestCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      public Builder setChangeEvacuation(
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder builderForValue) {
+        if (changeEvacuationBuilder_ == null) {
+          request_ = builderForValue.build();
+          onChanged();
+        } else {
+          changeEvacuationBuilder_.setMessage(builderForValue.build());
+        }
+        requestCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      public Builder mergeChangeEvacuation(org.nettlering.wire.proto.WorkflowProto.EvacuationChange value) {
+        if (changeEvacuationBuilder_ == null) {
+          if (requestCase_ == 9 &&
+              request_ != org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance()) {
+            request_ = org.nettlering.wire.proto.WorkflowProto.EvacuationChange.newBuilder((org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            request_ = value;
+          }
+          onChanged();
+        } else {
+          if (requestCase_ == 9) {
+            changeEvacuationBuilder_.mergeFrom(value);
+          } else {
+            changeEvacuationBuilder_.setMessage(value);
+          }
+        }
+        requestCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      public Builder clearChangeEvacuation() {
+        if (changeEvacuationBuilder_ == null) {
+          if (requestCase_ == 9) {
+            requestCase_ = 0;
+            request_ = null;
+            onChanged();
+          }
+        } else {
+          if (requestCase_ == 9) {
+            requestCase_ = 0;
+            request_ = null;
+          }
+          changeEvacuationBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder getChangeEvacuationBuilder() {
+        return internalGetChangeEvacuationFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder getChangeEvacuationOrBuilder() {
+        if ((requestCase_ == 9) && (changeEvacuationBuilder_ != null)) {
+          return changeEvacuationBuilder_.getMessageOrBuilder();
+        } else {
+          if (requestCase_ == 9) {
+            return (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationChange change_evacuation = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder> 
+          internalGetChangeEvacuationFieldBuilder() {
+        if (changeEvacuationBuilder_ == null) {
+          if (!(requestCase_ == 9)) {
+            request_ = org.nettlering.wire.proto.WorkflowProto.EvacuationChange.getDefaultInstance();
+          }
+          changeEvacuationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.EvacuationChange, org.nettlering.wire.proto.WorkflowProto.EvacuationChange.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationChangeOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.EvacuationChange) request_,
+                  getParentForChildren(),
+                  isClean());
+          request_ = null;
+        }
+        requestCase_ = 9;
+        onChanged();
+        return changeEvacuationBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.ReadEvacuations, org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder, org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder> readEvacuationsBuilder_;
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       * @return Whether the readEvacuations field is set.
+       */
+      @java.lang.Override
+      public boolean hasReadEvacuations() {
+        return requestCase_ == 10;
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       * @return The readEvacuations.
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getReadEvacuations() {
+        if (readEvacuationsBuilder_ == null) {
+          if (requestCase_ == 10) {
+            return (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+        } else {
+          if (requestCase_ == 10) {
+            return readEvacuationsBuilder_.getMessage();
+          }
+          return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      public Builder setReadEvacuations(org.nettlering.wire.proto.WorkflowProto.ReadEvacuations value) {
+        if (readEvacuationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          request_ = value;
+          onChanged();
+        } else {
+          readEvacuationsBuilder_.setMessage(value);
+        }
+        requestCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      public Builder setReadEvacuations(
+          org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder builderForValue) {
+        if (readEvacuationsBuilder_ == null) {
+          request_ = builderForValue.build();
+          onChanged();
+        } else {
+          readEvacuationsBuilder_.setMessage(builderForValue.build());
+        }
+        requestCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      public Builder mergeReadEvacuations(org.nettlering.wire.proto.WorkflowProto.ReadEvacuations value) {
+        if (readEvacuationsBuilder_ == null) {
+          if (requestCase_ == 10 &&
+              request_ != org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance()) {
+            request_ = org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.newBuilder((org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            request_ = value;
+          }
+          onChanged();
+        } else {
+          if (requestCase_ == 10) {
+            readEvacuationsBuilder_.mergeFrom(value);
+          } else {
+            readEvacuationsBuilder_.setMessage(value);
+          }
+        }
+        requestCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      public Builder clearReadEvacuations() {
+        if (readEvacuationsBuilder_ == null) {
+          if (requestCase_ == 10) {
+            requestCase_ = 0;
+            request_ = null;
+            onChanged();
+          }
+        } else {
+          if (requestCase_ == 10) {
+            requestCase_ = 0;
+            request_ = null;
+          }
+          readEvacuationsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder getReadEvacuationsBuilder() {
+        return internalGetReadEvacuationsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder getReadEvacuationsOrBuilder() {
+        if ((requestCase_ == 10) && (readEvacuationsBuilder_ != null)) {
+          return readEvacuationsBuilder_.getMessageOrBuilder();
+        } else {
+          if (requestCase_ == 10) {
+            return (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_;
+          }
+          return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.nettlering.ReadEvacuations read_evacuations = 10;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.ReadEvacuations, org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder, org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder> 
+          internalGetReadEvacuationsFieldBuilder() {
+        if (readEvacuationsBuilder_ == null) {
+          if (!(requestCase_ == 10)) {
+            request_ = org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
+          }
+          readEvacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.ReadEvacuations, org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder, org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder>(
+                  (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) request_,
+                  getParentForChildren(),
+                  isClean());
+          request_ = null;
+        }
+        requestCase_ = 10;
+        onChanged();
+        return readEvacuationsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowRequest)
     }
 
@@ -29462,6 +31703,26 @@
      * @return The startMillis.
      */
     long getStartMillis();
+
+    /**
+     * <pre>
+     * How much longer a draining host runs at least; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 drain_left_millis = 14;</code>
+     * @return The drainLeftMillis.
+     */
+    long getDrainLeftMillis();
+
+    /**
+     * <pre>
+     * How much longer the host is slow after its start.
+     * </pre>
+     *
+     * <code>uint64 cold_left_millis = 15;</code>
+     * @return The coldLeftMillis.
+     */
+    long getColdLeftMillis();
   }
   /**
    * Protobuf type {@code nettlering.HostReportMessage}
@@ -29826,6 +32087,36 @@
       return startMillis_;
     }
 
+    public static final int DRAIN_LEFT_MILLIS_FIELD_NUMBER = 14;
+    private long drainLeftMillis_ = 0L;
+    /**
+     * <pre>
+     * How much longer a draining host runs at least; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint64 drain_left_millis = 14;</code>
+     * @return The drainLeftMillis.
+     */
+    @java.lang.Override
+    public long getDrainLeftMillis() {
+      return drainLeftMillis_;
+    }
+
+    public static final int COLD_LEFT_MILLIS_FIELD_NUMBER = 15;
+    private long coldLeftMillis_ = 0L;
+    /**
+     * <pre>
+     * How much longer the host is slow after its start.
+     * </pre>
+     *
+     * <code>uint64 cold_left_millis = 15;</code>
+     * @return The coldLeftMillis.
+     */
+    @java.lang.Override
+    public long getColdLeftMillis() {
+      return coldLeftMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -29879,6 +32170,12 @@
       if (startMillis_ != 0L) {
         output.writeUInt64(13, startMillis_);
       }
+      if (drainLeftMillis_ != 0L) {
+        output.writeUInt64(14, drainLeftMillis_);
+      }
+      if (coldLeftMillis_ != 0L) {
+        output.writeUInt64(15, coldLeftMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -29929,6 +32226,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(13, startMillis_);
       }
+      if (drainLeftMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(14, drainLeftMillis_);
+      }
+      if (coldLeftMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(15, coldLeftMillis_);
+      }
       return size;
     }
     @java.lang.Override
@@ -29979,6 +32284,10 @@
           != other.getSequence()) return false;
       if (getStartMillis()
           != other.getStartMillis()) return false;
+      if (getDrainLeftMillis()
+          != other.getDrainLeftMillis()) return false;
+      if (getColdLeftMillis()
+          != other.getColdLeftMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -30022,6 +32331,12 @@
       hash = (37 * hash) + START_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getStartMillis());
+      hash = (37 * hash) + DRAIN_LEFT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDrainLeftMillis());
+      hash = (37 * hash) + COLD_LEFT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdLeftMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -30166,6 +32481,8 @@
         clockMillis_ = 0L;
         sequence_ = 0L;
         startMillis_ = 0L;
+        drainLeftMillis_ = 0L;
+        coldLeftMillis_ = 0L;
         return this;
       }
 
@@ -30238,6 +32555,12 @@
         if (((from_bitField0_ & 0x00001000) != 0)) {
           result.startMillis_ = startMillis_;
         }
+        if (((from_bitField0_ & 0x00002000) != 0)) {
+          result.drainLeftMillis_ = drainLeftMillis_;
+        }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.coldLeftMillis_ = coldLeftMillis_;
+        }
       }
 
       @java.lang.Override
@@ -30303,6 +32626,12 @@
         if (other.getStartMillis() != 0L) {
           setStartMillis(other.getStartMillis());
         }
+        if (other.getDrainLeftMillis() != 0L) {
+          setDrainLeftMillis(other.getDrainLeftMillis());
+        }
+        if (other.getColdLeftMillis() != 0L) {
+          setColdLeftMillis(other.getColdLeftMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -30392,6 +32721,16 @@
                 bitField0_ |= 0x00001000;
                 break;
               } // case 104
+              case 112: {
+                drainLeftMillis_ = input.readUInt64();
+                bitField0_ |= 0x00002000;
+                break;
+              } // case 112
+              case 120: {
+                coldLeftMillis_ = input.readUInt64();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 120
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31015,64 +33354,152 @@
        * @param value The sequence to set.
        * @return This builder for chaining.
        */
-      public Builder setSequence(long value) {
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000800);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long startMillis_ ;
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @return The startMillis.
+       */
+      @java.lang.Override
+      public long getStartMillis() {
+        return startMillis_;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @param value The startMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartMillis(long value) {
+
+        startMillis_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartMillis() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        startMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long drainLeftMillis_ ;
+      /**
+       * <pre>
+       * How much longer a draining host runs at least; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 drain_left_millis = 14;</code>
+       * @return The drainLeftMillis.
+       */
+      @java.lang.Override
+      public long getDrainLeftMillis() {
+        return drainLeftMillis_;
+      }
+      /**
+       * <pre>
+       * How much longer a draining host runs at least; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 drain_left_millis = 14;</code>
+       * @param value The drainLeftMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDrainLeftMillis(long value) {
 
-        sequence_ = value;
-        bitField0_ |= 0x00000800;
+        drainLeftMillis_ = value;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 sequence = 12;</code>
+       * <pre>
+       * How much longer a draining host runs at least; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 drain_left_millis = 14;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSequence() {
-        bitField0_ = (bitField0_ & ~0x00000800);
-        sequence_ = 0L;
+      public Builder clearDrainLeftMillis() {
+        bitField0_ = (bitField0_ & ~0x00002000);
+        drainLeftMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      private long startMillis_ ;
+      private long coldLeftMillis_ ;
       /**
        * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * How much longer the host is slow after its start.
        * </pre>
        *
-       * <code>uint64 start_millis = 13;</code>
-       * @return The startMillis.
+       * <code>uint64 cold_left_millis = 15;</code>
+       * @return The coldLeftMillis.
        */
       @java.lang.Override
-      public long getStartMillis() {
-        return startMillis_;
+      public long getColdLeftMillis() {
+        return coldLeftMillis_;
       }
       /**
        * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * How much longer the host is slow after its start.
        * </pre>
        *
-       * <code>uint64 start_millis = 13;</code>
-       * @param value The startMillis to set.
+       * <code>uint64 cold_left_millis = 15;</code>
+       * @param value The coldLeftMillis to set.
        * @return This builder for chaining.
        */
-      public Builder setStartMillis(long value) {
+      public Builder setColdLeftMillis(long value) {
 
-        startMillis_ = value;
-        bitField0_ |= 0x00001000;
+        coldLeftMillis_ = value;
+        bitField0_ |= 0x00004000;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * How much longer the host is slow after its start.
        * </pre>
        *
-       * <code>uint64 start_millis = 13;</code>
+       * <code>uint64 cold_left_millis = 15;</code>
        * @return This builder for chaining.
        */
-      public Builder clearStartMillis() {
-        bitField0_ = (bitField0_ & ~0x00001000);
-        startMillis_ = 0L;
+      public Builder clearColdLeftMillis() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        coldLeftMillis_ = 0L;
         onChanged();
         return this;
       }
