@@ -31544,16 +33971,490 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                hostId_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 16: {
-                startMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
+              case 10: {
+                hostId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                startMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object hostId_ = "";
+      /**
+       * <code>string host_id = 1;</code>
+       * @return The hostId.
+       */
+      public java.lang.String getHostId() {
+        java.lang.Object ref = hostId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          hostId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string host_id = 1;</code>
+       * @return The bytes for hostId.
+       */
+      public com.google.protobuf.ByteString
+          getHostIdBytes() {
+        java.lang.Object ref = hostId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          hostId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string host_id = 1;</code>
+       * @param value The hostId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostId(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        hostId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host_id = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHostId() {
+        hostId_ = getDefaultInstance().getHostId();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host_id = 1;</code>
+       * @param value The bytes for hostId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostIdBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        hostId_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long startMillis_ ;
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @return The startMillis.
+       */
+      @java.lang.Override
+      public long getStartMillis() {
+        return startMillis_;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @param value The startMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartMillis(long value) {
+
+        startMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * When the host started, in milliseconds since 1970; 0 if unknown.
+       * </pre>
+       *
+       * <code>uint64 start_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:nettlering.HostLeaving)
+    }
+
+    // @@protoc_insertion_point(class_scope:nettlering.HostLeaving)
+    private static final org.nettlering.wire.proto.WorkflowProto.HostLeaving DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.HostLeaving();
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.HostLeaving getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<HostLeaving>
+        PARSER = new com.google.protobuf.AbstractParser<HostLeaving>() {
+      @java.lang.Override
+      public HostLeaving parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<HostLeaving> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<HostLeaving> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.HostLeaving getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ReadQueuesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.ReadQueues)
+      com.google.protobuf.MessageOrBuilder {
+  }
+  /**
+   * Protobuf type {@code nettlering.ReadQueues}
+   */
+  public static final class ReadQueues extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:nettlering.ReadQueues)
+      ReadQueuesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ReadQueues");
+    }
+    // Use ReadQueues.newBuilder() to construct.
+    private ReadQueues(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ReadQueues() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.nettlering.wire.proto.WorkflowProto.ReadQueues.class, org.nettlering.wire.proto.WorkflowProto.ReadQueues.Builder.class);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getUnknownFields().writeTo(output);
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.ReadQueues)) {
+        return super.equals(obj);
+      }
+      org.nettlering.wire.proto.WorkflowProto.ReadQueues other = (org.nettlering.wire.proto.WorkflowProto.ReadQueues) obj;
+
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.ReadQueues prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code nettlering.ReadQueues}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:nettlering.ReadQueues)
+        org.nettlering.wire.proto.WorkflowProto.ReadQueuesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.nettlering.wire.proto.WorkflowProto.ReadQueues.class, org.nettlering.wire.proto.WorkflowProto.ReadQueues.Builder.class);
+      }
+
+      // Construct using org.nettlering.wire.proto.WorkflowProto.ReadQueues.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.WorkflowProto.ReadQueues.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.ReadQueues build() {
+        org.nettlering.wire.proto.WorkflowProto.ReadQueues result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.nettlering.wire.proto.WorkflowProto.ReadQueues buildPartial() {
+        org.nettlering.wire.proto.WorkflowProto.ReadQueues result = new org.nettlering.wire.proto.WorkflowProto.ReadQueues(this);
+        onBuilt();
+        return result;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.nettlering.wire.proto.WorkflowProto.ReadQueues) {
+          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.ReadQueues)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.ReadQueues other) {
+        if (other == org.nettlering.wire.proto.WorkflowProto.ReadQueues.getDefaultInstance()) return this;
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31569,141 +34470,24 @@
         } // finally
         return this;
       }
-      private int bitField0_;
-
-      private java.lang.Object hostId_ = "";
-      /**
-       * <code>string host_id = 1;</code>
-       * @return The hostId.
-       */
-      public java.lang.String getHostId() {
-        java.lang.Object ref = hostId_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          hostId_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string host_id = 1;</code>
-       * @return The bytes for hostId.
-       */
-      public com.google.protobuf.ByteString
-          getHostIdBytes() {
-        java.lang.Object ref = hostId_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          hostId_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string host_id = 1;</code>
-       * @param value The hostId to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHostId(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        hostId_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string host_id = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearHostId() {
-        hostId_ = getDefaultInstance().getHostId();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string host_id = 1;</code>
-       * @param value The bytes for hostId to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHostIdBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        hostId_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-
-      private long startMillis_ ;
-      /**
-       * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
-       * </pre>
-       *
-       * <code>uint64 start_millis = 2;</code>
-       * @return The startMillis.
-       */
-      @java.lang.Override
-      public long getStartMillis() {
-        return startMillis_;
-      }
-      /**
-       * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
-       * </pre>
-       *
-       * <code>uint64 start_millis = 2;</code>
-       * @param value The startMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setStartMillis(long value) {
-
-        startMillis_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * When the host started, in milliseconds since 1970; 0 if unknown.
-       * </pre>
-       *
-       * <code>uint64 start_millis = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearStartMillis() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        startMillis_ = 0L;
-        onChanged();
-        return this;
-      }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.HostLeaving)
+      // @@protoc_insertion_point(builder_scope:nettlering.ReadQueues)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.HostLeaving)
-    private static final org.nettlering.wire.proto.WorkflowProto.HostLeaving DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.ReadQueues)
+    private static final org.nettlering.wire.proto.WorkflowProto.ReadQueues DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.HostLeaving();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.ReadQueues();
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.HostLeaving getDefaultInstance() {
+    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<HostLeaving>
-        PARSER = new com.google.protobuf.AbstractParser<HostLeaving>() {
+    private static final com.google.protobuf.Parser<ReadQueues>
+        PARSER = new com.google.protobuf.AbstractParser<ReadQueues>() {
       @java.lang.Override
-      public HostLeaving parsePartialFrom(
+      public ReadQueues parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -31722,33 +34506,33 @@
       }
     };
 
-    public static com.google.protobuf.Parser<HostLeaving> parser() {
+    public static com.google.protobuf.Parser<ReadQueues> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<HostLeaving> getParserForType() {
+    public com.google.protobuf.Parser<ReadQueues> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.HostLeaving getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface ReadQueuesOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:nettlering.ReadQueues)
+  public interface ReadEvacuationsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:nettlering.ReadEvacuations)
       com.google.protobuf.MessageOrBuilder {
   }
   /**
-   * Protobuf type {@code nettlering.ReadQueues}
+   * Protobuf type {@code nettlering.ReadEvacuations}
    */
-  public static final class ReadQueues extends
+  public static final class ReadEvacuations extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:nettlering.ReadQueues)
-      ReadQueuesOrBuilder {
+      // @@protoc_insertion_point(message_implements:nettlering.ReadEvacuations)
+      ReadEvacuationsOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -31757,31 +34541,31 @@
         /* minor= */ 36,
         /* patch= */ 2,
         /* suffix= */ "",
-        "ReadQueues");
+        "ReadEvacuations");
     }
-    // Use ReadQueues.newBuilder() to construct.
-    private ReadQueues(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ReadEvacuations.newBuilder() to construct.
+    private ReadEvacuations(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private ReadQueues() {
+    private ReadEvacuations() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_fieldAccessorTable
+      return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.nettlering.wire.proto.WorkflowProto.ReadQueues.class, org.nettlering.wire.proto.WorkflowProto.ReadQueues.Builder.class);
+              org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.class, org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder.class);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -31816,10 +34600,10 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.ReadQueues)) {
+      if (!(obj instanceof org.nettlering.wire.proto.WorkflowProto.ReadEvacuations)) {
         return super.equals(obj);
       }
-      org.nettlering.wire.proto.WorkflowProto.ReadQueues other = (org.nettlering.wire.proto.WorkflowProto.ReadQueues) obj;
+      org.nettlering.wire.proto.WorkflowProto.ReadEvacuations other = (org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) obj;
 
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
@@ -31837,44 +34621,44 @@
       return hash;
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(byte[] data)
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31882,26 +34666,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseDelimitedFrom(java.io.InputStream input)
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseDelimitedFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues parseFrom(
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31914,7 +34698,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.ReadQueues prototype) {
+    public static Builder newBuilder(org.nettlering.wire.proto.WorkflowProto.ReadEvacuations prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -31930,26 +34714,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code nettlering.ReadQueues}
+     * Protobuf type {@code nettlering.ReadEvacuations}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:nettlering.ReadQueues)
-        org.nettlering.wire.proto.WorkflowProto.ReadQueuesOrBuilder {
+        // @@protoc_insertion_point(builder_implements:nettlering.ReadEvacuations)
+        org.nettlering.wire.proto.WorkflowProto.ReadEvacuationsOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_fieldAccessorTable
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.nettlering.wire.proto.WorkflowProto.ReadQueues.class, org.nettlering.wire.proto.WorkflowProto.ReadQueues.Builder.class);
+                org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.class, org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.Builder.class);
       }
 
-      // Construct using org.nettlering.wire.proto.WorkflowProto.ReadQueues.newBuilder()
+      // Construct using org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.newBuilder()
       private Builder() {
 
       }
@@ -31968,17 +34752,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadQueues_descriptor;
+        return org.nettlering.wire.proto.WorkflowProto.internal_static_nettlering_ReadEvacuations_descriptor;
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstanceForType() {
-        return org.nettlering.wire.proto.WorkflowProto.ReadQueues.getDefaultInstance();
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getDefaultInstanceForType() {
+        return org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.ReadQueues build() {
-        org.nettlering.wire.proto.WorkflowProto.ReadQueues result = buildPartial();
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations build() {
+        org.nettlering.wire.proto.WorkflowProto.ReadEvacuations result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -31986,24 +34770,24 @@
       }
 
       @java.lang.Override
-      public org.nettlering.wire.proto.WorkflowProto.ReadQueues buildPartial() {
-        org.nettlering.wire.proto.WorkflowProto.ReadQueues result = new org.nettlering.wire.proto.WorkflowProto.ReadQueues(this);
+      public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations buildPartial() {
+        org.nettlering.wire.proto.WorkflowProto.ReadEvacuations result = new org.nettlering.wire.proto.WorkflowProto.ReadEvacuations(this);
         onBuilt();
         return result;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.nettlering.wire.proto.WorkflowProto.ReadQueues) {
-          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.ReadQueues)other);
+        if (other instanceof org.nettlering.wire.proto.WorkflowProto.ReadEvacuations) {
+          return mergeFrom((org.nettlering.wire.proto.WorkflowProto.ReadEvacuations)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.ReadQueues other) {
-        if (other == org.nettlering.wire.proto.WorkflowProto.ReadQueues.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.nettlering.wire.proto.WorkflowProto.ReadEvacuations other) {
+        if (other == org.nettlering.wire.proto.WorkflowProto.ReadEvacuations.getDefaultInstance()) return this;
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -32044,23 +34828,23 @@
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:nettlering.ReadQueues)
+      // @@protoc_insertion_point(builder_scope:nettlering.ReadEvacuations)
     }
 
-    // @@protoc_insertion_point(class_scope:nettlering.ReadQueues)
-    private static final org.nettlering.wire.proto.WorkflowProto.ReadQueues DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:nettlering.ReadEvacuations)
+    private static final org.nettlering.wire.proto.WorkflowProto.ReadEvacuations DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.ReadQueues();
+      DEFAULT_INSTANCE = new org.nettlering.wire.proto.WorkflowProto.ReadEvacuations();
     }
 
-    public static org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstance() {
+    public static org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ReadQueues>
-        PARSER = new com.google.protobuf.AbstractParser<ReadQueues>() {
+    private static final com.google.protobuf.Parser<ReadEvacuations>
+        PARSER = new com.google.protobuf.AbstractParser<ReadEvacuations>() {
       @java.lang.Override
-      public ReadQueues parsePartialFrom(
+      public ReadEvacuations parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -32079,17 +34863,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ReadQueues> parser() {
+    public static com.google.protobuf.Parser<ReadEvacuations> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ReadQueues> getParserForType() {
+    public com.google.protobuf.Parser<ReadEvacuations> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.nettlering.wire.proto.WorkflowProto.ReadQueues getDefaultInstanceForType() {
+    public org.nettlering.wire.proto.WorkflowProto.ReadEvacuations getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -32512,6 +35296,21 @@
      * <code>.nettlering.QueueConfigurationMessage queues = 5;</code>
      */
     org.nettlering.wire.proto.WorkflowProto.QueueConfigurationMessageOrBuilder getQueuesOrBuilder();
+
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     * @return Whether the evacuations field is set.
+     */
+    boolean hasEvacuations();
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     * @return The evacuations.
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations();
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder();
   }
   /**
    * Protobuf type {@code nettlering.WorkflowResponse}
@@ -32650,6 +35449,32 @@
       return queues_ == null ? org.nettlering.wire.proto.WorkflowProto.QueueConfigurationMessage.getDefaultInstance() : queues_;
     }
 
+    public static final int EVACUATIONS_FIELD_NUMBER = 6;
+    private org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage evacuations_;
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     * @return Whether the evacuations field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuations() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     * @return The evacuations.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations() {
+      return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+    }
+    /**
+     * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder() {
+      return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -32679,6 +35504,9 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeMessage(5, getQueues());
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeMessage(6, getEvacuations());
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -32703,6 +35531,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(5, getQueues());
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, getEvacuations());
+      }
       return size;
     }
     @java.lang.Override
@@ -32738,6 +35570,11 @@
         if (!getQueues()
             .equals(other.getQueues())) return false;
       }
+      if (hasEvacuations() != other.hasEvacuations()) return false;
+      if (hasEvacuations()) {
+        if (!getEvacuations()
+            .equals(other.getEvacuations())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -32761,6 +35598,10 @@
         hash = (37 * hash) + QUEUES_FIELD_NUMBER;
         hash = (53 * hash) + getQueues().hashCode();
       }
+      if (hasEvacuations()) {
+        hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuations().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -32892,6 +35733,7 @@
         if (com.google.protobuf.GeneratedMessage
                 .alwaysUseFieldBuilders) {
           internalGetQueuesFieldBuilder();
+          internalGetEvacuationsFieldBuilder();
         }
       }
       @java.lang.Override
@@ -32907,6 +35749,11 @@
           queuesBuilder_.dispose();
           queuesBuilder_ = null;
         }
+        evacuations_ = null;
+        if (evacuationsBuilder_ != null) {
+          evacuationsBuilder_.dispose();
+          evacuationsBuilder_ = null;
+        }
         return this;
       }
 
@@ -32959,6 +35806,12 @@
               : queuesBuilder_.build();
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.evacuations_ = evacuationsBuilder_ == null
+              ? evacuations_
+              : evacuationsBuilder_.build();
+          to_bitField0_ |= 0x00000002;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -32989,6 +35842,9 @@
         if (other.hasQueues()) {
           mergeQueues(other.getQueues());
         }
+        if (other.hasEvacuations()) {
+          mergeEvacuations(other.getEvacuations());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -33040,6 +35896,13 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetEvacuationsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -33368,6 +36231,125 @@
         return queuesBuilder_;
       }
 
+      private org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage evacuations_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder> evacuationsBuilder_;
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       * @return Whether the evacuations field is set.
+       */
+      public boolean hasEvacuations() {
+        return ((bitField0_ & 0x00000020) != 0);
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       * @return The evacuations.
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage getEvacuations() {
+        if (evacuationsBuilder_ == null) {
+          return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+        } else {
+          return evacuationsBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public Builder setEvacuations(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage value) {
+        if (evacuationsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          evacuations_ = value;
+        } else {
+          evacuationsBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public Builder setEvacuations(
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder builderForValue) {
+        if (evacuationsBuilder_ == null) {
+          evacuations_ = builderForValue.build();
+        } else {
+          evacuationsBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public Builder mergeEvacuations(org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage value) {
+        if (evacuationsBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0) &&
+            evacuations_ != null &&
+            evacuations_ != org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance()) {
+            getEvacuationsBuilder().mergeFrom(value);
+          } else {
+            evacuations_ = value;
+          }
+        } else {
+          evacuationsBuilder_.mergeFrom(value);
+        }
+        if (evacuations_ != null) {
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public Builder clearEvacuations() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        evacuations_ = null;
+        if (evacuationsBuilder_ != null) {
+          evacuationsBuilder_.dispose();
+          evacuationsBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder getEvacuationsBuilder() {
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return internalGetEvacuationsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder() {
+        if (evacuationsBuilder_ != null) {
+          return evacuationsBuilder_.getMessageOrBuilder();
+        } else {
+          return evacuations_ == null ?
+              org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
+        }
+      }
+      /**
+       * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder> 
+          internalGetEvacuationsFieldBuilder() {
+        if (evacuationsBuilder_ == null) {
+          evacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder>(
+                  getEvacuations(),
+                  getParentForChildren(),
+                  isClean());
+          evacuations_ = null;
+        }
+        return evacuationsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowResponse)
     }
 
@@ -33474,6 +36456,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_WorkflowCommandMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_EvacuationChange_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_EvacuationChange_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_EvacuationsMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_EvacuationsMessage_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_SubmitWorkflow_descriptor;
   private static final 
@@ -33574,6 +36566,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_nettlering_ReadQueues_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_nettlering_ReadEvacuations_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_nettlering_ReadEvacuations_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_nettlering_LeaderCheck_descriptor;
   private static final 
@@ -33630,7 +36627,7 @@
       "number\030\005 \001(\r\"\215\001\n\020ActiveRunMessage\022#\n\003run" +
       "\030\001 \001(\0132\026.nettlering.RunMessage\022\017\n\007host_i" +
       "d\030\002 \001(\t\022\024\n\014host_address\030\003 \001(\t\022\022\n\ncheckpo" +
-      "int\030\004 \001(\t\022\031\n\021host_start_millis\030\005 \001(\004\"\331\002\n" +
+      "int\030\004 \001(\t\022\031\n\021host_start_millis\030\005 \001(\004\"\215\003\n" +
       "\026WorkflowCommandMessage\022,\n\006submit\030\001 \001(\0132" +
       "\032.nettlering.SubmitWorkflowH\000\022,\n\006cancel\030" +
       "\002 \001(\0132\032.nettlering.CancelWorkflowH\000\022,\n\005b" +
@@ -33639,95 +36636,109 @@
       "essageH\000\022!\n\003end\030\005 \001(\0132\022.nettlering.EndRu" +
       "nH\000\022,\n\006forget\030\006 \001(\0132\032.nettlering.ForgetW" +
       "orkflowH\000\022*\n\005batch\030\007 \001(\0132\031.nettlering.Wo" +
-      "rkflowBatchH\000B\t\n\007command\"\233\001\n\016SubmitWorkf" +
-      "low\022\016\n\006job_id\030\001 \001(\t\022*\n\005terms\030\002 \001(\0132\033.net" +
-      "tlering.JobTermsMessage\0224\n\ndefinition\030\003 " +
-      "\001(\0132 .nettlering.JobDefinitionMessage\022\027\n" +
-      "\017accepted_millis\030\004 \001(\003\" \n\016CancelWorkflow" +
-      "\022\016\n\006job_id\030\001 \001(\t\"5\n\017BeginOccurrence\022\016\n\006j" +
-      "ob_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\"\233\001\n\006EndR" +
-      "un\022#\n\003run\030\001 \001(\0132\026.nettlering.RunMessage\022" +
-      "&\n\003how\030\002 \001(\0162\031.nettlering.RunEndMessage\022" +
-      "\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_crash\030\004 \001(\0162" +
-      "\034.nettlering.HostCrashMessage\" \n\016ForgetW" +
-      "orkflow\022\016\n\006job_id\030\001 \001(\t\"[\n\rWorkflowBatch" +
-      "\0224\n\010commands\030\001 \003(\0132\".nettlering.Workflow" +
-      "CommandMessage\022\024\n\014fence_raises\030\002 \001(\r\"E\n\016" +
-      "WorkflowResult\0223\n\007outcome\030\001 \001(\0162\".nettle" +
-      "ring.WorkflowOutcomeMessage\"F\n\014QueueComm" +
-      "and\0226\n\007replace\030\001 \001(\0132%.nettlering.QueueC" +
-      "onfigurationMessage\"\'\n\013QueueResult\022\030\n\020ve" +
-      "rsion_in_force\030\001 \001(\004\"\212\001\n\020WorkflowSnapsho" +
-      "t\0225\n\006queues\030\001 \001(\0132%.nettlering.QueueConf" +
-      "igurationMessage\022)\n\004jobs\030\002 \003(\0132\033.nettler" +
-      "ing.JobImageMessage\022\024\n\014fence_raises\030\003 \001(" +
-      "\004\"\375\001\n\017JobImageMessage\022\n\n\002id\030\001 \001(\t\022*\n\005ter" +
-      "ms\030\002 \001(\0132\033.nettlering.JobTermsMessage\0224\n" +
-      "\ndefinition\030\003 \001(\0132 .nettlering.JobDefini" +
-      "tionMessage\022\027\n\017accepted_millis\030\004 \001(\003\022*\n\005" +
-      "phase\030\005 \001(\0162\033.nettlering.JobPhaseMessage" +
-      "\0227\n\013occurrences\030\006 \003(\0132\".nettlering.Occur" +
-      "renceImageMessage\"U\n\026OccurrenceImageMess" +
-      "age\022\016\n\006number\030\001 \001(\r\022+\n\005steps\030\002 \003(\0132\034.net" +
-      "tlering.StepImageMessage\"t\n\020StepImageMes" +
-      "sage\022\031\n\021last_gang_failure\030\001 \001(\r\022+\n\005tasks" +
-      "\030\002 \003(\0132\034.nettlering.TaskImageMessage\022\030\n\020" +
-      "failed_gang_runs\030\003 \003(\r\"\267\001\n\020TaskImageMess" +
-      "age\022\020\n\010last_run\030\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022" +
-      "\014\n\004done\030\003 \001(\010\022\022\n\ncheckpoint\030\004 \001(\t\0221\n\013act" +
-      "ive_runs\030\005 \003(\0132\034.nettlering.ActiveRunMes" +
-      "sage\022\026\n\016unsettled_runs\030\006 \003(\r\022\022\n\ncrash_ru" +
-      "ns\030\007 \003(\r\"\237\003\n\017WorkflowRequest\022.\n\006submit\030\001" +
-      " \001(\0132\034.nettlering.SubmitJobRequestH\000\022&\n\004" +
-      "show\030\002 \001(\0132\026.nettlering.JobRequestH\000\022(\n\006" +
-      "cancel\030\003 \001(\0132\026.nettlering.JobRequestH\000\0224" +
-      "\n\013host_report\030\004 \001(\0132\035.nettlering.HostRep" +
-      "ortMessageH\000\022/\n\014host_leaving\030\005 \001(\0132\027.net" +
-      "tlering.HostLeavingH\000\022?\n\016replace_queues\030" +
-      "\006 \001(\0132%.nettlering.QueueConfigurationMes" +
-      "sageH\000\022-\n\013read_queues\030\007 \001(\0132\026.nettlering" +
-      ".ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027.nettlerin" +
-      "g.LeaderCheckH\000B\t\n\007request\"i\n\020SubmitJobR" +
-      "equest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\022" +
-      "4\n\ndefinition\030\003 \001(\0132 .nettlering.JobDefi" +
-      "nitionMessage\"-\n\nJobRequest\022\021\n\tauthority" +
-      "\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\220\002\n\021HostReportMessa" +
-      "ge\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_address\030\002 \001(" +
-      "\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022" +
-      "\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_mebibytes\030" +
-      "\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kind\030\010 \001(" +
-      "\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022\024\n\014clo" +
-      "ck_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\022\024\n\014sta" +
-      "rt_millis\030\r \001(\004\"4\n\013HostLeaving\022\017\n\007host_i" +
-      "d\030\001 \001(\t\022\024\n\014start_millis\030\002 \001(\004\"\014\n\nReadQue" +
-      "ues\"\r\n\013LeaderCheck\"\323\001\n\020WorkflowResponse\022" +
-      "*\n\006answer\030\001 \001(\0162\032.nettlering.WorkflowAns" +
-      "wer\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPhase" +
-      "Message\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_a" +
-      "fter_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nett" +
-      "lering.QueueConfigurationMessage*\211\001\n\020Ste" +
-      "pTraitMessage\022\032\n\026STEP_TRAIT_UNSPECIFIED\020" +
-      "\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017\n\013SPECULATI" +
-      "VE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHECKPOINTING\020" +
-      "\005\022\t\n\005FILLS\020\006*\\\n\020HostCrashMessage\022\032\n\026HOST" +
-      "_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_CRASH_CAUSE" +
-      "\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002*\254\001\n\rRunEndMes" +
-      "sage\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DON" +
-      "E\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\n" +
-      "RUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALON" +
-      "E\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020" +
-      "\010*\202\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW" +
-      "_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLI" +
-      "ED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW" +
-      "_UNKNOWN_JOB\020\003*\203\001\n\017JobPhaseMessage\022\031\n\025JO" +
-      "B_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n" +
-      "\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB" +
-      "_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\234\001\n\016Workflo" +
-      "wAnswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000" +
-      "\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021" +
-      "\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033" +
-      "\n\027ANSWER_NO_CONFIGURATION\020\005B*\n\031org.nettl" +
-      "ering.wire.protoB\rWorkflowProtob\006proto3"
+      "rkflowBatchH\000\0222\n\nevacuation\030\010 \001(\0132\034.nett" +
+      "lering.EvacuationChangeH\000B\t\n\007command\"W\n\020" +
+      "EvacuationChange\022\026\n\016failure_domain\030\001 \001(\t" +
+      "\022\021\n\tevacuated\030\002 \001(\010\022\030\n\020expected_version\030" +
+      "\003 \001(\004\">\n\022EvacuationsMessage\022\017\n\007version\030\001" +
+      " \001(\004\022\027\n\017failure_domains\030\002 \003(\t\"\233\001\n\016Submit" +
+      "Workflow\022\016\n\006job_id\030\001 \001(\t\022*\n\005terms\030\002 \001(\0132" +
+      "\033.nettlering.JobTermsMessage\0224\n\ndefiniti" +
+      "on\030\003 \001(\0132 .nettlering.JobDefinitionMessa" +
+      "ge\022\027\n\017accepted_millis\030\004 \001(\003\" \n\016CancelWor" +
+      "kflow\022\016\n\006job_id\030\001 \001(\t\"5\n\017BeginOccurrence" +
+      "\022\016\n\006job_id\030\001 \001(\t\022\022\n\noccurrence\030\002 \001(\r\"\233\001\n" +
+      "\006EndRun\022#\n\003run\030\001 \001(\0132\026.nettlering.RunMes" +
+      "sage\022&\n\003how\030\002 \001(\0162\031.nettlering.RunEndMes" +
+      "sage\022\022\n\ncheckpoint\030\003 \001(\t\0220\n\nhost_crash\030\004" +
+      " \001(\0162\034.nettlering.HostCrashMessage\" \n\016Fo" +
+      "rgetWorkflow\022\016\n\006job_id\030\001 \001(\t\"[\n\rWorkflow" +
+      "Batch\0224\n\010commands\030\001 \003(\0132\".nettlering.Wor" +
+      "kflowCommandMessage\022\024\n\014fence_raises\030\002 \001(" +
+      "\r\"E\n\016WorkflowResult\0223\n\007outcome\030\001 \001(\0162\".n" +
+      "ettlering.WorkflowOutcomeMessage\"F\n\014Queu" +
+      "eCommand\0226\n\007replace\030\001 \001(\0132%.nettlering.Q" +
+      "ueueConfigurationMessage\"\'\n\013QueueResult\022" +
+      "\030\n\020version_in_force\030\001 \001(\004\"\277\001\n\020WorkflowSn" +
+      "apshot\0225\n\006queues\030\001 \001(\0132%.nettlering.Queu" +
+      "eConfigurationMessage\022)\n\004jobs\030\002 \003(\0132\033.ne" +
+      "ttlering.JobImageMessage\022\024\n\014fence_raises" +
+      "\030\003 \001(\004\0223\n\013evacuations\030\004 \001(\0132\036.nettlering" +
+      ".EvacuationsMessage\"\375\001\n\017JobImageMessage\022" +
+      "\n\n\002id\030\001 \001(\t\022*\n\005terms\030\002 \001(\0132\033.nettlering." +
+      "JobTermsMessage\0224\n\ndefinition\030\003 \001(\0132 .ne" +
+      "ttlering.JobDefinitionMessage\022\027\n\017accepte" +
+      "d_millis\030\004 \001(\003\022*\n\005phase\030\005 \001(\0162\033.nettleri" +
+      "ng.JobPhaseMessage\0227\n\013occurrences\030\006 \003(\0132" +
+      "\".nettlering.OccurrenceImageMessage\"U\n\026O" +
+      "ccurrenceImageMessage\022\016\n\006number\030\001 \001(\r\022+\n" +
+      "\005steps\030\002 \003(\0132\034.nettlering.StepImageMessa" +
+      "ge\"t\n\020StepImageMessage\022\031\n\021last_gang_fail" +
+      "ure\030\001 \001(\r\022+\n\005tasks\030\002 \003(\0132\034.nettlering.Ta" +
+      "skImageMessage\022\030\n\020failed_gang_runs\030\003 \003(\r" +
+      "\"\267\001\n\020TaskImageMessage\022\020\n\010last_run\030\001 \001(\r\022" +
+      "\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheck" +
+      "point\030\004 \001(\t\0221\n\013active_runs\030\005 \003(\0132\034.nettl" +
+      "ering.ActiveRunMessage\022\026\n\016unsettled_runs" +
+      "\030\006 \003(\r\022\022\n\ncrash_runs\030\007 \003(\r\"\223\004\n\017WorkflowR" +
+      "equest\022.\n\006submit\030\001 \001(\0132\034.nettlering.Subm" +
+      "itJobRequestH\000\022&\n\004show\030\002 \001(\0132\026.nettlerin" +
+      "g.JobRequestH\000\022(\n\006cancel\030\003 \001(\0132\026.nettler" +
+      "ing.JobRequestH\000\0224\n\013host_report\030\004 \001(\0132\035." +
+      "nettlering.HostReportMessageH\000\022/\n\014host_l" +
+      "eaving\030\005 \001(\0132\027.nettlering.HostLeavingH\000\022" +
+      "?\n\016replace_queues\030\006 \001(\0132%.nettlering.Que" +
+      "ueConfigurationMessageH\000\022-\n\013read_queues\030" +
+      "\007 \001(\0132\026.nettlering.ReadQueuesH\000\022(\n\005check" +
+      "\030\010 \001(\0132\027.nettlering.LeaderCheckH\000\0229\n\021cha" +
+      "nge_evacuation\030\t \001(\0132\034.nettlering.Evacua" +
+      "tionChangeH\000\0227\n\020read_evacuations\030\n \001(\0132\033" +
+      ".nettlering.ReadEvacuationsH\000B\t\n\007request" +
+      "\"i\n\020SubmitJobRequest\022\021\n\tauthority\030\001 \001(\t\022" +
+      "\014\n\004path\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nett" +
+      "lering.JobDefinitionMessage\"-\n\nJobReques" +
+      "t\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\305\002\n\021H" +
+      "ostReportMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014hos" +
+      "t_address\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure" +
+      "_domain\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020mem" +
+      "ory_mebibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(" +
+      "\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010drainin" +
+      "g\030\n \001(\010\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequenc" +
+      "e\030\014 \001(\004\022\024\n\014start_millis\030\r \001(\004\022\031\n\021drain_l" +
+      "eft_millis\030\016 \001(\004\022\030\n\020cold_left_millis\030\017 \001" +
+      "(\004\"4\n\013HostLeaving\022\017\n\007host_id\030\001 \001(\t\022\024\n\014st" +
+      "art_millis\030\002 \001(\004\"\014\n\nReadQueues\"\021\n\017ReadEv" +
+      "acuations\"\r\n\013LeaderCheck\"\210\002\n\020WorkflowRes" +
+      "ponse\022*\n\006answer\030\001 \001(\0162\032.nettlering.Workf" +
+      "lowAnswer\022*\n\005phase\030\002 \001(\0162\033.nettlering.Jo" +
+      "bPhaseMessage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022r" +
+      "etry_after_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132" +
+      "%.nettlering.QueueConfigurationMessage\0223" +
+      "\n\013evacuations\030\006 \001(\0132\036.nettlering.Evacuat" +
+      "ionsMessage*\211\001\n\020StepTraitMessage\022\032\n\026STEP" +
+      "_TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_L" +
+      "OCAL\020\002\022\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020" +
+      "\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005FILLS\020\006*\\\n\020HostC" +
+      "rashMessage\022\032\n\026HOST_CRASH_UNSPECIFIED\020\000\022" +
+      "\024\n\020HOST_CRASH_CAUSE\020\001\022\026\n\022HOST_CRASH_SUSP" +
+      "ECT\020\002*\254\001\n\rRunEndMessage\022\027\n\023RUN_END_UNSPE" +
+      "CIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017" +
+      "\n\013RUN_STOPPED\020\003\022\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_B" +
+      "ROKEN\020\005\022\r\n\tRUN_ALONE\020\006\022\021\n\rRUN_NOT_BEGUN\020" +
+      "\007\022\021\n\rRUN_HOST_LOST\020\010*\241\001\n\026WorkflowOutcome" +
+      "Message\022 \n\034WORKFLOW_OUTCOME_UNSPECIFIED\020" +
+      "\000\022\024\n\020WORKFLOW_APPLIED\020\001\022\026\n\022WORKFLOW_UNCH" +
+      "ANGED\020\002\022\030\n\024WORKFLOW_UNKNOWN_JOB\020\003\022\035\n\031WOR" +
+      "KFLOW_VERSION_CONFLICT\020\004*\203\001\n\017JobPhaseMes" +
+      "sage\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_Q" +
+      "UEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETE" +
+      "D\020\003\022\016\n\nJOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\261" +
+      "\001\n\016WorkflowAnswer\022\037\n\033WORKFLOW_ANSWER_UNS" +
+      "PECIFIED\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO" +
+      "_QUEUE\020\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_RE" +
+      "JECTED\020\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005\022\023\n" +
+      "\017ANSWER_CONFLICT\020\006B*\n\031org.nettlering.wir" +
+      "e.protoB\rWorkflowProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -33798,139 +36809,157 @@
     internal_static_nettlering_WorkflowCommandMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowCommandMessage_descriptor,
-        new java.lang.String[] { "Submit", "Cancel", "Begin", "Start", "End", "Forget", "Batch", "Command", });
-    internal_static_nettlering_SubmitWorkflow_descriptor =
+        new java.lang.String[] { "Submit", "Cancel", "Begin", "Start", "End", "Forget", "Batch", "Evacuation", "Command", });
+    internal_static_nettlering_EvacuationChange_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_nettlering_EvacuationChange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_EvacuationChange_descriptor,
+        new java.lang.String[] { "FailureDomain", "Evacuated", "ExpectedVersion", });
+    internal_static_nettlering_EvacuationsMessage_descriptor =
+      getDescriptor().getMessageType(12);
+    internal_static_nettlering_EvacuationsMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_EvacuationsMessage_descriptor,
+        new java.lang.String[] { "Version", "FailureDomains", });
+    internal_static_nettlering_SubmitWorkflow_descriptor =
+      getDescriptor().getMessageType(13);
     internal_static_nettlering_SubmitWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SubmitWorkflow_descriptor,
         new java.lang.String[] { "JobId", "Terms", "Definition", "AcceptedMillis", });
     internal_static_nettlering_CancelWorkflow_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_nettlering_CancelWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_CancelWorkflow_descriptor,
         new java.lang.String[] { "JobId", });
     internal_static_nettlering_BeginOccurrence_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_nettlering_BeginOccurrence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_BeginOccurrence_descriptor,
         new java.lang.String[] { "JobId", "Occurrence", });
     internal_static_nettlering_EndRun_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_nettlering_EndRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_EndRun_descriptor,
         new java.lang.String[] { "Run", "How", "Checkpoint", "HostCrash", });
     internal_static_nettlering_ForgetWorkflow_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_nettlering_ForgetWorkflow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ForgetWorkflow_descriptor,
         new java.lang.String[] { "JobId", });
     internal_static_nettlering_WorkflowBatch_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_nettlering_WorkflowBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowBatch_descriptor,
         new java.lang.String[] { "Commands", "FenceRaises", });
     internal_static_nettlering_WorkflowResult_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_nettlering_WorkflowResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowResult_descriptor,
         new java.lang.String[] { "Outcome", });
     internal_static_nettlering_QueueCommand_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_nettlering_QueueCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_QueueCommand_descriptor,
         new java.lang.String[] { "Replace", });
     internal_static_nettlering_QueueResult_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_nettlering_QueueResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_QueueResult_descriptor,
         new java.lang.String[] { "VersionInForce", });
     internal_static_nettlering_WorkflowSnapshot_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_nettlering_WorkflowSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowSnapshot_descriptor,
-        new java.lang.String[] { "Queues", "Jobs", "FenceRaises", });
+        new java.lang.String[] { "Queues", "Jobs", "FenceRaises", "Evacuations", });
     internal_static_nettlering_JobImageMessage_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_nettlering_JobImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_JobImageMessage_descriptor,
         new java.lang.String[] { "Id", "Terms", "Definition", "AcceptedMillis", "Phase", "Occurrences", });
     internal_static_nettlering_OccurrenceImageMessage_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_nettlering_OccurrenceImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_OccurrenceImageMessage_descriptor,
         new java.lang.String[] { "Number", "Steps", });
     internal_static_nettlering_StepImageMessage_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_nettlering_StepImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_StepImageMessage_descriptor,
         new java.lang.String[] { "LastGangFailure", "Tasks", "FailedGangRuns", });
     internal_static_nettlering_TaskImageMessage_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_nettlering_TaskImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskImageMessage_descriptor,
         new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", "CrashRuns", });
     internal_static_nettlering_WorkflowRequest_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_nettlering_WorkflowRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowRequest_descriptor,
-        new java.lang.String[] { "Submit", "Show", "Cancel", "HostReport", "HostLeaving", "ReplaceQueues", "ReadQueues", "Check", "Request", });
+        new java.lang.String[] { "Submit", "Show", "Cancel", "HostReport", "HostLeaving", "ReplaceQueues", "ReadQueues", "Check", "ChangeEvacuation", "ReadEvacuations", "Request", });
     internal_static_nettlering_SubmitJobRequest_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_nettlering_SubmitJobRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_SubmitJobRequest_descriptor,
         new java.lang.String[] { "Authority", "Path", "Definition", });
     internal_static_nettlering_JobRequest_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_nettlering_JobRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_JobRequest_descriptor,
         new java.lang.String[] { "Authority", "Path", });
     internal_static_nettlering_HostReportMessage_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_nettlering_HostReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_HostReportMessage_descriptor,
-        new java.lang.String[] { "HostId", "HostAddress", "Pool", "FailureDomain", "Millicores", "MemoryMebibytes", "Accelerators", "Kind", "Rack", "Draining", "ClockMillis", "Sequence", "StartMillis", });
+        new java.lang.String[] { "HostId", "HostAddress", "Pool", "FailureDomain", "Millicores", "MemoryMebibytes", "Accelerators", "Kind", "Rack", "Draining", "ClockMillis", "Sequence", "StartMillis", "DrainLeftMillis", "ColdLeftMillis", });
     internal_static_nettlering_HostLeaving_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_nettlering_HostLeaving_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_HostLeaving_descriptor,
         new java.lang.String[] { "HostId", "StartMillis", });
     internal_static_nettlering_ReadQueues_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_nettlering_ReadQueues_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_ReadQueues_descriptor,
         new java.lang.String[] { });
+    internal_static_nettlering_ReadEvacuations_descriptor =
+      getDescriptor().getMessageType(33);
+    internal_static_nettlering_ReadEvacuations_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_nettlering_ReadEvacuations_descriptor,
+        new java.lang.String[] { });
     internal_static_nettlering_LeaderCheck_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(34);
     internal_static_nettlering_LeaderCheck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_LeaderCheck_descriptor,
         new java.lang.String[] { });
     internal_static_nettlering_WorkflowResponse_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(35);
     internal_static_nettlering_WorkflowResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowResponse_descriptor,
-        new java.lang.String[] { "Answer", "Phase", "PendingJobs", "RetryAfterMillis", "Queues", });
+        new java.lang.String[] { "Answer", "Phase", "PendingJobs", "RetryAfterMillis", "Queues", "Evacuations", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
+++ b/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
@@ -2,12 +2,16 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.queue.QueueConfiguration;
+import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
+import org.nettlering.wire.codec.EvacuationCodec;
 import org.nettlering.wire.codec.HostReportCodec;
 import org.nettlering.wire.codec.JobDefinitionCodec;
 import org.nettlering.wire.codec.QueueCodec;
@@ -15,6 +19,7 @@
 import org.nettlering.wire.proto.WorkflowProto.HostLeaving;
 import org.nettlering.wire.proto.WorkflowProto.JobRequest;
 import org.nettlering.wire.proto.WorkflowProto.LeaderCheck;
+import org.nettlering.wire.proto.WorkflowProto.ReadEvacuations;
 import org.nettlering.wire.proto.WorkflowProto.ReadQueues;
 import org.nettlering.wire.proto.WorkflowProto.SubmitJobRequest;
 import org.nettlering.wire.proto.WorkflowProto.WorkflowAnswer;
@@ -36,6 +41,9 @@
  * <p>Immutable and thread-safe.
  */
 public final class WorkflowClient {
+    /** How often a change of the evacuations is tried while others change them, too. */
+    private static final int MAX_EVACUATION_ATTEMPTS = 5;
+
     private final ControlGateway gateway;
 
     /**
@@ -151,6 +159,56 @@
                         : Optional.empty());
     }
 
+    /**
+     * Reads which failure domains are evacuated.
+     *
+     * @param timeout the limit for all attempts together, not null
+     * @return the evacuations, never null
+     */
+    public CompletionStage<Evacuations> readEvacuations(Duration timeout) {
+        return call(WorkflowRequest.newBuilder().setReadEvacuations(ReadEvacuations.getDefaultInstance()), timeout)
+                .thenApply(response -> {
+                    requireDone(response);
+                    return EvacuationCodec.decode(response.getEvacuations());
+                });
+    }
+
+    /**
+     * Starts or finishes the evacuation of a failure domain; has no effect if that is so already. Each attempt is based on
+     * the evacuations that were read before, so that one which is carried out late has no effect after another change.
+     *
+     * @param failureDomain the failure domain, not null
+     * @param evacuated true to start the evacuation, false to finish it
+     * @param timeout the limit for each request, not null
+     * @return completes when the change is committed and applied; fails with {@code REVISION_CONFLICT} if others keep
+     *     changing the evacuations, never null
+     */
+    public CompletionStage<Void> changeEvacuation(String failureDomain, boolean evacuated, Duration timeout) {
+        return changeEvacuation(failureDomain, evacuated, timeout, MAX_EVACUATION_ATTEMPTS);
+    }
+
+    private CompletionStage<Void> changeEvacuation(
+            String failureDomain, boolean evacuated, Duration timeout, int attemptsLeft) {
+        if (attemptsLeft == 0) {
+            return CompletableFuture.failedStage(
+                    new NettleringException(ErrorCode.REVISION_CONFLICT, "the evacuations keep changing; try again"));
+        }
+        return readEvacuations(timeout).thenCompose(current -> {
+            if (current.includes(failureDomain) == evacuated) {
+                return CompletableFuture.completedStage(null);
+            }
+            ChangeEvacuation change = new ChangeEvacuation(failureDomain, evacuated, current.version());
+            return call(WorkflowRequest.newBuilder().setChangeEvacuation(EvacuationCodec.encode(change)), timeout)
+                    .thenCompose(response -> {
+                        if (response.getAnswer() == WorkflowAnswer.ANSWER_CONFLICT) {
+                            return changeEvacuation(failureDomain, evacuated, timeout, attemptsLeft - 1);
+                        }
+                        requireDone(response);
+                        return CompletableFuture.<Void>completedStage(null);
+                    });
+        });
+    }
+
     /**
      * Checks that a member is reachable that considers itself the leader. Within an election timeout it may have been deposed.
      *
@@ -187,7 +245,7 @@
             case ANSWER_NO_JOB -> new JobResponse.NoJob();
             case ANSWER_REJECTED -> new JobResponse.Rejected(Duration.ofMillis(response.getRetryAfterMillis()));
             case ANSWER_NO_CONFIGURATION -> new JobResponse.NoConfiguration();
-            case WORKFLOW_ANSWER_UNSPECIFIED, UNRECOGNIZED -> throw unexpectedResponse(response);
+            case ANSWER_CONFLICT, WORKFLOW_ANSWER_UNSPECIFIED, UNRECOGNIZED -> throw unexpectedResponse(response);
         };
     }
 
--- a/wire/src/test/java/org/nettlering/wire/codec/WorkflowCommandCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowCommandCodecTest.java
@@ -13,6 +13,7 @@
 import org.nettlering.domain.workflow.TaskId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.Batch;
+import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
 import org.nettlering.domain.workflow.WorkflowCommand.RaiseFence;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
@@ -36,8 +37,8 @@
         StartRun start = new StartRun(new ActiveRun(RUN, host, "saved", 1_796_391_580_000L));
         assertThat(WorkflowCommandCodec.decode(WorkflowCommandCodec.encode(start)))
                 .isEqualTo(start);
-        HostHeartbeat heartbeat =
-                new HostHeartbeat(host, "pool", "fd", Resources.of(1, 2, 3), "a", "r1", true, 4, 5, 1_796_391_580_000L);
+        HostHeartbeat heartbeat = new HostHeartbeat(
+                host, "pool", "fd", Resources.of(1, 2, 3), "a", "r1", true, 4, 5, 1_796_391_580_000L, 6, 7);
         assertThat(HostReportCodec.decode(HostReportCodec.encode(heartbeat))).isEqualTo(heartbeat);
     }
 
@@ -48,6 +49,13 @@
                 .isEqualTo(batch);
     }
 
+    @Test
+    void changesOfEvacuationsAreRestored() {
+        ChangeEvacuation change = new ChangeEvacuation("zone-a", true, 7);
+        assertThat(WorkflowCommandCodec.decode(WorkflowCommandCodec.encode(change)))
+                .isEqualTo(change);
+    }
+
     @Test
     void aMemberOfTheVersionBeforeTakesAHostThatCrashedForLost() {
         RecordTermination termination = new RecordTermination(RUN, TerminalStatus.CRASHED_HOST, "");
--- a/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
+++ b/wire/src/test/java/org/nettlering/wire/codec/WorkflowSnapshotCodecTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.JobPhase;
 import org.nettlering.domain.workflow.JobTerms;
@@ -79,6 +80,7 @@
         return new WorkflowStateSnapshot(
                 List.of(new JobSnapshot(
                         "0123456789abcdef", terms, definition, 5, JobPhase.QUEUED, List.of(occurrence))),
-                3);
+                3,
+                Evacuations.of(2, Set.of("zone-a")));
     }
 }
