--- a/control/src/main/java/org/nettlering/control/task/TaskService.java
+++ b/control/src/main/java/org/nettlering/control/task/TaskService.java
@@ -115,7 +115,7 @@
         this.configuration = configuration;
         this.planners = planners;
         this.listener = listener;
-        this.confirmations = LeadershipConfirmations.of(log, time, Duration.ZERO);
+        this.confirmations = LeadershipConfirmations.of(log);
     }
 
     @Override
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -50,9 +50,6 @@
 public final class WorkflowService implements FrameService {
     private static final EventLogger LOG = EventLogger.of(WorkflowService.class);
 
-    /** How long a read waits at most for others to share its confirmation; far below what callers wait for a response. */
-    private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(20);
-
     private final CommandLog log;
 
     private final WorkflowStateMachine stateMachine;
@@ -84,7 +81,7 @@
         this.stateMachine = stateMachine;
         this.loop = loop;
         this.time = time;
-        confirmations = LeadershipConfirmations.of(log, time, CONFIRMATION_INTERVAL);
+        confirmations = LeadershipConfirmations.of(log);
     }
 
     @Override
