Learn how long tasks run, and order and drain by it

What callers saw: declared run times are wrong by factors, and the order of pending steps, the time by which a job counts as late and the decision about draining hosts all took them as they were.

A new leader learns again. The objective of a job follows the learned duration of its longest chain, too.

--- a/control/src/main/java/org/nettlering/control/workflow/HostDrains.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostDrains.java
@@ -17,6 +17,7 @@
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunUsage;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
  * The hosts of one leadership that are to be emptied: those that drain and those of evacuated failure domains.
@@ -39,17 +40,17 @@
     }
 
     /** Returns the runs that move away from their hosts as soon as their steps and the capacity elsewhere allow. */
-    static List<DrainingRun> movingRuns(WorkflowState state, Collection<HostSession> sessions) {
+    static List<DrainingRun> movingRuns(WorkflowState state, Collection<HostSession> sessions, RunTimeModel runTimes) {
         List<DrainingRun> moving = new ArrayList<>();
         for (HostSession session : sessions) {
-            drainingRuns(state, session).stream()
+            drainingRuns(state, session, runTimes).stream()
                     .filter(run -> run.decision() == DrainDecision.MOVES)
                     .forEach(moving::add);
         }
         return moving;
     }
 
-    private static List<DrainingRun> drainingRuns(WorkflowState state, HostSession session) {
+    private static List<DrainingRun> drainingRuns(WorkflowState state, HostSession session, RunTimeModel runTimes) {
         HostHeartbeat heartbeat = session.latestHeartbeat().orElse(null);
         if (heartbeat == null || !isClosed(state.evacuations(), session)) {
             return List.of();
@@ -62,7 +63,11 @@
                     .map(step -> new DrainingRun(
                             new ActiveRun(usage.run(), session.host(), ""),
                             step,
-                            DrainPolicy.decide(step.specification(), usage.progressPercent(), leftMillis),
+                            DrainPolicy.decide(
+                                    step.specification(),
+                                    step.estimateRunTime(runTimes).expectedMillis(),
+                                    usage.progressPercent(),
+                                    leftMillis),
                             heartbeat.draining()))
                     .ifPresent(runs::add);
         }
@@ -79,14 +84,15 @@
     }
 
     /** Returns how many runs are left on the hosts that are to be emptied, by failure domain and decision. */
-    static Map<String, Map<DrainDecision, Integer>> progress(WorkflowState state, Collection<HostSession> sessions) {
+    static Map<String, Map<DrainDecision, Integer>> progress(
+            WorkflowState state, Collection<HostSession> sessions, RunTimeModel runTimes) {
         Map<String, Map<DrainDecision, Integer>> byDomain = new TreeMap<>();
         state.evacuations()
                 .failureDomains()
                 .forEach(domain -> byDomain.put(domain, new EnumMap<>(DrainDecision.class)));
         for (HostSession session : sessions) {
             Optional<String> domain = session.latestHeartbeat().map(HostHeartbeat::failureDomain);
-            for (DrainingRun run : drainingRuns(state, session)) {
+            for (DrainingRun run : drainingRuns(state, session, runTimes)) {
                 byDomain.computeIfAbsent(domain.orElse(""), key -> new EnumMap<>(DrainDecision.class))
                         .merge(run.decision(), 1, Integer::sum);
             }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -44,6 +44,7 @@
 import org.nettlering.domain.workflow.placement.StartPlanner;
 import org.nettlering.domain.workflow.placement.StepWaits;
 import org.nettlering.domain.workflow.placement.ThrottledRun;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 import org.nettlering.runtime.log.EventLogger;
 
 /**
@@ -89,6 +90,9 @@
 
     private final HostColocation colocation = new HostColocation();
 
+    /** How long tasks run, learned in this term. */
+    private final RunTimeModel runTimes = RunTimeModel.empty();
+
     private final StepWaits waits = StepWaits.create();
 
     /** The runs of the last plan that begin at the lowest speed. */
@@ -186,6 +190,10 @@
         return colocation.controller();
     }
 
+    RunTimeModel runTimes() {
+        return runTimes;
+    }
+
     boolean isBackingOff(String hostId, long nowNanos) {
         return failureBackoff.isBackingOff(hostId, nowNanos);
     }
@@ -219,7 +227,9 @@
             return;
         }
         markHostChanged(command.host().id());
-        addTerminations(session, session.handleResponse(command, sentNanos, response, nowNanos));
+        List<RecordTermination> terminations = session.handleResponse(command, sentNanos, response, nowNanos);
+        learnRunTimes(state, session, terminations, nowNanos);
+        addTerminations(session, terminations);
         if (response instanceof HostResponse.PollResult) {
             addToFence(session);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
@@ -228,6 +238,24 @@
         colocation.updateThrottled(session);
     }
 
+    private void learnRunTimes(
+            WorkflowState state, HostSession session, List<RecordTermination> terminations, long nowNanos) {
+        for (RecordTermination termination : terminations) {
+            StepProgress step = state.step(termination.run().task().step()).orElse(null);
+            if (step == null
+                    || termination.status() != TerminalStatus.DONE
+                    || step.specification().has(StepTrait.LONG_RUNNING)) {
+                continue;
+            }
+            session.uninterruptedRunTime(termination.run(), nowNanos)
+                    .ifPresent(runTime -> runTimes.add(
+                            step.job().terms().queue(),
+                            step.id(),
+                            step.specification().estimatedRuntimeMillis(),
+                            runTime.toMillis()));
+        }
+    }
+
     private void addToFence(HostSession session) {
         if (session.needsFence()) {
             hostsToFence.add(session.host().id());
@@ -367,7 +395,7 @@
         List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
         RelocationCandidates relocations = new RelocationCandidates(
                 throttled,
-                HostDrains.movingRuns(state, sessions.values()),
+                HostDrains.movingRuns(state, sessions.values(), runTimes),
                 run -> HostDrains.isAtWork(sessions, run, nowNanos));
         if (state.pendingSteps().isEmpty() && relocations.isEmpty()) {
             return;
@@ -378,6 +406,7 @@
                 step -> waits.isOverdue(step, nowNanos),
                 colocation.controller(),
                 relocations,
+                runTimes,
                 nowMillis);
         batch.addAll(plan.starts());
         throttledStarts = plan.throttledStarts();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -328,7 +328,8 @@
     }
 
     private void logDrains(WorkflowState state, WorkflowLeadership active) {
-        Map<String, Map<DrainDecision, Integer>> progress = HostDrains.progress(state, active.sessions());
+        Map<String, Map<DrainDecision, Integer>> progress =
+                HostDrains.progress(state, active.sessions(), active.runTimes());
         metrics.diagnostics().drains().record(state.evacuations(), progress);
         if (!progress.isEmpty()) {
             LOG.log(
--- a/domain/src/main/java/org/nettlering/domain/workflow/Job.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Job.java
@@ -20,9 +20,6 @@
 
     private final long acceptedMillis;
 
-    /** The length of the critical path by the estimated runtimes, in milliseconds. */
-    private final long criticalPathMillis;
-
     /** The started occurrences by number. */
     private final TreeMap<Integer, Occurrence> occurrences = new TreeMap<>();
 
@@ -37,7 +34,6 @@
         this.terms = terms;
         this.definition = definition;
         this.acceptedMillis = acceptedMillis;
-        criticalPathMillis = definition.criticalPathMillis();
     }
 
     static Job from(WorkflowStateSnapshot.JobSnapshot snapshot) {
@@ -90,16 +86,6 @@
         return acceptedMillis;
     }
 
-    /**
-     * Returns the time by which an occurrence should be done.
-     *
-     * @param occurrence the number of the occurrence, from zero
-     * @return the time, in milliseconds since 1970
-     */
-    public long objectiveMillis(int occurrence) {
-        return releaseMillis(occurrence) + allowedDurationMillis();
-    }
-
     /**
      * Returns the time from which the duration of an occurrence is measured.
      *
@@ -114,10 +100,11 @@
     /**
      * Returns how long an occurrence may take to meet its objective.
      *
+     * @param pathMillis the duration of its longest chain of steps, in milliseconds
      * @return the time from its release to its objective, in milliseconds
      */
-    public long allowedDurationMillis() {
-        return Math.round(terms.queueTerms().stretch() * criticalPathMillis)
+    public long allowedDurationMillis(long pathMillis) {
+        return Math.round(terms.queueTerms().stretch() * pathMillis)
                 + terms.queueTerms().targetMillis();
     }
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobDefinition.java
@@ -39,25 +39,6 @@
         steps = List.copyOf(steps);
     }
 
-    /**
-     * Returns the length of the critical path through the steps, by their estimated runtimes.
-     *
-     * @return the time that one occurrence takes with unlimited capacity, in milliseconds
-     */
-    public long criticalPathMillis() {
-        long longest = 0;
-        long[] finishMillis = new long[steps.size()];
-        for (int number = 0; number < finishMillis.length; number++) {
-            long startMillis = 0;
-            for (int dependency : steps.get(number).dependsOn()) {
-                startMillis = Math.max(startMillis, finishMillis[dependency]);
-            }
-            finishMillis[number] = startMillis + steps.get(number).estimatedRuntimeMillis();
-            longest = Math.max(longest, finishMillis[number]);
-        }
-        return longest;
-    }
-
     /**
      * Returns the number of tasks of one occurrence.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/Occurrence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Occurrence.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /** The steps of one occurrence of a job. Owned by a {@link WorkflowState}, which alone modifies it. Not thread-safe. */
 final class Occurrence {
@@ -13,6 +14,12 @@
 
     private int unfinishedThen;
 
+    /** The version of the run times from which it was computed. */
+    private long runTimesThen;
+
+    /** The model from which it was computed, or null if it was not needed yet. */
+    private @Nullable RunTimeModel modelThen;
+
     Occurrence(Job job, int number) {
         List<StepSpecification> specifications = job.definition().steps();
         for (int index = 0; index < specifications.size(); index++) {
@@ -52,17 +59,21 @@
         return true;
     }
 
-    /** Returns the remaining work; computes it only if a task has been done since, as unfinished tasks only get fewer. */
-    RemainingWork remainingWork() {
+    /** Returns the remaining work; computes it only if a task has been done or run times have been learned since. */
+    @SuppressWarnings("ReferenceEquality")
+    RemainingWork remainingWork(RunTimeModel runTimes) {
         int unfinished = 0;
         for (StepProgress step : steps) {
             unfinished += step.unfinishedCount();
         }
         RemainingWork known = remainingWork;
-        if (known == null || unfinished != unfinishedThen) {
-            known = RemainingWork.of(steps);
+        boolean outdated = unfinished != unfinishedThen || runTimes.version() != runTimesThen || runTimes != modelThen;
+        if (known == null || outdated) {
+            known = RemainingWork.of(steps, runTimes);
             remainingWork = known;
             unfinishedThen = unfinished;
+            runTimesThen = runTimes.version();
+            modelThen = runTimes;
         }
         return known;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/RemainingWork.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/RemainingWork.java
@@ -1,38 +1,53 @@
 package org.nettlering.domain.workflow;
 
 import java.util.List;
+import org.nettlering.domain.workflow.runtime.RunTimeEstimate;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
- * The estimated remaining work of one occurrence of a job.
+ * The estimated work of one occurrence of a job.
  *
  * <p>Immutable and thread-safe.
  *
  * @param cpuMillis the processor time of the unfinished tasks, in milliseconds of one processor
- * @param criticalPathMillis the duration of the longest dependency chain of unfinished steps, in milliseconds
+ * @param shortestPathMillis what the longest dependency chain of unfinished steps takes at least, in milliseconds
+ * @param wholePathMillis the expected duration of the longest dependency chain of all steps, in milliseconds
  */
-public record RemainingWork(long cpuMillis, long criticalPathMillis) {
+public record RemainingWork(long cpuMillis, long shortestPathMillis, long wholePathMillis) {
     private static final int MILLICORES_PER_CORE = 1_000;
 
+    private static final RemainingWork NONE = new RemainingWork(0, 0, 0);
+
     /** Returns the remaining work of the steps of one occurrence, in their order. */
-    static RemainingWork of(List<StepProgress> steps) {
+    static RemainingWork of(List<StepProgress> steps, RunTimeModel runTimes) {
         long totalCpuMillis = 0;
-        long longestPathMillis = 0;
-        long[] finishMillis = new long[steps.size()];
-        for (int number = 0; number < finishMillis.length; number++) {
+        long longestRemainingMillis = 0;
+        long longestMillis = 0;
+        long[] remainingMillis = new long[steps.size()];
+        long[] wholeMillis = new long[steps.size()];
+        for (int number = 0; number < wholeMillis.length; number++) {
             StepProgress step = steps.get(number);
             StepSpecification specification = step.specification();
-            long startMillis = 0;
+            RunTimeEstimate runTime = step.estimateRunTime(runTimes);
             for (int dependency : specification.dependsOn()) {
-                startMillis = Math.max(startMillis, finishMillis[dependency]);
+                remainingMillis[number] = Math.max(remainingMillis[number], remainingMillis[dependency]);
+                wholeMillis[number] = Math.max(wholeMillis[number], wholeMillis[dependency]);
             }
             boolean isUnfinished = step.unfinishedCount() > 0;
-            finishMillis[number] = startMillis + (isUnfinished ? specification.estimatedRuntimeMillis() : 0);
-            longestPathMillis = Math.max(longestPathMillis, finishMillis[number]);
+            remainingMillis[number] += isUnfinished ? runTime.shortestMillis() : 0;
+            wholeMillis[number] += runTime.expectedMillis();
+            longestRemainingMillis = Math.max(longestRemainingMillis, remainingMillis[number]);
+            longestMillis = Math.max(longestMillis, wholeMillis[number]);
             totalCpuMillis += step.unfinishedCount()
-                    * specification.estimatedRuntimeMillis()
+                    * runTime.expectedMillis()
                     * specification.demand().millicores()
                     / MILLICORES_PER_CORE;
         }
-        return new RemainingWork(totalCpuMillis, longestPathMillis);
+        return new RemainingWork(totalCpuMillis, longestRemainingMillis, longestMillis);
+    }
+
+    /** Returns the remaining work of an occurrence that is unknown. */
+    static RemainingWork none() {
+        return NONE;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import org.nettlering.domain.workflow.runtime.RunTimeEstimate;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
  * The progress of one step of one occurrence of a job.
@@ -139,11 +141,22 @@
     /**
      * Returns the estimated remaining work of all steps of the occurrence.
      *
+     * @param runTimes estimates run times, not null
      * @return the remaining work, never null
      */
-    public RemainingWork remainingWorkOfOccurrence() {
+    public RemainingWork remainingWorkOfOccurrence(RunTimeModel runTimes) {
         Occurrence occurrence = job.occurrence(id.occurrence());
-        return occurrence == null ? RemainingWork.of(List.of()) : occurrence.remainingWork();
+        return occurrence == null ? RemainingWork.none() : occurrence.remainingWork(runTimes);
+    }
+
+    /**
+     * Estimates the run time of the tasks of the step.
+     *
+     * @param runTimes estimates run times, not null
+     * @return the estimate, never null
+     */
+    public RunTimeEstimate estimateRunTime(RunTimeModel runTimes) {
+        return runTimes.estimate(job.terms().queue(), id, specification.estimatedRuntimeMillis());
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/workflow/drain/DrainPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/drain/DrainPolicy.java
@@ -22,15 +22,17 @@
      * Decides on one run.
      *
      * @param step the step of the run, not null
+     * @param runTimeMillis the estimated run time of a task of the step, in milliseconds
      * @param progressPercent the progress of the run, 0 to 100
      * @param leftMillis how much longer the host is expected to run, in milliseconds
      * @return the decision, never null
      */
-    public static DrainDecision decide(StepSpecification step, int progressPercent, long leftMillis) {
+    public static DrainDecision decide(
+            StepSpecification step, long runTimeMillis, int progressPercent, long leftMillis) {
         if (step.has(StepTrait.LONG_RUNNING)) {
             return DrainDecision.MOVES;
         }
-        long remainingMillis = step.estimatedRuntimeMillis() * (FULL_PERCENT - progressPercent) / FULL_PERCENT;
+        long remainingMillis = runTimeMillis * (FULL_PERCENT - progressPercent) / FULL_PERCENT;
         if (remainingMillis <= leftMillis) {
             return DrainDecision.ENDS_THERE;
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -859,6 +859,18 @@
                 liveness.heartbeatAgeMillis(nowNanos), liveness.responseAgeMillis(nowNanos), nowNanos);
     }
 
+    /**
+     * Returns how long a run has been at work, if it has done the whole work of its task at full speed.
+     *
+     * @param run the run, not null
+     * @param nowNanos the monotonic time
+     * @return the time since its start, or empty if this leader did not start it, it resumed from a checkpoint or it was
+     *     throttled, never null
+     */
+    public Optional<Duration> uninterruptedRunTime(RunId run, long nowNanos) {
+        return Optional.ofNullable(runs.get(run)).flatMap(tracked -> tracked.uninterruptedRunTime(nowNanos));
+    }
+
     /**
      * Returns the evidence of the termination of a run.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -99,6 +99,9 @@
     /** When the run was started or, if an earlier leader started it, was first tracked, by the monotonic clock. */
     private long startNanos;
 
+    /** Whether the run did all its work under this leader and was never to be throttled. */
+    private boolean uninterrupted;
+
     /** Whether the host reported the run as running for long enough to show that starting it does not crash the host. */
     private boolean provenHarmless;
 
@@ -111,6 +114,8 @@
         this.nextStopNanos = nowNanos;
         this.lastProgressNanos = nowNanos;
         this.startNanos = nowNanos;
+        this.uninterrupted =
+                stage == Stage.START_PENDING && activeRun.checkpoint().isEmpty();
     }
 
     /** Marks the speed as unknown because an earlier leader may have throttled the run. */
@@ -121,6 +126,7 @@
 
     void setDesiredSpeed(int speedPercent) {
         desiredSpeedPercent = speedPercent;
+        uninterrupted &= speedPercent == FULL_SPEED_PERCENT;
     }
 
     void recordTermination(RecordTermination found, TerminationEvidence terminationEvidence) {
@@ -291,6 +297,11 @@
         load = reported.load();
     }
 
+    /** Returns the time since the start, or empty if the run was interrupted, resumed or throttled. */
+    Optional<Duration> uninterruptedRunTime(long nowNanos) {
+        return uninterrupted ? Optional.of(Duration.ofNanos(nowNanos - startNanos)) : Optional.empty();
+    }
+
     /** Returns the status, for logs only. */
     TrackedRunStatus status() {
         return new TrackedRunStatus(
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
@@ -6,6 +6,7 @@
 import org.nettlering.domain.workflow.RemainingWork;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
  * The order in which pending steps are considered for starts while demand exceeds capacity.
@@ -24,13 +25,13 @@
     /** The result of a job has no value after this multiple of its allowed duration. */
     private static final int NO_VALUE_FACTOR = 3;
 
-    /** The share of its estimate that a job needs at least; estimates are often inaccurate. */
-    private static final int MIN_ESTIMATE_PERCENT = 60;
-
     private final long nowMillis;
 
-    PendingStepOrder(long nowMillis) {
+    private final RunTimeModel runTimes;
+
+    PendingStepOrder(long nowMillis, RunTimeModel runTimes) {
         this.nowMillis = nowMillis;
+        this.runTimes = runTimes;
     }
 
     /** A step with what decides on its place, which is computed once. */
@@ -58,25 +59,25 @@
 
     private Rank rank(StepProgress step) {
         Job job = step.job();
-        RemainingWork remainingWork = step.remainingWorkOfOccurrence();
+        RemainingWork remainingWork = step.remainingWorkOfOccurrence(runTimes);
+        long releaseMillis = job.releaseMillis(step.id().occurrence());
+        long allowedMillis = job.allowedDurationMillis(remainingWork.wholePathMillis());
         return new Rank(
                 step,
-                urgencyClass(step, remainingWork),
+                urgencyClass(step, nowMillis - releaseMillis, allowedMillis, remainingWork),
                 job.terms().queueTerms().priority(),
                 remainingWork.cpuMillis(),
-                job.objectiveMillis(step.id().occurrence()));
+                releaseMillis + allowedMillis);
     }
 
-    private int urgencyClass(StepProgress step, RemainingWork remainingWork) {
+    private static int urgencyClass(
+            StepProgress step, long elapsedMillis, long allowedMillis, RemainingWork remainingWork) {
         if (step.specification().has(StepTrait.LONG_RUNNING)) {
             return 0;
         }
-        Job job = step.job();
-        long elapsedMillis = nowMillis - job.releaseMillis(step.id().occurrence());
-        if (elapsedMillis > NO_VALUE_FACTOR * job.allowedDurationMillis()) {
+        if (elapsedMillis > NO_VALUE_FACTOR * allowedMillis) {
             return 3;
         }
-        long minRemainingMillis = remainingWork.criticalPathMillis() * MIN_ESTIMATE_PERCENT / 100;
-        return elapsedMillis + minRemainingMillis > job.allowedDurationMillis() ? 2 : 1;
+        return elapsedMillis + remainingWork.shortestPathMillis() > allowedMillis ? 2 : 1;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -21,6 +21,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.colocation.ColocationController;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
  * Plans which pending tasks start now, and on which hosts.
@@ -33,6 +34,8 @@
     /** The limit for one plan, which keeps its log entry small. */
     private static final int MAX_STARTS = 400;
 
+    private final RunTimeModel runTimes;
+
     private final long nowMillis;
 
     private final Predicate<StepProgress> overdue;
@@ -62,6 +65,7 @@
      *     they do not harm; one task of such a step, or the whole gang, starts throttled on the least harmed host, not null
      * @param colocation provides the learned interference between images, not null
      * @param relocations the runs that may be stopped so that their tasks run on other hosts, not null
+     * @param runTimes estimates how long tasks run, not null
      * @param nowMillis the current time in milliseconds since the Unix epoch
      * @return the plan, never null
      */
@@ -71,8 +75,9 @@
             Predicate<StepProgress> overdue,
             ColocationController colocation,
             RelocationCandidates relocations,
+            RunTimeModel runTimes,
             long nowMillis) {
-        StartPlanner planner = new StartPlanner(capacities, overdue, colocation, nowMillis);
+        StartPlanner planner = new StartPlanner(capacities, overdue, colocation, runTimes, nowMillis);
         planner.planAll(state.pendingSteps());
         List<ActiveRun> drainMoves = relocations.draining().isEmpty()
                 ? List.of()
@@ -89,10 +94,12 @@
             Collection<FreeCapacity> capacities,
             Predicate<StepProgress> overdue,
             ColocationController colocation,
+            RunTimeModel runTimes,
             long nowMillis) {
         selector = new HostSelector(colocation);
         this.capacities = capacities;
         this.overdue = overdue;
+        this.runTimes = runTimes;
         this.nowMillis = nowMillis;
     }
 
@@ -100,7 +107,7 @@
         if (capacities.isEmpty()) {
             return;
         }
-        List<StepProgress> sorted = new PendingStepOrder(nowMillis).sorted(pending);
+        List<StepProgress> sorted = new PendingStepOrder(nowMillis, runTimes).sorted(pending);
         // First, as a suspect needs a host on which nothing else is about to start.
         sorted.stream().filter(StepProgress::hasSuspects).forEach(this::planSuspects);
         for (StepProgress step : sorted) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -14,6 +14,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.CancelJob;
 import org.nettlering.domain.workflow.WorkflowCommand.RemoveJob;
 import org.nettlering.domain.workflow.WorkflowCommand.StartOccurrence;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 class WorkflowStateTest {
     private final WorkflowState state = WorkflowState.empty();
@@ -338,15 +339,15 @@
     @Test
     void theRemainingWorkShrinksAsTasksAreDone() {
         state.apply(job("a", step(2, List.of()), step(1, List.of(0))));
-        assertThat(remainingWork()).isEqualTo(new RemainingWork(3_000, 2_000));
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(3_000, 1_200, 2_000));
         startAndEnd(0, 0, TerminalStatus.DONE);
-        assertThat(remainingWork()).isEqualTo(new RemainingWork(2_000, 2_000));
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(2_000, 1_200, 2_000));
         startAndEnd(0, 1, TerminalStatus.DONE);
-        assertThat(remainingWork()).isEqualTo(new RemainingWork(1_000, 1_000));
+        assertThat(remainingWork()).isEqualTo(new RemainingWork(1_000, 600, 2_000));
     }
 
     private RemainingWork remainingWork() {
-        return state.step(new StepId("a", 0, 1)).orElseThrow().remainingWorkOfOccurrence();
+        return state.step(new StepId("a", 0, 1)).orElseThrow().remainingWorkOfOccurrence(RunTimeModel.empty());
     }
 
     @Test
--- a/domain/src/test/java/org/nettlering/domain/workflow/drain/DrainPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/drain/DrainPolicyTest.java
@@ -12,32 +12,34 @@
 import org.nettlering.domain.workflow.StepTrait;
 
 class DrainPolicyTest {
-    private static final long ESTIMATED_MILLIS = 20_000;
+    private static final long RUN_TIME_MILLIS = 20_000;
 
     @Test
     void runThatEndsBeforeItsHostLeavesStays() {
-        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING), 80, 4_000)).isEqualTo(DrainDecision.ENDS_THERE);
+        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING), RUN_TIME_MILLIS, 80, 4_000))
+                .isEqualTo(DrainDecision.ENDS_THERE);
     }
 
     @Test
     void checkpointedRunThatDoesNotEndInTimeMoves() {
-        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING), 50, 4_000)).isEqualTo(DrainDecision.MOVES);
+        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING), RUN_TIME_MILLIS, 50, 4_000))
+                .isEqualTo(DrainDecision.MOVES);
     }
 
     @Test
     void runWithoutCheckpointIsNotStoppedForAnEstimate() {
-        assertThat(DrainPolicy.decide(step(), 50, 4_000)).isEqualTo(DrainDecision.STAYS);
+        assertThat(DrainPolicy.decide(step(), RUN_TIME_MILLIS, 50, 4_000)).isEqualTo(DrainDecision.STAYS);
     }
 
     @Test
     void memberOfAGangStaysBecauseItsEndWouldBreakTheOthers() {
-        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING, StepTrait.GANG), 50, 4_000))
+        assertThat(DrainPolicy.decide(step(StepTrait.CHECKPOINTING, StepTrait.GANG), RUN_TIME_MILLIS, 50, 4_000))
                 .isEqualTo(DrainDecision.STAYS);
     }
 
     @Test
     void longRunningTaskMovesHoweverLongItsHostRuns() {
-        assertThat(DrainPolicy.decide(step(StepTrait.LONG_RUNNING), 100, Long.MAX_VALUE))
+        assertThat(DrainPolicy.decide(step(StepTrait.LONG_RUNNING), RUN_TIME_MILLIS, 100, Long.MAX_VALUE))
                 .isEqualTo(DrainDecision.MOVES);
     }
 
@@ -73,7 +75,7 @@
         return new StepSpecification(
                 4,
                 Resources.of(1_000, 100, 0),
-                ESTIMATED_MILLIS,
+                RUN_TIME_MILLIS,
                 List.of(),
                 Set.of(traits),
                 PlacementConstraints.NONE,
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
@@ -25,6 +25,7 @@
 import org.nettlering.domain.workflow.drain.DrainDecision;
 import org.nettlering.domain.workflow.drain.DrainingRun;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /** Long-running tasks of one processor each on hosts that are to be emptied, under the load that each test names. */
 class DrainPlannerTest {
@@ -96,7 +97,13 @@
     private StartPlan plan() {
         RelocationCandidates candidates = new RelocationCandidates(List.of(), draining, atWork::contains);
         return StartPlanner.plan(
-                state, List.copyOf(capacities), step -> false, ColocationController.create(), candidates, 0);
+                state,
+                List.copyOf(capacities),
+                step -> false,
+                ColocationController.create(),
+                candidates,
+                RunTimeModel.empty(),
+                0);
     }
 
     /** Starts the tasks of a long-running step on hosts that are to be emptied, in turn. */
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -34,6 +34,7 @@
 import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.colocation.LatencyCriticalRun;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 class StartPlannerTest {
     private final WorkflowState state = WorkflowState.empty();
@@ -216,8 +217,8 @@
         addBusyHost("robust");
         state.apply(job("a", bestEffortStep(4)));
         assertThat(plan(controller, List.of()).starts()).isEmpty();
-        StartPlan overdue =
-                StartPlanner.plan(state, capacities, step -> true, controller, RelocationCandidates.NONE, 0);
+        StartPlan overdue = StartPlanner.plan(
+                state, capacities, step -> true, controller, RelocationCandidates.NONE, RunTimeModel.empty(), 0);
         assertThat(overdue.starts()).hasSize(1);
         assertThat(overdue.starts().getFirst().run().host().id()).isEqualTo("busy-robust");
         assertThat(overdue.throttledStarts())
@@ -229,7 +230,13 @@
         addHost("idle", "r1", 32_000, 0);
         state.apply(job("a", bestEffortStep(2)));
         StartPlan overdue = StartPlanner.plan(
-                state, capacities, step -> true, ColocationController.create(), RelocationCandidates.NONE, 0);
+                state,
+                capacities,
+                step -> true,
+                ColocationController.create(),
+                RelocationCandidates.NONE,
+                RunTimeModel.empty(),
+                0);
         assertThat(overdue.starts()).hasSize(2);
         assertThat(overdue.throttledStarts()).isEmpty();
     }
@@ -239,7 +246,13 @@
         addBusyHost("tender");
         state.apply(job("a", step(3, List.of(), StepTrait.GANG, StepTrait.BEST_EFFORT)));
         StartPlan overdue = StartPlanner.plan(
-                state, capacities, step -> true, ColocationController.create(), RelocationCandidates.NONE, 0);
+                state,
+                capacities,
+                step -> true,
+                ColocationController.create(),
+                RelocationCandidates.NONE,
+                RunTimeModel.empty(),
+                0);
         assertThat(overdue.starts()).hasSize(3);
         assertThat(overdue.throttledStarts()).hasSize(3);
     }
@@ -366,7 +379,13 @@
 
     private StartPlan plan(ColocationController colocation, List<ThrottledRun> throttled) {
         return StartPlanner.plan(
-                state, capacities, step -> false, colocation, RelocationCandidates.ofThrottled(throttled), 0);
+                state,
+                capacities,
+                step -> false,
+                colocation,
+                RelocationCandidates.ofThrottled(throttled),
+                RunTimeModel.empty(),
+                0);
     }
 
     private Map<String, Long> startsByHost() {
