Copy straggling tasks of steps that allow it

What callers saw: a step ends with its slowest task; StepTrait.SPECULATIVE was decoded and stored, and no copy was ever started, so that one slow host held a whole job up.

Now a run that is far behind its siblings and would be overtaken by a fresh start gets a copy on another host, if the job waits for it, after all other starts of the plan, at most a fiftieth of the processors. The first end counts, the other run is stopped. What a plan is based on became PlanInput.

Tests: StragglerPolicyTest, CopyPlannerTest (idle host, burst, bound, both ends acknowledged, host of the copy lost, the original fails), CopiedRunsTest on the leader.

--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -54,6 +54,9 @@
     /** The commands and batches without an outcome within their deadline. */
     private final Counter overdueCounter;
 
+    /** The copies of straggling runs that were started. */
+    private final Counter copyCounter;
+
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
@@ -96,6 +99,10 @@
                 .help("Parts of the leader's loop that failed.")
                 .labelNames("part")
                 .register(registry);
+        copyCounter = Counter.builder()
+                .name("nettlering_leader_copies_total")
+                .help("Copies of straggling runs that were started.")
+                .register(registry);
         overdueCounter = Counter.builder()
                 .name("nettlering_leader_overdue_outcomes_total")
                 .help("Commands and batches without an outcome within their deadline.")
@@ -212,6 +219,10 @@
         failureCounter.labelValues(part.label()).inc();
     }
 
+    void copyStarted() {
+        copyCounter.inc();
+    }
+
     void outcomeOverdue(LoopPart part) {
         overdueCounter.labelValues(part.label()).inc();
     }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -75,7 +75,9 @@
     /** The evacuation of a failure domain was started or finished. */
     EVACUATION_CHANGED(3332, Level.INFO, "evacuation of failure domain {} {}: {}"),
     /** The runs on hosts that are to be emptied, by failure domain, logged periodically. */
-    DRAIN_SUMMARY(3333, Level.INFO, "runs left on hosts to be emptied, leader of term {}, evacuations version {}: {}");
+    DRAIN_SUMMARY(3333, Level.INFO, "runs left on hosts to be emptied, leader of term {}, evacuations version {}: {}"),
+    /** A copy of a task that is far behind its siblings is started. */
+    COPY_STARTED(3334, Level.INFO, "starting run {} on host {} as a copy of a straggling run");
 
     private final int number;
 
@@ -114,6 +116,7 @@
                     RUN_ENDED,
                     RUN_MIGRATED,
                     RUN_MOVED,
+                    COPY_STARTED,
                     HOST_JOINED,
                     STOP_REQUESTED -> LineBudget.JOB_LIFE;
             case COMMAND_FAILED,
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -36,8 +36,10 @@
 import org.nettlering.domain.workflow.host.RunUsage;
 import org.nettlering.domain.workflow.host.StallDetector;
 import org.nettlering.domain.workflow.host.TerminationEvidence;
+import org.nettlering.domain.workflow.placement.CopyCandidates;
 import org.nettlering.domain.workflow.placement.FreeCapacity;
 import org.nettlering.domain.workflow.placement.HostFailureBackoff;
+import org.nettlering.domain.workflow.placement.PlanInput;
 import org.nettlering.domain.workflow.placement.RelocationCandidates;
 import org.nettlering.domain.workflow.placement.StartAdmission;
 import org.nettlering.domain.workflow.placement.StartPlan;
@@ -93,6 +95,8 @@
     /** How long tasks run, learned in this term. */
     private final RunTimeModel runTimes = RunTimeModel.empty();
 
+    private final StragglingRuns straggling = new StragglingRuns();
+
     private final StepWaits waits = StepWaits.create();
 
     /** The runs of the last plan that begin at the lowest speed. */
@@ -234,6 +238,7 @@
             addToFence(session);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
+            failures.isolate(LoopPart.RESPONSE, command, () -> straggling.update(state, session, runTimes, nowNanos));
         }
         colocation.updateThrottled(session);
     }
@@ -397,23 +402,35 @@
                 throttled,
                 HostDrains.movingRuns(state, sessions.values(), runTimes),
                 run -> HostDrains.isAtWork(sessions, run, nowNanos));
-        if (state.pendingSteps().isEmpty() && relocations.isEmpty()) {
+        CopyCandidates copies = straggling.candidates(state);
+        if (state.pendingSteps().isEmpty()
+                && relocations.isEmpty()
+                && copies.stragglers().isEmpty()) {
             return;
         }
-        StartPlan plan = StartPlanner.plan(
-                state,
+        PlanInput input = new PlanInput(
                 freeCapacities(state, nowNanos),
                 step -> waits.isOverdue(step, nowNanos),
                 colocation.controller(),
                 relocations,
+                copies,
                 runTimes,
                 nowMillis);
+        StartPlan plan = StartPlanner.plan(state, input);
+        plan.copies().forEach(copy -> addCopy(state, copy, batch));
         batch.addAll(plan.starts());
         throttledStarts = plan.throttledStarts();
         plan.migrations().forEach(this::migrate);
         plan.drainMoves().forEach(this::moveOff);
     }
 
+    private void addCopy(WorkflowState state, StartRun copy, List<WorkflowCommand> batch) {
+        LOG.log(WorkflowEvent.COPY_STARTED, copy.run().run(), copy.run().host().id());
+        metrics.copyStarted();
+        straggling.copyPlanned(state, copy.run().run());
+        batch.add(copy);
+    }
+
     /** Schedules a visit of a host and discards its cached free capacity. */
     private void markHostChanged(String hostId) {
         visitQueue.markDue(hostId);
@@ -448,6 +465,7 @@
             return;
         }
         nextComparisonNanos = nowNanos + COMPARISON_INTERVAL.toNanos();
+        straggling.retainActive(state);
         for (HostSession session : sessions.values()) {
             failures.isolate(LoopPart.VISIT, session.host().id(), () -> compare(state, session, nowNanos));
         }
@@ -642,6 +660,7 @@
     }
 
     private void terminationCommitted(WorkflowState state, RecordTermination termination, long nowNanos) {
+        straggling.runTerminated(termination.run());
         String hostId = hostIdsByRun.get(termination.run());
         if (hostId != null) {
             recordTermination(hostId, termination, nowNanos);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/RunUsage.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/RunUsage.java
@@ -14,6 +14,7 @@
  * @param lastProgressNanos when the progress last increased, by the monotonic clock
  * @param throttledSinceNanos when the host acknowledged the change from full speed, by the monotonic clock;
  *     undefined at full speed
+ * @param startNanos when the run was started or, if an earlier leader started it, first tracked, by the monotonic clock
  */
 public record RunUsage(
         RunId run,
@@ -21,4 +22,5 @@
         int speedPercent,
         int progressPercent,
         long lastProgressNanos,
-        long throttledSinceNanos) {}
+        long throttledSinceNanos,
+        long startNanos) {}
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -273,7 +273,8 @@
                 Math.max(0, acknowledgedSpeedPercent),
                 progressPercent,
                 lastProgressNanos,
-                throttledSinceNanos);
+                throttledSinceNanos,
+                startNanos);
     }
 
     void confirm(long nowNanos) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -144,6 +144,11 @@
         return heartbeat.pool();
     }
 
+    /** Returns the processors of the host, allocated or not. */
+    long totalMillicores() {
+        return heartbeat.capacity().millicores();
+    }
+
     /** Returns whether the host said in its last heartbeat that it is still slow after its start. */
     boolean isCold() {
         return heartbeat.coldLeftMillis() > 0;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepSpecification;
 
@@ -36,7 +37,7 @@
     private final List<Integer> allocatedPositions = new ArrayList<>();
 
     /** The host that is left out, or null if there is none. */
-    private final @Nullable FreeCapacity excluded;
+    private final @Nullable HostIncarnation excluded;
 
     /** Whether hosts stay feasible on which the task would harm latency-critical runs at full speed. */
     private final boolean pressureIgnored;
@@ -48,8 +49,8 @@
     }
 
     /** Ranks the hosts of a pool but one. */
-    static HostRanking without(
-            FreeCapacity excluded,
+    static HostRanking withoutHost(
+            HostIncarnation excluded,
             HostSelector selector,
             StepId stepId,
             StepSpecification step,
@@ -63,7 +64,7 @@
     }
 
     private HostRanking(
-            @Nullable FreeCapacity excluded,
+            @Nullable HostIncarnation excluded,
             boolean pressureIgnored,
             HostSelector selector,
             StepId stepId,
@@ -85,7 +86,7 @@
 
     private void offer(int position) {
         FreeCapacity capacity = pool.all().get(position);
-        if (capacity != excluded && isFeasible(capacity)) {
+        if (!capacity.host().equals(excluded) && isFeasible(capacity)) {
             candidates.add(new Candidate(capacity, selector.score(step, rack, capacity), position));
         }
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/MigrationPlanner.java
@@ -61,8 +61,8 @@
         if (ColocationController.isNegligible(addedAtSource)) {
             return false;
         }
-        HostRanking ranking = HostRanking.without(
-                current,
+        HostRanking ranking = HostRanking.withoutHost(
+                current.host(),
                 selector,
                 throttled.step().id(),
                 step,
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -20,7 +20,6 @@
 import org.nettlering.domain.workflow.TaskProgress;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
-import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
@@ -60,47 +59,45 @@
      * Plans starts and migrations.
      *
      * @param state the workflow state, not null
-     * @param capacities the free capacity of each schedulable host, reduced by the plan, not null
-     * @param overdue returns true for best-effort steps that have waited too long for a host whose latency-critical runs
-     *     they do not harm; one task of such a step, or the whole gang, starts throttled on the least harmed host, not null
-     * @param colocation provides the learned interference between images, not null
-     * @param relocations the runs that may be stopped so that their tasks run on other hosts, not null
-     * @param runTimes estimates how long tasks run, not null
-     * @param nowMillis the current time in milliseconds since the Unix epoch
+     * @param input what the plan is based on, not null
      * @return the plan, never null
      */
-    public static StartPlan plan(
-            WorkflowState state,
-            Collection<FreeCapacity> capacities,
-            Predicate<StepProgress> overdue,
-            ColocationController colocation,
-            RelocationCandidates relocations,
-            RunTimeModel runTimes,
-            long nowMillis) {
-        StartPlanner planner = new StartPlanner(capacities, overdue, colocation, runTimes, nowMillis);
+    public static StartPlan plan(WorkflowState state, PlanInput input) {
+        StartPlanner planner = new StartPlanner(input);
         planner.planAll(state.pendingSteps());
-        List<ActiveRun> drainMoves = relocations.draining().isEmpty()
+        return new StartPlan(
+                planner.starts,
+                planner.planCopies(input.copies()),
+                planner.planMigrations(input.relocations()),
+                planner.planDrainMoves(input.relocations()),
+                planner.throttledStarts);
+    }
+
+    private StartPlanner(PlanInput input) {
+        selector = new HostSelector(input.colocation());
+        capacities = input.capacities();
+        overdue = input.overdue();
+        runTimes = input.runTimes();
+        nowMillis = input.nowMillis();
+    }
+
+    private List<StartRun> planCopies(CopyCandidates copies) {
+        return copies.stragglers().isEmpty()
                 ? List.of()
-                : new DrainPlanner(planner.selector, planner::candidatesIn, relocations.atWork())
-                        .plan(relocations.draining());
-        List<ActiveRun> migrations = relocations.throttled().isEmpty()
+                : new CopyPlanner(selector, capacities, this::candidatesIn, copies.copiedMillicores())
+                        .plan(copies.stragglers());
+    }
+
+    private List<ActiveRun> planMigrations(RelocationCandidates relocations) {
+        return relocations.throttled().isEmpty()
                 ? List.of()
-                : new MigrationPlanner(planner.selector, capacities, planner::candidatesIn)
-                        .plan(relocations.throttled());
-        return new StartPlan(planner.starts, migrations, drainMoves, planner.throttledStarts);
+                : new MigrationPlanner(selector, capacities, this::candidatesIn).plan(relocations.throttled());
     }
 
-    private StartPlanner(
-            Collection<FreeCapacity> capacities,
-            Predicate<StepProgress> overdue,
-            ColocationController colocation,
-            RunTimeModel runTimes,
-            long nowMillis) {
-        selector = new HostSelector(colocation);
-        this.capacities = capacities;
-        this.overdue = overdue;
-        this.runTimes = runTimes;
-        this.nowMillis = nowMillis;
+    private List<ActiveRun> planDrainMoves(RelocationCandidates relocations) {
+        return relocations.draining().isEmpty()
+                ? List.of()
+                : new DrainPlanner(selector, this::candidatesIn, relocations.atWork()).plan(relocations.draining());
     }
 
     private void planAll(Collection<StepProgress> pending) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/StallDetectorTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/StallDetectorTest.java
@@ -31,7 +31,7 @@
     }
 
     private static RunUsage usage(int speedPercent) {
-        return new RunUsage(run("a", 0, 0, 1), 0, speedPercent, 40, 0, 0);
+        return new RunUsage(run("a", 0, 0, 1), 0, speedPercent, 40, 0, 0, 0);
     }
 
     private static long millis(long millis) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/ThrottledRunPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/ThrottledRunPolicyTest.java
@@ -48,7 +48,7 @@
 
     private static boolean shouldMigrate(
             StepSpecification step, int speedPercent, int progressPercent, long throttledMillis) {
-        RunUsage usage = new RunUsage(run("a", 0, 0, 1), 0, speedPercent, progressPercent, 0, 0);
+        RunUsage usage = new RunUsage(run("a", 0, 0, 1), 0, speedPercent, progressPercent, 0, 0, 0);
         return ThrottledRunPolicy.shouldMigrate(
                 step, usage, Duration.ofMillis(throttledMillis).toNanos());
     }
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
@@ -98,12 +98,14 @@
         RelocationCandidates candidates = new RelocationCandidates(List.of(), draining, atWork::contains);
         return StartPlanner.plan(
                 state,
-                List.copyOf(capacities),
-                step -> false,
-                ColocationController.create(),
-                candidates,
-                RunTimeModel.empty(),
-                0);
+                new PlanInput(
+                        List.copyOf(capacities),
+                        step -> false,
+                        ColocationController.create(),
+                        candidates,
+                        CopyCandidates.NONE,
+                        RunTimeModel.empty(),
+                        0));
     }
 
     /** Starts the tasks of a long-running step on hosts that are to be emptied, in turn. */
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostRankingTest.java
@@ -71,7 +71,8 @@
                 new HostRanking(selector, stepId, step, "", pool).best().orElseThrow();
         List<FreeCapacity> others =
                 capacities.stream().filter(capacity -> capacity != best).toList();
-        assertThat(HostRanking.without(best, selector, stepId, step, "", pool).best())
+        assertThat(HostRanking.withoutHost(best.host(), selector, stepId, step, "", pool)
+                        .best())
                 .isEqualTo(selector.select(stepId, step, "", others));
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -218,7 +218,15 @@
         state.apply(job("a", bestEffortStep(4)));
         assertThat(plan(controller, List.of()).starts()).isEmpty();
         StartPlan overdue = StartPlanner.plan(
-                state, capacities, step -> true, controller, RelocationCandidates.NONE, RunTimeModel.empty(), 0);
+                state,
+                new PlanInput(
+                        capacities,
+                        step -> true,
+                        controller,
+                        RelocationCandidates.NONE,
+                        CopyCandidates.NONE,
+                        RunTimeModel.empty(),
+                        0));
         assertThat(overdue.starts()).hasSize(1);
         assertThat(overdue.starts().getFirst().run().host().id()).isEqualTo("busy-robust");
         assertThat(overdue.throttledStarts())
@@ -231,12 +239,14 @@
         state.apply(job("a", bestEffortStep(2)));
         StartPlan overdue = StartPlanner.plan(
                 state,
-                capacities,
-                step -> true,
-                ColocationController.create(),
-                RelocationCandidates.NONE,
-                RunTimeModel.empty(),
-                0);
+                new PlanInput(
+                        capacities,
+                        step -> true,
+                        ColocationController.create(),
+                        RelocationCandidates.NONE,
+                        CopyCandidates.NONE,
+                        RunTimeModel.empty(),
+                        0));
         assertThat(overdue.starts()).hasSize(2);
         assertThat(overdue.throttledStarts()).isEmpty();
     }
@@ -247,12 +257,14 @@
         state.apply(job("a", step(3, List.of(), StepTrait.GANG, StepTrait.BEST_EFFORT)));
         StartPlan overdue = StartPlanner.plan(
                 state,
-                capacities,
-                step -> true,
-                ColocationController.create(),
-                RelocationCandidates.NONE,
-                RunTimeModel.empty(),
-                0);
+                new PlanInput(
+                        capacities,
+                        step -> true,
+                        ColocationController.create(),
+                        RelocationCandidates.NONE,
+                        CopyCandidates.NONE,
+                        RunTimeModel.empty(),
+                        0));
         assertThat(overdue.starts()).hasSize(3);
         assertThat(overdue.throttledStarts()).hasSize(3);
     }
@@ -380,12 +392,14 @@
     private StartPlan plan(ColocationController colocation, List<ThrottledRun> throttled) {
         return StartPlanner.plan(
                 state,
-                capacities,
-                step -> false,
-                colocation,
-                RelocationCandidates.ofThrottled(throttled),
-                RunTimeModel.empty(),
-                0);
+                new PlanInput(
+                        capacities,
+                        step -> false,
+                        colocation,
+                        RelocationCandidates.ofThrottled(throttled),
+                        CopyCandidates.NONE,
+                        RunTimeModel.empty(),
+                        0));
     }
 
     private Map<String, Long> startsByHost() {
