Reject jobs that cannot end while their results are of use, if so configured

What callers saw: every job was admitted whatever waited, was held for its whole time and came late.

Now, with [jobs] reject_infeasible, the leader predicts from learned run times, the work that the order of steps places in front, and the rate at which such work has ended when a job would end. It is rejected at once if its result would be of no use by then, with the time at which it would be in time, spread over callers. Never while a host has room for one of its tasks, and not a second time within a minute.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -233,7 +233,7 @@
                 tasks,
                 LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history),
-                WorkflowService.of(log, parts.workflow(), workflow, time));
+                WorkflowService.of(log, parts.workflow(), workflow, time, settings.rejectInfeasible()));
         gateway = new OwnOrLeaderGateway(log, dispatcher, others, time);
         node.start();
         server = network.listen(
--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -25,6 +25,7 @@
  *     null
  * @param groupStart what the process may do when its data folder is empty, not null
  * @param hostLimits the times that hosts keep to, not null
+ * @param rejectInfeasible true to reject jobs that cannot end while their results are of use
  * @param telemetry where spans go, not null
  */
 public record ControlSettings(
@@ -36,6 +37,7 @@
         Map<String, InetSocketAddress> advertised,
         GroupStart groupStart,
         HostTimings hostLimits,
+        boolean rejectInfeasible,
         TelemetrySettings telemetry) {
     private static final String MEMBERS = "members";
 
@@ -96,6 +98,7 @@
                 advertised(reader),
                 seeded ? seededStart(reader) : new GroupStart(true, false, DEFAULT_TOLERATED_LOSSES),
                 hostLimits(reader),
+                reader.flag("jobs", "reject_infeasible", false),
                 TelemetrySettings.read(reader));
     }
 
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
@@ -0,0 +1,80 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.nettlering.domain.workflow.RemainingWork;
+import org.nettlering.domain.workflow.StepProgress;
+import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
+import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
+import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.admission.FeasibilityPolicy;
+import org.nettlering.domain.workflow.admission.RejectedJobs;
+import org.nettlering.domain.workflow.admission.WaitingWork;
+import org.nettlering.domain.workflow.admission.WorkRate;
+import org.nettlering.domain.workflow.placement.FreeCapacity;
+import org.nettlering.domain.workflow.runtime.RunTimeModel;
+
+/**
+ * Rejects jobs of one leadership that cannot end while their results are of use.
+ *
+ * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
+ */
+final class JobAdmission {
+    private static final int MILLICORES_PER_CORE = 1_000;
+
+    /** Work that competes for the same room. */
+    private record WorkKind(String pool, boolean bestEffort) {}
+
+    private final Map<WorkKind, WorkRate> rates = new HashMap<>();
+
+    private final RejectedJobs rejectedJobs = RejectedJobs.none();
+
+    JobAdmission() {}
+
+    /** Records a task that was done in the given time at full speed. */
+    void taskDone(StepProgress step, long runTimeMillis, long nowNanos) {
+        StepSpecification specification = step.specification();
+        long cpuMillis = runTimeMillis * specification.demand().millicores() / MILLICORES_PER_CORE;
+        WorkKind kind = new WorkKind(step.job().terms().pool(), specification.has(StepTrait.BEST_EFFORT));
+        rates.computeIfAbsent(kind, key -> WorkRate.startingAt(nowNanos)).add(cpuMillis, nowNanos);
+    }
+
+    /** Returns the retry delay if a job is infeasible and was not sent away before, or empty if it is admitted. */
+    Optional<Duration> retryDelay(
+            WorkflowState state,
+            SubmitJob submission,
+            Collection<FreeCapacity> capacities,
+            RunTimeModel runTimes,
+            long nowNanos) {
+        StepSpecification first = submission.definition().steps().getFirst();
+        boolean bestEffort = first.has(StepTrait.BEST_EFFORT);
+        String pool = submission.terms().pool();
+        WorkRate rate = rates.get(new WorkKind(pool, bestEffort));
+        boolean exempt = submission.definition().recurrence().isPeriodic() || first.has(StepTrait.LONG_RUNNING);
+        if (rate == null || exempt || rejectedJobs.includes(submission.jobId(), nowNanos)) {
+            return Optional.empty();
+        }
+        if (capacities.stream().anyMatch(capacity -> capacity.hasRoomFor(pool, first))) {
+            return Optional.empty();
+        }
+        RemainingWork work = RemainingWork.ofNew(submission, runTimes);
+        long inFrontMillis = WaitingWork.inFrontOf(
+                state.pendingSteps(),
+                submission.terms(),
+                bestEffort,
+                work.cpuMillis(),
+                runTimes,
+                submission.acceptedMillis());
+        Optional<Duration> delay = FeasibilityPolicy.retryDelay(
+                submission.jobId(),
+                rate.durationMillis(inFrontMillis, nowNanos),
+                work.shortestPathMillis(),
+                submission.terms().allowedDurationMillis(work.wholePathMillis()));
+        delay.ifPresent(rejected -> rejectedJobs.add(submission.jobId(), nowNanos));
+        return delay;
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -25,6 +25,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartOccurrence;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
+import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
 import org.nettlering.domain.workflow.colocation.ColocationController;
@@ -95,6 +96,8 @@
     /** How long tasks run, learned in this term. */
     private final RunTimeModel runTimes = RunTimeModel.empty();
 
+    private final JobAdmission admission = new JobAdmission();
+
     private final StragglingRuns straggling = new StragglingRuns();
 
     private final StepWaits waits = StepWaits.create();
@@ -253,14 +256,16 @@
                 continue;
             }
             session.uninterruptedRunTime(termination.run(), nowNanos)
-                    .ifPresent(runTime -> runTimes.add(
-                            step.job().terms().queue(),
-                            step.id(),
-                            step.specification().estimatedRuntimeMillis(),
-                            runTime.toMillis()));
+                    .ifPresent(runTime -> learnRunTime(step, runTime.toMillis(), nowNanos));
         }
     }
 
+    private void learnRunTime(StepProgress step, long runTimeMillis, long nowNanos) {
+        long declaredMillis = step.specification().estimatedRuntimeMillis();
+        runTimes.add(step.job().terms().queue(), step.id(), declaredMillis, runTimeMillis);
+        admission.taskDone(step, runTimeMillis, nowNanos);
+    }
+
     private void addToFence(HostSession session) {
         if (session.needsFence()) {
             hostsToFence.add(session.host().id());
@@ -310,12 +315,20 @@
     }
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
-    Optional<Duration> retryAfterIfRejected(WorkflowState state, JobTerms terms, JobDefinition definition) {
+    Optional<Duration> retryAfterIfRejected(
+            WorkflowState state, SubmitJob submission, boolean rejectInfeasible, long nowNanos) {
+        JobDefinition definition = submission.definition();
+        JobTerms terms = submission.terms();
         Optional<Duration> tooManyTasks =
                 JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks());
-        if (tooManyTasks.isPresent() || definition.longRunningMillicores() == 0) {
+        if (tooManyTasks.isPresent()) {
             return tooManyTasks;
         }
+        if (definition.longRunningMillicores() == 0) {
+            return rejectInfeasible
+                    ? admission.retryDelay(state, submission, freeCapacities(state, nowNanos), runTimes, nowNanos)
+                    : Optional.empty();
+        }
         long poolMillicores = 0;
         for (HostSession session : sessions.values()) {
             poolMillicores += session.latestHeartbeat()
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -58,6 +58,8 @@
 
     private final TimeSource time;
 
+    private final boolean rejectInfeasible;
+
     private final LeadershipConfirmations confirmations;
 
     private final UndecidedJobs undecidedJobs = new UndecidedJobs();
@@ -73,14 +75,39 @@
      */
     public static WorkflowService of(
             CommandLog log, WorkflowStateMachine stateMachine, WorkflowLoop loop, TimeSource time) {
-        return new WorkflowService(log, stateMachine, loop, time);
+        return of(log, stateMachine, loop, time, false);
+    }
+
+    /**
+     * Creates a service.
+     *
+     * @param log the replicated log, not null
+     * @param stateMachine the replicated queues and jobs, not null
+     * @param loop the leader's loop, not null
+     * @param time the clock, not null
+     * @param rejectInfeasible true to reject jobs that cannot end while their results are of use
+     * @return a new service, never null
+     */
+    public static WorkflowService of(
+            CommandLog log,
+            WorkflowStateMachine stateMachine,
+            WorkflowLoop loop,
+            TimeSource time,
+            boolean rejectInfeasible) {
+        return new WorkflowService(log, stateMachine, loop, time, rejectInfeasible);
     }
 
-    private WorkflowService(CommandLog log, WorkflowStateMachine stateMachine, WorkflowLoop loop, TimeSource time) {
+    private WorkflowService(
+            CommandLog log,
+            WorkflowStateMachine stateMachine,
+            WorkflowLoop loop,
+            TimeSource time,
+            boolean rejectInfeasible) {
         this.log = log;
         this.stateMachine = stateMachine;
         this.loop = loop;
         this.time = time;
+        this.rejectInfeasible = rejectInfeasible;
         confirmations = LeadershipConfirmations.of(log);
     }
 
@@ -138,10 +165,11 @@
         JobAdmissionPolicy.requireAcceptableSize(definition);
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
+        WorkflowCommand.SubmitJob submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
         Optional<Duration> retryAfter =
                 loop.decide((state, leadership) -> state.job(jobId).isPresent() || undecidedJobs.contains(jobId)
                         ? Optional.empty()
-                        : leadership.retryAfterIfRejected(state, terms, definition));
+                        : leadership.retryAfterIfRejected(state, submission, rejectInfeasible, time.nanoTime()));
         if (retryAfter.isPresent()) {
             LOG.log(
                     WorkflowEvent.JOB_REJECTED,
@@ -150,7 +178,6 @@
                     retryAfter.get().toMillis());
             return readConfirmed((state, current) -> rejectedResponse(retryAfter.get()));
         }
-        WorkflowCommand submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
         return undecidedJobs.during(jobId, () -> propose(submission)).thenApply(commandResult -> {
             LOG.log(
                     WorkflowEvent.JOB_ACCEPTED,
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -15,6 +15,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
+import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
@@ -107,7 +108,8 @@
         submit("b");
         JobDefinition definition = state.job("a").orElseThrow().definition();
         JobTerms terms = state.job("a").orElseThrow().terms();
-        assertThat(leadership.retryAfterIfRejected(state, terms, definition)).isEmpty();
+        assertThat(leadership.retryAfterIfRejected(state, new SubmitJob("new", terms, definition, 0), true, nowNanos))
+                .isEmpty();
     }
 
     @Test
@@ -129,7 +131,8 @@
                 Recurrence.ONCE);
         for (int number = 0; number < 8; number++) {
             String id = "large-" + number;
-            assertThat(leadership.retryAfterIfRejected(state, terms, large)).isEmpty();
+            assertThat(leadership.retryAfterIfRejected(state, new SubmitJob("new", terms, large, 0), true, nowNanos))
+                    .isEmpty();
             state.apply(new WorkflowCommand.SubmitJob(id, terms, large, 0));
             state.apply(new WorkflowCommand.CancelJob(id));
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/Job.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Job.java
@@ -97,17 +97,6 @@
         return definition.recurrence().isPeriodic() ? definition.recurrence().dueMillis(occurrence) : acceptedMillis;
     }
 
-    /**
-     * Returns how long an occurrence may take to meet its objective.
-     *
-     * @param pathMillis the duration of its longest chain of steps, in milliseconds
-     * @return the time from its release to its objective, in milliseconds
-     */
-    public long allowedDurationMillis(long pathMillis) {
-        return Math.round(terms.queueTerms().stretch() * pathMillis)
-                + terms.queueTerms().targetMillis();
-    }
-
     /**
      * Returns the phase of the job.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/JobTerms.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobTerms.java
@@ -11,4 +11,14 @@
  * @param pool the pool whose hosts run the tasks, not null
  * @param queueTerms the terms of the queue at that time, not null
  */
-public record JobTerms(String queue, String pool, QueueTerms queueTerms) {}
+public record JobTerms(String queue, String pool, QueueTerms queueTerms) {
+    /**
+     * Returns how long an occurrence may take to meet its objective.
+     *
+     * @param pathMillis the duration of its longest chain of steps, in milliseconds
+     * @return the time from its release to its objective, in milliseconds
+     */
+    public long allowedDurationMillis(long pathMillis) {
+        return Math.round(queueTerms.stretch() * pathMillis) + queueTerms.targetMillis();
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/RemainingWork.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/RemainingWork.java
@@ -46,6 +46,17 @@
         return new RemainingWork(totalCpuMillis, longestRemainingMillis, longestMillis);
     }
 
+    /**
+     * Returns the work of one occurrence of a job that is not accepted yet.
+     *
+     * @param submission the submission of the job, not null
+     * @param runTimes estimates run times, not null
+     * @return the work of all its steps, never null
+     */
+    public static RemainingWork ofNew(WorkflowCommand.SubmitJob submission, RunTimeModel runTimes) {
+        return new Occurrence(new Job(submission), 0).remainingWork(runTimes);
+    }
+
     /** Returns the remaining work of an occurrence that is unknown. */
     static RemainingWork none() {
         return NONE;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -209,6 +209,19 @@
                 && (!step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores());
     }
 
+    /**
+     * Returns whether the host has room for one task of a step.
+     *
+     * @param pool the pool of the job, not null
+     * @param step the step, not null
+     * @return true if the host is of the pool and one task fits
+     */
+    public boolean hasRoomFor(String pool, StepSpecification step) {
+        return pool().equals(pool)
+                && step.allocation().fitsIn(free)
+                && (!step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores());
+    }
+
     /** Returns whether a task that may crash its host may start. */
     boolean admitsSuspects() {
         return admission == StartAdmission.ALL;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
@@ -61,7 +61,7 @@
         Job job = step.job();
         RemainingWork remainingWork = step.remainingWorkOfOccurrence(runTimes);
         long releaseMillis = job.releaseMillis(step.id().occurrence());
-        long allowedMillis = job.allowedDurationMillis(remainingWork.wholePathMillis());
+        long allowedMillis = job.terms().allowedDurationMillis(remainingWork.wholePathMillis());
         return new Rank(
                 step,
                 urgencyClass(step, nowMillis - releaseMillis, allowedMillis, remainingWork),
--- a/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
+++ b/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
@@ -65,6 +65,7 @@
                 Map.of(),
                 new GroupStart(true, false, 1),
                 new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofSeconds(1)),
+                false,
                 TelemetrySettings.NONE);
         control = ControlProcess.start(
                 settings, clock -> Telemetry.recordingTo("nettlering-control", "c1", spans::add, clock));
