Move the free capacities of hosts out of the leadership

WorkflowLeadership had grown to 784 lines; which hosts may start runs, and what they have free, is one idea of its own. No change of behaviour.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -38,11 +38,8 @@
 import org.nettlering.domain.workflow.host.StallDetector;
 import org.nettlering.domain.workflow.host.TerminationEvidence;
 import org.nettlering.domain.workflow.placement.CopyCandidates;
-import org.nettlering.domain.workflow.placement.FreeCapacity;
-import org.nettlering.domain.workflow.placement.HostFailureBackoff;
 import org.nettlering.domain.workflow.placement.PlanInput;
 import org.nettlering.domain.workflow.placement.RelocationCandidates;
-import org.nettlering.domain.workflow.placement.StartAdmission;
 import org.nettlering.domain.workflow.placement.StartPlan;
 import org.nettlering.domain.workflow.placement.StartPlanner;
 import org.nettlering.domain.workflow.placement.StepWaits;
@@ -89,8 +86,6 @@
     /** The sessions by the incarnation id of the host. */
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
 
-    private final HostFailureBackoff failureBackoff = HostFailureBackoff.create();
-
     private final HostColocation colocation = new HostColocation();
 
     /** How long tasks run, learned in this term. */
@@ -107,8 +102,6 @@
 
     private final HostVisitQueue visitQueue = new HostVisitQueue();
 
-    private final FreeCapacityCache capacityCache = new FreeCapacityCache();
-
     /** The incarnation id of the host of each tracked run. */
     private final Map<RunId, String> hostIdsByRun = new HashMap<>();
 
@@ -121,6 +114,9 @@
 
     private final LoopCounters counters = new LoopCounters();
 
+    /** Where runs may start, and which hosts failed runs. */
+    private final StartableHosts startableHosts;
+
     /** The batch that was proposed to the log and has neither been committed nor failed; empty for none. */
     private List<WorkflowCommand> batchInFlight = List.of();
 
@@ -174,6 +170,7 @@
         this.failures = failures;
         nextComparisonNanos = nowNanos;
         finishedJobs = new FinishedJobRetention(nowNanos);
+        startableHosts = new StartableHosts(sessions, counters, failures);
     }
 
     private HostSession sessionOf(HostAllocations allocations, long nowNanos) {
@@ -202,7 +199,7 @@
     }
 
     boolean isBackingOff(String hostId, long nowNanos) {
-        return failureBackoff.isBackingOff(hostId, nowNanos);
+        return startableHosts.failureBackoff().isBackingOff(hostId, nowNanos);
     }
 
     /** Handles a heartbeat; returns whether it is the first one of this host incarnation in this term. */
@@ -295,7 +292,7 @@
             if (stalled) {
                 session.requestStop(usage.run());
                 metrics.diagnostics().runs().stopRequested(usage.run(), StopReason.STALLED);
-                failureBackoff.recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
+                startableHosts.failureBackoff().recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
             }
         }
     }
@@ -326,7 +323,8 @@
         }
         if (definition.longRunningMillicores() == 0) {
             return rejectInfeasible
-                    ? admission.retryDelay(state, submission, freeCapacities(state, nowNanos), runTimes, nowNanos)
+                    ? admission.retryDelay(
+                            state, submission, startableHosts.freeCapacities(state, nowNanos), runTimes, nowNanos)
                     : Optional.empty();
         }
         long poolMillicores = 0;
@@ -422,7 +420,7 @@
             return;
         }
         PlanInput input = new PlanInput(
-                freeCapacities(state, nowNanos),
+                startableHosts.freeCapacities(state, nowNanos),
                 step -> waits.isOverdue(step, nowNanos),
                 colocation.controller(),
                 relocations,
@@ -447,7 +445,7 @@
     /** Schedules a visit of a host and discards its cached free capacity. */
     private void markHostChanged(String hostId) {
         visitQueue.markDue(hostId);
-        capacityCache.invalidate(hostId);
+        startableHosts.hostChanged(hostId);
     }
 
     private void collectInferredTerminations(WorkflowState state, long nowNanos) {
@@ -528,61 +526,6 @@
         }
     }
 
-    private List<FreeCapacity> freeCapacities(WorkflowState state, long nowNanos) {
-        Map<String, List<String>> hostIdsByPool = new LinkedHashMap<>();
-        for (HostSession session : sessions.values()) {
-            if (session.acceptsRuns(nowNanos) && !HostDrains.isClosed(state.evacuations(), session)) {
-                session.latestHeartbeat()
-                        .ifPresent(heartbeat -> hostIdsByPool
-                                .computeIfAbsent(heartbeat.pool(), pool -> new ArrayList<>())
-                                .add(session.host().id()));
-            }
-        }
-        List<FreeCapacity> capacities = new ArrayList<>();
-        for (List<String> hostIds : hostIdsByPool.values()) {
-            Set<String> backingOff = failureBackoff.backingOff(hostIds, nowNanos);
-            hostIds.stream()
-                    .filter(hostId -> !backingOff.contains(hostId))
-                    .map(sessions::get)
-                    .forEach(session -> session.latestHeartbeat()
-                            .ifPresent(heartbeat -> failures.isolate(
-                                    LoopPart.PLAN,
-                                    session.host().id(),
-                                    () -> capacities.add(freeCapacity(state, session, heartbeat)))));
-        }
-        return capacities;
-    }
-
-    private FreeCapacity freeCapacity(WorkflowState state, HostSession session, HostHeartbeat heartbeat) {
-        String id = session.host().id();
-        HostAllocations allocations = state.allocationsOf(id).orElse(null);
-        return capacityCache.freeCapacity(id, allocations, () -> {
-            counters.countCapacityComputation();
-            return FreeCapacity.of(
-                    heartbeat,
-                    allocations == null ? HostAllocations.empty(session.host()) : allocations,
-                    failureBackoff.consecutiveFailures(id),
-                    HostColocation.latencyCriticalRuns(state, session),
-                    startAdmission(state, session));
-        });
-    }
-
-    private static StartAdmission startAdmission(WorkflowState state, HostSession session) {
-        List<RunId> unproven = session.unprovenRuns();
-        if (unproven.isEmpty()) {
-            return StartAdmission.ALL;
-        }
-        return unproven.stream().anyMatch(run -> isSuspect(state, run))
-                ? StartAdmission.NONE
-                : StartAdmission.NO_SUSPECTS;
-    }
-
-    private static boolean isSuspect(WorkflowState state, RunId run) {
-        return state.step(run.task().step())
-                .filter(step -> step.task(run.task().index()).hostCrashes() > 0)
-                .isPresent();
-    }
-
     /** Schedules a visit of every host, for whatever becomes due by the passing of time alone. */
     void markAllHostsDue() {
         visitQueue.markAllDue(sessions.keySet());
@@ -640,7 +583,7 @@
         if (session.isTracking(run.run())) {
             return;
         }
-        if (exceedsCapacity(state, session) || HostDrains.isClosed(state.evacuations(), session)) {
+        if (!StartableHosts.mayStartCommitted(state, session)) {
             endUnsentRun(run);
             return;
         }
@@ -655,14 +598,6 @@
         stopIfUnneeded(state, run);
     }
 
-    /** Returns whether a host has shrunk since its latest starts were planned, so that they do not fit any more. */
-    private static boolean exceedsCapacity(WorkflowState state, HostSession session) {
-        return state.allocationsOf(session.host().id())
-                .flatMap(allocations -> session.latestHeartbeat()
-                        .filter(heartbeat -> !allocations.allocated().fitsIn(heartbeat.capacity())))
-                .isPresent();
-    }
-
     /**
      * Ends a run whose start is committed, but whose start command is not sent: its host is gone, has shrunk or is to be
      * emptied.
@@ -699,7 +634,7 @@
         }
         markHostChanged(hostId);
         if (session.onTerminationCommitted(termination.run(), termination.status())) {
-            failureBackoff.recordTermination(hostId, termination.status(), nowNanos);
+            startableHosts.failureBackoff().recordTermination(hostId, termination.status(), nowNanos);
         }
     }
 
@@ -770,10 +705,9 @@
     private List<HostCommand> dueCommands(HostSession session, long nowNanos) {
         String hostId = session.host().id();
         if (session.isObsolete(nowNanos)) {
-            failureBackoff.removeHost(hostId);
+            startableHosts.removeHost(hostId);
             colocation.removeHost(hostId);
             sessions.remove(hostId);
-            capacityCache.invalidate(hostId);
             return List.of();
         }
         session.overdueCommands(nowNanos).forEach(command -> settle(session, command, nowNanos));
