--- a/domain/src/main/java/org/nettlering/domain/workflow/runtime/RunTimeModel.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/runtime/RunTimeModel.java
@@ -18,8 +18,10 @@
     /** Steps at this position and beyond are taken together. */
     private static final int LAST_POSITION = 15;
 
-    /** The number of samples after which estimates count as changed. */
-    private static final int SAMPLES_PER_VERSION = 32;
+    /** The number of samples after which estimates count as changed, at first and in the long run. */
+    private static final int FIRST_SAMPLES_PER_VERSION = 32;
+
+    private static final int SAMPLES_PER_VERSION = 512;
 
     /** The tasks of one step that have ended. */
     private static final class Siblings {
@@ -108,12 +110,15 @@
     }
 
     /**
-     * Returns a number that changes after some dozen samples, so that results derived from estimates can be kept for a while.
+     * Returns a number that changes after some dozen samples at first and some hundred later, so that results derived from
+     * estimates can be kept for a while.
      *
      * @return the version of the estimates
      */
     public long version() {
-        return samples / SAMPLES_PER_VERSION;
+        return samples < SAMPLES_PER_VERSION
+                ? samples / FIRST_SAMPLES_PER_VERSION
+                : samples / SAMPLES_PER_VERSION + SAMPLES_PER_VERSION / FIRST_SAMPLES_PER_VERSION;
     }
 
     private static Key keyOf(String queue, StepId step) {
