Copy stragglers only where a site has switched it on

Now [jobs] copy_stragglers switches copies on, beside reject_infeasible; both are off by default (WorkflowOptions). Why copies cost more than they bring there is not traced.

--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -225,6 +225,7 @@
                 time,
                 orders.apply(metrics.registry()),
                 settings.hostLimits(),
+                settings.workflowOptions(),
                 measures);
         watchdog = LoopWatchdog.start(watchdogTime, measures);
         FrameDispatcher dispatcher = FrameDispatcher.of(
@@ -233,7 +234,7 @@
                 tasks,
                 LedgerService.of(log, parts.ledger(), time),
                 MembershipService.of(node, history),
-                WorkflowService.of(log, parts.workflow(), workflow, time, settings.rejectInfeasible()));
+                WorkflowService.of(log, parts.workflow(), workflow, time));
         gateway = new OwnOrLeaderGateway(log, dispatcher, others, time);
         node.start();
         server = network.listen(
--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.nettlering.control.workflow.WorkflowOptions;
 import org.nettlering.domain.workflow.host.HostTimings;
 import org.nettlering.runtime.settings.SettingsReader;
 import org.nettlering.runtime.settings.TelemetrySettings;
@@ -25,7 +26,7 @@
  *     null
  * @param groupStart what the process may do when its data folder is empty, not null
  * @param hostLimits the times that hosts keep to, not null
- * @param rejectInfeasible true to reject jobs that cannot end while their results are of use
+ * @param workflowOptions what the site has switched on for jobs of steps, not null
  * @param telemetry where spans go, not null
  */
 public record ControlSettings(
@@ -37,7 +38,7 @@
         Map<String, InetSocketAddress> advertised,
         GroupStart groupStart,
         HostTimings hostLimits,
-        boolean rejectInfeasible,
+        WorkflowOptions workflowOptions,
         TelemetrySettings telemetry) {
     private static final String MEMBERS = "members";
 
@@ -50,6 +51,8 @@
     /** A group of as many voters as this needs, twice as many and one, would be slow to agree. */
     private static final int MAX_TOLERATED_LOSSES = 4;
 
+    private static final String JOBS = "jobs";
+
     private static final String HOSTS = "hosts";
 
     /** The failure domain of a member that the settings tell only the address of. */
@@ -98,7 +101,8 @@
                 advertised(reader),
                 seeded ? seededStart(reader) : new GroupStart(true, false, DEFAULT_TOLERATED_LOSSES),
                 hostLimits(reader),
-                reader.flag("jobs", "reject_infeasible", false),
+                new WorkflowOptions(
+                        reader.flag(JOBS, "reject_infeasible", false), reader.flag(JOBS, "copy_stragglers", false)),
                 TelemetrySettings.read(reader));
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -79,6 +79,8 @@
 
     private final HostTimings timings;
 
+    private final WorkflowOptions options;
+
     private final LoopMetrics metrics;
 
     private final LoopFailures failures;
@@ -136,10 +138,11 @@
             WorkflowState state,
             long term,
             HostTimings timings,
+            WorkflowOptions options,
             LoopMetrics metrics,
             LoopFailures failures,
             long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, timings, metrics, failures, nowNanos);
+        WorkflowLeadership leadership = new WorkflowLeadership(term, timings, options, metrics, failures, nowNanos);
         leadership.token = state.fencingToken(term);
         for (HostAllocations allocations : state.allocations()) {
             HostSession session = leadership.sessionOf(allocations, nowNanos);
@@ -163,9 +166,15 @@
     }
 
     private WorkflowLeadership(
-            long term, HostTimings timings, LoopMetrics metrics, LoopFailures failures, long nowNanos) {
+            long term,
+            HostTimings timings,
+            WorkflowOptions options,
+            LoopMetrics metrics,
+            LoopFailures failures,
+            long nowNanos) {
         this.term = term;
         this.timings = timings;
+        this.options = options;
         this.metrics = metrics;
         this.failures = failures;
         nextComparisonNanos = nowNanos;
@@ -238,7 +247,10 @@
             addToFence(session);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
-            failures.isolate(LoopPart.RESPONSE, command, () -> straggling.update(state, session, runTimes, nowNanos));
+            if (options.copyStragglers()) {
+                failures.isolate(
+                        LoopPart.RESPONSE, command, () -> straggling.update(state, session, runTimes, nowNanos));
+            }
         }
         colocation.updateThrottled(session);
     }
@@ -312,8 +324,7 @@
     }
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
-    Optional<Duration> retryAfterIfRejected(
-            WorkflowState state, SubmitJob submission, boolean rejectInfeasible, long nowNanos) {
+    Optional<Duration> retryAfterIfRejected(WorkflowState state, SubmitJob submission, long nowNanos) {
         JobDefinition definition = submission.definition();
         JobTerms terms = submission.terms();
         Optional<Duration> tooManyTasks =
@@ -322,7 +333,7 @@
             return tooManyTasks;
         }
         if (definition.longRunningMillicores() == 0) {
-            return rejectInfeasible
+            return options.rejectInfeasible()
                     ? admission.retryDelay(
                             state, submission, startableHosts.freeCapacities(state, nowNanos), runTimes, nowNanos)
                     : Optional.empty();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -69,6 +69,8 @@
 
     private final HostTimings timings;
 
+    private final WorkflowOptions options;
+
     private final LoopMetrics metrics;
 
     private final LoopFailures failures;
@@ -122,6 +124,7 @@
      * @param time the clocks and timers, not null
      * @param commandSender sends commands to hosts, not null
      * @param timings the time limits of hosts, not null
+     * @param options what the site has switched on, not null
      * @param metrics the metrics of the loop, not null
      * @return the running loop, never null
      */
@@ -132,8 +135,9 @@
             TimeSource time,
             HostCommandSender commandSender,
             HostTimings timings,
+            WorkflowOptions options,
             LoopMetrics metrics) {
-        return start(log, stateMachine, time, commandSender, timings, metrics, LoopTimer.NONE, executor);
+        return start(log, stateMachine, time, commandSender, timings, options, metrics, LoopTimer.NONE, executor);
     }
 
     /**
@@ -160,6 +164,7 @@
                 time,
                 commandSender,
                 timings,
+                WorkflowOptions.NONE,
                 LoopMetrics.unexported(time),
                 stageTimer,
                 Runnable::run);
@@ -171,11 +176,12 @@
             TimeSource time,
             HostCommandSender commandSender,
             HostTimings timings,
+            WorkflowOptions options,
             LoopMetrics metrics,
             LoopTimer stageTimer,
             Executor executor) {
-        WorkflowLoop loop =
-                new WorkflowLoop(log, stateMachine, time, commandSender, timings, metrics, stageTimer, executor);
+        WorkflowLoop loop = new WorkflowLoop(
+                log, stateMachine, time, commandSender, timings, options, metrics, stageTimer, executor);
         loop.scheduleTick();
         return loop;
     }
@@ -186,6 +192,7 @@
             TimeSource time,
             HostCommandSender commandSender,
             HostTimings timings,
+            WorkflowOptions options,
             LoopMetrics metrics,
             LoopTimer stageTimer,
             Executor executor) {
@@ -194,6 +201,7 @@
         this.time = time;
         this.commandSender = commandSender;
         this.timings = timings;
+        this.options = options;
         this.metrics = metrics;
         failures = new LoopFailures(metrics);
         this.stageTimer = stageTimer;
@@ -522,7 +530,7 @@
         WorkflowLeadership current = leadership;
         if (current == null || current.term() != term) {
             metrics.resetForNewTerm();
-            current = WorkflowLeadership.takeOver(state, term, timings, metrics, failures, time.nanoTime());
+            current = WorkflowLeadership.takeOver(state, term, timings, options, metrics, failures, time.nanoTime());
             metrics.diagnostics().activity().leads(term);
             LOG.log(WorkflowEvent.LEADERSHIP_STARTED, term, current.sessions().size());
             leadership = current;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -58,8 +58,6 @@
 
     private final TimeSource time;
 
-    private final boolean rejectInfeasible;
-
     private final LeadershipConfirmations confirmations;
 
     private final UndecidedJobs undecidedJobs = new UndecidedJobs();
@@ -75,39 +73,14 @@
      */
     public static WorkflowService of(
             CommandLog log, WorkflowStateMachine stateMachine, WorkflowLoop loop, TimeSource time) {
-        return of(log, stateMachine, loop, time, false);
-    }
-
-    /**
-     * Creates a service.
-     *
-     * @param log the replicated log, not null
-     * @param stateMachine the replicated queues and jobs, not null
-     * @param loop the leader's loop, not null
-     * @param time the clock, not null
-     * @param rejectInfeasible true to reject jobs that cannot end while their results are of use
-     * @return a new service, never null
-     */
-    public static WorkflowService of(
-            CommandLog log,
-            WorkflowStateMachine stateMachine,
-            WorkflowLoop loop,
-            TimeSource time,
-            boolean rejectInfeasible) {
-        return new WorkflowService(log, stateMachine, loop, time, rejectInfeasible);
+        return new WorkflowService(log, stateMachine, loop, time);
     }
 
-    private WorkflowService(
-            CommandLog log,
-            WorkflowStateMachine stateMachine,
-            WorkflowLoop loop,
-            TimeSource time,
-            boolean rejectInfeasible) {
+    private WorkflowService(CommandLog log, WorkflowStateMachine stateMachine, WorkflowLoop loop, TimeSource time) {
         this.log = log;
         this.stateMachine = stateMachine;
         this.loop = loop;
         this.time = time;
-        this.rejectInfeasible = rejectInfeasible;
         confirmations = LeadershipConfirmations.of(log);
     }
 
@@ -169,7 +142,7 @@
         Optional<Duration> retryAfter =
                 loop.decide((state, leadership) -> state.job(jobId).isPresent() || undecidedJobs.contains(jobId)
                         ? Optional.empty()
-                        : leadership.retryAfterIfRejected(state, submission, rejectInfeasible, time.nanoTime()));
+                        : leadership.retryAfterIfRejected(state, submission, time.nanoTime()));
         if (retryAfter.isPresent()) {
             LOG.log(
                     WorkflowEvent.JOB_REJECTED,
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderDiagnosticsTest.java
@@ -76,6 +76,7 @@
             time,
             command -> host.apply(command),
             TIMINGS,
+            WorkflowOptions.NONE,
             LoopMetrics.registerIn(registry, time));
 
     @AfterEach
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
@@ -38,13 +38,16 @@
 
     private static final HostTimings TIMINGS =
             new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
+    /** All that a site can switch on. */
+    private static final WorkflowOptions OPTIONS = new WorkflowOptions(true, true);
+
     private static final HostResponse.PollResult EMPTY_POLL_RESULT =
             new HostResponse.PollResult(1_000, List.of(), List.of());
 
     final WorkflowState state = WorkflowState.empty();
     private final LoopMetrics metrics = LoopMetrics.unexported(ManualTime.startingAt(Instant.EPOCH));
     final WorkflowLeadership leadership =
-            WorkflowLeadership.takeOver(state, 1, TIMINGS, metrics, new LoopFailures(metrics), 0);
+            WorkflowLeadership.takeOver(state, 1, TIMINGS, OPTIONS, metrics, new LoopFailures(metrics), 0);
     private final int hostCount;
 
     long nowNanos = NANOS_PER_MILLI;
--- a/control/src/test/java/org/nettlering/control/workflow/LoopWatchdogTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LoopWatchdogTest.java
@@ -147,6 +147,7 @@
                 time,
                 command -> new CompletableFuture<>(),
                 TIMINGS,
+                WorkflowOptions.NONE,
                 metrics);
     }
 
--- a/control/src/test/java/org/nettlering/control/workflow/WorkflowLoopTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/WorkflowLoopTest.java
@@ -96,7 +96,14 @@
             return new CompletableFuture<>();
         };
         try (WorkflowLoop loop = WorkflowLoop.startOn(
-                executorTasks::add, member, stateMachine, time, commandSender, TIMINGS, LoopMetrics.unexported(time))) {
+                executorTasks::add,
+                member,
+                stateMachine,
+                time,
+                commandSender,
+                TIMINGS,
+                WorkflowOptions.NONE,
+                LoopMetrics.unexported(time))) {
             loop.update(leadership -> leadership.receiveHeartbeat(heartbeat(), time.nanoTime()));
             time.advance(Duration.ofSeconds(1));
             assertThat(sentCommands).isEmpty();
--- a/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
+++ b/standins/src/test/java/org/nettlering/standins/site/OneControlSite.java
@@ -25,6 +25,7 @@
 import org.nettlering.control.settings.ControlMember;
 import org.nettlering.control.settings.ControlSettings;
 import org.nettlering.control.settings.GroupStart;
+import org.nettlering.control.workflow.WorkflowOptions;
 import org.nettlering.domain.time.SystemTime;
 import org.nettlering.domain.workflow.host.HostTimings;
 import org.nettlering.entry.operators.OperatorServer;
@@ -65,7 +66,7 @@
                 Map.of(),
                 new GroupStart(true, false, 1),
                 new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofSeconds(1)),
-                false,
+                WorkflowOptions.NONE,
                 TelemetrySettings.NONE);
         control = ControlProcess.start(
                 settings, clock -> Telemetry.recordingTo("nettlering-control", "c1", spans::add, clock));
