--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/DrainPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/DrainPlanner.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.nettlering.domain.workflow.ActiveRun;
@@ -20,8 +19,7 @@
  *
  * <p>A run is stopped only if another host has capacity for it after all starts of the same plan. A long-running task is
  * stopped only while its step may miss one more; a task whose host does not show it at work counts as absent, so that the
- * new run of one task is at work before the next one is stopped. While work waits for capacity, runs in evacuated failure
- * domains stay: their hosts are up, and what they hold there is of no use to anything else. Not thread-safe.
+ * new run of one task is at work before the next one is stopped. Not thread-safe.
  */
 final class DrainPlanner {
     /** The limit for one plan, so that the starts that follow do not come all at once. */
@@ -32,22 +30,14 @@
 
     private final Function<String, PoolCapacities> pools;
 
-    /** The pools in which work waits for capacity after all starts of the plan. */
-    private final Set<String> poolsWithWaitingWork;
-
     private final Predicate<ActiveRun> atWork;
 
     /** The absent tasks of each step, including those that this plan stops. */
     private final Map<StepId, Integer> absentTasks = new HashMap<>();
 
-    DrainPlanner(
-            HostSelector selector,
-            Function<String, PoolCapacities> pools,
-            Set<String> poolsWithWaitingWork,
-            Predicate<ActiveRun> atWork) {
+    DrainPlanner(HostSelector selector, Function<String, PoolCapacities> pools, Predicate<ActiveRun> atWork) {
         this.selector = selector;
         this.pools = pools;
-        this.poolsWithWaitingWork = poolsWithWaitingWork;
         this.atWork = atWork;
     }
 
@@ -63,10 +53,6 @@
 
     private boolean planMove(DrainingRun draining) {
         StepProgress step = draining.step();
-        String pool = step.job().terms().pool();
-        if (!draining.hostLeaves() && poolsWithWaitingWork.contains(pool)) {
-            return false;
-        }
         boolean longRunning = step.specification().has(StepTrait.LONG_RUNNING);
         if (longRunning && !mayMiss(draining)) {
             return false;
@@ -76,7 +62,7 @@
                 step.id(),
                 step.specification(),
                 step.specification().placementConstraints().dataRack(),
-                pools.apply(pool));
+                pools.apply(step.job().terms().pool()));
         if (ranking.allocateBest().isEmpty()) {
             return false;
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -11,10 +11,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.RunId;
-import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
@@ -71,7 +69,7 @@
                 planner.starts,
                 planner.planCopies(input.copies()),
                 planner.planMigrations(input.relocations()),
-                planner.planDrainMoves(state.pendingSteps(), input.relocations()),
+                planner.planDrainMoves(input.relocations()),
                 planner.throttledStarts);
     }
 
@@ -96,21 +94,10 @@
                 : new MigrationPlanner(selector, capacities, this::candidatesIn).plan(relocations.throttled());
     }
 
-    private List<ActiveRun> planDrainMoves(Collection<StepProgress> pending, RelocationCandidates relocations) {
+    private List<ActiveRun> planDrainMoves(RelocationCandidates relocations) {
         return relocations.draining().isEmpty()
                 ? List.of()
-                : new DrainPlanner(selector, this::candidatesIn, poolsWithWaitingWork(pending), relocations.atWork())
-                        .plan(relocations.draining());
-    }
-
-    /** Returns the pools in which tasks wait that this plan does not start. */
-    private Set<String> poolsWithWaitingWork(Collection<StepProgress> pending) {
-        Map<StepId, Long> startsByStep = starts.stream()
-                .collect(Collectors.groupingBy(start -> start.run().run().task().step(), Collectors.counting()));
-        return pending.stream()
-                .filter(step -> step.pendingCount() > startsByStep.getOrDefault(step.id(), 0L))
-                .map(step -> step.job().terms().pool())
-                .collect(Collectors.toSet());
+                : new DrainPlanner(selector, this::candidatesIn, relocations.atWork()).plan(relocations.draining());
     }
 
     private void planAll(Collection<StepProgress> pending) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/DrainPlannerTest.java
@@ -35,7 +35,6 @@
     private final WorkflowState state = WorkflowState.empty();
     private final List<FreeCapacity> capacities = new ArrayList<>();
     private final List<DrainingRun> draining = new ArrayList<>();
-    private boolean hostsLeave;
     private final Set<ActiveRun> atWork = new HashSet<>();
 
     @Test
@@ -87,27 +86,6 @@
         assertThat(plan.drainMoves()).isEmpty();
     }
 
-    @Test
-    void runsInAnEvacuatedDomainLeaveTheOthersToWorkThatWaits() {
-        startTasks("service", "evacuated");
-        addHost("other-domain", 32_000);
-        state.apply(job("waits", gangThatFitsNowhere()));
-        assertThat(plan().drainMoves()).isEmpty();
-    }
-
-    @Test
-    void runsOnHostsThatLeaveMoveAlthoughOtherWorkWaits() {
-        hostsLeave = true;
-        startTasks("service", "draining");
-        addHost("other-domain", 32_000);
-        state.apply(job("waits", gangThatFitsNowhere()));
-        assertThat(plan().drainMoves()).hasSize(MAY_MISS);
-    }
-
-    private static StepSpecification gangThatFitsNowhere() {
-        return step(33, List.of(), StepTrait.GANG);
-    }
-
     @Test
     void checkpointedTaskMovesWhateverItsStepMayMiss() {
         state.apply(job("batch", step(1, List.of(), StepTrait.CHECKPOINTING)));
@@ -150,8 +128,8 @@
         ActiveRun run = new ActiveRun(run(jobId, 0, index, 1), new HostIncarnation(hostId, "10.0.0.9:80"), "");
         state.apply(new StartRun(run));
         atWork.add(run);
-        draining.add(new DrainingRun(
-                run, state.step(new StepId(jobId, 0, 0)).orElseThrow(), DrainDecision.MOVES, hostsLeave));
+        draining.add(
+                new DrainingRun(run, state.step(new StepId(jobId, 0, 0)).orElseThrow(), DrainDecision.MOVES, false));
     }
 
     private void addHost(String id, long millicores) {
