Do not learn run times from best-effort runs

Cause: a best-effort run gets what the others on its host leave, so that its duration says how busy the host was. Learned from it, jobs of that class seemed longer than they are: they were allowed more time than their callers allow, and were held for late sooner. Now they teach nothing. CopiedRunsTest, new test, fails on the code before.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -270,9 +270,12 @@
     }
 
     private void learnRunTime(StepProgress step, long runTimeMillis, long nowNanos) {
-        long declaredMillis = step.specification().estimatedRuntimeMillis();
-        runTimes.add(step.job().terms().queue(), step.id(), declaredMillis, runTimeMillis);
         admission.taskDone(step, runTimeMillis, nowNanos);
+        // A best-effort run takes longer the less the others on its host leave it.
+        if (!step.specification().has(StepTrait.BEST_EFFORT)) {
+            long declaredMillis = step.specification().estimatedRuntimeMillis();
+            runTimes.add(step.job().terms().queue(), step.id(), declaredMillis, runTimeMillis);
+        }
     }
 
     private void addToFence(HostSession session) {
--- a/control/src/test/java/org/nettlering/control/workflow/CopiedRunsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/CopiedRunsTest.java
@@ -68,13 +68,31 @@
         assertThat(stopped).containsExactly(started.getLast());
     }
 
+    @Test
+    void runsOfBestEffortTasksTeachNothingAsTheyGetWhatOthersLeave() {
+        submit(StepTrait.BEST_EFFORT);
+        playSeconds(3);
+        assertThat(leadership.runTimes().siblingCount(SLOW_RUN.task().step())).isZero();
+    }
+
+    @Test
+    void runsAtFullSpeedTeachHowLongTheirStepTakes() {
+        submitCopyable();
+        playSeconds(3);
+        assertThat(leadership.runTimes().siblingCount(SLOW_RUN.task().step())).isPositive();
+    }
+
     private void submitCopyable() {
+        submit(StepTrait.SPECULATIVE);
+    }
+
+    private void submit(StepTrait trait) {
         StepSpecification step = new StepSpecification(
                 TASKS,
                 Resources.of(60, 10, 0),
                 1_000,
                 List.of(),
-                Set.of(StepTrait.SPECULATIVE),
+                Set.of(trait),
                 PlacementConstraints.NONE,
                 StepServiceLevel.UNSPECIFIED);
         JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
