--- a/control/src/main/java/org/nettlering/control/workflow/HostColocation.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostColocation.java
@@ -49,7 +49,7 @@
 
     /** Records whether any run on a host is throttled; called after each response of the host. */
     void updateThrottled(HostSession session) {
-        boolean anyThrottled = session.runUsages().stream().anyMatch(usage -> usage.speedPercent() < FULL_PERCENT);
+        boolean anyThrottled = session.runs().usages().stream().anyMatch(usage -> usage.speedPercent() < FULL_PERCENT);
         if (anyThrottled) {
             throttledHostIds.add(session.host().id());
         } else {
@@ -66,13 +66,13 @@
                 controller.adjustSpeeds(session.host().id(), latencyCritical, bestEffort, nowNanos);
         if (!speedPercents.isEmpty()) {
             LOG.log(WorkflowEvent.THROTTLING_CHANGED, session.host().id(), latencyCritical, bestEffort, speedPercents);
-            speedPercents.forEach(session::setSpeed);
+            speedPercents.forEach(session.runs()::setSpeed);
         }
     }
 
     static List<LatencyCriticalRun> latencyCriticalRuns(WorkflowState state, HostSession session) {
         List<LatencyCriticalRun> latencyCritical = new ArrayList<>();
-        for (RunUsage usage : session.runUsages()) {
+        for (RunUsage usage : session.runs().usages()) {
             state.step(usage.run().task().step())
                     .map(StepProgress::specification)
                     .filter(step -> step.isLatencyCritical() && usage.progressPercent() == FULL_PERCENT)
@@ -87,7 +87,7 @@
 
     private static List<BestEffortRun> bestEffortRuns(WorkflowState state, HostSession session) {
         List<BestEffortRun> bestEffort = new ArrayList<>();
-        for (RunUsage usage : session.runUsages()) {
+        for (RunUsage usage : session.runs().usages()) {
             state.step(usage.run().task().step())
                     .map(StepProgress::specification)
                     .filter(step -> step.has(StepTrait.BEST_EFFORT))
@@ -109,7 +109,7 @@
             if (session == null) {
                 continue;
             }
-            for (RunUsage usage : session.runUsages()) {
+            for (RunUsage usage : session.runs().usages()) {
                 state.step(usage.run().task().step())
                         .filter(step -> ThrottledRunPolicy.shouldMigrate(step.specification(), usage, nowNanos))
                         .ifPresent(step ->
--- a/control/src/main/java/org/nettlering/control/workflow/HostDrains.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostDrains.java
@@ -58,7 +58,7 @@
         long leftMillis =
                 heartbeat.draining() ? heartbeat.drainLeftMillis() : DrainPolicy.EVACUATION_PATIENCE.toMillis();
         List<DrainingRun> runs = new ArrayList<>();
-        for (RunUsage usage : session.runUsages()) {
+        for (RunUsage usage : session.runs().usages()) {
             state.step(usage.run().task().step())
                     .map(step -> new DrainingRun(
                             new ActiveRun(usage.run(), session.host(), ""),
@@ -79,7 +79,7 @@
         HostSession session = sessions.get(run.host().id());
         return session != null
                 && session.hasRespondedWithin(MAX_RESPONSE_AGE, nowNanos)
-                && session.runUsages().stream()
+                && session.runs().usages().stream()
                         .anyMatch(usage -> usage.run().equals(run.run()) && usage.progressPercent() == FULL_PERCENT);
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/LoadSummary.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoadSummary.java
@@ -38,7 +38,7 @@
     static LoadSummary of(WorkflowState state, Collection<HostSession> sessions) {
         LoadSummary sum = NONE;
         for (HostSession session : sessions) {
-            for (RunUsage usage : session.runUsages()) {
+            for (RunUsage usage : session.runs().usages()) {
                 StepSpecification step = state.step(usage.run().task().step())
                         .map(StepProgress::specification)
                         .orElse(null);
--- a/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunInspection.java
@@ -89,7 +89,7 @@
         int finished = 0;
         for (HostSession session : sessions) {
             String hostId = session.host().id();
-            for (TrackedRunStatus run : session.trackedRuns()) {
+            for (TrackedRunStatus run : session.runs().statuses()) {
                 tracked.add(run.run());
                 String ended = phaseIfFinished(state, run.run());
                 finished += ended.isEmpty() ? 0 : 1;
--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -102,7 +102,7 @@
     }
 
     private static StartAdmission startAdmission(WorkflowState state, HostSession session) {
-        List<RunId> unproven = session.unprovenRuns();
+        List<RunId> unproven = session.runs().unproven();
         if (unproven.isEmpty()) {
             return StartAdmission.ALL;
         }
--- a/control/src/main/java/org/nettlering/control/workflow/StragglingRuns.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StragglingRuns.java
@@ -34,7 +34,7 @@
 
     /** Updates what is known of the runs on a host after a poll response. */
     void update(WorkflowState state, HostSession session, RunTimeModel runTimes, long nowNanos) {
-        for (RunUsage usage : session.runUsages()) {
+        for (RunUsage usage : session.runs().usages()) {
             StepProgress step = state.step(usage.run().task().step()).orElse(null);
             if (step == null || !StragglerPolicy.allowsCopies(step.specification())) {
                 continue;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -264,7 +264,8 @@
                     || step.specification().has(StepTrait.LONG_RUNNING)) {
                 continue;
             }
-            session.uninterruptedRunTime(termination.run(), nowNanos)
+            session.runs()
+                    .uninterruptedRunTime(termination.run(), nowNanos)
                     .ifPresent(runTime -> learnRunTime(step, runTime.toMillis(), nowNanos));
         }
     }
@@ -299,13 +300,13 @@
 
     /** Stops the stalled runs on a host, so that their tasks start elsewhere, and counts each as a failure of the host. */
     private void stopStalledRuns(WorkflowState state, HostSession session, long nowNanos) {
-        for (RunUsage usage : session.runUsages()) {
+        for (RunUsage usage : session.runs().usages()) {
             boolean stalled = state.step(usage.run().task().step())
                     .map(StepProgress::specification)
                     .filter(step -> StallDetector.isStalled(step, usage, nowNanos))
                     .isPresent();
             if (stalled) {
-                session.requestStop(usage.run());
+                session.runs().requestStop(usage.run());
                 metrics.diagnostics().runs().stopRequested(usage.run(), StopReason.STALLED);
                 startableHosts.failureBackoff().recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
             }
@@ -316,7 +317,9 @@
         for (RecordTermination termination : terminations) {
             uncommittedTerminations.put(termination.run(), termination);
             hostIdsByRun.put(termination.run(), session.host().id());
-            session.evidenceOf(termination.run()).ifPresent(evidence -> evidenceByRun.put(termination.run(), evidence));
+            session.runs()
+                    .evidenceOf(termination.run())
+                    .ifPresent(evidence -> evidenceByRun.put(termination.run(), evidence));
         }
     }
 
@@ -389,7 +392,7 @@
         planRequested = true;
         for (HostSession session : sessions.values()) {
             if (HostDrains.isClosed(state.evacuations(), session)) {
-                session.withdrawUnsentStarts();
+                session.runs().withdrawUnsent();
                 markHostChanged(session.host().id());
             }
         }
@@ -517,7 +520,7 @@
         session.retainRuns(activeIds);
         addTerminations(
                 session,
-                session.uncommittedTerminations().stream()
+                session.runs().uncommittedTerminations().stream()
                         .filter(termination -> !uncommittedTerminations.containsKey(termination.run()))
                         .toList());
     }
@@ -594,7 +597,7 @@
             endUnsentRun(run);
             return;
         }
-        if (session.isTracking(run.run())) {
+        if (session.runs().contains(run.run())) {
             return;
         }
         if (!StartableHosts.mayStartCommitted(state, session)) {
@@ -604,7 +607,7 @@
         Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
         if (throttledStarts.contains(run.run())) {
-            session.setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
+            session.runs().setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
         hostIdsByRun.put(run.run(), run.host().id());
         metrics.diagnostics().runTracked(run.run(), run.host().id());
@@ -689,7 +692,7 @@
 
     private void stop(ActiveRun run, StopReason reason) {
         HostSession session = sessions.get(run.host().id());
-        if (session != null && session.requestStop(run.run())) {
+        if (session != null && session.runs().requestStop(run.run())) {
             metrics.diagnostics().runs().stopRequested(run.run(), reason);
             markHostChanged(run.host().id());
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -2,11 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -19,13 +16,9 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.host.HostResponse.Accepted;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
-import org.nettlering.domain.workflow.host.HostResponse.NotSent;
-import org.nettlering.domain.workflow.host.HostResponse.OtherIncarnation;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
 import org.nettlering.domain.workflow.host.HostResponse.Rejected;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
-import org.nettlering.domain.workflow.host.HostResponse.ReportedTermination;
-import org.nettlering.domain.workflow.host.HostResponse.Unhealthy;
 import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
 /**
@@ -55,30 +48,6 @@
      */
     public static final Duration OUTCOME_DEADLINE = Duration.ofSeconds(6);
 
-    /** How long the host may delay the response to a poll until a run terminates. */
-    private static final Duration POLL_WAIT = Duration.ofSeconds(1);
-
-    /** The same while usage is monitored; shorter so that usage is reported more often. */
-    private static final Duration MONITORED_POLL_WAIT = Duration.ofMillis(450);
-
-    /** The delay before the next poll of a host that did not respond or was unhealthy. */
-    private static final Duration UNRESPONSIVE_POLL_DELAY = Duration.ofMillis(300);
-
-    /**
-     * The minimum time between the sending of two polls; a poll that waits for a termination usually takes longer
-     * anyway.
-     */
-    private static final Duration MIN_POLL_INTERVAL = Duration.ofMillis(25);
-
-    /** The minimum time between the sending of a poll that does not wait and of the next poll. */
-    private static final Duration MIN_IMMEDIATE_POLL_INTERVAL = Duration.ofMillis(100);
-
-    /**
-     * How long after the last poll the next one waits for reported terminations to be committed, so that it can acknowledge
-     * them. It does not wait longer, because polls renew the lease of all runs on the host.
-     */
-    private static final Duration MAX_COMMIT_WAIT = POLL_WAIT;
-
     private final HostIncarnation host;
 
     private final HostTimings timings;
@@ -92,34 +61,19 @@
 
     private HostLiveness liveness;
 
-    /** The runs that may be active on the host. */
-    private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
+    private final HostRuns runs = new HostRuns();
 
     private OrphanedRuns orphanedRuns = new OrphanedRuns();
 
     private TerminationTracker terminationTracker = new TerminationTracker();
 
-    private final CrashSuspects crashSuspects = new CrashSuspects();
+    private final InferredTerminations inferred;
 
     private HostLease lease;
 
-    /** Whether the host responded to a poll in this term. */
-    private boolean pollSucceeded;
-
     private final CommandsInFlight commandsInFlight = new CommandsInFlight();
 
-    private boolean pollInFlight;
-
-    /** Whether the last poll got no response or the host was too unhealthy to handle it. */
-    private boolean pollUnanswered;
-
-    /** When the last poll was taken, by the monotonic clock. */
-    private long lastPollNanos;
-
-    /** The earliest monotonic time of the next poll. */
-    private long nextPollNanos;
-
-    private boolean usageMonitored;
+    private final PollSchedule polls;
 
     /**
      * Creates a session for a host incarnation.
@@ -141,7 +95,8 @@
         incarnation = new IncarnationTracker(nowNanos);
         liveness = new HostLiveness(nowNanos);
         lease = new HostLease(timings, nowNanos);
-        nextPollNanos = nowNanos;
+        inferred = new InferredTerminations(runs, timings);
+        polls = new PollSchedule(nowNanos);
     }
 
     /**
@@ -153,6 +108,15 @@
         return host;
     }
 
+    /**
+     * Returns the runs that may be active on the host.
+     *
+     * @return the runs, which change with this session, never null
+     */
+    public HostRuns runs() {
+        return runs;
+    }
+
     /**
      * Returns the latest heartbeat received in this term.
      *
@@ -170,7 +134,7 @@
      *     term, responded to the last command, and has not rejected a start within the backoff time
      */
     public boolean acceptsRuns(long nowNanos) {
-        return pollSucceeded && !fenceNeeded && liveness.acceptsRuns(nowNanos);
+        return polls.hasSucceeded() && !fenceNeeded && liveness.acceptsRuns(nowNanos);
     }
 
     /**
@@ -181,23 +145,12 @@
      *     time
      */
     public boolean isObsolete(long nowNanos) {
-        boolean terminated = isIncarnationTerminated(nowNanos) && crashSuspects.isEmpty();
+        boolean terminated = isIncarnationTerminated(nowNanos) && !inferred.awaitsEvidenceOfCrash();
         return runs.isEmpty() && (terminated || liveness.isHeartbeatLongOverdue(nowNanos));
     }
 
     private boolean isIncarnationTerminated(long nowNanos) {
-        return liveness.isIncarnationTerminated(pollInFlight, nowNanos);
-    }
-
-    /**
-     * Returns the latest checkpoint of a run.
-     *
-     * @param run the run, not null
-     * @return the checkpoint, empty if none is known, never null
-     */
-    public String checkpointOf(RunId run) {
-        TrackedRun tracked = runs.get(run);
-        return tracked == null ? "" : tracked.checkpoint;
+        return liveness.isIncarnationTerminated(polls.isInFlight(), nowNanos);
     }
 
     /**
@@ -211,7 +164,7 @@
     public boolean handleHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
         if (incarnation.isOther(heartbeat.startMillis())) {
             incarnation.keepUnconfirmed(heartbeat);
-            requireNewPoll(nowNanos);
+            polls.requireNew(nowNanos);
             return false;
         }
         if (!liveness.handleHeartbeat(heartbeat, nowNanos)) {
@@ -230,7 +183,7 @@
      */
     public void handleShutdownNotice(long startMillis, long nowNanos) {
         if (incarnation.isOther(startMillis)) {
-            requireNewPoll(nowNanos);
+            polls.requireNew(nowNanos);
             return;
         }
         liveness.handleShutdownNotice(nowNanos);
@@ -255,13 +208,7 @@
     public void raiseToken(long higherToken, long nowNanos) {
         token = higherToken;
         fenceNeeded = false;
-        requireNewPoll(nowNanos);
-    }
-
-    /** Starts nothing more before the response to a poll has shown which incarnation is running. */
-    private void requireNewPoll(long nowNanos) {
-        pollSucceeded = false;
-        nextPollNanos = nowNanos;
+        polls.requireNew(nowNanos);
     }
 
     /**
@@ -272,11 +219,7 @@
      * @param nowNanos the monotonic time
      */
     public void trackInheritedRun(ActiveRun run, boolean throttled, long nowNanos) {
-        TrackedRun tracked = new TrackedRun(run, "", "", Stage.INHERITED, nowNanos);
-        if (throttled) {
-            tracked.markSpeedUnknown(nowNanos);
-        }
-        runs.put(run.run(), tracked);
+        runs.addInherited(run, throttled, nowNanos);
         incarnation.assumeStart(run.hostStartMillis());
         lease.markInherited();
     }
@@ -290,29 +233,7 @@
      * @param nowNanos the monotonic time
      */
     public void trackNewRun(ActiveRun run, String taskSpecification, String ticket, long nowNanos) {
-        runs.put(run.run(), new TrackedRun(run, taskSpecification, ticket, Stage.START_PENDING, nowNanos));
-    }
-
-    /**
-     * Requests that a run be stopped.
-     *
-     * @param run the run, ignored if it is not tracked, not null
-     * @return true if the run is tracked and its stop was not requested before
-     */
-    public boolean requestStop(RunId run) {
-        TrackedRun tracked = runs.get(run);
-        if (tracked == null || tracked.stopRequested) {
-            return false;
-        }
-        tracked.stopRequested = true;
-        return true;
-    }
-
-    /** Ends the runs as never begun whose start commands have not been passed on. */
-    public void withdrawUnsentStarts() {
-        runs.values().stream()
-                .filter(tracked -> tracked.stage == Stage.START_PENDING)
-                .forEach(tracked -> tracked.stopRequested = true);
+        runs.addNew(run, taskSpecification, ticket, nowNanos);
     }
 
     /**
@@ -327,83 +248,23 @@
         return ageMillis != TerminationEvidence.NEVER && ageMillis <= maxAge.toMillis();
     }
 
-    /**
-     * Returns whether a run is tracked.
-     *
-     * @param run the run, not null
-     * @return true from the time when its start is known to be committed until its termination is
-     */
-    public boolean isTracking(RunId run) {
-        return runs.containsKey(run);
-    }
-
     /**
      * Stops tracking runs whose terminations are committed although {@link #onTerminationCommitted} was not called.
      *
      * @param activeRuns all runs that are active on this host by the replicated state, not null
      */
     public void retainRuns(Set<RunId> activeRuns) {
-        runs.keySet().retainAll(activeRuns);
+        runs.retain(activeRuns);
         terminationTracker.discardWithoutEffect(activeRuns);
     }
 
-    /**
-     * Returns the terminations that were found and are not known to be committed.
-     *
-     * @return one for each tracked run whose termination was found, never null
-     */
-    public List<RecordTermination> uncommittedTerminations() {
-        return runs.values().stream()
-                .flatMap(tracked -> Optional.ofNullable(tracked.termination).stream())
-                .toList();
-    }
-
-    /**
-     * Sets the speed to which a run is throttled.
-     *
-     * @param run the run, ignored if it is not tracked, not null
-     * @param speedPercent the share of full speed, 0 to 100; 100 is unthrottled
-     */
-    public void setSpeed(RunId run, int speedPercent) {
-        TrackedRun tracked = runs.get(run);
-        if (tracked != null) {
-            tracked.setDesiredSpeed(speedPercent);
-        }
-    }
-
     /**
      * Sets whether the usage of the runs is polled at shorter intervals.
      *
      * @param enabled true if best-effort runs share the host with latency-critical runs
      */
     public void setUsageMonitored(boolean enabled) {
-        usageMonitored = enabled;
-    }
-
-    /**
-     * Returns the unproven runs: those that the host may have started or is to start, and has not shown at
-     * work for long enough to show that starting them does not crash it.
-     *
-     * @return the runs whose termination is not known, never null
-     */
-    public List<RunId> unprovenRuns() {
-        return runs.values().stream()
-                .filter(TrackedRun::isUnproven)
-                .map(tracked -> tracked.activeRun.run())
-                .toList();
-    }
-
-    /**
-     * Returns the usage of the active runs as of the last poll response.
-     *
-     * @return the runs that the host reported as running and that have neither a known termination nor a stop request,
-     *     never null
-     */
-    public List<RunUsage> runUsages() {
-        return runs.values().stream()
-                .filter(tracked -> tracked.reportedRunning && !tracked.isTerminationFound() && !tracked.stopRequested)
-                .map(TrackedRun::toUsage)
-                .toList();
+        polls.setUsageMonitored(enabled);
     }
 
     /**
@@ -415,7 +276,7 @@
      */
     public boolean onTerminationCommitted(RunId run, TerminalStatus status) {
         terminationTracker.recordCommitted(run, status);
-        return runs.remove(run) != null;
+        return runs.remove(run);
     }
 
     /**
@@ -446,10 +307,7 @@
         if (isIncarnationTerminated(nowNanos)) {
             return due;
         }
-        for (TrackedRun tracked : runs.values()) {
-            tracked.takeDueCommand(token, lease, liveness.isUnresponsive(), nowNanos)
-                    .ifPresent(due::add);
-        }
+        due.addAll(runs.takeDueCommands(token, lease, liveness.isUnresponsive(), nowNanos));
         orphanedRuns.takeDueStops(nowNanos).forEach(run -> due.add(new HostCommand.Stop(host, token, run)));
         if (isPollDue(nowNanos)) {
             due.add(createPoll(nowNanos));
@@ -476,7 +334,7 @@
             delaysNanos.add(nextPollNanos() - nowNanos);
         }
         orphanedRuns.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
-        runs.values().forEach(run -> run.nextStopNanos().ifPresent(next -> delaysNanos.add(next - nowNanos)));
+        runs.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         OptionalLong shortestDelayNanos = delaysNanos.build().min();
         return shortestDelayNanos.isEmpty() || isIncarnationTerminated(nowNanos)
                 ? OptionalLong.empty()
@@ -488,44 +346,37 @@
     }
 
     private boolean needsPoll() {
-        boolean needed = !pollSucceeded
+        boolean needed = !polls.hasSucceeded()
                 || liveness.isUnresponsive()
                 || !runs.isEmpty()
                 || terminationTracker.hasUnsentAcknowledgement()
                 || terminationTracker.hasUncommitted()
                 || !orphanedRuns.isEmpty();
-        return needed && !pollInFlight;
+        return needed && !polls.isInFlight();
     }
 
     /** Returns the earliest monotonic time of the next poll, which waits for terminations to be committed. */
     private long nextPollNanos() {
         boolean awaitsCommit = terminationTracker.hasUncommitted() && !liveness.isUnresponsive();
-        long afterCommitWaitNanos = lastPollNanos + MAX_COMMIT_WAIT.toNanos();
-        return awaitsCommit && afterCommitWaitNanos - nextPollNanos > 0 ? afterCommitWaitNanos : nextPollNanos;
+        return polls.nextNanos(awaitsCommit);
     }
 
     private HostCommand createPoll(long nowNanos) {
-        pollInFlight = true;
-        lastPollNanos = nowNanos;
-        boolean immediate = !pollSucceeded
+        // An unanswered start needs an immediate poll, whose response helps to show whether the run started.
+        boolean immediate = !polls.hasSucceeded()
                 || liveness.isUnresponsive()
                 || runs.isEmpty()
                 || !orphanedRuns.isEmpty()
-                || hasUnansweredStart();
-        long maxWaitMillis = immediate ? 0 : (usageMonitored ? MONITORED_POLL_WAIT : POLL_WAIT).toMillis();
+                || runs.hasUnansweredStart();
+        Duration maxWait = polls.send(immediate, nowNanos);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
-        boolean renewsLease = !runs.isEmpty() && !pollUnanswered;
+        boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered();
         return new HostCommand.Poll(
                 host,
                 token,
                 renewsLease ? lease.renew(nowNanos) : 0,
                 terminationTracker.committedThrough(),
-                maxWaitMillis);
-    }
-
-    /** An unanswered start needs an immediate poll, whose response helps to show whether the run started. */
-    private boolean hasUnansweredStart() {
-        return runs.values().stream().anyMatch(tracked -> tracked.stage == Stage.START_UNANSWERED);
+                maxWait.toMillis());
     }
 
     /**
@@ -546,7 +397,7 @@
                 case CURRENT -> {}
                 case LATER -> endedWithIncarnation.addAll(onReborn(pollResult, sentNanos, nowNanos));
                 case EARLIER -> {
-                    pollInFlight &= !awaited;
+                    recordPollOutcome(awaited);
                     return List.of();
                 }
             }
@@ -566,14 +417,19 @@
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
             case HostCommand.Stop stop -> onStopResponse(stop, response, nowNanos);
             case HostCommand.Poll poll -> {
-                // After an overdue poll, another one may be in flight.
-                pollInFlight &= !awaited;
+                recordPollOutcome(awaited);
                 yield onPollResponse(poll, sentNanos, response, nowNanos);
             }
             case HostCommand.Throttle throttle -> onThrottleResponse(throttle, response, nowNanos);
         };
     }
 
+    private void recordPollOutcome(boolean awaited) {
+        if (awaited) {
+            polls.recordOutcome();
+        }
+    }
+
     /**
      * Discards what is known of the incarnation that has terminated, and returns the terminations of the runs that were
      * active there. The later incarnation may have executed a start that was sent before its rebirth was known, and may
@@ -589,32 +445,12 @@
         lease.markInherited();
         orphanedRuns = new OrphanedRuns();
         terminationTracker = new TerminationTracker();
-        Set<RunId> reported = reportedRuns(pollResult);
-        List<TrackedRun> ended = runs.values().stream()
-                .filter(tracked -> !reported.contains(tracked.activeRun.run()))
-                .filter(tracked -> tracked.wasActiveBefore(sentNanos))
-                .toList();
-        runs.values().forEach(tracked -> tracked.forgetStopAcknowledgement(nowNanos));
-        return endWithIncarnation(ended, announced, new TerminationEvidence.Reborn(incarnation.startMillis()));
-    }
-
-    /** Returns the terminations of runs that were active on an incarnation that has terminated. */
-    private List<RecordTermination> endWithIncarnation(
-            Collection<TrackedRun> ended, boolean announced, TerminationEvidence evidence) {
-        List<RunId> suspects = CrashSuspects.among(ended);
-        List<RecordTermination> terminations = new ArrayList<>();
-        TerminalStatus suspectStatus = TerminalStatus.HOST_LOST;
-        if (announced) {
-            crashSuspects.clear();
-        } else {
-            suspectStatus = crashSuspects.statusTogetherWith(suspects);
-            terminations.addAll(crashSuspects.removeLost(suspects));
-        }
-        for (TrackedRun tracked : ended) {
-            TerminalStatus status = tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST;
-            terminations.add(recordTermination(tracked, status, evidence));
-        }
-        return terminations;
+        runs.forgetStopAcknowledgements(nowNanos);
+        return inferred.ofRebirth(
+                reportedRuns(pollResult),
+                announced,
+                new TerminationEvidence.Reborn(incarnation.startMillis()),
+                sentNanos);
     }
 
     private static Set<RunId> reportedRuns(PollResult pollResult) {
@@ -650,35 +486,17 @@
         switch (response) {
             case Accepted accepted -> tracked.confirm(nowNanos);
             case NoResponse noResponse -> markStartUnanswered(tracked, nowNanos);
-            case NotSent notSent -> {
-                return List.of(recordTermination(
-                        tracked,
-                        TerminalStatus.NOT_BEGUN,
-                        new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive())));
-            }
-            case Rejected rejected -> {
-                liveness.recordRejection(nowNanos);
-                return List.of(recordTermination(
-                        tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.StartRefused(rejected.reason())));
-            }
-            case Unhealthy unhealthy -> {
-                return List.of(
-                        recordTermination(tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.HostUnwell()));
-            }
-            case OtherIncarnation otherIncarnation -> {
-                return List.of(
-                        recordTermination(tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.OtherLife()));
-            }
+            case Rejected rejected -> liveness.recordRejection(nowNanos);
             default -> {}
         }
-        return List.of();
+        return InferredTerminations.ofStartResponse(tracked, response, liveness.isUnresponsive());
     }
 
     /** Assumes that the run may have started, until the host shows its state, and has it stopped. */
     private void markStartUnanswered(TrackedRun tracked, long nowNanos) {
         tracked.stage = Stage.START_UNANSWERED;
         tracked.stopRequested = true;
-        nextPollNanos = nowNanos;
+        polls.hasten(nowNanos);
     }
 
     private List<RecordTermination> onStopResponse(HostCommand.Stop stop, HostResponse response, long nowNanos) {
@@ -696,15 +514,12 @@
 
     private List<RecordTermination> onPollResponse(
             HostCommand.Poll poll, long sentNanos, HostResponse response, long nowNanos) {
-        pollUnanswered = liveness.isUnresponsive();
         if (!(response instanceof PollResult pollResult)) {
-            nextPollNanos = nowNanos + UNRESPONSIVE_POLL_DELAY.toNanos();
+            polls.recordFailure(liveness.isUnresponsive(), nowNanos);
             return List.of();
         }
-        pollSucceeded |= poll.token() == token;
+        polls.recordResponse(poll.maxWaitMillis() > 0, poll.token() == token, sentNanos, nowNanos);
         lease.markEarlierLeadersFenced();
-        Duration interval = poll.maxWaitMillis() > 0 ? MIN_POLL_INTERVAL : MIN_IMMEDIATE_POLL_INTERVAL;
-        nextPollNanos = Math.max(nowNanos, sentNanos + interval.toNanos());
         terminationTracker.recordAcknowledged(poll.acknowledgedThrough());
         Set<RunId> reported = reportedRuns(pollResult);
         List<RecordTermination> terminations = new ArrayList<>();
@@ -712,52 +527,12 @@
             handleReportedRun(reportedRun, nowNanos);
         }
         orphanedRuns.retain(reported);
-        for (ReportedTermination termination : pollResult.terminations()) {
-            handleReportedTermination(termination, terminations);
-        }
-        // Whatever was suspected of the silence of the host, it has not crashed.
-        crashSuspects.clear();
-        for (TrackedRun tracked : runs.values()) {
-            if (!tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run())) {
-                handleUnreportedRun(tracked, sentNanos, terminations);
-            }
-        }
+        terminations.addAll(terminationTracker.receive(pollResult.terminations(), runs));
+        inferred.hostIsAlive();
+        terminations.addAll(inferred.ofUnreportedRuns(reported, sentNanos));
         return terminations;
     }
 
-    private void handleReportedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
-        findTermination(reported, terminations);
-        // Not before, because a reported termination that is not uncommitted is acknowledged.
-        terminationTracker.recordReported(reported.sequence());
-    }
-
-    private void findTermination(ReportedTermination reported, List<RecordTermination> terminations) {
-        TrackedRun tracked = runs.get(reported.run());
-        if (tracked == null) {
-            handleUntrackedTermination(reported, terminations);
-            return;
-        }
-        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
-        terminationTracker.addUncommitted(reported);
-        if (tracked.isTerminationReported()) {
-            return;
-        }
-        RecordTermination termination = new RecordTermination(reported.run(), reported.status(), checkpoint);
-        tracked.recordTermination(termination, new TerminationEvidence.Listed());
-        terminations.add(termination);
-    }
-
-    /**
-     * Records a termination that may contradict the one inferred for the run; it is not acknowledged before it is
-     * committed.
-     */
-    private void handleUntrackedTermination(ReportedTermination reported, List<RecordTermination> terminations) {
-        if (TerminationTracker.isResult(reported)) {
-            terminationTracker.addUncommitted(reported);
-            terminations.add(new RecordTermination(reported.run(), reported.status(), reported.checkpoint()));
-        }
-    }
-
     private void handleReportedRun(ReportedRun reported, long nowNanos) {
         TrackedRun tracked = runs.get(reported.run());
         if (tracked == null) {
@@ -768,40 +543,6 @@
         tracked.resendStopIfIneffective(timings.stopGrace(), nowNanos);
     }
 
-    /**
-     * Infers the termination of a run that a poll response reports neither as running nor as terminated, if there is
-     * evidence.
-     */
-    private void handleUnreportedRun(TrackedRun tracked, long sentNanos, List<RecordTermination> terminations) {
-        boolean stopComplete = tracked.wasStopCompleteBy(timings.stopGrace(), sentNanos);
-        switch (tracked.stage) {
-            case INHERITED ->
-                terminations.add(
-                        recordTermination(tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.NeverListed()));
-            case START_PENDING, START_SENT -> {}
-            case START_UNANSWERED -> {
-                if (stopComplete) {
-                    terminations.add(recordTermination(
-                            tracked, TerminalStatus.NOT_BEGUN, new TerminationEvidence.StoppedAndGone()));
-                }
-            }
-            case CONFIRMED -> {
-                tracked.stopRequested |= sentNanos - tracked.confirmedNanos >= 0;
-                if (stopComplete) {
-                    terminations.add(recordTermination(
-                            tracked, TerminalStatus.HOST_LOST, new TerminationEvidence.StoppedAndGone()));
-                }
-            }
-        }
-    }
-
-    private static RecordTermination recordTermination(
-            TrackedRun tracked, TerminalStatus status, TerminationEvidence evidence) {
-        RecordTermination termination = new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
-        tracked.recordTermination(termination, evidence);
-        return termination;
-    }
-
     /**
      * Returns the terminations of runs that are certainly over although the host did not report it.
      *
@@ -810,32 +551,11 @@
      */
     public List<RecordTermination> inferTerminations(long nowNanos) {
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
-        List<RecordTermination> terminations = new ArrayList<>(endUnsentRuns(incarnationTerminated));
-        List<TrackedRun> sent =
-                runs.values().stream().filter(TrackedRun::mayBeActive).toList();
+        List<RecordTermination> terminations = new ArrayList<>(inferred.ofUnsentRuns(liveness, incarnationTerminated));
         if (incarnationTerminated) {
-            terminations.addAll(endWithIncarnation(sent, liveness.hasAnnouncedEnd(), liveness.terminationEvidence()));
+            terminations.addAll(inferred.ofTerminatedIncarnation(liveness));
         } else if (areRunsLost(nowNanos)) {
-            crashSuspects.addLost(CrashSuspects.among(sent));
-            TerminationEvidence evidence = leaseExpiryEvidence(nowNanos);
-            sent.forEach(tracked -> terminations.add(recordTermination(tracked, TerminalStatus.HOST_LOST, evidence)));
-        }
-        return terminations;
-    }
-
-    /** Returns the terminations of runs whose start is not sent any more; the lease does not cover them. */
-    private List<RecordTermination> endUnsentRuns(boolean incarnationTerminated) {
-        List<RecordTermination> terminations = new ArrayList<>();
-        for (TrackedRun tracked : runs.values()) {
-            boolean unsent = tracked.stage == Stage.START_PENDING && !tracked.isTerminationFound();
-            if (unsent && (tracked.stopRequested || incarnationTerminated || liveness.isUnresponsive())) {
-                TerminationEvidence notSent =
-                        new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive());
-                terminations.add(recordTermination(
-                        tracked,
-                        TerminalStatus.NOT_BEGUN,
-                        incarnationTerminated ? liveness.terminationEvidence() : notSent));
-            }
+            terminations.addAll(inferred.ofExpiredLease(leaseExpiryEvidence(nowNanos)));
         }
         return terminations;
     }
@@ -859,29 +579,6 @@
                 liveness.heartbeatAgeMillis(nowNanos), liveness.responseAgeMillis(nowNanos), nowNanos);
     }
 
-    /**
-     * Returns how long a run has been at work, if it has done the whole work of its task at full speed.
-     *
-     * @param run the run, not null
-     * @param nowNanos the monotonic time
-     * @return the time since its start, or empty if this leader did not start it, it resumed from a checkpoint or it was
-     *     throttled, never null
-     */
-    public Optional<Duration> uninterruptedRunTime(RunId run, long nowNanos) {
-        return Optional.ofNullable(runs.get(run)).flatMap(tracked -> tracked.uninterruptedRunTime(nowNanos));
-    }
-
-    /**
-     * Returns the evidence of the termination of a run.
-     *
-     * @param run the run, not null
-     * @return the evidence, or empty if no termination was found or the run is no longer tracked, never null
-     */
-    public Optional<TerminationEvidence> evidenceOf(RunId run) {
-        TrackedRun tracked = runs.get(run);
-        return tracked == null ? Optional.empty() : Optional.ofNullable(tracked.evidence);
-    }
-
     /**
      * Returns what this session knows of the host and waits for.
      *
@@ -891,27 +588,18 @@
     public HostSessionStatus status(long nowNanos) {
         return new HostSessionStatus(
                 host,
-                runs.size(),
+                runs.count(),
                 lease.canBeRenewed(),
-                pollInFlight,
+                polls.isInFlight(),
                 liveness.isUnresponsive(),
                 terminationTracker.uncommittedCount(),
-                TimeUnit.NANOSECONDS.toMillis(nextPollNanos - nowNanos),
+                TimeUnit.NANOSECONDS.toMillis(polls.nextNanos() - nowNanos),
                 lease.latestExpiryInMillis(nowNanos),
                 liveness.heartbeatAgeMillis(nowNanos),
                 liveness.responseAgeMillis(nowNanos),
                 isIncarnationTerminated(nowNanos) ? Optional.of(liveness.terminationEvidence()) : Optional.empty());
     }
 
-    /**
-     * Returns what this session knows of each run that may be active on the host.
-     *
-     * @return the runs in the order in which they were tracked, for logs only, never null
-     */
-    public List<TrackedRunStatus> trackedRuns() {
-        return runs.values().stream().map(TrackedRun::status).toList();
-    }
-
     /**
      * Returns why no new runs are started on the host.
      *
@@ -920,6 +608,7 @@
      */
     public Optional<HostRefusal> refusal(long nowNanos) {
         return liveness.refusal(nowNanos)
-                .or(() -> pollSucceeded && !fenceNeeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
+                .or(() ->
+                        polls.hasSucceeded() && !fenceNeeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
     }
 }
--- /dev/null
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -0,0 +1,166 @@
+package org.nettlering.domain.workflow.host;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import org.nettlering.domain.workflow.RunId;
+import org.nettlering.domain.workflow.TerminalStatus;
+import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
+import org.nettlering.domain.workflow.host.HostResponse.NotSent;
+import org.nettlering.domain.workflow.host.HostResponse.OtherIncarnation;
+import org.nettlering.domain.workflow.host.HostResponse.Rejected;
+import org.nettlering.domain.workflow.host.HostResponse.Unhealthy;
+
+/**
+ * The terminations of runs on one host that the host itself did not report.
+ *
+ * <p>A termination is inferred only on evidence that the run is over or was never started; the evidence is kept with the
+ * run. Runs that may have crashed the host are remembered until it is known whether the host crashed. Not thread-safe.
+ */
+final class InferredTerminations {
+    private final HostRuns runs;
+
+    private final HostTimings timings;
+
+    private final CrashSuspects crashSuspects = new CrashSuspects();
+
+    InferredTerminations(HostRuns runs, HostTimings timings) {
+        this.runs = runs;
+        this.timings = timings;
+    }
+
+    /** Returns whether runs whose host is silent may turn out to have crashed it. */
+    boolean awaitsEvidenceOfCrash() {
+        return !crashSuspects.isEmpty();
+    }
+
+    /** Records that the host is alive: whatever was suspected of its silence, it has not crashed. */
+    void hostIsAlive() {
+        crashSuspects.clear();
+    }
+
+    /** Returns the termination that the response to a start proves, or an empty list if it proves none. */
+    static List<RecordTermination> ofStartResponse(TrackedRun tracked, HostResponse response, boolean unresponsive) {
+        return switch (response) {
+            case NotSent notSent ->
+                List.of(notBegun(tracked, new TerminationEvidence.NotSent(tracked.stopRequested, unresponsive)));
+            case Rejected rejected ->
+                List.of(notBegun(tracked, new TerminationEvidence.StartRefused(rejected.reason())));
+            case Unhealthy unhealthy -> List.of(notBegun(tracked, new TerminationEvidence.HostUnwell()));
+            case OtherIncarnation other -> List.of(notBegun(tracked, new TerminationEvidence.OtherLife()));
+            default -> List.of();
+        };
+    }
+
+    private static RecordTermination notBegun(TrackedRun tracked, TerminationEvidence evidence) {
+        return record(tracked, TerminalStatus.NOT_BEGUN, evidence);
+    }
+
+    /** Returns the terminations of the runs that a response to a poll sent at a monotonic time should have reported. */
+    List<RecordTermination> ofUnreportedRuns(Set<RunId> reported, long sentNanos) {
+        List<RecordTermination> terminations = new ArrayList<>();
+        runs.stream()
+                .filter(tracked -> !tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run()))
+                .forEach(tracked -> addUnreported(tracked, sentNanos, terminations));
+        return terminations;
+    }
+
+    private void addUnreported(TrackedRun tracked, long sentNanos, List<RecordTermination> terminations) {
+        boolean stopComplete = tracked.wasStopCompleteBy(timings.stopGrace(), sentNanos);
+        switch (tracked.stage) {
+            case INHERITED -> terminations.add(notBegun(tracked, new TerminationEvidence.NeverListed()));
+            case START_PENDING, START_SENT -> {}
+            case START_UNANSWERED -> {
+                if (stopComplete) {
+                    terminations.add(notBegun(tracked, new TerminationEvidence.StoppedAndGone()));
+                }
+            }
+            case CONFIRMED -> {
+                tracked.stopRequested |= sentNanos - tracked.confirmedNanos >= 0;
+                if (stopComplete) {
+                    terminations.add(
+                            record(tracked, TerminalStatus.HOST_LOST, new TerminationEvidence.StoppedAndGone()));
+                }
+            }
+        }
+    }
+
+    /**
+     * Returns the terminations of the runs whose start is not sent any more; no lease covers them.
+     *
+     * @param liveness the liveness of the host
+     * @param incarnationTerminated whether the incarnation has terminated
+     */
+    List<RecordTermination> ofUnsentRuns(HostLiveness liveness, boolean incarnationTerminated) {
+        List<RecordTermination> terminations = new ArrayList<>();
+        for (TrackedRun tracked : runs.all()) {
+            boolean unsent = tracked.stage == TrackedRun.Stage.START_PENDING && !tracked.isTerminationFound();
+            if (unsent && (tracked.stopRequested || incarnationTerminated || liveness.isUnresponsive())) {
+                TerminationEvidence notSent =
+                        new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive());
+                terminations.add(notBegun(tracked, incarnationTerminated ? liveness.terminationEvidence() : notSent));
+            }
+        }
+        return terminations;
+    }
+
+    /** Returns the terminations of the runs on a host whose lease has expired; it may have crashed or be cut off. */
+    List<RecordTermination> ofExpiredLease(TerminationEvidence evidence) {
+        List<TrackedRun> sent = sentRuns();
+        crashSuspects.addLost(CrashSuspects.among(sent));
+        return sent.stream()
+                .map(tracked -> record(tracked, TerminalStatus.HOST_LOST, evidence))
+                .toList();
+    }
+
+    /** Returns the terminations of all runs that the host may have started, after the incarnation has terminated. */
+    List<RecordTermination> ofTerminatedIncarnation(HostLiveness liveness) {
+        return endWithIncarnation(sentRuns(), liveness.hasAnnouncedEnd(), liveness.terminationEvidence());
+    }
+
+    private List<TrackedRun> sentRuns() {
+        return runs.stream().filter(TrackedRun::mayBeActive).toList();
+    }
+
+    /**
+     * Returns the terminations of the runs that were active before the host started again.
+     *
+     * @param reported the runs that the later incarnation reports
+     * @param announced whether the earlier incarnation had announced its end
+     * @param evidence the evidence that it has terminated
+     * @param sentNanos when the poll was sent to which the later incarnation responded, by the monotonic clock
+     */
+    List<RecordTermination> ofRebirth(
+            Set<RunId> reported, boolean announced, TerminationEvidence evidence, long sentNanos) {
+        List<TrackedRun> ended = runs.stream()
+                .filter(tracked -> !reported.contains(tracked.activeRun.run()))
+                .filter(tracked -> tracked.wasActiveBefore(sentNanos))
+                .toList();
+        return endWithIncarnation(ended, announced, evidence);
+    }
+
+    private List<RecordTermination> endWithIncarnation(
+            Collection<TrackedRun> ended, boolean announced, TerminationEvidence evidence) {
+        List<RunId> suspects = CrashSuspects.among(ended);
+        List<RecordTermination> terminations = new ArrayList<>();
+        TerminalStatus suspectStatus = TerminalStatus.HOST_LOST;
+        if (announced) {
+            crashSuspects.clear();
+        } else {
+            suspectStatus = crashSuspects.statusTogetherWith(suspects);
+            terminations.addAll(crashSuspects.removeLost(suspects));
+        }
+        for (TrackedRun tracked : ended) {
+            TerminalStatus status = tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST;
+            terminations.add(record(tracked, status, evidence));
+        }
+        return terminations;
+    }
+
+    private static RecordTermination record(TrackedRun tracked, TerminalStatus status, TerminationEvidence evidence) {
+        RecordTermination termination = new RecordTermination(tracked.activeRun.run(), status, tracked.checkpoint);
+        tracked.recordTermination(termination, evidence);
+        return termination;
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
@@ -1,9 +1,13 @@
 package org.nettlering.domain.workflow.host;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
+import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedTermination;
 
 /**
@@ -22,12 +26,36 @@
     /** The highest sequence number acknowledged to the host; it may discard terminations up to this one. */
     private long acknowledgedThrough;
 
-    void recordReported(long sequence) {
-        highestReported = Math.max(highestReported, sequence);
+    /** Handles the terminations in a response and returns those that are to be committed to the log. */
+    List<RecordTermination> receive(List<ReportedTermination> reported, HostRuns runs) {
+        List<RecordTermination> terminations = new ArrayList<>();
+        for (ReportedTermination termination : reported) {
+            TrackedRun tracked = runs.get(termination.run());
+            (tracked == null ? untracked(termination) : tracked(termination, tracked)).ifPresent(terminations::add);
+            // Not before, because a reported termination that is not uncommitted is acknowledged.
+            highestReported = Math.max(highestReported, termination.sequence());
+        }
+        return terminations;
     }
 
-    void addUncommitted(ReportedTermination termination) {
-        uncommitted.put(termination.sequence(), termination);
+    private Optional<RecordTermination> tracked(ReportedTermination reported, TrackedRun tracked) {
+        String checkpoint = reported.checkpoint().isEmpty() ? tracked.checkpoint : reported.checkpoint();
+        uncommitted.put(reported.sequence(), reported);
+        if (tracked.isTerminationReported()) {
+            return Optional.empty();
+        }
+        RecordTermination termination = new RecordTermination(reported.run(), reported.status(), checkpoint);
+        tracked.recordTermination(termination, new TerminationEvidence.Listed());
+        return Optional.of(termination);
+    }
+
+    /** A termination that may contradict the one inferred for the run is not acknowledged before it is committed. */
+    private Optional<RecordTermination> untracked(ReportedTermination reported) {
+        if (!isResult(reported)) {
+            return Optional.empty();
+        }
+        uncommitted.put(reported.sequence(), reported);
+        return Optional.of(new RecordTermination(reported.run(), reported.status(), reported.checkpoint()));
     }
 
     /** Records that a termination is committed; one of the same run with another status stays uncommitted. */
@@ -44,7 +72,7 @@
     }
 
     /** Returns whether a termination tells how the work of the run ended. */
-    static boolean isResult(ReportedTermination termination) {
+    private static boolean isResult(ReportedTermination termination) {
         return termination.status() == TerminalStatus.DONE || termination.status() == TerminalStatus.FAILED;
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -165,11 +165,11 @@
         session.trackInheritedRun(ACTIVE, true, nowNanos);
         sendHeartbeat(false, 1);
         respondToPoll(List.of(new ReportedRun(RUN, "", 10, 0)), List.of());
-        assertThat(session.runUsages().getFirst().speedPercent()).isZero();
+        assertThat(session.runs().usages().getFirst().speedPercent()).isZero();
         HostCommand.Throttle throttle = takeCommand(HostCommand.Throttle.class);
         assertThat(throttle.speedPercent()).isEqualTo(100);
         respond(throttle, new Accepted(hostClockMillis));
-        assertThat(session.runUsages().getFirst().speedPercent()).isEqualTo(100);
+        assertThat(session.runs().usages().getFirst().speedPercent()).isEqualTo(100);
     }
 
     @Test
@@ -304,7 +304,7 @@
     void leaseIsRenewedWhileOtherCommandsGetNoResponse() {
         makeSchedulable();
         respond(takeStart(), new Accepted(hostClockMillis));
-        session.requestStop(RUN);
+        session.runs().requestStop(RUN);
         for (int attempt = 0; attempt < 5; attempt++) {
             respond(takeCommand(HostCommand.Stop.class), new NoResponse("timeout"));
             HostCommand.Poll poll = takePoll();
@@ -484,7 +484,7 @@
     void timedOutStopIsSentAgain() {
         makeSchedulable();
         respond(takeStart(), new Accepted(hostClockMillis));
-        session.requestStop(RUN);
+        session.runs().requestStop(RUN);
         respond(takeCommand(HostCommand.Stop.class), new NoResponse("timeout"));
         assertThat(dueCommands().stream().filter(HostCommand.Stop.class::isInstance))
                 .isEmpty();
@@ -496,7 +496,7 @@
     void runStoppedBeforeItsStartIsSentEndsAsNotBegun() {
         makeSchedulable();
         session.trackNewRun(ACTIVE, "work", "", nowNanos);
-        session.requestStop(RUN);
+        session.runs().requestStop(RUN);
         assertThat(session.inferTerminations(nowNanos))
                 .containsExactly(new RecordTermination(RUN, TerminalStatus.NOT_BEGUN, ""));
         assertThat(dueCommands().stream().filter(HostCommand.Start.class::isInstance))
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
@@ -129,7 +129,7 @@
         advance(100);
         assertThat(respondToPoll(result(SECOND_START, List.of(new ReportedRun(RUN, "", 10, 0)), List.of())))
                 .isEmpty();
-        assertThat(session.isTracking(RUN)).isTrue();
+        assertThat(session.runs().contains(RUN)).isTrue();
     }
 
     @Test
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
@@ -68,7 +68,7 @@
         session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, 0);
         session.handleResponse(poll, 0, new HostResponse.NoResponse("closed"), 0);
         session.inferTerminations(millis(1_600));
-        assertThat(session.evidenceOf(RUN)).contains(new TerminationEvidence.HostLeft());
+        assertThat(session.runs().evidenceOf(RUN)).contains(new TerminationEvidence.HostLeft());
     }
 
     @Test
@@ -76,14 +76,14 @@
         sendHeartbeat();
         session.handleResponse(startRun(), 0, new HostResponse.OtherIncarnation(), 0);
         session.inferTerminations(0);
-        assertThat(session.evidenceOf(RUN)).contains(new TerminationEvidence.OtherLife());
+        assertThat(session.runs().evidenceOf(RUN)).contains(new TerminationEvidence.OtherLife());
     }
 
     @Test
     void rejectedStartEvidenceContainsReason() {
         sendHeartbeat();
         session.handleResponse(startRun(), 0, new HostResponse.Rejected(HostResponse.RejectionReason.NO_ROOM), 0);
-        assertThat(session.evidenceOf(RUN))
+        assertThat(session.runs().evidenceOf(RUN))
                 .contains(new TerminationEvidence.StartRefused(HostResponse.RejectionReason.NO_ROOM));
     }
 
@@ -93,14 +93,14 @@
         sendHeartbeat();
         HostCommand poll = session.takeDueCommands(0).getFirst();
         session.handleResponse(poll, 0, new HostResponse.PollResult(CLOCK_MILLIS, List.of(), List.of()), 0);
-        assertThat(session.evidenceOf(RUN)).contains(new TerminationEvidence.NeverListed());
+        assertThat(session.runs().evidenceOf(RUN)).contains(new TerminationEvidence.NeverListed());
     }
 
     @Test
     void activeRunHasNoTerminationEvidence() {
         sendHeartbeat();
         startRun();
-        assertThat(session.evidenceOf(RUN)).isEmpty();
+        assertThat(session.runs().evidenceOf(RUN)).isEmpty();
     }
 
     private void sendHeartbeat() {
@@ -118,7 +118,7 @@
     }
 
     private <T extends TerminationEvidence> T evidence(Class<T> type) {
-        TerminationEvidence evidence = session.evidenceOf(RUN).orElseThrow();
+        TerminationEvidence evidence = session.runs().evidenceOf(RUN).orElseThrow();
         assertThat(evidence).isInstanceOf(type);
         return type.cast(evidence);
     }
