--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
@@ -12,9 +12,11 @@
 /**
  * Backoff for hosts on which runs fail repeatedly.
  *
- * <p>A host that looks healthy but fails every run always has free capacity and would attract more runs. Each
- * consecutive failure therefore ranks a host behind hosts with fewer failures. From the second one on, the host
+ * <p>Answers the load in which a host that looks healthy fails every run: it always has free capacity and would attract
+ * more runs. Each consecutive failure therefore ranks a host behind hosts with fewer failures. From the second one on, the host
  * receives no runs during a backoff period that doubles up to a bound.
+ * Runs that fail during it began before: a host that stands still for a moment fails all its runs at once, which says no
+ * more than the first of them, and is used again as soon as one that failed a few.
  *
  * <p>A failure may be the fault of the task instead, and a task that always fails does so on every host. Therefore at
  * most half of the hosts of a pool are left out at once. Not thread-safe.
@@ -43,7 +45,14 @@
 
     private HostFailureBackoff() {}
 
-    private record Backoff(int consecutiveFailures, long untilNanos) {}
+    /**
+     * The failures of one host.
+     *
+     * @param consecutiveFailures the failures since its last completed run
+     * @param periods the number of backoff periods since then
+     * @param untilNanos the end of the latest period, by the monotonic clock
+     */
+    private record Backoff(int consecutiveFailures, int periods, long untilNanos) {}
 
     /**
      * Records the termination of a run.
@@ -64,14 +73,15 @@
     }
 
     private void recordFailure(String hostId, long nowNanos) {
-        Backoff previous = backoffs.getOrDefault(hostId, new Backoff(0, nowNanos));
+        Backoff previous = backoffs.getOrDefault(hostId, new Backoff(0, 0, nowNanos));
         int failures = previous.consecutiveFailures() + 1;
-        long untilNanos = nowNanos;
-        if (failures >= MIN_FAILURES_FOR_BACKOFF) {
-            int doublings = Math.min(failures - MIN_FAILURES_FOR_BACKOFF, MAX_DOUBLINGS);
-            untilNanos = nowNanos + (INITIAL_BACKOFF.toNanos() << doublings);
+        if (failures < MIN_FAILURES_FOR_BACKOFF || nowNanos - previous.untilNanos() < 0) {
+            backoffs.put(hostId, new Backoff(failures, previous.periods(), previous.untilNanos()));
+            return;
         }
-        backoffs.put(hostId, new Backoff(failures, untilNanos));
+        int doublings = Math.min(previous.periods(), MAX_DOUBLINGS);
+        long untilNanos = nowNanos + (INITIAL_BACKOFF.toNanos() << doublings);
+        backoffs.put(hostId, new Backoff(failures, previous.periods() + 1, untilNanos));
     }
 
     /**
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
@@ -22,6 +22,16 @@
         assertThat(backoff.isBackingOff("h", seconds(12.9))).isTrue();
     }
 
+    @Test
+    void hostThatFailsAllItsRunsAtOnceIsUsedAgainAsSoonAsOneThatFailedTwo() {
+        fail("h", 6);
+        assertThat(backoff.isBackingOff("h", seconds(3.9))).isTrue();
+        assertThat(backoff.isBackingOff("h", seconds(4.1))).isFalse();
+        backoff.recordTermination("h", TerminalStatus.FAILED, seconds(4.2));
+        assertThat(backoff.isBackingOff("h", seconds(12.1))).isTrue();
+        assertThat(backoff.isBackingOff("h", seconds(12.3))).isFalse();
+    }
+
     @Test
     void completedRunResetsFailuresAndBackoff() {
         backoff.recordTermination("h", TerminalStatus.FAILED, 0);
