--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
@@ -1,6 +1,8 @@
 package org.nettlering.domain.workflow.host;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
@@ -42,6 +44,18 @@
             running = List.copyOf(running);
             terminations = List.copyOf(terminations);
         }
+
+        /**
+         * Returns the runs that the host reports as active or terminated.
+         *
+         * @return a new set, never null
+         */
+        public Set<RunId> reportedRuns() {
+            Set<RunId> reported = new HashSet<>();
+            running.forEach(run -> reported.add(run.run()));
+            terminations.forEach(termination -> reported.add(termination.run()));
+            return reported;
+        }
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,12 +13,8 @@
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
-import org.nettlering.domain.workflow.host.HostResponse.Accepted;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
-import org.nettlering.domain.workflow.host.HostResponse.Rejected;
-import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
-import org.nettlering.domain.workflow.host.TrackedRun.Stage;
 
 /**
  * Tracks a host with one id during one leader term, also if it starts again under that id: the runs that may be active there, the commands due to it,
@@ -36,7 +31,7 @@
  *   <li>another incarnation of the host responds at its address;
  *   <li>the host announced its shutdown and there was no contact with it for a while;
  *   <li>the lease has certainly expired by the host's own clock, and the host either sends no heartbeats or did not
- *       respond for the duration of another lease.
+ *       respond for the duration of another known.lease().
  * </ul>
  *
  * <p>If the host later reports a termination that may contradict the one inferred for a run, the reported one is returned
@@ -59,18 +54,12 @@
 
     private final IncarnationTracker incarnation;
 
-    private HostLiveness liveness;
+    private KnownIncarnation known;
 
     private final HostRuns runs = new HostRuns();
 
-    private OrphanedRuns orphanedRuns = new OrphanedRuns();
-
-    private TerminationTracker terminationTracker = new TerminationTracker();
-
     private final InferredTerminations inferred;
 
-    private HostLease lease;
-
     private final CommandsInFlight commandsInFlight = new CommandsInFlight();
 
     private final PollSchedule polls;
@@ -93,8 +82,7 @@
         this.timings = timings;
         this.token = token;
         incarnation = new IncarnationTracker(nowNanos);
-        liveness = new HostLiveness(nowNanos);
-        lease = new HostLease(timings, nowNanos);
+        known = new KnownIncarnation(timings, runs, nowNanos);
         inferred = new InferredTerminations(runs, timings);
         polls = new PollSchedule(nowNanos);
     }
@@ -123,7 +111,7 @@
      * @return the heartbeat, or empty if none was received, never null
      */
     public Optional<HostHeartbeat> latestHeartbeat() {
-        return liveness.latestHeartbeat();
+        return known.liveness().latestHeartbeat();
     }
 
     /**
@@ -134,7 +122,7 @@
      *     term, responded to the last command, and has not rejected a start within the backoff time
      */
     public boolean acceptsRuns(long nowNanos) {
-        return polls.hasSucceeded() && !fenceNeeded && liveness.acceptsRuns(nowNanos);
+        return polls.hasSucceeded() && !fenceNeeded && known.liveness().acceptsRuns(nowNanos);
     }
 
     /**
@@ -146,11 +134,11 @@
      */
     public boolean isObsolete(long nowNanos) {
         boolean terminated = isIncarnationTerminated(nowNanos) && !inferred.awaitsEvidenceOfCrash();
-        return runs.isEmpty() && (terminated || liveness.isHeartbeatLongOverdue(nowNanos));
+        return runs.isEmpty() && (terminated || known.liveness().isHeartbeatLongOverdue(nowNanos));
     }
 
     private boolean isIncarnationTerminated(long nowNanos) {
-        return liveness.isIncarnationTerminated(polls.isInFlight(), nowNanos);
+        return known.liveness().isIncarnationTerminated(polls.isInFlight(), nowNanos);
     }
 
     /**
@@ -167,11 +155,7 @@
             polls.requireNew(nowNanos);
             return false;
         }
-        if (!liveness.handleHeartbeat(heartbeat, nowNanos)) {
-            return false;
-        }
-        lease.recordClockReading(heartbeat.clockMillis(), nowNanos);
-        return true;
+        return known.handleHeartbeat(heartbeat, nowNanos);
     }
 
     /**
@@ -186,7 +170,7 @@
             polls.requireNew(nowNanos);
             return;
         }
-        liveness.handleShutdownNotice(nowNanos);
+        known.liveness().handleShutdownNotice(nowNanos);
     }
 
     /**
@@ -221,7 +205,7 @@
     public void trackInheritedRun(ActiveRun run, boolean throttled, long nowNanos) {
         runs.addInherited(run, throttled, nowNanos);
         incarnation.assumeStart(run.hostStartMillis());
-        lease.markInherited();
+        known.lease().markInherited();
     }
 
     /**
@@ -244,7 +228,7 @@
      * @return true if the host has responded within that time
      */
     public boolean hasRespondedWithin(Duration maxAge, long nowNanos) {
-        long ageMillis = liveness.responseAgeMillis(nowNanos);
+        long ageMillis = known.liveness().responseAgeMillis(nowNanos);
         return ageMillis != TerminationEvidence.NEVER && ageMillis <= maxAge.toMillis();
     }
 
@@ -255,7 +239,7 @@
      */
     public void retainRuns(Set<RunId> activeRuns) {
         runs.retain(activeRuns);
-        terminationTracker.discardWithoutEffect(activeRuns);
+        known.terminations().discardWithoutEffect(activeRuns);
     }
 
     /**
@@ -275,7 +259,7 @@
      * @return true if the run was tracked here
      */
     public boolean onTerminationCommitted(RunId run, TerminalStatus status) {
-        terminationTracker.recordCommitted(run, status);
+        known.terminations().recordCommitted(run, status);
         return runs.remove(run);
     }
 
@@ -307,8 +291,8 @@
         if (isIncarnationTerminated(nowNanos)) {
             return due;
         }
-        due.addAll(runs.takeDueCommands(token, lease, liveness.isUnresponsive(), nowNanos));
-        orphanedRuns.takeDueStops(nowNanos).forEach(run -> due.add(new HostCommand.Stop(host, token, run)));
+        due.addAll(runs.takeDueCommands(token, known.lease(), known.liveness().isUnresponsive(), nowNanos));
+        due.addAll(known.takeDueStops(host, token, nowNanos));
         if (isPollDue(nowNanos)) {
             due.add(createPoll(nowNanos));
         }
@@ -328,12 +312,14 @@
     public OptionalLong nextDueNanos(long nowNanos) {
         LongStream.Builder delaysNanos = LongStream.builder();
         if (!isIncarnationTerminated(nowNanos)) {
-            liveness.terminationNanos().ifPresent(terminationNanos -> delaysNanos.add(terminationNanos - nowNanos));
+            known.liveness()
+                    .terminationNanos()
+                    .ifPresent(terminationNanos -> delaysNanos.add(terminationNanos - nowNanos));
         }
         if (needsPoll()) {
             delaysNanos.add(nextPollNanos() - nowNanos);
         }
-        orphanedRuns.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
+        known.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         runs.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         OptionalLong shortestDelayNanos = delaysNanos.build().min();
         return shortestDelayNanos.isEmpty() || isIncarnationTerminated(nowNanos)
@@ -346,36 +332,27 @@
     }
 
     private boolean needsPoll() {
-        boolean needed = !polls.hasSucceeded()
-                || liveness.isUnresponsive()
-                || !runs.isEmpty()
-                || terminationTracker.hasUnsentAcknowledgement()
-                || terminationTracker.hasUncommitted()
-                || !orphanedRuns.isEmpty();
+        boolean needed = !polls.hasSucceeded() || !runs.isEmpty() || known.needsPoll();
         return needed && !polls.isInFlight();
     }
 
     /** Returns the earliest monotonic time of the next poll, which waits for terminations to be committed. */
     private long nextPollNanos() {
-        boolean awaitsCommit = terminationTracker.hasUncommitted() && !liveness.isUnresponsive();
-        return polls.nextNanos(awaitsCommit);
+        return polls.nextNanos(known.awaitsCommit());
     }
 
     private HostCommand createPoll(long nowNanos) {
         // An unanswered start needs an immediate poll, whose response helps to show whether the run started.
-        boolean immediate = !polls.hasSucceeded()
-                || liveness.isUnresponsive()
-                || runs.isEmpty()
-                || !orphanedRuns.isEmpty()
-                || runs.hasUnansweredStart();
+        boolean immediate =
+                !polls.hasSucceeded() || runs.isEmpty() || runs.hasUnansweredStart() || known.needsImmediatePoll();
         Duration maxWait = polls.send(immediate, nowNanos);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
         boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered();
         return new HostCommand.Poll(
                 host,
                 token,
-                renewsLease ? lease.renew(nowNanos) : 0,
-                terminationTracker.committedThrough(),
+                renewsLease ? known.lease().renew(nowNanos) : 0,
+                known.terminations().committedThrough(),
                 maxWait.toMillis());
     }
 
@@ -402,7 +379,7 @@
                 }
             }
         }
-        recordContact(response, nowNanos);
+        known.recordContact(response, nowNanos);
         List<RecordTermination> terminations = onResponse(command, awaited, sentNanos, response, nowNanos);
         if (endedWithIncarnation.isEmpty()) {
             return terminations;
@@ -415,12 +392,18 @@
             HostCommand command, boolean awaited, long sentNanos, HostResponse response, long nowNanos) {
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
-            case HostCommand.Stop stop -> onStopResponse(stop, response, nowNanos);
+            case HostCommand.Stop stop -> {
+                known.onStopResponse(stop.run(), response, nowNanos);
+                yield List.of();
+            }
             case HostCommand.Poll poll -> {
                 recordPollOutcome(awaited);
                 yield onPollResponse(poll, sentNanos, response, nowNanos);
             }
-            case HostCommand.Throttle throttle -> onThrottleResponse(throttle, response, nowNanos);
+            case HostCommand.Throttle throttle -> {
+                known.onThrottleResponse(throttle, response, nowNanos);
+                yield List.of();
+            }
         };
     }
 
@@ -436,113 +419,44 @@
      * still execute one without a response.
      */
     private List<RecordTermination> onReborn(PollResult pollResult, long sentNanos, long nowNanos) {
-        boolean announced = liveness.isLeaving();
+        boolean announced = known.liveness().isLeaving();
         fenceNeeded = true;
-        liveness = new HostLiveness(nowNanos);
-        incarnation.removeConfirmedHeartbeat().ifPresent(heartbeat -> liveness.handleHeartbeat(heartbeat, nowNanos));
-        lease = new HostLease(timings, nowNanos);
+        known = new KnownIncarnation(timings, runs, nowNanos);
+        incarnation
+                .removeConfirmedHeartbeat()
+                .ifPresent(heartbeat -> known.liveness().handleHeartbeat(heartbeat, nowNanos));
         // Leases requested by the clock of the earlier incarnation are bounded only by the longest one.
-        lease.markInherited();
-        orphanedRuns = new OrphanedRuns();
-        terminationTracker = new TerminationTracker();
+        known.lease().markInherited();
         runs.forgetStopAcknowledgements(nowNanos);
         return inferred.ofRebirth(
-                reportedRuns(pollResult),
+                pollResult.reportedRuns(),
                 announced,
                 new TerminationEvidence.Reborn(incarnation.startMillis()),
                 sentNanos);
     }
 
-    private static Set<RunId> reportedRuns(PollResult pollResult) {
-        Set<RunId> reported = new HashSet<>();
-        pollResult.running().forEach(running -> reported.add(running.run()));
-        pollResult.terminations().forEach(termination -> reported.add(termination.run()));
-        return reported;
-    }
-
-    private List<RecordTermination> onThrottleResponse(
-            HostCommand.Throttle throttle, HostResponse response, long nowNanos) {
-        TrackedRun tracked = runs.get(throttle.run());
-        if (tracked != null) {
-            tracked.onThrottleResponse(throttle.speedPercent(), response instanceof Accepted, nowNanos);
-        }
-        return List.of();
-    }
-
-    private void recordContact(HostResponse response, long nowNanos) {
-        liveness.recordResponse(response, nowNanos);
-        switch (response) {
-            case Accepted accepted -> lease.recordClockReading(accepted.clockMillis(), nowNanos);
-            case PollResult pollResult -> lease.recordClockReading(pollResult.clockMillis(), nowNanos);
-            default -> {}
-        }
-    }
-
     private List<RecordTermination> onStartResponse(HostCommand.Start start, HostResponse response, long nowNanos) {
-        TrackedRun tracked = runs.get(start.run().run());
-        if (tracked == null || tracked.stage != Stage.START_SENT) {
-            return List.of();
-        }
-        switch (response) {
-            case Accepted accepted -> tracked.confirm(nowNanos);
-            case NoResponse noResponse -> markStartUnanswered(tracked, nowNanos);
-            case Rejected rejected -> liveness.recordRejection(nowNanos);
-            default -> {}
+        List<RecordTermination> terminations = known.onStartResponse(start.run().run(), response, nowNanos);
+        if (response instanceof NoResponse && runs.hasUnansweredStart()) {
+            polls.hasten(nowNanos);
         }
-        return InferredTerminations.ofStartResponse(tracked, response, liveness.isUnresponsive());
-    }
-
-    /** Assumes that the run may have started, until the host shows its state, and has it stopped. */
-    private void markStartUnanswered(TrackedRun tracked, long nowNanos) {
-        tracked.stage = Stage.START_UNANSWERED;
-        tracked.stopRequested = true;
-        polls.hasten(nowNanos);
-    }
-
-    private List<RecordTermination> onStopResponse(HostCommand.Stop stop, HostResponse response, long nowNanos) {
-        TrackedRun tracked = runs.get(stop.run());
-        boolean handled = response instanceof Accepted || response instanceof Rejected;
-        if (tracked == null) {
-            if (handled) {
-                orphanedRuns.remove(stop.run());
-            }
-            return List.of();
-        }
-        tracked.onStopResponse(response instanceof Accepted, nowNanos);
-        return List.of();
+        return terminations;
     }
 
     private List<RecordTermination> onPollResponse(
             HostCommand.Poll poll, long sentNanos, HostResponse response, long nowNanos) {
         if (!(response instanceof PollResult pollResult)) {
-            polls.recordFailure(liveness.isUnresponsive(), nowNanos);
+            polls.recordFailure(known.liveness().isUnresponsive(), nowNanos);
             return List.of();
         }
         polls.recordResponse(poll.maxWaitMillis() > 0, poll.token() == token, sentNanos, nowNanos);
-        lease.markEarlierLeadersFenced();
-        terminationTracker.recordAcknowledged(poll.acknowledgedThrough());
-        Set<RunId> reported = reportedRuns(pollResult);
-        List<RecordTermination> terminations = new ArrayList<>();
-        for (ReportedRun reportedRun : pollResult.running()) {
-            handleReportedRun(reportedRun, nowNanos);
-        }
-        orphanedRuns.retain(reported);
-        terminations.addAll(terminationTracker.receive(pollResult.terminations(), runs));
+        Set<RunId> reported = pollResult.reportedRuns();
+        List<RecordTermination> terminations = new ArrayList<>(known.receive(poll, pollResult, reported, nowNanos));
         inferred.hostIsAlive();
         terminations.addAll(inferred.ofUnreportedRuns(reported, sentNanos));
         return terminations;
     }
 
-    private void handleReportedRun(ReportedRun reported, long nowNanos) {
-        TrackedRun tracked = runs.get(reported.run());
-        if (tracked == null) {
-            orphanedRuns.add(reported.run(), nowNanos);
-            return;
-        }
-        tracked.onReportedRunning(reported, nowNanos);
-        tracked.resendStopIfIneffective(timings.stopGrace(), nowNanos);
-    }
-
     /**
      * Returns the terminations of runs that are certainly over although the host did not report it.
      *
@@ -551,34 +465,16 @@
      */
     public List<RecordTermination> inferTerminations(long nowNanos) {
         boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
-        List<RecordTermination> terminations = new ArrayList<>(inferred.ofUnsentRuns(liveness, incarnationTerminated));
+        List<RecordTermination> terminations =
+                new ArrayList<>(inferred.ofUnsentRuns(known.liveness(), incarnationTerminated));
         if (incarnationTerminated) {
-            terminations.addAll(inferred.ofTerminatedIncarnation(liveness));
-        } else if (areRunsLost(nowNanos)) {
-            terminations.addAll(inferred.ofExpiredLease(leaseExpiryEvidence(nowNanos)));
+            terminations.addAll(inferred.ofTerminatedIncarnation(known.liveness()));
+        } else if (!runs.isEmpty()) {
+            known.leaseExpiry(nowNanos).ifPresent(evidence -> terminations.addAll(inferred.ofExpiredLease(evidence)));
         }
         return terminations;
     }
 
-    /**
-     * Returns whether the lease has expired and the host's own report of the terminations is no longer awaited.
-     *
-     * <p>An expired lease proves that no run is active, but not how it terminated: a host that still sends heartbeats
-     * can report that, and is given the duration of another lease to do so.
-     */
-    private boolean areRunsLost(long nowNanos) {
-        if (runs.isEmpty()) {
-            return false;
-        }
-        Duration additionalMargin = liveness.hasRecentHeartbeat(nowNanos) ? timings.lease() : Duration.ZERO;
-        return lease.hasExpired(additionalMargin, nowNanos);
-    }
-
-    private TerminationEvidence leaseExpiryEvidence(long nowNanos) {
-        return lease.expiryEvidence(
-                liveness.heartbeatAgeMillis(nowNanos), liveness.responseAgeMillis(nowNanos), nowNanos);
-    }
-
     /**
      * Returns what this session knows of the host and waits for.
      *
@@ -589,15 +485,17 @@
         return new HostSessionStatus(
                 host,
                 runs.count(),
-                lease.canBeRenewed(),
+                known.lease().canBeRenewed(),
                 polls.isInFlight(),
-                liveness.isUnresponsive(),
-                terminationTracker.uncommittedCount(),
+                known.liveness().isUnresponsive(),
+                known.terminations().uncommittedCount(),
                 TimeUnit.NANOSECONDS.toMillis(polls.nextNanos() - nowNanos),
-                lease.latestExpiryInMillis(nowNanos),
-                liveness.heartbeatAgeMillis(nowNanos),
-                liveness.responseAgeMillis(nowNanos),
-                isIncarnationTerminated(nowNanos) ? Optional.of(liveness.terminationEvidence()) : Optional.empty());
+                known.lease().latestExpiryInMillis(nowNanos),
+                known.liveness().heartbeatAgeMillis(nowNanos),
+                known.liveness().responseAgeMillis(nowNanos),
+                isIncarnationTerminated(nowNanos)
+                        ? Optional.of(known.liveness().terminationEvidence())
+                        : Optional.empty());
     }
 
     /**
@@ -607,7 +505,8 @@
      * @return the first reason, for logs only, or empty if {@link #acceptsRuns} is true, never null
      */
     public Optional<HostRefusal> refusal(long nowNanos) {
-        return liveness.refusal(nowNanos)
+        return known.liveness()
+                .refusal(nowNanos)
                 .or(() ->
                         polls.hasSucceeded() && !fenceNeeded ? Optional.empty() : Optional.of(HostRefusal.NOT_POLLED));
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -284,6 +284,12 @@
         }
     }
 
+    /** Assumes that the run may have started, until the host shows its state, and has it stopped. */
+    void markStartUnanswered() {
+        stage = Stage.START_UNANSWERED;
+        stopRequested = true;
+    }
+
     void onReportedRunning(HostResponse.ReportedRun reported, long nowNanos) {
         confirm(nowNanos);
         reportedRunning = true;
