--- a/control/src/main/java/org/nettlering/control/workflow/LoadSummary.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoadSummary.java
@@ -1,80 +1,119 @@
 package org.nettlering.control.workflow;
 
 import java.util.Collection;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepSpecification;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.WorkflowState;
+import org.nettlering.domain.workflow.host.HostHeartbeat;
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.RunUsage;
 
 /**
- * The running and pending work, summed over all hosts.
+ * The running and pending work and the processors for it, summed over all hosts.
  *
- * <p>For logs and metrics only. The component names appear in the log. Immutable and thread-safe.
- *
- * @param servingRuns the number of latency-critical runs reported by their hosts
- * @param fillingRuns the number of best-effort runs reported by their hosts
- * @param fillingMillicores the processors that the best-effort runs request, in millicores
- * @param pacedMillicores the same processors multiplied by the speed of each run, in millicores
- * @param usedMillicores the processors that the best-effort runs used at the last measurement, in millicores
- * @param otherRuns the number of all other runs reported by their hosts
- * @param waitingFilling the number of pending best-effort tasks
- * @param waitingOthers the number of all other pending tasks
+ * <p>For logs only. Immutable and thread-safe.
  */
-record LoadSummary(
-        int servingRuns,
-        int fillingRuns,
-        long fillingMillicores,
-        long pacedMillicores,
-        long usedMillicores,
-        int otherRuns,
-        int waitingFilling,
-        int waitingOthers) {
+final class LoadSummary {
     private static final int FULL_PERCENT = 100;
 
-    private static final LoadSummary NONE = new LoadSummary(0, 0, 0, 0, 0, 0, 0, 0);
+    /** What is summed, with the name of its field in the log; processors are in millicores. */
+    private enum Quantity {
+        /** The processors of the hosts that accept runs. */
+        USABLE("usableMillicores"),
+        /** What long-running tasks hold there. */
+        LONG_RUNNING("longRunningMillicores"),
+        /** What other tasks but best-effort ones hold there. */
+        ALLOCATED_TO_OTHERS("otherMillicores"),
+        SERVING_RUNS("servingRuns"),
+        BEST_EFFORT_RUNS("bestEffortRuns"),
+        /** What best-effort runs request. */
+        BEST_EFFORT("bestEffortMillicores"),
+        /** The same, multiplied by the speed of each run. */
+        THROTTLED("throttledMillicores"),
+        /** What best-effort runs used at the last measurement. */
+        USED("usedMillicores"),
+        OTHER_RUNS("otherRuns"),
+        /** The pending best-effort tasks. */
+        PENDING_BEST_EFFORT("pendingBestEffort"),
+        PENDING_BEST_EFFORT_DEMAND("pendingBestEffortMillicores"),
+        /** All other pending tasks. */
+        PENDING_OTHERS("pendingOthers"),
+        PENDING_OTHERS_DEMAND("pendingOtherMillicores");
+
+        private final String field;
+
+        Quantity(String field) {
+            this.field = field;
+        }
+    }
 
-    static LoadSummary of(WorkflowState state, Collection<HostSession> sessions) {
-        LoadSummary sum = NONE;
+    private final Map<Quantity, Long> sums = new EnumMap<>(Quantity.class);
+
+    static LoadSummary of(WorkflowState state, Collection<HostSession> sessions, long nowNanos) {
+        return new LoadSummary(state, sessions, nowNanos);
+    }
+
+    private LoadSummary(WorkflowState state, Collection<HostSession> sessions, long nowNanos) {
         for (HostSession session : sessions) {
+            if (session.acceptsRuns(nowNanos)) {
+                session.latestHeartbeat()
+                        .map(HostHeartbeat::capacity)
+                        .ifPresent(capacity -> add(Quantity.USABLE, capacity.millicores()));
+                state.allocationsOf(session.host().id()).ifPresent(this::addAllocations);
+            }
             for (RunUsage usage : session.runs().usages()) {
-                StepSpecification step = state.step(usage.run().task().step())
-                        .map(StepProgress::specification)
-                        .orElse(null);
-                sum = step == null ? sum : sum.plusRun(step, usage);
+                state.step(usage.run().task().step()).ifPresent(step -> addRun(step.specification(), usage));
             }
         }
-        for (StepProgress step : state.pendingSteps()) {
-            sum = sum.plusPending(step.specification().has(StepTrait.BEST_EFFORT), step.pendingCount());
+        state.pendingSteps().forEach(this::addPending);
+    }
+
+    private void addAllocations(HostAllocations allocations) {
+        for (StepSpecification step : allocations.specifications()) {
+            boolean longRunning = step.has(StepTrait.LONG_RUNNING);
+            add(
+                    longRunning ? Quantity.LONG_RUNNING : Quantity.ALLOCATED_TO_OTHERS,
+                    step.allocation().millicores());
+        }
+    }
+
+    private void addRun(StepSpecification step, RunUsage usage) {
+        if (step.isLatencyCritical()) {
+            add(Quantity.SERVING_RUNS, 1);
+        } else if (step.has(StepTrait.BEST_EFFORT)) {
+            long requestedMillicores = step.demand().millicores();
+            add(Quantity.BEST_EFFORT_RUNS, 1);
+            add(Quantity.BEST_EFFORT, requestedMillicores);
+            add(Quantity.THROTTLED, requestedMillicores * usage.speedPercent() / FULL_PERCENT);
+            add(Quantity.USED, usage.load());
+        } else {
+            add(Quantity.OTHER_RUNS, 1);
         }
-        return sum;
     }
 
-    private LoadSummary plusRun(StepSpecification step, RunUsage usage) {
-        int latencyCritical = step.isLatencyCritical() ? 1 : 0;
-        int bestEffort = step.has(StepTrait.BEST_EFFORT) ? 1 : 0;
-        long requestedMillicores = bestEffort * step.demand().millicores();
-        return new LoadSummary(
-                servingRuns + latencyCritical,
-                fillingRuns + bestEffort,
-                fillingMillicores + requestedMillicores,
-                pacedMillicores + requestedMillicores * usage.speedPercent() / FULL_PERCENT,
-                usedMillicores + bestEffort * usage.load(),
-                otherRuns + 1 - Math.max(latencyCritical, bestEffort),
-                waitingFilling,
-                waitingOthers);
+    private void addPending(StepProgress step) {
+        boolean bestEffort = step.specification().has(StepTrait.BEST_EFFORT);
+        int tasks = step.pendingCount();
+        long millicores = tasks * step.specification().demand().millicores();
+        add(bestEffort ? Quantity.PENDING_BEST_EFFORT : Quantity.PENDING_OTHERS, tasks);
+        add(bestEffort ? Quantity.PENDING_BEST_EFFORT_DEMAND : Quantity.PENDING_OTHERS_DEMAND, millicores);
+    }
+
+    private void add(Quantity quantity, long amount) {
+        sums.merge(quantity, amount, Long::sum);
     }
 
-    private LoadSummary plusPending(boolean isBestEffort, int tasks) {
-        return new LoadSummary(
-                servingRuns,
-                fillingRuns,
-                fillingMillicores,
-                pacedMillicores,
-                usedMillicores,
-                otherRuns,
-                waitingFilling + (isBestEffort ? tasks : 0),
-                waitingOthers + (isBestEffort ? 0 : tasks));
+    /** Returns the fields of the log line by name. */
+    Map<String, Object> toFields() {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        for (Quantity quantity : Quantity.values()) {
+            fields.put(quantity.field, sums.getOrDefault(quantity, 0L));
+        }
+        return fields;
     }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -34,7 +34,7 @@
             Level.INFO,
             "host {} with latency-critical runs {} and best-effort runs {}: changing speed percentages to {}"),
     /** The running and pending work, logged periodically. */
-    LOAD_SUMMARY(3314, Level.INFO, "running and pending work of the leader of term {}: {}"),
+    LOAD_SUMMARY(3314, Level.INFO, "running and pending work of the leader of term {}"),
     /** A throttled run is stopped so that its task runs on another host. */
     RUN_MIGRATED(3315, Level.INFO, "stopping throttled run {} on host {} to migrate its task"),
     /** Statistics of the loop, logged periodically. */
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -329,7 +329,8 @@
         WorkflowLeadership current = leadership;
         if (current != null && log.isReadyLeader()) {
             withLeadership(LoopStage.REQUEST, current, (state, active) -> {
-                LOG.log(WorkflowEvent.LOAD_SUMMARY, active.term(), LoadSummary.of(state, active.sessions()));
+                LoadSummary load = LoadSummary.of(state, active.sessions(), time.nanoTime());
+                LOG.logWithFields(WorkflowEvent.LOAD_SUMMARY, load.toFields(), active.term());
                 logDrains(state, active);
             });
         }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -152,8 +152,9 @@
             return readConfirmed((state, current) -> rejectedResponse(retryAfter.get()));
         }
         return undecidedJobs.during(jobId, () -> propose(submission)).thenApply(commandResult -> {
-            LOG.log(
+            LOG.logWithFields(
                     WorkflowEvent.JOB_ACCEPTED,
+                    AcceptedJobDetails.of(submission).toFields(),
                     jobId,
                     terms.queue(),
                     queues.version(),
