--- a/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.RemainingWork;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepSpecification;
@@ -12,6 +13,8 @@
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.admission.FeasibilityPolicy;
+import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
+import org.nettlering.domain.workflow.admission.LongRunningShare;
 import org.nettlering.domain.workflow.admission.RejectedJobs;
 import org.nettlering.domain.workflow.admission.WaitingWork;
 import org.nettlering.domain.workflow.admission.WorkRate;
@@ -19,21 +22,34 @@
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
 
 /**
- * Rejects jobs of one leadership that cannot end while their results are of use.
+ * Decides which submitted jobs one leadership accepts, from what it has seen of submissions and ends.
  *
  * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
  */
 final class JobAdmission {
     private static final int MILLICORES_PER_CORE = 1_000;
 
-    /** Work that competes for the same room. */
-    private record WorkKind(String pool, boolean bestEffort) {}
+    private final StartableHosts hosts;
+
+    private final RunTimeModel runTimes;
+
+    private final WorkflowOptions options;
+
+    private final LongRunningShare longRunningShare;
 
     private final Map<WorkKind, WorkRate> rates = new HashMap<>();
 
     private final RejectedJobs rejectedJobs = RejectedJobs.none();
 
-    JobAdmission() {}
+    /** Work that competes for the same room. */
+    private record WorkKind(String pool, boolean bestEffort) {}
+
+    JobAdmission(StartableHosts hosts, RunTimeModel runTimes, WorkflowOptions options, long nowNanos) {
+        this.hosts = hosts;
+        this.runTimes = runTimes;
+        this.options = options;
+        longRunningShare = LongRunningShare.observedSince(nowNanos);
+    }
 
     /** Records a task that was done in the given time at full speed. */
     void taskDone(StepProgress step, long runTimeMillis, long nowNanos) {
@@ -43,13 +59,28 @@
         rates.computeIfAbsent(kind, key -> WorkRate.startingAt(nowNanos)).add(cpuMillis, nowNanos);
     }
 
+    /** Decides on a job that is not stored; returns the retry delay if it is rejected, or empty if it is accepted. */
+    Optional<Duration> retryDelay(WorkflowState state, SubmitJob submission, long nowNanos) {
+        JobDefinition definition = submission.definition();
+        String pool = submission.terms().pool();
+        Optional<Duration> tooManyTasks =
+                JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks());
+        if (tooManyTasks.isPresent()) {
+            return tooManyTasks;
+        }
+        if (definition.longRunningMillicores() > 0) {
+            return longRunningShare.retryDelay(
+                    definition, pool, hosts.poolMillicores(state, pool), state.longRunningMillicores(pool), nowNanos);
+        }
+        longRunningShare.shortJobSubmitted(definition, pool, nowNanos);
+        return options.rejectInfeasible()
+                ? retryDelayIfInfeasible(state, submission, hosts.freeCapacities(state, nowNanos), nowNanos)
+                : Optional.empty();
+    }
+
     /** Returns the retry delay if a job is infeasible and was not sent away before, or empty if it is admitted. */
-    Optional<Duration> retryDelay(
-            WorkflowState state,
-            SubmitJob submission,
-            Collection<FreeCapacity> capacities,
-            RunTimeModel runTimes,
-            long nowNanos) {
+    Optional<Duration> retryDelayIfInfeasible(
+            WorkflowState state, SubmitJob submission, Collection<FreeCapacity> capacities, long nowNanos) {
         StepSpecification first = submission.definition().steps().getFirst();
         boolean bestEffort = first.has(StepTrait.BEST_EFFORT);
         String pool = submission.terms().pool();
--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -61,6 +61,19 @@
         return !exceedsCapacity && !HostDrains.isClosed(state.evacuations(), session);
     }
 
+    /** Returns the processors of the hosts of a pool that are not to be emptied, in millicores; zero while none is known. */
+    long poolMillicores(WorkflowState state, String pool) {
+        long sum = 0;
+        for (HostSession session : sessions.values()) {
+            sum += session.latestHeartbeat()
+                    .filter(heartbeat ->
+                            heartbeat.pool().equals(pool) && !HostDrains.isClosed(state.evacuations(), session))
+                    .map(heartbeat -> heartbeat.capacity().millicores())
+                    .orElse(0L);
+        }
+        return sum;
+    }
+
     /** Returns the free capacity of each host on which runs may start now. */
     List<FreeCapacity> freeCapacities(WorkflowState state, long nowNanos) {
         Map<String, List<String>> hostIdsByPool = new LinkedHashMap<>();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -14,8 +14,6 @@
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.Job;
-import org.nettlering.domain.workflow.JobDefinition;
-import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
@@ -27,7 +25,6 @@
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
-import org.nettlering.domain.workflow.admission.JobAdmissionPolicy;
 import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
@@ -93,7 +90,7 @@
     /** How long tasks run, learned in this term. */
     private final RunTimeModel runTimes = RunTimeModel.empty();
 
-    private final JobAdmission admission = new JobAdmission();
+    private final JobAdmission admission;
 
     private final StragglingRuns straggling = new StragglingRuns();
 
@@ -180,6 +177,7 @@
         nextComparisonNanos = nowNanos;
         finishedJobs = new FinishedJobRetention(nowNanos);
         startableHosts = new StartableHosts(sessions, counters, failures);
+        admission = new JobAdmission(startableHosts, runTimes, options, nowNanos);
     }
 
     private HostSession sessionOf(HostAllocations allocations, long nowNanos) {
@@ -331,29 +329,7 @@
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
     Optional<Duration> retryAfterIfRejected(WorkflowState state, SubmitJob submission, long nowNanos) {
-        JobDefinition definition = submission.definition();
-        JobTerms terms = submission.terms();
-        Optional<Duration> tooManyTasks =
-                JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks());
-        if (tooManyTasks.isPresent()) {
-            return tooManyTasks;
-        }
-        if (definition.longRunningMillicores() == 0) {
-            return options.rejectInfeasible()
-                    ? admission.retryDelay(
-                            state, submission, startableHosts.freeCapacities(state, nowNanos), runTimes, nowNanos)
-                    : Optional.empty();
-        }
-        long poolMillicores = 0;
-        for (HostSession session : sessions.values()) {
-            poolMillicores += session.latestHeartbeat()
-                    .filter(heartbeat ->
-                            heartbeat.pool().equals(terms.pool()) && !HostDrains.isClosed(state.evacuations(), session))
-                    .map(heartbeat -> heartbeat.capacity().millicores())
-                    .orElse(0L);
-        }
-        return JobAdmissionPolicy.rejectionRetryDelay(
-                definition, poolMillicores, state.longRunningMillicores(terms.pool()));
+        return admission.retryDelay(state, submission, nowNanos);
     }
 
     /**
--- a/control/src/test/java/org/nettlering/control/workflow/InfeasibleJobsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/InfeasibleJobsTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.queue.QueueTerms;
 import org.nettlering.domain.task.Resources;
+import org.nettlering.domain.time.ManualTime;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.HostIncarnation;
 import org.nettlering.domain.workflow.JobDefinition;
@@ -34,7 +37,10 @@
 
     private final WorkflowState state = WorkflowState.empty();
     private final RunTimeModel runTimes = RunTimeModel.empty();
-    private final JobAdmission admission = new JobAdmission();
+    private final LoopFailures failures =
+            new LoopFailures(LoopMetrics.unexported(ManualTime.startingAt(Instant.EPOCH)));
+    private final JobAdmission admission = new JobAdmission(
+            new StartableHosts(Map.of(), new LoopCounters(), failures), runTimes, WorkflowOptions.NONE, 0);
     private long nowNanos;
 
     @Test
@@ -91,7 +97,7 @@
     }
 
     private Optional<Duration> decide(String jobId, FreeCapacity... capacities) {
-        return admission.retryDelay(state, submission(jobId), List.of(capacities), runTimes, nowNanos);
+        return admission.retryDelayIfInfeasible(state, submission(jobId), List.of(capacities), nowNanos);
     }
 
     private static SubmitJob submission(String jobId) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicy.java
@@ -7,21 +7,14 @@
 import org.nettlering.domain.workflow.JobDefinition;
 
 /**
- * Decides whether a submitted job is admitted.
- *
- * <p>A long-running job holds its processors until it is cancelled, so a steady stream of such jobs would leave no capacity
- * for short jobs, whose callers wait for the result. A job with long-running tasks is therefore rejected immediately if the
- * long-running tasks of a pool would exceed a share of its processors.
+ * Keeps the unfinished jobs within what every member can hold in memory.
  *
  * <p>Every member holds every task of the jobs that it knows in memory, so that one job with too many tasks would end all
  * members, and again after each restart. Such a job is invalid, and any job is rejected while its tasks and those of the
- * unfinished jobs would be too many together. Any other job whose tasks all end is admitted. Immutable and thread-safe.
+ * unfinished jobs would be too many together. Immutable and thread-safe.
  */
 public final class JobAdmissionPolicy {
-    /** The maximum share of a pool's processors for long-running tasks, in percent. */
-    private static final int MAX_LONG_RUNNING_PERCENT = 88;
-
-    /** The delay after which a caller should retry: long-running jobs leave one at a time, some seconds apart. */
+    /** The delay after which a caller should retry: some of the unfinished jobs have ended by then. */
     private static final Duration RETRY_AFTER = Duration.ofSeconds(5);
 
     /** The maximum number of tasks in all occurrences of a job, which are held until the job has ended. */
@@ -57,23 +50,4 @@
     public static Optional<Duration> retryDelayIfTooManyTasks(JobDefinition definition, long unfinishedJobTasks) {
         return unfinishedJobTasks + definition.taskCount() > MAX_TASKS ? Optional.of(RETRY_AFTER) : Optional.empty();
     }
-
-    /**
-     * Decides whether a job is admitted.
-     *
-     * <p>Every job is admitted while no host of the pool is known.
-     *
-     * @param definition the job, not null
-     * @param poolMillicores the processors of the pool's hosts, in millicores, zero while no host is known
-     * @param longRunningMillicores the processors that the unfinished jobs of the pool need for long-running tasks, running
-     *     or pending, in millicores
-     * @return the delay after which to retry if the job is rejected, or empty if it is admitted, never null
-     */
-    public static Optional<Duration> rejectionRetryDelay(
-            JobDefinition definition, long poolMillicores, long longRunningMillicores) {
-        long requestedMillicores = definition.longRunningMillicores();
-        boolean exceedsShare = requestedMillicores > 0
-                && longRunningMillicores + requestedMillicores > poolMillicores * MAX_LONG_RUNNING_PERCENT / 100;
-        return exceedsShare && poolMillicores > 0 ? Optional.of(RETRY_AFTER) : Optional.empty();
-    }
 }
