--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -3,19 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.RunId;
-import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand;
@@ -31,8 +26,6 @@
 import org.nettlering.domain.workflow.host.HostResponse;
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.HostTimings;
-import org.nettlering.domain.workflow.host.RunUsage;
-import org.nettlering.domain.workflow.host.StallDetector;
 import org.nettlering.domain.workflow.host.TerminationEvidence;
 import org.nettlering.domain.workflow.placement.CopyCandidates;
 import org.nettlering.domain.workflow.placement.PlanInput;
@@ -55,12 +48,6 @@
     /** Delay of an occurrence beyond its due time, so that small clock differences do not start it early. */
     private static final Duration DUE_MARGIN = Duration.ofMillis(50);
 
-    /**
-     * How long after its proposal a batch without an outcome no longer keeps others from being proposed. A log that can
-     * commit does so, or loses its leader, in far less.
-     */
-    private static final Duration BATCH_DEADLINE = Duration.ofSeconds(10);
-
     /** The minimum time between two comparisons of the sessions with the replicated state. */
     private static final Duration COMPARISON_INTERVAL = Duration.ofSeconds(1);
 
@@ -68,22 +55,13 @@
 
     private final long term;
 
-    /** The fencing token of new sessions. */
-    private long token;
-
-    /** The incarnation ids of the hosts that need a higher fencing token. */
-    private final Set<String> hostsToFence = new HashSet<>();
-
-    private final HostTimings timings;
-
     private final WorkflowOptions options;
 
     private final LoopMetrics metrics;
 
     private final LoopFailures failures;
 
-    /** The sessions by the incarnation id of the host. */
-    private final Map<String, HostSession> sessions = new LinkedHashMap<>();
+    private final HostSessions sessions;
 
     private final HostColocation colocation = new HostColocation();
 
@@ -92,6 +70,10 @@
 
     private final JobAdmission admission;
 
+    private final RunTimeLearning learning;
+
+    private final RunStops stops;
+
     private final StragglingRuns straggling = new StragglingRuns();
 
     private final StepWaits waits = StepWaits.create();
@@ -101,13 +83,7 @@
 
     private final HostVisitQueue visitQueue = new HostVisitQueue();
 
-    /** The incarnation id of the host of each tracked run. */
-    private final Map<RunId, String> hostIdsByRun = new HashMap<>();
-
-    private final Map<RunId, RecordTermination> uncommittedTerminations = new LinkedHashMap<>();
-
-    /** The evidence of terminations that have not been written to the event log yet. */
-    private final Map<RunId, TerminationEvidence> evidenceByRun = new HashMap<>();
+    private final UncommittedTerminations terminations = new UncommittedTerminations();
 
     private final FinishedJobRetention finishedJobs;
 
@@ -116,11 +92,7 @@
     /** Where runs may start, and which hosts failed runs. */
     private final StartableHosts startableHosts;
 
-    /** The batch that was proposed to the log and has neither been committed nor failed; empty for none. */
-    private List<WorkflowCommand> batchInFlight = List.of();
-
-    /** When that batch was proposed, by the monotonic clock. */
-    private long batchProposedNanos;
+    private final ProposedBatch proposedBatch = new ProposedBatch();
 
     /** The earliest monotonic time of the next comparison of the sessions with the replicated state. */
     private long nextComparisonNanos;
@@ -139,17 +111,17 @@
             LoopMetrics metrics,
             LoopFailures failures,
             long nowNanos) {
-        WorkflowLeadership leadership = new WorkflowLeadership(term, timings, options, metrics, failures, nowNanos);
-        leadership.token = state.fencingToken(term);
+        HostSessions sessions = new HostSessions(timings, state.fencingToken(term));
+        WorkflowLeadership leadership = new WorkflowLeadership(term, sessions, options, metrics, failures, nowNanos);
         for (HostAllocations allocations : state.allocations()) {
-            HostSession session = leadership.sessionOf(allocations, nowNanos);
+            HostSession session = sessions.getOrCreate(allocations.host(), nowNanos);
             for (ActiveRun run : allocations.runs()) {
                 session.trackInheritedRun(run, isBestEffort(state, run), nowNanos);
-                leadership.hostIdsByRun.put(run.run(), allocations.host().id());
+                leadership.terminations.runTracked(run.run(), allocations.host().id());
                 metrics.diagnostics()
                         .runs()
                         .runTracked(run.run(), allocations.host().id());
-                leadership.stopIfUnneeded(state, run);
+                leadership.stops.stopIfUnneeded(state, run);
             }
         }
         leadership.markAllHostsDue();
@@ -164,25 +136,22 @@
 
     private WorkflowLeadership(
             long term,
-            HostTimings timings,
+            HostSessions sessions,
             WorkflowOptions options,
             LoopMetrics metrics,
             LoopFailures failures,
             long nowNanos) {
         this.term = term;
-        this.timings = timings;
+        this.sessions = sessions;
         this.options = options;
         this.metrics = metrics;
         this.failures = failures;
         nextComparisonNanos = nowNanos;
         finishedJobs = new FinishedJobRetention(nowNanos);
-        startableHosts = new StartableHosts(sessions, counters, failures);
+        startableHosts = new StartableHosts(sessions.byHostId(), counters, failures);
         admission = new JobAdmission(startableHosts, runTimes, options, nowNanos);
-    }
-
-    private HostSession sessionOf(HostAllocations allocations, long nowNanos) {
-        return sessions.computeIfAbsent(
-                allocations.host().id(), id -> HostSession.create(allocations.host(), timings, token, nowNanos));
+        learning = new RunTimeLearning(runTimes, admission);
+        stops = new RunStops(sessions, metrics, this::markHostChanged);
     }
 
     long term() {
@@ -194,7 +163,7 @@
     }
 
     Collection<HostSession> sessions() {
-        return sessions.values();
+        return sessions.all();
     }
 
     ColocationController colocationController() {
@@ -211,12 +180,8 @@
 
     /** Handles a heartbeat; returns whether it is the first one of this host incarnation in this term. */
     boolean receiveHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
-        HostSession session = sessions.get(heartbeat.host().id());
-        boolean first = session == null || session.latestHeartbeat().isEmpty();
-        if (session == null) {
-            session = HostSession.create(heartbeat.host(), timings, token, nowNanos);
-            sessions.put(heartbeat.host().id(), session);
-        }
+        HostSession session = sessions.getOrCreate(heartbeat.host(), nowNanos);
+        boolean first = session.latestHeartbeat().isEmpty();
         session.handleHeartbeat(heartbeat, nowNanos);
         markHostChanged(heartbeat.host().id());
         return first;
@@ -238,11 +203,11 @@
             return;
         }
         markHostChanged(command.host().id());
-        List<RecordTermination> terminations = session.handleResponse(command, sentNanos, response, nowNanos);
-        learnRunTimes(state, session, terminations, nowNanos);
-        addTerminations(session, terminations);
+        List<RecordTermination> proven = session.handleResponse(command, sentNanos, response, nowNanos);
+        learning.learn(state, session, proven, nowNanos);
+        terminations.addAll(session, proven);
         if (response instanceof HostResponse.PollResult) {
-            addToFence(session);
+            sessions.checkFence(session);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
             if (options.copyStragglers()) {
@@ -253,78 +218,17 @@
         colocation.updateThrottled(session);
     }
 
-    private void learnRunTimes(
-            WorkflowState state, HostSession session, List<RecordTermination> terminations, long nowNanos) {
-        for (RecordTermination termination : terminations) {
-            StepProgress step = state.step(termination.run().task().step()).orElse(null);
-            if (step == null
-                    || termination.status() != TerminalStatus.DONE
-                    || step.specification().has(StepTrait.LONG_RUNNING)) {
-                continue;
-            }
-            session.runs()
-                    .uninterruptedRunTime(termination.run(), nowNanos)
-                    .ifPresent(runTime -> learnRunTime(step, runTime.toMillis(), nowNanos));
-        }
-    }
-
-    private void learnRunTime(StepProgress step, long runTimeMillis, long nowNanos) {
-        admission.taskDone(step, runTimeMillis, nowNanos);
-        // A best-effort run takes longer the less the others on its host leave it.
-        if (!step.specification().has(StepTrait.BEST_EFFORT)) {
-            long declaredMillis = step.specification().estimatedRuntimeMillis();
-            runTimes.add(step.job().terms().queue(), step.id(), declaredMillis, runTimeMillis);
-        }
-    }
-
-    private void addToFence(HostSession session) {
-        if (session.needsFence()) {
-            hostsToFence.add(session.host().id());
-        }
-    }
-
-    /** Uses the token that was raised for the hosts that need it; no command with it was sent before. */
-    private void fenceCommitted(WorkflowState state, long nowNanos) {
-        token = state.fencingToken(term);
-        for (String hostId : hostsToFence) {
-            HostSession session = sessions.get(hostId);
-            if (session != null) {
-                session.raiseToken(token, nowNanos);
-                markHostChanged(hostId);
-            }
-        }
-        hostsToFence.clear();
-    }
-
-    /** Stops the stalled runs on a host, so that their tasks start elsewhere, and counts each as a failure of the host. */
+    /** Stops the stalled runs on a host and counts each as a failure of the host. */
     private void stopStalledRuns(WorkflowState state, HostSession session, long nowNanos) {
-        for (RunUsage usage : session.runs().usages()) {
-            boolean stalled = state.step(usage.run().task().step())
-                    .map(StepProgress::specification)
-                    .filter(step -> StallDetector.isStalled(step, usage, nowNanos))
-                    .isPresent();
-            if (stalled) {
-                session.runs().requestStop(usage.run());
-                metrics.diagnostics().runs().stopRequested(usage.run(), StopReason.STALLED);
-                startableHosts.failureBackoff().recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
-            }
-        }
-    }
-
-    private void addTerminations(HostSession session, List<RecordTermination> terminations) {
-        for (RecordTermination termination : terminations) {
-            uncommittedTerminations.put(termination.run(), termination);
-            hostIdsByRun.put(termination.run(), session.host().id());
-            session.runs()
-                    .evidenceOf(termination.run())
-                    .ifPresent(evidence -> evidenceByRun.put(termination.run(), evidence));
+        int stalled = stops.stopStalled(state, session, nowNanos);
+        for (int count = 0; count < stalled; count++) {
+            startableHosts.failureBackoff().recordTermination(session.host().id(), TerminalStatus.FAILED, nowNanos);
         }
     }
 
     /** Removes and returns the evidence of a committed termination. */
     TerminationEvidence removeEvidence(RunId run) {
-        TerminationEvidence evidence = evidenceByRun.remove(run);
-        return evidence == null ? new TerminationEvidence.Listed() : evidence;
+        return terminations.removeEvidence(run);
     }
 
     /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
@@ -345,18 +249,15 @@
             return List.of();
         }
         collectInferredTerminations(state, nowNanos);
-        List<WorkflowCommand> batch = new ArrayList<>(uncommittedTerminations.values());
+        List<WorkflowCommand> batch = new ArrayList<>(terminations.takeAll());
         if (planRequested) {
             planRequested = false;
             failures.isolate(LoopPart.PLAN, "term " + term, () -> addPlan(state, nowNanos, nowMillis, batch));
         }
-        if (!hostsToFence.isEmpty()) {
+        if (sessions.needFence()) {
             batch.add(new RaiseFence());
         }
-        uncommittedTerminations.clear();
-        batchInFlight = List.copyOf(batch);
-        batchProposedNanos = nowNanos;
-        return batchInFlight;
+        return proposedBatch.propose(batch, nowNanos);
     }
 
     /** After a change of the evacuations, ends the runs on evacuated hosts whose starts were not passed on. */
@@ -366,7 +267,7 @@
         }
         evacuationVersion = state.evacuations().version();
         planRequested = true;
-        for (HostSession session : sessions.values()) {
+        for (HostSession session : sessions.all()) {
             if (HostDrains.isClosed(state.evacuations(), session)) {
                 session.runs().withdrawUnsent();
                 markHostChanged(session.host().id());
@@ -376,18 +277,13 @@
 
     /** Returns whether the outcome of a batch is awaited; one that is overdue counts as failed, but may still commit. */
     private boolean isBatchAwaited(long nowNanos) {
-        if (batchInFlight.isEmpty()) {
-            return false;
-        }
-        long ageNanos = nowNanos - batchProposedNanos;
-        if (ageNanos < BATCH_DEADLINE.toNanos()) {
-            return true;
+        if (!proposedBatch.isOverdue(nowNanos)) {
+            return proposedBatch.isAwaited();
         }
+        List<WorkflowCommand> overdue = proposedBatch.commands();
         failures.addOverdue(
-                LoopPart.PROPOSAL,
-                "a batch of " + batchInFlight.size() + " commands",
-                TimeUnit.NANOSECONDS.toMillis(ageNanos));
-        batchFailed(batchInFlight);
+                LoopPart.PROPOSAL, "a batch of " + overdue.size() + " commands", proposedBatch.ageMillis(nowNanos));
+        batchFailed(overdue);
         return false;
     }
 
@@ -401,11 +297,11 @@
 
     private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
         waits.update(state.pendingSteps(), nowNanos);
-        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions, nowNanos);
+        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions.byHostId(), nowNanos);
         RelocationCandidates relocations = new RelocationCandidates(
                 throttled,
-                HostDrains.movingRuns(state, sessions.values(), runTimes),
-                run -> HostDrains.isAtWork(sessions, run, nowNanos));
+                HostDrains.movingRuns(state, sessions.all(), runTimes),
+                run -> HostDrains.isAtWork(sessions.byHostId(), run, nowNanos));
         CopyCandidates copies = straggling.candidates(state);
         if (state.pendingSteps().isEmpty()
                 && relocations.isEmpty()
@@ -424,8 +320,8 @@
         plan.copies().forEach(copy -> addCopy(state, copy, batch));
         batch.addAll(plan.starts());
         throttledStarts = plan.throttledStarts();
-        plan.migrations().forEach(this::migrate);
-        plan.drainMoves().forEach(this::moveOff);
+        plan.migrations().forEach(stops::migrate);
+        plan.drainMoves().forEach(stops::moveOff);
     }
 
     private void addCopy(WorkflowState state, StartRun copy, List<WorkflowCommand> batch) {
@@ -454,7 +350,7 @@
 
     private void collectInferredTerminations(HostSession session, long nowNanos) {
         List<RecordTermination> inferred = session.inferTerminations(nowNanos);
-        addTerminations(session, inferred);
+        terminations.addAll(session, inferred);
         if (!inferred.isEmpty()) {
             markHostChanged(session.host().id());
         }
@@ -470,12 +366,12 @@
         }
         nextComparisonNanos = nowNanos + COMPARISON_INTERVAL.toNanos();
         straggling.retainActive(state);
-        for (HostSession session : sessions.values()) {
+        for (HostSession session : sessions.all()) {
             failures.isolate(LoopPart.VISIT, session.host().id(), () -> compare(state, session, nowNanos));
         }
         for (HostAllocations allocations : state.allocations()) {
-            if (!sessions.containsKey(allocations.host().id())) {
-                allocations.runs().forEach(this::endUnsentRun);
+            if (!sessions.contains(allocations.host().id())) {
+                allocations.runs().forEach(run -> terminations.addUnsent(run.run()));
             }
         }
     }
@@ -488,29 +384,19 @@
         for (ActiveRun run : activeRuns) {
             activeIds.add(run.run());
             // A run with an uncommitted termination but without a session was never started, and must not be any more.
-            if (!uncommittedTerminations.containsKey(run.run())) {
+            if (!terminations.contains(run.run())) {
                 startCommitted(state, run, nowNanos);
-                stopIfUnneeded(state, run);
+                stops.stopIfUnneeded(state, run);
             }
         }
         session.retainRuns(activeIds);
-        addTerminations(
+        terminations.addAll(
                 session,
                 session.runs().uncommittedTerminations().stream()
-                        .filter(termination -> !uncommittedTerminations.containsKey(termination.run()))
+                        .filter(termination -> !terminations.contains(termination.run()))
                         .toList());
     }
 
-    private void migrate(ActiveRun run) {
-        LOG.log(WorkflowEvent.RUN_MIGRATED, run.run(), run.host().id());
-        stop(run, StopReason.MIGRATED);
-    }
-
-    private void moveOff(ActiveRun run) {
-        LOG.log(WorkflowEvent.RUN_MOVED, run.run(), run.host().id());
-        stop(run, StopReason.HOST_EMPTIED);
-    }
-
     private static void addDueOccurrences(WorkflowState state, long nowMillis, List<WorkflowCommand> batch) {
         for (Job job : state.periodicJobs()) {
             job.nextOccurrence()
@@ -521,7 +407,7 @@
 
     /** Schedules a visit of every host, for whatever becomes due by the passing of time alone. */
     void markAllHostsDue() {
-        visitQueue.markAllDue(sessions.keySet());
+        visitQueue.markAllDue(sessions.byHostId().keySet());
     }
 
     /** Requests planning in the next batch, after a change of a job, a host or the time of day. */
@@ -531,7 +417,7 @@
 
     /** Handles a batch that was committed and applied on this member. */
     void batchCommitted(WorkflowState state, List<WorkflowCommand> batch, long nowNanos) {
-        batchFinished(batch);
+        proposedBatch.finished(batch);
         planRequested = true;
         for (WorkflowCommand command : batch) {
             failures.isolate(LoopPart.COMMIT, command, () -> commandCommitted(state, command, nowNanos));
@@ -542,26 +428,15 @@
         switch (command) {
             case StartRun start -> startCommitted(state, start.run(), nowNanos);
             case RecordTermination termination -> terminationCommitted(state, termination, nowNanos);
-            case RaiseFence raise -> fenceCommitted(state, nowNanos);
+            case RaiseFence raise -> sessions.raiseToken(state.fencingToken(term), nowNanos, this::markHostChanged);
             default -> {}
         }
     }
 
-    /** Permits the next batch, unless the one that finished was overdue and another one is in flight already. */
-    private void batchFinished(List<WorkflowCommand> batch) {
-        if (batch.equals(batchInFlight)) {
-            batchInFlight = List.of();
-        }
-    }
-
     /** Handles a batch whose commit failed or is unknown; its terminations are proposed again. */
     void batchFailed(List<WorkflowCommand> batch) {
-        batchFinished(batch);
-        for (WorkflowCommand command : batch) {
-            if (command instanceof RecordTermination termination) {
-                uncommittedTerminations.putIfAbsent(termination.run(), termination);
-            }
-        }
+        proposedBatch.finished(batch);
+        terminations.restore(batch);
     }
 
     private void startCommitted(WorkflowState state, ActiveRun run, long nowNanos) {
@@ -570,14 +445,14 @@
         }
         HostSession session = sessions.get(run.host().id());
         if (session == null) {
-            endUnsentRun(run);
+            terminations.addUnsent(run.run());
             return;
         }
         if (session.runs().contains(run.run())) {
             return;
         }
         if (!StartableHosts.mayStartCommitted(state, session)) {
-            endUnsentRun(run);
+            terminations.addUnsent(run.run());
             return;
         }
         Job job = state.job(run.run().task().jobId()).orElseThrow();
@@ -585,37 +460,22 @@
         if (throttledStarts.contains(run.run())) {
             session.runs().setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
-        hostIdsByRun.put(run.run(), run.host().id());
+        terminations.runTracked(run.run(), run.host().id());
         metrics.diagnostics().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
-        stopIfUnneeded(state, run);
-    }
-
-    /**
-     * Ends a run whose start is committed, but whose start command is not sent: its host is gone, has shrunk or is to be
-     * emptied.
-     */
-    private void endUnsentRun(ActiveRun run) {
-        uncommittedTerminations.put(run.run(), new RecordTermination(run.run(), TerminalStatus.NOT_BEGUN, ""));
-        evidenceByRun.put(run.run(), new TerminationEvidence.NotSent(false, false));
+        stops.stopIfUnneeded(state, run);
     }
 
     private void terminationCommitted(WorkflowState state, RecordTermination termination, long nowNanos) {
         straggling.runTerminated(termination.run());
-        String hostId = hostIdsByRun.get(termination.run());
-        if (hostId != null) {
-            recordTermination(hostId, termination, nowNanos);
-        }
-        // The host may have reported a termination that replaces an inferred one; that one is not committed yet.
-        if (!uncommittedTerminations.containsKey(termination.run())) {
-            hostIdsByRun.remove(termination.run());
-        }
+        terminations.hostIdOf(termination.run()).ifPresent(hostId -> recordTermination(hostId, termination, nowNanos));
+        terminations.committed(termination.run());
         state.job(termination.run().task().jobId()).ifPresent(job -> {
             if (!job.phase().isOpen()) {
-                stopRuns(job);
+                stops.stopRuns(job);
             } else if (termination.status() == TerminalStatus.DONE) {
                 job.step(termination.run().task().step())
-                        .ifPresent(step -> stopDuplicateRuns(state, step, termination.run()));
+                        .ifPresent(step -> stops.stopDuplicates(state, step, termination.run()));
             }
         });
     }
@@ -631,47 +491,9 @@
         }
     }
 
-    /** Stops the other runs of a completed task. */
-    private void stopDuplicateRuns(WorkflowState state, StepProgress step, RunId completedRun) {
-        if (step.task(completedRun.task().index()).isDone()) {
-            step.task(completedRun.task().index()).activeRuns().forEach(run -> stopIfUnneeded(state, run));
-        }
-    }
-
     /** Stops all runs of a finished job. */
     void stopRuns(Job job) {
-        metrics.diagnostics().runs().jobFinished(job.id(), job.phase());
-        for (StepProgress step : job.steps()) {
-            if (step.activeRunCount() == 0) {
-                continue;
-            }
-            for (int index = 0; index < step.specification().taskCount(); index++) {
-                step.task(index).activeRuns().forEach(run -> stop(run, StopReason.ofFinishedJob(job.phase())));
-            }
-        }
-    }
-
-    private void stopIfUnneeded(WorkflowState state, ActiveRun run) {
-        if (!isNeeded(state, run)) {
-            stop(run, StopReason.ofUnneeded(state, run.run()));
-        }
-    }
-
-    /** Returns whether the task of a run is still to be done. */
-    private static boolean isNeeded(WorkflowState state, ActiveRun run) {
-        return state.job(run.run().task().jobId())
-                .filter(job -> job.phase().isOpen())
-                .flatMap(job -> job.step(run.run().task().step()))
-                .filter(step -> !step.task(run.run().task().index()).isDone())
-                .isPresent();
-    }
-
-    private void stop(ActiveRun run, StopReason reason) {
-        HostSession session = sessions.get(run.host().id());
-        if (session != null && session.runs().requestStop(run.run())) {
-            metrics.diagnostics().runs().stopRequested(run.run(), reason);
-            markHostChanged(run.host().id());
-        }
+        stops.stopRuns(job);
     }
 
     /** Returns the commands that are due and marks them as sent; removes sessions that are obsolete. */
@@ -692,7 +514,7 @@
     private void settle(HostSession session, HostCommand command, long nowNanos) {
         failures.addOverdue(LoopPart.COMMAND, command, HostSession.OUTCOME_DEADLINE.toMillis());
         HostResponse noResponse = new HostResponse.NoResponse("no outcome in time");
-        addTerminations(session, session.handleResponse(command, nowNanos, noResponse, nowNanos));
+        terminations.addAll(session, session.handleResponse(command, nowNanos, noResponse, nowNanos));
     }
 
     private List<HostCommand> dueCommands(HostSession session, long nowNanos) {
