--- a/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.nettlering.control.workflow.JobRejection.Reason;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.RemainingWork;
 import org.nettlering.domain.workflow.StepProgress;
@@ -59,25 +60,38 @@
         rates.computeIfAbsent(kind, key -> WorkRate.startingAt(nowNanos)).add(cpuMillis, nowNanos);
     }
 
-    /** Decides on a job that is not stored; returns the retry delay if it is rejected, or empty if it is accepted. */
-    Optional<Duration> retryDelay(WorkflowState state, SubmitJob submission, long nowNanos) {
+    /** Decides on a job that is not stored; returns why it is rejected, or empty if it is accepted. */
+    Optional<JobRejection> decide(WorkflowState state, SubmitJob submission, long nowNanos) {
         JobDefinition definition = submission.definition();
         String pool = submission.terms().pool();
-        Optional<Duration> tooManyTasks =
-                JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks());
+        Optional<JobRejection> tooManyTasks = rejection(
+                Reason.TOO_MANY_TASKS,
+                JobAdmissionPolicy.retryDelayIfTooManyTasks(definition, state.unfinishedJobTasks()));
         if (tooManyTasks.isPresent()) {
             return tooManyTasks;
         }
         if (definition.longRunningMillicores() > 0) {
-            return longRunningShare.retryDelay(
-                    definition, pool, hosts.poolMillicores(state, pool), state.longRunningMillicores(pool), nowNanos);
+            return rejection(
+                    Reason.LONG_RUNNING_SHARE,
+                    longRunningShare.retryDelay(
+                            definition,
+                            pool,
+                            hosts.poolMillicores(state, pool),
+                            state.longRunningMillicores(pool),
+                            nowNanos));
         }
         longRunningShare.shortJobSubmitted(definition, pool, nowNanos);
         return options.rejectInfeasible()
-                ? retryDelayIfInfeasible(state, submission, hosts.freeCapacities(state, nowNanos), nowNanos)
+                ? rejection(
+                        Reason.INFEASIBLE,
+                        retryDelayIfInfeasible(state, submission, hosts.freeCapacities(state, nowNanos), nowNanos))
                 : Optional.empty();
     }
 
+    private static Optional<JobRejection> rejection(Reason reason, Optional<Duration> retryDelay) {
+        return retryDelay.map(delay -> new JobRejection(reason, delay));
+    }
+
     /** Returns the retry delay if a job is infeasible and was not sent away before, or empty if it is admitted. */
     Optional<Duration> retryDelayIfInfeasible(
             WorkflowState state, SubmitJob submission, Collection<FreeCapacity> capacities, long nowNanos) {
--- /dev/null
+++ b/control/src/main/java/org/nettlering/control/workflow/JobRejection.java
@@ -0,0 +1,23 @@
+package org.nettlering.control.workflow;
+
+import java.time.Duration;
+
+/**
+ * Why a submitted job is rejected, and when it is worth submitting it again.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param reason the reason, not null
+ * @param retryAfter the delay after which to retry, not null
+ */
+record JobRejection(Reason reason, Duration retryAfter) {
+    /** The names appear in the log. */
+    enum Reason {
+        /** The members hold as many tasks as they can. */
+        TOO_MANY_TASKS,
+        /** Long-running jobs hold the share of the pool that they may. */
+        LONG_RUNNING_SHARE,
+        /** The work in front of the job takes so long that its result would be of no use. */
+        INFEASIBLE
+    }
+}
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -231,9 +231,9 @@
         return terminations.removeEvidence(run);
     }
 
-    /** Decides on the admission of a job; returns the retry delay if it is rejected, or empty if it is accepted. */
-    Optional<Duration> retryAfterIfRejected(WorkflowState state, SubmitJob submission, long nowNanos) {
-        return admission.retryDelay(state, submission, nowNanos);
+    /** Decides on the admission of a job that is not stored; returns why it is rejected, or empty if it is accepted. */
+    Optional<JobRejection> rejectionOf(WorkflowState state, SubmitJob submission, long nowNanos) {
+        return admission.decide(state, submission, nowNanos);
     }
 
     /**
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -1,6 +1,7 @@
 package org.nettlering.control.workflow;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -139,17 +140,19 @@
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
         WorkflowCommand.SubmitJob submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
-        Optional<Duration> retryAfter =
+        Optional<JobRejection> rejection =
                 loop.decide((state, leadership) -> state.job(jobId).isPresent() || undecidedJobs.contains(jobId)
                         ? Optional.empty()
-                        : leadership.retryAfterIfRejected(state, submission, time.nanoTime()));
-        if (retryAfter.isPresent()) {
-            LOG.log(
+                        : leadership.rejectionOf(state, submission, time.nanoTime()));
+        if (rejection.isPresent()) {
+            Duration retryAfter = rejection.get().retryAfter();
+            LOG.logWithFields(
                     WorkflowEvent.JOB_REJECTED,
+                    Map.of("reason", rejection.get().reason()),
                     jobId,
                     terms.queue(),
-                    retryAfter.get().toMillis());
-            return readConfirmed((state, current) -> rejectedResponse(retryAfter.get()));
+                    retryAfter.toMillis());
+            return readConfirmed((state, current) -> rejectedResponse(retryAfter));
         }
         return undecidedJobs.during(jobId, () -> propose(submission)).thenApply(commandResult -> {
             LOG.logWithFields(
