--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusNode.java
@@ -1,8 +1,5 @@
 package org.nettlering.consensus;
 
-import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,10 +8,6 @@
 import org.jspecify.annotations.Nullable;
 import org.nettlering.consensus.ConsensusListener.EffectFailed;
 import org.nettlering.consensus.ConsensusListener.MemberFailed;
-import org.nettlering.consensus.ConsensusListener.WritesRefused;
-import org.nettlering.consensus.LogStorage.StoredSnapshot;
-import org.nettlering.consensus.protocol.ApplyStep;
-import org.nettlering.consensus.protocol.DiskWrite;
 import org.nettlering.consensus.protocol.MemberProtocol;
 import org.nettlering.consensus.protocol.MessageValidation;
 import org.nettlering.consensus.protocol.Outbox;
@@ -39,12 +32,6 @@
  * }</pre>
  */
 public final class ConsensusNode implements AutoCloseable {
-    /** The result of an entry that is not a command. */
-    private static final byte[] EMPTY_RESULT = new byte[0];
-
-    /** How long the disk may refuse a write, for example because it is full, before the member stops. */
-    private static final Duration MAX_REFUSAL = Duration.ofSeconds(30);
-
     private final MemberId self;
 
     /** The members that bootstrap the group when all disks are uninitialised. */
@@ -70,20 +57,9 @@
     /** Whether a thread is running the actions of the outbox. */
     private boolean runningActions;
 
-    /** Whether the disk executor has a task. */
-    private boolean writing;
-
-    /** Whether the apply executor has a task. */
-    private boolean applying;
+    private final DiskWriter diskWriter;
 
-    /** Whether a snapshot is being saved. */
-    private boolean savingSnapshot;
-
-    /** Whether a snapshot is being loaded. */
-    private boolean loadingSnapshot;
-
-    /** Size of the entries applied since the last snapshot; used on the apply thread only. */
-    private long appliedBytes;
+    private final StateApplier stateApplier;
 
     /**
      * Creates a member without starting it.
@@ -107,6 +83,9 @@
         this.settings = settings;
         this.ports = ports;
         outbox = new Outbox(ports.transport()::send, ports.listener()::onEvent);
+        ProtocolAccess access = new Access();
+        diskWriter = new DiskWriter(access, ports, outbox, settings.heartbeatInterval());
+        stateApplier = new StateApplier(access, ports, outbox, settings.snapshotIntervalBytes());
     }
 
     /**
@@ -342,7 +321,8 @@
                 return StepResult.NOT_RUNNING;
             }
             step.accept(protocol);
-            dispatchWork(protocol);
+            diskWriter.dispatch();
+            stateApplier.dispatch(protocol);
         } catch (Throwable e) {
             failure = e;
         } finally {
@@ -356,19 +336,16 @@
         return StepResult.DONE;
     }
 
-    /** Submits tasks to the executors that have work and are idle. Called under the lock. */
-    private void dispatchWork(MemberProtocol activeProtocol) {
-        if (!writing && outbox.hasWrites()) {
-            writing = true;
-            ports.executors().disk().execute(this::writeToDisk);
-        }
-        if (!loadingSnapshot && outbox.takeSnapshotRequest()) {
-            loadingSnapshot = true;
-            ports.executors().background().execute(this::loadSnapshot);
+    /** The access of the executors to this member. */
+    private final class Access implements ProtocolAccess {
+        @Override
+        public boolean run(Consumer<MemberProtocol> step) {
+            return runLocked(step) == StepResult.DONE;
         }
-        if (!applying && activeProtocol.hasApplyStep()) {
-            applying = true;
-            ports.executors().apply().execute(this::applySteps);
+
+        @Override
+        public void stop(Throwable failure) {
+            ConsensusNode.this.stop(failure);
         }
     }
 
@@ -419,200 +396,4 @@
             lock.unlock();
         }
     }
-
-    /** Performs the pending writes and makes them durable with one sync. */
-    private void writeToDisk() {
-        List<DiskWrite> writes = new ArrayList<>();
-        if (runLocked(activeProtocol -> writes.addAll(outbox.takeWrites())) != StepResult.DONE) {
-            return;
-        }
-        write(new WriteBatch(writes));
-    }
-
-    private void write(WriteBatch batch) {
-        try {
-            batch.writeTo(ports.storage());
-        } catch (Throwable e) {
-            if (!isRefusedByDisk(e)
-                    || batch.isRefusedFor(MAX_REFUSAL, ports.time().nanoTime())) {
-                stop(e);
-                return;
-            }
-            tryAgainLater(batch, e);
-            return;
-        }
-        runLocked(activeProtocol -> {
-            writing = false;
-            activeProtocol.onWritesDurable(batch.size);
-        });
-    }
-
-    private static boolean isRefusedByDisk(Throwable failure) {
-        return failure instanceof NettleringException exception && exception.code() == ErrorCode.STORAGE_FULL;
-    }
-
-    /** Tries a batch again that the disk refused; until it is written, the member acknowledges nothing that is in it. */
-    private void tryAgainLater(WriteBatch batch, Throwable refusal) {
-        runLocked(activeProtocol -> {
-            if (batch.recordRefusal(ports.time().nanoTime())) {
-                outbox.runOutsideLock(() -> ports.listener().onEvent(new WritesRefused(refusal)));
-            }
-            ports.time().schedule(settings.heartbeatInterval(), () -> tryAgain(batch));
-        });
-    }
-
-    private void tryAgain(WriteBatch batch) {
-        runLocked(activeProtocol -> ports.executors().disk().execute(() -> write(batch)));
-    }
-
-    /** Writes that become durable with one sync. Used by one thread at a time. */
-    private static final class WriteBatch {
-        final int size;
-
-        /** The writes that the storage has not taken yet. */
-        private final ArrayDeque<DiskWrite> remaining;
-
-        /** When the disk first refused the batch, by the monotonic clock; null if it has not. */
-        private @Nullable Long refusedSinceNanos;
-
-        WriteBatch(List<DiskWrite> writes) {
-            size = writes.size();
-            remaining = new ArrayDeque<>(writes);
-        }
-
-        /** Writes and syncs the batch, or the rest of it if an earlier attempt was refused. */
-        void writeTo(LogStorage storage) {
-            while (!remaining.isEmpty()) {
-                remaining.getFirst().writeTo(storage);
-                remaining.removeFirst();
-            }
-            storage.sync();
-        }
-
-        /** Records that the disk refused the batch; returns whether for the first time. */
-        boolean recordRefusal(long nowNanos) {
-            if (refusedSinceNanos != null) {
-                return false;
-            }
-            refusedSinceNanos = nowNanos;
-            return true;
-        }
-
-        boolean isRefusedFor(Duration limit, long nowNanos) {
-            return refusedSinceNanos != null && nowNanos - refusedSinceNanos >= limit.toNanos();
-        }
-    }
-
-    private void applySteps() {
-        boolean more = true;
-        while (more) {
-            more = applyStep();
-        }
-    }
-
-    private boolean applyStep() {
-        List<ApplyStep> steps = new ArrayList<>();
-        StepResult result = runLocked(activeProtocol -> {
-            ApplyStep step = activeProtocol.nextApplyStep();
-            if (step == null) {
-                applying = false;
-            } else {
-                steps.add(step);
-            }
-        });
-        if (result != StepResult.DONE || steps.isEmpty()) {
-            return false;
-        }
-        try {
-            switch (steps.getFirst()) {
-                case ApplyStep.Restore restore -> restore(restore.snapshot());
-                case ApplyStep.Apply apply -> apply(apply);
-            }
-            return true;
-        } catch (Throwable e) {
-            stop(e);
-            return false;
-        }
-    }
-
-    private void restore(StoredSnapshot snapshot) {
-        ports.stateMachine().restore(snapshot.state().bytes());
-        appliedBytes = 0;
-        runLocked(activeProtocol -> activeProtocol.onSnapshotRestored(snapshot.header()));
-    }
-
-    private void apply(ApplyStep.Apply step) {
-        List<byte[]> results = new ArrayList<>();
-        for (LogEntry entry : step.entries()) {
-            results.add(entry.kind() == LogEntry.Kind.COMMAND ? applyCommand(entry) : EMPTY_RESULT);
-            appliedBytes += entry.sizeBytes();
-        }
-        runLocked(activeProtocol -> activeProtocol.onEntriesApplied(step.entries(), results));
-        if (appliedBytes >= settings.snapshotIntervalBytes()) {
-            captureSnapshot(step);
-        }
-    }
-
-    /** Applies a command; one that cannot be applied on any member must not stop them all, again after each restart. */
-    private byte[] applyCommand(LogEntry entry) {
-        try {
-            return ports.stateMachine().apply(entry.index(), entry.payload().bytes());
-        } catch (NettleringException e) {
-            if (e.code() != ErrorCode.INTERNAL) {
-                throw e;
-            }
-            runLocked(activeProtocol -> activeProtocol.onCommandFailed(entry, e));
-            return EMPTY_RESULT;
-        }
-    }
-
-    /** Captures the state on the apply thread; the background executor encodes and saves it. */
-    private void captureSnapshot(ApplyStep.Apply step) {
-        List<Boolean> captureStarted = new ArrayList<>();
-        runLocked(activeProtocol -> {
-            if (!savingSnapshot) {
-                savingSnapshot = true;
-                captureStarted.add(true);
-            }
-        });
-        if (captureStarted.isEmpty()) {
-            return;
-        }
-        appliedBytes = 0;
-        ReplicatedStateMachine.CapturedState captured = ports.stateMachine().capture();
-        LogEntry last = step.entries().getLast();
-        ports.executors().background().execute(() -> saveSnapshot(captured, last, step.membership()));
-    }
-
-    private void saveSnapshot(ReplicatedStateMachine.CapturedState captured, LogEntry last, Membership membership) {
-        try {
-            Payload state = Payload.of(captured.encode());
-            SnapshotHeader header =
-                    new SnapshotHeader(last.index(), last.term(), membership, state.length(), state.checksum());
-            ports.storage().saveSnapshot(header, state);
-            runLocked(activeProtocol -> {
-                savingSnapshot = false;
-                activeProtocol.onSnapshotSaved(header);
-            });
-        } catch (Throwable e) {
-            if (!isRefusedByDisk(e)) {
-                stop(e);
-                return;
-            }
-            // The log keeps what the snapshot would have replaced; the next one is due after as many bytes again.
-            runLocked(activeProtocol -> savingSnapshot = false);
-        }
-    }
-
-    private void loadSnapshot() {
-        try {
-            Optional<StoredSnapshot> snapshot = ports.storage().loadSnapshot();
-            runLocked(activeProtocol -> {
-                loadingSnapshot = false;
-                snapshot.ifPresent(activeProtocol::onSnapshotLoaded);
-            });
-        } catch (Throwable e) {
-            stop(e);
-        }
-    }
 }
