--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/FeasibilityPolicy.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/FeasibilityPolicy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.nettlering.domain.workflow.ResultValue;
 
 /**
  * Decides whether a job can end while its result is of use.
@@ -9,9 +10,6 @@
  * <p>Stateless and thread-safe.
  */
 public final class FeasibilityPolicy {
-    /** The result of a job has no value after this multiple of its allowed duration. */
-    public static final int NO_VALUE_FACTOR = 3;
-
     private static final Duration MIN_RETRY_DELAY = Duration.ofSeconds(1);
 
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(15);
@@ -32,7 +30,7 @@
      */
     public static Optional<Duration> retryDelay(
             String jobId, long waitMillis, long shortestPathMillis, long allowedMillis) {
-        if (waitMillis + shortestPathMillis <= NO_VALUE_FACTOR * allowedMillis) {
+        if (!ResultValue.isGone(waitMillis + shortestPathMillis, allowedMillis)) {
             return Optional.empty();
         }
         long untilInTimeMillis = waitMillis + shortestPathMillis - allowedMillis;
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/WaitingWork.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/WaitingWork.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.nettlering.domain.workflow.JobTerms;
 import org.nettlering.domain.workflow.RemainingWork;
+import org.nettlering.domain.workflow.ResultValue;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
@@ -63,6 +64,6 @@
     private static boolean hasValue(StepProgress step, RemainingWork work, long nowMillis) {
         long elapsedMillis = nowMillis - step.job().releaseMillis(step.id().occurrence());
         long allowedMillis = step.job().terms().allowedDurationMillis(work.wholePathMillis());
-        return elapsedMillis <= FeasibilityPolicy.NO_VALUE_FACTOR * allowedMillis;
+        return !ResultValue.isGone(elapsedMillis, allowedMillis);
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PendingStepOrder.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.RemainingWork;
+import org.nettlering.domain.workflow.ResultValue;
 import org.nettlering.domain.workflow.StepProgress;
 import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
@@ -15,16 +16,13 @@
  *   <li>Steps of long-running tasks come first, as each second without them counts.
  *   <li>Steps of jobs that can still finish within their allowed duration come second.
  *   <li>Steps of late jobs whose results still have value come third.
- *   <li>Steps of jobs past three times their allowed duration come last; they run when capacity is left.
+ *   <li>Steps of jobs whose results are of no use any more come last; they run when capacity is left.
  * </ul>
  *
  * <p>Within each class, the order is by priority, then by remaining work, least first, so that as many jobs as possible
  * finish in time, then by the end of the allowed duration. Immutable and thread-safe.
  */
 final class PendingStepOrder {
-    /** The result of a job has no value after this multiple of its allowed duration. */
-    private static final int NO_VALUE_FACTOR = 3;
-
     private final long nowMillis;
 
     private final RunTimeModel runTimes;
@@ -75,7 +73,7 @@
         if (step.specification().has(StepTrait.LONG_RUNNING)) {
             return 0;
         }
-        if (elapsedMillis > NO_VALUE_FACTOR * allowedMillis) {
+        if (ResultValue.isGone(elapsedMillis, allowedMillis)) {
             return 3;
         }
         return elapsedMillis + remainingWork.shortestPathMillis() > allowedMillis ? 2 : 1;
