--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/ShortWorkDemand.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/ShortWorkDemand.java
@@ -17,12 +17,8 @@
     /** The time over which the first submissions are averaged at least, so that a single job does not count as a flood. */
     private static final Duration MIN_OBSERVATION = Duration.ofSeconds(10);
 
-    private final long startNanos;
-
-    private long lastDecayNanos;
-
-    /** The processor time of submitted work in millicore-milliseconds, decayed to {@link #lastDecayNanos}. */
-    private double decayedWork;
+    /** The processor time of submitted work, in millicore-milliseconds. */
+    private final DecayingSum work;
 
     /**
      * Starts to observe a pool.
@@ -35,8 +31,7 @@
     }
 
     private ShortWorkDemand(long nowNanos) {
-        startNanos = nowNanos;
-        lastDecayNanos = nowNanos;
+        work = new DecayingSum(WINDOW, nowNanos);
     }
 
     /**
@@ -46,9 +41,7 @@
      * @return the processors in millicores; at most what was submitted in {@link #MIN_OBSERVATION} or more
      */
     public long millicores(long nowNanos) {
-        long sinceNanos = Math.min(startNanos, nowNanos - MIN_OBSERVATION.toNanos());
-        double observedMillis = WINDOW.toMillis() * -Math.expm1(-windows(sinceNanos, nowNanos));
-        return Math.round(decayedWork(nowNanos) / observedMillis);
+        return Math.round(work.perMilli(MIN_OBSERVATION, nowNanos));
     }
 
     /**
@@ -58,23 +51,14 @@
      * @param nowNanos the monotonic time
      */
     public void add(JobDefinition definition, long nowNanos) {
-        double work = 0;
+        double submitted = 0;
         for (StepSpecification step : definition.steps()) {
             if (!step.has(StepTrait.LONG_RUNNING)) {
-                work += (double) step.taskCount()
+                submitted += (double) step.taskCount()
                         * step.estimatedRuntimeMillis()
                         * step.demand().millicores();
             }
         }
-        decayedWork = decayedWork(nowNanos) + work;
-        lastDecayNanos = nowNanos;
-    }
-
-    private double decayedWork(long nowNanos) {
-        return decayedWork * Math.exp(-windows(lastDecayNanos, nowNanos));
-    }
-
-    private static double windows(long sinceNanos, long nowNanos) {
-        return (double) (nowNanos - sinceNanos) / WINDOW.toNanos();
+        work.add(submitted, nowNanos);
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/admission/WorkRate.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/admission/WorkRate.java
@@ -14,12 +14,8 @@
     /** The number of tasks that must have ended before the rate is usable. */
     private static final int MIN_TASKS = 30;
 
-    private final long startNanos;
-
-    private long lastDecayNanos;
-
-    /** The processor time of ended tasks in milliseconds, decayed to {@link #lastDecayNanos}. */
-    private double decayedCpuMillis;
+    /** The processor time of ended tasks, in milliseconds of one processor. */
+    private final DecayingSum ended;
 
     private long tasks;
 
@@ -34,8 +30,7 @@
     }
 
     private WorkRate(long nowNanos) {
-        startNanos = nowNanos;
-        lastDecayNanos = nowNanos;
+        ended = new DecayingSum(WINDOW, nowNanos);
     }
 
     /**
@@ -45,8 +40,7 @@
      * @param nowNanos the monotonic time
      */
     public void add(long cpuMillis, long nowNanos) {
-        decayedCpuMillis = decayed(nowNanos) + cpuMillis;
-        lastDecayNanos = nowNanos;
+        ended.add((double) cpuMillis, nowNanos);
         tasks++;
     }
 
@@ -58,16 +52,7 @@
      * @return the duration in milliseconds, or zero while too little is known
      */
     public long durationMillis(long cpuMillis, long nowNanos) {
-        double windowMillis = WINDOW.toMillis() * -Math.expm1(-elapsedWindows(startNanos, nowNanos));
-        double processors = windowMillis <= 0 ? 0 : decayed(nowNanos) / windowMillis;
+        double processors = ended.perMilli(Duration.ZERO, nowNanos);
         return tasks < MIN_TASKS || processors <= 0 ? 0 : Math.round(cpuMillis / processors);
     }
-
-    private double decayed(long nowNanos) {
-        return decayedCpuMillis * Math.exp(-elapsedWindows(lastDecayNanos, nowNanos));
-    }
-
-    private static double elapsedWindows(long sinceNanos, long nowNanos) {
-        return (double) (nowNanos - sinceNanos) / WINDOW.toNanos();
-    }
 }
