--- a/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
@@ -60,8 +60,8 @@
         rates.computeIfAbsent(kind, key -> WorkRate.startingAt(nowNanos)).add(cpuMillis, nowNanos);
     }
 
-    /** Decides on a job that is not stored; returns why it is rejected, or empty if it is accepted. */
-    Optional<JobRejection> decide(WorkflowState state, SubmitJob submission, long nowNanos) {
+    /** Decides as {@link WorkflowLeadership#rejectionOf}. */
+    Optional<JobRejection> decide(WorkflowState state, SubmitJob submission, long undecidedMillicores, long nowNanos) {
         JobDefinition definition = submission.definition();
         String pool = submission.terms().pool();
         Optional<JobRejection> tooManyTasks = rejection(
@@ -77,7 +77,7 @@
                             definition,
                             pool,
                             hosts.poolMillicores(state, pool),
-                            state.longRunningMillicores(pool),
+                            state.longRunningMillicores(pool) + undecidedMillicores,
                             nowNanos));
         }
         longRunningShare.shortJobSubmitted(definition, pool, nowNanos);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -231,9 +231,14 @@
         return terminations.removeEvidence(run);
     }
 
-    /** Decides on the admission of a job that is not stored; returns why it is rejected, or empty if it is accepted. */
-    Optional<JobRejection> rejectionOf(WorkflowState state, SubmitJob submission, long nowNanos) {
-        return admission.decide(state, submission, nowNanos);
+    /**
+     * Decides on the admission of a job that is not stored; returns why it is rejected, or empty if it is accepted.
+     *
+     * @param undecidedMillicores what the undecided jobs of its pool would need for long-running tasks
+     */
+    Optional<JobRejection> rejectionOf(
+            WorkflowState state, SubmitJob submission, long undecidedMillicores, long nowNanos) {
+        return admission.decide(state, submission, undecidedMillicores, nowNanos);
     }
 
     /**
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -140,10 +140,12 @@
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
         WorkflowCommand.SubmitJob submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
-        Optional<JobRejection> rejection =
-                loop.decide((state, leadership) -> state.job(jobId).isPresent() || undecidedJobs.contains(jobId)
-                        ? Optional.empty()
-                        : leadership.rejectionOf(state, submission, time.nanoTime()));
+        Optional<JobRejection> rejection = loop.decide((state, leadership) -> state.job(jobId)
+                                .isPresent()
+                        || undecidedJobs.contains(jobId)
+                ? Optional.empty()
+                : leadership.rejectionOf(
+                        state, submission, undecidedJobs.longRunningMillicores(terms.pool(), state), time.nanoTime()));
         if (rejection.isPresent()) {
             Duration retryAfter = rejection.get().retryAfter();
             LOG.logWithFields(
@@ -154,7 +156,7 @@
                     retryAfter.toMillis());
             return readConfirmed((state, current) -> rejectedResponse(retryAfter));
         }
-        return undecidedJobs.during(jobId, () -> propose(submission)).thenApply(commandResult -> {
+        return undecidedJobs.during(submission, () -> propose(submission)).thenApply(commandResult -> {
             LOG.logWithFields(
                     WorkflowEvent.JOB_ACCEPTED,
                     AcceptedJobDetails.of(submission).toFields(),
