--- a/review/harness/Site.java
+++ b/review/harness/Site.java
@@ -38,6 +38,9 @@
     private final int secondPort;
     private final List<Event> events = new ArrayList<>();
     private volatile String leader = "";
+    /** The processes that ended by themselves, once for each time; the platform starts them again. */
+    private final List<String> ownEnds = new ArrayList<>();
+    private volatile boolean closing;
 
     /** What a minion has seen of a run; a minion that lists an end until it is seen. */
     record Event(long millis, String kind, String minion, String task, long run, String detail) {}
@@ -47,6 +50,8 @@
         final String name;
         final List<String> command;
         Process process;
+        /** Whether the platform ended the process. */
+        volatile boolean killed;
 
         Daemon(String name, List<String> command) {
             this.name = name;
@@ -196,6 +201,7 @@
         ProcessBuilder builder = new ProcessBuilder(daemon.command).directory(repository.toFile());
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.redirectErrorStream(true);
+        daemon.killed = false;
         daemon.process = builder.start();
         record("platform starts " + name);
         Process process = daemon.process;
@@ -220,6 +226,31 @@
         } catch (IOException ended) {
             record("the log of " + name + " ended: " + ended.getMessage());
         }
+        startAgain(name, process);
+    }
+
+    /** A process that exits by itself is started again after a short delay. */
+    private void startAgain(String name, Process process) {
+        try {
+            int code = process.waitFor();
+            if (closing || daemons.get(name).killed) {
+                return;
+            }
+            synchronized (this) {
+                ownEnds.add(name);
+            }
+            record(name + " ended by itself with exit code " + code);
+            sleep(500);
+            if (!closing) {
+                start(name);
+            }
+        } catch (IOException | InterruptedException failure) {
+            record(name + " could not be started again: " + failure);
+        }
+    }
+
+    synchronized List<String> ownEnds() {
+        return List.copyOf(ownEnds);
     }
 
     void startAll() throws IOException {
@@ -235,6 +266,7 @@
     /** Sends a signal to a process that this site started. */
     void signal(String name, String signal) throws IOException {
         record("platform sends " + signal + " to " + name);
+        daemons.get(name).killed |= signal.equals("KILL") || signal.equals("TERM");
         long pid = daemons.get(name).process.pid();
         try {
             new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).start().waitFor();
@@ -319,7 +351,8 @@
     }
 
     @Override
-    public synchronized void close() {
+    public void close() {
+        closing = true;
         for (Daemon daemon : daemons.values()) {
             if (daemon.process != null && daemon.process.isAlive()) {
                 daemon.process.destroyForcibly();
@@ -330,7 +363,9 @@
                 }
             }
         }
-        record.flush();
+        synchronized (this) {
+            record.flush();
+        }
     }
 
     static void delete(Path folder) {
