--- a/review/harness/Minion.java
+++ b/review/harness/Minion.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * A stand-in minion that follows PROTOCOL.md ("Running tasks", "Service discovery"): fencing, leases, run ids, ends that are
@@ -36,6 +37,8 @@
     private long highestToken;
     private long deadlineMillis;
     private long lastEnd;
+    /** The Unix millisecond of the start, told where a minion may start again under its id; zero if it is not. */
+    private volatile long born;
     private long sequence;
     private boolean up = true;
     private long drainEndMillis;
@@ -72,6 +75,12 @@
         Thread.ofVirtual().start(this::sendHeartbeats);
     }
 
+    /** Says in its reports and lists when it started. */
+    Minion tellsBirth() {
+        born = System.currentTimeMillis();
+        return this;
+    }
+
     synchronized int runningCount() {
         return running.size();
     }
@@ -156,6 +165,12 @@
         return order.get(name) instanceof Long value ? value : 0;
     }
 
+    private void requireUp() throws IOException {
+        if (!up) {
+            throw new IOException("down");
+        }
+    }
+
     /** Returns whether the order comes from the newest holder. */
     private boolean passesFence(Map<String, Object> order) {
         long token = number(order, "fencing_token");
@@ -173,6 +188,7 @@
         long number = number(order, "run_id");
         String refusal = "";
         synchronized (this) {
+            requireUp();
             Run present = running.get(task);
             if (!passesFence(order)) {
                 refusal = "fence";
@@ -202,6 +218,7 @@
         long number = number(order, "run_id");
         boolean accepted;
         synchronized (this) {
+            requireUp();
             accepted = passesFence(order);
             if (accepted) {
                 Run present = running.get(task);
@@ -233,6 +250,7 @@
     private void hold(HttpExchange exchange, Map<String, Object> order) throws IOException {
         Map<String, Object> response = new LinkedHashMap<>();
         synchronized (this) {
+            requireUp();
             if (!passesFence(order)) {
                 response.put("clock_ms", clock());
                 response.put("reason", "fence");
@@ -251,6 +269,9 @@
                         .limit(ENDS_AT_A_TIME)
                         .forEach(end -> listed.add(List.of(end.n(), end.task(), end.run(), end.how(), "")));
                 response.put("clock_ms", clock());
+                if (born > 0) {
+                    response.put("born", born);
+                }
                 response.put("running", rows);
                 response.put("finished", listed);
                 site.held(this, number(order, "fencing_token"), rows.size(), listed.size(), ends.size());
@@ -284,7 +305,9 @@
         exchange.getResponseBody().write(bytes);
     }
 
+    /** Sends a heartbeat each interval; a life of a minion begins at any moment of the interval. */
     private void sendHeartbeats() {
+        Site.sleep(ThreadLocalRandom.current().nextLong(HEARTBEAT_MILLIS));
         while (isUp() && !isLeaving()) {
             boolean taken = report("/Instances.Heartbeat/", heartbeat());
             long until = System.nanoTime() + (taken ? HEARTBEAT_MILLIS : 200) * 1_000_000;
@@ -309,6 +332,9 @@
             sequence++;
             beat.put("sequence", sequence);
         }
+        if (born > 0) {
+            beat.put("born", born);
+        }
         beat.put("cold_left_ms", 0);
         beat.put("capacity", Map.of("cpu", 32_000, "mem_mb", 128_000, "gpus", 0));
         beat.put("labels", List.of("a", "r1"));
