--- a/review/harness/LateOrdersToRebornMinions.java
+++ b/review/harness/LateOrdersToRebornMinions.java
@@ -15,7 +15,7 @@
 
     private static final long WORK_MILLIS = 800;
 
-    private static final long JOB_GAP_MILLIS = 100;
+    private static final long JOB_GAP_MILLIS = 70;
 
     /** One of eight minions at a time: a share of 0.125. */
     private static final long CRASH_GAP_MILLIS = 1_000;
@@ -71,6 +71,9 @@
         try (Site site = new Site(repository, folder, Path.of(arguments[1]), 3, 2)) {
             result = play(site, trouble);
             site.record("result " + result);
+        } catch (Exception failure) {
+            failure.printStackTrace();
+            result = 2;
         } finally {
             if (System.getenv("KEEP") == null) {
                 Site.delete(folder);
--- a/review/harness/LeavesBehindACut.java
+++ b/review/harness/LeavesBehindACut.java
@@ -36,6 +36,9 @@
         try (Site site = new Site(repository, folder, Path.of(arguments[1]), 3, 1)) {
             result = play(site, trouble);
             site.record("result " + result);
+        } catch (Exception failure) {
+            failure.printStackTrace();
+            result = 2;
         } finally {
             if (System.getenv("KEEP") == null) {
                 Site.delete(folder);
--- a/review/harness/ManyChangesOfALargeConfiguration.java
+++ b/review/harness/ManyChangesOfALargeConfiguration.java
@@ -42,6 +42,9 @@
         try (Site site = new Site(repository, folder, Path.of(arguments[1]), 3, 2)) {
             result = play(site, trouble);
             site.record("result " + result);
+        } catch (Exception failure) {
+            failure.printStackTrace();
+            result = 2;
         } finally {
             if (System.getenv("KEEP") == null) {
                 Site.delete(folder);
