--- a/review/harness/LeavesBehindACut.java
+++ b/review/harness/LeavesBehindACut.java
@@ -9,6 +9,9 @@
 final class LeavesBehindACut {
     private static final String JOB = "5c0e7a21d94b36f8";
 
+    /** One of them is a share of 0.0625. */
+    private static final int MINIONS = 16;
+
     private static final long WORK_MILLIS = 15_000;
 
     /** drain_ms, and a little longer. */
@@ -50,7 +53,7 @@
     private static int play(Site site, boolean trouble) throws Exception {
         site.startAll();
         List<Linked> minions = new ArrayList<>();
-        for (int number = 1; number <= 3; number++) {
+        for (int number = 1; number <= MINIONS; number++) {
             int port = Site.freePort();
             Proxy orders = new Proxy("127.0.4." + number, "127.0.3." + number + ":" + port);
             List<Proxy> reports = new ArrayList<>();
@@ -59,7 +62,7 @@
             }
             Minion minion = new Minion(
                     site,
-                    "i-000" + number,
+                    "i-00" + (10 + number),
                     "127.0.3." + number,
                     port,
                     orders.address,
