--- a/control/src/main/java/org/nettlering/control/workflow/RunStops.java
+++ b/control/src/main/java/org/nettlering/control/workflow/RunStops.java
@@ -80,6 +80,11 @@
         }
     }
 
+    /** Stops all runs on a host that is shutting down. */
+    void stopAll(HostSession session) {
+        session.runs().ids().forEach(run -> stop(session, run, StopReason.HOST_SHUTS_DOWN));
+    }
+
     void stopIfUnneeded(WorkflowState state, ActiveRun run) {
         if (!isNeeded(state, run)) {
             stop(run, StopReason.ofUnneeded(state, run.run()));
--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -52,13 +52,13 @@
         cache.invalidate(hostId);
     }
 
-    /** Returns whether a run may still start whose start was committed a moment ago: its host has neither shrunk nor closed. */
+    /** Returns whether a run may still start whose start was committed a moment ago: its host has neither shrunk, closed nor shut down. */
     static boolean mayStartCommitted(WorkflowState state, HostSession session) {
         boolean exceedsCapacity = state.allocationsOf(session.host().id())
                 .flatMap(allocations -> session.latestHeartbeat()
                         .filter(heartbeat -> !allocations.allocated().fitsIn(heartbeat.capacity())))
                 .isPresent();
-        return !exceedsCapacity && !HostDrains.isClosed(state.evacuations(), session);
+        return !exceedsCapacity && !session.isShutdownAnnounced() && !HostDrains.isClosed(state.evacuations(), session);
     }
 
     /** Returns the processors of the hosts of a pool that are not to be emptied, in millicores; zero while none is known. */
--- a/control/src/main/java/org/nettlering/control/workflow/StopReason.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StopReason.java
@@ -23,6 +23,8 @@
     MIGRATED,
     /** The host is to be emptied, and the task shall run on another host. */
     HOST_EMPTIED,
+    /** The host has announced that it shuts down now, and the task shall run on another host. */
+    HOST_SHUTS_DOWN,
     /** The host reports a run that the leader does not track there. */
     NOT_TRACKED;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowEvent.java
@@ -77,7 +77,9 @@
     /** The runs on hosts that are to be emptied, by failure domain, logged periodically. */
     DRAIN_SUMMARY(3333, Level.INFO, "runs left on hosts to be emptied, leader of term {}, evacuations version {}: {}"),
     /** A copy of a task that is far behind its siblings is started. */
-    COPY_STARTED(3334, Level.INFO, "starting run {} on host {} as a copy of a straggling run");
+    COPY_STARTED(3334, Level.INFO, "starting run {} on host {} as a copy of a straggling run"),
+    /** A host that shuts down has not reported the end of its runs within the time for which its notice is held. */
+    HOST_NOT_EMPTIED(3335, Level.WARN, "host {} shuts down and has not reported the end of its runs for {} ms");
 
     private final int number;
 
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -92,6 +92,8 @@
     /** Where runs may start, and which hosts failed runs. */
     private final StartableHosts startableHosts;
 
+    private final HostDepartures departures = new HostDepartures();
+
     private final ProposedBatch proposedBatch = new ProposedBatch();
 
     /** The earliest monotonic time of the next comparison of the sessions with the replicated state. */
@@ -187,11 +189,27 @@
         return first;
     }
 
-    void hostShuttingDown(String hostId, long startMillis, long nowNanos) {
+    /**
+     * Handles the notice of a host that it is shutting down: stops what runs there, as its report is sooner evidence of the end
+     * than the lease, and saves the checkpoints.
+     *
+     * @param emptied called once no run may be active there, possibly before this method returns; must not block
+     */
+    void hostShuttingDown(String hostId, long startMillis, Runnable emptied, long nowNanos) {
         HostSession session = sessions.get(hostId);
-        if (session != null) {
-            session.handleShutdownNotice(startMillis, nowNanos);
-            markHostChanged(hostId);
+        if (session == null || !session.handleShutdownNotice(startMillis, nowNanos)) {
+            emptied.run();
+            return;
+        }
+        stops.stopAll(session);
+        markHostChanged(hostId);
+        departures.await(hostId, emptied);
+        checkDeparture(session);
+    }
+
+    private void checkDeparture(HostSession session) {
+        if (session.runs().count() == 0) {
+            departures.hostEmptied(session.host().id());
         }
     }
 
@@ -492,6 +510,7 @@
         }
         markHostChanged(hostId);
         if (session.onTerminationCommitted(termination.run(), termination.status())) {
+            checkDeparture(session);
             startableHosts.failureBackoff().recordTermination(hostId, termination.status(), nowNanos);
         }
     }
@@ -528,6 +547,7 @@
             startableHosts.removeHost(hostId);
             colocation.removeHost(hostId);
             sessions.remove(hostId);
+            departures.hostEmptied(hostId);
             return List.of();
         }
         session.overdueCommands(nowNanos).forEach(command -> settle(session, command, nowNanos));
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -49,6 +49,12 @@
  * sent after the leadership was confirmed. Thread-safe.
  */
 public final class WorkflowService implements FrameService {
+    /**
+     * How long the acknowledgement of a shutdown waits for the runs of the host: less than a caller waits for the whole
+     * request.
+     */
+    private static final Duration EMPTYING_LIMIT = Duration.ofMillis(600);
+
     private static final EventLogger LOG = EventLogger.of(WorkflowService.class);
 
     private final CommandLog log;
@@ -236,14 +242,28 @@
         return readConfirmed((state, queues) -> responseOf(WorkflowAnswer.ANSWER_DONE));
     }
 
+    /**
+     * Acknowledges the notice once the runs of the host are over, as the host ends with the acknowledgement. One that does not
+     * report them in time is acknowledged all the same; then their tasks wait for its lease.
+     */
     private CompletionStage<WorkflowResponse> hostShuttingDown(HostLeaving notice) {
         String hostId = notice.getHostId();
         LOG.log(WorkflowEvent.HOST_SHUTTING_DOWN, hostId);
+        CompletableFuture<Boolean> emptied = new CompletableFuture<>();
+        TimeSource.Timer limit = time.schedule(EMPTYING_LIMIT, () -> emptied.complete(false));
+        // By a timer, so that nothing that waits for the host runs under the lock of the state machine.
+        Runnable notify = () -> time.schedule(Duration.ZERO, () -> emptied.complete(true));
         loop.update(leadership -> {
-            leadership.hostShuttingDown(hostId, notice.getStartMillis(), time.nanoTime());
+            leadership.hostShuttingDown(hostId, notice.getStartMillis(), notify, time.nanoTime());
             return hostId;
         });
-        return readConfirmed((state, queues) -> responseOf(WorkflowAnswer.ANSWER_DONE));
+        return emptied.thenCompose(inTime -> {
+            limit.cancel();
+            if (!inTime) {
+                LOG.log(WorkflowEvent.HOST_NOT_EMPTIED, hostId, EMPTYING_LIMIT.toMillis());
+            }
+            return readConfirmed((state, queues) -> responseOf(WorkflowAnswer.ANSWER_DONE));
+        });
     }
 
     private CompletionStage<WorkflowResponse> replaceQueues(QueueConfigurationMessage message) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.HostIncarnation;
@@ -15,8 +14,8 @@
  * The liveness of one host incarnation as seen by the leader of one term: its heartbeats, its responses and its
  * shutdown.
  *
- * <p>A host that announced its shutdown counts as terminated only some time after the last contact with it. Belongs to
- * a {@link HostSession}. Not thread-safe.
+ * <p>The announcement of a shutdown proves nothing of the runs on the host, however long it is silent since: the host may
+ * go on without an acknowledgement. Belongs to a {@link HostSession}. Not thread-safe.
  */
 final class HostLiveness {
     /** How long after its last heartbeat a host gets no new runs: three times the longest heartbeat interval. */
@@ -29,10 +28,10 @@
     private static final Duration REJECTION_BACKOFF = Duration.ofMillis(500);
 
     /**
-     * How long after the last contact a host that is shutting down counts as terminated; it repeats the notice if it
-     * gets no response within a second.
+     * How long after the last contact a host that is shutting down is not tracked any more if no run may be active there;
+     * it repeats the notice if it gets no response within a second.
      */
-    private static final Duration SHUTDOWN_TIMEOUT = Duration.ofMillis(1_500);
+    private static final Duration DEPARTURE_TIMEOUT = Duration.ofMillis(1_500);
 
     private final long sessionStartNanos;
 
@@ -52,11 +51,11 @@
 
     private boolean shutdownAnnounced;
 
-    /** When the incarnation terminates, by the monotonic clock, or null if that is not known. */
-    private @Nullable Long terminationNanos;
+    /** When the host last showed that it runs after it announced its shutdown, by the monotonic clock. */
+    private long leavingContactNanos;
 
-    /** The evidence of the termination; meaningful only if its time is known. */
-    private TerminationEvidence terminationEvidence = new TerminationEvidence.HostLeft();
+    /** Whether another incarnation has responded at the address of the host. */
+    private boolean replaced;
 
     HostLiveness(long nowNanos) {
         sessionStartNanos = nowNanos;
@@ -77,7 +76,8 @@
         HostHeartbeat heartbeat = latestHeartbeat;
         return heartbeat != null
                 && !heartbeat.draining()
-                && terminationNanos == null
+                && !shutdownAnnounced
+                && !replaced
                 && !unresponsive
                 && nowNanos - rejectionBackoffUntilNanos >= 0
                 && hasRecentHeartbeat(nowNanos);
@@ -91,23 +91,22 @@
         return nowNanos - Math.max(heartbeatNanos, sessionStartNanos) > 4 * HEARTBEAT_TIMEOUT.toNanos();
     }
 
-    /**
-     * Returns whether the incarnation has terminated. While a poll is in flight, a host that shut down does not count
-     * as terminated: its response may still report how its runs terminated.
-     */
-    boolean isIncarnationTerminated(boolean pollInFlight, long nowNanos) {
-        Long terminatedAtNanos = terminationNanos;
-        boolean pollMayReportTerminations = pollInFlight && terminationEvidence instanceof TerminationEvidence.HostLeft;
-        return terminatedAtNanos != null && nowNanos - terminatedAtNanos >= 0 && !pollMayReportTerminations;
+    /** Returns whether the incarnation has certainly terminated, as another one responds at its address. */
+    boolean isIncarnationTerminated() {
+        return replaced;
     }
 
-    /** Returns when the incarnation terminates, by the monotonic clock, or empty if that is not known. */
-    OptionalLong terminationNanos() {
-        return terminationNanos == null ? OptionalLong.empty() : OptionalLong.of(terminationNanos);
+    /**
+     * Returns whether the host announced its shutdown and has been silent for a while. It may still run. While a poll is in
+     * flight, it has not left: the response may still report how its runs terminated.
+     */
+    boolean hasLeft(boolean pollInFlight, long nowNanos) {
+        return shutdownAnnounced && !pollInFlight && nowNanos - leavingContactNanos >= DEPARTURE_TIMEOUT.toNanos();
     }
 
-    TerminationEvidence terminationEvidence() {
-        return terminationEvidence;
+    /** Returns whether the host has announced its shutdown, after which it neither starts nor keeps any run. */
+    boolean isShutdownAnnounced() {
+        return shutdownAnnounced;
     }
 
     /** Returns the age of the latest heartbeat in milliseconds, or {@link TerminationEvidence#NEVER}. */
@@ -136,7 +135,7 @@
         }
         latestHeartbeat = heartbeat;
         heartbeatNanos = nowNanos;
-        postponeTermination(nowNanos);
+        leavingContactNanos = nowNanos;
         return true;
     }
 
@@ -146,38 +145,20 @@
                 || latestHeartbeat().filter(HostHeartbeat::draining).isPresent();
     }
 
-    /** Returns whether an incarnation that has terminated had announced that. */
-    boolean hasAnnouncedEnd() {
-        return isLeaving() || terminationEvidence instanceof TerminationEvidence.HostLeft;
-    }
-
     /** Handles the notice of the host that it is shutting down. */
     void handleShutdownNotice(long nowNanos) {
         shutdownAnnounced = true;
-        if (terminationNanos == null) {
-            terminationNanos = nowNanos + SHUTDOWN_TIMEOUT.toNanos();
-        }
-        postponeTermination(nowNanos);
-    }
-
-    /**
-     * Postpones the termination of a host that is shutting down, as contact with it shows that it is still running.
-     */
-    private void postponeTermination(long nowNanos) {
-        if (terminationNanos != null && terminationEvidence instanceof TerminationEvidence.HostLeft) {
-            terminationNanos = nowNanos + SHUTDOWN_TIMEOUT.toNanos();
-        }
+        leavingContactNanos = nowNanos;
     }
 
     void recordResponse(HostResponse response, long nowNanos) {
         boolean unreachable = response instanceof NoResponse || response instanceof NotSent;
         unresponsive = unreachable || response instanceof Unhealthy;
         if (response instanceof OtherIncarnation) {
-            terminationNanos = nowNanos;
-            terminationEvidence = new TerminationEvidence.OtherLife();
+            replaced = true;
         } else if (!unreachable) {
             lastResponseNanos = nowNanos;
-            postponeTermination(nowNanos);
+            leavingContactNanos = nowNanos;
         }
     }
 
@@ -192,7 +173,7 @@
         if (heartbeat == null) {
             return Optional.of(HostRefusal.NO_HEARTBEAT);
         }
-        if (terminationNanos != null) {
+        if (shutdownAnnounced || replaced) {
             return Optional.of(HostRefusal.SHUTTING_DOWN);
         }
         if (heartbeat.draining()) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
@@ -31,10 +31,24 @@
         return runs.isEmpty();
     }
 
-    int count() {
+    /**
+     * Returns how many runs are tracked.
+     *
+     * @return the number of runs whose termination is not committed
+     */
+    public int count() {
         return runs.size();
     }
 
+    /**
+     * Returns the runs that are tracked.
+     *
+     * @return a copy of their ids, never null
+     */
+    public Set<RunId> ids() {
+        return Set.copyOf(runs.keySet());
+    }
+
     /**
      * Returns whether a run is tracked.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -29,9 +29,8 @@
  *   <li>the first poll response of this term, which fences the commands of earlier leaders, omits a run that an earlier
  *       leader started;
  *   <li>another incarnation of the host responds at its address;
- *   <li>the host announced its shutdown and there was no contact with it for a while;
- *   <li>the lease has certainly expired by the host's own clock, and the host either sends no heartbeats or did not
- *       respond for the duration of another known.lease().
+ *   <li>the lease has certainly expired by the host's own clock, and the host sends no heartbeats, has announced its
+ *       shutdown or did not respond for the duration of another lease.
  * </ul>
  *
  * <p>If the host later reports a termination that may contradict the one inferred for a run, the reported one is returned
@@ -133,12 +132,22 @@
      *     time
      */
     public boolean isObsolete(long nowNanos) {
-        boolean terminated = isIncarnationTerminated(nowNanos) && !inferred.awaitsEvidenceOfCrash();
-        return runs.isEmpty() && (terminated || known.liveness().isHeartbeatLongOverdue(nowNanos));
+        boolean terminated = isIncarnationTerminated() || known.liveness().hasLeft(polls.isInFlight(), nowNanos);
+        boolean settled = terminated && !inferred.awaitsEvidenceOfCrash();
+        return runs.isEmpty() && (settled || known.liveness().isHeartbeatLongOverdue(nowNanos));
     }
 
-    private boolean isIncarnationTerminated(long nowNanos) {
-        return known.liveness().isIncarnationTerminated(polls.isInFlight(), nowNanos);
+    private boolean isIncarnationTerminated() {
+        return known.liveness().isIncarnationTerminated();
+    }
+
+    /**
+     * Returns whether the host has announced its shutdown.
+     *
+     * @return true from the notice of this incarnation on; nothing starts there any more
+     */
+    public boolean isShutdownAnnounced() {
+        return known.liveness().isShutdownAnnounced();
     }
 
     /**
@@ -159,18 +168,25 @@
     }
 
     /**
-     * Handles the notice of the host that it is shutting down.
+     * Handles the notice of the host that it is shutting down. From now on its lease is not renewed. What runs there ends
+     * with the host, at a time that no later message tells, so the caller requests the stop of every run.
      *
      * @param startMillis when the incarnation that sent the notice started, in milliseconds since 1970, or
      *     {@link HostIncarnation#UNKNOWN_START}
      * @param nowNanos the monotonic time
+     * @return false if the notice is ignored because it is not of the current incarnation
      */
-    public void handleShutdownNotice(long startMillis, long nowNanos) {
-        if (incarnation.isOther(startMillis)) {
+    public boolean handleShutdownNotice(long startMillis, long nowNanos) {
+        boolean isOther = incarnation.isOther(startMillis)
+                || latestHeartbeat()
+                        .filter(heartbeat -> HostIncarnation.isOtherStart(heartbeat.startMillis(), startMillis))
+                        .isPresent();
+        if (isOther) {
             polls.requireNew(nowNanos);
-            return;
+            return false;
         }
         known.liveness().handleShutdownNotice(nowNanos);
+        return true;
     }
 
     /**
@@ -288,7 +304,7 @@
 
     private List<HostCommand> collectDueCommands(long nowNanos) {
         List<HostCommand> due = new ArrayList<>();
-        if (isIncarnationTerminated(nowNanos)) {
+        if (isIncarnationTerminated()) {
             return due;
         }
         due.addAll(runs.takeDueCommands(token, known.lease(), known.liveness().isUnresponsive(), nowNanos));
@@ -306,23 +322,17 @@
      * <p>Does not include lease expiry and overdue heartbeats: periodic checks detect them soon enough.
      *
      * @param nowNanos the monotonic time
-     * @return the earliest monotonic time at which a command falls due or the host incarnation terminates, empty if
-     *     neither is expected, never null
+     * @return the earliest monotonic time at which a command falls due, empty if none is expected, never null
      */
     public OptionalLong nextDueNanos(long nowNanos) {
         LongStream.Builder delaysNanos = LongStream.builder();
-        if (!isIncarnationTerminated(nowNanos)) {
-            known.liveness()
-                    .terminationNanos()
-                    .ifPresent(terminationNanos -> delaysNanos.add(terminationNanos - nowNanos));
-        }
         if (needsPoll()) {
             delaysNanos.add(nextPollNanos() - nowNanos);
         }
         known.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         runs.nextStopNanos().forEach(next -> delaysNanos.add(next - nowNanos));
         OptionalLong shortestDelayNanos = delaysNanos.build().min();
-        return shortestDelayNanos.isEmpty() || isIncarnationTerminated(nowNanos)
+        return shortestDelayNanos.isEmpty() || isIncarnationTerminated()
                 ? OptionalLong.empty()
                 : OptionalLong.of(nowNanos + shortestDelayNanos.getAsLong());
     }
@@ -347,7 +357,7 @@
                 !polls.hasSucceeded() || runs.isEmpty() || runs.hasUnansweredStart() || known.needsImmediatePoll();
         Duration maxWait = polls.send(immediate, nowNanos);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
-        boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered();
+        boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered() && !isShutdownAnnounced();
         return new HostCommand.Poll(
                 host,
                 token,
@@ -464,13 +474,14 @@
      * @return the terminations, to be committed to the log, never null
      */
     public List<RecordTermination> inferTerminations(long nowNanos) {
-        boolean incarnationTerminated = isIncarnationTerminated(nowNanos);
-        List<RecordTermination> terminations =
-                new ArrayList<>(inferred.ofUnsentRuns(known.liveness(), incarnationTerminated));
-        if (incarnationTerminated) {
-            terminations.addAll(inferred.ofTerminatedIncarnation(known.liveness()));
+        HostLiveness liveness = known.liveness();
+        List<RecordTermination> terminations = new ArrayList<>(inferred.ofUnsentRuns(liveness));
+        if (isIncarnationTerminated()) {
+            terminations.addAll(inferred.ofReplacedIncarnation(liveness.isLeaving()));
         } else if (!runs.isEmpty()) {
-            known.leaseExpiry(nowNanos).ifPresent(evidence -> terminations.addAll(inferred.ofExpiredLease(evidence)));
+            known.leaseExpiry(nowNanos)
+                    .ifPresent(evidence ->
+                            terminations.addAll(inferred.ofExpiredLease(evidence, liveness.isShutdownAnnounced())));
         }
         return terminations;
     }
@@ -493,9 +504,7 @@
                 known.lease().latestExpiryInMillis(nowNanos),
                 known.liveness().heartbeatAgeMillis(nowNanos),
                 known.liveness().responseAgeMillis(nowNanos),
-                isIncarnationTerminated(nowNanos)
-                        ? Optional.of(known.liveness().terminationEvidence())
-                        : Optional.empty());
+                isIncarnationTerminated() ? Optional.of(new TerminationEvidence.OtherLife()) : Optional.empty());
     }
 
     /**
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -86,37 +86,45 @@
         }
     }
 
-    /**
-     * Returns the terminations of the runs whose start is not sent any more; no lease covers them.
-     *
-     * @param liveness the liveness of the host
-     * @param incarnationTerminated whether the incarnation has terminated
-     */
-    List<RecordTermination> ofUnsentRuns(HostLiveness liveness, boolean incarnationTerminated) {
+    /** Returns the terminations of the runs whose start is not sent any more; no lease covers them. */
+    List<RecordTermination> ofUnsentRuns(HostLiveness liveness) {
         List<RecordTermination> terminations = new ArrayList<>();
         for (TrackedRun tracked : runs.all()) {
             boolean unsent = tracked.stage == TrackedRun.Stage.START_PENDING && !tracked.isTerminationFound();
-            if (unsent && (tracked.stopRequested || incarnationTerminated || liveness.isUnresponsive())) {
+            boolean replaced = liveness.isIncarnationTerminated();
+            if (unsent && (tracked.stopRequested || replaced || liveness.isUnresponsive())) {
                 TerminationEvidence notSent =
                         new TerminationEvidence.NotSent(tracked.stopRequested, liveness.isUnresponsive());
-                terminations.add(notBegun(tracked, incarnationTerminated ? liveness.terminationEvidence() : notSent));
+                terminations.add(notBegun(tracked, replaced ? new TerminationEvidence.OtherLife() : notSent));
             }
         }
         return terminations;
     }
 
-    /** Returns the terminations of the runs on a host whose lease has expired; it may have crashed or be cut off. */
-    List<RecordTermination> ofExpiredLease(TerminationEvidence evidence) {
+    /**
+     * Returns the terminations of the runs on a host whose lease has expired.
+     *
+     * @param evidence the evidence of that
+     * @param announced whether the host had announced its shutdown; otherwise it may have crashed or be cut off
+     */
+    List<RecordTermination> ofExpiredLease(TerminationEvidence evidence, boolean announced) {
         List<TrackedRun> sent = sentRuns();
-        crashSuspects.addLost(CrashSuspects.among(sent));
+        if (!announced) {
+            crashSuspects.addLost(CrashSuspects.among(sent));
+        }
         return sent.stream()
                 .map(tracked -> record(tracked, TerminalStatus.HOST_LOST, evidence))
                 .toList();
     }
 
-    /** Returns the terminations of all runs that the host may have started, after the incarnation has terminated. */
-    List<RecordTermination> ofTerminatedIncarnation(HostLiveness liveness) {
-        return endWithIncarnation(sentRuns(), liveness.hasAnnouncedEnd(), liveness.terminationEvidence());
+    /**
+     * Returns the terminations of all runs that the host may have started, after another incarnation has responded at its
+     * address.
+     *
+     * @param announced whether the host had announced its shutdown
+     */
+    List<RecordTermination> ofReplacedIncarnation(boolean announced) {
+        return endWithIncarnation(sentRuns(), announced, new TerminationEvidence.OtherLife());
     }
 
     private List<TrackedRun> sentRuns() {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
@@ -159,10 +159,11 @@
      * Returns the evidence that the lease has expired, once the host's own report of the terminations is no longer awaited.
      *
      * <p>An expired lease proves that no run is active, but not how it terminated: a host that still sends heartbeats
-     * can report that, and is given the duration of another lease to do so.
+     * can report that, and is given the duration of another lease to do so, unless it has announced its shutdown.
      */
     Optional<TerminationEvidence> leaseExpiry(long nowNanos) {
-        Duration additionalMargin = liveness.hasRecentHeartbeat(nowNanos) ? timings.lease() : Duration.ZERO;
+        boolean mayReport = liveness.hasRecentHeartbeat(nowNanos) && !liveness.isShutdownAnnounced();
+        Duration additionalMargin = mayReport ? timings.lease() : Duration.ZERO;
         return lease.hasExpired(additionalMargin, nowNanos)
                 ? Optional.of(lease.expiryEvidence(
                         liveness.heartbeatAgeMillis(nowNanos), liveness.responseAgeMillis(nowNanos), nowNanos))
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
@@ -44,9 +44,6 @@
      */
     record Reborn(long startMillis) implements TerminationEvidence {}
 
-    /** The host announced its shutdown, and the time after which it counts as terminated has passed. */
-    record HostLeft() implements TerminationEvidence {}
-
     /**
      * Every lease has certainly expired by the host's clock.
      *
