--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -24,10 +24,10 @@
  * <ul>
  *   <li>the host reported the termination, rejected the start or was too unhealthy to execute it, or the start was
  *       never sent;
- *   <li>a poll response omits the run, and the poll was sent after the host had acknowledged a stop of the run and the
- *       stop grace period had passed;
- *   <li>the first poll response of this term, which fences the commands of earlier leaders, omits a run that an earlier
- *       leader started;
+ *   <li>a poll response that lists all terminations omits the run, and the poll was sent after the host had acknowledged a
+ *       stop of the run and the stop grace period had passed;
+ *   <li>the first poll response of this term that lists all terminations omits a run that an earlier leader started, whose
+ *       commands are fenced by then;
  *   <li>another incarnation of the host responds at its address;
  *   <li>the lease has certainly expired by the host's own clock, and the host sends no heartbeats, has announced its
  *       shutdown or did not respond for the duration of another lease.
@@ -353,8 +353,11 @@
 
     private HostCommand createPoll(long nowNanos) {
         // An unanswered start needs an immediate poll, whose response helps to show whether the run started.
-        boolean immediate =
-                !polls.hasSucceeded() || runs.isEmpty() || runs.hasUnansweredStart() || known.needsImmediatePoll();
+        boolean immediate = !polls.hasSucceeded()
+                || runs.isEmpty()
+                || runs.hasUnansweredStart()
+                || inferred.awaitsCompleteList()
+                || known.needsImmediatePoll();
         Duration maxWait = polls.send(immediate, nowNanos);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
         boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered() && !isShutdownAnnounced();
@@ -378,11 +381,10 @@
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
         boolean awaited = commandsInFlight.remove(command);
-        List<RecordTermination> endedWithIncarnation = new ArrayList<>();
         if (response instanceof PollResult pollResult) {
             switch (incarnation.identifySender(pollResult.startMillis(), sentNanos)) {
                 case CURRENT -> {}
-                case LATER -> endedWithIncarnation.addAll(onReborn(pollResult, sentNanos, nowNanos));
+                case LATER -> onReborn(sentNanos, nowNanos);
                 case EARLIER -> {
                     recordPollOutcome(awaited);
                     return List.of();
@@ -390,12 +392,7 @@
             }
         }
         known.recordContact(response, nowNanos);
-        List<RecordTermination> terminations = onResponse(command, awaited, sentNanos, response, nowNanos);
-        if (endedWithIncarnation.isEmpty()) {
-            return terminations;
-        }
-        endedWithIncarnation.addAll(terminations);
-        return endedWithIncarnation;
+        return onResponse(command, awaited, sentNanos, response, nowNanos);
     }
 
     private List<RecordTermination> onResponse(
@@ -424,11 +421,10 @@
     }
 
     /**
-     * Discards what is known of the incarnation that has terminated, and returns the terminations of the runs that were
-     * active there. The later incarnation may have executed a start that was sent before its rebirth was known, and may
-     * still execute one without a response.
+     * Discards what is known of the incarnation that has terminated. The later incarnation may have executed a start that was
+     * sent before its rebirth was known, and may still execute one without a response.
      */
-    private List<RecordTermination> onReborn(PollResult pollResult, long sentNanos, long nowNanos) {
+    private void onReborn(long sentNanos, long nowNanos) {
         boolean announced = known.liveness().isLeaving();
         fenceNeeded = true;
         known = new KnownIncarnation(timings, runs, nowNanos);
@@ -438,11 +434,7 @@
         // Leases requested by the clock of the earlier incarnation are bounded only by the longest one.
         known.lease().markInherited();
         runs.forgetStopAcknowledgements(nowNanos);
-        return inferred.ofRebirth(
-                pollResult.reportedRuns(),
-                announced,
-                new TerminationEvidence.Reborn(incarnation.startMillis()),
-                sentNanos);
+        inferred.recordRebirth(announced, new TerminationEvidence.Reborn(incarnation.startMillis()), sentNanos);
     }
 
     private List<RecordTermination> onStartResponse(HostCommand.Start start, HostResponse response, long nowNanos) {
@@ -461,9 +453,12 @@
         }
         polls.recordResponse(poll.maxWaitMillis() > 0, poll.token() == token, sentNanos, nowNanos);
         Set<RunId> reported = pollResult.reportedRuns();
-        List<RecordTermination> terminations = new ArrayList<>(known.receive(poll, pollResult, reported, nowNanos));
+        boolean complete =
+                known.terminations().isComplete(pollResult.terminations().size());
+        List<RecordTermination> terminations = new ArrayList<>(inferred.ofRebirth(reported, complete));
         inferred.hostIsAlive();
-        terminations.addAll(inferred.ofUnreportedRuns(reported, sentNanos));
+        terminations.addAll(known.receive(poll, pollResult, reported, nowNanos));
+        terminations.addAll(inferred.ofUnreportedRuns(reported, complete, sentNanos));
         return terminations;
     }
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
@@ -25,6 +26,14 @@
 
     private final CrashSuspects crashSuspects = new CrashSuspects();
 
+    private boolean awaitsCompleteList;
+
+    /** The rebirth of the host by which runs ended that are not all known yet, or null. */
+    private @Nullable Rebirth undecidedRebirth;
+
+    /** What is known of a rebirth of the host; see {@link #recordRebirth}. */
+    private record Rebirth(boolean announced, TerminationEvidence evidence, long sentNanos) {}
+
     InferredTerminations(HostRuns runs, HostTimings timings) {
         this.runs = runs;
         this.timings = timings;
@@ -35,9 +44,11 @@
         return !crashSuspects.isEmpty();
     }
 
-    /** Records that the host is alive: whatever was suspected of its silence, it has not crashed. */
+    /** Records that the host is alive: whatever was suspected of its silence, it has not crashed unless it started again. */
     void hostIsAlive() {
-        crashSuspects.clear();
+        if (undecidedRebirth == null) {
+            crashSuspects.clear();
+        }
     }
 
     /** Returns the termination that the response to a start proves, or an empty list if it proves none. */
@@ -57,15 +68,31 @@
         return record(tracked, TerminalStatus.NOT_BEGUN, evidence);
     }
 
-    /** Returns the terminations of the runs that a response to a poll sent at a monotonic time should have reported. */
-    List<RecordTermination> ofUnreportedRuns(Set<RunId> reported, long sentNanos) {
-        List<RecordTermination> terminations = new ArrayList<>();
-        runs.stream()
+    /**
+     * Returns the terminations of the runs that a poll response should have reported.
+     *
+     * @param reported the runs that it reports
+     * @param complete whether it lists all terminations that are not acknowledged; if not, the omission of a run proves nothing
+     * @param sentNanos when the poll was sent, by the monotonic clock
+     */
+    List<RecordTermination> ofUnreportedRuns(Set<RunId> reported, boolean complete, long sentNanos) {
+        List<TrackedRun> unreported = runs.stream()
                 .filter(tracked -> !tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run()))
-                .forEach(tracked -> addUnreported(tracked, sentNanos, terminations));
+                .toList();
+        awaitsCompleteList = !complete && !unreported.isEmpty();
+        if (!complete) {
+            return List.of();
+        }
+        List<RecordTermination> terminations = new ArrayList<>();
+        unreported.forEach(tracked -> addUnreported(tracked, sentNanos, terminations));
         return terminations;
     }
 
+    /** Returns whether a run was omitted by a poll response that may not list all terminations. */
+    boolean awaitsCompleteList() {
+        return awaitsCompleteList;
+    }
+
     private void addUnreported(TrackedRun tracked, long sentNanos, List<RecordTermination> terminations) {
         boolean stopComplete = tracked.wasStopCompleteBy(timings.stopGrace(), sentNanos);
         switch (tracked.stage) {
@@ -132,20 +159,31 @@
     }
 
     /**
-     * Returns the terminations of the runs that were active before the host started again.
+     * Records that the host has started again; what was active before is over.
      *
-     * @param reported the runs that the later incarnation reports
      * @param announced whether the earlier incarnation had announced its end
      * @param evidence the evidence that it has terminated
      * @param sentNanos when the poll was sent to which the later incarnation responded, by the monotonic clock
      */
-    List<RecordTermination> ofRebirth(
-            Set<RunId> reported, boolean announced, TerminationEvidence evidence, long sentNanos) {
+    void recordRebirth(boolean announced, TerminationEvidence evidence, long sentNanos) {
+        undecidedRebirth = new Rebirth(announced, evidence, sentNanos);
+    }
+
+    /**
+     * Returns the terminations of the runs that ended with the earlier incarnation, once the later one has listed all its
+     * terminations: it may have executed, and ended, a run whose start it got instead of the earlier one.
+     */
+    List<RecordTermination> ofRebirth(Set<RunId> reported, boolean complete) {
+        Rebirth rebirth = undecidedRebirth;
+        if (rebirth == null || !complete) {
+            return List.of();
+        }
+        undecidedRebirth = null;
         List<TrackedRun> ended = runs.stream()
                 .filter(tracked -> !reported.contains(tracked.activeRun.run()))
-                .filter(tracked -> tracked.wasActiveBefore(sentNanos))
+                .filter(tracked -> tracked.wasActiveBefore(rebirth.sentNanos()))
                 .toList();
-        return endWithIncarnation(ended, announced, evidence);
+        return endWithIncarnation(ended, rebirth.announced(), rebirth.evidence());
     }
 
     private List<RecordTermination> endWithIncarnation(
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
@@ -10,7 +10,7 @@
     /** The host reported the termination. */
     record Listed() implements TerminationEvidence {}
 
-    /** The first poll response of the term omits a run that an earlier leader started. */
+    /** The first poll response of the term that lists all terminations omits a run that an earlier leader started. */
     record NeverListed() implements TerminationEvidence {}
 
     /** The host acknowledged a stop, and a later poll response omits the run. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationTracker.java
@@ -23,12 +23,24 @@
     /** The highest sequence number that the host reported. */
     private long highestReported;
 
+    /** The largest number of terminations that one response listed; the host can list as many at a time. */
+    private int mostListed;
+
     /** The highest sequence number acknowledged to the host; it may discard terminations up to this one. */
     private long acknowledgedThrough;
 
+    /**
+     * Returns whether a response with so many terminations lists all that the host has. Hosts list a limited number at a time,
+     * the lowest sequence numbers first; a list that is shorter than another one is not cut off.
+     */
+    boolean isComplete(int listedCount) {
+        return listedCount == 0 || listedCount < mostListed;
+    }
+
     /** Handles the terminations in a response and returns those that are to be committed to the log. */
     List<RecordTermination> receive(List<ReportedTermination> reported, HostRuns runs) {
         List<RecordTermination> terminations = new ArrayList<>();
+        mostListed = Math.max(mostListed, reported.size());
         for (ReportedTermination termination : reported) {
             TrackedRun tracked = runs.get(termination.run());
             (tracked == null ? untracked(termination) : tracked(termination, tracked)).ifPresent(terminations::add);
