--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -1,5 +1,6 @@
 package org.nettlering.control.workflow;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +22,9 @@
  * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
  */
 final class StartableHosts {
+    /** How recently a host was heard of that hardly is down: a third of the interval of its heartbeats. */
+    private static final Duration RECENT_CONTACT = Duration.ofMillis(500);
+
     /** The sessions by the incarnation id of the host, changed by the leadership. */
     private final Map<String, HostSession> sessions;
 
@@ -95,12 +99,19 @@
                             .ifPresent(heartbeat -> failures.isolate(
                                     LoopPart.PLAN,
                                     session.host().id(),
-                                    () -> capacities.add(freeCapacity(state, session, heartbeat)))));
+                                    () -> capacities.add(freeCapacity(state, session, heartbeat, nowNanos)))));
         }
         return capacities;
     }
 
-    private FreeCapacity freeCapacity(WorkflowState state, HostSession session, HostHeartbeat heartbeat) {
+    private FreeCapacity freeCapacity(
+            WorkflowState state, HostSession session, HostHeartbeat heartbeat, long nowNanos) {
+        FreeCapacity capacity = cachedCapacity(state, session, heartbeat);
+        capacity.setInContact(session.hasContactWithin(RECENT_CONTACT, nowNanos));
+        return capacity;
+    }
+
+    private FreeCapacity cachedCapacity(WorkflowState state, HostSession session, HostHeartbeat heartbeat) {
         String id = session.host().id();
         HostAllocations allocations = state.allocationsOf(id).orElse(null);
         return cache.freeCapacity(id, allocations, () -> {
@@ -126,7 +137,7 @@
 
     private static boolean isSuspect(WorkflowState state, RunId run) {
         return state.step(run.task().step())
-                .filter(step -> step.task(run.task().index()).hostCrashes() > 0)
+                .filter(step -> step.task(run.task().index()).isSuspect())
                 .isPresent();
     }
 }
--- a/control/src/test/java/org/nettlering/control/workflow/TaskCrashesHostsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskCrashesHostsTest.java
@@ -59,6 +59,32 @@
         }
     }
 
+    /** Guards against LOST: a job was shown as failed although no run of it had begun on a host that crashed. */
+    @Test
+    void taskWhoseStartsFoundHostsThatWereDownAlreadyIsDone() {
+        site.submitUnlucky("unlucky", 3);
+        site.advance(LONG_MILLIS);
+        assertThat(site.starts("unlucky", 0)).isEqualTo(1);
+        assertThat(site.phase("unlucky")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void taskWhoseStartsFoundHostsThatWereDownAlreadyIsDoneAlsoUnderOtherLeaders() {
+        site.leaderReplacedAtCrashes = true;
+        site.submitUnlucky("unlucky", 3);
+        site.advance(LONG_MILLIS);
+        assertThat(site.phase("unlucky")).isEqualTo(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void taskThatCrashesItsHostsBeforeTheyAnswerIsGivenUp() {
+        site.crashesBeforeAnswers = true;
+        site.submitDeadly("deadly", 1);
+        site.advance(2 * LONG_MILLIS);
+        assertThat(site.starts("deadly", 0)).isBetween(2, MOST_STARTS);
+        assertThat(site.phase("deadly")).isEqualTo(JobPhase.FAILED);
+    }
+
     @Test
     void taskThatWorkedForAWhileIsNotBlamedForCrashesOfItsHosts() {
         site.submitLongRunning("watch");
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -17,9 +17,15 @@
     /** The number of host crashes after which a task is given up if it was the only suspect of the latest one. */
     private static final int MAX_HOST_CRASHES = 2;
 
-    /** The number of host crashes after which a task is given up in any case. */
+    /** The number of host crashes after which a task is given up although others were suspects, too. */
     private static final int MAX_SUSPECTED_CRASHES = 4;
 
+    /**
+     * The number of possible host crashes after which a task is given up although nothing shows that it had begun at each: as
+     * many hosts in a row do not crash by chance just when they are to start it, after they have been in contact.
+     */
+    private static final int MAX_POSSIBLE_CRASHES = 5;
+
     private final Job job;
 
     private final StepId id;
@@ -63,7 +69,7 @@
             TaskProgress task = tasks.get(index);
             unfinishedCount += task.isDone() ? 0 : 1;
             activeRunCount += task.activeRuns().size();
-            hasSuspects |= task.hostCrashes() > 0;
+            hasSuspects |= task.isSuspect();
             pending.set(index, !task.isDone() && task.hasNoActiveRun());
         }
     }
@@ -223,8 +229,8 @@
      */
     boolean confirmTermination(int index, RunId run, TerminalStatus status) {
         TaskProgress task = tasks.get(index);
-        if (status.isHostCrash()) {
-            return task.isUnconfirmed(run) && recordHostCrash(task, run);
+        if (status.isPossibleHostCrash()) {
+            return task.isUnconfirmed(run) && recordHostCrash(task, run, status);
         }
         if (status.isInferred() || !task.confirmTermination(run)) {
             return false;
@@ -243,15 +249,15 @@
         if (status == TerminalStatus.FAILED && countsAsFailure(run)) {
             task.recordFailure();
         }
-        if (status.isHostCrash()) {
-            recordHostCrash(task, run);
+        if (status.isPossibleHostCrash()) {
+            recordHostCrash(task, run, status);
         }
         pending.set(index, !task.isDone() && task.hasNoActiveRun());
     }
 
-    private boolean recordHostCrash(TaskProgress task, RunId run) {
+    private boolean recordHostCrash(TaskProgress task, RunId run, TerminalStatus status) {
         hasSuspects = true;
-        return task.recordHostCrash(run);
+        return task.recordHostCrash(run, status);
     }
 
     /** Returns whether a failed run is a further failure of its task, or the first one of its gang's run. */
@@ -285,7 +291,7 @@
     /**
      * Returns whether a task of the step may have crashed a host.
      *
-     * @return true if a run of any task ended as {@link TerminalStatus#isHostCrash}
+     * @return true if a run of any task ended as {@link TerminalStatus#isPossibleHostCrash}
      */
     public boolean hasSuspects() {
         return hasSuspects;
@@ -293,13 +299,15 @@
 
     /**
      * Returns whether a task is to be given up because it crashes its hosts. One that is only suspected is started more
-     * often, so that it is found out which of the runs that started together is the cause.
+     * often, so that it is found out which of the runs that started together is the cause, and whether it had begun at all.
      */
     boolean crashesHosts(int index, TerminalStatus latestStatus) {
         TaskProgress task = tasks.get(index);
-        int crashes = task.isDone() ? 0 : task.hostCrashes();
+        if (task.isDone()) {
+            return false;
+        }
         int allowed = latestStatus == TerminalStatus.CRASHED_HOST ? MAX_HOST_CRASHES : MAX_SUSPECTED_CRASHES;
-        return crashes >= allowed;
+        return task.hostCrashes() >= allowed || task.possibleHostCrashes() >= MAX_POSSIBLE_CRASHES;
     }
 
     /** Returns how often a task, or the gang that it belongs to, has failed. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * The progress of one task.
@@ -17,8 +18,11 @@
     /** The numbers of the runs whose termination was inferred and has not been reported by their host since. */
     private final Set<Integer> unconfirmedRuns = new TreeSet<>();
 
-    /** The numbers of the runs that may have crashed their host. */
-    private final Set<Integer> crashRuns = new TreeSet<>();
+    /** The numbers of the runs that had begun just before their host crashed, ascending; immutable, as most have none. */
+    private List<Integer> crashRuns = List.of();
+
+    /** The numbers of the runs whose host crashed and of which nothing shows that they had begun, ascending; immutable. */
+    private List<Integer> unconfirmedCrashRuns = List.of();
 
     private int lastRunNumber;
 
@@ -35,7 +39,8 @@
         TaskProgress task = new TaskProgress();
         task.lastRunNumber = snapshot.lastRunNumber();
         task.failures = snapshot.failures();
-        task.crashRuns.addAll(snapshot.crashRuns());
+        task.crashRuns = snapshot.crashRuns();
+        task.unconfirmedCrashRuns = snapshot.unconfirmedCrashRuns();
         task.done = snapshot.done();
         task.checkpoint = snapshot.checkpoint();
         task.activeRuns.addAll(snapshot.activeRuns());
@@ -51,7 +56,8 @@
                 checkpoint,
                 activeRuns,
                 List.copyOf(unconfirmedRuns),
-                List.copyOf(crashRuns));
+                crashRuns,
+                unconfirmedCrashRuns);
     }
 
     /**
@@ -82,14 +88,32 @@
     }
 
     /**
-     * Returns how many runs of the task may have crashed their host.
+     * Returns how many hosts crashed just after they had started the task.
      *
-     * @return the number of runs that ended as {@link TerminalStatus#isHostCrash}
+     * @return the number of runs that had begun and may have crashed their host
      */
     public int hostCrashes() {
         return crashRuns.size();
     }
 
+    /**
+     * Returns how many hosts crashed that had started the task or were to start it.
+     *
+     * @return the number of runs that ended as {@link TerminalStatus#isPossibleHostCrash}
+     */
+    public int possibleHostCrashes() {
+        return crashRuns.size() + unconfirmedCrashRuns.size();
+    }
+
+    /**
+     * Returns whether the task is suspected of crashing its hosts.
+     *
+     * @return true if a run ended as {@link TerminalStatus#isPossibleHostCrash}
+     */
+    public boolean isSuspect() {
+        return possibleHostCrashes() > 0;
+    }
+
     /**
      * Returns whether the work of the task is done.
      *
@@ -146,9 +170,25 @@
         failures++;
     }
 
-    /** Records that a run may have crashed its host; returns false if that was recorded before. */
-    boolean recordHostCrash(RunId run) {
-        return crashRuns.add(run.number());
+    /**
+     * Records that a run may have crashed its host; returns false if that was recorded before.
+     *
+     * @param status {@link TerminalStatus#CRASH_UNCONFIRMED} if nothing shows that the run had begun
+     */
+    boolean recordHostCrash(RunId run, TerminalStatus status) {
+        if (crashRuns.contains(run.number()) || unconfirmedCrashRuns.contains(run.number())) {
+            return false;
+        }
+        if (status == TerminalStatus.CRASH_UNCONFIRMED) {
+            unconfirmedCrashRuns = with(unconfirmedCrashRuns, run.number());
+        } else {
+            crashRuns = with(crashRuns, run.number());
+        }
+        return true;
+    }
+
+    private static List<Integer> with(List<Integer> numbers, int added) {
+        return Stream.concat(numbers.stream(), Stream.of(added)).sorted().toList();
     }
 
     void markDone() {
--- a/domain/src/main/java/org/nettlering/domain/workflow/TerminalStatus.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TerminalStatus.java
@@ -21,7 +21,9 @@
     /** The host crashed just after it had started this run and no other one, so that the run is taken for the cause. */
     CRASHED_HOST,
     /** The host crashed just after it had started this run and others, any of which may be the cause. */
-    CRASH_SUSPECT;
+    CRASH_SUSPECT,
+    /** The host crashed after the start of this run had been sent; nothing shows that it had begun. */
+    CRASH_UNCONFIRMED;
 
     /**
      * Returns whether the status was inferred, so that the host may still report another one for the same run.
@@ -29,15 +31,15 @@
      * @return false if only the host itself reports this status
      */
     public boolean isInferred() {
-        return this == NOT_BEGUN || this == HOST_LOST || isHostCrash();
+        return this == NOT_BEGUN || this == HOST_LOST || isPossibleHostCrash();
     }
 
     /**
      * Returns whether the run may have crashed its host.
      *
-     * @return true if the host crashed just after it had started the run
+     * @return true if the host crashed just after it had started the run, or was to start it
      */
-    public boolean isHostCrash() {
-        return this == CRASHED_HOST || this == CRASH_SUSPECT;
+    public boolean isPossibleHostCrash() {
+        return this == CRASHED_HOST || this == CRASH_SUSPECT || this == CRASH_UNCONFIRMED;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowStateSnapshot.java
@@ -77,7 +77,9 @@
      * @param activeRuns the runs without a committed termination, not null
      * @param unconfirmedRuns the numbers of the runs whose termination was inferred and has not been reported by
      *     their host since, not null
-     * @param crashRuns the numbers of the runs that may have crashed their host, not null
+     * @param crashRuns the numbers of the runs that had begun just before their host crashed, not null
+     * @param unconfirmedCrashRuns the numbers of the runs whose host crashed and of which nothing shows that they had begun,
+     *     not null
      */
     public record TaskSnapshot(
             int lastRunNumber,
@@ -86,12 +88,14 @@
             String checkpoint,
             List<ActiveRun> activeRuns,
             List<Integer> unconfirmedRuns,
-            List<Integer> crashRuns) {
+            List<Integer> crashRuns,
+            List<Integer> unconfirmedCrashRuns) {
         /** Copies the lists of runs. */
         public TaskSnapshot {
             activeRuns = List.copyOf(activeRuns);
             unconfirmedRuns = List.copyOf(unconfirmedRuns);
             crashRuns = List.copyOf(crashRuns);
+            unconfirmedCrashRuns = List.copyOf(unconfirmedCrashRuns);
         }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -248,6 +248,20 @@
         return ageMillis != TerminationEvidence.NEVER && ageMillis <= maxAge.toMillis();
     }
 
+    /**
+     * Returns whether the host was heard of recently, by a heartbeat or a response.
+     *
+     * @param maxAge the largest age of the last contact, not null
+     * @param nowNanos the monotonic time
+     * @return true if a heartbeat or a response was received within that time
+     */
+    public boolean hasContactWithin(Duration maxAge, long nowNanos) {
+        long heartbeatAgeMillis = known.liveness().heartbeatAgeMillis(nowNanos);
+        boolean recentHeartbeat =
+                heartbeatAgeMillis != TerminationEvidence.NEVER && heartbeatAgeMillis <= maxAge.toMillis();
+        return recentHeartbeat || hasRespondedWithin(maxAge, nowNanos);
+    }
+
     /**
      * Stops tracking runs whose terminations are committed although {@link #onTerminationCommitted} was not called.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -188,19 +188,21 @@
 
     private List<RecordTermination> endWithIncarnation(
             Collection<TrackedRun> ended, boolean announced, TerminationEvidence evidence) {
-        List<RunId> suspects = CrashSuspects.among(ended);
-        List<RecordTermination> terminations = new ArrayList<>();
-        TerminalStatus suspectStatus = TerminalStatus.HOST_LOST;
         if (announced) {
             crashSuspects.clear();
-        } else {
-            suspectStatus = crashSuspects.statusTogetherWith(suspects);
-            terminations.addAll(crashSuspects.removeLost(suspects));
+            return ended.stream()
+                    .map(tracked -> record(tracked, TerminalStatus.HOST_LOST, evidence))
+                    .toList();
         }
+        int suspectCount = CrashSuspects.among(ended).size();
+        List<RecordTermination> terminations = new ArrayList<>();
         for (TrackedRun tracked : ended) {
-            TerminalStatus status = tracked.isCrashSuspect() ? suspectStatus : TerminalStatus.HOST_LOST;
+            TerminalStatus status = tracked.isCrashSuspect()
+                    ? crashSuspects.statusOf(tracked.hasBegun(), suspectCount)
+                    : TerminalStatus.HOST_LOST;
             terminations.add(record(tracked, status, evidence));
         }
+        terminations.addAll(crashSuspects.removeLost(suspectCount));
         return terminations;
     }
 
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -163,6 +163,11 @@
         return stage != Stage.START_PENDING && isUnproven();
     }
 
+    /** Returns whether the host has shown to this leader that the run had begun. */
+    boolean hasBegun() {
+        return stage == Stage.CONFIRMED;
+    }
+
     /** Returns whether the host itself reported the termination. */
     boolean isTerminationReported() {
         return evidence instanceof TerminationEvidence.Listed;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -41,6 +41,8 @@
     /** Whether a start was planned here, or none is to be. */
     private boolean changedByPlan;
 
+    private boolean inContact = true;
+
     /** Which tasks may start, also with regard to the planned starts. */
     private StartAdmission admission;
 
@@ -227,6 +229,20 @@
         return admission == StartAdmission.ALL;
     }
 
+    /**
+     * Records whether the host was in contact a moment ago, which changes without any change of the host.
+     *
+     * @param recent true if it was heard of so recently that it is hardly down
+     */
+    public void setInContact(boolean recent) {
+        inContact = recent;
+    }
+
+    /** Returns whether the host was in contact a moment ago. */
+    boolean isInContact() {
+        return inContact;
+    }
+
     /** Returns the number of runs that would be lost if the host crashed. */
     int runCount() {
         return allocations.runs().size();
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -152,13 +152,13 @@
             return step.pendingTasks();
         }
         return Arrays.stream(step.pendingTasks())
-                .filter(index -> step.task(index).hostCrashes() == 0)
+                .filter(index -> !step.task(index).isSuspect())
                 .toArray();
     }
 
     /**
-     * Starts the tasks that are suspected of crashing their hosts, each on a host on which no other run has just started.
-     * Such a host starts nothing else until it has shown the task at work, so that a crash tells which task is the cause.
+     * Starts the tasks that are suspected of crashing their hosts, each on a host on which no other run has just started and
+     * which was in contact a moment ago: one that has crashed unnoticed would only renew the suspicion. Such a host starts nothing else until it has shown the task at work, so that a crash tells which task is the cause.
      * The members of a gang start together and cannot be told apart in this way.
      */
     private void planSuspects(StepProgress step) {
@@ -166,7 +166,7 @@
             return;
         }
         for (int index : step.pendingTasks()) {
-            if (step.task(index).hostCrashes() > 0) {
+            if (step.task(index).isSuspect()) {
                 planSuspect(step, index);
             }
         }
@@ -174,7 +174,8 @@
 
     /** Starts a suspect, if a host admits it, and keeps a host free of new runs for one that has to wait. */
     private void planSuspect(StepProgress step, int index) {
-        Optional<FreeCapacity> admitting = leastRunsAtStake(step, FreeCapacity::admitsSuspects);
+        Optional<FreeCapacity> admitting =
+                leastRunsAtStake(step, capacity -> capacity.admitsSuspects() && capacity.isInContact());
         if (admitting.isPresent()) {
             FreeCapacity capacity = admitting.get();
             selector.allocateSuspect(step.id(), step.specification(), capacity);
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -175,6 +175,42 @@
         assertThat(restored.job("a").orElseThrow().phase()).isEqualTo(JobPhase.FAILED);
     }
 
+    /** Guards against LOST: hosts that were down when the start arrived counted as crashed by the task. */
+    @Test
+    void aTaskThatHadBegunAtOneCrashOnlyIsNotGivenUp() {
+        state.apply(job("a", step(1, List.of())));
+        endRun(1, TerminalStatus.CRASH_UNCONFIRMED);
+        endRun(2, TerminalStatus.CRASHED_HOST);
+        endRun(3, TerminalStatus.CRASH_UNCONFIRMED);
+        assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+        endRun(4, TerminalStatus.CRASHED_HOST);
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    /** BUDGET allows no third start after the third crash, whether or not the hosts told that the task had begun. */
+    @Test
+    void aSuspectIsGivenUpAfterTheFifthPossibleCrashAtTheLatest() {
+        state.apply(job("a", step(1, List.of())));
+        for (int number = 1; number <= 5; number++) {
+            assertThat(phase("a")).isIn(JobPhase.QUEUED, JobPhase.RUNNING);
+            endRun(number, TerminalStatus.CRASH_UNCONFIRMED);
+        }
+        assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+    }
+
+    @Test
+    void aSnapshotKeepsPossibleHostCrashes() {
+        state.apply(job("a", step(1, List.of())));
+        for (int number = 1; number <= 4; number++) {
+            endRun(number, TerminalStatus.CRASH_UNCONFIRMED);
+        }
+        WorkflowState restored = WorkflowState.from(state.snapshot());
+        assertThat(restored.pendingSteps()).allMatch(StepProgress::hasSuspects).isNotEmpty();
+        restored.apply(start("a", 0, 0, 5));
+        restored.apply(end("a", 0, 0, 5, TerminalStatus.CRASH_UNCONFIRMED));
+        assertThat(restored.job("a").orElseThrow().phase()).isEqualTo(JobPhase.FAILED);
+    }
+
     @Test
     void aTaskThatIsDoneIsNotGivenUpForALateCrash() {
         state.apply(job("a", step(2, List.of())));
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostSessionTest.java
@@ -424,7 +424,7 @@
         respond(takeStart(), new Accepted(hostClockMillis));
         RunId next = run("b", 0, 0, 1);
         session.trackNewRun(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
-        respond(takeCommand(HostCommand.Start.class), new NoResponse("reset"));
+        respond(takeCommand(HostCommand.Start.class), new Accepted(hostClockMillis));
         respond(takePoll(), new OtherIncarnation());
         assertThat(session.inferTerminations(nowNanos))
                 .containsExactly(
@@ -432,6 +432,40 @@
                         new RecordTermination(next, TerminalStatus.CRASH_SUSPECT, ""));
     }
 
+    /** Guards against LOST: a start that found a host that was down already counted like one that the host had confirmed. */
+    @Test
+    void runWhoseStartGotNoAnswerIsNotKnownToHaveBegunBeforeACrash() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        RunId next = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new NoResponse("reset"));
+        respond(takePoll(), new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(
+                        new RecordTermination(RUN, TerminalStatus.CRASH_SUSPECT, ""),
+                        new RecordTermination(next, TerminalStatus.CRASH_UNCONFIRMED, ""));
+    }
+
+    @Test
+    void aSilentHostThatTurnsOutToHaveCrashedTellsWhichRunsHadBegun() {
+        makeSchedulable();
+        respond(takeStart(), new Accepted(hostClockMillis));
+        RunId next = run("b", 0, 0, 1);
+        session.trackNewRun(new ActiveRun(next, HOST, ""), "work", "", nowNanos);
+        respond(takeCommand(HostCommand.Start.class), new NoResponse("dark"));
+        advanceWithoutResponses(9_000);
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(
+                        new RecordTermination(RUN, TerminalStatus.HOST_LOST, ""),
+                        new RecordTermination(next, TerminalStatus.HOST_LOST, ""));
+        respond(takePoll(), new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(
+                        new RecordTermination(RUN, TerminalStatus.CRASH_SUSPECT, ""),
+                        new RecordTermination(next, TerminalStatus.CRASH_UNCONFIRMED, ""));
+    }
+
     @Test
     void startThatReachesAnotherIncarnationNeverBegan() {
         makeSchedulable();
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -110,6 +110,18 @@
         assertThat(plan()).isEmpty();
     }
 
+    @Test
+    void suspectStartsOnlyOnAHostThatWasInContactAMomentAgo() {
+        FreeCapacity host = freeCapacity("free", StartAdmission.ALL);
+        host.setInContact(false);
+        capacities.add(host);
+        makeSuspect("a");
+        assertThat(plan()).isEmpty();
+        FreeCapacity heardOf = freeCapacity("heard-of", StartAdmission.ALL);
+        capacities.add(heardOf);
+        assertThat(startsByHost()).containsOnly(Map.entry("heard-of", 1L));
+    }
+
     private void makeSuspect(String jobId) {
         state.apply(job(jobId, step(1, List.of())));
         state.apply(new StartRun(new ActiveRun(run(jobId, 0, 0, 1), new HostIncarnation("gone", "10.0.0.9:80"), "")));
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowCommandCodec.java
@@ -182,7 +182,7 @@
             case BROKEN -> RunEndMessage.RUN_BROKEN;
             case ALONE -> RunEndMessage.RUN_ALONE;
             case NOT_BEGUN -> RunEndMessage.RUN_NOT_BEGUN;
-            case HOST_LOST, CRASHED_HOST, CRASH_SUSPECT -> RunEndMessage.RUN_HOST_LOST;
+            case HOST_LOST, CRASHED_HOST, CRASH_SUSPECT, CRASH_UNCONFIRMED -> RunEndMessage.RUN_HOST_LOST;
         };
     }
 
@@ -190,6 +190,7 @@
         return switch (status) {
             case CRASHED_HOST -> HostCrashMessage.HOST_CRASH_CAUSE;
             case CRASH_SUSPECT -> HostCrashMessage.HOST_CRASH_SUSPECT;
+            case CRASH_UNCONFIRMED -> HostCrashMessage.HOST_CRASH_UNCONFIRMED;
             default -> HostCrashMessage.HOST_CRASH_UNSPECIFIED;
         };
     }
@@ -213,6 +214,7 @@
         return switch (message) {
             case HOST_CRASH_CAUSE -> TerminalStatus.CRASHED_HOST;
             case HOST_CRASH_SUSPECT -> TerminalStatus.CRASH_SUSPECT;
+            case HOST_CRASH_UNCONFIRMED -> TerminalStatus.CRASH_UNCONFIRMED;
             case HOST_CRASH_UNSPECIFIED, UNRECOGNIZED -> TerminalStatus.HOST_LOST;
         };
     }
--- a/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/WorkflowSnapshotCodec.java
@@ -119,6 +119,7 @@
         task.activeRuns().forEach(run -> message.addActiveRuns(WorkflowCommandCodec.encode(run)));
         message.addAllUnsettledRuns(task.unconfirmedRuns());
         message.addAllCrashRuns(task.crashRuns());
+        message.addAllUnconfirmedCrashRuns(task.unconfirmedCrashRuns());
         return message.build();
     }
 
@@ -132,6 +133,7 @@
                         .map(WorkflowCommandCodec::decode)
                         .toList(),
                 message.getUnsettledRunsList(),
-                message.getCrashRunsList());
+                message.getCrashRunsList(),
+                message.getUnconfirmedCrashRunsList());
     }
 }
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -209,6 +209,14 @@
      * <code>HOST_CRASH_SUSPECT = 2;</code>
      */
     HOST_CRASH_SUSPECT(2),
+    /**
+     * <pre>
+     * Nothing shows that the run had begun. Members that do not know this value take the host for lost.
+     * </pre>
+     *
+     * <code>HOST_CRASH_UNCONFIRMED = 3;</code>
+     */
+    HOST_CRASH_UNCONFIRMED(3),
     UNRECOGNIZED(-1),
     ;
 
@@ -233,6 +241,14 @@
      * <code>HOST_CRASH_SUSPECT = 2;</code>
      */
     public static final int HOST_CRASH_SUSPECT_VALUE = 2;
+    /**
+     * <pre>
+     * Nothing shows that the run had begun. Members that do not know this value take the host for lost.
+     * </pre>
+     *
+     * <code>HOST_CRASH_UNCONFIRMED = 3;</code>
+     */
+    public static final int HOST_CRASH_UNCONFIRMED_VALUE = 3;
 
 
     public final int getNumber() {
@@ -262,6 +278,7 @@
         case 0: return HOST_CRASH_UNSPECIFIED;
         case 1: return HOST_CRASH_CAUSE;
         case 2: return HOST_CRASH_SUSPECT;
+        case 3: return HOST_CRASH_UNCONFIRMED;
         default: return null;
       }
     }
@@ -25883,6 +25900,35 @@
      * @return The crashRuns at the given index.
      */
     int getCrashRuns(int index);
+
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @return A list containing the unconfirmedCrashRuns.
+     */
+    java.util.List<java.lang.Integer> getUnconfirmedCrashRunsList();
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @return The count of unconfirmedCrashRuns.
+     */
+    int getUnconfirmedCrashRunsCount();
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @param index The index of the element to return.
+     * @return The unconfirmedCrashRuns at the given index.
+     */
+    int getUnconfirmedCrashRuns(int index);
   }
   /**
    * Protobuf type {@code nettlering.TaskImageMessage}
@@ -25910,6 +25956,7 @@
       activeRuns_ = java.util.Collections.emptyList();
       unsettledRuns_ = emptyIntList();
       crashRuns_ = emptyIntList();
+      unconfirmedCrashRuns_ = emptyIntList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -26127,6 +26174,48 @@
     }
     private int crashRunsMemoizedSerializedSize = -1;
 
+    public static final int UNCONFIRMED_CRASH_RUNS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList unconfirmedCrashRuns_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @return A list containing the unconfirmedCrashRuns.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getUnconfirmedCrashRunsList() {
+      return unconfirmedCrashRuns_;
+    }
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @return The count of unconfirmedCrashRuns.
+     */
+    public int getUnconfirmedCrashRunsCount() {
+      return unconfirmedCrashRuns_.size();
+    }
+    /**
+     * <pre>
+     * The runs of which nothing shows that they had begun when their host crashed.
+     * </pre>
+     *
+     * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+     * @param index The index of the element to return.
+     * @return The unconfirmedCrashRuns at the given index.
+     */
+    public int getUnconfirmedCrashRuns(int index) {
+      return unconfirmedCrashRuns_.getInt(index);
+    }
+    private int unconfirmedCrashRunsMemoizedSerializedSize = -1;
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -26171,6 +26260,13 @@
       for (int i = 0; i < crashRuns_.size(); i++) {
         output.writeUInt32NoTag(crashRuns_.getInt(i));
       }
+      if (getUnconfirmedCrashRunsList().size() > 0) {
+        output.writeUInt32NoTag(66);
+        output.writeUInt32NoTag(unconfirmedCrashRunsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < unconfirmedCrashRuns_.size(); i++) {
+        output.writeUInt32NoTag(unconfirmedCrashRuns_.getInt(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -26227,6 +26323,20 @@
         }
         crashRunsMemoizedSerializedSize = dataSize;
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < unconfirmedCrashRuns_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(unconfirmedCrashRuns_.getInt(i));
+        }
+        size += dataSize;
+        if (!getUnconfirmedCrashRunsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        unconfirmedCrashRunsMemoizedSerializedSize = dataSize;
+      }
       return size;
     }
     @java.lang.Override
@@ -26265,6 +26375,8 @@
           .equals(other.getUnsettledRunsList())) return false;
       if (!getCrashRunsList()
           .equals(other.getCrashRunsList())) return false;
+      if (!getUnconfirmedCrashRunsList()
+          .equals(other.getUnconfirmedCrashRunsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -26297,6 +26409,10 @@
         hash = (37 * hash) + CRASH_RUNS_FIELD_NUMBER;
         hash = (53 * hash) + getCrashRunsList().hashCode();
       }
+      if (getUnconfirmedCrashRunsCount() > 0) {
+        hash = (37 * hash) + UNCONFIRMED_CRASH_RUNS_FIELD_NUMBER;
+        hash = (53 * hash) + getUnconfirmedCrashRunsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -26441,6 +26557,7 @@
         bitField0_ = (bitField0_ & ~0x00000010);
         unsettledRuns_ = emptyIntList();
         crashRuns_ = emptyIntList();
+        unconfirmedCrashRuns_ = emptyIntList();
         return this;
       }
 
@@ -26507,6 +26624,10 @@
           crashRuns_.makeImmutable();
           result.crashRuns_ = crashRuns_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          unconfirmedCrashRuns_.makeImmutable();
+          result.unconfirmedCrashRuns_ = unconfirmedCrashRuns_;
+        }
       }
 
       @java.lang.Override
@@ -26583,6 +26704,17 @@
           }
           onChanged();
         }
+        if (!other.unconfirmedCrashRuns_.isEmpty()) {
+          if (unconfirmedCrashRuns_.isEmpty()) {
+            unconfirmedCrashRuns_ = other.unconfirmedCrashRuns_;
+            unconfirmedCrashRuns_.makeImmutable();
+            bitField0_ |= 0x00000080;
+          } else {
+            ensureUnconfirmedCrashRunsIsMutable();
+            unconfirmedCrashRuns_.addAll(other.unconfirmedCrashRuns_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -26672,6 +26804,22 @@
                 input.popLimit(limit);
                 break;
               } // case 58
+              case 64: {
+                int v = input.readUInt32();
+                ensureUnconfirmedCrashRunsIsMutable();
+                unconfirmedCrashRuns_.addInt(v);
+                break;
+              } // case 64
+              case 66: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureUnconfirmedCrashRunsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  unconfirmedCrashRuns_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 66
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -27315,6 +27463,118 @@
         return this;
       }
 
+      private com.google.protobuf.Internal.IntList unconfirmedCrashRuns_ = emptyIntList();
+      private void ensureUnconfirmedCrashRunsIsMutable() {
+        if (!unconfirmedCrashRuns_.isModifiable()) {
+          unconfirmedCrashRuns_ = makeMutableCopy(unconfirmedCrashRuns_);
+        }
+        bitField0_ |= 0x00000080;
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @return A list containing the unconfirmedCrashRuns.
+       */
+      public java.util.List<java.lang.Integer>
+          getUnconfirmedCrashRunsList() {
+        unconfirmedCrashRuns_.makeImmutable();
+        return unconfirmedCrashRuns_;
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @return The count of unconfirmedCrashRuns.
+       */
+      public int getUnconfirmedCrashRunsCount() {
+        return unconfirmedCrashRuns_.size();
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @param index The index of the element to return.
+       * @return The unconfirmedCrashRuns at the given index.
+       */
+      public int getUnconfirmedCrashRuns(int index) {
+        return unconfirmedCrashRuns_.getInt(index);
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @param index The index to set the value at.
+       * @param value The unconfirmedCrashRuns to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUnconfirmedCrashRuns(
+          int index, int value) {
+
+        ensureUnconfirmedCrashRunsIsMutable();
+        unconfirmedCrashRuns_.setInt(index, value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @param value The unconfirmedCrashRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addUnconfirmedCrashRuns(int value) {
+
+        ensureUnconfirmedCrashRunsIsMutable();
+        unconfirmedCrashRuns_.addInt(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @param values The unconfirmedCrashRuns to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllUnconfirmedCrashRuns(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureUnconfirmedCrashRunsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, unconfirmedCrashRuns_);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The runs of which nothing shows that they had begun when their host crashed.
+       * </pre>
+       *
+       * <code>repeated uint32 unconfirmed_crash_runs = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUnconfirmedCrashRuns() {
+        unconfirmedCrashRuns_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.TaskImageMessage)
     }
 
@@ -36676,69 +36936,71 @@
       "ge\"t\n\020StepImageMessage\022\031\n\021last_gang_fail" +
       "ure\030\001 \001(\r\022+\n\005tasks\030\002 \003(\0132\034.nettlering.Ta" +
       "skImageMessage\022\030\n\020failed_gang_runs\030\003 \003(\r" +
-      "\"\267\001\n\020TaskImageMessage\022\020\n\010last_run\030\001 \001(\r\022" +
+      "\"\327\001\n\020TaskImageMessage\022\020\n\010last_run\030\001 \001(\r\022" +
       "\020\n\010failures\030\002 \001(\r\022\014\n\004done\030\003 \001(\010\022\022\n\ncheck" +
       "point\030\004 \001(\t\0221\n\013active_runs\030\005 \003(\0132\034.nettl" +
       "ering.ActiveRunMessage\022\026\n\016unsettled_runs" +
-      "\030\006 \003(\r\022\022\n\ncrash_runs\030\007 \003(\r\"\223\004\n\017WorkflowR" +
-      "equest\022.\n\006submit\030\001 \001(\0132\034.nettlering.Subm" +
-      "itJobRequestH\000\022&\n\004show\030\002 \001(\0132\026.nettlerin" +
-      "g.JobRequestH\000\022(\n\006cancel\030\003 \001(\0132\026.nettler" +
-      "ing.JobRequestH\000\0224\n\013host_report\030\004 \001(\0132\035." +
-      "nettlering.HostReportMessageH\000\022/\n\014host_l" +
-      "eaving\030\005 \001(\0132\027.nettlering.HostLeavingH\000\022" +
-      "?\n\016replace_queues\030\006 \001(\0132%.nettlering.Que" +
-      "ueConfigurationMessageH\000\022-\n\013read_queues\030" +
-      "\007 \001(\0132\026.nettlering.ReadQueuesH\000\022(\n\005check" +
-      "\030\010 \001(\0132\027.nettlering.LeaderCheckH\000\0229\n\021cha" +
-      "nge_evacuation\030\t \001(\0132\034.nettlering.Evacua" +
-      "tionChangeH\000\0227\n\020read_evacuations\030\n \001(\0132\033" +
-      ".nettlering.ReadEvacuationsH\000B\t\n\007request" +
-      "\"i\n\020SubmitJobRequest\022\021\n\tauthority\030\001 \001(\t\022" +
-      "\014\n\004path\030\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nett" +
-      "lering.JobDefinitionMessage\"-\n\nJobReques" +
-      "t\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\305\002\n\021H" +
-      "ostReportMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014hos" +
-      "t_address\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure" +
-      "_domain\030\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020mem" +
-      "ory_mebibytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(" +
-      "\r\022\014\n\004kind\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010drainin" +
-      "g\030\n \001(\010\022\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequenc" +
-      "e\030\014 \001(\004\022\024\n\014start_millis\030\r \001(\004\022\031\n\021drain_l" +
-      "eft_millis\030\016 \001(\004\022\030\n\020cold_left_millis\030\017 \001" +
-      "(\004\"4\n\013HostLeaving\022\017\n\007host_id\030\001 \001(\t\022\024\n\014st" +
-      "art_millis\030\002 \001(\004\"\014\n\nReadQueues\"\021\n\017ReadEv" +
-      "acuations\"\r\n\013LeaderCheck\"\210\002\n\020WorkflowRes" +
-      "ponse\022*\n\006answer\030\001 \001(\0162\032.nettlering.Workf" +
-      "lowAnswer\022*\n\005phase\030\002 \001(\0162\033.nettlering.Jo" +
-      "bPhaseMessage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022r" +
-      "etry_after_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132" +
-      "%.nettlering.QueueConfigurationMessage\0223" +
-      "\n\013evacuations\030\006 \001(\0132\036.nettlering.Evacuat" +
-      "ionsMessage*\211\001\n\020StepTraitMessage\022\032\n\026STEP" +
-      "_TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_L" +
-      "OCAL\020\002\022\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020" +
-      "\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005FILLS\020\006*\\\n\020HostC" +
-      "rashMessage\022\032\n\026HOST_CRASH_UNSPECIFIED\020\000\022" +
-      "\024\n\020HOST_CRASH_CAUSE\020\001\022\026\n\022HOST_CRASH_SUSP" +
-      "ECT\020\002*\254\001\n\rRunEndMessage\022\027\n\023RUN_END_UNSPE" +
-      "CIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017" +
-      "\n\013RUN_STOPPED\020\003\022\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_B" +
-      "ROKEN\020\005\022\r\n\tRUN_ALONE\020\006\022\021\n\rRUN_NOT_BEGUN\020" +
-      "\007\022\021\n\rRUN_HOST_LOST\020\010*\241\001\n\026WorkflowOutcome" +
-      "Message\022 \n\034WORKFLOW_OUTCOME_UNSPECIFIED\020" +
-      "\000\022\024\n\020WORKFLOW_APPLIED\020\001\022\026\n\022WORKFLOW_UNCH" +
-      "ANGED\020\002\022\030\n\024WORKFLOW_UNKNOWN_JOB\020\003\022\035\n\031WOR" +
-      "KFLOW_VERSION_CONFLICT\020\004*\203\001\n\017JobPhaseMes" +
-      "sage\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_Q" +
-      "UEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETE" +
-      "D\020\003\022\016\n\nJOB_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\261" +
-      "\001\n\016WorkflowAnswer\022\037\n\033WORKFLOW_ANSWER_UNS" +
-      "PECIFIED\020\000\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO" +
-      "_QUEUE\020\002\022\021\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_RE" +
-      "JECTED\020\004\022\033\n\027ANSWER_NO_CONFIGURATION\020\005\022\023\n" +
-      "\017ANSWER_CONFLICT\020\006B*\n\031org.nettlering.wir" +
-      "e.protoB\rWorkflowProtob\006proto3"
+      "\030\006 \003(\r\022\022\n\ncrash_runs\030\007 \003(\r\022\036\n\026unconfirme" +
+      "d_crash_runs\030\010 \003(\r\"\223\004\n\017WorkflowRequest\022." +
+      "\n\006submit\030\001 \001(\0132\034.nettlering.SubmitJobReq" +
+      "uestH\000\022&\n\004show\030\002 \001(\0132\026.nettlering.JobReq" +
+      "uestH\000\022(\n\006cancel\030\003 \001(\0132\026.nettlering.JobR" +
+      "equestH\000\0224\n\013host_report\030\004 \001(\0132\035.nettleri" +
+      "ng.HostReportMessageH\000\022/\n\014host_leaving\030\005" +
+      " \001(\0132\027.nettlering.HostLeavingH\000\022?\n\016repla" +
+      "ce_queues\030\006 \001(\0132%.nettlering.QueueConfig" +
+      "urationMessageH\000\022-\n\013read_queues\030\007 \001(\0132\026." +
+      "nettlering.ReadQueuesH\000\022(\n\005check\030\010 \001(\0132\027" +
+      ".nettlering.LeaderCheckH\000\0229\n\021change_evac" +
+      "uation\030\t \001(\0132\034.nettlering.EvacuationChan" +
+      "geH\000\0227\n\020read_evacuations\030\n \001(\0132\033.nettler" +
+      "ing.ReadEvacuationsH\000B\t\n\007request\"i\n\020Subm" +
+      "itJobRequest\022\021\n\tauthority\030\001 \001(\t\022\014\n\004path\030" +
+      "\002 \001(\t\0224\n\ndefinition\030\003 \001(\0132 .nettlering.J" +
+      "obDefinitionMessage\"-\n\nJobRequest\022\021\n\taut" +
+      "hority\030\001 \001(\t\022\014\n\004path\030\002 \001(\t\"\305\002\n\021HostRepor" +
+      "tMessage\022\017\n\007host_id\030\001 \001(\t\022\024\n\014host_addres" +
+      "s\030\002 \001(\t\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030" +
+      "\004 \001(\t\022\022\n\nmillicores\030\005 \001(\004\022\030\n\020memory_mebi" +
+      "bytes\030\006 \001(\004\022\024\n\014accelerators\030\007 \001(\r\022\014\n\004kin" +
+      "d\030\010 \001(\t\022\014\n\004rack\030\t \001(\t\022\020\n\010draining\030\n \001(\010\022" +
+      "\024\n\014clock_millis\030\013 \001(\004\022\020\n\010sequence\030\014 \001(\004\022" +
+      "\024\n\014start_millis\030\r \001(\004\022\031\n\021drain_left_mill" +
+      "is\030\016 \001(\004\022\030\n\020cold_left_millis\030\017 \001(\004\"4\n\013Ho" +
+      "stLeaving\022\017\n\007host_id\030\001 \001(\t\022\024\n\014start_mill" +
+      "is\030\002 \001(\004\"\014\n\nReadQueues\"\021\n\017ReadEvacuation" +
+      "s\"\r\n\013LeaderCheck\"\210\002\n\020WorkflowResponse\022*\n" +
+      "\006answer\030\001 \001(\0162\032.nettlering.WorkflowAnswe" +
+      "r\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPhaseMe" +
+      "ssage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_aft" +
+      "er_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nettle" +
+      "ring.QueueConfigurationMessage\0223\n\013evacua" +
+      "tions\030\006 \001(\0132\036.nettlering.EvacuationsMess" +
+      "age*\211\001\n\020StepTraitMessage\022\032\n\026STEP_TRAIT_U" +
+      "NSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017" +
+      "\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHE" +
+      "CKPOINTING\020\005\022\t\n\005FILLS\020\006*x\n\020HostCrashMess" +
+      "age\022\032\n\026HOST_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_" +
+      "CRASH_CAUSE\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002\022\032\n" +
+      "\026HOST_CRASH_UNCONFIRMED\020\003*\254\001\n\rRunEndMess" +
+      "age\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE" +
+      "\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nR" +
+      "UN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE" +
+      "\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010" +
+      "*\241\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_" +
+      "OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIE" +
+      "D\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_" +
+      "UNKNOWN_JOB\020\003\022\035\n\031WORKFLOW_VERSION_CONFLI" +
+      "CT\020\004*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_PHASE_UN" +
+      "SPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNI" +
+      "NG\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022" +
+      "\021\n\rJOB_CANCELLED\020\005*\261\001\n\016WorkflowAnswer\022\037\n" +
+      "\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017\n\013ANSWER" +
+      "_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\rANSWER_N" +
+      "O_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027ANSWER_N" +
+      "O_CONFIGURATION\020\005\022\023\n\017ANSWER_CONFLICT\020\006B*" +
+      "\n\031org.nettlering.wire.protoB\rWorkflowPro" +
+      "tob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -36905,7 +37167,7 @@
     internal_static_nettlering_TaskImageMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_TaskImageMessage_descriptor,
-        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", "CrashRuns", });
+        new java.lang.String[] { "LastRun", "Failures", "Done", "Checkpoint", "ActiveRuns", "UnsettledRuns", "CrashRuns", "UnconfirmedCrashRuns", });
     internal_static_nettlering_WorkflowRequest_descriptor =
       getDescriptor().getMessageType(27);
     internal_static_nettlering_WorkflowRequest_fieldAccessorTable = new
