--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusSettings.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusSettings.java
@@ -15,7 +15,8 @@
  * @param maxMessagesInFlight the maximum number of unacknowledged messages with entries per member
  * @param maxUncommittedBytes the size of uncommitted entries from which a leader rejects proposals, in bytes
  * @param snapshotIntervalBytes the size of the entries applied between two snapshots, in bytes
- * @param trailingEntries the number of entries before a snapshot that stay in memory, for members that lag behind
+ * @param trailingEntries the number of entries before a snapshot that stay in memory at most, for members that lag behind
+ * @param trailingBytes the size of these entries at most, in bytes
  * @param snapshotPieceBytes the maximum size of a snapshot piece in one message, in bytes
  */
 public record ConsensusSettings(
@@ -26,10 +27,19 @@
         long maxUncommittedBytes,
         long snapshotIntervalBytes,
         int trailingEntries,
+        long trailingBytes,
         int snapshotPieceBytes) {
     /** Settings for a site whose members are about one millisecond apart. */
     public static final ConsensusSettings DEFAULT = new ConsensusSettings(
-            Duration.ofMillis(100), Duration.ofSeconds(1), 256 * 1024, 8, 16L << 20, 32L << 20, 4_096, 256 * 1024);
+            Duration.ofMillis(100),
+            Duration.ofSeconds(1),
+            256 * 1024,
+            8,
+            16L << 20,
+            32L << 20,
+            4_096,
+            16L << 20,
+            256 * 1024);
 
     /**
      * Creates settings.
@@ -45,7 +55,8 @@
             throw invalid("the election timeout must be at least three heartbeat intervals, not " + electionTimeout);
         }
         long smallestLimit = Math.min(Math.min(maxBatchBytes, maxMessagesInFlight), snapshotPieceBytes);
-        if (Math.min(smallestLimit, Math.min(maxUncommittedBytes, snapshotIntervalBytes)) < 1 || trailingEntries < 0) {
+        if (Math.min(smallestLimit, Math.min(maxUncommittedBytes, snapshotIntervalBytes)) < 1
+                || Math.min(trailingEntries, trailingBytes) < 0) {
             throw invalid("the size and message limits must be positive, and the trailing entries not negative");
         }
     }
@@ -66,6 +77,7 @@
                 maxUncommittedBytes,
                 snapshotIntervalBytes,
                 trailingEntries,
+                trailingBytes,
                 snapshotPieceBytes);
     }
 
@@ -73,7 +85,7 @@
      * Returns a copy with other limits for snapshots.
      *
      * @param intervalBytes the size of the entries applied between two snapshots, in bytes
-     * @param trailing the number of entries before a snapshot that stay in memory
+     * @param trailing the number of entries before a snapshot that stay in memory at most
      * @param pieceBytes the maximum size of a snapshot piece in one message, in bytes
      * @return the changed settings, never null
      */
@@ -86,9 +98,29 @@
                 maxUncommittedBytes,
                 intervalBytes,
                 trailing,
+                trailingBytes,
                 pieceBytes);
     }
 
+    /**
+     * Returns a copy with another size of the entries before a snapshot that stay in memory.
+     *
+     * @param bytes the size of these entries at most, in bytes
+     * @return the changed settings, never null
+     */
+    public ConsensusSettings withTrailingBytes(long bytes) {
+        return new ConsensusSettings(
+                heartbeatInterval,
+                electionTimeout,
+                maxBatchBytes,
+                maxMessagesInFlight,
+                maxUncommittedBytes,
+                snapshotIntervalBytes,
+                trailingEntries,
+                bytes,
+                snapshotPieceBytes);
+    }
+
     /**
      * Returns a copy with other limits for batches, messages in flight and uncommitted entries.
      *
@@ -106,6 +138,7 @@
                 uncommittedBytes,
                 snapshotIntervalBytes,
                 trailingEntries,
+                trailingBytes,
                 snapshotPieceBytes);
     }
 
--- a/consensus/src/main/java/org/nettlering/consensus/ConsensusStatus.java
+++ b/consensus/src/main/java/org/nettlering/consensus/ConsensusStatus.java
@@ -15,6 +15,7 @@
  * @param membership the membership in effect, not null
  * @param membershipCommitted true if the entry of that membership is committed
  * @param lastIndex the index of the last entry of the log
+ * @param logBytes the size of the entries that are in memory, in bytes
  * @param commitIndex the index of the last entry known to be committed
  * @param appliedIndex the index of the last entry that the state machine has applied
  * @param snapshotIndex the index of the last entry that the stored snapshot includes
@@ -28,6 +29,7 @@
         Membership membership,
         boolean membershipCommitted,
         long lastIndex,
+        long logBytes,
         long commitIndex,
         long appliedIndex,
         long snapshotIndex,
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemberProtocol.java
@@ -332,9 +332,10 @@
             return;
         }
         state.snapshot = header;
-        long discardable = header.index() - state.settings.trailingEntries();
+        long discardable = state.log.discardableUpTo(
+                header.index(), state.settings.trailingEntries(), state.settings.trailingBytes());
         state.log.discardUpTo(discardable);
-        state.membershipHistory.discardBefore(Math.max(discardable, 0L));
+        state.membershipHistory.discardBefore(discardable);
         state.outbox.write(new DiskWrite.Discard(header.index()));
         state.outbox.report(new SnapshotSaved(header.index(), header.sizeBytes()));
     }
@@ -382,6 +383,7 @@
                 state.membership(),
                 !membershipChanges.hasUncommittedMembership(),
                 state.log.lastIndex(),
+                state.log.sizeBytes(),
                 state.commitIndex,
                 applyQueue.appliedIndex(),
                 state.snapshot.index(),
--- a/consensus/src/main/java/org/nettlering/consensus/protocol/MemoryLog.java
+++ b/consensus/src/main/java/org/nettlering/consensus/protocol/MemoryLog.java
@@ -15,6 +15,9 @@
     private long baseTerm;
     private final ArrayList<LogEntry> entries = new ArrayList<>();
 
+    /** The size of the entries in memory. */
+    private long sizeBytes;
+
     MemoryLog(long baseIndex, long baseTerm, List<LogEntry> entries) {
         this.baseIndex = baseIndex;
         this.baseTerm = baseTerm;
@@ -37,6 +40,11 @@
         return entries.isEmpty() ? baseTerm : entries.getLast().term();
     }
 
+    /** Returns the size of the entries in memory, in bytes. */
+    long sizeBytes() {
+        return sizeBytes;
+    }
+
     long termAt(long index) {
         if (index == baseIndex) {
             return baseTerm;
@@ -73,11 +81,12 @@
                 throw new IllegalStateException("entry " + entry.index() + " does not follow entry " + lastIndex());
             }
             entries.add(entry);
+            sizeBytes += entry.sizeBytes();
         }
     }
 
     void truncateFrom(long index) {
-        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        remove(entries.subList((int) (index - baseIndex - 1), entries.size()));
     }
 
     /** Removes the entries up to {@code index} from memory; a snapshot includes them. */
@@ -86,14 +95,37 @@
             return;
         }
         long term = termAt(index);
-        entries.subList(0, (int) (index - baseIndex)).clear();
+        remove(entries.subList(0, (int) (index - baseIndex)));
         baseIndex = index;
         baseTerm = term;
     }
 
+    private void remove(List<LogEntry> removed) {
+        removed.forEach(entry -> sizeBytes -= entry.sizeBytes());
+        removed.clear();
+    }
+
+    /**
+     * Returns the index up to which entries can be discarded so that, up to another index, a limited number of limited size
+     * stays in memory.
+     */
+    long discardableUpTo(long index, int maxEntries, long maxBytes) {
+        long kept = index;
+        long keptBytes = 0;
+        while (kept > baseIndex && index - kept < maxEntries) {
+            keptBytes += get(kept).sizeBytes();
+            if (keptBytes > maxBytes) {
+                break;
+            }
+            kept--;
+        }
+        return kept;
+    }
+
     /** Removes all entries and starts the log after the given one. */
     void resetTo(long index, long term) {
         entries.clear();
+        sizeBytes = 0;
         baseIndex = index;
         baseTerm = term;
     }
--- a/control/src/main/java/org/nettlering/control/metrics/ControlMetrics.java
+++ b/control/src/main/java/org/nettlering/control/metrics/ControlMetrics.java
@@ -31,6 +31,11 @@
                 "nettlering_control_commit_index",
                 "The index of the last committed log entry.",
                 () -> read(node, ConsensusStatus::commitIndex));
+        gauge(
+                registry,
+                "nettlering_control_log_memory_bytes",
+                "The size of the log entries that this member holds in memory.",
+                () -> read(node, ConsensusStatus::logBytes));
         gauge(
                 registry,
                 "nettlering_control_configuration_revision",
--- a/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
+++ b/control/src/test/java/org/nettlering/control/consensus/UnreachableVotersTest.java
@@ -107,6 +107,6 @@
 
     private ConsensusStatus status(MemberId leader, boolean membershipCommitted) {
         return new ConsensusStatus(
-                SELF, 1, 1, Optional.of(leader), Membership.of(members), membershipCommitted, 1, 1, 1, 0, progress);
+                SELF, 1, 1, Optional.of(leader), Membership.of(members), membershipCommitted, 1, 0, 1, 1, 0, progress);
     }
 }
