--- a/domain/src/main/java/org/nettlering/domain/workflow/Job.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Job.java
@@ -39,11 +39,21 @@
     static Job from(WorkflowStateSnapshot.JobSnapshot snapshot) {
         Job job = new Job(snapshot.id(), snapshot.terms(), snapshot.definition(), snapshot.acceptedMillis());
         job.phase = snapshot.phase();
+        if (!job.phase.isOpen() && !hasActiveRuns(snapshot)) {
+            return job;
+        }
         snapshot.occurrences()
                 .forEach(occurrence -> job.occurrences.put(occurrence.number(), new Occurrence(job, occurrence)));
         return job;
     }
 
+    private static boolean hasActiveRuns(WorkflowStateSnapshot.JobSnapshot snapshot) {
+        return snapshot.occurrences().stream()
+                .flatMap(occurrence -> occurrence.steps().stream())
+                .flatMap(step -> step.tasks().stream())
+                .anyMatch(task -> !task.activeRuns().isEmpty());
+    }
+
     WorkflowStateSnapshot.JobSnapshot snapshot() {
         List<WorkflowStateSnapshot.OccurrenceSnapshot> snapshots = new ArrayList<>();
         occurrences.forEach((number, occurrence) -> snapshots.add(occurrence.snapshot(number)));
@@ -119,7 +129,7 @@
     /**
      * Returns the steps of all started occurrences.
      *
-     * @return a new list, never null
+     * @return a new list, empty once the job is finished and has no active run, never null
      */
     public List<StepProgress> steps() {
         List<StepProgress> steps = new ArrayList<>();
@@ -157,6 +167,18 @@
         return occurrence;
     }
 
+    /** Returns whether a run of the job may be active on a host. */
+    boolean hasActiveRuns() {
+        return occurrences.values().stream()
+                .flatMap(occurrence -> occurrence.steps().stream())
+                .anyMatch(step -> step.activeRunCount() > 0);
+    }
+
+    /** Discards what is known of the tasks of a job that is finished and has no active run: only its phase is asked for. */
+    void discardProgress() {
+        occurrences.clear();
+    }
+
     void setPhase(JobPhase newPhase) {
         phase = newPhase;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -400,6 +400,7 @@
         } else if (job.phase().isOpen() && isGivenUp(step, taskId.index(), termination.status())) {
             finishJob(job, JobPhase.FAILED);
         } else {
+            discardProgressIfOver(job);
             updatePendingSteps(job, taskId.step().occurrence());
         }
         return CommandResult.APPLIED;
@@ -427,8 +428,7 @@
         if (job == null) {
             return CommandResult.UNKNOWN_JOB;
         }
-        boolean hasActiveRuns = job.steps().stream().anyMatch(step -> step.activeRunCount() > 0);
-        if (job.phase().isOpen() || hasActiveRuns) {
+        if (job.phase().isOpen() || job.hasActiveRuns()) {
             return CommandResult.UNCHANGED;
         }
         jobs.remove(job.id());
@@ -442,6 +442,13 @@
         job.setPhase(phase);
         periodicJobs.remove(job);
         pendingSteps.removeAll(job.steps());
+        discardProgressIfOver(job);
+    }
+
+    private static void discardProgressIfOver(Job job) {
+        if (!job.phase().isOpen() && !job.hasActiveRuns()) {
+            job.discardProgress();
+        }
     }
 
     private void updatePendingSteps(Job job, int occurrenceNumber) {
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -211,6 +211,51 @@
         assertThat(restored.job("a").orElseThrow().phase()).isEqualTo(JobPhase.FAILED);
     }
 
+    /** Guards against members that end for want of memory: finished jobs kept an object for each task. */
+    @Test
+    void aFinishedJobKeepsNothingOfItsTasks() {
+        state.apply(job("a", step(5_000, List.of())));
+        state.apply(new CancelJob("a"));
+        assertThat(state.job("a").orElseThrow().steps()).isEmpty();
+        assertThat(phase("a")).isEqualTo(JobPhase.CANCELLED);
+        assertThat(state.unfinishedJobTasks()).isZero();
+        assertThat(state.pendingSteps()).isEmpty();
+    }
+
+    @Test
+    void aFinishedJobKeepsItsTasksUntilItsLastRunHasEnded() {
+        state.apply(job("a", step(2, List.of())));
+        state.apply(start("a", 0, 0, 1));
+        state.apply(start("a", 0, 1, 1));
+        state.apply(new CancelJob("a"));
+        state.apply(end("a", 0, 0, 1, TerminalStatus.STOPPED));
+        assertThat(state.job("a").orElseThrow().steps()).hasSize(1);
+        assertThat(state.apply(new RemoveJob("a"))).isEqualTo(CommandResult.UNCHANGED);
+        state.apply(end("a", 0, 1, 1, TerminalStatus.STOPPED));
+        assertThat(state.job("a").orElseThrow().steps()).isEmpty();
+        assertThat(state.allocations()).isEmpty();
+        assertThat(state.apply(end("a", 0, 1, 1, TerminalStatus.DONE))).isEqualTo(CommandResult.UNCHANGED);
+        assertThat(state.apply(start("a", 0, 0, 2))).isEqualTo(CommandResult.UNCHANGED);
+        assertThat(state.apply(new RemoveJob("a"))).isEqualTo(CommandResult.APPLIED);
+    }
+
+    @Test
+    void aSnapshotOfAMemberThatKeptTheTasksOfFinishedJobsIsRestoredWithoutThem() {
+        state.apply(job("a", step(2, List.of())));
+        WorkflowStateSnapshot.JobSnapshot open = state.snapshot().jobs().getFirst();
+        WorkflowStateSnapshot.JobSnapshot finished = new WorkflowStateSnapshot.JobSnapshot(
+                open.id(),
+                open.terms(),
+                open.definition(),
+                open.acceptedMillis(),
+                JobPhase.COMPLETED,
+                open.occurrences());
+        WorkflowState restored =
+                WorkflowState.from(new WorkflowStateSnapshot(List.of(finished), 0, state.evacuations()));
+        assertThat(restored.job("a").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+        assertThat(restored.job("a").orElseThrow().steps()).isEmpty();
+    }
+
     @Test
     void aTaskThatIsDoneIsNotGivenUpForALateCrash() {
         state.apply(job("a", step(2, List.of())));
