Hasten polls only for omissions that would prove something

A run whose start is in flight is omitted by each response, so that a list which may be cut hastened the polls of a host although nothing could be learned. Such runs don't count any more; each look at a host has a price for the users.

The limit of a departing host's acknowledgement is set only once the leader has taken the notice, so that one that is turned away as not leading leaves no timer behind.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -250,13 +250,13 @@
         String hostId = notice.getHostId();
         LOG.log(WorkflowEvent.HOST_SHUTTING_DOWN, hostId);
         CompletableFuture<Boolean> emptied = new CompletableFuture<>();
-        TimeSource.Timer limit = time.schedule(EMPTYING_LIMIT, () -> emptied.complete(false));
         // By a timer, so that nothing that waits for the host runs under the lock of the state machine.
         Runnable notify = () -> time.schedule(Duration.ZERO, () -> emptied.complete(true));
         loop.update(leadership -> {
             leadership.hostShuttingDown(hostId, notice.getStartMillis(), notify, time.nanoTime());
             return hostId;
         });
+        TimeSource.Timer limit = time.schedule(EMPTYING_LIMIT, () -> emptied.complete(false));
         return emptied.thenCompose(inTime -> {
             limit.cancel();
             if (!inTime) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -79,7 +79,8 @@
         List<TrackedRun> unreported = runs.stream()
                 .filter(tracked -> !tracked.isTerminationFound() && !reported.contains(tracked.activeRun.run()))
                 .toList();
-        awaitsCompleteList = !complete && !unreported.isEmpty();
+        awaitsCompleteList =
+                !complete && unreported.stream().anyMatch(tracked -> tracked.isExpectedInResponse(sentNanos));
         if (!complete) {
             return List.of();
         }
@@ -88,7 +89,7 @@
         return terminations;
     }
 
-    /** Returns whether a run was omitted by a poll response that may not list all terminations. */
+    /** Returns whether the latest poll response omits a run that it would report if it surely listed all terminations. */
     boolean awaitsCompleteList() {
         return awaitsCompleteList;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -153,6 +153,15 @@
         return (confirmed || stage == Stage.INHERITED) && !isTerminationFound();
     }
 
+    /** Returns whether the response to a poll would report the run if its start was ever executed. */
+    boolean isExpectedInResponse(long pollSentNanos) {
+        return switch (stage) {
+            case START_PENDING, START_SENT -> false;
+            case INHERITED, START_UNANSWERED -> true;
+            case CONFIRMED -> pollSentNanos - confirmedNanos >= 0;
+        };
+    }
+
     /** Returns whether the run, if it is active, may crash its host by being started. */
     boolean isUnproven() {
         return !provenHarmless && !isTerminationFound();
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/CutListOfEndsTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/CutListOfEndsTest.java
@@ -82,6 +82,33 @@
         assertThat(found).as("11 polls at an interval of 100 ms").hasSize(41);
     }
 
+    /** A run that the response could not report yet is no reason to poll more often. */
+    @Test
+    void startInFlightBesideAListOfEndsNeedsNoImmediatePoll() {
+        RunId ended = run("ended", 0, 0, 1);
+        start(ended);
+        end(List.of(ended));
+        session.trackNewRun(new ActiveRun(run("next", 0, 0, 1), HOST, ""), "work", "", nowNanos);
+        List<HostCommand.Poll> polls = new ArrayList<>();
+        for (int passed = 0; passed < 50; passed++) {
+            nowNanos += Duration.ofMillis(10).toNanos();
+            answerPolls(polls);
+            session.onTerminationCommitted(ended, TerminalStatus.DONE);
+        }
+        assertThat(polls.getLast().acknowledgedThrough()).isPositive();
+        assertThat(polls.getLast().maxWaitMillis()).isPositive();
+    }
+
+    /** Answers the polls that are due, and adds them to a list; starts stay unanswered. */
+    private void answerPolls(List<HostCommand.Poll> polls) {
+        for (HostCommand command : session.takeDueCommands(nowNanos)) {
+            if (command instanceof HostCommand.Poll poll) {
+                polls.add(poll);
+                session.handleResponse(poll, nowNanos, respond(poll), nowNanos);
+            }
+        }
+    }
+
     @Test
     void confirmedRunThatEndedBeyondTheListIsNotStopped() {
         List<RunId> runs = runs(LIMIT + 1);
