--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -51,8 +51,8 @@
 
     private boolean shutdownAnnounced;
 
-    /** When the host last showed that it runs after it announced its shutdown, by the monotonic clock. */
-    private long leavingContactNanos;
+    /** When a heartbeat, a response or a notice of the host was received last, by the monotonic clock. */
+    private long lastContactNanos;
 
     /** Whether another incarnation has responded at the address of the host. */
     private boolean replaced;
@@ -101,7 +101,7 @@
      * flight, it has not left: the response may still report how its runs terminated.
      */
     boolean hasLeft(boolean pollInFlight, long nowNanos) {
-        return shutdownAnnounced && !pollInFlight && nowNanos - leavingContactNanos >= DEPARTURE_TIMEOUT.toNanos();
+        return shutdownAnnounced && !pollInFlight && nowNanos - lastContactNanos >= DEPARTURE_TIMEOUT.toNanos();
     }
 
     /** Returns whether the host has announced its shutdown, after which it neither starts nor keeps any run. */
@@ -135,7 +135,7 @@
         }
         latestHeartbeat = heartbeat;
         heartbeatNanos = nowNanos;
-        leavingContactNanos = nowNanos;
+        lastContactNanos = nowNanos;
         return true;
     }
 
@@ -148,7 +148,7 @@
     /** Handles the notice of the host that it is shutting down. */
     void handleShutdownNotice(long nowNanos) {
         shutdownAnnounced = true;
-        leavingContactNanos = nowNanos;
+        lastContactNanos = nowNanos;
     }
 
     void recordResponse(HostResponse response, long nowNanos) {
@@ -158,7 +158,7 @@
             replaced = true;
         } else if (!unreachable) {
             lastResponseNanos = nowNanos;
-            leavingContactNanos = nowNanos;
+            lastContactNanos = nowNanos;
         }
     }
 
