Plan a large step in several batches

Cause, by reading: the limit of 400 starts for one plan was looked at between steps only, so that such a step was one batch of 50,000 starts, planned under the lock of the jobs and committed, applied and logged as a whole. So this is the cause of the batch; of the wait it is only suspected.

The limit holds within a step, too, but for a gang, which starts as a whole. The next plan follows the commit, and takes what is more urgent first. A job of more than 400 tasks starts some milliseconds later as a whole.

Test: StartPlannerTest#aLargeStepStartsInSeveralPlans; the code before plans all that fits.

--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -30,7 +30,7 @@
  * No state is kept between plans.
  */
 public final class StartPlanner {
-    /** The limit for one plan, which keeps its log entry small. */
+    /** The limit for one plan, which keeps its log entry and the time until its commit small; only a gang exceeds it. */
     private static final int MAX_STARTS = 400;
 
     private final RunTimeModel runTimes;
@@ -137,6 +137,9 @@
             return;
         }
         for (int index : taskIndexes) {
+            if (starts.size() >= MAX_STARTS) {
+                return;
+            }
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
                 unschedulable.add(pool, specification);
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StartPlannerTest.java
@@ -135,6 +135,16 @@
         return FreeCapacity.of(heartbeat, HostAllocations.empty(host), 0, List.of(), admission);
     }
 
+    /** Guards against a leader that is lost to one batch: a step of 50,000 tasks was planned as a whole. */
+    @Test
+    void aLargeStepStartsInSeveralPlans() {
+        addHost("h1", "r1", 60_000_000, 0);
+        state.apply(job("a", step(50_000, List.of())));
+        assertThat(plan()).hasSize(400);
+        state.apply(job("b", step(3, List.of())));
+        assertThat(plan()).hasSize(400);
+    }
+
     @Test
     void requiredLabelIsRespected() {
         addHost("h1", "r1", 32_000, 0);
