Learn in time that a suspect is harmless (LOST)

Its second run began at 64.658 s, was done at 65.468 s, and its host went dark in the same millisecond, before the end was listed.

Cause: a run is harmless once a response shows it at work 500 ms after its start, but a poll waits at the host for up to a second. A run of 800 ms ended before any response could show it, and the crash that came with its end counted as its second one, alone.

After the start of a suspect the host is polled so that its response comes when the run has been at work for 500 ms. A crash behind that isn't ascribed to it. Cost: one more look at the host for each run of a suspect.

What remains: a run that ends within 500 ms, with its host in the same moment; then nothing shows that it ended first.

Test: HostCrashTest#suspectIsKnownToBeHarmlessOnceItHasBeenAtWorkForAWhile; without the watch the poll waits 1,000 ms and the status is CRASHED_HOST.

--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -135,7 +135,8 @@
                 : StartAdmission.NO_SUSPECTS;
     }
 
-    private static boolean isSuspect(WorkflowState state, RunId run) {
+    /** Returns whether the task of a run is suspected of crashing its hosts. */
+    static boolean isSuspect(WorkflowState state, RunId run) {
         return state.step(run.task().step())
                 .filter(step -> step.task(run.task().index()).isSuspect())
                 .isPresent();
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -483,6 +483,9 @@
         if (throttledStarts.contains(run.run())) {
             session.runs().setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
+        if (StartableHosts.isSuspect(state, run.run())) {
+            session.runs().watch(run.run());
+        }
         terminations.runTracked(run.run(), run.host().id());
         metrics.diagnostics().runTracked(run.run(), run.host().id());
         markHostChanged(run.host().id());
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
@@ -147,6 +147,23 @@
                 .toList();
     }
 
+    /**
+     * Has the host polled as soon as its response can show that starting a run does not crash the host: a crash that comes later
+     * is not to be ascribed to the run.
+     *
+     * @param run the run, ignored if it is not tracked, not null
+     */
+    public void watch(RunId run) {
+        find(run).ifPresent(TrackedRun::watch);
+    }
+
+    /** Returns how long to wait until a response can show that a watched run is harmless, empty if none is watched. */
+    Optional<Duration> timeUntilProof(long nowNanos) {
+        return stream()
+                .flatMap(tracked -> tracked.timeUntilProof(nowNanos).stream())
+                .min(Duration::compareTo);
+    }
+
     /** Returns whether the outcome of a start is unknown. */
     boolean hasUnansweredStart() {
         return stream().anyMatch(tracked -> tracked.stage == Stage.START_UNANSWERED);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -372,7 +372,10 @@
                 || runs.hasUnansweredStart()
                 || inferred.awaitsCompleteList()
                 || known.needsImmediatePoll();
-        Duration maxWait = polls.send(immediate, nowNanos);
+        Duration longestWait = polls.send(immediate, nowNanos);
+        Duration maxWait = runs.timeUntilProof(nowNanos)
+                .filter(untilProof -> untilProof.compareTo(longestWait) < 0)
+                .orElse(longestWait);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
         boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered() && !isShutdownAnnounced();
         return new HostCommand.Poll(
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -105,6 +105,9 @@
     /** Whether the host reported the run as running for long enough to show that starting it does not crash the host. */
     private boolean provenHarmless;
 
+    /** Whether the host is polled as soon as its response can show that. */
+    private boolean watched;
+
     TrackedRun(ActiveRun activeRun, String taskSpecification, String ticket, Stage stage, long nowNanos) {
         this.activeRun = activeRun;
         this.taskSpecification = taskSpecification;
@@ -167,6 +170,18 @@
         return !provenHarmless && !isTerminationFound();
     }
 
+    /** Has the host polled as soon as its response can show that the run is harmless. */
+    void watch() {
+        watched = true;
+    }
+
+    /** Returns how long to wait until a response can show that the run is harmless, if it is watched for that. */
+    Optional<Duration> timeUntilProof(long nowNanos) {
+        boolean awaited = watched && mayBeActive() && !provenHarmless;
+        long remainingNanos = startNanos + HARMLESS_AFTER.toNanos() - nowNanos;
+        return awaited ? Optional.of(Duration.ofNanos(Math.max(0, remainingNanos))) : Optional.empty();
+    }
+
     /** Returns whether the run may have crashed its host. */
     boolean isCrashSuspect() {
         return stage != Stage.START_PENDING && isUnproven();
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/HostCrashTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/HostCrashTest.java
@@ -13,6 +13,7 @@
 import org.nettlering.domain.workflow.host.HostResponse.Accepted;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.OtherIncarnation;
+import org.nettlering.domain.workflow.host.HostResponse.PollResult;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
 
 /** Which runs of a host that crashed are taken for the cause. */
@@ -46,6 +47,27 @@
         assertThat(dueCommands()).isEmpty();
     }
 
+    /**
+     * Guards against LOST: a host that crashed just after a suspect's work was done counted as crashed by it, as the poll that
+     * would have shown it at work waited for a second.
+     */
+    @Test
+    void suspectIsKnownToBeHarmlessOnceItHasBeenAtWorkForAWhile() {
+        makeSchedulable();
+        HostCommand.Start start = takeStart();
+        session.runs().watch(RUN);
+        respond(start, new Accepted(hostClockMillis));
+        HostCommand.Poll poll = takePoll();
+        assertThat(poll.maxWaitMillis()).isBetween(1L, 500L);
+        advance(poll.maxWaitMillis() + 1);
+        respond(poll, new PollResult(hostClockMillis, List.of(new ReportedRun(RUN, "", 60, 0)), List.of()));
+        HostCommand.Poll next = takePoll();
+        assertThat(next.maxWaitMillis()).as("nothing is left to be shown").isEqualTo(1_000);
+        respond(next, new OtherIncarnation());
+        assertThat(session.inferTerminations(nowNanos))
+                .containsExactly(new RecordTermination(RUN, TerminalStatus.HOST_LOST, ""));
+    }
+
     @Test
     void runsThatHadJustStartedTogetherAreSuspectsOfACrash() {
         makeSchedulable();
