Look for the second run of a copied task where it is kept

It asks the state now whether either run is active and whether any capacity is allocated: as strict, as the count that it read was of these runs.

--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/CopyPlannerTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/CopyPlannerTest.java
@@ -87,7 +87,9 @@
         assertThat(state.job("a").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
         state.apply(end("a", 0, 3, 1, TerminalStatus.DONE));
         assertThat(state.job("a").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
-        assertThat(stepOf("a").activeRunCount()).isZero();
+        assertThat(state.isActive(run("a", 0, 3, 1))).isFalse();
+        assertThat(state.isActive(run("a", 0, 3, 2))).isFalse();
+        assertThat(state.allocations()).isEmpty();
     }
 
     @Test
