--- a/review/stand-ins-2/Minion.java
+++ b/review/stand-ins-2/Minion.java
@@ -28,17 +28,19 @@
     static final double TAIL_MILLIS_PER_FILLING_CORE = 2;
 
     /**
-     * A run. The specification of its task is the run time in milliseconds, or "serves" or "fills" and the thousandths of a core
-     * of a task that lasts.
+     * A run. The specification of its task is the run time in milliseconds, or "serves", "fills" or "lasts" and the thousandths of
+     * a core of a task that lasts.
      */
     private static final class Run {
         final String task;
         final long run;
         final boolean serves;
         final boolean fills;
+        final boolean keeps;
         final long workMillis;
         final long millicores;
         double doneMillis;
+        boolean fails;
         long updatedMillis;
         long percent = 100;
 
@@ -48,13 +50,14 @@
             String[] words = specification.split(" ");
             serves = words[0].equals("serves");
             fills = words[0].equals("fills");
+            keeps = words[0].equals("lasts");
             workMillis = lasts() ? 0 : Long.parseLong(words[0]);
             millicores = lasts() ? Long.parseLong(words[1]) : 1_000;
             updatedMillis = now;
         }
 
         boolean lasts() {
-            return serves || fills;
+            return serves || fills || keeps;
         }
 
         void update(long now) {
@@ -91,6 +94,9 @@
     private long sequence;
     private volatile boolean alive = true;
 
+    /** Whether everything that starts fails at once. */
+    private volatile boolean failing;
+
     Minion(
             String id,
             String address,
@@ -132,6 +138,17 @@
         executor.shutdownNow();
     }
 
+    /** Has everything that starts from now on fail, or not any more. */
+    void setFailing(boolean fails) {
+        record.line(id + (fails ? " fails all that it starts" : " is sound again"));
+        failing = fails;
+    }
+
+    /** Has a task fail by itself. */
+    synchronized void fail(String task) {
+        running.get(task).fails = true;
+    }
+
     synchronized boolean isRunning(String task) {
         return running.containsKey(task);
     }
@@ -186,6 +203,7 @@
                     List.copyOf(running.values()).forEach(run -> end(run, "lapsed"));
                 }
                 running.values().forEach(run -> run.update(now));
+                List.copyOf(running.values()).stream().filter(run -> run.fails).forEach(run -> end(run, "failed"));
                 List.copyOf(running.values()).stream().filter(Run::isDone).forEach(run -> end(run, "done"));
             }
             pause(10);
@@ -254,6 +272,7 @@
             } else {
                 extendLease(command);
                 Run run = new Run(task, number, String.valueOf(command.get("task_spec")), clockMillis());
+                run.fails = failing;
                 running.put(task, run);
                 event(run, "started");
             }
