--- a/review/stand-ins-2/CancelBesideAFrozenEntry.java
+++ b/review/stand-ins-2/CancelBesideAFrozenEntry.java
@@ -29,6 +29,9 @@
         try (Record record = new Record(Path.of(arguments[0]))) {
             code = run(record, trouble);
             record.say(code == 0 ? "held" : code == 1 ? "BROKEN" : "could not run");
+        } catch (IOException | RuntimeException e) {
+            System.out.println("could not run: " + e);
+            code = 2;
         }
         System.exit(code);
     }
