--- a/review/stand-ins-2/Minion.java
+++ b/review/stand-ins-2/Minion.java
@@ -25,11 +25,11 @@
 
     /** The tail of a serving task without tasks that fill beside it, and what a core of these adds at full speed. */
     static final long SERVING_TAIL_MILLIS = 38;
-    static final double TAIL_MILLIS_PER_FILLING_CORE = 2;
+    static double tailMillisPerFillingCore = 2;
 
     /**
      * A run. The specification of its task is the run time in milliseconds, or "serves", "fills" or "lasts" and the thousandths of
-     * a core of a task that lasts.
+     * a core of a task that lasts, or "fill", the run time and the thousandths of a core of a task that fills and ends.
      */
     private static final class Run {
         final String task;
@@ -37,6 +37,7 @@
         final boolean serves;
         final boolean fills;
         final boolean keeps;
+        final boolean lasts;
         final long workMillis;
         final long millicores;
         double doneMillis;
@@ -49,28 +50,26 @@
             this.run = run;
             String[] words = specification.split(" ");
             serves = words[0].equals("serves");
-            fills = words[0].equals("fills");
+            boolean ends = words[0].equals("fill");
+            fills = words[0].equals("fills") || ends;
             keeps = words[0].equals("lasts");
-            workMillis = lasts() ? 0 : Long.parseLong(words[0]);
-            millicores = lasts() ? Long.parseLong(words[1]) : 1_000;
+            lasts = serves || keeps || words[0].equals("fills");
+            workMillis = lasts ? 0 : Long.parseLong(words[ends ? 1 : 0]);
+            millicores = lasts || ends ? Long.parseLong(words[words.length - 1]) : 1_000;
             updatedMillis = now;
         }
 
-        boolean lasts() {
-            return serves || fills || keeps;
-        }
-
         void update(long now) {
             doneMillis += (now - updatedMillis) * percent / 100.0;
             updatedMillis = now;
         }
 
         boolean isDone() {
-            return !lasts() && doneMillis >= workMillis;
+            return !lasts && doneMillis >= workMillis;
         }
 
         long progress() {
-            return lasts() ? 100 : Math.clamp((long) (100 * doneMillis / Math.max(1, workMillis)), 0, 99);
+            return lasts ? 100 : Math.clamp((long) (100 * doneMillis / Math.max(1, workMillis)), 0, 99);
         }
     }
 
@@ -158,6 +157,11 @@
         return running.keySet().stream().filter(task -> task.startsWith(job + ".")).toList();
     }
 
+    /** Returns all tasks that run here. */
+    synchronized List<String> allRunning() {
+        return List.copyOf(running.keySet());
+    }
+
     private long clockMillis() {
         return (System.nanoTime() - bornNanos) / 1_000_000 + 1_000;
     }
@@ -332,7 +336,7 @@
                 .filter(other -> other.fills)
                 .mapToDouble(other -> other.millicores * other.percent / 100_000.0)
                 .sum();
-        return SERVING_TAIL_MILLIS + (long) (filling * TAIL_MILLIS_PER_FILLING_CORE);
+        return SERVING_TAIL_MILLIS + (long) (filling * tailMillisPerFillingCore);
     }
 
     private void hold(HttpExchange exchange, Map<String, Object> command) throws IOException {
