--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -201,14 +201,25 @@
                 - bestEffortMillicores;
     }
 
-    /** Returns whether one more task of a step fits and its placement constraints allow this host. */
+    /** Returns whether one more task of a step may start here and would find the processors idle that it asks for. */
     boolean fits(StepId stepId, StepSpecification step) {
+        return mayStart(stepId, step) && hasIdleProcessorsFor(step);
+    }
+
+    /**
+     * Returns whether one more task of a step may start here: what is allocated to it is free, and its placement constraints
+     * allow this host. A best-effort task has no processors allocated, so it may start however few are idle.
+     */
+    boolean mayStart(StepId stepId, StepSpecification step) {
         int maxPerHost = step.placementConstraints().maxTasksPerHost();
         return admission != StartAdmission.NONE
                 && step.allocation().fitsIn(free)
                 && heartbeat.hasLabel(step.placementConstraints().requiredLabel())
-                && (maxPerHost == 0 || allocations.countOf(stepId) + plannedTasks.getOrDefault(stepId, 0) < maxPerHost)
-                && (!step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores());
+                && (maxPerHost == 0 || allocations.countOf(stepId) + plannedTasks.getOrDefault(stepId, 0) < maxPerHost);
+    }
+
+    private boolean hasIdleProcessorsFor(StepSpecification step) {
+        return !step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores();
     }
 
     /**
@@ -219,9 +230,7 @@
      * @return true if the host is of the pool and one task fits
      */
     public boolean hasRoomFor(String pool, StepSpecification step) {
-        return pool().equals(pool)
-                && step.allocation().fitsIn(free)
-                && (!step.has(StepTrait.BEST_EFFORT) || step.demand().millicores() <= idleMillicores());
+        return pool().equals(pool) && step.allocation().fitsIn(free) && hasIdleProcessorsFor(step);
     }
 
     /** Returns whether a task that may crash its host may start. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostRanking.java
@@ -39,11 +39,14 @@
     /** The host that is left out, or null if there is none. */
     private final @Nullable HostIncarnation excluded;
 
-    /** Whether hosts stay feasible on which the task would harm latency-critical runs at full speed. */
-    private final boolean pressureIgnored;
-
-    /** Ranks the hosts of a pool, also those on which the task would harm latency-critical runs at full speed. */
-    static HostRanking ignoringPressure(
+    /** Whether hosts stay feasible that do not suit the task at full speed. */
+    private final boolean suitabilityIgnored;
+
+    /**
+     * Ranks all hosts of a pool on which the task may start, also those on which it would harm latency-critical runs at full
+     * speed or would find too few processors idle.
+     */
+    static HostRanking ofAllowedHosts(
             HostSelector selector, StepId stepId, StepSpecification step, String rack, PoolCapacities pool) {
         return new HostRanking(null, true, selector, stepId, step, rack, pool);
     }
@@ -65,20 +68,24 @@
 
     private HostRanking(
             @Nullable HostIncarnation excluded,
-            boolean pressureIgnored,
+            boolean suitabilityIgnored,
             HostSelector selector,
             StepId stepId,
             StepSpecification step,
             String rack,
             PoolCapacities pool) {
         this.excluded = excluded;
-        this.pressureIgnored = pressureIgnored;
+        this.suitabilityIgnored = suitabilityIgnored;
         this.selector = selector;
         this.stepId = stepId;
         this.step = step;
         this.rack = rack;
         this.pool = pool;
-        pool.forEachWithRoom(step, this::offer);
+        if (suitabilityIgnored) {
+            pool.forEachWithAllocation(step, this::offer);
+        } else {
+            pool.forEachWithRoom(step, this::offer);
+        }
     }
 
     /** A feasible host, its score and its position in the pool. */
@@ -92,7 +99,7 @@
     }
 
     private boolean isFeasible(FreeCapacity capacity) {
-        return pressureIgnored ? capacity.fits(stepId, step) : selector.isFeasible(stepId, step, capacity);
+        return suitabilityIgnored ? capacity.mayStart(stepId, step) : selector.isFeasible(stepId, step, capacity);
     }
 
     /** Returns the best host, or empty if no host is feasible. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PlacementObstacle.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PlacementObstacle.java
@@ -5,7 +5,6 @@
 import org.nettlering.domain.workflow.HostAllocations;
 import org.nettlering.domain.workflow.StepId;
 import org.nettlering.domain.workflow.StepSpecification;
-import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.colocation.ColocationController;
 import org.nettlering.domain.workflow.host.HostHeartbeat;
 
@@ -53,8 +52,8 @@
     }
 
     /**
-     * Returns how many tasks of a step the free capacity of a host holds. Processors that only best-effort runs use count as
-     * free.
+     * Returns how many tasks of a step the free capacity of a host holds. The processors of best-effort tasks don't count, as none
+     * are allocated to them.
      *
      * @param step the specification of the step, not null
      * @param capacity the free capacity of the host, not null
@@ -62,14 +61,11 @@
      */
     public static long tasksThatFit(StepSpecification step, FreeCapacity capacity) {
         Resources free = capacity.free();
-        Resources demand = step.demand();
-        long millicores = step.has(StepTrait.BEST_EFFORT)
-                ? Math.max(capacity.idleMillicores(), free.millicores())
-                : free.millicores();
+        Resources required = step.allocation();
         long tasks = Math.min(
-                tasksThatFit(demand.millicores(), millicores),
-                tasksThatFit(demand.memoryMebibytes(), free.memoryMebibytes()));
-        return Math.min(tasks, tasksThatFit(demand.accelerators(), free.accelerators()));
+                tasksThatFit(required.millicores(), free.millicores()),
+                tasksThatFit(required.memoryMebibytes(), free.memoryMebibytes()));
+        return Math.min(tasks, tasksThatFit(required.accelerators(), free.accelerators()));
     }
 
     private static long tasksThatFit(long demand, long free) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/PoolCapacities.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/PoolCapacities.java
@@ -81,11 +81,16 @@
         }
     }
 
-    /** Passes on, in ascending order, the positions of the hosts with processors and memory for one task of a step. */
+    /** Passes on, in ascending order, the positions of the hosts with idle processors and memory for one task of a step. */
     void forEachWithRoom(StepSpecification step, IntConsumer positions) {
         visit(ROOT, Requirement.of(step), positions);
     }
 
+    /** Passes on, in ascending order, the positions of the hosts on which what a task of a step is allocated is free. */
+    void forEachWithAllocation(StepSpecification step, IntConsumer positions) {
+        visit(ROOT, Requirement.ofAllocation(step), positions);
+    }
+
     private void visit(int node, Requirement requirement, IntConsumer positions) {
         if (freeMillicores[node] < requirement.freeMillicores()
                 || freeMebibytes[node] < requirement.freeMebibytes()
@@ -100,7 +105,7 @@
         }
     }
 
-    /** What a host needs at least for a task; only best-effort tasks need idle processors. */
+    /** What a host needs at least for a task; only best-effort tasks ask for idle processors. */
     private record Requirement(long freeMillicores, long freeMebibytes, long idleMillicores) {
         static Requirement of(StepSpecification step) {
             long idleMillicores =
@@ -108,5 +113,10 @@
             return new Requirement(
                     step.allocation().millicores(), step.allocation().memoryMebibytes(), idleMillicores);
         }
+
+        static Requirement ofAllocation(StepSpecification step) {
+            return new Requirement(
+                    step.allocation().millicores(), step.allocation().memoryMebibytes(), Long.MIN_VALUE);
+        }
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -48,6 +48,9 @@
 
     private final UnschedulableDemands unschedulable = new UnschedulableDemands();
 
+    /** Like {@link #unschedulable}, for overdue steps, which start wherever they may. */
+    private final UnschedulableDemands unschedulableOverdue = UnschedulableDemands.ofAllocations();
+
     private final List<StartRun> starts = new ArrayList<>();
 
     private final Set<RunId> throttledStarts = new HashSet<>();
@@ -120,7 +123,8 @@
         if (!unschedulable.includes(step.job().terms().pool(), step.specification())) {
             planUnthrottled(step);
         }
-        if (starts.size() == startsBefore && overdue.test(step)) {
+        boolean hopeless = unschedulableOverdue.includes(step.job().terms().pool(), step.specification());
+        if (starts.size() == startsBefore && !hopeless && overdue.test(step)) {
             planThrottled(step);
         }
     }
@@ -177,41 +181,56 @@
 
     /** Starts a suspect, if a host admits it, and keeps a host free of new runs for one that has to wait. */
     private void planSuspect(StepProgress step, int index) {
-        Optional<FreeCapacity> admitting =
-                leastRunsAtStake(step, capacity -> capacity.admitsSuspects() && capacity.isInContact());
+        Predicate<FreeCapacity> admits = capacity -> capacity.admitsSuspects() && capacity.isInContact();
+        Predicate<FreeCapacity> suits = capacity -> selector.isFeasible(step.id(), step.specification(), capacity);
+        Predicate<FreeCapacity> allows = capacity -> capacity.mayStart(step.id(), step.specification());
+        Optional<FreeCapacity> suitable = leastRunsAtStake(step, suits.and(admits));
+        boolean throttled = suitable.isEmpty() && overdue.test(step);
+        Optional<FreeCapacity> admitting = throttled ? leastRunsAtStake(step, allows.and(admits)) : suitable;
         if (admitting.isPresent()) {
-            FreeCapacity capacity = admitting.get();
-            selector.allocateSuspect(step.id(), step.specification(), capacity);
-            starts.add(nextStart(step, index, capacity));
+            startSuspect(step, index, admitting.get(), throttled);
         } else if (!hostReserved) {
             hostReserved = true;
-            leastRunsAtStake(step, capacity -> true).ifPresent(FreeCapacity::close);
+            leastRunsAtStake(step, throttled ? allows : suits).ifPresent(FreeCapacity::close);
         }
     }
 
-    /** Returns the feasible host on which a crash would lose the fewest runs. */
+    private void startSuspect(StepProgress step, int index, FreeCapacity capacity, boolean throttled) {
+        selector.allocateSuspect(step.id(), step.specification(), capacity);
+        StartRun start = nextStart(step, index, capacity);
+        starts.add(start);
+        if (throttled) {
+            throttledStarts.add(start.run().run());
+        }
+    }
+
+    /** Returns the host on which a crash would lose the fewest runs, of those that fulfil a condition. */
     private Optional<FreeCapacity> leastRunsAtStake(StepProgress step, Predicate<FreeCapacity> condition) {
         return capacities.stream()
                 .filter(capacity -> capacity.pool().equals(step.job().terms().pool()))
                 .filter(condition)
-                .filter(capacity -> selector.isFeasible(step.id(), step.specification(), capacity))
                 .min(Comparator.comparingInt(FreeCapacity::runCount));
     }
 
-    /** Starts one task, or the whole gang, at the lowest speed on the hosts that it harms least. */
+    /**
+     * Starts one task, or the whole gang, at the lowest speed on the hosts that it harms least, also where too few processors are
+     * idle for it: it receives a part of those that the other runs leave.
+     */
     private void planThrottled(StepProgress step) {
         int startsBefore = starts.size();
         boolean isGang = step.specification().has(StepTrait.GANG);
         int[] taskIndexes = isGang ? step.pendingTasks() : harmlessTasks(step);
-        HostRanking ranking = HostRanking.ignoringPressure(
-                selector,
-                step.id(),
-                step.specification(),
-                preferredRack(step),
-                candidatesIn(step.job().terms().pool()));
-        if (isGang) {
+        if (taskIndexes.length == 0) {
+            return;
+        }
+        String pool = step.job().terms().pool();
+        HostRanking ranking = HostRanking.ofAllowedHosts(
+                selector, step.id(), step.specification(), preferredRack(step), candidatesIn(pool));
+        if (ranking.best().isEmpty()) {
+            unschedulableOverdue.add(pool, step.specification());
+        } else if (isGang) {
             planGang(step, taskIndexes, ranking);
-        } else if (taskIndexes.length > 0) {
+        } else {
             ranking.allocateBest().ifPresent(capacity -> starts.add(nextStart(step, taskIndexes[0], capacity)));
         }
         starts.subList(startsBefore, starts.size())
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/UnschedulableDemands.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/UnschedulableDemands.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.PlacementConstraints;
 import org.nettlering.domain.workflow.StepSpecification;
@@ -20,7 +21,22 @@
     /** The smallest such demands; none of the same group fits in another one. */
     private final Map<Group, List<Resources>> demands = new HashMap<>();
 
-    UnschedulableDemands() {}
+    /** What a task of a step requires of a host. */
+    private final Function<StepSpecification, Resources> requirement;
+
+    /** Compares steps by all that their tasks ask for. */
+    UnschedulableDemands() {
+        this(StepSpecification::demand);
+    }
+
+    /** Compares steps by what is allocated to their tasks. */
+    static UnschedulableDemands ofAllocations() {
+        return new UnschedulableDemands(StepSpecification::allocation);
+    }
+
+    private UnschedulableDemands(Function<StepSpecification, Resources> requirement) {
+        this.requirement = requirement;
+    }
 
     /**
      * Steps for which the same hosts are feasible if their demand is the same.
@@ -42,7 +58,7 @@
             return false;
         }
         for (Resources demand : demands.getOrDefault(Group.of(pool, step), List.of())) {
-            if (demand.fitsIn(step.demand())) {
+            if (demand.fitsIn(requirement.apply(step))) {
                 return true;
             }
         }
@@ -55,7 +71,8 @@
             return;
         }
         List<Resources> smallest = demands.computeIfAbsent(Group.of(pool, step), group -> new ArrayList<>());
-        smallest.removeIf(step.demand()::fitsIn);
-        smallest.add(step.demand());
+        Resources required = requirement.apply(step);
+        smallest.removeIf(required::fitsIn);
+        smallest.add(required);
     }
 }
