Let no task that lasts stand in for another one of its job (LOST)

Cause: StepWaits took a best-effort step for overdue only while its whole job had no active run. A task that lasts never makes room for the next one.

Why the fix works: a step of tasks that last is overdue as soon as one of them has waited for 1.5 s, whatever else of its job runs. The rule holds for each such task.

StepWaitsTest.longRunningBestEffortStepIsOverdueAlthoughOthersOfItsTasksRun fails before.

--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StepWaits.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StepWaits.java
@@ -10,13 +10,14 @@
 import org.nettlering.domain.workflow.StepTrait;
 
 /**
- * How long the pending best-effort steps of jobs without any active run have waited, as seen by one leader.
+ * How long the pending best-effort steps that are not to be held back without bound have waited, as seen by one leader.
  *
- * <p>Latency targets may hold such a step back on every host for as long as the load of the services lasts. A job is not
- * held back without bound: after {@link #MAX_WAIT} without any active run its steps count as overdue. Not thread-safe.
+ * <p>Latency targets and busy processors may hold a best-effort step back on every host for as long as the load of the services
+ * lasts. After {@link #MAX_WAIT} it counts as overdue: a step of a job without any active run, and a step of long-running tasks,
+ * of which each has to run, whether others of its job run or not. Not thread-safe.
  */
 public final class StepWaits {
-    /** How long a job may have pending best-effort tasks and no active run. */
+    /** How long pending best-effort tasks may wait that no active run of their job stands in for. */
     public static final Duration MAX_WAIT = Duration.ofMillis(1_500);
 
     /** The monotonic time since which each step has waited. */
@@ -34,7 +35,7 @@
     private StepWaits() {}
 
     /**
-     * Updates the waits before a plan. Steps that are not pending any more, or whose job has an active run, start anew.
+     * Updates the waits before a plan. Steps that are not held back any more start anew.
      *
      * @param pending all pending steps, not null
      * @param nowNanos the monotonic time in nanoseconds
@@ -45,7 +46,8 @@
         Map<String, Boolean> idleJobs = new HashMap<>();
         for (StepProgress step : pending) {
             if (step.specification().has(StepTrait.BEST_EFFORT)
-                    && idleJobs.computeIfAbsent(step.job().id(), jobId -> isIdle(step.job()))) {
+                    && (step.specification().has(StepTrait.LONG_RUNNING)
+                            || idleJobs.computeIfAbsent(step.job().id(), jobId -> isIdle(step.job())))) {
                 updated.put(step.id(), waitingSinceNanos.getOrDefault(step.id(), nowNanos));
             }
         }
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/StepWaitsTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/StepWaitsTest.java
@@ -62,6 +62,16 @@
                 .containsExactly("b");
     }
 
+    /** Guards against tasks that last and are not started again after a loss, as others of their job run. */
+    @Test
+    void longRunningBestEffortStepIsOverdueAlthoughOthersOfItsTasksRun() {
+        state.apply(job("a", step(2, List.of(), StepTrait.BEST_EFFORT, StepTrait.LONG_RUNNING)));
+        state.apply(new StartRun(new ActiveRun(RUN, new HostIncarnation("h", "10.0.0.1:80"), "")));
+        waits.update(state.pendingSteps(), 0);
+        waits.update(state.pendingSteps(), MAX_WAIT_NANOS);
+        assertThat(waits.isOverdue(pendingStep(), MAX_WAIT_NANOS)).isTrue();
+    }
+
     @Test
     void stepWithReservedProcessorsIsNeverOverdue() {
         state.apply(job("a", step(2, List.of())));
