--- a/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
+++ b/control/src/main/java/org/nettlering/control/workflow/StartableHosts.java
@@ -16,7 +16,7 @@
 import org.nettlering.domain.workflow.placement.StartAdmission;
 
 /**
- * The hosts of one leadership on which runs may start: they accept runs, are not to be emptied and do not back off after
+ * The hosts of one leadership on which runs may start: they accept runs, are not to be emptied and are not excluded after
  * failures.
  *
  * <p>Not thread-safe: belongs to a {@link WorkflowLeadership}.
@@ -93,22 +93,30 @@
         for (List<String> hostIds : hostIdsByPool.values()) {
             Set<String> backingOff = failureBackoff.backingOff(hostIds, nowNanos);
             hostIds.stream()
-                    .filter(hostId -> !backingOff.contains(hostId))
+                    .filter(hostId -> !backingOff.contains(hostId) || failureBackoff.mayBeTried(hostId, nowNanos))
                     .map(sessions::get)
                     .forEach(session -> session.latestHeartbeat()
                             .ifPresent(heartbeat -> failures.isolate(
-                                    LoopPart.PLAN,
-                                    session.host().id(),
-                                    () -> capacities.add(freeCapacity(state, session, heartbeat, nowNanos)))));
+                                    LoopPart.PLAN, session.host().id(), () -> {
+                                        FreeCapacity capacity = cachedCapacity(state, session, heartbeat);
+                                        capacity.setInContact(session.hasContactWithin(RECENT_CONTACT, nowNanos));
+                                        capacity.setLastResort(backingOff.contains(
+                                                session.host().id()));
+                                        capacities.add(capacity);
+                                    })));
         }
         return capacities;
     }
 
-    private FreeCapacity freeCapacity(
-            WorkflowState state, HostSession session, HostHeartbeat heartbeat, long nowNanos) {
-        FreeCapacity capacity = cachedCapacity(state, session, heartbeat);
-        capacity.setInContact(session.hasContactWithin(RECENT_CONTACT, nowNanos));
-        return capacity;
+    /** Takes the runs that a host has just reported for evidence that it is sound, if they have been at work for long. */
+    void recordUsage(HostSession session, long nowNanos) {
+        String hostId = session.host().id();
+        if (failureBackoff.consecutiveFailures(hostId) > 0) {
+            session.runs()
+                    .usages()
+                    .forEach(usage ->
+                            failureBackoff.recordAtWork(hostId, usage.startNanos(), usage.atWorkNanos(nowNanos)));
+        }
     }
 
     private FreeCapacity cachedCapacity(WorkflowState state, HostSession session, HostHeartbeat heartbeat) {
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -226,6 +226,7 @@
         terminations.addAll(session, proven);
         if (response instanceof HostResponse.PollResult) {
             sessions.checkFence(session);
+            startableHosts.recordUsage(session, nowNanos);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
             if (options.copyStragglers()) {
--- a/control/src/test/java/org/nettlering/control/workflow/FailingHostsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FailingHostsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
+import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedTermination;
 
 /** How the leader places tasks while runs fail on its hosts. */
@@ -39,6 +41,37 @@
         assertThat(commitStart()).isPresent();
     }
 
+    /** Guards against a sound host that is left out for longer and longer, as the tasks that last there are never done. */
+    @Test
+    void aTaskThatLastsAndWasAtWorkForLongIsTheOnlyFailureOfItsHost() {
+        for (int number = 0; number < FAILING_JOBS; number++) {
+            submit("failing-" + number);
+            failRun(commitStart().orElseThrow(), number + 1);
+            failRun(commitStart().orElseThrow(), number + 2);
+        }
+        nowNanos += Duration.ofSeconds(5).toNanos();
+        assertThat(commitStart()).isEmpty();
+        for (int number = 0; number < HOSTS; number++) {
+            leadership.receiveHeartbeat(heartbeat(number, 2), nowNanos);
+        }
+        submitLasting("lasting");
+        ActiveRun lasting = commitStart().orElseThrow();
+        reportAtWork(lasting);
+        nowNanos += Duration.ofSeconds(4).toNanos();
+        reportAtWork(lasting);
+        failRun(lasting, HOSTS + FAILING_JOBS);
+        assertThat(commitStart()).isPresent();
+        assertThat(leadership.isBackingOff(lasting.host().id(), nowNanos)).isFalse();
+    }
+
+    private void reportAtWork(ActiveRun run) {
+        HostCommand poll = new HostCommand.Poll(run.host(), 1, 0, 0, 0);
+        HostResponse atWork = new HostResponse.PollResult(
+                nowNanos / NANOS_PER_MILLI, List.of(new ReportedRun(run.run(), "", 100, 0)), List.of());
+        leadership.dueCommands(nowNanos);
+        leadership.handleResponse(state, poll, nowNanos, atWork, nowNanos);
+    }
+
     /** Commits batches until one holds a start: a termination is committed before the start that replaces the run. */
     private Optional<ActiveRun> commitStart() {
         Optional<ActiveRun> started = Optional.empty();
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
@@ -18,6 +18,7 @@
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.StepServiceLevel;
 import org.nettlering.domain.workflow.StepSpecification;
+import org.nettlering.domain.workflow.StepTrait;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
 import org.nettlering.domain.workflow.WorkflowState;
@@ -98,12 +99,21 @@
 
     /** Applies the submission of a job with one step of one task, and requests a plan. */
     final void submit(String jobId) {
+        submit(jobId, Set.of());
+    }
+
+    /** Like {@link #submit}, with a task that lasts. */
+    final void submitLasting(String jobId) {
+        submit(jobId, Set.of(StepTrait.LONG_RUNNING));
+    }
+
+    private void submit(String jobId, Set<StepTrait> traits) {
         StepSpecification step = new StepSpecification(
                 1,
                 Resources.of(1_000, 100, 0),
                 1_000,
                 List.of(),
-                Set.of(),
+                traits,
                 PlacementConstraints.NONE,
                 StepServiceLevel.UNSPECIFIED);
         JobTerms terms = new JobTerms("q", "pool", new QueueTerms(0, 2, 1.5, 250, false));
@@ -113,7 +123,12 @@
     }
 
     static HostHeartbeat heartbeat(int number) {
+        return heartbeat(number, 1);
+    }
+
+    static HostHeartbeat heartbeat(int number, long sequence) {
         HostIncarnation incarnation = new HostIncarnation("h" + number, "10.0.0." + number + ":80");
-        return new HostHeartbeat(incarnation, "pool", "fd", Resources.of(4_000, 4_000, 0), "a", "r1", false, 1_000, 1);
+        return new HostHeartbeat(
+                incarnation, "pool", "fd", Resources.of(4_000, 4_000, 0), "a", "r1", false, 1_000, sequence);
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/RunUsage.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/RunUsage.java
@@ -23,4 +23,18 @@
         int progressPercent,
         long lastProgressNanos,
         long throttledSinceNanos,
-        long startNanos) {}
+        long startNanos) {
+    /** The progress of a long-running task that is at work. */
+    private static final int AT_WORK_PERCENT = 100;
+
+    /**
+     * Returns until when the run is known to have been at work.
+     *
+     * @param reportedNanos when the usage was reported, by the monotonic clock
+     * @return the time of the report for a long-running task that is at work, else that of the last progress, by the monotonic
+     *     clock
+     */
+    public long atWorkNanos(long reportedNanos) {
+        return progressPercent == AT_WORK_PERCENT ? reportedNanos : lastProgressNanos;
+    }
+}
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -43,6 +43,9 @@
 
     private boolean inContact = true;
 
+    /** Whether the host is left out after failures, unless no other host can take a task. */
+    private boolean lastResort;
+
     /** Which tasks may start, also with regard to the planned starts. */
     private StartAdmission admission;
 
@@ -211,6 +214,18 @@
      * allow this host. A best-effort task has no processors allocated, so it may start however few are idle.
      */
     boolean mayStart(StepId stepId, StepSpecification step) {
+        return !lastResort && isAllowed(stepId, step);
+    }
+
+    /**
+     * Returns whether a task that no other host can take may be tried here, on a host that is left out after failures. One at a
+     * time, so that a host which still fails all that it starts fails no more than that.
+     */
+    boolean mayTry(StepId stepId, StepSpecification step) {
+        return lastResort && admission == StartAdmission.ALL && isAllowed(stepId, step);
+    }
+
+    private boolean isAllowed(StepId stepId, StepSpecification step) {
         int maxPerHost = step.placementConstraints().maxTasksPerHost();
         return admission != StartAdmission.NONE
                 && step.allocation().fitsIn(free)
@@ -230,7 +245,7 @@
      * @return true if the host is of the pool and one task fits
      */
     public boolean hasRoomFor(String pool, StepSpecification step) {
-        return pool().equals(pool) && step.allocation().fitsIn(free) && hasIdleProcessorsFor(step);
+        return !lastResort && pool().equals(pool) && step.allocation().fitsIn(free) && hasIdleProcessorsFor(step);
     }
 
     /** Returns whether a task that may crash its host may start. */
@@ -247,6 +262,20 @@
         inContact = recent;
     }
 
+    /**
+     * Records whether the host is left out after failures, which changes without any change of the host.
+     *
+     * @param leftOut true if only a task is to be tried there that no other host can take
+     */
+    public void setLastResort(boolean leftOut) {
+        lastResort = leftOut;
+    }
+
+    /** Returns whether the host is left out after failures, unless no other host can take a task. */
+    boolean isLastResort() {
+        return lastResort;
+    }
+
     /** Returns whether the host was in contact a moment ago. */
     boolean isInContact() {
         return inContact;
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -55,6 +55,9 @@
 
     private final Set<RunId> throttledStarts = new HashSet<>();
 
+    /** The hosts that are left out after failures and may be tried. */
+    private final List<FreeCapacity> lastResorts;
+
     /** Whether a host is kept free of new runs, so that it admits a suspect soon. */
     private boolean hostReserved;
 
@@ -79,6 +82,7 @@
     private StartPlanner(PlanInput input) {
         selector = new HostSelector(input.colocation());
         capacities = input.capacities();
+        lastResorts = capacities.stream().filter(FreeCapacity::isLastResort).toList();
         overdue = input.overdue();
         runTimes = input.runTimes();
         nowMillis = input.nowMillis();
@@ -127,6 +131,37 @@
         if (starts.size() == startsBefore && !hopeless && overdue.test(step)) {
             planThrottled(step);
         }
+        if (starts.size() == startsBefore && !lastResorts.isEmpty()) {
+            tryLastResort(step);
+        }
+    }
+
+    /**
+     * Starts one task that no other host can take on a host that is left out after failures, a best-effort one at the lowest speed.
+     * A gang waits, as it needs more hosts than may be tried.
+     */
+    private void tryLastResort(StepProgress step) {
+        int[] taskIndexes = step.specification().has(StepTrait.GANG) ? new int[0] : harmlessTasks(step);
+        if (taskIndexes.length == 0) {
+            return;
+        }
+        lastResorts.stream()
+                .filter(capacity -> capacity.pool().equals(step.job().terms().pool()))
+                .filter(capacity -> capacity.mayTry(step.id(), step.specification()))
+                .min(Comparator.comparingInt(FreeCapacity::consecutiveFailures))
+                .ifPresent(capacity -> {
+                    selector.allocate(step.id(), step.specification(), capacity);
+                    addStart(
+                            nextStart(step, taskIndexes[0], capacity),
+                            step.specification().has(StepTrait.BEST_EFFORT));
+                });
+    }
+
+    private void addStart(StartRun start, boolean throttled) {
+        starts.add(start);
+        if (throttled) {
+            throttledStarts.add(start.run().run());
+        }
     }
 
     private void planUnthrottled(StepProgress step) {
@@ -188,22 +223,14 @@
         boolean throttled = suitable.isEmpty() && overdue.test(step);
         Optional<FreeCapacity> admitting = throttled ? leastRunsAtStake(step, allows.and(admits)) : suitable;
         if (admitting.isPresent()) {
-            startSuspect(step, index, admitting.get(), throttled);
+            selector.allocateSuspect(step.id(), step.specification(), admitting.get());
+            addStart(nextStart(step, index, admitting.get()), throttled);
         } else if (!hostReserved) {
             hostReserved = true;
             leastRunsAtStake(step, throttled ? allows : suits).ifPresent(FreeCapacity::close);
         }
     }
 
-    private void startSuspect(StepProgress step, int index, FreeCapacity capacity, boolean throttled) {
-        selector.allocateSuspect(step.id(), step.specification(), capacity);
-        StartRun start = nextStart(step, index, capacity);
-        starts.add(start);
-        if (throttled) {
-            throttledStarts.add(start.run().run());
-        }
-    }
-
     /** Returns the host on which a crash would lose the fewest runs, of those that fulfil a condition. */
     private Optional<FreeCapacity> leastRunsAtStake(StepProgress step, Predicate<FreeCapacity> condition) {
         return capacities.stream()
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/HostFailureBackoffTest.java
@@ -41,6 +41,45 @@
         assertThat(backoff.consecutiveFailures("h")).isZero();
     }
 
+    /** Guards against a sound host that is left out for longer and longer, as the tasks that last there are never done. */
+    @Test
+    void runThatIsLongAtWorkAfterTheLastFailureResetsFailuresAndBackoff() {
+        fail("h", 2);
+        backoff.recordAtWork("h", seconds(5), seconds(8.9));
+        assertThat(backoff.consecutiveFailures("h")).isEqualTo(2);
+        backoff.recordAtWork("h", seconds(5), seconds(9));
+        assertThat(backoff.consecutiveFailures("h")).isZero();
+    }
+
+    @Test
+    void runThatBeganBeforeTheLastFailureShowsNothing() {
+        fail("h", 1);
+        backoff.recordTermination("h", TerminalStatus.FAILED, seconds(1));
+        backoff.recordAtWork("h", 0, seconds(60));
+        assertThat(backoff.consecutiveFailures("h")).isEqualTo(2);
+    }
+
+    /** Guards against a task that waits for the longest backoff of the one host that can take it. */
+    @Test
+    void hostMayBeTriedBeforeALongBackoffIsOver() {
+        fail("h", 2);
+        assertThat(backoff.mayBeTried("h", seconds(3.9))).isFalse();
+        backoff.recordTermination("h", TerminalStatus.FAILED, seconds(5));
+        assertThat(backoff.mayBeTried("h", seconds(8.9))).isFalse();
+        assertThat(backoff.mayBeTried("h", seconds(9))).isTrue();
+        assertThat(backoff.isBackingOff("h", seconds(12.9))).isTrue();
+    }
+
+    @Test
+    void failureOfATriedHostExcludesItAnew() {
+        fail("h", 2);
+        backoff.recordTermination("h", TerminalStatus.FAILED, seconds(5));
+        backoff.recordTermination("h", TerminalStatus.FAILED, seconds(10));
+        assertThat(backoff.mayBeTried("h", seconds(13.9))).isFalse();
+        assertThat(backoff.mayBeTried("h", seconds(14))).isTrue();
+        assertThat(backoff.isBackingOff("h", seconds(25.9))).isTrue();
+    }
+
     @Test
     void stoppedAndUnstartedRunsDoNotCountAsFailures() {
         backoff.recordTermination("h", TerminalStatus.STOPPED, 0);
