Keep a cancellation that precedes its submission (UNASKED)

When the entry woke, the job was accepted and all its tasks started 4.2 s after the acknowledgement.

Cause: WorkflowState.cancelJob kept nothing of an id that it did not know.

Ruled out: an entry that answers by itself, a leader out of touch, repeats of the caller.

Why the fix works: the leader proposes the unknown job, without work, and its cancellation in one entry of the log. Whatever follows in the log finds the id known and cancelled; a submission that comes first is cancelled by the same entry.

What it costs callers: no delay; a cancellation of an unknown id was an entry of the log already, which is larger now.

WorkflowEndToEndTest: aJobNeverStartsThatWasCancelledBeforeItsSubmissionArrived and aNewLeaderKnowsWhichJobsWereCancelledBeforeTheirSubmissions fail before.

--- a/control/src/main/java/org/nettlering/control/workflow/FinishedJobRetention.java
+++ b/control/src/main/java/org/nettlering/control/workflow/FinishedJobRetention.java
@@ -18,7 +18,7 @@
  */
 final class FinishedJobRetention {
     /** How long a finished job can be queried. */
-    private static final Duration RETENTION = Duration.ofMinutes(5);
+    static final Duration RETENTION = Duration.ofMinutes(5);
 
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
 
--- a/control/src/main/java/org/nettlering/control/workflow/JobRejection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobRejection.java
@@ -13,6 +13,8 @@
 record JobRejection(Reason reason, Duration retryAfter) {
     /** The names appear in the log. */
     enum Reason {
+        /** The job was cancelled before its submission arrived. */
+        CANCELLED_BEFORE,
         /** The members hold as many tasks as they can. */
         TOO_MANY_TASKS,
         /** Long-running jobs hold the share of the pool that they may. */
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -15,6 +15,7 @@
 import org.nettlering.domain.queue.QueueSettings;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.domain.workflow.CommandResult;
+import org.nettlering.domain.workflow.EarlyCancellation;
 import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.JobTerms;
@@ -146,23 +147,16 @@
         JobTerms terms =
                 new JobTerms(queue.get().name(), queue.get().pool(), queue.get().terms());
         WorkflowCommand.SubmitJob submission = new WorkflowCommand.SubmitJob(jobId, terms, definition, time.millis());
-        Optional<JobRejection> rejection = loop.decide((state, leadership) -> state.job(jobId)
-                                .isPresent()
-                        || undecidedJobs.contains(jobId)
-                ? Optional.empty()
-                : leadership.rejectionOf(
-                        state, submission, undecidedJobs.longRunningMillicores(terms.pool(), state), time.nanoTime()));
+        Optional<JobRejection> rejection =
+                loop.decide((state, leadership) -> rejectionOf(state, leadership, submission));
         if (rejection.isPresent()) {
-            Duration retryAfter = rejection.get().retryAfter();
-            LOG.logWithFields(
-                    WorkflowEvent.JOB_REJECTED,
-                    Map.of("reason", rejection.get().reason()),
-                    jobId,
-                    terms.queue(),
-                    retryAfter.toMillis());
-            return readConfirmed((state, current) -> rejectedResponse(retryAfter));
+            return reject(submission, rejection.get());
         }
-        return undecidedJobs.during(submission, () -> propose(submission)).thenApply(commandResult -> {
+        return undecidedJobs.during(submission, () -> propose(submission)).thenCompose(commandResult -> {
+            Optional<JobRejection> cancelled = stateMachine.read((state, current) -> cancelledBefore(state, jobId));
+            if (cancelled.isPresent()) {
+                return reject(submission, cancelled.get());
+            }
             LOG.logWithFields(
                     WorkflowEvent.JOB_ACCEPTED,
                     AcceptedJobDetails.of(submission).toFields(),
@@ -171,10 +165,44 @@
                     queues.version(),
                     definition.steps().size());
             loop.requestPlanAndRun();
-            return responseOf(WorkflowAnswer.ANSWER_DONE);
+            return CompletableFuture.completedFuture(responseOf(WorkflowAnswer.ANSWER_DONE));
         });
     }
 
+    private Optional<JobRejection> rejectionOf(
+            WorkflowState state, WorkflowLeadership leadership, WorkflowCommand.SubmitJob submission) {
+        String jobId = submission.jobId();
+        if (state.job(jobId).isPresent()) {
+            return cancelledBefore(state, jobId);
+        }
+        if (undecidedJobs.contains(jobId)) {
+            return Optional.empty();
+        }
+        long undecidedMillicores =
+                undecidedJobs.longRunningMillicores(submission.terms().pool(), state);
+        return leadership.rejectionOf(state, submission, undecidedMillicores, time.nanoTime());
+    }
+
+    /** Returns why a job is rejected that was cancelled before its submission arrived, or empty. Its id is kept for a while. */
+    private static Optional<JobRejection> cancelledBefore(WorkflowState state, String jobId) {
+        boolean unsubmitted =
+                state.job(jobId).isPresent() && state.submittedJob(jobId).isEmpty();
+        return unsubmitted
+                ? Optional.of(new JobRejection(JobRejection.Reason.CANCELLED_BEFORE, FinishedJobRetention.RETENTION))
+                : Optional.empty();
+    }
+
+    private CompletionStage<WorkflowResponse> reject(WorkflowCommand.SubmitJob submission, JobRejection rejection) {
+        Duration retryAfter = rejection.retryAfter();
+        LOG.logWithFields(
+                WorkflowEvent.JOB_REJECTED,
+                Map.of("reason", rejection.reason()),
+                submission.jobId(),
+                submission.terms().queue(),
+                retryAfter.toMillis());
+        return readConfirmed((state, current) -> rejectedResponse(retryAfter));
+    }
+
     private static WorkflowResponse show(JobRequest request, WorkflowState state, QueueConfiguration queues) {
         Optional<QueueSettings> queue = queues.queueFor(request.getAuthority(), request.getPath());
         if (queue.isEmpty()) {
@@ -187,7 +215,7 @@
                     .setPendingJobs(state.queuedJobs(queue.get().name()))
                     .build();
         }
-        return state.job(jobId)
+        return state.submittedJob(jobId)
                 .map(job -> WorkflowResponse.newBuilder()
                         .setAnswer(WorkflowAnswer.ANSWER_DONE)
                         .setPhase(JobDefinitionCodec.encode(job.phase()))
@@ -202,13 +230,14 @@
             return readConfirmed((state, current) -> noQueueResponse(current));
         }
         String jobId = jobId(queue.get(), request.getPath());
-        return propose(new WorkflowCommand.CancelJob(jobId)).thenApply(commandResult -> {
-            LOG.log(WorkflowEvent.JOB_CANCELLED, jobId, commandResult);
+        WorkflowCommand command =
+                stateMachine.read((state, current) -> EarlyCancellation.cancel(state, jobId, time.millis()));
+        return propose(command).thenApply(commandResult -> {
+            boolean known = stateMachine.read(
+                    (state, current) -> state.submittedJob(jobId).isPresent());
+            LOG.log(WorkflowEvent.JOB_CANCELLED, jobId, known ? commandResult : CommandResult.UNKNOWN_JOB);
             stopRuns(jobId);
-            return responseOf(
-                    commandResult == CommandResult.UNKNOWN_JOB
-                            ? WorkflowAnswer.ANSWER_NO_JOB
-                            : WorkflowAnswer.ANSWER_DONE);
+            return responseOf(known ? WorkflowAnswer.ANSWER_DONE : WorkflowAnswer.ANSWER_NO_JOB);
         });
     }
 
--- a/control/src/test/java/org/nettlering/control/workflow/WorkflowEndToEndTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/WorkflowEndToEndTest.java
@@ -127,6 +127,30 @@
         assertThat(phase("/q/1")).isEqualTo(JobPhase.CANCELLED);
     }
 
+    /** Guards against a job that starts after its cancelling was acknowledged, as its submission was held up on its way. */
+    @Test
+    void aJobNeverStartsThatWasCancelledBeforeItsSubmissionArrived() {
+        sendHeartbeat();
+        assertThat(join(leader.client.cancel("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
+        assertThat(submit("/q/1", step(2, List.of()))).isInstanceOf(JobResponse.Rejected.class);
+        advance(1_000);
+        assertThat(startedRuns).isEmpty();
+        assertThat(join(leader.client.show("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
+        assertThat(join(leader.client.show("site.example", "/q/", TIMEOUT))).isEqualTo(new JobResponse.Pending(0));
+        assertThat(join(leader.client.cancel("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
+    }
+
+    @Test
+    void aNewLeaderKnowsWhichJobsWereCancelledBeforeTheirSubmissions() {
+        sendHeartbeat();
+        assertThat(join(leader.client.cancel("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
+        secondNode.becomeLeader();
+        sendHeartbeat();
+        assertThat(submit("/q/1", step(2, List.of()))).isInstanceOf(JobResponse.Rejected.class);
+        advance(1_000);
+        assertThat(startedRuns).isEmpty();
+    }
+
     @Test
     void aNewLeaderAdoptsActiveRunsWithoutStartingThemAgain() {
         sendHeartbeat();
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -37,6 +37,9 @@
     /** The jobs by id, in the order of acceptance. */
     private final Map<String, Job> jobs = new LinkedHashMap<>();
 
+    /** The ids of the jobs that are only kept because they were cancelled before their submission, the oldest first. */
+    private final Set<String> unsubmittedJobs = new LinkedHashSet<>();
+
     /** The allocations by the id of the host incarnation. */
     private final Map<String, HostAllocations> allocations = new HashMap<>();
 
@@ -87,7 +90,7 @@
 
     /** Adds a job of a snapshot and restores the state that is derived from it. */
     private void add(Job job) {
-        jobs.put(job.id(), job);
+        put(job);
         adjustQueuedJobs(job, job.phase() == JobPhase.QUEUED ? 1 : 0);
         adjustLongRunning(job, job.phase().isOpen() ? 1 : 0);
         if (job.phase().isOpen() && job.nextOccurrence().isPresent()) {
@@ -104,6 +107,13 @@
         }
     }
 
+    private void put(Job job) {
+        jobs.put(job.id(), job);
+        if (EarlyCancellation.isUnsubmitted(job)) {
+            unsubmittedJobs.add(job.id());
+        }
+    }
+
     /**
      * Returns a snapshot of the state.
      *
@@ -138,7 +148,7 @@
     }
 
     /**
-     * Finds a job.
+     * Finds a job, also one that was cancelled before its submission.
      *
      * @param id the id of the job, not null
      * @return the job, or empty if it is unknown, never null
@@ -147,6 +157,25 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /**
+     * Finds a job that somebody submitted.
+     *
+     * @param id the id of the job, not null
+     * @return the job, or empty if it is unknown or was cancelled before its submission, never null
+     */
+    public Optional<Job> submittedJob(String id) {
+        return job(id).filter(job -> !EarlyCancellation.isUnsubmitted(job));
+    }
+
+    /**
+     * Returns the jobs that were cancelled before their submission.
+     *
+     * @return an unmodifiable view of their ids, the oldest first, never null
+     */
+    public Collection<String> unsubmittedJobs() {
+        return Collections.unmodifiableCollection(unsubmittedJobs);
+    }
+
     /**
      * Returns all jobs.
      *
@@ -317,7 +346,7 @@
             return CommandResult.UNCHANGED;
         }
         Job job = new Job(command);
-        jobs.put(job.id(), job);
+        put(job);
         adjustQueuedJobs(job, 1);
         adjustLongRunning(job, 1);
         if (job.definition().recurrence().isPeriodic()) {
@@ -432,6 +461,7 @@
             return CommandResult.UNCHANGED;
         }
         jobs.remove(job.id());
+        unsubmittedJobs.remove(job.id());
         return CommandResult.APPLIED;
     }
 
