Tell by every response which incarnation of a host runs (TWICE)

Cause: only a poll's response told of a new incarnation. Until then its leases were measured by the clock of the old one: an expiry 5 s ahead by that clock is far ahead for a clock that began anew, which grants the longest lease, 6 or 10 s. A host that was cut off in between was given up too early. The poll that asks hung at the old incarnation meanwhile, a late response of the old one counted as its answer, and committed starts were sent.

Why the fix works: a response names its incarnation by its start, or by a clock that can't have run back. A run whose start got no response is given up only when the longest lease has passed since the last expiry that was sent; those that the known incarnation confirmed end by its clock as before. A heartbeat of another incarnation is followed by a poll at once, beside the one that hangs, and nothing starts until that is answered.

Tests that were wrong: hosts that answered with a clock that stood still or was 0 (now the clock of the host, or the injected fault counts as a rebirth); a late heartbeat of an ended incarnation asked for a poll, and is ignored now; a start without a response at a host that shuts down waits for the longest lease, so the test of the shorter one has it confirmed.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -224,8 +224,8 @@
         List<RecordTermination> proven = session.handleResponse(command, sentNanos, response, nowNanos);
         learning.learn(state, session, proven, nowNanos);
         terminations.addAll(session, proven);
+        sessions.checkFence(session);
         if (response instanceof HostResponse.PollResult) {
-            sessions.checkFence(session);
             startableHosts.recordUsage(session, nowNanos);
             failures.isolate(LoopPart.RESPONSE, command, () -> colocation.adjustThrottling(state, session, nowNanos));
             stopStalledRuns(state, session, nowNanos);
--- a/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FakeHost.java
@@ -114,7 +114,7 @@
                 startMillis);
     }
 
-    private long clockMillis() {
+    long clockMillis() {
         return clockOffsetMillis + (time.nanoTime() - clockOriginNanos) / 1_000_000 * 99 / 100;
     }
 
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
@@ -46,6 +46,12 @@
     private static final int ATTEMPTS = 2;
     private static final int HOSTS = 3;
     private static final int MEMBERS = 3;
+    /** How long a host is down that starts again under its id. */
+    private static final Duration DOWNTIME = Duration.ofMillis(600);
+
+    /** How long a command may have no response, besides the time for which it waits at the host. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(800);
+
     /** How long after its acknowledgement an evacuation is in force everywhere. */
     private static final Duration EVACUATION_BOUND = Duration.ofSeconds(5);
 
@@ -80,6 +86,10 @@
 
     private boolean commandIsLate;
     private boolean idsMayBeKept;
+
+    /** Whether hosts that crash start again under their id and are cut off soon after, while polls wait at them. */
+    private boolean cutOffAfterRebirths;
+
     private int leaderIndex;
     private int incarnationCount;
     private boolean faultsEnabled = true;
@@ -96,6 +106,16 @@
         return simulate(simulation);
     }
 
+    /**
+     * Runs the simulation of a seed in which hosts that crash start again under their id and are cut off soon after, while polls wait at
+     * them; returns its first violation. Commands that were sent before a rebirth are not executed after it.
+     */
+    static Optional<String> simulateCutsAfterRebirths(long seed) {
+        TaskProtocolSimulation simulation = new TaskProtocolSimulation(seed, InjectedFault.NONE);
+        simulation.cutOffAfterRebirths = true;
+        return simulate(simulation);
+    }
+
     private static Optional<String> simulate(TaskProtocolSimulation simulation) {
         simulation.run();
         return simulation.violations.stream().findFirst();
@@ -184,7 +204,9 @@
     private void maybeDisrupt() {
         int draw = random.nextInt(2_000);
         int host = random.nextInt(HOSTS);
-        if (draw < 6) {
+        if (draw < 6 && cutOffAfterRebirths) {
+            crashAndCutOff(host);
+        } else if (draw < 6) {
             hosts[host].crash();
             boolean idKept = idsMayBeKept && rebirths.nextBoolean();
             hosts[host] = idKept ? hosts[host].reborn() : newIncarnation(host);
@@ -197,6 +219,18 @@
         maybeEvacuate();
     }
 
+    private void crashAndCutOff(int host) {
+        FakeHost crashed = hosts[host];
+        if (!crashed.isUp()) {
+            return;
+        }
+        crashed.crash();
+        time.schedule(DOWNTIME, () -> hosts[host] = crashed.reborn());
+        Duration reachable = Duration.ofMillis(rebirths.nextInt(2_500));
+        Duration cutOff = Duration.ofMillis(rebirths.nextInt(9_000));
+        time.schedule(DOWNTIME.plus(reachable), () -> partitionedUntilNanos[host] = time.nanoTime() + cutOff.toNanos());
+    }
+
     /** Starts or finishes the evacuation of the failure domain of one host, as an operator does. */
     private void maybeEvacuate() {
         if (evacuations.nextInt(400) > 0) {
@@ -341,7 +375,25 @@
 
     private CompletionStage<HostResponse> exchange(HostCommand command) {
         HostResponse response = deliver(injectFault(command));
-        return CompletableFuture.completedFuture(injectFault(command, response));
+        boolean waits = cutOffAfterRebirths && response instanceof HostResponse.PollResult;
+        return waits && command instanceof HostCommand.Poll poll
+                ? responseAfterWait(poll)
+                : CompletableFuture.completedFuture(injectFault(command, response));
+    }
+
+    /** Lets a poll wait at the host that has received it, and hang if that host is gone or cut off by then. */
+    private CompletionStage<HostResponse> responseAfterWait(HostCommand.Poll poll) {
+        int host = hostIndex(poll);
+        FakeHost polled = hosts[host];
+        CompletableFuture<HostResponse> outcome = new CompletableFuture<>();
+        time.schedule(Duration.ofMillis(poll.maxWaitMillis()), () -> {
+            if (hosts[host] == polled && polled.isUp() && !isPartitioned(host)) {
+                outcome.complete(polled.handle(poll));
+            } else {
+                time.schedule(RESPONSE_TIMEOUT, () -> outcome.complete(new NoResponse("hung")));
+            }
+        });
+        return outcome;
     }
 
     private HostResponse deliver(HostCommand command) {
@@ -354,14 +406,18 @@
             if (command instanceof HostCommand.Start && random.nextInt(4) == 0) {
                 replaceLeaderBeforeItsStop(host);
             }
-            time.schedule(Duration.ofMillis(200 + random.nextInt(9_000)), () -> handleLate(host, command));
+            FakeHost addressed = hosts[host];
+            time.schedule(Duration.ofMillis(200 + random.nextInt(9_000)), () -> handleLate(host, addressed, command));
             return new NoResponse("late");
         }
         HostResponse response = handleOnHost(host, command);
         return draw < 12 ? new NoResponse("response lost") : response;
     }
 
-    private void handleLate(int host, HostCommand command) {
+    private void handleLate(int host, FakeHost addressed, HostCommand command) {
+        if (cutOffAfterRebirths && hosts[host] != addressed) {
+            return;
+        }
         commandIsLate = true;
         handleOnHost(host, command);
         commandIsLate = false;
@@ -418,7 +474,9 @@
             case NO_RESPONSE_AS_REJECTION ->
                 noResponse && command instanceof HostCommand.Start ? new Rejected(RejectionReason.NO_ROOM) : response;
             case NO_RESPONSE_AS_STOPPED ->
-                noResponse && command instanceof HostCommand.Stop ? new Accepted(0) : response;
+                noResponse && command instanceof HostCommand.Stop
+                        ? new Accepted(hosts[hostIndex(command)].clockMillis())
+                        : response;
             default -> response;
         };
     }
--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
@@ -49,6 +49,16 @@
         }
     }
 
+    /** Guards against TWICE: a lease that a reborn host had granted was taken to be over by the clock of its former incarnation. */
+    @Test
+    void noSeedViolatesTheTaskGuaranteesWhereHostsAreCutOffAfterTheirRebirths() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            assertThat(TaskProtocolSimulation.simulateCutsAfterRebirths(seed))
+                    .as("seed " + seed)
+                    .isEmpty();
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(mode = Mode.EXCLUDE, names = "NONE")
     void anInjectedFaultIsDetected(InjectedFault fault) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The lease that covers all runs on a host, measured by the host's clock.
@@ -27,6 +28,9 @@
     /** The latest lease expiry that the host may have been given, by its own clock; zero for none. */
     private long latestExpiryMillis;
 
+    /** When this leader last sent a command with an expiry, by the monotonic clock, or null if it never did. */
+    private @Nullable Long lastRenewalNanos;
+
     private boolean mayBeRenewedByEarlierLeader;
 
     /** Whether the host certainly ignores commands of earlier leaders. */
@@ -37,6 +41,17 @@
         this.sessionStartNanos = sessionStartNanos;
     }
 
+    /**
+     * Returns the lease on the incarnation that follows this one. Expiries that were requested by the clock of this one are bounded only
+     * by the longest lease there.
+     */
+    HostLease ofNextIncarnation(long nowNanos) {
+        HostLease next = new HostLease(timings, nowNanos);
+        next.lastRenewalNanos = lastRenewalNanos;
+        next.markInherited();
+        return next;
+    }
+
     /** Records that an earlier leader may have renewed the lease. */
     void markInherited() {
         mayBeRenewedByEarlierLeader = true;
@@ -55,6 +70,16 @@
         }
     }
 
+    /** Returns whether a reading shows that the host has started again: its clock is behind what it had certainly reached. */
+    boolean isClockRestarted(long millis, long takenAfterNanos) {
+        return clock.isRestarted(millis, takenAfterNanos);
+    }
+
+    /** Returns whether a reading is too high for the clock of this incarnation, so that it may be of another one. */
+    boolean isClockAhead(long millis, long nowNanos) {
+        return clock.isAhead(millis, nowNanos);
+    }
+
     /** Returns whether a lease can be requested, which requires a reading of the host's clock. */
     boolean canBeRenewed() {
         return clock.isKnown();
@@ -65,6 +90,7 @@
         if (!clock.isKnown()) {
             return 0;
         }
+        lastRenewalNanos = nowNanos;
         long expiryMillis = clock.estimatedMillis(nowNanos) + timings.lease().toMillis();
         latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
         return expiryMillis;
@@ -100,6 +126,20 @@
         return clock.lowerBoundMillis(nowNanos) > latestExpiryMillis + marginMillis + deposedLeaderMarginMillis;
     }
 
+    /**
+     * Returns whether every lease has expired, including all margins, that any incarnation of the host may have been given: one that
+     * started since it was last heard of takes an expiry by the clock of the earlier one for a later one, but grants no more than the
+     * longest lease.
+     */
+    boolean hasExpiredForAnyIncarnation(long nowNanos) {
+        Long renewalNanos = lastRenewalNanos;
+        if (renewalNanos == null) {
+            return true;
+        }
+        Duration longest = timings.maxLease().plus(EXPIRY_MARGIN).plus(timings.stopGrace());
+        return nowNanos - renewalNanos > longest.toNanos() * 51 / 50;
+    }
+
     /**
      * Returns the time by the host's clock until every lease that the host may have been given ends, in milliseconds,
      * negative if it is over; zero if none is known. For logs only.
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostResponse.java
@@ -13,8 +13,19 @@
      * The host executed the command.
      *
      * @param clockMillis the host's clock, in milliseconds
+     * @param startMillis when the incarnation started, in milliseconds since 1970, or
+     *     {@link HostIncarnation#UNKNOWN_START}
      */
-    record Accepted(long clockMillis) implements HostResponse {}
+    record Accepted(long clockMillis, long startMillis) implements HostResponse {
+        /**
+         * Creates the response of a host that does not tell when it started.
+         *
+         * @param clockMillis the host's clock, in milliseconds
+         */
+        public Accepted(long clockMillis) {
+            this(clockMillis, HostIncarnation.UNKNOWN_START);
+        }
+    }
 
     /**
      * The active runs and the terminations that are not acknowledged yet.
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostRuns.java
@@ -230,11 +230,17 @@
         find(run).ifPresent(tracked -> tracked.setDesiredSpeed(speedPercent));
     }
 
-    /** Returns the start, stop and throttle commands that are due, and treats them as sent. */
-    List<HostCommand> takeDueCommands(long token, HostLease lease, boolean unresponsive, long nowNanos) {
+    /**
+     * Returns the start, stop and throttle commands that are due, and treats them as sent.
+     *
+     * @param startable whether starts may be sent
+     */
+    List<HostCommand> takeDueCommands(
+            long token, HostLease lease, boolean startable, boolean unresponsive, long nowNanos) {
         List<HostCommand> due = new ArrayList<>();
         for (TrackedRun tracked : runs.values()) {
-            tracked.takeDueCommand(token, lease, unresponsive, nowNanos).ifPresent(due::add);
+            tracked.takeDueCommand(token, lease, startable, unresponsive, nowNanos)
+                    .ifPresent(due::add);
         }
         return due;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -15,6 +15,7 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
+import org.nettlering.domain.workflow.host.IncarnationTracker.Sender;
 
 /**
  * Tracks a host with one id during one leader term, also if it starts again under that id: the runs that may be active there, the commands due to it,
@@ -44,8 +45,6 @@
 
     private final HostIncarnation host;
 
-    private final HostTimings timings;
-
     private long token;
 
     /** Whether the host may still execute commands that were sent to an incarnation which has terminated. */
@@ -78,7 +77,6 @@
 
     private HostSession(HostIncarnation host, HostTimings timings, long token, long nowNanos) {
         this.host = host;
-        this.timings = timings;
         this.token = token;
         incarnation = new IncarnationTracker(nowNanos);
         known = new KnownIncarnation(timings, runs, nowNanos);
@@ -159,9 +157,12 @@
      *     that confirms that it is of the current incarnation
      */
     public boolean handleHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
+        if (incarnation.hasEnded(heartbeat.startMillis())) {
+            return false;
+        }
         if (incarnation.isOther(heartbeat.startMillis())) {
             incarnation.keepUnconfirmed(heartbeat);
-            polls.requireNew(nowNanos);
+            polls.requireNewAtOnce(nowNanos);
             return false;
         }
         return known.handleHeartbeat(heartbeat, nowNanos);
@@ -182,7 +183,7 @@
                         .filter(heartbeat -> HostIncarnation.isOtherStart(heartbeat.startMillis(), startMillis))
                         .isPresent();
         if (isOther) {
-            polls.requireNew(nowNanos);
+            polls.requireNewAtOnce(nowNanos);
             return false;
         }
         known.liveness().handleShutdownNotice(nowNanos);
@@ -208,7 +209,7 @@
     public void raiseToken(long higherToken, long nowNanos) {
         token = higherToken;
         fenceNeeded = false;
-        polls.requireNew(nowNanos);
+        polls.requireNewAtOnce(nowNanos);
     }
 
     /**
@@ -321,7 +322,9 @@
         if (isIncarnationTerminated()) {
             return due;
         }
-        due.addAll(runs.takeDueCommands(token, known.lease(), known.liveness().isUnresponsive(), nowNanos));
+        boolean startable = !polls.isNewRequired() && !fenceNeeded;
+        due.addAll(runs.takeDueCommands(
+                token, known.lease(), startable, known.liveness().isUnresponsive(), nowNanos));
         due.addAll(known.takeDueStops(host, token, nowNanos));
         if (isPollDue(nowNanos)) {
             due.add(createPoll(nowNanos));
@@ -378,12 +381,14 @@
                 .orElse(longestWait);
         // Other commands without a response do not count: the lease of a host that answers polls must not expire.
         boolean renewsLease = !runs.isEmpty() && !polls.isUnanswered() && !isShutdownAnnounced();
-        return new HostCommand.Poll(
+        HostCommand.Poll poll = new HostCommand.Poll(
                 host,
                 token,
                 renewsLease ? known.lease().renew(nowNanos) : 0,
                 known.terminations().committedThrough(),
                 maxWait.toMillis());
+        polls.sent(poll);
+        return poll;
     }
 
     /**
@@ -398,32 +403,54 @@
     public List<RecordTermination> handleResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
         boolean awaited = commandsInFlight.remove(command);
-        if (response instanceof PollResult pollResult) {
-            switch (incarnation.identifySender(pollResult.startMillis(), sentNanos)) {
-                case CURRENT -> {}
-                case LATER -> onReborn(sentNanos, nowNanos);
-                case EARLIER -> {
-                    recordPollOutcome(awaited);
-                    return List.of();
-                }
+        boolean abandoned = command instanceof HostCommand.Poll poll && polls.recordOutcome(poll, awaited);
+        if (abandoned && (response instanceof NoResponse || response instanceof HostResponse.NotSent)) {
+            // A newer poll asks what is still to be known.
+            return List.of();
+        }
+        switch (senderOf(response, sentNanos, nowNanos)) {
+            case CURRENT -> {}
+            case LATER -> onReborn(sentNanos, nowNanos);
+            case EARLIER -> {
+                return onOutdatedResponse(command, sentNanos, nowNanos);
             }
         }
         known.recordContact(response, nowNanos);
-        return onResponse(command, awaited, sentNanos, response, nowNanos);
+        return onResponse(command, sentNanos, response, nowNanos);
+    }
+
+    /** Handles the response of an incarnation that has ended; what it executed ended with it. */
+    private List<RecordTermination> onOutdatedResponse(HostCommand command, long sentNanos, long nowNanos) {
+        if (command instanceof HostCommand.Poll) {
+            polls.recordOutdated(nowNanos);
+            return List.of();
+        }
+        return onResponse(command, sentNanos, new NoResponse("the incarnation that responded has ended"), nowNanos);
+    }
+
+    /** Returns which incarnation responded, by the start that it tells or else by its clock. */
+    private Sender senderOf(HostResponse response, long sentNanos, long nowNanos) {
+        return switch (response) {
+            case PollResult result -> incarnation.identifySender(result.startMillis(), sentNanos, nowNanos);
+            case HostResponse.Accepted accepted
+            when accepted.startMillis() == HostIncarnation.UNKNOWN_START
+                    && known.lease().isClockRestarted(accepted.clockMillis(), sentNanos) ->
+                incarnation.identifySenderWithRestartedClock(sentNanos, nowNanos);
+            case HostResponse.Accepted accepted ->
+                incarnation.identifySender(accepted.startMillis(), sentNanos, nowNanos);
+            default -> Sender.CURRENT;
+        };
     }
 
     private List<RecordTermination> onResponse(
-            HostCommand command, boolean awaited, long sentNanos, HostResponse response, long nowNanos) {
+            HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
         return switch (command) {
             case HostCommand.Start start -> onStartResponse(start, response, nowNanos);
             case HostCommand.Stop stop -> {
                 known.onStopResponse(stop.run(), response, nowNanos);
                 yield List.of();
             }
-            case HostCommand.Poll poll -> {
-                recordPollOutcome(awaited);
-                yield onPollResponse(poll, sentNanos, response, nowNanos);
-            }
+            case HostCommand.Poll poll -> onPollResponse(poll, sentNanos, response, nowNanos);
             case HostCommand.Throttle throttle -> {
                 known.onThrottleResponse(throttle, response, nowNanos);
                 yield List.of();
@@ -431,12 +458,6 @@
         };
     }
 
-    private void recordPollOutcome(boolean awaited) {
-        if (awaited) {
-            polls.recordOutcome();
-        }
-    }
-
     /**
      * Discards what is known of the incarnation that has terminated. The later incarnation may have executed a start that was
      * sent before its rebirth was known, and may still execute one without a response.
@@ -444,12 +465,11 @@
     private void onReborn(long sentNanos, long nowNanos) {
         boolean announced = known.liveness().isLeaving();
         fenceNeeded = true;
-        known = new KnownIncarnation(timings, runs, nowNanos);
+        polls.requireNewAtOnce(nowNanos);
+        known = known.next(nowNanos);
         incarnation
                 .removeConfirmedHeartbeat()
                 .ifPresent(heartbeat -> known.liveness().handleHeartbeat(heartbeat, nowNanos));
-        // Leases requested by the clock of the earlier incarnation are bounded only by the longest one.
-        known.lease().markInherited();
         runs.forgetStopAcknowledgements(nowNanos);
         inferred.recordRebirth(announced, new TerminationEvidence.Reborn(incarnation.startMillis()), sentNanos);
     }
@@ -474,7 +494,8 @@
                 known.terminations().isComplete(pollResult.terminations().size());
         List<RecordTermination> terminations = new ArrayList<>(inferred.ofRebirth(reported, complete));
         inferred.hostIsAlive();
-        terminations.addAll(known.receive(poll, pollResult, reported, nowNanos));
+        boolean fenced = poll.token() == token && !fenceNeeded;
+        terminations.addAll(known.receive(poll, pollResult, reported, fenced, nowNanos));
         terminations.addAll(inferred.ofUnreportedRuns(reported, complete, sentNanos));
         return terminations;
     }
@@ -492,8 +513,10 @@
             terminations.addAll(inferred.ofReplacedIncarnation(liveness.isLeaving()));
         } else if (!runs.isEmpty()) {
             known.leaseExpiry(nowNanos)
-                    .ifPresent(evidence ->
-                            terminations.addAll(inferred.ofExpiredLease(evidence, liveness.isShutdownAnnounced())));
+                    .ifPresent(evidence -> terminations.addAll(inferred.ofExpiredLease(
+                            evidence,
+                            known.lease().hasExpiredForAnyIncarnation(nowNanos),
+                            liveness.isShutdownAnnounced())));
         }
         return terminations;
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
@@ -1,5 +1,7 @@
 package org.nettlering.domain.workflow.host;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.nettlering.domain.workflow.HostIncarnation;
@@ -7,12 +9,12 @@
 /**
  * Tells the incarnations of a host apart that starts again under its id.
  *
- * <p>Only poll responses decide which incarnation is the current one, by the order in which the polls were sent: heartbeats may
+ * <p>Only responses decide which incarnation is the current one, by the order in which the commands were sent: heartbeats may
  * arrive late, and the times of starts are read from clocks that may jump. A heartbeat of another incarnation is kept until
- * a poll response confirms it. Not thread-safe.
+ * a response confirms it. Not thread-safe.
  */
 final class IncarnationTracker {
-    /** Which incarnation sent a poll response. */
+    /** Which incarnation sent a response. */
     enum Sender {
         /** The current one. */
         CURRENT,
@@ -22,14 +24,23 @@
         EARLIER
     }
 
+    /** Responses of more ended incarnations than these are not under way at once. */
+    private static final int MAX_ENDED = 4;
+
     /** When the current incarnation started, in milliseconds since 1970. */
     private long startMillis = HostIncarnation.UNKNOWN_START;
 
     /**
-     * When the latest poll was sent to which the current incarnation responded, or when tracking began, by the monotonic
-     * clock.
+     * When the latest command was sent by whose response the current incarnation was identified, or when tracking began, by the
+     * monotonic clock.
      */
-    private long latestPollNanos;
+    private long latestCommandNanos;
+
+    /** When it was learned that the current incarnation had started, or when tracking began, by the monotonic clock. */
+    private long identifiedNanos;
+
+    /** The starts of the latest incarnations that have ended, the earliest first. */
+    private final Deque<Long> endedStartMillis = new ArrayDeque<>();
 
     /** The latest heartbeat of an incarnation that is not known to be the current one, or null. */
     private @Nullable HostHeartbeat unconfirmedHeartbeat;
@@ -40,7 +51,8 @@
      * @param nowNanos the monotonic time
      */
     IncarnationTracker(long nowNanos) {
-        latestPollNanos = nowNanos;
+        latestCommandNanos = nowNanos;
+        identifiedNanos = nowNanos;
     }
 
     /** Takes a start that an earlier leader knew for that of the current incarnation, if none is known. */
@@ -58,6 +70,11 @@
         return HostIncarnation.isOtherStart(startMillis, otherStartMillis);
     }
 
+    /** Returns whether a time of a start is that of an incarnation that has ended. */
+    boolean hasEnded(long otherStartMillis) {
+        return endedStartMillis.contains(otherStartMillis);
+    }
+
     /** Keeps the heartbeat of another incarnation until a poll response confirms it. */
     void keepUnconfirmed(HostHeartbeat heartbeat) {
         HostHeartbeat kept = unconfirmedHeartbeat;
@@ -76,14 +93,52 @@
         return Optional.ofNullable(kept).filter(heartbeat -> heartbeat.startMillis() == startMillis);
     }
 
-    /** Returns which incarnation sent the response to a poll, and takes a later one for the current one from now on. */
-    Sender identifySender(long responseStartMillis, long pollSentNanos) {
-        if (isOther(responseStartMillis) && pollSentNanos - latestPollNanos < 0) {
+    /**
+     * Returns which incarnation sent a response, and takes a later one for the current one from now on.
+     *
+     * <p>What was sent once the current incarnation was known cannot have reached an earlier one; of two commands that were sent before,
+     * the later one may have.
+     */
+    Sender identifySender(long responseStartMillis, long commandSentNanos, long nowNanos) {
+        if (responseStartMillis == HostIncarnation.UNKNOWN_START) {
+            return Sender.CURRENT;
+        }
+        boolean sentBefore = commandSentNanos - latestCommandNanos < 0;
+        boolean hasEnded = hasEnded(responseStartMillis) && commandSentNanos - identifiedNanos < 0;
+        if (responseStartMillis != startMillis && (sentBefore || hasEnded)) {
+            return Sender.EARLIER;
+        }
+        if (isOther(responseStartMillis)) {
+            startLater(responseStartMillis, commandSentNanos, nowNanos);
+            return Sender.LATER;
+        }
+        startMillis = responseStartMillis;
+        latestCommandNanos = sentBefore ? latestCommandNanos : commandSentNanos;
+        return Sender.CURRENT;
+    }
+
+    /**
+     * Returns which incarnation sent a response that does not tell it, but whose clock has started anew, and takes a later one for the
+     * current one from now on.
+     */
+    Sender identifySenderWithRestartedClock(long commandSentNanos, long nowNanos) {
+        if (commandSentNanos - latestCommandNanos < 0) {
             return Sender.EARLIER;
         }
-        Sender sender = isOther(responseStartMillis) ? Sender.LATER : Sender.CURRENT;
-        latestPollNanos = pollSentNanos;
-        startMillis = responseStartMillis == HostIncarnation.UNKNOWN_START ? startMillis : responseStartMillis;
-        return sender;
+        startLater(HostIncarnation.UNKNOWN_START, commandSentNanos, nowNanos);
+        return Sender.LATER;
+    }
+
+    private void startLater(long laterStartMillis, long commandSentNanos, long nowNanos) {
+        endedStartMillis.remove(laterStartMillis);
+        if (startMillis != HostIncarnation.UNKNOWN_START) {
+            endedStartMillis.addLast(startMillis);
+        }
+        if (endedStartMillis.size() > MAX_ENDED) {
+            endedStartMillis.removeFirst();
+        }
+        startMillis = laterStartMillis;
+        latestCommandNanos = commandSentNanos;
+        identifiedNanos = nowNanos;
     }
 }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/InferredTerminations.java
@@ -133,10 +133,14 @@
      * Returns the terminations of the runs on a host whose lease has expired.
      *
      * @param evidence the evidence of that
+     * @param forAnyIncarnation whether it has expired also if the host has started again since it was last heard of; if not, the runs go on
+     *     that only such an incarnation may have begun
      * @param announced whether the host had announced its shutdown; otherwise it may have crashed or be cut off
      */
-    List<RecordTermination> ofExpiredLease(TerminationEvidence evidence, boolean announced) {
-        List<TrackedRun> sent = sentRuns();
+    List<RecordTermination> ofExpiredLease(TerminationEvidence evidence, boolean forAnyIncarnation, boolean announced) {
+        List<TrackedRun> sent = sentRuns().stream()
+                .filter(tracked -> forAnyIncarnation || !tracked.isUnconfirmed())
+                .toList();
         if (!announced) {
             crashSuspects.addLost(CrashSuspects.among(sent));
         }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
@@ -36,10 +36,19 @@
     private final TerminationTracker terminations = new TerminationTracker();
 
     KnownIncarnation(HostTimings timings, HostRuns runs, long nowNanos) {
+        this(timings, runs, new HostLease(timings, nowNanos), nowNanos);
+    }
+
+    private KnownIncarnation(HostTimings timings, HostRuns runs, HostLease lease, long nowNanos) {
         this.timings = timings;
         this.runs = runs;
+        this.lease = lease;
         liveness = new HostLiveness(nowNanos);
-        lease = new HostLease(timings, nowNanos);
+    }
+
+    /** Returns what is known of the incarnation that follows this one: nothing but what may have been sent to it. */
+    KnownIncarnation next(long nowNanos) {
+        return new KnownIncarnation(timings, runs, lease.ofNextIncarnation(nowNanos), nowNanos);
     }
 
     HostLiveness liveness() {
@@ -97,12 +106,19 @@
     void recordContact(HostResponse response, long nowNanos) {
         liveness.recordResponse(response, nowNanos);
         switch (response) {
-            case Accepted accepted -> lease.recordClockReading(accepted.clockMillis(), nowNanos);
+            case Accepted accepted -> recordClockReading(accepted, nowNanos);
             case PollResult pollResult -> lease.recordClockReading(pollResult.clockMillis(), nowNanos);
             default -> {}
         }
     }
 
+    /** A reading that is too high may be of another incarnation, and would let leases seem over. */
+    private void recordClockReading(Accepted accepted, long nowNanos) {
+        if (!lease.isClockAhead(accepted.clockMillis(), nowNanos)) {
+            lease.recordClockReading(accepted.clockMillis(), nowNanos);
+        }
+    }
+
     /** Handles the response to a start; returns the termination that it proves, if any. */
     List<RecordTermination> onStartResponse(RunId run, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(run);
@@ -136,9 +152,16 @@
         }
     }
 
-    /** Handles the lists in a poll response; returns the reported terminations that are to be committed. */
-    List<RecordTermination> receive(HostCommand.Poll poll, PollResult pollResult, Set<RunId> reported, long nowNanos) {
-        lease.markEarlierLeadersFenced();
+    /**
+     * Handles the lists in a poll response; returns the reported terminations that are to be committed.
+     *
+     * @param fenced whether the host ignores from now on what was sent to earlier incarnations or by earlier leaders
+     */
+    List<RecordTermination> receive(
+            HostCommand.Poll poll, PollResult pollResult, Set<RunId> reported, boolean fenced, long nowNanos) {
+        if (fenced) {
+            lease.markEarlierLeadersFenced();
+        }
         terminations.recordAcknowledged(poll.acknowledgedThrough());
         pollResult.running().forEach(run -> handleReportedRun(run, nowNanos));
         orphanedRuns.retain(reported);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/PollSchedule.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/PollSchedule.java
@@ -1,6 +1,9 @@
 package org.nettlering.domain.workflow.host;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * When one host is polled, and how long it may delay its response.
@@ -33,8 +36,20 @@
     /** Whether the host responded to a poll since the state of its runs was last unknown. */
     private boolean succeeded;
 
+    /** Whether a response is awaited that {@link #requireNew} asked for. */
+    private boolean newRequired;
+
+    /** Responses to polls that were sent before this monotonic time do not count. */
+    private long requiredNanos;
+
     private boolean inFlight;
 
+    /** The latest poll that was sent, or null if none was. */
+    private HostCommand.@Nullable Poll latestPoll;
+
+    /** The polls without an outcome that are not awaited any more. */
+    private final List<HostCommand.Poll> abandonedPolls = new ArrayList<>();
+
     /** Whether the last poll got no response or the host was too unhealthy to handle it. */
     private boolean unanswered;
 
@@ -49,6 +64,7 @@
     /** Creates a schedule whose first poll is due at the given monotonic time. */
     PollSchedule(long nowNanos) {
         nextNanos = nowNanos;
+        requiredNanos = nowNanos;
     }
 
     /** Returns whether the host responded to a poll since {@link #requireNew} was called. */
@@ -56,6 +72,11 @@
         return succeeded;
     }
 
+    /** Returns whether a response is awaited that {@link #requireNew} asked for. */
+    boolean isNewRequired() {
+        return newRequired;
+    }
+
     boolean isInFlight() {
         return inFlight;
     }
@@ -80,12 +101,26 @@
         usageMonitored = enabled;
     }
 
-    /** Forgets the responses so far, and has the host polled at once. */
+    /** Forgets the responses so far, also those to commands that were sent before, and has the host polled at once. */
     void requireNew(long nowNanos) {
         succeeded = false;
+        newRequired = true;
+        requiredNanos = nowNanos;
         nextNanos = nowNanos;
     }
 
+    /**
+     * Like {@link #requireNew}, and does not await the poll in flight: it was sent to an incarnation that may have ended, and may get no
+     * response.
+     */
+    void requireNewAtOnce(long nowNanos) {
+        requireNew(nowNanos);
+        if (inFlight && latestPoll != null) {
+            abandonedPolls.add(latestPoll);
+        }
+        inFlight = false;
+    }
+
     /** Has the host polled at once. */
     void hasten(long nowNanos) {
         nextNanos = nowNanos;
@@ -101,9 +136,22 @@
         return usageMonitored ? MONITORED_WAIT : WAIT;
     }
 
-    /** Records the outcome of a poll that was awaited; after an overdue one, another may be in flight. */
-    void recordOutcome() {
-        inFlight = false;
+    /** Records which poll was sent. */
+    void sent(HostCommand.Poll poll) {
+        latestPoll = poll;
+    }
+
+    /** Records the outcome of a poll; after an overdue one, another may be in flight. Returns whether it was abandoned. */
+    boolean recordOutcome(HostCommand.Poll poll, boolean awaited) {
+        boolean abandoned = removeAbandoned(poll);
+        inFlight &= abandoned || !awaited;
+        return abandoned;
+    }
+
+    /** Compares by identity: two polls with the same content may be in flight. */
+    @SuppressWarnings("ReferenceEquality")
+    private boolean removeAbandoned(HostCommand.Poll poll) {
+        return abandonedPolls.removeIf(abandoned -> abandoned == poll);
     }
 
     /** Records that a poll got no usable response. */
@@ -112,6 +160,11 @@
         nextNanos = nowNanos + UNRESPONSIVE_DELAY.toNanos();
     }
 
+    /** Records that a poll got a response that says nothing of the incarnation that runs. */
+    void recordOutdated(long nowNanos) {
+        nextNanos = Math.max(nextNanos, nowNanos + MIN_INTERVAL.toNanos());
+    }
+
     /**
      * Records the response to a poll.
      *
@@ -122,7 +175,10 @@
      */
     void recordResponse(boolean waited, boolean current, long sentNanos, long nowNanos) {
         unanswered = false;
-        succeeded |= current;
+        if (current && sentNanos - requiredNanos >= 0) {
+            succeeded = true;
+            newRequired = false;
+        }
         Duration interval = waited ? MIN_INTERVAL : MIN_IMMEDIATE_INTERVAL;
         nextNanos = Math.max(nowNanos, sentNanos + interval.toNanos());
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TrackedRun.java
@@ -187,6 +187,11 @@
         return stage != Stage.START_PENDING && isUnproven();
     }
 
+    /** Returns whether the start was sent and the host has not shown which of its incarnations executed it, if any. */
+    boolean isUnconfirmed() {
+        return stage == Stage.START_SENT || stage == Stage.START_UNANSWERED;
+    }
+
     /** Returns whether the host has shown to this leader that the run had begun. */
     boolean hasBegun() {
         return stage == Stage.CONFIRMED;
@@ -198,12 +203,13 @@
     }
 
     /** Returns the command that is due for this run, if any, and treats it as sent. */
-    Optional<HostCommand> takeDueCommand(long token, HostLease lease, boolean unresponsive, long nowNanos) {
+    Optional<HostCommand> takeDueCommand(
+            long token, HostLease lease, boolean startable, boolean unresponsive, long nowNanos) {
         if (isTerminationFound()) {
             return Optional.empty();
         }
         if (stage == Stage.START_PENDING) {
-            return lease.canBeRenewed() && !stopRequested
+            return startable && lease.canBeRenewed() && !stopRequested
                     ? Optional.of(createStart(token, lease.renew(nowNanos), nowNanos))
                     : Optional.empty();
         }
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/RebornHostSessionTest.java
@@ -4,57 +4,22 @@
 import static org.nettlering.domain.workflow.WorkflowSamples.HOST;
 import static org.nettlering.domain.workflow.WorkflowSamples.run;
 
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.nettlering.domain.task.Resources;
 import org.nettlering.domain.workflow.ActiveRun;
-import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.TerminalStatus;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.host.HostResponse.Accepted;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
 import org.nettlering.domain.workflow.host.HostResponse.ReportedRun;
-import org.nettlering.domain.workflow.host.HostResponse.ReportedTermination;
 
 /** Guards against TWICE: what was known of a host was used after it had started again under its id. */
-class RebornHostSessionTest {
-    private static final HostTimings TIMINGS =
-            new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
-
-    private static final RunId RUN = run("a", 0, 0, 1);
-
-    private static final long FIRST_START = 1_700_000_000_000L;
-
-    /** Before the first start: the clock that it is read from may jump back. */
-    private static final long SECOND_START = FIRST_START - 500;
-
-    private static final long HIGHER_TOKEN = 8;
-
-    private static final long FIRST_CLOCK = 1_000_000;
-
-    private static final long SECOND_CLOCK = 100;
-
-    private final HostSession session = HostSession.create(HOST, TIMINGS, 7, 0);
-
-    private final List<HostCommand> pendingCommands = new ArrayList<>();
-
-    private long nowNanos;
-
-    @BeforeEach
-    void firstIncarnationHasEndedManyRuns() {
-        session.handleHeartbeat(heartbeat(FIRST_START, 50, FIRST_CLOCK), nowNanos);
-        respondToPoll(result(FIRST_START, List.of(), List.of(ended(40, run("old", 0, 0, 1)))));
-        session.onTerminationCommitted(run("old", 0, 0, 1), TerminalStatus.DONE);
-        respondToPoll(result(FIRST_START, List.of(), List.of()));
-    }
-
+class RebornHostSessionTest extends RebornHostFixture {
     @Test
     void endsOfTheFirstIncarnationAreNotAcknowledgedToTheSecond() {
         rebirth();
+        raiseToken();
         startRun();
         HostCommand.Poll poll = take(HostCommand.Poll.class);
         assertThat(poll.acknowledgedThrough()).isZero();
@@ -86,16 +51,13 @@
         assertThat(session.acceptsRuns(nowNanos)).isTrue();
     }
 
-    private void raiseToken() {
-        session.raiseToken(HIGHER_TOKEN, nowNanos);
-        respondToPoll(result(SECOND_START, List.of(), List.of()));
-    }
-
     @Test
     void lateHeartbeatOfTheFirstIncarnationIsIgnored() {
         rebirth();
-        session.handleHeartbeat(heartbeat(FIRST_START, 51, FIRST_CLOCK), nowNanos);
-        respondToPoll(result(SECOND_START, List.of(), List.of()));
+        raiseToken();
+        assertThat(session.handleHeartbeat(heartbeat(FIRST_START, 51, FIRST_CLOCK), nowNanos))
+                .isFalse();
+        assertThat(session.acceptsRuns(nowNanos)).isTrue();
         assertThat(session.latestHeartbeat().orElseThrow().startMillis()).isEqualTo(SECOND_START);
     }
 
@@ -109,6 +71,7 @@
         rebirth();
         PollResult stale = result(FIRST_START, List.of(), List.of(ended(41, run("b", 0, 0, 1))));
         assertThat(session.handleResponse(late, lateSentNanos, stale, nowNanos)).isEmpty();
+        raiseToken();
         startRun();
         assertThat(take(HostCommand.Poll.class).acknowledgedThrough()).isZero();
     }
@@ -136,12 +99,12 @@
     void stopThatTheFirstIncarnationAcknowledgedIsSentAgain() {
         session.trackNewRun(new ActiveRun(RUN, HOST, ""), "work", "", nowNanos);
         respond(take(HostCommand.Start.class), new NoResponse("late"));
-        respond(take(HostCommand.Stop.class), new Accepted(FIRST_CLOCK));
+        respond(take(HostCommand.Stop.class), new Accepted(clockOfFirst()));
         advance(300);
         assertThat(respondToPoll(result(SECOND_START, List.of(), List.of())))
                 .as("the second incarnation may still execute the start")
                 .isEmpty();
-        respond(take(HostCommand.Stop.class), new Accepted(SECOND_CLOCK));
+        respond(take(HostCommand.Stop.class), new Accepted(clockOfSecond()));
         advance(300);
         assertThat(respondToPoll(result(SECOND_START, List.of(), List.of())))
                 .containsExactly(new RecordTermination(RUN, TerminalStatus.NOT_BEGUN, ""));
@@ -150,8 +113,9 @@
     @Test
     void leaseOfTheSecondIncarnationIsNotOverByTheClockOfTheFirst() {
         rebirth();
+        raiseToken();
         session.trackNewRun(new ActiveRun(RUN, HOST, ""), "work", "", nowNanos);
-        respond(take(HostCommand.Start.class), new Accepted(SECOND_CLOCK + nowNanos / 1_000_000));
+        respond(take(HostCommand.Start.class), new Accepted(clockOfSecond()));
         advance(5_400);
         assertThat(session.inferTerminations(nowNanos)).isEmpty();
         advance(6_000);
@@ -167,55 +131,4 @@
         assertThat(next.handleResponse(poll, nowNanos, result(SECOND_START, List.of(), List.of()), nowNanos))
                 .containsExactly(new RecordTermination(RUN, TerminalStatus.CRASH_UNCONFIRMED, ""));
     }
-
-    private void rebirth() {
-        session.handleHeartbeat(heartbeat(SECOND_START, 1, SECOND_CLOCK), nowNanos);
-        respondToPoll(result(SECOND_START, List.of(), List.of()));
-    }
-
-    private void startRun() {
-        session.trackNewRun(new ActiveRun(RUN, HOST, ""), "work", "", nowNanos);
-        respond(take(HostCommand.Start.class), new Accepted(FIRST_CLOCK));
-        advance(150);
-    }
-
-    private static HostHeartbeat heartbeat(long startMillis, long sequence, long clockMillis) {
-        Resources capacity = Resources.of(32_000, 128_000, 0);
-        return new HostHeartbeat(HOST, "pool", "fd", capacity, "a", "r1", false, clockMillis, sequence, startMillis);
-    }
-
-    private static ReportedTermination ended(long sequence, RunId run) {
-        return new ReportedTermination(sequence, run, TerminalStatus.DONE, "");
-    }
-
-    private PollResult result(long startMillis, List<ReportedRun> running, List<ReportedTermination> terminations) {
-        long clockMillis = startMillis == FIRST_START ? FIRST_CLOCK : SECOND_CLOCK;
-        return new PollResult(clockMillis + nowNanos / 1_000_000, running, terminations, startMillis);
-    }
-
-    private List<RecordTermination> respondToPoll(PollResult result) {
-        return respond(take(HostCommand.Poll.class), result);
-    }
-
-    private <T extends HostCommand> T take(Class<T> type) {
-        for (int attempt = 0; attempt < 40; attempt++) {
-            pendingCommands.addAll(session.takeDueCommands(nowNanos));
-            for (HostCommand command : pendingCommands) {
-                if (type.isInstance(command)) {
-                    pendingCommands.remove(command);
-                    return type.cast(command);
-                }
-            }
-            advance(50);
-        }
-        throw new AssertionError("no command of type " + type.getSimpleName());
-    }
-
-    private List<RecordTermination> respond(HostCommand command, HostResponse response) {
-        return session.handleResponse(command, nowNanos, response, nowNanos);
-    }
-
-    private void advance(long millis) {
-        nowNanos += Duration.ofMillis(millis).toNanos();
-    }
 }
--- a/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/host/TerminationEvidenceTest.java
@@ -64,7 +64,7 @@
     void hostThatShutDownIsReportedByItsLease() {
         sendHeartbeat();
         HostCommand poll = session.takeDueCommands(0).getFirst();
-        startRun();
+        session.handleResponse(startRun(), 0, new HostResponse.Accepted(CLOCK_MILLIS), 0);
         session.handleShutdownNotice(HostIncarnation.UNKNOWN_START, 0);
         session.handleResponse(poll, 0, new HostResponse.NoResponse("closed"), 0);
         session.inferTerminations(millis(5_800));
