Let the tracker of incarnations tell who sent a response, and say once how hosts fail in a test

No change of behaviour: the switch over responses moves from HostSession to IncarnationTracker, which owns what it decides on; the comment of HostSession names the evidence for a start without a response.

--- a/control/src/test/java/org/nettlering/control/workflow/FailingHostsTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/FailingHostsTest.java
@@ -31,11 +31,7 @@
 
     @Test
     void tasksStartAlthoughJobsThatCanNeverSucceedHaveFailedOnEveryHost() {
-        for (int number = 0; number < FAILING_JOBS; number++) {
-            submit("failing-" + number);
-            failRun(commitStart().orElseThrow(), number + 1);
-            failRun(commitStart().orElseThrow(), number + 2);
-        }
+        failTwiceOnEveryHost();
         assertThat(commitStart()).isEmpty();
         submit("sound");
         assertThat(commitStart()).isPresent();
@@ -44,11 +40,7 @@
     /** Guards against a sound host that is left out for longer and longer, as the tasks that last there are never done. */
     @Test
     void aTaskThatLastsAndWasAtWorkForLongIsTheOnlyFailureOfItsHost() {
-        for (int number = 0; number < FAILING_JOBS; number++) {
-            submit("failing-" + number);
-            failRun(commitStart().orElseThrow(), number + 1);
-            failRun(commitStart().orElseThrow(), number + 2);
-        }
+        failTwiceOnEveryHost();
         nowNanos += Duration.ofSeconds(5).toNanos();
         assertThat(commitStart()).isEmpty();
         for (int number = 0; number < HOSTS; number++) {
@@ -64,6 +56,14 @@
         assertThat(leadership.isBackingOff(lasting.host().id(), nowNanos)).isFalse();
     }
 
+    private void failTwiceOnEveryHost() {
+        for (int number = 0; number < FAILING_JOBS; number++) {
+            submit("failing-" + number);
+            failRun(commitStart().orElseThrow(), number + 1);
+            failRun(commitStart().orElseThrow(), number + 2);
+        }
+    }
+
     private void reportAtWork(ActiveRun run) {
         HostCommand poll = new HostCommand.Poll(run.host(), 1, 0, 0, 0);
         HostResponse atWork = new HostResponse.PollResult(
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -15,7 +15,6 @@
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.host.HostResponse.NoResponse;
 import org.nettlering.domain.workflow.host.HostResponse.PollResult;
-import org.nettlering.domain.workflow.host.IncarnationTracker.Sender;
 
 /**
  * Tracks a host with one id during one leader term, also if it starts again under that id: the runs that may be active there, the commands due to it,
@@ -31,7 +30,8 @@
  *       commands are fenced by then;
  *   <li>another incarnation of the host responds at its address;
  *   <li>the lease has certainly expired by the host's own clock, and the host sends no heartbeats, has announced its
- *       shutdown or did not respond for the duration of another lease.
+ *       shutdown or did not respond for the duration of another lease; for a start without a response the longest lease has
+ *       passed as well, as an incarnation that nobody knows may have executed it.
  * </ul>
  *
  * <p>If the host later reports a termination that may contradict the one inferred for a run, the reported one is returned
@@ -408,7 +408,7 @@
             // A newer poll asks what is still to be known.
             return List.of();
         }
-        switch (senderOf(response, sentNanos, nowNanos)) {
+        switch (incarnation.senderOf(response, known.lease(), sentNanos, nowNanos)) {
             case CURRENT -> {}
             case LATER -> onReborn(sentNanos, nowNanos);
             case EARLIER -> {
@@ -428,20 +428,6 @@
         return onResponse(command, sentNanos, new NoResponse("the incarnation that responded has ended"), nowNanos);
     }
 
-    /** Returns which incarnation responded, by the start that it tells or else by its clock. */
-    private Sender senderOf(HostResponse response, long sentNanos, long nowNanos) {
-        return switch (response) {
-            case PollResult result -> incarnation.identifySender(result.startMillis(), sentNanos, nowNanos);
-            case HostResponse.Accepted accepted
-            when accepted.startMillis() == HostIncarnation.UNKNOWN_START
-                    && known.lease().isClockRestarted(accepted.clockMillis(), sentNanos) ->
-                incarnation.identifySenderWithRestartedClock(sentNanos, nowNanos);
-            case HostResponse.Accepted accepted ->
-                incarnation.identifySender(accepted.startMillis(), sentNanos, nowNanos);
-            default -> Sender.CURRENT;
-        };
-    }
-
     private List<RecordTermination> onResponse(
             HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
         return switch (command) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
@@ -96,10 +96,32 @@
     /**
      * Returns which incarnation sent a response, and takes a later one for the current one from now on.
      *
-     * <p>What was sent once the current incarnation was known cannot have reached an earlier one; of two commands that were sent before,
-     * the later one may have.
+     * @param response the response; one of a command that was not executed is taken for that of the current incarnation
+     * @param lease the lease on the current incarnation, whose clock tells a response of another one that does not tell its start
+     * @param commandSentNanos when the command was sent, by the monotonic clock
+     * @param nowNanos the monotonic time
      */
-    Sender identifySender(long responseStartMillis, long commandSentNanos, long nowNanos) {
+    Sender senderOf(HostResponse response, HostLease lease, long commandSentNanos, long nowNanos) {
+        return switch (response) {
+            case HostResponse.PollResult result -> identifySender(result.startMillis(), commandSentNanos, nowNanos);
+            case HostResponse.Accepted accepted
+            when isOfRestartedClock(accepted, lease, commandSentNanos) ->
+                identifySenderWithRestartedClock(commandSentNanos, nowNanos);
+            case HostResponse.Accepted accepted -> identifySender(accepted.startMillis(), commandSentNanos, nowNanos);
+            default -> Sender.CURRENT;
+        };
+    }
+
+    private static boolean isOfRestartedClock(HostResponse.Accepted accepted, HostLease lease, long commandSentNanos) {
+        return accepted.startMillis() == HostIncarnation.UNKNOWN_START
+                && lease.isClockRestarted(accepted.clockMillis(), commandSentNanos);
+    }
+
+    /**
+     * Identifies the sender by its start. What was sent once the current incarnation was known cannot have reached an earlier one; of two
+     * commands that were sent before, the later one may have.
+     */
+    private Sender identifySender(long responseStartMillis, long commandSentNanos, long nowNanos) {
         if (responseStartMillis == HostIncarnation.UNKNOWN_START) {
             return Sender.CURRENT;
         }
@@ -117,11 +139,8 @@
         return Sender.CURRENT;
     }
 
-    /**
-     * Returns which incarnation sent a response that does not tell it, but whose clock has started anew, and takes a later one for the
-     * current one from now on.
-     */
-    Sender identifySenderWithRestartedClock(long commandSentNanos, long nowNanos) {
+    /** Identifies the sender of a response whose clock has started anew. */
+    private Sender identifySenderWithRestartedClock(long commandSentNanos, long nowNanos) {
         if (commandSentNanos - latestCommandNanos < 0) {
             return Sender.EARLIER;
         }
