--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -162,7 +162,7 @@
         }
         if (incarnation.isOther(heartbeat.startMillis())) {
             incarnation.keepUnconfirmed(heartbeat);
-            polls.requireNewAtOnce(nowNanos);
+            polls.requireNew(nowNanos);
             return false;
         }
         return known.handleHeartbeat(heartbeat, nowNanos);
@@ -183,7 +183,7 @@
                         .filter(heartbeat -> HostIncarnation.isOtherStart(heartbeat.startMillis(), startMillis))
                         .isPresent();
         if (isOther) {
-            polls.requireNewAtOnce(nowNanos);
+            polls.requireNew(nowNanos);
             return false;
         }
         known.liveness().handleShutdownNotice(nowNanos);
@@ -209,7 +209,7 @@
     public void raiseToken(long higherToken, long nowNanos) {
         token = higherToken;
         fenceNeeded = false;
-        polls.requireNewAtOnce(nowNanos);
+        polls.requireNew(nowNanos);
     }
 
     /**
@@ -451,7 +451,7 @@
     private void onReborn(long sentNanos, long nowNanos) {
         boolean announced = known.liveness().isLeaving();
         fenceNeeded = true;
-        polls.requireNewAtOnce(nowNanos);
+        polls.requireNew(nowNanos);
         known = known.next(nowNanos);
         incarnation
                 .removeConfirmedHeartbeat()
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/PollSchedule.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/PollSchedule.java
@@ -101,20 +101,15 @@
         usageMonitored = enabled;
     }
 
-    /** Forgets the responses so far, also those to commands that were sent before, and has the host polled at once. */
+    /**
+     * Forgets the responses so far, also those to polls that were sent before, and has the host polled at once. The poll in flight is not
+     * awaited: it was sent to an incarnation that may have ended, and may get no response.
+     */
     void requireNew(long nowNanos) {
         succeeded = false;
         newRequired = true;
         requiredNanos = nowNanos;
         nextNanos = nowNanos;
-    }
-
-    /**
-     * Like {@link #requireNew}, and does not await the poll in flight: it was sent to an incarnation that may have ended, and may get no
-     * response.
-     */
-    void requireNewAtOnce(long nowNanos) {
-        requireNew(nowNanos);
         if (inFlight && latestPoll != null) {
             abandonedPolls.add(latestPoll);
         }
