Limit what jobs take from the memory of the members by their bytes

Callers saw: 200 whole jobs were accepted until the control process ended, with a specification of 250 kB each or with nearly 1,000 steps; every member holds the same state, so all end, and again after a restart.

Cause: jobs were admitted by the number of their tasks alone (50,000 a job, 250,000 in all).

Why this works: a specification of more than 4,000 bytes is invalid. JobFootprint estimates the texts and steps of a job; the state keeps the sum over all known jobs, finished ones too, as their definitions stay until they are removed. Jobs of more than 64 KiB leave a quarter to small ones. The sum follows from the jobs, nothing new is replicated.

--- a/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/nettlering/control/settings/ControlSettings.java
@@ -102,7 +102,9 @@
                 seeded ? seededStart(reader) : new GroupStart(true, false, DEFAULT_TOLERATED_LOSSES),
                 hostLimits(reader),
                 new WorkflowOptions(
-                        reader.flag(JOBS, "reject_infeasible", false), reader.flag(JOBS, "copy_stragglers", false)),
+                        reader.flag(JOBS, "reject_infeasible", false),
+                        reader.flag(JOBS, "copy_stragglers", false),
+                        reader.size(JOBS, "memory_bytes", WorkflowOptions.defaultMaxJobBytes())),
                 TelemetrySettings.read(reader));
     }
 
--- a/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobAdmission.java
@@ -61,7 +61,7 @@
     }
 
     /** Decides as {@link WorkflowLeadership#rejectionOf}. */
-    Optional<JobRejection> decide(WorkflowState state, SubmitJob submission, long undecidedMillicores, long nowNanos) {
+    Optional<JobRejection> decide(WorkflowState state, SubmitJob submission, UndecidedDemand undecided, long nowNanos) {
         JobDefinition definition = submission.definition();
         String pool = submission.terms().pool();
         Optional<JobRejection> tooManyTasks = rejection(
@@ -70,6 +70,13 @@
         if (tooManyTasks.isPresent()) {
             return tooManyTasks;
         }
+        Optional<JobRejection> tooManyBytes = rejection(
+                Reason.TOO_MANY_BYTES,
+                JobAdmissionPolicy.retryDelayIfTooManyBytes(
+                        definition, state.heldBytes() + undecided.bytes(), options.maxJobBytes()));
+        if (tooManyBytes.isPresent()) {
+            return tooManyBytes;
+        }
         if (definition.longRunningMillicores() > 0) {
             return rejection(
                     Reason.LONG_RUNNING_SHARE,
@@ -77,7 +84,7 @@
                             definition,
                             pool,
                             hosts.poolMillicores(state, pool),
-                            state.longRunningMillicores(pool) + undecidedMillicores,
+                            state.longRunningMillicores(pool) + undecided.longRunningMillicores(),
                             nowNanos));
         }
         longRunningShare.shortJobSubmitted(definition, pool, nowNanos);
--- a/control/src/main/java/org/nettlering/control/workflow/JobRejection.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobRejection.java
@@ -17,6 +17,8 @@
         CANCELLED_BEFORE,
         /** The members hold as many tasks as they can. */
         TOO_MANY_TASKS,
+        /** The texts and steps of the known jobs take as much memory as they may. */
+        TOO_MANY_BYTES,
         /** Long-running jobs hold the share of the pool that they may. */
         LONG_RUNNING_SHARE,
         /** The work in front of the job takes so long that its result would be of no use. */
--- a/control/src/main/java/org/nettlering/control/workflow/UndecidedJobs.java
+++ b/control/src/main/java/org/nettlering/control/workflow/UndecidedJobs.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.nettlering.domain.workflow.JobFootprint;
 import org.nettlering.domain.workflow.WorkflowCommand.SubmitJob;
 import org.nettlering.domain.workflow.WorkflowState;
 
@@ -14,11 +15,14 @@
  * others. Thread-safe.
  */
 final class UndecidedJobs {
+    /** An undecided job is held by its request, by the command and by the log. */
+    private static final int COPIES = 3;
+
     /** The proposals without an outcome by job id. */
     private final Map<String, Proposals> proposals = new ConcurrentHashMap<>();
 
-    /** The latest submission of a job, and how many of its submissions have no outcome. */
-    private record Proposals(SubmitJob submission, int count) {}
+    /** The latest submission of a job, how many of its submissions have no outcome, and the memory that they take. */
+    private record Proposals(SubmitJob submission, int count, long bytes) {}
 
     UndecidedJobs() {}
 
@@ -28,7 +32,7 @@
     }
 
     /** Returns the processors that long-running tasks of a pool would need whose jobs are undecided and not stored yet. */
-    long longRunningMillicores(String pool, WorkflowState state) {
+    private long longRunningMillicores(String pool, WorkflowState state) {
         return proposals.values().stream()
                 .map(Proposals::submission)
                 .filter(submission -> submission.terms().pool().equals(pool)
@@ -37,21 +41,36 @@
                 .sum();
     }
 
+    /** Returns the work and memory that the undecided jobs would add, for a job of a pool. */
+    UndecidedDemand demand(String pool, WorkflowState state) {
+        return new UndecidedDemand(longRunningMillicores(pool, state), bytes());
+    }
+
+    private long bytes() {
+        return proposals.values().stream().mapToLong(Proposals::bytes).sum();
+    }
+
     /** Makes a proposal, during which the job is undecided. */
     <T> CompletionStage<T> during(SubmitJob submission, Supplier<CompletionStage<T>> proposal) {
         String jobId = submission.jobId();
+        long bytes = COPIES * JobFootprint.unfinishedBytes(submission.definition());
         proposals.merge(
-                jobId, new Proposals(submission, 1), (old, added) -> new Proposals(submission, old.count() + 1));
+                jobId,
+                new Proposals(submission, 1, bytes),
+                (old, added) -> new Proposals(submission, old.count() + 1, old.bytes() + bytes));
         try {
-            return proposal.get().whenComplete((result, failure) -> remove(jobId));
+            return proposal.get().whenComplete((result, failure) -> remove(jobId, bytes));
         } catch (RuntimeException exception) {
-            remove(jobId);
+            remove(jobId, bytes);
             throw exception;
         }
     }
 
-    private void remove(String jobId) {
+    private void remove(String jobId, long bytes) {
         proposals.computeIfPresent(
-                jobId, (id, old) -> old.count() == 1 ? null : new Proposals(old.submission(), old.count() - 1));
+                jobId,
+                (id, old) -> old.count() == 1
+                        ? null
+                        : new Proposals(old.submission(), old.count() - 1, old.bytes() - bytes));
     }
 }
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -253,11 +253,11 @@
     /**
      * Decides on the admission of a job that is not stored; returns why it is rejected, or empty if it is accepted.
      *
-     * @param undecidedMillicores what the undecided jobs of its pool would need for long-running tasks
+     * @param undecided what the undecided jobs would add
      */
     Optional<JobRejection> rejectionOf(
-            WorkflowState state, SubmitJob submission, long undecidedMillicores, long nowNanos) {
-        return admission.decide(state, submission, undecidedMillicores, nowNanos);
+            WorkflowState state, SubmitJob submission, UndecidedDemand undecided, long nowNanos) {
+        return admission.decide(state, submission, undecided, nowNanos);
     }
 
     /**
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderFixture.java
@@ -40,7 +40,8 @@
     private static final HostTimings TIMINGS =
             new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
     /** All that a site can switch on. */
-    private static final WorkflowOptions OPTIONS = new WorkflowOptions(true, true);
+    private static final WorkflowOptions OPTIONS =
+            new WorkflowOptions(true, true, WorkflowOptions.defaultMaxJobBytes());
 
     private static final HostResponse.PollResult EMPTY_POLL_RESULT =
             new HostResponse.PollResult(1_000, List.of(), List.of());
--- a/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/LeaderWorkTest.java
@@ -108,7 +108,8 @@
         submit("b");
         JobDefinition definition = state.job("a").orElseThrow().definition();
         JobTerms terms = state.job("a").orElseThrow().terms();
-        assertThat(leadership.rejectionOf(state, new SubmitJob("new", terms, definition, 0), 0, nowNanos))
+        assertThat(leadership.rejectionOf(
+                        state, new SubmitJob("new", terms, definition, 0), UndecidedDemand.NONE, nowNanos))
                 .isEmpty();
     }
 
@@ -131,7 +132,8 @@
                 Recurrence.ONCE);
         for (int number = 0; number < 8; number++) {
             String id = "large-" + number;
-            assertThat(leadership.rejectionOf(state, new SubmitJob("new", terms, large, 0), 0, nowNanos))
+            assertThat(leadership.rejectionOf(
+                            state, new SubmitJob("new", terms, large, 0), UndecidedDemand.NONE, nowNanos))
                     .isEmpty();
             state.apply(new WorkflowCommand.SubmitJob(id, terms, large, 0));
             state.apply(new WorkflowCommand.CancelJob(id));
--- a/domain/src/main/java/org/nettlering/domain/workflow/Job.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Job.java
@@ -151,6 +151,11 @@
         return Optional.of(occurrence.step(stepId.number()));
     }
 
+    /** Returns the number of occurrences that have started, zero once their progress is discarded. */
+    int startedOccurrences() {
+        return occurrences.size();
+    }
+
     @Nullable
     Occurrence occurrence(int number) {
         return occurrences.get(number);
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -58,6 +58,9 @@
     /** The number of tasks in the started occurrences of the unfinished jobs. */
     private long unfinishedJobTasks;
 
+    /** The estimated memory of all jobs in bytes, without their tasks. */
+    private long heldBytes;
+
     /** How often leaders have raised their fencing token. */
     private long fenceRaises;
 
@@ -96,6 +99,7 @@
         if (job.phase().isOpen() && job.nextOccurrence().isPresent()) {
             periodicJobs.add(job);
         }
+        heldBytes += job.phase().isOpen() ? progressBytes(job) : 0;
         for (StepProgress step : job.steps()) {
             unfinishedJobTasks += job.phase().isOpen() ? step.specification().taskCount() : 0;
             for (int index = 0; index < step.specification().taskCount(); index++) {
@@ -109,6 +113,7 @@
 
     private void put(Job job) {
         jobs.put(job.id(), job);
+        heldBytes += JobFootprint.definitionBytes(job.definition());
         if (EarlyCancellation.isUnsubmitted(job)) {
             unsubmittedJobs.add(job.id());
         }
@@ -222,6 +227,15 @@
         return unfinishedJobTasks;
     }
 
+    /**
+     * Returns the memory that all jobs take, finished or not, without their tasks.
+     *
+     * @return the estimate of {@link JobFootprint} in bytes
+     */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     /**
      * Returns the processor demand of the long-running tasks of all unfinished jobs of a pool.
      *
@@ -370,6 +384,7 @@
             periodicJobs.remove(job);
         }
         unfinishedJobTasks += job.definition().taskCount();
+        heldBytes += JobFootprint.progressBytes(job.definition());
         occurrence.steps().forEach(this::updatePendingStep);
         return CommandResult.APPLIED;
     }
@@ -461,6 +476,7 @@
             return CommandResult.UNCHANGED;
         }
         jobs.remove(job.id());
+        heldBytes -= JobFootprint.definitionBytes(job.definition());
         unsubmittedJobs.remove(job.id());
         return CommandResult.APPLIED;
     }
@@ -469,12 +485,17 @@
         adjustQueuedJobs(job, job.phase() == JobPhase.QUEUED ? -1 : 0);
         adjustLongRunning(job, -1);
         job.steps().forEach(step -> unfinishedJobTasks -= step.specification().taskCount());
+        heldBytes -= progressBytes(job);
         job.setPhase(phase);
         periodicJobs.remove(job);
         pendingSteps.removeAll(job.steps());
         discardProgressIfOver(job);
     }
 
+    private static long progressBytes(Job job) {
+        return job.startedOccurrences() * JobFootprint.progressBytes(job.definition());
+    }
+
     private static void discardProgressIfOver(Job job) {
         if (!job.phase().isOpen() && !job.hasActiveRuns()) {
             job.discardProgress();
--- a/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/WorkflowStateTest.java
@@ -56,6 +56,34 @@
         assertThat(state.isActive(run("a", 0, 0, 2))).isTrue();
     }
 
+    @Test
+    void theMemoryOfAJobIsCountedUntilItIsRemoved() {
+        JobDefinition definition =
+                job("a", step(2, List.of()), step(1, List.of(0))).definition();
+        state.apply(job("a", step(2, List.of()), step(1, List.of(0))));
+        assertThat(state.heldBytes()).isEqualTo(JobFootprint.unfinishedBytes(definition));
+        assertThat(WorkflowState.from(state.snapshot()).heldBytes()).isEqualTo(state.heldBytes());
+        state.apply(new CancelJob("a"));
+        assertThat(state.heldBytes()).isEqualTo(JobFootprint.definitionBytes(definition));
+        assertThat(WorkflowState.from(state.snapshot()).heldBytes()).isEqualTo(state.heldBytes());
+        state.apply(new RemoveJob("a"));
+        assertThat(state.heldBytes()).isZero();
+    }
+
+    @Test
+    void theMemoryOfAPeriodicJobGrowsWithItsStartedOccurrences() {
+        WorkflowCommand.SubmitJob periodic = job("a", new Recurrence(3, 0, 1_000), step(1, List.of()));
+        state.apply(periodic);
+        state.apply(new StartOccurrence("a", 0));
+        state.apply(new StartOccurrence("a", 1));
+        assertThat(state.heldBytes())
+                .isEqualTo(JobFootprint.definitionBytes(periodic.definition())
+                        + 2 * JobFootprint.progressBytes(periodic.definition()));
+        assertThat(WorkflowState.from(state.snapshot()).heldBytes()).isEqualTo(state.heldBytes());
+        state.apply(new CancelJob("a"));
+        assertThat(state.heldBytes()).isEqualTo(JobFootprint.definitionBytes(periodic.definition()));
+    }
+
     @Test
     void aRunNumberIsNotReused() {
         state.apply(job("a", step(1, List.of())));
--- a/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/admission/JobAdmissionPolicyTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.workflow.JobDefinition;
+import org.nettlering.domain.workflow.JobFootprint;
 import org.nettlering.domain.workflow.Recurrence;
 import org.nettlering.domain.workflow.StepSpecification;
 
@@ -39,4 +40,37 @@
         assertThat(JobAdmissionPolicy.retryDelayIfTooManyTasks(FINITE_JOB, 249_995))
                 .isPresent();
     }
+
+    @Test
+    void specificationOfMoreThan4000BytesIsInvalid() {
+        JobDefinition largest = new JobDefinition("ä".repeat(2_000), List.of(step(1, List.of())), Recurrence.ONCE);
+        assertThatCode(() -> JobAdmissionPolicy.requireAcceptableSize(largest)).doesNotThrowAnyException();
+        JobDefinition tooLarge =
+                new JobDefinition("ä".repeat(2_000) + "a", List.of(step(1, List.of())), Recurrence.ONCE);
+        assertThatThrownBy(() -> JobAdmissionPolicy.requireAcceptableSize(tooLarge))
+                .isInstanceOf(NettleringException.class)
+                .hasMessageContaining("4001 bytes");
+    }
+
+    @Test
+    void jobsAreRejectedWhileTheMembersHoldTooManyBytes() {
+        long jobBytes = JobFootprint.unfinishedBytes(FINITE_JOB);
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyBytes(FINITE_JOB, 1_000_000 - jobBytes, 1_000_000))
+                .isEmpty();
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyBytes(FINITE_JOB, 1_000_001 - jobBytes, 1_000_000))
+                .isPresent();
+    }
+
+    @Test
+    void largeJobsLeaveAQuarterToSmallOnes() {
+        JobDefinition large =
+                new JobDefinition("work", Collections.nCopies(1_000, step(1, List.of())), Recurrence.ONCE);
+        long jobBytes = JobFootprint.unfinishedBytes(large);
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyBytes(large, 3_000_000 - jobBytes, 4_000_000))
+                .isEmpty();
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyBytes(large, 3_000_001 - jobBytes, 4_000_000))
+                .isPresent();
+        assertThat(JobAdmissionPolicy.retryDelayIfTooManyBytes(FINITE_JOB, 3_000_001, 4_000_000))
+                .isEmpty();
+    }
 }
