Let entries learn the limits of the operator's configuration

Callers saw: 431 for a head of 12 kB where the configuration allows 16,384 bytes, and bodies far over its max_body_bytes that were accepted. Cause: the limits were decoded, agreed and replicated, and used by nothing; the entry never learned them.

The response to the check of the leader, which each entry makes every 700 ms, carries them; an old member sends none, then the defaults hold.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -13,6 +13,7 @@
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.queue.QueueConfiguration;
 import org.nettlering.domain.queue.QueueSettings;
+import org.nettlering.domain.queue.RequestLimits;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.domain.workflow.CommandResult;
 import org.nettlering.domain.workflow.EarlyCancellation;
@@ -121,12 +122,20 @@
                 readConfirmed((state, queues) -> evacuationsResponse(state, WorkflowAnswer.ANSWER_DONE));
             case READ_QUEUES -> readConfirmed((state, queues) -> queuesResponse(queues));
             // A leader check needs no confirmation round; it may succeed on a deposed leader for a short time.
-            case CHECK -> CompletableFuture.completedFuture(responseOf(WorkflowAnswer.ANSWER_DONE));
+            case CHECK -> CompletableFuture.completedFuture(leaderResponse());
             case REQUEST_NOT_SET ->
                 throw new NettleringException(ErrorCode.INVALID_ARGUMENT, "workflow request is empty");
         };
     }
 
+    private WorkflowResponse leaderResponse() {
+        RequestLimits limits = stateMachine.read((state, queues) -> queues.limits());
+        return WorkflowResponse.newBuilder()
+                .setAnswer(WorkflowAnswer.ANSWER_DONE)
+                .setLimits(QueueCodec.encode(limits))
+                .build();
+    }
+
     private CompletionStage<WorkflowResponse> readConfirmed(
             BiFunction<WorkflowState, QueueConfiguration, WorkflowResponse> reader) {
         return confirmations.confirm().thenApply(confirmed -> stateMachine.read(reader));
@@ -178,9 +187,8 @@
         if (undecidedJobs.contains(jobId)) {
             return Optional.empty();
         }
-        long undecidedMillicores =
-                undecidedJobs.longRunningMillicores(submission.terms().pool(), state);
-        return leadership.rejectionOf(state, submission, undecidedMillicores, time.nanoTime());
+        UndecidedDemand undecided = undecidedJobs.demand(submission.terms().pool(), state);
+        return leadership.rejectionOf(state, submission, undecided, time.nanoTime());
     }
 
     /** Returns why a job is rejected that was cancelled before its submission arrived, or empty. Its id is kept for a while. */
--- a/entry/src/main/java/org/nettlering/entry/workflow/LeaderMonitor.java
+++ b/entry/src/main/java/org/nettlering/entry/workflow/LeaderMonitor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.nettlering.domain.queue.RequestLimits;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.entry.lifecycle.Readiness;
 import org.nettlering.runtime.log.EventLogger;
@@ -41,6 +42,9 @@
     /** True if the last logged event is {@link LeaderMonitorEvent#LEADER_REACHED}. */
     private volatile boolean leaderReached;
 
+    /** The limits on requests that the leader named last. */
+    private volatile RequestLimits limits = RequestLimits.DEFAULT;
+
     private volatile TimeSource.@Nullable Timer timer;
     private volatile boolean closed;
 
@@ -67,8 +71,9 @@
         if (closed) {
             return;
         }
-        callLeader().whenComplete((done, failure) -> {
+        callLeader().whenComplete((current, failure) -> {
             try {
+                limits = failure == null ? current : limits;
                 record(failure);
             } finally {
                 timer = time.schedule(isLeaderless() ? LEADERLESS_CHECK_INTERVAL : CHECK_INTERVAL, this::check);
@@ -77,7 +82,7 @@
     }
 
     /** Checks the leader; an exception becomes a failed check, so that it does not end the checks. */
-    private CompletionStage<Void> callLeader() {
+    private CompletionStage<RequestLimits> callLeader() {
         try {
             return client.checkLeader(CHECK_TIMEOUT);
         } catch (RuntimeException exception) {
@@ -114,6 +119,15 @@
         return !isYoungerThan(LEADERLESS_TIMEOUT);
     }
 
+    /**
+     * Returns the limits on requests of the operator's configuration.
+     *
+     * @return the limits that the leader named last, the default ones before, never null
+     */
+    public RequestLimits limits() {
+        return limits;
+    }
+
     private boolean isFresh() {
         return isYoungerThan(FRESHNESS_TIMEOUT);
     }
--- a/wire/src/main/java/org/nettlering/wire/codec/QueueCodec.java
+++ b/wire/src/main/java/org/nettlering/wire/codec/QueueCodec.java
@@ -102,7 +102,13 @@
         return new PoolSettings(message.getName(), message.getEnforcesCapacity(), message.getStandby());
     }
 
-    private static RequestLimitsMessage encode(RequestLimits limits) {
+    /**
+     * Encodes the limits on requests.
+     *
+     * @param limits the limits, not null
+     * @return the message, never null
+     */
+    public static RequestLimitsMessage encode(RequestLimits limits) {
         return RequestLimitsMessage.newBuilder()
                 .setMaxHeaderBytes(limits.maxHeaderBytes())
                 .setMaxBodyBytes(limits.maxBodyBytes())
@@ -111,7 +117,13 @@
                 .build();
     }
 
-    private static RequestLimits decode(RequestLimitsMessage message) {
+    /**
+     * Decodes the limits on requests.
+     *
+     * @param message the message, not null
+     * @return the limits, never null
+     */
+    public static RequestLimits decode(RequestLimitsMessage message) {
         return new RequestLimits(
                 message.getMaxHeaderBytes(),
                 message.getMaxBodyBytes(),
--- a/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
+++ b/wire/src/main/java/org/nettlering/wire/proto/WorkflowProto.java
@@ -35571,6 +35571,33 @@
      * <code>.nettlering.EvacuationsMessage evacuations = 6;</code>
      */
     org.nettlering.wire.proto.WorkflowProto.EvacuationsMessageOrBuilder getEvacuationsOrBuilder();
+
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     * @return Whether the limits field is set.
+     */
+    boolean hasLimits();
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     * @return The limits.
+     */
+    org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage getLimits();
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     */
+    org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder getLimitsOrBuilder();
   }
   /**
    * Protobuf type {@code nettlering.WorkflowResponse}
@@ -35735,6 +35762,44 @@
       return evacuations_ == null ? org.nettlering.wire.proto.WorkflowProto.EvacuationsMessage.getDefaultInstance() : evacuations_;
     }
 
+    public static final int LIMITS_FIELD_NUMBER = 7;
+    private org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage limits_;
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     * @return Whether the limits field is set.
+     */
+    @java.lang.Override
+    public boolean hasLimits() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     * @return The limits.
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage getLimits() {
+      return limits_ == null ? org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.getDefaultInstance() : limits_;
+    }
+    /**
+     * <pre>
+     * With a check of the leader: the limits of the configuration in force.
+     * </pre>
+     *
+     * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+     */
+    @java.lang.Override
+    public org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder getLimitsOrBuilder() {
+      return limits_ == null ? org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.getDefaultInstance() : limits_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -35767,6 +35832,9 @@
       if (((bitField0_ & 0x00000002) != 0)) {
         output.writeMessage(6, getEvacuations());
       }
+      if (((bitField0_ & 0x00000004) != 0)) {
+        output.writeMessage(7, getLimits());
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -35795,6 +35863,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(6, getEvacuations());
       }
+      if (((bitField0_ & 0x00000004) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, getLimits());
+      }
       return size;
     }
     @java.lang.Override
@@ -35835,6 +35907,11 @@
         if (!getEvacuations()
             .equals(other.getEvacuations())) return false;
       }
+      if (hasLimits() != other.hasLimits()) return false;
+      if (hasLimits()) {
+        if (!getLimits()
+            .equals(other.getLimits())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -35862,6 +35939,10 @@
         hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
         hash = (53 * hash) + getEvacuations().hashCode();
       }
+      if (hasLimits()) {
+        hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+        hash = (53 * hash) + getLimits().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -35994,6 +36075,7 @@
                 .alwaysUseFieldBuilders) {
           internalGetQueuesFieldBuilder();
           internalGetEvacuationsFieldBuilder();
+          internalGetLimitsFieldBuilder();
         }
       }
       @java.lang.Override
@@ -36014,6 +36096,11 @@
           evacuationsBuilder_.dispose();
           evacuationsBuilder_ = null;
         }
+        limits_ = null;
+        if (limitsBuilder_ != null) {
+          limitsBuilder_.dispose();
+          limitsBuilder_ = null;
+        }
         return this;
       }
 
@@ -36072,6 +36159,12 @@
               : evacuationsBuilder_.build();
           to_bitField0_ |= 0x00000002;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.limits_ = limitsBuilder_ == null
+              ? limits_
+              : limitsBuilder_.build();
+          to_bitField0_ |= 0x00000004;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -36105,6 +36198,9 @@
         if (other.hasEvacuations()) {
           mergeEvacuations(other.getEvacuations());
         }
+        if (other.hasLimits()) {
+          mergeLimits(other.getLimits());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -36163,6 +36259,13 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetLimitsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -36610,6 +36713,161 @@
         return evacuationsBuilder_;
       }
 
+      private org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage limits_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder> limitsBuilder_;
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       * @return Whether the limits field is set.
+       */
+      public boolean hasLimits() {
+        return ((bitField0_ & 0x00000040) != 0);
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       * @return The limits.
+       */
+      public org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage getLimits() {
+        if (limitsBuilder_ == null) {
+          return limits_ == null ? org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.getDefaultInstance() : limits_;
+        } else {
+          return limitsBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public Builder setLimits(org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage value) {
+        if (limitsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          limits_ = value;
+        } else {
+          limitsBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public Builder setLimits(
+          org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.Builder builderForValue) {
+        if (limitsBuilder_ == null) {
+          limits_ = builderForValue.build();
+        } else {
+          limitsBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public Builder mergeLimits(org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage value) {
+        if (limitsBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0) &&
+            limits_ != null &&
+            limits_ != org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.getDefaultInstance()) {
+            getLimitsBuilder().mergeFrom(value);
+          } else {
+            limits_ = value;
+          }
+        } else {
+          limitsBuilder_.mergeFrom(value);
+        }
+        if (limits_ != null) {
+          bitField0_ |= 0x00000040;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public Builder clearLimits() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        limits_ = null;
+        if (limitsBuilder_ != null) {
+          limitsBuilder_.dispose();
+          limitsBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.Builder getLimitsBuilder() {
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return internalGetLimitsFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      public org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder getLimitsOrBuilder() {
+        if (limitsBuilder_ != null) {
+          return limitsBuilder_.getMessageOrBuilder();
+        } else {
+          return limits_ == null ?
+              org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.getDefaultInstance() : limits_;
+        }
+      }
+      /**
+       * <pre>
+       * With a check of the leader: the limits of the configuration in force.
+       * </pre>
+       *
+       * <code>.nettlering.RequestLimitsMessage limits = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder> 
+          internalGetLimitsFieldBuilder() {
+        if (limitsBuilder_ == null) {
+          limitsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessage.Builder, org.nettlering.wire.proto.WorkflowProto.RequestLimitsMessageOrBuilder>(
+                  getLimits(),
+                  getParentForChildren(),
+                  isClean());
+          limits_ = null;
+        }
+        return limitsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:nettlering.WorkflowResponse)
     }
 
@@ -36969,38 +37227,39 @@
       "is\030\016 \001(\004\022\030\n\020cold_left_millis\030\017 \001(\004\"4\n\013Ho" +
       "stLeaving\022\017\n\007host_id\030\001 \001(\t\022\024\n\014start_mill" +
       "is\030\002 \001(\004\"\014\n\nReadQueues\"\021\n\017ReadEvacuation" +
-      "s\"\r\n\013LeaderCheck\"\210\002\n\020WorkflowResponse\022*\n" +
+      "s\"\r\n\013LeaderCheck\"\272\002\n\020WorkflowResponse\022*\n" +
       "\006answer\030\001 \001(\0162\032.nettlering.WorkflowAnswe" +
       "r\022*\n\005phase\030\002 \001(\0162\033.nettlering.JobPhaseMe" +
       "ssage\022\024\n\014pending_jobs\030\003 \001(\r\022\032\n\022retry_aft" +
       "er_millis\030\004 \001(\r\0225\n\006queues\030\005 \001(\0132%.nettle" +
       "ring.QueueConfigurationMessage\0223\n\013evacua" +
       "tions\030\006 \001(\0132\036.nettlering.EvacuationsMess" +
-      "age*\211\001\n\020StepTraitMessage\022\032\n\026STEP_TRAIT_U" +
-      "NSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK_LOCAL\020\002\022\017" +
-      "\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNING\020\004\022\021\n\rCHE" +
-      "CKPOINTING\020\005\022\t\n\005FILLS\020\006*x\n\020HostCrashMess" +
-      "age\022\032\n\026HOST_CRASH_UNSPECIFIED\020\000\022\024\n\020HOST_" +
-      "CRASH_CAUSE\020\001\022\026\n\022HOST_CRASH_SUSPECT\020\002\022\032\n" +
-      "\026HOST_CRASH_UNCONFIRMED\020\003*\254\001\n\rRunEndMess" +
-      "age\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014\n\010RUN_DONE" +
-      "\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\016\n\nR" +
-      "UN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n\tRUN_ALONE" +
-      "\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_HOST_LOST\020\010" +
-      "*\241\001\n\026WorkflowOutcomeMessage\022 \n\034WORKFLOW_" +
-      "OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKFLOW_APPLIE" +
-      "D\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n\024WORKFLOW_" +
-      "UNKNOWN_JOB\020\003\022\035\n\031WORKFLOW_VERSION_CONFLI" +
-      "CT\020\004*\203\001\n\017JobPhaseMessage\022\031\n\025JOB_PHASE_UN" +
-      "SPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNI" +
-      "NG\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022" +
-      "\021\n\rJOB_CANCELLED\020\005*\261\001\n\016WorkflowAnswer\022\037\n" +
-      "\033WORKFLOW_ANSWER_UNSPECIFIED\020\000\022\017\n\013ANSWER" +
-      "_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021\n\rANSWER_N" +
-      "O_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033\n\027ANSWER_N" +
-      "O_CONFIGURATION\020\005\022\023\n\017ANSWER_CONFLICT\020\006B*" +
-      "\n\031org.nettlering.wire.protoB\rWorkflowPro" +
-      "tob\006proto3"
+      "age\0220\n\006limits\030\007 \001(\0132 .nettlering.Request" +
+      "LimitsMessage*\211\001\n\020StepTraitMessage\022\032\n\026ST" +
+      "EP_TRAIT_UNSPECIFIED\020\000\022\010\n\004GANG\020\001\022\016\n\nRACK" +
+      "_LOCAL\020\002\022\017\n\013SPECULATIVE\020\003\022\020\n\014LONG_RUNNIN" +
+      "G\020\004\022\021\n\rCHECKPOINTING\020\005\022\t\n\005FILLS\020\006*x\n\020Hos" +
+      "tCrashMessage\022\032\n\026HOST_CRASH_UNSPECIFIED\020" +
+      "\000\022\024\n\020HOST_CRASH_CAUSE\020\001\022\026\n\022HOST_CRASH_SU" +
+      "SPECT\020\002\022\032\n\026HOST_CRASH_UNCONFIRMED\020\003*\254\001\n\r" +
+      "RunEndMessage\022\027\n\023RUN_END_UNSPECIFIED\020\000\022\014" +
+      "\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOP" +
+      "PED\020\003\022\016\n\nRUN_LAPSED\020\004\022\016\n\nRUN_BROKEN\020\005\022\r\n" +
+      "\tRUN_ALONE\020\006\022\021\n\rRUN_NOT_BEGUN\020\007\022\021\n\rRUN_H" +
+      "OST_LOST\020\010*\241\001\n\026WorkflowOutcomeMessage\022 \n" +
+      "\034WORKFLOW_OUTCOME_UNSPECIFIED\020\000\022\024\n\020WORKF" +
+      "LOW_APPLIED\020\001\022\026\n\022WORKFLOW_UNCHANGED\020\002\022\030\n" +
+      "\024WORKFLOW_UNKNOWN_JOB\020\003\022\035\n\031WORKFLOW_VERS" +
+      "ION_CONFLICT\020\004*\203\001\n\017JobPhaseMessage\022\031\n\025JO" +
+      "B_PHASE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n" +
+      "\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB" +
+      "_FAILED\020\004\022\021\n\rJOB_CANCELLED\020\005*\261\001\n\016Workflo" +
+      "wAnswer\022\037\n\033WORKFLOW_ANSWER_UNSPECIFIED\020\000" +
+      "\022\017\n\013ANSWER_DONE\020\001\022\023\n\017ANSWER_NO_QUEUE\020\002\022\021" +
+      "\n\rANSWER_NO_JOB\020\003\022\023\n\017ANSWER_REJECTED\020\004\022\033" +
+      "\n\027ANSWER_NO_CONFIGURATION\020\005\022\023\n\017ANSWER_CO" +
+      "NFLICT\020\006B*\n\031org.nettlering.wire.protoB\rW" +
+      "orkflowProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -37221,7 +37480,7 @@
     internal_static_nettlering_WorkflowResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_nettlering_WorkflowResponse_descriptor,
-        new java.lang.String[] { "Answer", "Phase", "PendingJobs", "RetryAfterMillis", "Queues", "Evacuations", });
+        new java.lang.String[] { "Answer", "Phase", "PendingJobs", "RetryAfterMillis", "Queues", "Evacuations", "Limits", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
+++ b/wire/src/main/java/org/nettlering/wire/workflow/WorkflowClient.java
@@ -7,6 +7,7 @@
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
 import org.nettlering.domain.queue.QueueConfiguration;
+import org.nettlering.domain.queue.RequestLimits;
 import org.nettlering.domain.workflow.Evacuations;
 import org.nettlering.domain.workflow.JobDefinition;
 import org.nettlering.domain.workflow.WorkflowCommand.ChangeEvacuation;
@@ -213,11 +214,15 @@
      * Checks that a member is reachable that considers itself the leader. Within an election timeout it may have been deposed.
      *
      * @param timeout the limit for all attempts together, not null
-     * @return completes when the member has responded, never null
+     * @return completes when the member has responded, with the limits on requests that it knows of, the default ones if it
+     *     is of a version that tells none, never null
      */
-    public CompletionStage<Void> checkLeader(Duration timeout) {
+    public CompletionStage<RequestLimits> checkLeader(Duration timeout) {
         return call(WorkflowRequest.newBuilder().setCheck(LeaderCheck.getDefaultInstance()), timeout)
-                .thenAccept(WorkflowClient::requireDone);
+                .thenApply(response -> {
+                    requireDone(response);
+                    return response.hasLimits() ? QueueCodec.decode(response.getLimits()) : RequestLimits.DEFAULT;
+                });
     }
 
     private CompletionStage<WorkflowResponse> call(WorkflowRequest.Builder request, Duration timeout) {
