Keep clients that do not behave within the memory, descriptors and time of a process

Callers saw: an entry or a control process ended for want of memory when many clients sent large bodies, whole or in pieces, chunked in large or very small chunks, or far over the limit, and most stopped just short of the end; with many connections that sent nothing no descriptor was left; with chunks of one byte an ordinary request waited for long.

Cause: each body was buffered up to a constant of 4 MiB, without a bound on all of them; the rest of a refused body was read and dropped chunk by chunk; a body that gained a byte now and then was never idle; heads, of which small fields take some 30 times their bytes once decoded, and connections had no bound; the limits of the configuration were not applied.

Why this works: a handler in front of each HTTP server sees the bytes before they are decoded. RequestMemory is one budget for all that clients have in progress (an eighth of the heap), taken before an array grows or after a piece of a head is decoded, and given back with the response; when it is used up, slow requests give way, and else the request itself is refused with 503 before it is passed on, so its job never runs. A quarter is kept for small requests, so that an ordinary one gets in. A connection reads at most 8 KiB before others have their turn, 512 bytes once its chunks are tiny. Connections are bounded: a new one takes the place of a refused, unused or slow one, and no more are accepted while 16 wait for their event loop. Heads, bodies and unread responses have their time. The limits of the configuration decide on heads (431) and bodies (413, at once if announced); after a refusal the rest is discarded for a second or a mebibyte, so that the response arrives.

Ruled out: responses that nobody reads (Vert.x stops reading; the test held before). The test's ordinary caller uses a connection of its own now: a kept one may be the unused one that makes room. Its crowd that reads nothing waits 10 s for bytes to move instead of 60: the process is expected to stop reading.

--- a/control/src/main/java/org/nettlering/control/metrics/MetricsServer.java
+++ b/control/src/main/java/org/nettlering/control/metrics/MetricsServer.java
@@ -10,7 +10,9 @@
 import java.util.function.BooleanSupplier;
 import org.nettlering.domain.error.ErrorCode;
 import org.nettlering.domain.error.NettleringException;
+import org.nettlering.domain.time.TimeSource;
 import org.nettlering.runtime.metrics.Metrics;
+import org.nettlering.wire.transport.http.ConnectionGuards;
 
 /**
  * Serves {@code /metrics} and {@code /ready} of a control process.
@@ -33,14 +35,19 @@
      * @param address where to listen, not null
      * @param metrics what to serve, not null
      * @param ready tells whether the member knows a leader, not null
+     * @param time the clock and timers, not null
      * @return a server that listens, never null
      * @throws NettleringException {@code INVALID_SETTINGS} if the address cannot be bound
      */
-    public static MetricsServer start(InetSocketAddress address, Metrics metrics, BooleanSupplier ready) {
+    public static MetricsServer start(
+            InetSocketAddress address, Metrics metrics, BooleanSupplier ready, TimeSource time) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
-        HttpServer server = vertx.createHttpServer(
-                        new HttpServerOptions().setHost(address.getHostString()).setPort(address.getPort()))
-                .requestHandler(request -> answer(request, metrics, ready));
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(address.getHostString())
+                .setPort(address.getPort())
+                .setHttp2ClearTextEnabled(false);
+        HttpServer server = ConnectionGuards.ofFew(time)
+                .serveWithoutBodies(vertx.createHttpServer(options), request -> answer(request, metrics, ready));
         try {
             server.listen()
                     .toCompletionStage()
--- a/control/src/main/java/org/nettlering/control/process/ControlProcess.java
+++ b/control/src/main/java/org/nettlering/control/process/ControlProcess.java
@@ -95,6 +95,9 @@
     /** The connections to other processes. */
     private final PeerNetwork network;
 
+    /** What the process shows at its metrics address. */
+    private final Metrics metrics = Metrics.create();
+
     /** The replicated log. */
     private final ConsensusNode node;
 
@@ -191,7 +194,6 @@
         settingsMembers = initialMembers(settings);
         time = SystemTime.create("control-timers");
         telemetry = telemetryFactory.apply(time);
-        Metrics metrics = Metrics.create();
         network = PeerNetwork.create(
                 settings.identity(),
                 TransportLimits.defaults(),
@@ -243,7 +245,7 @@
                         LeaderHintHandler.of(dispatcher, this::leader, settings.advertised()), telemetry));
         ControlMetrics.register(metrics.registry(), node, parts.configuration().state());
         metricsServer = MetricsServer.start(
-                settings.metricsAddress(), metrics, () -> node.leader().isPresent());
+                settings.metricsAddress(), metrics, () -> node.leader().isPresent(), time);
         GroupStart groupStart = settings.groupStart();
         join = groupStart.joins()
                 ? GroupJoin.start(node, self(self, settings), others, this::rememberNamedMembers, time)
@@ -303,6 +305,15 @@
         return server.address();
     }
 
+    /**
+     * Returns where the metrics of the process are registered.
+     *
+     * @return the registry, never null
+     */
+    public PrometheusRegistry registry() {
+        return metrics.registry();
+    }
+
     /**
      * Returns the way to the leader, which may be this process itself.
      *
--- a/wire/src/main/java/org/nettlering/wire/transport/WireEvent.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/WireEvent.java
@@ -30,7 +30,9 @@
     /** This process was refused by a peer of another cluster or version. */
     REFUSED_BY_PEER(2012, Level.ERROR, "peer {} at {} refused this process: {}"),
     /** A message was not understood; its connection stays. */
-    MESSAGE_DROPPED(2013, Level.WARN, "dropped a message from {}: {}");
+    MESSAGE_DROPPED(2013, Level.WARN, "dropped a message from {}: {}"),
+    /** A client exceeded a limit; its request was refused or its connection closed. */
+    INPUT_REFUSED(2014, Level.WARN, "refused input from {}: {}");
 
     /** The number of the event. */
     private final int number;
