Do not keep a request's frame while its response is awaited

By reading, while the buffers were listed that callers' bytes fill at the leader: the connection of a caller kept each whole request until its response, of up to 4,096 requests, although only its number is needed; a rejected job of nearly 1,000 steps, some megabyte as a message, waits for the confirmation of the leadership.

--- a/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
@@ -143,17 +143,19 @@
     private void request(ChannelHandlerContext context, Frame frame) {
         if (pending >= limits.maxPendingCalls()) {
             String text = pending + " requests of this connection are pending";
-            respond(frame, FrameFailureException.of(ErrorCode.OVERLOADED, text, true, 0));
+            respond(frame.getCorrelationId(), FrameFailureException.of(ErrorCode.OVERLOADED, text, true, 0));
             return;
         }
         pending++;
+        // Not the frame, which may be large and is not needed any more while the response is awaited.
+        long correlationId = frame.getCorrelationId();
         ask(frame)
                 .whenComplete((response, error) -> context.executor().execute(() -> {
                     pending--;
                     if (error != null) {
-                        respond(frame, error);
+                        respond(correlationId, error);
                     } else {
-                        respond(context, frame, response);
+                        respond(context, correlationId, response);
                     }
                 }));
     }
@@ -175,22 +177,21 @@
         }
     }
 
-    private void respond(ChannelHandlerContext context, Frame request, Frame response) {
-        Frame numbered = response.toBuilder()
-                .setCorrelationId(request.getCorrelationId())
-                .build();
+    private void respond(ChannelHandlerContext context, long correlationId, Frame response) {
+        Frame numbered =
+                response.toBuilder().setCorrelationId(correlationId).build();
         if (numbered.getSerializedSize() > limits.maxFrameBytes()) {
             String text = "a response of " + numbered.getSerializedSize() + " bytes is too large";
-            respond(request, FrameFailureException.of(ErrorCode.TOO_LARGE, text, false, 0));
+            respond(correlationId, FrameFailureException.of(ErrorCode.TOO_LARGE, text, false, 0));
             return;
         }
         write(numbered);
         applyBackPressure(context);
     }
 
-    private void respond(Frame request, Throwable error) {
+    private void respond(long correlationId, Throwable error) {
         write(Frame.newBuilder()
-                .setCorrelationId(request.getCorrelationId())
+                .setCorrelationId(correlationId)
                 .setFailure(failureOf(error).toFailure())
                 .build());
     }
