--- a/control/src/main/java/org/nettlering/control/metrics/MetricsServer.java
+++ b/control/src/main/java/org/nettlering/control/metrics/MetricsServer.java
@@ -42,10 +42,7 @@
     public static MetricsServer start(
             InetSocketAddress address, Metrics metrics, BooleanSupplier ready, TimeSource time) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
-        HttpServerOptions options = new HttpServerOptions()
-                .setHost(address.getHostString())
-                .setPort(address.getPort())
-                .setHttp2ClearTextEnabled(false);
+        HttpServerOptions options = ConnectionGuards.options(address);
         HttpServer server = ConnectionGuards.ofFew(time)
                 .serveWithoutBodies(vertx.createHttpServer(options), request -> answer(request, metrics, ready));
         try {
--- a/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuards.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuards.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Comparator;
@@ -80,13 +81,18 @@
     }
 
     /**
-     * Sets how large a head the server decodes.
+     * Returns the options of a server that can be guarded: HTTP/1.1 alone, as others are not limited.
      *
-     * @param options the options of the server, not null
-     * @return the same options, never null
+     * @param address the listen address, not null
+     * @return new options, never null
      */
-    public static HttpServerOptions withHeadLimits(HttpServerOptions options) {
-        return options.setMaxHeaderSize(MAX_HEAD_BYTES).setMaxInitialLineLength(MAX_HEAD_BYTES);
+    public static HttpServerOptions options(InetSocketAddress address) {
+        return new HttpServerOptions()
+                .setHost(address.getHostString())
+                .setPort(address.getPort())
+                .setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(MAX_HEAD_BYTES)
+                .setMaxInitialLineLength(MAX_HEAD_BYTES);
     }
 
     /**
