Hold the memory of a job that waits for the leader though its caller has gone

By reading, while what a caller can fill was listed: the memory of a request was given back when its connection closed, but the job went on to the leader for up to 900 ms; a caller that sends whole jobs and goes at once would have filled the entry past its budget.

The memory is given back when the connection and what was passed on have both ended. ConnectionGuardsTest shows it with a client that goes while its request is passed on.

--- a/wire/src/main/java/org/nettlering/wire/transport/http/GuardedRequest.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/GuardedRequest.java
@@ -5,6 +5,8 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.nettlering.domain.queue.RequestLimits;
 
@@ -29,6 +31,12 @@
     private final RequestMemory.Share share;
     private final int maxBodyBytes;
 
+    /** Who needs the memory: the connection, and what was passed on. */
+    private final AtomicInteger holders = new AtomicInteger(1);
+
+    /** True once the connection does not need the memory any more. */
+    private final AtomicBoolean released = new AtomicBoolean();
+
     /** The size of the head, as the limits of the operator count it, in bytes. */
     private int headBytes;
 
@@ -175,22 +183,37 @@
     }
 
     /**
-     * Changes the memory that the request holds until its response is written. Can be called on any thread.
+     * Holds memory for what is passed on of the request, until {@link #passedOnEnded()} is called, even if its connection is
+     * closed meanwhile.
      *
      * @param bytes what is held of the request beside its head, in bytes
      * @return false if there is no memory for it; then the request must not be passed on
      */
     public boolean hold(long bytes) {
-        if (share.resize(headMemory + bytes)) {
-            return true;
+        if (!share.resize(headMemory + bytes)) {
+            connection.countRefusal(RefusalReason.NO_MEMORY);
+            return false;
         }
-        connection.countRefusal(RefusalReason.NO_MEMORY);
-        return false;
+        holders.incrementAndGet();
+        return true;
+    }
+
+    /** Notes that nothing of the request that was passed on is held any more. Can be called on any thread. */
+    public void passedOnEnded() {
+        dropHolder();
     }
 
     /** Gives the memory back, as the response was written or the connection is closed. Can be called on any thread. */
     public void release() {
-        share.close();
+        if (released.compareAndSet(false, true)) {
+            dropHolder();
+        }
+    }
+
+    private void dropHolder() {
+        if (holders.decrementAndGet() == 0) {
+            share.close();
+        }
     }
 
     /** Notes that the response was written, and gives the memory back, unless the rest of the request is still discarded. */
--- a/wire/src/test/java/org/nettlering/wire/transport/http/ConnectionGuardsTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/http/ConnectionGuardsTest.java
@@ -33,6 +33,7 @@
     private final ManualTime time = ManualTime.startingAt(Instant.EPOCH);
     private final Vertx vertx = Vertx.vertx();
     private final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+    private final BlockingQueue<GuardedRequest> passedOn = new LinkedBlockingQueue<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final ConnectionGuards guards = ConnectionGuards.of(
             new InputLimits(MAX_CONNECTIONS, 1 << 20, MAX_BODY_BYTES, Duration.ofSeconds(30)),
@@ -64,6 +65,11 @@
         guarded.readBody(
                 body -> {
                     bodies.add(body);
+                    if (request.path().equals("/passed-on")) {
+                        assertThat(guarded.hold(10_000)).isTrue();
+                        passedOn.add(guarded);
+                        return;
+                    }
                     request.response().end("served");
                 },
                 reason -> {
@@ -198,6 +204,18 @@
         awaitNothingHeld();
     }
 
+    @Test
+    void whatWasPassedOnIsHeldThoughItsClientHasGone() throws Exception {
+        try (Socket client = connect()) {
+            write(client, "GET /passed-on HTTP/1.1\r\nHost: a\r\n\r\n");
+            await(() -> !passedOn.isEmpty());
+        }
+        await(() -> guards.count() == 0);
+        assertThat(guards.memory().usedBytes()).isGreaterThan(10_000);
+        passedOn.take().passedOnEnded();
+        awaitNothingHeld();
+    }
+
     private void awaitNothingHeld() throws InterruptedException {
         await(() -> {
             time.advance(Duration.ofMillis(200));
