Do not take a body that arrives after its head for the next head

Callers saw a connection closed three seconds after a request, and an entry had less memory for requests than its limit.

Cause: after a read that completed a body, the phase of the connection was no longer that of the body, so its bytes were charged as those of a head, 32 times, and the connection waited for the rest of a head that was none. Now the phase before the read decides. Also, by reading: a response is completed by the thread of the call to the leader, so that its end could be noted after the next request had begun; it is noted on the event loop, for the request that it belongs to.

ConnectionGuardsTest#aBodyThatArrivesAfterItsHeadIsNotTakenForTheNextHead failed before.

--- a/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuard.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuard.java
@@ -21,7 +21,7 @@
  * <p>The first handler of its connection, so that it sees the bytes before they are decoded. Its methods are called on the
  * event loop of the connection, unless they say otherwise.
  */
-public final class ConnectionGuard extends ChannelInboundHandlerAdapter {
+final class ConnectionGuard extends ChannelInboundHandlerAdapter {
     private static final AttributeKey<ConnectionGuard> KEY = AttributeKey.valueOf(ConnectionGuard.class, "guard");
 
     /** A field of a head takes up to this many times its bytes once it is decoded. */
@@ -116,12 +116,13 @@
         gate.install(context.channel().parent());
     }
 
-    /** Notes that the head of a request is complete. */
-    void beginRequest() {
+    /** Notes that the head of a request is complete; returns the number of the request. */
+    long beginRequest() {
         requests++;
         enter(Phase.RECEIVING_BODY);
         readSizes.beginRequest();
         closeHeadShare();
+        return requests;
     }
 
     /** Notes a chunk of the body. */
@@ -136,9 +137,17 @@
         }
     }
 
-    /** Notes that the response was written. */
-    void endResponse() {
-        if (phase == Phase.RESPONDING) {
+    /**
+     * Notes that the response to a request was written. Can be called on any thread; then the next request may have begun.
+     *
+     * @param number the number of the request
+     */
+    void endResponse(long number) {
+        if (!context.executor().inEventLoop()) {
+            context.executor().execute(() -> endResponse(number));
+            return;
+        }
+        if (number == requests && phase == Phase.RESPONDING) {
             enter(Phase.BETWEEN_REQUESTS);
             closeHeadShare();
         }
@@ -196,10 +205,11 @@
             discard(bytes, count);
             return;
         }
+        boolean ofBody = phase == Phase.RECEIVING_BODY;
         long requestsBefore = requests;
         ignored.fireChannelRead(bytes);
         readSizes.recordRead(count);
-        if (requests == requestsBefore && phase != Phase.RECEIVING_BODY) {
+        if (!ofBody && requests == requestsBefore) {
             chargeHead(count);
         }
     }
--- a/wire/src/main/java/org/nettlering/wire/transport/http/GuardedRequest.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/GuardedRequest.java
@@ -31,6 +31,9 @@
     private final RequestMemory.Share share;
     private final int maxBodyBytes;
 
+    /** The number of the request on its connection. */
+    private final long number;
+
     /** Who needs the memory: the connection, and what was passed on. */
     private final AtomicInteger holders = new AtomicInteger(1);
 
@@ -68,7 +71,7 @@
         this.guards = guards;
         this.request = request;
         connection = ConnectionGuard.of(request.connection());
-        connection.beginRequest();
+        number = connection.beginRequest();
         share = connection.openShare(() -> refuse(RefusalReason.TOO_SLOW));
         maxBodyBytes = Math.min(guards.requestLimits().maxBodyBytes(), guards.maxBodyBytes());
         measureHead();
@@ -221,7 +224,7 @@
         if (!headHeld) {
             release();
         }
-        connection.endResponse();
+        connection.endResponse(number);
     }
 
     /**
--- a/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/netty/ServerConnection.java
@@ -178,8 +178,7 @@
     }
 
     private void respond(ChannelHandlerContext context, long correlationId, Frame response) {
-        Frame numbered =
-                response.toBuilder().setCorrelationId(correlationId).build();
+        Frame numbered = response.toBuilder().setCorrelationId(correlationId).build();
         if (numbered.getSerializedSize() > limits.maxFrameBytes()) {
             String text = "a response of " + numbered.getSerializedSize() + " bytes is too large";
             respond(correlationId, FrameFailureException.of(ErrorCode.TOO_LARGE, text, false, 0));
--- a/wire/src/test/java/org/nettlering/wire/transport/http/ConnectionGuardsTest.java
+++ b/wire/src/test/java/org/nettlering/wire/transport/http/ConnectionGuardsTest.java
@@ -95,7 +95,9 @@
         try (Socket client = connect()) {
             write(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000\r\n\r\n");
             write(client, "x".repeat(500_000));
-            assertThat(readUntil(client, "body_too_large")).startsWith("HTTP/1.1 499").contains("Connection: close");
+            assertThat(readUntil(client, "body_too_large"))
+                    .startsWith("HTTP/1.1 499")
+                    .contains("Connection: close");
         }
         assertThat(bodies).isEmpty();
         awaitNothingHeld();
@@ -156,6 +158,21 @@
         awaitNothingHeld();
     }
 
+    @Test
+    void aBodyThatArrivesAfterItsHeadIsNotTakenForTheNextHead() throws Exception {
+        try (Socket client = connect()) {
+            write(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n");
+            await(() -> guards.memory().usedBytes() > 0);
+            write(client, "hello");
+            assertThat(readUntil(client, "served")).startsWith("HTTP/1.1 200");
+            await(() -> guards.memory().usedBytes() == 0);
+            time.advance(Duration.ofSeconds(10));
+            write(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertThat(readUntil(client, "served")).startsWith("HTTP/1.1 200");
+        }
+        awaitNothingHeld();
+    }
+
     @Test
     void anUnusedConnectionIsClosedAfterTheIdleTimeout() throws Exception {
         try (Socket client = connect()) {
