Take a limit of zero in the operator's configuration for the default

By reading: the limits were never applied before, so a configuration with a limit of zero served its callers; from now on it would have refused every request. Zero stands for the default.

--- a/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuards.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuards.java
@@ -169,7 +169,7 @@
     private void check() {
         checking.set(false);
         long nowNanos = time.nanoTime();
-        RequestLimits current = requestLimits.get();
+        RequestLimits current = requestLimits();
         guards.forEach(guard -> guard.closeIfOverdue(current, limits.bodyTimeout(), nowNanos));
         if (!guards.isEmpty() && checking.compareAndSet(false, true)) {
             time.schedule(CHECK_INTERVAL, this::check);
@@ -204,7 +204,7 @@
     }
 
     RequestLimits requestLimits() {
-        return requestLimits.get();
+        return requestLimits.get().withDefaults();
     }
 
     int maxBodyBytes() {
