--- a/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuard.java
+++ b/wire/src/main/java/org/nettlering/wire/transport/http/ConnectionGuard.java
@@ -277,6 +277,11 @@
 
     /** Closes the connection if it has used up its time. Can be called on any thread. */
     void closeIfOverdue(RequestLimits limits, Duration bodyTimeout, long nowNanos) {
+        if (!context.channel().isOpen()) {
+            // It was closed before its guard was there to see it.
+            guards.remove(this);
+            return;
+        }
         RefusalReason reason = overdueReason(limits, bodyTimeout, nowNanos);
         if (reason != null) {
             context.executor().execute(() -> closeOverdue(reason, limits, bodyTimeout));
