--- a/review/stand-ins-3/Minion.java
+++ b/review/stand-ins-3/Minion.java
@@ -67,7 +67,7 @@
     private final Record record;
     private final InetSocketAddress address;
     private final long startNanos = System.nanoTime();
-    private final long clockOffset = 100_000 + (long) (Math.random() * 400_000);
+    private final long bornMillis = System.currentTimeMillis();
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final List<List<Object>> finished = new ArrayList<>();
     private final Map<String, Long> highestEnded = new HashMap<>();
@@ -79,6 +79,10 @@
     private int nextControl;
     private volatile boolean up = true;
     private volatile boolean dark;
+    /** Whether what the system sends is lost; what the minion sends arrives. */
+    private volatile boolean deaf;
+    /** Whether what the minion sends is lost. */
+    private volatile boolean mute;
     private HttpServer server;
 
     Minion(Site site, String id, InetSocketAddress address, String kind, String rack) {
@@ -116,6 +120,23 @@
         record.line("minion " + id + " is down");
     }
 
+    /** Cuts the minion off, in one direction or both, or joins it again. It runs on. */
+    void cut(boolean fromSystem, boolean toSystem) {
+        deaf = fromSystem;
+        mute = toSystem;
+        record.line("minion " + id + (fromSystem ? " gets nothing any more" : " gets what is sent to it")
+                + (toSystem ? " and nothing of it arrives" : " and what it sends arrives"));
+    }
+
+    /** Returns the run of a task of a job that is at work here, or zero. */
+    synchronized long runOf(String jobId) {
+        return running.values().stream()
+                .filter(run -> run.task.startsWith(jobId))
+                .mapToLong(run -> run.number)
+                .findAny()
+                .orElse(0);
+    }
+
     /** Loses power: what runs is gone, and nothing is answered or refused any more. */
     void goDark() {
         synchronized (this) {
@@ -148,7 +169,7 @@
     }
 
     private long clock() {
-        return clockOffset + (System.nanoTime() - startNanos) / 1_000_000;
+        return 1_000 + (System.nanoTime() - startNanos) / 1_000_000;
     }
 
     /** Ends tasks that are done, have failed, or whose lease is over. */
@@ -183,7 +204,7 @@
     }
 
     private void answer(HttpExchange exchange) throws IOException {
-        if (dark) {
+        if (dark || deaf) {
             silence();
             return;
         }
@@ -198,7 +219,7 @@
         } else {
             status = order(path, Json.object(body), response);
         }
-        if (dark) {
+        if (dark || mute) {
             silence();
             return;
         }
@@ -207,6 +228,7 @@
             return;
         }
         response.put("clock_ms", clock());
+        response.put("born", bornMillis);
         byte[] bytes = Json.write(response).getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().add("Content-Type", "application/json");
         exchange.sendResponseHeaders(status, bytes.length);
@@ -322,7 +344,8 @@
             beat.put("labels", List.of(kind, rack));
             beat.put("clock_ms", clock());
             beat.put("sequence", ++sequence);
-            for (int attempt = 0; up && attempt < site.controls.size(); attempt++) {
+            beat.put("born", bornMillis);
+            for (int attempt = 0; up && !mute && attempt < site.controls.size(); attempt++) {
                 String control = site.controls.get(nextControl % site.controls.size()).address();
                 if (site.web.post(control, "", "/Instances.Heartbeat/" + id, Json.write(beat), 1_000).status() == 200) {
                     break;
--- a/review/stand-ins-3/Site.java
+++ b/review/stand-ins-3/Site.java
@@ -25,8 +25,9 @@
     static final String HOST = "nony24.example";
     static final long MINION_CPU = 32_000;
     static final long MINION_MEMORY = 128_000;
-    final long holdMaxMillis = 6_000;
-    final long stopGraceMillis = 200;
+    /** hold_max_ms and stop_grace_ms of the site platnica-sched, unless a case sets others. */
+    final long holdMaxMillis = Long.getLong("hold_max_ms", 6_000);
+    final long stopGraceMillis = Long.getLong("stop_grace_ms", 200);
     final long heartbeatMillis = 1_500;
     final Record record;
     final Web web = new Web();
@@ -108,6 +109,25 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::endPrograms));
     }
 
+    /** Returns the control process that took the leadership last, by the logs. */
+    Program leader() throws IOException {
+        Program leader = controls.getFirst();
+        long latest = 0;
+        for (Program program : controls) {
+            for (String line : Files.readAllLines(folder.resolve(program.role + "-" + program.ip + ".log"))) {
+                // The event of the start of a leadership; the line begins with {"timestamp":MILLIS,
+                if (line.contains("\"NTL-3305\"")) {
+                    long millis = Long.parseLong(line.substring(line.indexOf(':') + 1, line.indexOf(',')));
+                    if (millis > latest) {
+                        latest = millis;
+                        leader = program;
+                    }
+                }
+            }
+        }
+        return leader;
+    }
+
     private int freePorts(Random random) throws IOException {
         while (true) {
             int first = 20_000 + random.nextInt(10_000);
@@ -195,7 +215,10 @@
     }
 
     Minion addMinionAt(String ip, String kind, String rack) throws IOException {
-        String id = String.format("i-%08x", new Random().nextInt());
+        return addMinionAt(String.format("i-%08x", new Random().nextInt()), ip, kind, rack);
+    }
+
+    Minion addMinionAt(String id, String ip, String kind, String rack) throws IOException {
         Minion minion = new Minion(this, id, new InetSocketAddress(ip, port + 5), kind, rack);
         synchronized (minions) {
             minions.add(minion);
