Measure the lease of a host only by the incarnation that has responded

Cause: until the first response, a new leader took every heartbeat for one of the current incarnation, and the first response never for one of another. The clock of a former incarnation, heard of by a heartbeat alone, stayed the one by which the lease is measured, as the highest reading is kept. The next incarnation takes an expiry by that clock for one far ahead and grants its longest lease (10 s), while the leader counts on 5 s.

Why this works: a heartbeat whose incarnation no response has identified does not set the clock, so no lease is requested and nothing starts before a response; the first response that tells a start discards the heartbeat and the notice of another incarnation. A poll's response whose clock is behind is of another incarnation even if no start was known. What unidentified heartbeats say only delays the end of inherited runs.

--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulationTest.java
@@ -59,6 +59,16 @@
         }
     }
 
+    /** Guards against TWICE: a new leader measured the lease of a reborn host by the clock of its former incarnation. */
+    @Test
+    void noSeedViolatesTheTaskGuaranteesWhereHostsAreRebornUnseenByANewLeader() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            assertThat(TaskProtocolSimulation.simulateRebirthsUnseenByLeaders(seed))
+                    .as("seed " + seed)
+                    .isEmpty();
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(mode = Mode.EXCLUDE, names = "NONE")
     void anInjectedFaultIsDetected(InjectedFault fault) {
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -7,7 +7,8 @@
 /**
  * The lease that covers all runs on a host, measured by the host's clock.
  *
- * <p>The lease counts as expired only when it has certainly expired: this holds for every expiry that this leader
+ * <p>Measured only by readings of the incarnation that a response has identified: by the clock of another one, a lease would be granted
+ * for longer than was asked for, or seem over. The lease counts as expired only when it has certainly expired: this holds for every expiry that this leader
  * requested and every one that an earlier leader may have requested, and even if the host's clock is slow. Not
  * thread-safe.
  */
@@ -25,6 +26,9 @@
 
     private final HostClock clock = new HostClock();
 
+    /** When this leader started to track the host or last heard of one of its incarnations before a response, by the monotonic clock. */
+    private long lastUnidentifiedNanos;
+
     /** The latest lease expiry that the host may have been given, by its own clock; zero for none. */
     private long latestExpiryMillis;
 
@@ -39,6 +43,7 @@
     HostLease(HostTimings timings, long sessionStartNanos) {
         this.timings = timings;
         this.sessionStartNanos = sessionStartNanos;
+        lastUnidentifiedNanos = sessionStartNanos;
     }
 
     /**
@@ -62,6 +67,22 @@
         earlierLeadersFenced = true;
     }
 
+    /** Records contact with an incarnation that may have ended; it delays the expiry, but its clock measures nothing. */
+    void recordUnidentifiedContact(long nowNanos) {
+        lastUnidentifiedNanos = nowNanos;
+    }
+
+    /**
+     * Uses a reading that may not tell of which incarnation it is, unless it is too high for the current one: it would let leases
+     * seem over.
+     */
+    void recordUnidentifiedReading(long millis, long nowNanos) {
+        if (!isClockAhead(millis, nowNanos)) {
+            recordClockReading(millis, nowNanos);
+        }
+    }
+
+    /** Uses a reading of the incarnation that a response has identified. */
     void recordClockReading(long millis, long nowNanos) {
         clock.recordReading(millis, nowNanos);
         if (mayBeRenewedByEarlierLeader && !earlierLeadersFenced) {
@@ -99,7 +120,8 @@
     /** Returns the evidence of the lease expiry; meaningful only once the lease has expired. */
     TerminationEvidence expiryEvidence(long heartbeatAgeMillis, long responseAgeMillis, long nowNanos) {
         if (!clock.isKnown()) {
-            return new TerminationEvidence.NeverHeardOf(TimeUnit.NANOSECONDS.toMillis(nowNanos - sessionStartNanos));
+            return new TerminationEvidence.NeverIdentified(
+                    TimeUnit.NANOSECONDS.toMillis(nowNanos - sessionStartNanos), heartbeatAgeMillis);
         }
         return new TerminationEvidence.LeaseLapsed(
                 clock.lowerBoundMillis(nowNanos),
@@ -116,7 +138,7 @@
         if (!clock.isKnown()) {
             Duration maxLeaseWithMargins =
                     timings.maxLease().plus(DEPOSED_LEADER_MARGIN).plusMillis(marginMillis);
-            return nowNanos - sessionStartNanos > maxLeaseWithMargins.toNanos() * 51 / 50;
+            return nowNanos - lastUnidentifiedNanos > maxLeaseWithMargins.toNanos() * 51 / 50;
         }
         if (latestExpiryMillis == 0) {
             return false;
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLiveness.java
@@ -51,12 +51,22 @@
 
     private boolean shutdownAnnounced;
 
+    /** When the incarnation that announced its shutdown started, in milliseconds since 1970, if it told that. */
+    private long announcedStartMillis = HostIncarnation.UNKNOWN_START;
+
     /** When a heartbeat, a response or a notice of the host was received last, by the monotonic clock. */
     private long lastContactNanos;
 
     /** Whether another incarnation has responded at the address of the host. */
     private boolean replaced;
 
+    /**
+     * A heartbeat and when it was received.
+     *
+     * @param receivedNanos the monotonic time
+     */
+    record ReceivedHeartbeat(HostHeartbeat heartbeat, long receivedNanos) {}
+
     HostLiveness(long nowNanos) {
         sessionStartNanos = nowNanos;
         rejectionBackoffUntilNanos = nowNanos;
@@ -146,11 +156,27 @@
     }
 
     /** Handles the notice of the host that it is shutting down. */
-    void handleShutdownNotice(long nowNanos) {
+    void handleShutdownNotice(long startMillis, long nowNanos) {
         shutdownAnnounced = true;
+        announcedStartMillis = startMillis;
         lastContactNanos = nowNanos;
     }
 
+    /** Forgets a notice of another incarnation than the one that has been identified. */
+    void discardNoticeOfOther(long startMillis) {
+        shutdownAnnounced &= !HostIncarnation.isOtherStart(announcedStartMillis, startMillis);
+    }
+
+    /** Removes and returns the latest heartbeat if it is of another incarnation than the one that has been identified. */
+    Optional<ReceivedHeartbeat> removeHeartbeatOfOther(long startMillis) {
+        HostHeartbeat heartbeat = latestHeartbeat;
+        if (heartbeat == null || !HostIncarnation.isOtherStart(heartbeat.startMillis(), startMillis)) {
+            return Optional.empty();
+        }
+        latestHeartbeat = null;
+        return Optional.of(new ReceivedHeartbeat(heartbeat, heartbeatNanos));
+    }
+
     void recordResponse(HostResponse response, long nowNanos) {
         boolean unreachable = response instanceof NoResponse || response instanceof NotSent;
         unresponsive = unreachable || response instanceof Unhealthy;
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -165,7 +165,12 @@
             polls.requireNew(nowNanos);
             return false;
         }
-        return known.handleHeartbeat(heartbeat, nowNanos);
+        if (!incarnation.isIdentified()) {
+            return known.handleUnidentifiedHeartbeat(heartbeat, nowNanos);
+        }
+        return incarnation.isCurrent(heartbeat.startMillis())
+                ? known.handleHeartbeat(heartbeat, nowNanos)
+                : known.handleHeartbeatWithoutStart(heartbeat, nowNanos);
     }
 
     /**
@@ -186,7 +191,7 @@
             polls.requireNew(nowNanos);
             return false;
         }
-        known.liveness().handleShutdownNotice(nowNanos);
+        known.liveness().handleShutdownNotice(startMillis, nowNanos);
         return true;
     }
 
@@ -410,6 +415,7 @@
         }
         switch (incarnation.senderOf(response, known.lease(), sentNanos, nowNanos)) {
             case CURRENT -> {}
+            case IDENTIFIED -> onIdentified(sentNanos, nowNanos);
             case LATER -> onReborn(sentNanos, nowNanos);
             case EARLIER -> {
                 return onOutdatedResponse(command, sentNanos, nowNanos);
@@ -444,6 +450,23 @@
         };
     }
 
+    /**
+     * Discards what heartbeats and notices of other incarnations told before a response identified this one. A heartbeat that was received
+     * before the command was sent is of one that has ended; another one may be of a later one, for which the host is polled again.
+     */
+    private void onIdentified(long sentNanos, long nowNanos) {
+        HostLiveness liveness = known.liveness();
+        liveness.discardNoticeOfOther(incarnation.startMillis());
+        liveness.removeHeartbeatOfOther(incarnation.startMillis()).ifPresent(other -> {
+            if (other.receivedNanos() - sentNanos <= 0) {
+                incarnation.recordEnded(other.heartbeat().startMillis());
+            } else {
+                incarnation.keepUnconfirmed(other.heartbeat());
+                polls.requireNew(nowNanos);
+            }
+        });
+    }
+
     /**
      * Discards what is known of the incarnation that has terminated. The later incarnation may have executed a start that was
      * sent before its rebirth was known, and may still execute one without a response.
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/IncarnationTracker.java
@@ -10,14 +10,17 @@
  * Tells the incarnations of a host apart that starts again under its id.
  *
  * <p>Only responses decide which incarnation is the current one, by the order in which the commands were sent: heartbeats may
- * arrive late, and the times of starts are read from clocks that may jump. A heartbeat of another incarnation is kept until
- * a response confirms it. Not thread-safe.
+ * arrive late, and the times of starts are read from clocks that may jump. Until the first response, none is identified: what
+ * heartbeats, or runs of earlier leaders, tell of a start may be of one that has ended. A heartbeat of another incarnation is kept
+ * until a response confirms it. Not thread-safe.
  */
 final class IncarnationTracker {
     /** Which incarnation sent a response. */
     enum Sender {
         /** The current one. */
         CURRENT,
+        /** The current one, whose start no response had told before: what was heard of the host before may be of another one. */
+        IDENTIFIED,
         /** One that started after the current one, which has terminated. */
         LATER,
         /** One that had terminated before the current one started. */
@@ -30,6 +33,9 @@
     /** When the current incarnation started, in milliseconds since 1970. */
     private long startMillis = HostIncarnation.UNKNOWN_START;
 
+    /** Whether a response was received, so that the start is not merely assumed. */
+    private boolean identified;
+
     /**
      * When the latest command was sent by whose response the current incarnation was identified, or when tracking began, by the
      * monotonic clock.
@@ -65,6 +71,16 @@
         return startMillis;
     }
 
+    /** Returns whether a response has shown which incarnation is the current one. */
+    boolean isIdentified() {
+        return identified;
+    }
+
+    /** Returns whether a time of a start is known to be that of the current incarnation, or none is ever told by the host. */
+    boolean isCurrent(long otherStartMillis) {
+        return identified && startMillis == otherStartMillis;
+    }
+
     /** Returns whether a time of a start is not that of the current incarnation. */
     boolean isOther(long otherStartMillis) {
         return HostIncarnation.isOtherStart(startMillis, otherStartMillis);
@@ -75,6 +91,15 @@
         return endedStartMillis.contains(otherStartMillis);
     }
 
+    /** Records that an incarnation had ended before the current one sent a response. */
+    void recordEnded(long otherStartMillis) {
+        endedStartMillis.remove(otherStartMillis);
+        endedStartMillis.addLast(otherStartMillis);
+        if (endedStartMillis.size() > MAX_ENDED) {
+            endedStartMillis.removeFirst();
+        }
+    }
+
     /** Keeps the heartbeat of another incarnation until a poll response confirms it. */
     void keepUnconfirmed(HostHeartbeat heartbeat) {
         HostHeartbeat kept = unconfirmedHeartbeat;
@@ -97,24 +122,28 @@
      * Returns which incarnation sent a response, and takes a later one for the current one from now on.
      *
      * @param response the response; one of a command that was not executed is taken for that of the current incarnation
-     * @param lease the lease on the current incarnation, whose clock tells a response of another one that does not tell its start
+     * @param lease the lease on the current incarnation, whose clock tells a response of another one where starts are not told
      * @param commandSentNanos when the command was sent, by the monotonic clock
      * @param nowNanos the monotonic time
      */
     Sender senderOf(HostResponse response, HostLease lease, long commandSentNanos, long nowNanos) {
         return switch (response) {
-            case HostResponse.PollResult result -> identifySender(result.startMillis(), commandSentNanos, nowNanos);
-            case HostResponse.Accepted accepted
-            when isOfRestartedClock(accepted, lease, commandSentNanos) ->
-                identifySenderWithRestartedClock(commandSentNanos, nowNanos);
-            case HostResponse.Accepted accepted -> identifySender(accepted.startMillis(), commandSentNanos, nowNanos);
+            case HostResponse.PollResult result ->
+                identifySender(result.startMillis(), result.clockMillis(), lease, commandSentNanos, nowNanos);
+            case HostResponse.Accepted accepted ->
+                identifySender(accepted.startMillis(), accepted.clockMillis(), lease, commandSentNanos, nowNanos);
             default -> Sender.CURRENT;
         };
     }
 
-    private static boolean isOfRestartedClock(HostResponse.Accepted accepted, HostLease lease, long commandSentNanos) {
-        return accepted.startMillis() == HostIncarnation.UNKNOWN_START
-                && lease.isClockRestarted(accepted.clockMillis(), commandSentNanos);
+    private Sender identifySender(
+            long responseStartMillis, long clockMillis, HostLease lease, long commandSentNanos, long nowNanos) {
+        boolean comparable =
+                responseStartMillis != HostIncarnation.UNKNOWN_START && startMillis != HostIncarnation.UNKNOWN_START;
+        if (!comparable && lease.isClockRestarted(clockMillis, commandSentNanos)) {
+            return identifySenderWithRestartedClock(responseStartMillis, commandSentNanos, nowNanos);
+        }
+        return identifySender(responseStartMillis, commandSentNanos, nowNanos);
     }
 
     /**
@@ -123,7 +152,7 @@
      */
     private Sender identifySender(long responseStartMillis, long commandSentNanos, long nowNanos) {
         if (responseStartMillis == HostIncarnation.UNKNOWN_START) {
-            return Sender.CURRENT;
+            return identified();
         }
         boolean sentBefore = commandSentNanos - latestCommandNanos < 0;
         boolean hasEnded = hasEnded(responseStartMillis) && commandSentNanos - identifiedNanos < 0;
@@ -134,28 +163,36 @@
             startLater(responseStartMillis, commandSentNanos, nowNanos);
             return Sender.LATER;
         }
+        boolean newlyTold = startMillis != responseStartMillis;
         startMillis = responseStartMillis;
         latestCommandNanos = sentBefore ? latestCommandNanos : commandSentNanos;
-        return Sender.CURRENT;
+        return newlyTold ? identifiedAnew() : identified();
+    }
+
+    private Sender identified() {
+        return identified ? Sender.CURRENT : identifiedAnew();
+    }
+
+    private Sender identifiedAnew() {
+        identified = true;
+        return Sender.IDENTIFIED;
     }
 
     /** Identifies the sender of a response whose clock has started anew. */
-    private Sender identifySenderWithRestartedClock(long commandSentNanos, long nowNanos) {
+    private Sender identifySenderWithRestartedClock(long responseStartMillis, long commandSentNanos, long nowNanos) {
         if (commandSentNanos - latestCommandNanos < 0) {
             return Sender.EARLIER;
         }
-        startLater(HostIncarnation.UNKNOWN_START, commandSentNanos, nowNanos);
+        startLater(responseStartMillis, commandSentNanos, nowNanos);
         return Sender.LATER;
     }
 
     private void startLater(long laterStartMillis, long commandSentNanos, long nowNanos) {
         endedStartMillis.remove(laterStartMillis);
         if (startMillis != HostIncarnation.UNKNOWN_START) {
-            endedStartMillis.addLast(startMillis);
-        }
-        if (endedStartMillis.size() > MAX_ENDED) {
-            endedStartMillis.removeFirst();
+            recordEnded(startMillis);
         }
+        identified = true;
         startMillis = laterStartMillis;
         latestCommandNanos = commandSentNanos;
         identifiedNanos = nowNanos;
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/KnownIncarnation.java
@@ -93,7 +93,7 @@
         return due;
     }
 
-    /** Handles a heartbeat; returns false if it is not newer than the latest one. */
+    /** Handles a heartbeat of the incarnation that a response has identified; returns false if it is not newer than the latest one. */
     boolean handleHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
         if (!liveness.handleHeartbeat(heartbeat, nowNanos)) {
             return false;
@@ -102,23 +102,31 @@
         return true;
     }
 
+    /** Handles a heartbeat that does not tell of which incarnation it is; returns false if it is not newer than the latest one. */
+    boolean handleHeartbeatWithoutStart(HostHeartbeat heartbeat, long nowNanos) {
+        if (!liveness.handleHeartbeat(heartbeat, nowNanos)) {
+            return false;
+        }
+        lease.recordUnidentifiedReading(heartbeat.clockMillis(), nowNanos);
+        return true;
+    }
+
+    /** Handles a heartbeat while no response has identified the incarnation; returns false if it is not newer than the latest one. */
+    boolean handleUnidentifiedHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
+        lease.recordUnidentifiedContact(nowNanos);
+        return liveness.handleHeartbeat(heartbeat, nowNanos);
+    }
+
     /** Records what any response tells of the host itself. */
     void recordContact(HostResponse response, long nowNanos) {
         liveness.recordResponse(response, nowNanos);
         switch (response) {
-            case Accepted accepted -> recordClockReading(accepted, nowNanos);
+            case Accepted accepted -> lease.recordUnidentifiedReading(accepted.clockMillis(), nowNanos);
             case PollResult pollResult -> lease.recordClockReading(pollResult.clockMillis(), nowNanos);
             default -> {}
         }
     }
 
-    /** A reading that is too high may be of another incarnation, and would let leases seem over. */
-    private void recordClockReading(Accepted accepted, long nowNanos) {
-        if (!lease.isClockAhead(accepted.clockMillis(), nowNanos)) {
-            lease.recordClockReading(accepted.clockMillis(), nowNanos);
-        }
-    }
-
     /** Handles the response to a start; returns the termination that it proves, if any. */
     List<RecordTermination> onStartResponse(RunId run, HostResponse response, long nowNanos) {
         TrackedRun tracked = runs.get(run);
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/TerminationEvidence.java
@@ -58,9 +58,10 @@
             implements TerminationEvidence {}
 
     /**
-     * No contact with the host for longer than any lease granted to an earlier leader.
+     * No incarnation of the host responded, and none was heard of for longer than any lease granted to an earlier leader.
      *
      * @param followedMillis how long this leader had been tracking the host, in milliseconds
+     * @param reportAgeMillis the age of the latest heartbeat, in milliseconds, or {@link #NEVER}
      */
-    record NeverHeardOf(long followedMillis) implements TerminationEvidence {}
+    record NeverIdentified(long followedMillis, long reportAgeMillis) implements TerminationEvidence {}
 }
