Count a job as pending until a host has shown that it began

Cause: a job counted as begun at the commit of its first start, before the command was sent, and nothing took that back when the start was refused, not sent, or its host was lost.

Ruled out: a stale answer of the entry, an error of the counter itself.

Why this works: the leader counts by what hosts have shown (the response to a start, a list of runs or ends), so a job is pending from its acceptance until then, also while a start is unanswered. A new leader takes over what the replicated ends prove and counts the rest until a host shows it. Nothing that is replicated changes. What it costs: after a takeover a job counts as pending until its host has responded.

The new test of WorkflowEndToEndTest fails before (0 instead of 2).

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -85,6 +85,8 @@
 
     private final UncommittedTerminations terminations = new UncommittedTerminations();
 
+    private final JobBeginnings beginnings = new JobBeginnings();
+
     private final FinishedJobRetention finishedJobs;
 
     private final LoopCounters counters = new LoopCounters();
@@ -126,6 +128,7 @@
                 leadership.stops.stopIfUnneeded(state, run);
             }
         }
+        leadership.beginnings.takeOver(state);
         leadership.markAllHostsDue();
         return leadership;
     }
@@ -172,6 +175,10 @@
         return colocation.controller();
     }
 
+    JobBeginnings beginnings() {
+        return beginnings;
+    }
+
     RunTimeModel runTimes() {
         return runTimes;
     }
@@ -216,6 +223,7 @@
     /** Handles the response to a command. */
     void handleResponse(
             WorkflowState state, HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
+        beginnings.receive(state, command, response);
         HostSession session = sessions.get(command.host().id());
         if (session == null) {
             return;
@@ -390,6 +398,7 @@
         }
         nextComparisonNanos = nowNanos + COMPARISON_INTERVAL.toNanos();
         straggling.retainActive(state);
+        beginnings.discardFinished(state);
         for (HostSession session : sessions.all()) {
             failures.isolate(LoopPart.VISIT, session.host().id(), () -> compare(state, session, nowNanos));
         }
@@ -467,6 +476,8 @@
         if (!state.isActiveOnItsHost(run)) {
             return;
         }
+        Job job = state.job(run.run().task().jobId()).orElseThrow();
+        beginnings.startCommitted(job);
         HostSession session = sessions.get(run.host().id());
         if (session == null) {
             terminations.addUnsent(run.run());
@@ -479,7 +490,6 @@
             terminations.addUnsent(run.run());
             return;
         }
-        Job job = state.job(run.run().task().jobId()).orElseThrow();
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
         if (throttledStarts.contains(run.run())) {
             session.runs().setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowService.java
@@ -112,7 +112,7 @@
     private CompletionStage<WorkflowResponse> dispatch(WorkflowRequest request) {
         return switch (request.getRequestCase()) {
             case SUBMIT -> submit(request.getSubmit());
-            case SHOW -> readConfirmed((state, queues) -> show(request.getShow(), state, queues));
+            case SHOW -> confirmations.confirm().thenApply(confirmed -> show(request.getShow()));
             case CANCEL -> cancel(request.getCancel());
             case HOST_REPORT -> receiveHeartbeat(request.getHostReport());
             case HOST_LEAVING -> hostShuttingDown(request.getHostLeaving());
@@ -211,22 +211,31 @@
         return readConfirmed((state, current) -> rejectedResponse(retryAfter));
     }
 
-    private static WorkflowResponse show(JobRequest request, WorkflowState state, QueueConfiguration queues) {
+    private WorkflowResponse show(JobRequest request) {
+        QueueConfiguration queues = stateMachine.read((state, current) -> current);
         Optional<QueueSettings> queue = queues.queueFor(request.getAuthority(), request.getPath());
         if (queue.isEmpty()) {
             return noQueueResponse(queues);
         }
         String jobId = jobId(queue.get(), request.getPath());
-        if (jobId.isEmpty()) {
-            return WorkflowResponse.newBuilder()
-                    .setAnswer(WorkflowAnswer.ANSWER_DONE)
-                    .setPendingJobs(state.queuedJobs(queue.get().name()))
-                    .build();
-        }
+        String queueName = queue.get().name();
+        return loop.decide((state, leadership) -> jobId.isEmpty()
+                ? showQueue(queueName, state, leadership.beginnings())
+                : showJob(jobId, state, leadership.beginnings()));
+    }
+
+    private static WorkflowResponse showQueue(String queueName, WorkflowState state, JobBeginnings beginnings) {
+        return WorkflowResponse.newBuilder()
+                .setAnswer(WorkflowAnswer.ANSWER_DONE)
+                .setPendingJobs(beginnings.pending(state, queueName))
+                .build();
+    }
+
+    private static WorkflowResponse showJob(String jobId, WorkflowState state, JobBeginnings beginnings) {
         return state.submittedJob(jobId)
                 .map(job -> WorkflowResponse.newBuilder()
                         .setAnswer(WorkflowAnswer.ANSWER_DONE)
-                        .setPhase(JobDefinitionCodec.encode(job.phase()))
+                        .setPhase(JobDefinitionCodec.encode(beginnings.phase(job)))
                         .build())
                 .orElseGet(() -> responseOf(WorkflowAnswer.ANSWER_NO_JOB));
     }
--- a/control/src/test/java/org/nettlering/control/workflow/WorkflowEndToEndTest.java
+++ b/control/src/test/java/org/nettlering/control/workflow/WorkflowEndToEndTest.java
@@ -136,7 +136,7 @@
         advance(1_000);
         assertThat(startedRuns).isEmpty();
         assertThat(join(leader.client.show("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
-        assertThat(join(leader.client.show("site.example", "/q/", TIMEOUT))).isEqualTo(new JobResponse.Pending(0));
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(0));
         assertThat(join(leader.client.cancel("site.example", "/q/1", TIMEOUT))).isEqualTo(new JobResponse.NoJob());
     }
 
@@ -192,6 +192,41 @@
         assertThat(startedRuns.getLast().number()).isEqualTo(2);
     }
 
+    /** Guards against MIXED: a job counted as begun once its start was committed, also if its host had been lost before. */
+    @Test
+    void jobsThatArePlannedForALostHostArePendingUntilAnotherHostStartsThem() {
+        sendHeartbeat();
+        advance(300);
+        host.crash();
+        submit("/q/1", step(1, List.of()));
+        submit("/q/2", step(1, List.of()));
+        advance(500);
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(2));
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.QUEUED);
+        advance(5_000);
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(2));
+        secondNode.becomeLeader();
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(2));
+        FakeHost otherHost = new FakeHost("h2", "10.0.0.2:80", time, new StartRecorder());
+        hosts.add(otherHost);
+        advanceWithHeartbeats(15_000, otherHost);
+        assertThat(otherHost.runningCount()).isEqualTo(2);
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(0));
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.RUNNING);
+    }
+
+    @Test
+    void aJobThatRunsIsNotPendingAndStaysSoUnderANewLeaderThatHasPolledItsHost() {
+        sendHeartbeat();
+        submit("/q/1", step(1, List.of()));
+        advance(300);
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(0));
+        secondNode.becomeLeader();
+        assertThat(phase("/q/1")).isEqualTo(JobPhase.RUNNING);
+        advance(300);
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(0));
+    }
+
     @Test
     void aDrainingHostReceivesNoNewRuns() {
         sendHeartbeat();
@@ -202,7 +237,7 @@
         submit("/q/1", step(1, List.of()));
         advance(1_000);
         assertThat(startedRuns).isEmpty();
-        assertThat(join(leader.client.show("site.example", "/q/", TIMEOUT))).isEqualTo(new JobResponse.Pending(1));
+        assertThat(pending()).isEqualTo(new JobResponse.Pending(1));
     }
 
     @Test
@@ -241,6 +276,10 @@
         assertThat(startedRuns).hasSize(1);
     }
 
+    private JobResponse pending() {
+        return join(leader.client.show("site.example", "/q/", TIMEOUT));
+    }
+
     private long version() {
         return leader.client
                 .readQueues(TIMEOUT)
--- a/domain/src/main/java/org/nettlering/domain/workflow/Job.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/Job.java
@@ -172,6 +172,18 @@
         return occurrence;
     }
 
+    /**
+     * Returns whether the replicated state shows that a run of the job has begun on a host. It does not tell of a run that is
+     * still active, or whose host was lost.
+     *
+     * @return true if a run ended in a way that only a run that had begun can end
+     */
+    public boolean hasCertainlyBegun() {
+        return occurrences.values().stream()
+                .flatMap(occurrence -> occurrence.steps().stream())
+                .anyMatch(StepProgress::hasCertainlyBegun);
+    }
+
     /** Returns whether a run of the job may be active on a host. */
     boolean hasActiveRuns() {
         return occurrences.values().stream()
--- a/domain/src/main/java/org/nettlering/domain/workflow/JobPhase.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/JobPhase.java
@@ -2,9 +2,9 @@
 
 /** The phase of a job. */
 public enum JobPhase {
-    /** No task has started. */
+    /** The start of no task is committed. */
     QUEUED,
-    /** At least one task has started. */
+    /** The start of at least one task is committed; whether a run has begun on a host, only the hosts tell. */
     RUNNING,
     /** All tasks of all occurrences are done. */
     COMPLETED,
--- a/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/StepProgress.java
@@ -191,6 +191,13 @@
         return unfinishedCount == 0;
     }
 
+    /** Returns whether the ends of its runs show that a run of the step has begun on a host. */
+    boolean hasCertainlyBegun() {
+        // The numbers of a gang's runs skip those in which a member had no part.
+        boolean numbersAreConsecutive = !specification.has(StepTrait.GANG);
+        return tasks.stream().anyMatch(task -> task.hasCertainlyBegun(numbersAreConsecutive));
+    }
+
     /** Returns whether tasks can start, provided that the dependencies of the step are done. */
     boolean canStartTasks() {
         boolean gangIsRunning = specification.has(StepTrait.GANG) && activeRunCount > 0;
--- a/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/TaskProgress.java
@@ -132,6 +132,17 @@
         return checkpoint;
     }
 
+    /**
+     * Returns whether the ends of its runs show that one has begun on a host.
+     *
+     * @param numbersAreConsecutive whether every number up to the last one is that of a run
+     */
+    boolean hasCertainlyBegun(boolean numbersAreConsecutive) {
+        boolean endReported = lastRunNumber > activeRuns.size() + unconfirmedRuns.size();
+        boolean workShown = done || failures > 0 || !crashRuns.isEmpty() || !checkpoint.isEmpty();
+        return workShown || (numbersAreConsecutive && endReported);
+    }
+
     boolean hasNoActiveRun() {
         return activeRuns.isEmpty();
     }
--- a/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/WorkflowState.java
@@ -212,7 +212,7 @@
      * Returns the number of queued jobs of a queue.
      *
      * @param queue the name of the queue, not null
-     * @return the number of jobs that are not periodic and of which no task has started
+     * @return the number of jobs that are not periodic and of which no start is committed
      */
     public int queuedJobs(String queue) {
         return queuedJobs.getOrDefault(queue, 0);
