Measure the time to the first start until a host has shown it

It ends now with the first response that shows a run of the job; jobs that an earlier leader started are left out, as before.

--- a/control/src/main/java/org/nettlering/control/workflow/LatencyHistograms.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LatencyHistograms.java
@@ -11,7 +11,7 @@
  * @param plan the duration of planning starts, not null
  * @param lockWait the waits for the lock of the state machine, not null
  * @param commit the time from proposing a batch until it is committed and applied, not null
- * @param firstStart the time from accepting a job until its first start is committed, not null
+ * @param firstStart the time from accepting a job until a host has shown that it began, not null
  * @param startToSend the time from committing a start until its command is sent, not null
  */
 record LatencyHistograms(
--- a/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopMetrics.java
@@ -3,21 +3,16 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.nettlering.domain.time.TimeSource;
 import org.nettlering.domain.workflow.Job;
-import org.nettlering.domain.workflow.JobPhase;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.WorkflowCommand;
 import org.nettlering.domain.workflow.WorkflowCommand.RecordTermination;
 import org.nettlering.domain.workflow.WorkflowCommand.StartRun;
-import org.nettlering.domain.workflow.WorkflowState;
 import org.nettlering.domain.workflow.host.HostCommand;
 import org.nettlering.domain.workflow.host.HostResponse;
 import org.nettlering.runtime.log.EventLogger;
@@ -60,9 +55,6 @@
     /** The monotonic time at which each start was committed whose command has not been sent yet. */
     private final Map<RunId, Long> unsentStartNanos = new ConcurrentHashMap<>();
 
-    /** The acceptance times of the jobs whose first start is in the batch in flight, in milliseconds since 1970. */
-    private volatile List<Long> firstStartAcceptedMillis = List.of();
-
     /** The monotonic time at which that batch was proposed. */
     private volatile long proposedNanos;
 
@@ -157,36 +149,23 @@
 
     void resetForNewTerm() {
         unsentStartNanos.clear();
-        firstStartAcceptedMillis = List.of();
         diagnostics.resetForNewTerm();
     }
 
     /** Records the next batch before it is proposed to the log. */
-    void batchProposed(WorkflowState state, List<WorkflowCommand> batch) {
+    void batchProposed(List<WorkflowCommand> batch) {
         if (batch.isEmpty()) {
             return;
         }
         diagnostics.activity().batchProposed(batch.size());
         proposedNanos = time.nanoTime();
-        Set<String> seenJobIds = new HashSet<>();
-        List<Long> acceptedMillis = new ArrayList<>();
-        for (WorkflowCommand command : batch) {
-            if (command instanceof StartRun start && seenJobIds.add(jobId(start))) {
-                state.job(jobId(start))
-                        .filter(LoopMetrics::isAwaitingFirstStart)
-                        .ifPresent(job -> acceptedMillis.add(job.acceptedMillis()));
-            }
-        }
-        firstStartAcceptedMillis = List.copyOf(acceptedMillis);
     }
 
-    private static String jobId(StartRun start) {
-        return start.run().run().task().jobId();
-    }
-
-    /** Excludes periodic jobs: they start when they are due, regardless of the time of their acceptance. */
-    private static boolean isAwaitingFirstStart(Job job) {
-        return job.phase() == JobPhase.QUEUED && !job.definition().recurrence().isPeriodic();
+    /** Records that hosts have shown for the first time that jobs have begun. */
+    void jobsBegan(List<Job> jobs) {
+        long nowMillis = time.millis();
+        jobs.forEach(job ->
+                histograms.firstStart().observe(TimeUnit.MILLISECONDS.toNanos(nowMillis - job.acceptedMillis())));
     }
 
     /** Records that the batch is committed and applied. */
@@ -194,10 +173,6 @@
         diagnostics.activity().batchFinished();
         long nowNanos = time.nanoTime();
         histograms.commit().observe(nowNanos - proposedNanos);
-        long nowMillis = time.millis();
-        firstStartAcceptedMillis.forEach(acceptedMillis ->
-                histograms.firstStart().observe(TimeUnit.MILLISECONDS.toNanos(nowMillis - acceptedMillis)));
-        firstStartAcceptedMillis = List.of();
         for (WorkflowCommand command : batch) {
             switch (command) {
                 case StartRun start -> unsentStartNanos.put(start.run().run(), nowNanos);
--- a/control/src/main/java/org/nettlering/control/workflow/LoopSummary.java
+++ b/control/src/main/java/org/nettlering/control/workflow/LoopSummary.java
@@ -17,7 +17,7 @@
  * @param plan the duration of planning which runs to start, not null
  * @param lockWait the waits for the lock of the state machine; counts only attempts that found it held, not null
  * @param log the time from proposing a batch until it is committed and applied, not null
- * @param firstStart the time from accepting a job until its first start is committed, not null
+ * @param firstStart the time from accepting a job until a host has shown that it began, not null
  * @param startToOrder the time from committing the start of a run until its start command is sent, not null
  * @param startAnswer the time from sending a start command until it finishes, with a response or without, not null
  * @param lookAnswer the time from sending a poll until it finishes, including the time for which the host delays its
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -223,7 +223,7 @@
     /** Handles the response to a command. */
     void handleResponse(
             WorkflowState state, HostCommand command, long sentNanos, HostResponse response, long nowNanos) {
-        beginnings.receive(state, command, response);
+        metrics.jobsBegan(beginnings.receive(state, command, response));
         HostSession session = sessions.get(command.host().id());
         if (session == null) {
             return;
--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLoop.java
@@ -390,7 +390,7 @@
         Proposal proposal = withLock(LoopStage.PLAN, state -> {
             WorkflowLeadership current = leadership(state);
             List<WorkflowCommand> batch = current.nextBatch(state, time.nanoTime(), time.millis());
-            failures.isolate(LoopPart.PROPOSAL, "its metrics", () -> metrics.batchProposed(state, batch));
+            failures.isolate(LoopPart.PROPOSAL, "its metrics", () -> metrics.batchProposed(batch));
             return new Proposal(current, batch);
         });
         if (proposal.commands().isEmpty()) {
