Correct the simulation's check of evacuations, and give its operator a class

The check went on counting from the first acknowledgement.

An evacuation now counts from its acknowledgement until its finish is ordered; until then the check and its bound of 5 s are as before, and so are the draws of each seed.

--- a/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
+++ b/control/src/test/java/org/nettlering/control/workflow/TaskProtocolSimulation.java
@@ -55,9 +55,6 @@
     /** How long a command may have no response, besides the time for which it waits at the host. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(800);
 
-    /** How long after its acknowledgement an evacuation is in force everywhere. */
-    private static final Duration EVACUATION_BOUND = Duration.ofSeconds(5);
-
     private static final HostTimings TIMINGS =
             new HostTimings(Duration.ofSeconds(5), Duration.ofSeconds(6), Duration.ofMillis(200));
 
@@ -87,11 +84,7 @@
     private final Set<RunId> doneRuns = new HashSet<>();
     private final Set<TaskId> tasksAcknowledgedDone = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
-    /** Since when each failure domain is evacuated by an acknowledged order, in monotonic nanoseconds; absent if it is not. */
-    private final Map<String, Long> evacuatedSinceNanos = new HashMap<>();
-
-    /** Draws the evacuations. */
-    private final SplittableRandom evacuations;
+    private final SimulatedOperator operator;
 
     private boolean commandIsLate;
     private boolean idsMayBeKept;
@@ -162,7 +155,7 @@
         random = new SplittableRandom(seed);
         programFaults = new SplittableRandom(-seed);
         rebirths = new SplittableRandom(~seed);
-        evacuations = new SplittableRandom(seed + 1);
+        operator = new SimulatedOperator(seed + 1, time, HOSTS);
         this.fault = fault;
         if (fault == InjectedFault.UNREPLICATED_STARTS) {
             log.replicateOnly(TaskProtocolSimulation::containsNoStart);
@@ -197,7 +190,8 @@
         }
         faultsEnabled = false;
         log.injectProposalFaults(() -> ProposalFault.NONE);
-        finishEvacuations();
+        ControlMember last = members.get(leaderIndex);
+        operator.finishAll(last.member, last.stateMachine);
         for (int step = 0; step < FAULT_FREE_STEPS && violations.isEmpty(); step++) {
             advance(step);
         }
@@ -258,7 +252,8 @@
         } else if (draw < 26) {
             replaceLeader();
         }
-        maybeEvacuate();
+        ControlMember current = members.get(leaderIndex);
+        operator.maybeOrder(current.member, current.stateMachine);
     }
 
     private void crashAndCutOff(int host) {
@@ -299,48 +294,8 @@
         });
     }
 
-    /** Starts or finishes the evacuation of the failure domain of one host, as an operator does. */
-    private void maybeEvacuate() {
-        if (evacuations.nextInt(400) > 0) {
-            return;
-        }
-        String domain = "fd" + evacuations.nextInt(HOSTS);
-        changeEvacuation(domain, evacuations.nextBoolean());
-    }
-
-    private void changeEvacuation(String domain, boolean evacuated) {
-        ControlMember leader = members.get(leaderIndex);
-        long version =
-                leader.stateMachine.read((state, queues) -> state.evacuations().version());
-        SiteCommand command = SiteCommand.newBuilder()
-                .setWorkflow(
-                        WorkflowCommandCodec.encode(new WorkflowCommand.ChangeEvacuation(domain, evacuated, version)))
-                .build();
-        try {
-            leader.member.propose(command).thenRun(() -> evacuationAcknowledged(domain, evacuated));
-        } catch (IllegalStateException injected) {
-            // The operator gets no acknowledgement.
-        }
-    }
-
-    private void evacuationAcknowledged(String domain, boolean evacuated) {
-        if (evacuated) {
-            evacuatedSinceNanos.put(domain, time.nanoTime());
-        } else {
-            evacuatedSinceNanos.remove(domain);
-        }
-    }
-
-    private void finishEvacuations() {
-        for (int host = 0; host < HOSTS; host++) {
-            changeEvacuation("fd" + host, false);
-        }
-    }
-
     private void checkEvacuation(FakeHost host, RunId run) {
-        Long sinceNanos = evacuatedSinceNanos.get(host.failureDomain());
-        boolean overdue = sinceNanos != null && time.nanoTime() - sinceNanos > EVACUATION_BOUND.toNanos();
-        if (overdue && !commandIsLate) {
+        if (operator.isEvacuationInForce(host.failureDomain()) && !commandIsLate) {
             violations.add("start in an evacuated failure domain: " + run);
         }
     }
