Let steps take turns on a host that is tried after failures

Cause: after each exclusion of 4 s a host that is left out is tried with one task, always one of the step that comes first in the order of pending steps. It failed and excluded the host again.

Ruled out: room, the label.

Why this works: the step goes first that has waited longest (TrialTurns); one that has failed or was tried begins to wait only when the exclusion would be over that its failure causes. So a step waits for one trial of each that came before it, at most.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -34,6 +34,7 @@
 import org.nettlering.domain.workflow.placement.StartPlanner;
 import org.nettlering.domain.workflow.placement.StepWaits;
 import org.nettlering.domain.workflow.placement.ThrottledRun;
+import org.nettlering.domain.workflow.placement.TrialTurns;
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
 import org.nettlering.runtime.log.EventLogger;
 
@@ -78,6 +79,8 @@
 
     private final StepWaits waits = StepWaits.create();
 
+    private final TrialTurns turns = TrialTurns.create();
+
     /** The runs of the last plan that begin at the lowest speed. */
     private Set<RunId> throttledStarts = Set.of();
 
@@ -340,15 +343,19 @@
                 && copies.stragglers().isEmpty()) {
             return;
         }
+        updateTurns(state, nowNanos);
         PlanInput input = new PlanInput(
                 startableHosts.freeCapacities(state, nowNanos),
                 step -> waits.isOverdue(step, nowNanos),
                 colocation.controller(),
                 relocations,
                 copies,
+                turns,
                 runTimes,
                 nowMillis);
         StartPlan plan = StartPlanner.plan(state, input);
+        plan.starts()
+                .forEach(start -> turns.recordStart(start.run().run().task().step(), nowNanos));
         plan.copies().forEach(copy -> addCopy(state, copy, batch));
         batch.addAll(plan.starts());
         throttledStarts = plan.throttledStarts();
@@ -356,6 +363,14 @@
         plan.drainMoves().forEach(stops::moveOff);
     }
 
+    private void updateTurns(WorkflowState state, long nowNanos) {
+        if (startableHosts.failureBackoff().isAnyBackingOff(nowNanos)) {
+            turns.update(state.pendingSteps(), nowNanos);
+        } else {
+            turns.clear();
+        }
+    }
+
     private void addCopy(WorkflowState state, StartRun copy, List<WorkflowCommand> batch) {
         LOG.log(WorkflowEvent.COPY_STARTED, copy.run().run(), copy.run().host().id());
         metrics.copyStarted();
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/HostFailureBackoff.java
@@ -29,7 +29,7 @@
     private static final int MIN_FAILURES_FOR_BACKOFF = 2;
 
     /** The first backoff period, and the part of each one in which nothing starts on the host. */
-    private static final Duration EXCLUSION = Duration.ofSeconds(4);
+    static final Duration EXCLUSION = Duration.ofSeconds(4);
 
     /** How long a run is at work until its host is sound: longer than a host takes that fails each run after a while. */
     private static final Duration MIN_TIME_AT_WORK = EXCLUSION;
@@ -137,6 +137,16 @@
         return backoff != null && nowNanos - backoff.untilNanos() < 0;
     }
 
+    /**
+     * Returns whether any host has a backoff period now.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return true if {@link #isBackingOff} is true of a host
+     */
+    public boolean isAnyBackingOff(long nowNanos) {
+        return backoffs.values().stream().anyMatch(backoff -> nowNanos - backoff.untilNanos() < 0);
+    }
+
     /**
      * Returns whether a host that is left out may be tried with a task that no other host can take.
      *
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -58,6 +58,11 @@
     /** The hosts that are left out after failures and may be tried. */
     private final List<FreeCapacity> lastResorts;
 
+    /** The steps that no other host can take now, while there are hosts to be tried. */
+    private final List<StepProgress> untaken = new ArrayList<>();
+
+    private final TrialTurns turns;
+
     /** Whether a host is kept free of new runs, so that it admits a suspect soon. */
     private boolean hostReserved;
 
@@ -83,6 +88,7 @@
         selector = new HostSelector(input.colocation());
         capacities = input.capacities();
         lastResorts = capacities.stream().filter(FreeCapacity::isLastResort).toList();
+        turns = input.turns();
         overdue = input.overdue();
         runTimes = input.runTimes();
         nowMillis = input.nowMillis();
@@ -120,6 +126,8 @@
             }
             planStep(step);
         }
+        untaken.sort(turns.order());
+        untaken.forEach(this::tryLastResort);
     }
 
     private void planStep(StepProgress step) {
@@ -132,7 +140,7 @@
             planThrottled(step);
         }
         if (starts.size() == startsBefore && !lastResorts.isEmpty()) {
-            tryLastResort(step);
+            untaken.add(step);
         }
     }
 
--- a/domain/src/test/java/org/nettlering/domain/workflow/placement/LastResortPlanTest.java
+++ b/domain/src/test/java/org/nettlering/domain/workflow/placement/LastResortPlanTest.java
@@ -23,6 +23,8 @@
 
     private final List<FreeCapacity> capacities = new ArrayList<>();
 
+    private final TrialTurns turns = TrialTurns.create();
+
     /** Guards against a task that waits for a long backoff of the one host that can take it. */
     @Test
     void oneTaskIsTriedThatNoOtherHostCanTake() {
@@ -56,8 +58,37 @@
         assertThat(hostsOfStarts()).isEmpty();
     }
 
+    /** Guards against a sound task that waits for as long as the tasks of another step fail on the only host that can take it. */
+    @Test
+    void stepsTakeTurnsOnTheOneHostAlthoughOneOfThemHasTasksLeftAndComesFirst() {
+        addHost("failed", 4_000, true);
+        state.apply(job("failing", step(3, List.of(), StepTrait.LONG_RUNNING)));
+        assertThat(jobsOfTrials(1, 2)).containsExactly("failing", "failing");
+        state.apply(job("sound", step(1, List.of(), StepTrait.LONG_RUNNING)));
+        assertThat(jobsOfTrials(3, 6)).containsExactly("sound", "failing", "sound", "failing");
+    }
+
+    /** Returns the job of the trial in each of the plans at the given times, none of which is committed. */
+    private List<String> jobsOfTrials(long firstNanos, long lastNanos) {
+        List<String> jobs = new ArrayList<>();
+        for (long nowNanos = firstNanos; nowNanos <= lastNanos; nowNanos++) {
+            turns.update(state.pendingSteps(), nowNanos);
+            capacities.clear();
+            addHost("failed", 4_000, true);
+            for (StartRun start : planStarts()) {
+                jobs.add(start.run().run().task().jobId());
+                turns.recordStart(start.run().run().task().step(), nowNanos);
+            }
+        }
+        return jobs;
+    }
+
     private List<String> hostsOfStarts() {
-        List<StartRun> starts = StartPlanner.plan(
+        return planStarts().stream().map(start -> start.run().host().id()).toList();
+    }
+
+    private List<StartRun> planStarts() {
+        return StartPlanner.plan(
                         state,
                         new PlanInput(
                                 List.copyOf(capacities),
@@ -65,10 +96,10 @@
                                 ColocationController.create(),
                                 RelocationCandidates.NONE,
                                 CopyCandidates.NONE,
+                                turns,
                                 RunTimeModel.empty(),
                                 0))
                 .starts();
-        return starts.stream().map(start -> start.run().host().id()).toList();
     }
 
     private void addHost(String id, long millicores, boolean lastResort) {
