Try a gang as a whole on the hosts that may be tried after failures

Cause: a host that is left out was tried with single tasks alone, so a gang waited for the end of the backoff period, up to 32 s, also where all its members fit on that host.

Why this works: members that a sound host can take go there, the others on the hosts that may be tried, if these have room for all of them together; nothing else is tried beside them, as before.

--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/FreeCapacity.java
@@ -225,6 +225,22 @@
         return lastResort && admission == StartAdmission.ALL && isAllowed(stepId, step);
     }
 
+    /** Returns how many members of a gang may be tried here together, at most the given number. */
+    int roomToTry(StepId stepId, StepSpecification step, int memberCount) {
+        if (!mayTry(stepId, step)) {
+            return 0;
+        }
+        int maxPerHost = step.placementConstraints().maxTasksPerHost();
+        int allowed = maxPerHost == 0 ? memberCount : Math.min(memberCount, maxPerHost - allocations.countOf(stepId));
+        int members = 0;
+        Resources rest = free;
+        while (members < allowed && step.allocation().fitsIn(rest)) {
+            rest = rest.minus(step.allocation());
+            members++;
+        }
+        return members;
+    }
+
     private boolean isAllowed(StepId stepId, StepSpecification step) {
         int maxPerHost = step.placementConstraints().maxTasksPerHost();
         return admission != StartAdmission.NONE
--- a/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/placement/StartPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.nettlering.domain.workflow.ActiveRun;
 import org.nettlering.domain.workflow.RunId;
 import org.nettlering.domain.workflow.StepProgress;
@@ -145,24 +147,69 @@
     }
 
     /**
-     * Starts one task that no other host can take on a host that is left out after failures, a best-effort one at the lowest speed.
-     * A gang waits, as it needs more hosts than may be tried.
+     * Starts one task that no other host can take, or a whole gang, on hosts that are left out after failures; a best-effort one at the
+     * lowest speed.
      */
     private void tryLastResort(StepProgress step) {
-        int[] taskIndexes = step.specification().has(StepTrait.GANG) ? new int[0] : harmlessTasks(step);
+        if (step.specification().has(StepTrait.GANG)) {
+            tryGang(step);
+            return;
+        }
+        int[] taskIndexes = harmlessTasks(step);
         if (taskIndexes.length == 0) {
             return;
         }
-        lastResorts.stream()
+        hostsToTry(step).findFirst().ifPresent(capacity -> {
+            selector.allocate(step.id(), step.specification(), capacity);
+            addStart(nextStart(step, taskIndexes[0], capacity), isBestEffort(step));
+        });
+    }
+
+    /** Returns the hosts on which a step may be tried, those with the fewest failures first. */
+    private Stream<FreeCapacity> hostsToTry(StepProgress step) {
+        return lastResorts.stream()
                 .filter(capacity -> capacity.pool().equals(step.job().terms().pool()))
                 .filter(capacity -> capacity.mayTry(step.id(), step.specification()))
-                .min(Comparator.comparingInt(FreeCapacity::consecutiveFailures))
-                .ifPresent(capacity -> {
-                    selector.allocate(step.id(), step.specification(), capacity);
-                    addStart(
-                            nextStart(step, taskIndexes[0], capacity),
-                            step.specification().has(StepTrait.BEST_EFFORT));
-                });
+                .sorted(Comparator.comparingInt(FreeCapacity::consecutiveFailures));
+    }
+
+    /** Starts a gang if the hosts on which it may be tried have room for all the members that no other host can take. */
+    private void tryGang(StepProgress step) {
+        int[] members = step.pendingTasks();
+        if (members.length < step.specification().taskCount()) {
+            return;
+        }
+        HostRanking ranking = rankingOf(step);
+        List<FreeCapacity> places = new ArrayList<>();
+        Optional<FreeCapacity> sound = ranking.allocateBest();
+        while (sound.isPresent()) {
+            places.add(sound.get());
+            sound = places.size() < members.length ? ranking.allocateBest() : Optional.empty();
+        }
+        int soundPlaces = places.size();
+        hostsToTry(step).forEach(capacity -> {
+            int room = capacity.roomToTry(step.id(), step.specification(), members.length - places.size());
+            places.addAll(Collections.nCopies(room, capacity));
+        });
+        if (places.size() < members.length) {
+            ranking.releaseAll();
+            return;
+        }
+        places.subList(soundPlaces, places.size())
+                .forEach(capacity -> selector.allocate(step.id(), step.specification(), capacity));
+        startGang(step, members, places, isBestEffort(step));
+    }
+
+    private void startGang(StepProgress step, int[] members, List<FreeCapacity> places, boolean throttled) {
+        int runNumber = step.nextGangRunNumber();
+        String checkpoint = newestCheckpoint(step);
+        for (int position = 0; position < members.length; position++) {
+            addStart(newStart(step, members[position], runNumber, checkpoint, places.get(position)), throttled);
+        }
+    }
+
+    private static boolean isBestEffort(StepProgress step) {
+        return step.specification().has(StepTrait.BEST_EFFORT);
     }
 
     private void addStart(StartRun start, boolean throttled) {
@@ -177,8 +224,7 @@
         String pool = step.job().terms().pool();
         boolean isGang = specification.has(StepTrait.GANG);
         int[] taskIndexes = isGang ? step.pendingTasks() : harmlessTasks(step);
-        HostRanking ranking =
-                new HostRanking(selector, step.id(), specification, preferredRack(step), candidatesIn(pool));
+        HostRanking ranking = rankingOf(step);
         if (isGang) {
             planGang(step, taskIndexes, ranking);
             return;
@@ -196,6 +242,12 @@
         }
     }
 
+    /** Ranks the hosts that suit a step. */
+    private HostRanking rankingOf(StepProgress step) {
+        PoolCapacities candidates = candidatesIn(step.job().terms().pool());
+        return new HostRanking(selector, step.id(), step.specification(), preferredRack(step), candidates);
+    }
+
     /** Returns the pending tasks that are not suspected of crashing their hosts. */
     private static int[] harmlessTasks(StepProgress step) {
         if (!step.hasSuspects()) {
@@ -296,18 +348,16 @@
         if (taskIndexes.length < step.specification().taskCount()) {
             return;
         }
-        int runNumber = step.nextGangRunNumber();
-        String checkpoint = newestCheckpoint(step);
-        List<StartRun> members = new ArrayList<>();
-        for (int index : taskIndexes) {
+        List<FreeCapacity> places = new ArrayList<>();
+        while (places.size() < taskIndexes.length) {
             Optional<FreeCapacity> capacity = ranking.allocateBest();
             if (capacity.isEmpty()) {
                 ranking.releaseAll();
                 return;
             }
-            members.add(newStart(step, index, runNumber, checkpoint, capacity.get()));
+            places.add(capacity.get());
         }
-        starts.addAll(members);
+        startGang(step, taskIndexes, places, false);
     }
 
     /** Returns the checkpoint of the member with the latest run; all members of a gang start from the same one. */
