Move the planning of starts out of WorkflowLeadership

StartPlanning has them now: what plans need of earlier ones (waits, turns, starts at the lowest speed), the input of a plan, and what becomes of it.

--- a/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
+++ b/control/src/main/java/org/nettlering/control/workflow/WorkflowLeadership.java
@@ -27,16 +27,7 @@
 import org.nettlering.domain.workflow.host.HostSession;
 import org.nettlering.domain.workflow.host.HostTimings;
 import org.nettlering.domain.workflow.host.TerminationEvidence;
-import org.nettlering.domain.workflow.placement.CopyCandidates;
-import org.nettlering.domain.workflow.placement.PlanInput;
-import org.nettlering.domain.workflow.placement.RelocationCandidates;
-import org.nettlering.domain.workflow.placement.StartPlan;
-import org.nettlering.domain.workflow.placement.StartPlanner;
-import org.nettlering.domain.workflow.placement.StepWaits;
-import org.nettlering.domain.workflow.placement.ThrottledRun;
-import org.nettlering.domain.workflow.placement.TrialTurns;
 import org.nettlering.domain.workflow.runtime.RunTimeModel;
-import org.nettlering.runtime.log.EventLogger;
 
 /**
  * The volatile state of the leader of one term: host sessions and terminations that are not committed yet.
@@ -52,8 +43,6 @@
     /** The minimum time between two comparisons of the sessions with the replicated state. */
     private static final Duration COMPARISON_INTERVAL = Duration.ofSeconds(1);
 
-    private static final EventLogger LOG = EventLogger.of(WorkflowLeadership.class);
-
     private final long term;
 
     private final WorkflowOptions options;
@@ -77,12 +66,7 @@
 
     private final StragglingRuns straggling = new StragglingRuns();
 
-    private final StepWaits waits = StepWaits.create();
-
-    private final TrialTurns turns = TrialTurns.create();
-
-    /** The runs of the last plan that begin at the lowest speed. */
-    private Set<RunId> throttledStarts = Set.of();
+    private final StartPlanning planning;
 
     private final HostVisitQueue visitQueue = new HostVisitQueue();
 
@@ -160,6 +144,7 @@
         admission = new JobAdmission(startableHosts, runTimes, options, nowNanos);
         learning = new RunTimeLearning(runTimes, admission);
         stops = new RunStops(sessions, metrics, this::markHostChanged);
+        planning = new StartPlanning(sessions, startableHosts, colocation, straggling, runTimes, stops, metrics);
     }
 
     long term() {
@@ -326,58 +311,10 @@
         addDueOccurrences(state, nowMillis, batch);
         batch.addAll(finishedJobs.removalsDue(state, nowNanos));
         long planStartNanos = metrics.planStartNanos();
-        addStarts(state, nowNanos, nowMillis, batch);
+        planning.addTo(batch, state, nowNanos, nowMillis);
         metrics.recordPlan(planStartNanos);
     }
 
-    private void addStarts(WorkflowState state, long nowNanos, long nowMillis, List<WorkflowCommand> batch) {
-        waits.update(state.pendingSteps(), nowNanos);
-        List<ThrottledRun> throttled = colocation.throttledRuns(state, sessions.byHostId(), nowNanos);
-        RelocationCandidates relocations = new RelocationCandidates(
-                throttled,
-                HostDrains.movingRuns(state, sessions.all(), runTimes),
-                run -> HostDrains.isAtWork(sessions.byHostId(), run, nowNanos));
-        CopyCandidates copies = straggling.candidates(state);
-        if (state.pendingSteps().isEmpty()
-                && relocations.isEmpty()
-                && copies.stragglers().isEmpty()) {
-            return;
-        }
-        updateTurns(state, nowNanos);
-        PlanInput input = new PlanInput(
-                startableHosts.freeCapacities(state, nowNanos),
-                step -> waits.isOverdue(step, nowNanos),
-                colocation.controller(),
-                relocations,
-                copies,
-                turns,
-                runTimes,
-                nowMillis);
-        StartPlan plan = StartPlanner.plan(state, input);
-        plan.starts()
-                .forEach(start -> turns.recordStart(start.run().run().task().step(), nowNanos));
-        plan.copies().forEach(copy -> addCopy(state, copy, batch));
-        batch.addAll(plan.starts());
-        throttledStarts = plan.throttledStarts();
-        plan.migrations().forEach(stops::migrate);
-        plan.drainMoves().forEach(stops::moveOff);
-    }
-
-    private void updateTurns(WorkflowState state, long nowNanos) {
-        if (startableHosts.failureBackoff().isAnyBackingOff(nowNanos)) {
-            turns.update(state.pendingSteps(), nowNanos);
-        } else {
-            turns.clear();
-        }
-    }
-
-    private void addCopy(WorkflowState state, StartRun copy, List<WorkflowCommand> batch) {
-        LOG.log(WorkflowEvent.COPY_STARTED, copy.run().run(), copy.run().host().id());
-        metrics.copyStarted();
-        straggling.copyPlanned(state, copy.run().run());
-        batch.add(copy);
-    }
-
     /** Schedules a visit of a host and discards its cached free capacity. */
     private void markHostChanged(String hostId) {
         visitQueue.markDue(hostId);
@@ -506,7 +443,7 @@
             return;
         }
         session.trackNewRun(run, job.definition().taskSpecification(), "", nowNanos);
-        if (throttledStarts.contains(run.run())) {
+        if (planning.isThrottledStart(run.run())) {
             session.runs().setSpeed(run.run(), ColocationController.MIN_SPEED_PERCENT);
         }
         if (StartableHosts.isSuspect(state, run.run())) {
