--- a/control/src/main/java/org/nettlering/control/workflow/JobBeginnings.java
+++ b/control/src/main/java/org/nettlering/control/workflow/JobBeginnings.java
@@ -1,8 +1,8 @@
 package org.nettlering.control.workflow;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.nettlering.domain.workflow.Job;
 import org.nettlering.domain.workflow.JobPhase;
@@ -59,30 +59,34 @@
      * @return the jobs that turn out to have begun by a start of this leader, none of which was returned before
      */
     List<Job> receive(WorkflowState state, HostCommand command, HostResponse response) {
+        List<Job> jobs = new ArrayList<>();
         if (unconfirmed.isEmpty()) {
-            return List.of();
+            return jobs;
         }
-        return begunRuns(command, response).stream()
-                .flatMap(run -> recordBegun(state, run).stream())
-                .toList();
-    }
-
-    private static List<RunId> begunRuns(HostCommand command, HostResponse response) {
-        return switch (response) {
-            case HostResponse.Accepted accepted ->
-                command instanceof HostCommand.Start start ? List.of(start.run().run()) : List.of();
-            case HostResponse.PollResult result -> List.copyOf(result.reportedRuns());
-            default -> List.of();
-        };
+        switch (response) {
+            case HostResponse.Accepted accepted -> {
+                if (command instanceof HostCommand.Start start) {
+                    recordBegun(state, start.run().run(), jobs);
+                }
+            }
+            case HostResponse.PollResult result -> {
+                result.running().forEach(running -> recordBegun(state, running.run(), jobs));
+                result.terminations().forEach(ended -> recordBegun(state, ended.run(), jobs));
+            }
+            default -> {}
+        }
+        return jobs;
     }
 
-    private Optional<Job> recordBegun(WorkflowState state, RunId run) {
+    private void recordBegun(WorkflowState state, RunId run, List<Job> jobs) {
         String jobId = run.task().jobId();
         if (!unconfirmed.remove(jobId)) {
-            return Optional.empty();
+            return;
         }
         begun.add(jobId);
-        return inherited.remove(jobId) ? Optional.empty() : state.job(jobId);
+        if (!inherited.remove(jobId)) {
+            state.job(jobId).ifPresent(jobs::add);
+        }
     }
 
     /** Returns the number of open jobs of a queue of which no run is known to have begun. */
