Raise the token of a host that comes back after its session was discarded

A session that was discarded, for silence or after a notice of shutdown, was made anew with the token in use, so late commands of the discarded one stayed valid there for as long as they were under way.

HostSessions remembers discarded hosts (10,000 at most) and has the token raised when one comes back, before anything starts there. The cost: one entry of the log and a poll for each such host.

--- a/control/src/main/java/org/nettlering/control/workflow/HostSessions.java
+++ b/control/src/main/java/org/nettlering/control/workflow/HostSessions.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -15,9 +16,14 @@
 /**
  * The sessions of one leadership by the id of the host, and the fencing token that they use.
  *
- * <p>A session keeps its token until a higher one is committed. Not thread-safe.
+ * <p>A session keeps its token until a higher one is committed. A host that comes back after its session was discarded may have started
+ * again under its id; it needs a higher token first, as commands with the one in use may still be under way to the earlier
+ * incarnation. Not thread-safe.
  */
 final class HostSessions {
+    /** Commands of sessions that were discarded before so many others are not under way any more. */
+    private static final int MAX_DISCARDED_HOSTS = 10_000;
+
     private final HostTimings timings;
 
     private final Map<String, HostSession> sessions = new LinkedHashMap<>();
@@ -28,6 +34,9 @@
     /** The ids of the hosts that need a higher fencing token. */
     private final Set<String> hostsToFence = new HashSet<>();
 
+    /** The ids of the hosts whose sessions were discarded and that have not come back, the earliest first. */
+    private final Set<String> discardedHosts = new LinkedHashSet<>();
+
     HostSessions(HostTimings timings, long token) {
         this.timings = timings;
         this.token = token;
@@ -41,7 +50,16 @@
 
     /** Returns the session of a host, a new one if the host is not known. */
     HostSession getOrCreate(HostIncarnation host, long nowNanos) {
-        return sessions.computeIfAbsent(host.id(), id -> HostSession.create(host, timings, token, nowNanos));
+        return sessions.computeIfAbsent(host.id(), id -> create(host, nowNanos));
+    }
+
+    private HostSession create(HostIncarnation host, long nowNanos) {
+        HostSession session = HostSession.create(host, timings, token, nowNanos);
+        if (discardedHosts.remove(host.id())) {
+            session.requireFence();
+            checkFence(session);
+        }
+        return session;
     }
 
     boolean contains(String hostId) {
@@ -57,8 +75,15 @@
         return Collections.unmodifiableMap(sessions);
     }
 
+    /** Discards a session. */
     void remove(String hostId) {
-        sessions.remove(hostId);
+        if (sessions.remove(hostId) == null) {
+            return;
+        }
+        discardedHosts.add(hostId);
+        if (discardedHosts.size() > MAX_DISCARDED_HOSTS) {
+            discardedHosts.remove(discardedHosts.iterator().next());
+        }
     }
 
     /** Returns whether a host needs a higher fencing token than the one in use. */
--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostSession.java
@@ -195,6 +195,11 @@
         return true;
     }
 
+    /** Has nothing started on the host until it has seen a higher fencing token: it may have started again unnoticed. */
+    public void requireFence() {
+        fenceNeeded = true;
+    }
+
     /**
      * Returns whether the host needs a higher fencing token: it has started again under its id, so that commands which were
      * sent before may reach the new incarnation late.
