--- a/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
+++ b/domain/src/main/java/org/nettlering/domain/workflow/host/HostLease.java
@@ -7,7 +7,7 @@
 /**
  * The lease that covers all runs on a host, measured by the host's clock.
  *
- * <p>Measured only by readings of the incarnation that a response has identified: by the clock of another one, a lease would be granted
+ * <p>It is measured only by readings of the incarnation that a response has identified: by the clock of another one, it would be granted
  * for longer than was asked for, or seem over. The lease counts as expired only when it has certainly expired: this holds for every expiry that this leader
  * requested and every one that an earlier leader may have requested, and even if the host's clock is slow. Not
  * thread-safe.
@@ -27,7 +27,7 @@
     private final HostClock clock = new HostClock();
 
     /** When this leader started to track the host or last heard of one of its incarnations before a response, by the monotonic clock. */
-    private long lastUnidentifiedNanos;
+    private long lastUnidentifiedContactNanos;
 
     /** The latest lease expiry that the host may have been given, by its own clock; zero for none. */
     private long latestExpiryMillis;
@@ -43,7 +43,7 @@
     HostLease(HostTimings timings, long sessionStartNanos) {
         this.timings = timings;
         this.sessionStartNanos = sessionStartNanos;
-        lastUnidentifiedNanos = sessionStartNanos;
+        lastUnidentifiedContactNanos = sessionStartNanos;
     }
 
     /**
@@ -69,7 +69,7 @@
 
     /** Records contact with an incarnation that may have ended; it delays the expiry, but its clock measures nothing. */
     void recordUnidentifiedContact(long nowNanos) {
-        lastUnidentifiedNanos = nowNanos;
+        lastUnidentifiedContactNanos = nowNanos;
     }
 
     /**
@@ -138,7 +138,7 @@
         if (!clock.isKnown()) {
             Duration maxLeaseWithMargins =
                     timings.maxLease().plus(DEPOSED_LEADER_MARGIN).plusMillis(marginMillis);
-            return nowNanos - lastUnidentifiedNanos > maxLeaseWithMargins.toNanos() * 51 / 50;
+            return nowNanos - lastUnidentifiedContactNanos > maxLeaseWithMargins.toNanos() * 51 / 50;
         }
         if (latestExpiryMillis == 0) {
             return false;
